Lay the foundation: types, clock, diagnostics, protocol, checks

Cause: an empty repository. Change: build, format, lint and test commands; clock with a fake; diagnostics table; platform and configuration types; protobuf messages between entry and agent with generated code. Conclusion: parts can now be written against shared types.

--- /dev/null
+++ b/src/process/diagnostics.ts
@@ -0,0 +1,97 @@
+/**
+ * The one table of diagnostics. Each has a number that never changes, a kind that programs switch on,
+ * a message and a remedy. `{0}`, `{1}` … are replaced by the arguments.
+ *
+ * Ranges: 1xxx requests, 2xxx objects and change sets, 3xxx settings, 4xxx platform,
+ * 5xxx links and peers, 6xxx command line.
+ */
+
+/** One row of the table. */
+export type DiagnosticMessage = {
+	readonly code: number;
+	readonly kind: string;
+	readonly message: string;
+	readonly remedy: string;
+};
+
+/** A diagnostic with its arguments filled in. Source: any part that reports to people. */
+export type Diagnostic = {
+	readonly code: number;
+	readonly kind: string;
+	readonly message: string;
+	readonly remedy: string;
+	/** Where the fault stands, when it stands in a file. */
+	readonly file?: string;
+	/** Line in `file`, from 1. */
+	readonly line?: number;
+};
+
+/** Every diagnostic of the system. */
+export const Diagnostics = {
+	// 1xxx: requests
+	Ticket_is_malformed: row(1001, 'TicketMalformed', 'The ticket {0} is not one that this system issued.', 'Obtain tickets with POST /v1/tickets and send them unchanged.'),
+	Ticket_has_expired: row(1002, 'TicketExpired', 'The ticket {0} was not used within its lifetime of {1} ms.', 'Obtain a fresh ticket; nothing was started under this one.'),
+	Ticket_is_foreign: row(1003, 'TicketForeign', 'The ticket {0} was issued to another caller.', 'Use tickets issued to your own token.'),
+	Token_is_missing: row(1010, 'TokenMissing', 'The request carries no bearer token.', 'Send the header "Authorization: Bearer <token>".'),
+	Token_is_unknown: row(1011, 'TokenUnknown', 'The bearer token is not valid.', 'Ask an operator for a token.'),
+	Token_lacks_role: row(1012, 'TokenLacksRole', 'The token {0} may not do this; it needs the role {1}.', 'Use a token with that role.'),
+	Body_is_too_large: row(1020, 'BodyTooLarge', 'The body is larger than {0} bytes.', 'Send smaller payloads or split the job.'),
+	Body_is_invalid: row(1021, 'BodyInvalid', 'The body is not valid: {0}.', 'Correct the named fields; docs/API.md shows the form.'),
+	Too_many_tasks: row(1022, 'TooManyTasks', 'The job has {0} tasks; the limit is {1}.', 'Split the job.'),
+	Submission_is_unknown: row(1023, 'SubmissionUnknown', 'There is no submission object named {0} in configuration version {1}.', 'Name one that "kingcuplane get submissions" lists.'),
+	Submission_is_not_allowed: row(1024, 'SubmissionNotAllowed', 'The team {0} may not use the submission {1}.', 'Ask an operator to set the team of the submission object.'),
+	Service_has_no_upstream: row(1030, 'ServiceHasNoUpstream', 'No upstream has announced itself for the service {0}.', 'Start an upstream with its agent, or come back later.'),
+	Queue_is_full: row(1031, 'QueueFull', 'The queue of the service {0} is full ({1} tasks).', 'Come back after the stated time.'),
+	Deadline_cannot_be_met: row(1032, 'DeadlineCannotBeMet', 'The queue of the service {0} needs about {1} ms; the deadline is {2} ms.', 'Come back after the stated time or allow a longer deadline.'),
+	Quota_is_exhausted: row(1033, 'QuotaExhausted', 'The team {0} has used up its quota of {1} tasks.', 'Come back after the stated time or ask for a larger quota.'),
+	Entry_is_draining: row(1034, 'EntryDraining', 'This entry is shutting down and takes no new work.', 'Send the request again; the balancer will choose another entry.'),
+	Entry_is_not_ready: row(1035, 'EntryNotReady', 'This entry has no configuration in force yet.', 'Come back after the stated time.'),
+	Fate_memory_is_full: row(1036, 'FateMemoryFull', 'The platform is unreachable and the memory for unsaved records is full.', 'Come back after the stated time; nothing was started.'),
+	Deadline_has_passed: row(1040, 'DeadlinePassed', 'The deadline of {0} ms passed.', 'See which tasks had started in the trail of this ticket.'),
+	Job_was_cancelled: row(1041, 'JobCancelled', 'The job was cancelled by {0}.', 'Submit again under a new ticket if it is still wanted.'),
+	Task_failed: row(1042, 'TaskFailed', 'Task {0} failed at {1}: {2}.', 'See the trail of this ticket.'),
+	Task_may_have_run: row(1043, 'TaskMayHaveRun', 'Task {0} was sent to {1}, and its end is not known: {2}.', 'Check with the back end before submitting again under a new ticket.'),
+	Home_is_lost: row(1044, 'HomeLost', 'The entry {0} that accepted this ticket is gone.', 'Check with the back end before submitting again under a new ticket.'),
+	Home_is_unreachable: row(1045, 'HomeUnreachable', 'The entry {0} that answers for this ticket cannot be reached at present.', 'Ask again with the same ticket after the stated time.'),
+	Fate_is_unknown: row(1046, 'FateUnknown', 'No record of the ticket {0} was found.', 'Check the ticket; records are kept for the time that docs/OPERATORS.md states.'),
+	Route_is_unknown: row(1050, 'RouteUnknown', 'There is no {0} {1}.', 'See docs/API.md.'),
+	Internal_fault: row(1099, 'InternalFault', 'An unexpected fault occurred: {0}.', 'Read the trail of the ticket and report the fault.'),
+	// 2xxx: objects and change sets
+
+	// 3xxx: settings
+
+	// 4xxx: platform
+	Platform_is_unreachable: row(4001, 'PlatformUnreachable', 'The platform service did not answer: {0}.', 'Check the platform; the call is tried again.'),
+	Platform_timed_out: row(4002, 'PlatformTimedOut', 'The platform service did not answer within {0} ms; a write may have taken effect.', 'Check the platform; the call is tried again.'),
+	Platform_is_limiting: row(4003, 'PlatformLimiting', 'The platform service refused the call because of its rate limit.', 'The call is tried again after the stated time.'),
+	Platform_answer_is_invalid: row(4004, 'PlatformAnswerInvalid', 'The platform service answered in an unexpected form: {0}.', 'Check the platform address in the settings.'),
+	// 5xxx: links and peers
+
+	// 6xxx: command line
+} as const;
+
+/** Fills in a diagnostic's arguments. */
+export function createDiagnostic(row: DiagnosticMessage, ...args: ReadonlyArray<string | number>): Diagnostic {
+	return {
+		code: row.code,
+		kind: row.kind,
+		message: format(row.message, args),
+		remedy: format(row.remedy, args),
+	};
+}
+
+/** Writes a diagnostic on one line: place, code, message, remedy. */
+export function formatDiagnostic(diagnostic: Diagnostic): string {
+	const place = diagnostic.file === undefined ? '' : `${diagnostic.file}${diagnostic.line === undefined ? '' : `:${diagnostic.line}`}: `;
+	return `${place}KC${diagnostic.code} ${diagnostic.message} ${diagnostic.remedy}`;
+}
+
+function row<const K extends string>(code: number, kind: K, message: string, remedy: string): DiagnosticMessage & {readonly kind: K} {
+	return {
+		code, kind, message, remedy,
+	};
+}
+
+function format(text: string, args: ReadonlyArray<string | number>): string {
+	return text.replaceAll(/\{(\d+)\}/gv, (whole, index: string) => String(args[Number(index)] ?? whole));
+}
--- /dev/null
+++ b/src/version/types.ts
@@ -0,0 +1,126 @@
+/**
+ * The objects that operators publish, and what a published version of them looks like.
+ */
+import type {Milliseconds} from '../process/clock.js';
+
+/** Kinds of objects, in the order in which they are listed. */
+export const objectKinds = ['service', 'upstream', 'policy', 'submission', 'team'] as const;
+
+/** One kind of object. */
+export type ObjectKind = (typeof objectKinds)[number];
+
+/**
+ * How a service's waiting tasks are matched with slots. `response` gives the lowest response time: a freed
+ * slot goes at once where the longest queue is. `messages` sends the fewest messages: slots stay where they
+ * were granted until they are needed elsewhere.
+ */
+export type PlacementMode = 'response' | 'messages';
+
+/** Rules for the tasks of the services that name it. */
+export type PolicyObject = {
+	readonly kind: 'policy';
+	readonly name: string;
+	readonly placement: PlacementMode;
+	/** Longest queue of one entry for one service, in tasks. */
+	readonly maxQueuedTasks: number;
+	/** Longest run time of one task at its upstream. */
+	readonly taskTimeout: Milliseconds;
+	/** Longest time from acceptance to the answer, where the submission asks for no less. */
+	readonly deadline: Milliseconds;
+	/** Extra attempts allowed for each hundred first attempts, for idempotent requests only. */
+	readonly retryPercent: number;
+	/** Hedged attempts allowed for each hundred first attempts, for idempotent requests only. */
+	readonly hedgePercent: number;
+	/** Whether acceptance is recorded at the platform before any task starts. */
+	readonly recordBeforeStart: boolean;
+};
+
+/** A kind of work that upstreams offer. */
+export type ServiceObject = {
+	readonly kind: 'service';
+	readonly name: string;
+	/** Name of a policy. */
+	readonly policy: string;
+	readonly maxTasksPerJob: number;
+	/** Largest payload of one task in bytes. */
+	readonly maxPayload: number;
+};
+
+/** Limits for one upstream that announces itself under this name. */
+export type UpstreamObject = {
+	readonly kind: 'upstream';
+	readonly name: string;
+	/** Name of a service. */
+	readonly service: string;
+	/** Tasks run at the same time; at most what the agent announces. */
+	readonly slots: number;
+	/** Takes no new work while true. */
+	readonly drain: boolean;
+};
+
+/** A named way to submit work: what callers name in a request. */
+export type SubmissionObject = {
+	readonly kind: 'submission';
+	readonly name: string;
+	/** Name of a service. */
+	readonly service: string;
+	/** Name of the team whose quota is used. */
+	readonly team: string;
+	/** Whether a task may run more than once. False for charges and confirmations. */
+	readonly idempotent: boolean;
+	readonly deadline: Milliseconds;
+	/** Expected run time of one task; a hint for the first tasks only. */
+	readonly expectedRun: Milliseconds;
+};
+
+/** A group of callers that shares a quota. */
+export type TeamObject = {
+	readonly kind: 'team';
+	readonly name: string;
+	/** Most tasks waiting or running at the same time, over all entries. */
+	readonly maxTasks: number;
+	/** Share of the slots relative to other teams when slots are short. */
+	readonly weight: number;
+};
+
+/** Any object. */
+export type ConfigObject = PolicyObject | ServiceObject | UpstreamObject | SubmissionObject | TeamObject;
+
+/** One published version: all objects in force together. Maps are by name. */
+export type Snapshot = {
+	/** Counts published change sets; 0 is the empty configuration. */
+	readonly version: number;
+	readonly services: ReadonlyMap<string, ServiceObject>;
+	readonly upstreams: ReadonlyMap<string, UpstreamObject>;
+	readonly policies: ReadonlyMap<string, PolicyObject>;
+	readonly submissions: ReadonlyMap<string, SubmissionObject>;
+	readonly teams: ReadonlyMap<string, TeamObject>;
+};
+
+/** What a change set does to one object. */
+export type Change
+	= | {readonly kind: 'put'; readonly object: ConfigObject}
+		| {readonly kind: 'delete'; readonly objectKind: ObjectKind; readonly name: string};
+
+/** Changes that are checked and published together. */
+export type ChangeSet = {
+	/** Chosen by the operator's command line; makes publishing safe to repeat. */
+	readonly id: string;
+	/** The version that the changes were made for. */
+	readonly base: number;
+	readonly author: string;
+	readonly reason: string;
+	readonly changes: readonly Change[];
+};
+
+/** The record of one published change set. */
+export type AuditRecord = {
+	readonly version: number;
+	readonly changeSet: string;
+	readonly author: string;
+	readonly reason: string;
+	/** Wall time of the publication in milliseconds. */
+	readonly at: Milliseconds;
+	/** One line per changed object, for instance "put service ordering". */
+	readonly summary: readonly string[];
+};
