Define the interface between entries, agents and the scheduler

Cause: placement is to be measured in several ways behind one interface. Ruled out: placement inside the link code, where it could not run on a fake clock. Change: types of agents, queued work, scheduler and credit granter. Measured: nothing; types only. Conclusion: the link code and the placement can be written apart.

--- /dev/null
+++ b/src/connection/types.ts
@@ -0,0 +1,146 @@
+/**
+ * What entries and agents know of each other, and the parts that divide slots and choose what runs next.
+ */
+import type {Clock, Milliseconds} from '../process/clock.js';
+import type {PlacementMode} from '../version/types.js';
+
+/** What an agent announces when its link opens. */
+export type AgentFacts = {
+	/** Incarnation of the agent; unique over all restarts. */
+	readonly incarnation: string;
+	/** Name of the agent, the same after a restart. */
+	readonly name: string;
+	/** Name of the upstream that it starts work on. */
+	readonly upstream: string;
+	readonly service: string;
+	readonly dataCentre: string;
+	readonly rack: string;
+	/** Tasks that the upstream runs at the same time. */
+	readonly slots: number;
+};
+
+/** The condition that an agent restates when it changes. */
+export type AgentCondition = {
+	readonly draining: boolean;
+	readonly running: number;
+	readonly slots: number;
+	readonly meanRun: Milliseconds;
+	/** Share of recent tasks that failed, in thousandths. */
+	readonly failedPerMille: number;
+};
+
+/** A job whose tasks wait for slots. */
+export type QueuedJob = {
+	/** Text of its ticket. */
+	readonly ticket: string;
+	readonly service: string;
+	readonly team: string;
+	/** Tasks with the indexes 0 to taskCount - 1 wait. */
+	readonly taskCount: number;
+	/** Declared run time of one task: a hint that may be far off. */
+	readonly expectedRun: Milliseconds;
+	/** Time on the monotonic clock. */
+	readonly arrivedAt: Milliseconds;
+	/** Time on the monotonic clock by which the answer is due. */
+	readonly deadlineAt: Milliseconds;
+};
+
+/** One task that waits for a slot or is about to start. */
+export type QueuedTask = {
+	readonly ticket: string;
+	readonly index: number;
+	/** From 1; grows with each start that was refused before it happened, and with each retry. */
+	readonly attempt: number;
+};
+
+/** Effects of the scheduler. */
+export type SchedulerHost = {
+	readonly clock: Clock;
+	/** Sends the start of a task to an agent. One credit of that agent is spent. */
+	start(agent: string, task: QueuedTask): void;
+	/** The queue length or the returned credits to be told to this agent have changed. */
+	changed(agent: string): void;
+};
+
+/** Rules of one service that the scheduler follows; they come from its policy. */
+export type SchedulingRules = {
+	readonly placement: PlacementMode;
+	readonly maxQueuedTasks: number;
+};
+
+/** Weight and bound of one team at this entry. */
+export type TeamShare = {
+	readonly weight: number;
+	/** Most tasks of the team running at the same time through this entry. */
+	readonly maxRunning: number;
+};
+
+/** Whether a job can be taken, and when its answer may be expected. */
+export type Admission
+	= | {readonly kind: 'admitted'; readonly wait: Milliseconds}
+	/** No upstream has announced itself for the service. */
+		| {readonly kind: 'no-upstream'; readonly retryAfter: Milliseconds}
+		| {readonly kind: 'queue-full'; readonly queued: number; readonly retryAfter: Milliseconds}
+	/** The expected wait is longer than the time left. */
+		| {readonly kind: 'too-late'; readonly wait: Milliseconds; readonly retryAfter: Milliseconds};
+
+/**
+ * Chooses which waiting task starts next and on which agent, at one entry. Single-threaded; every call
+ * returns at once, and starts happen through the host before it returns.
+ */
+export type Scheduler = {
+	/** Sets the rules of a service; defaults apply to a service that has none. */
+	setRules(service: string, rules: SchedulingRules): void;
+	setShare(team: string, share: TeamShare): void;
+	/** A link opened: the agent has granted nothing yet. */
+	openAgent(agent: AgentFacts): void;
+	/** A link was lost: its credits are void. */
+	closeAgent(incarnation: string): void;
+	setCondition(incarnation: string, condition: AgentCondition): void;
+	/** Credits that the agent has granted since the link opened; a lower figure than before is ignored. */
+	setGranted(incarnation: string, granted: number): void;
+	/** Whether a job may be taken now; changes nothing. */
+	assess(job: QueuedJob): Admission;
+	enqueue(job: QueuedJob): void;
+	/** Puts one task back that was refused before it started, or that is to be tried again. */
+	requeue(job: QueuedJob, task: QueuedTask): void;
+	/** Takes the waiting tasks of a job out; gives their indexes. Running tasks are not affected. */
+	remove(ticket: string): readonly number[];
+	/** A task that was started has ended, whatever its outcome; `run` is undefined if it did not run. */
+	recordEnd(incarnation: string, ticket: string, outcome: 'completed' | 'failed' | 'unknown' | 'refused', run: Milliseconds | undefined): void;
+	/** Tasks waiting here that this agent could run. */
+	getQueued(incarnation: string): number;
+	/** Credits handed back unused to this agent since the link opened. */
+	getReturned(incarnation: string): number;
+};
+
+/** Effects of the credit granter. */
+export type CreditGranterHost = {
+	readonly clock: Clock;
+	/** The granted figure of this entry has changed. */
+	changed(entry: string): void;
+};
+
+/**
+ * Divides the slots of one upstream among the entries, at its agent. A credit allows one start. All
+ * counters restart from zero when a link opens.
+ */
+export type CreditGranter = {
+	setSlots(slots: number): void;
+	/** While draining nothing is granted, and unused credits no longer allow a start. */
+	setDraining(draining: boolean): void;
+	/** A link to this entry incarnation opened. */
+	open(entry: string): void;
+	/** The link was lost: its unused credits are void and their slots free again. */
+	close(entry: string): void;
+	/** Tasks that wait at the entry for this service, as last told. */
+	setQueued(entry: string, queued: number): void;
+	/** Credits handed back since the link opened; a lower figure than before is ignored. */
+	setReturned(entry: string, returned: number): void;
+	/** A start from this entry has arrived: spends a credit; false if it has none. */
+	tryUse(entry: string): boolean;
+	/** A task that used a credit has ended: its slot is free. */
+	release(): void;
+	/** Credits granted to this entry since its link opened. */
+	getGranted(entry: string): number;
+};
