--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -76,13 +76,13 @@
 };
 
 /** Whether a job can be taken, and when its answer may be expected. */
-export type Admission
-	= | {readonly kind: 'admitted'; readonly wait: Milliseconds}
+export type Admission =
+	| {readonly kind: 'admitted'; readonly wait: Milliseconds}
 	/** No upstream has announced itself for the service. */
-		| {readonly kind: 'no-upstream'; readonly retryAfter: Milliseconds}
-		| {readonly kind: 'queue-full'; readonly queued: number; readonly retryAfter: Milliseconds}
+	| {readonly kind: 'no-upstream'; readonly retryAfter: Milliseconds}
+	| {readonly kind: 'queue-full'; readonly queued: number; readonly retryAfter: Milliseconds}
 	/** The expected wait is longer than the time left. */
-		| {readonly kind: 'too-late'; readonly wait: Milliseconds; readonly retryAfter: Milliseconds};
+	| {readonly kind: 'too-late'; readonly wait: Milliseconds; readonly retryAfter: Milliseconds};
 
 /**
  * Chooses which waiting task starts next and on which agent, at one entry. Single-threaded; every call
--- a/src/process/platform/types.ts
+++ b/src/process/platform/types.ts
@@ -34,10 +34,10 @@
 };
 
 /** How a transaction ended. */
-export type CommitOutcome
-	= | {readonly kind: 'committed'}
+export type CommitOutcome =
+	| {readonly kind: 'committed'}
 	/** `key` has the revision `revision`, not the one that its condition names. */
-		| {readonly kind: 'conflict'; readonly key: string; readonly revision: number};
+	| {readonly kind: 'conflict'; readonly key: string; readonly revision: number};
 
 /** Why a call to the platform gave no answer. */
 export type PlatformError = {
--- a/src/version/types.ts
+++ b/src/version/types.ts
@@ -98,9 +98,9 @@
 };
 
 /** What a change set does to one object. */
-export type Change
-	= | {readonly kind: 'put'; readonly object: ConfigObject}
-		| {readonly kind: 'delete'; readonly objectKind: ObjectKind; readonly name: string};
+export type Change =
+	| {readonly kind: 'put'; readonly object: ConfigObject}
+	| {readonly kind: 'delete'; readonly objectKind: ObjectKind; readonly name: string};
 
 /** Changes that are checked and published together. */
 export type ChangeSet = {
--- a/xo.config.js
+++ b/xo.config.js
@@ -16,6 +16,10 @@
 			// Node 20 has no replacement for these yet, and some libraries expose the older names.
 			'unicorn/no-process-exit': 'off',
 			'n/no-process-exit': 'off',
+			// Unions of several lines start below the equals sign, so that each member can have its comment.
+			'@stylistic/operator-linebreak': ['error', 'before', {overrides: {'=': 'ignore'}}],
+			// An exhaustive switch ends in assertNever, which also guards against values from outside.
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {allowDefaultCaseForExhaustiveSwitch: true, considerDefaultExhaustiveForUnions: true}],
 			// Callbacks written as one expression may return a value that nobody reads.
 			'@typescript-eslint/strict-void-return': 'off',
 			// Tests run from dist/, and test/describe.ts wraps ava for all of them.
