--- /dev/null
+++ b/src/request/fate-json.ts
@@ -0,0 +1,119 @@
+/**
+ * The JSON form of records, as HTTP, the command line and the saved blocks carry it.
+ * Times are wall times in milliseconds since 1970.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
+import type {FateReport, SubmissionFate} from './types.js';
+
+const time = z.number();
+const count = z.int().nonnegative();
+const ran = z.enum(['not-run', 'ran', 'may-have-run']);
+
+const diagnosticSchema = z.strictObject({
+	code: z.int(),
+	kind: z.string(),
+	message: z.string(),
+	remedy: z.string(),
+	file: z.string().optional(),
+	line: z.int().optional(),
+});
+
+const attemptSchema = z.strictObject({
+	attempt: count,
+	agent: z.string(),
+	upstream: z.string(),
+	sentAt: time,
+	endedAt: time.optional(),
+	outcome: z.enum(['completed', 'failed', 'unknown', 'refused']).optional(),
+	detail: z.string().optional(),
+	runMs: z.number().optional(),
+});
+
+const fateSchema = z.strictObject({
+	ticket: z.strictObject({
+		incarnation: z.string(),
+		block: count,
+		sequence: count,
+		text: z.string(),
+	}),
+	entry: z.string(),
+	caller: z.string(),
+	team: z.string(),
+	submission: z.string(),
+	service: z.string(),
+	reference: z.string(),
+	configVersion: count,
+	taskCount: count,
+	acceptedAt: time,
+	cancelledBy: z.string().optional(),
+	cancelledAt: time.optional(),
+	answer: z.strictObject({
+		state: z.enum(['complete', 'failed', 'refused']),
+		ran,
+		diagnostic: diagnosticSchema.optional(),
+		at: time,
+	}).optional(),
+	deliveries: z.array(z.strictObject({at: time, via: z.string()})),
+	tasks: z.array(z.strictObject({index: count, attempts: z.array(attemptSchema)})),
+	detailDropped: z.boolean(),
+});
+
+const reportSchema = z.strictObject({
+	ticket: z.string(),
+	fate: fateSchema.optional(),
+	sources: z.array(z.enum(['own', 'home', 'store', 'agents'])),
+	mayChange: z.boolean(),
+	unknown: z.array(z.string()),
+});
+
+/** One record as JSON: `tasks` is a list in order of index. */
+export type FateJson = z.infer<typeof fateSchema>;
+
+/** One report as JSON. */
+export type FateReportJson = z.infer<typeof reportSchema>;
+
+/** Gives the JSON form of a record. It shares the record's parts, so serialize it before the record changes. */
+export function toFateJson(fate: SubmissionFate): FateJson {
+	const tasks = [...fate.tasks.values()].toSorted((a, b) => a.index - b.index);
+	return {...fate, deliveries: fate.deliveries, tasks};
+}
+
+/** Reads the JSON form; fails with Fate_is_malformed on anything unexpected, unknown keys included. */
+export function fromFateJson(value: unknown): Result<SubmissionFate, Diagnostic> {
+	const parsed = fateSchema.safeParse(value);
+	return parsed.success ? ok(toFate(parsed.data)) : err(createMalformed(parsed.error));
+}
+
+/** Gives the JSON form of a report. */
+export function toFateReportJson(report: FateReport): FateReportJson {
+	return {
+		...report,
+		fate: report.fate === undefined ? undefined : toFateJson(report.fate),
+		sources: [...report.sources],
+		unknown: [...report.unknown],
+	};
+}
+
+/** Reads the JSON form of a report; fails with Fate_is_malformed on anything unexpected. */
+export function fromFateReportJson(value: unknown): Result<FateReport, Diagnostic> {
+	const parsed = reportSchema.safeParse(value);
+	if (!parsed.success) {
+		return err(createMalformed(parsed.error));
+	}
+
+	const {fate, ...rest} = parsed.data;
+	return ok({...rest, fate: fate === undefined ? undefined : toFate(fate)});
+}
+
+function toFate(json: FateJson): SubmissionFate {
+	const tasks = new Map(json.tasks.map(task => [task.index, task]));
+	return {...json, tasks};
+}
+
+function createMalformed(error: z.ZodError): Diagnostic {
+	const issue = error.issues[0];
+	const place = issue === undefined ? '' : issue.path.join('.');
+	return createDiagnostic(Diagnostics.Fate_is_malformed, `${place === '' ? 'the record' : place}: ${issue?.message ?? 'unreadable'}`);
+}
--- a/src/request/types.ts
+++ b/src/request/types.ts
@@ -125,3 +125,20 @@
 	/** Records not yet saved. */
 	getUnsaved(): number;
 };
+
+/** Where a record was found: this entry, the entry that accepted it, the object store, or what agents hold. */
+export type FateSource = 'own' | 'home' | 'store' | 'agents';
+
+/** What could be learnt about one ticket. */
+export type FateReport = {
+	/** Text of the ticket that was asked about. */
+	readonly ticket: string;
+	/** Undefined if no record was found. */
+	readonly fate: SubmissionFate | undefined;
+	/** Where the parts of `fate` came from. */
+	readonly sources: readonly FateSource[];
+	/** Whether the same question may get a fuller answer later. */
+	readonly mayChange: boolean;
+	/** What is not known, one sentence each. */
+	readonly unknown: readonly string[];
+};
--- /dev/null
+++ b/test/request/fate-format.test.ts
@@ -0,0 +1,86 @@
+import {readFileSync} from 'node:fs';
+import {describe, it} from '../describe.js';
+import {conclude, formatFate, formatFateReport} from '../../src/request/fate-format.js';
+import {
+	fromFateJson, fromFateReportJson, toFateJson, toFateReportJson,
+} from '../../src/request/fate-json.js';
+import type {FateReport, SubmissionFate} from '../../src/request/types.js';
+import {
+	acceptedAt, createAttempt, createCancelledFate, createFailedFate, createFate, createFinishedFate, createRefusedFate, createTasks,
+} from './fates.js';
+
+const fates: ReadonlyMap<string, SubmissionFate> = new Map([
+	['finished', createFinishedFate()],
+	['refused', createRefusedFate()],
+	['cancelled', createCancelledFate()],
+	['failed', createFailedFate()],
+]);
+
+describe('fate trail', () => {
+	for (const [name, fate] of fates) {
+		it(`tells the story of a ${name} job`, t => {
+			t.is(formatFate(fate).join('\n') + '\n', readBaseline(name));
+		});
+
+		it(`is the same after the JSON form of a ${name} job`, t => {
+			const json = sendAsText(toFateJson(fate));
+			t.deepEqual(formatFate(fromFateJson(json)._unsafeUnwrap()), formatFate(fate));
+		});
+	}
+
+	it('says where a report came from and what is not known', t => {
+		const report: FateReport = {
+			ticket: '42.7.0.k3y', fate: undefined, sources: ['agents'], mayChange: true, unknown: ['The entry 42 did not answer.'],
+		};
+		const json = sendAsText(toFateReportJson(report));
+		const read = fromFateReportJson(json)._unsafeUnwrap();
+		t.is(formatFateReport(read).join('\n') + '\n', readBaseline('unknown'));
+	});
+});
+
+describe('fate conclusion', () => {
+	const answer = {state: 'failed', ran: 'may-have-run', at: acceptedAt + 300} as const;
+
+	it('counts a second certain start', t => {
+		const tasks = createTasks({index: 0, attempts: [createAttempt(), createAttempt({attempt: 2})]});
+		t.is(conclude(createFate({taskCount: 1, answer, tasks})), 'RAN MORE THAN ONCE: 1 task ran more than once.');
+	});
+
+	it('does not call a doubtful second start certain', t => {
+		const tasks = createTasks({index: 0, attempts: [createAttempt({outcome: 'unknown'}), createAttempt({attempt: 2})]});
+		t.is(conclude(createFate({taskCount: 1, answer, tasks})), 'RAN, AND MAY HAVE RUN TWICE: 1 task ran and may have run again.');
+	});
+
+	it('takes a start without an end for one that may have run', t => {
+		const tasks = createTasks({index: 0, attempts: [createAttempt({outcome: undefined})]});
+		t.is(conclude(createFate({taskCount: 2, answer, tasks})), 'MAY HAVE RUN: 1 task may have run, 1 task not run.');
+	});
+
+	it('shows an answer that the trail contradicts', t => {
+		const tasks = createTasks({index: 0, attempts: [createAttempt()]});
+		const fate = createFate({taskCount: 1, answer: {...answer, ran: 'not-run'}, tasks});
+		t.true(formatFate(fate).some(text => text.startsWith('FAULT')));
+	});
+
+	it('relies on the answer where detail was dropped', t => {
+		t.regex(conclude(createFate({answer, detailDropped: true})), /^MAY HAVE RUN/v);
+	});
+});
+
+describe('fate JSON', () => {
+	it('refuses unknown keys and names the place', t => {
+		const json = {...toFateJson(createFinishedFate()), extra: 1};
+		const fault = fromFateJson(json)._unsafeUnwrapErr();
+		t.is(fault.kind, 'FateMalformed');
+		t.regex(fault.message, /extra/v);
+	});
+});
+
+function readBaseline(name: string): string {
+	return readFileSync(`test/baselines/fate/${name}.txt`, 'utf8');
+}
+
+function sendAsText(value: unknown): unknown {
+	const text = JSON.stringify(value);
+	return JSON.parse(text);
+}
