--- /dev/null
+++ b/test/connection/credit-granter.test.ts
@@ -0,0 +1,128 @@
+import fc from 'fast-check';
+import {createCreditGranter} from '../../src/connection/credit-granter.js';
+import {createFakeClock} from '../../src/process/fake-clock.js';
+import {describe, it} from '../describe.js';
+
+const entries = ['a', 'b', 'c'] as const;
+
+describe('credit granter', () => {
+	it('grants evenly while demand is unknown', t => {
+		const granter = createGranter(8);
+		granter.open('a');
+		granter.open('b');
+		granter.setReturned('a', 8);
+		t.is(granter.getGranted('b'), 8);
+		t.is(granter.getGranted('a'), 8);
+	});
+
+	it('grants a freed slot where tasks wait', t => {
+		const granter = createGranter(1);
+		granter.open('a');
+		granter.open('b');
+		granter.setQueued('b', 3);
+		t.true(granter.tryUse('a'));
+		granter.release();
+		t.is(granter.getGranted('a'), 1);
+		t.is(granter.getGranted('b'), 1);
+	});
+
+	it('refuses a start without a credit, and any start while draining', t => {
+		const granter = createGranter(2);
+		granter.open('a');
+		t.true(granter.tryUse('a'));
+		granter.setDraining(true);
+		t.false(granter.tryUse('a'));
+		t.false(granter.tryUse('b'));
+		granter.setDraining(false);
+		t.is(granter.getGranted('a'), 3);
+	});
+
+	it('never has more usable credits and running tasks than slots, whatever arrives', t => {
+		const action = fc.oneof(
+			fc.record({kind: fc.constant('open' as const), entry: fc.constantFrom(...entries)}),
+			fc.record({kind: fc.constant('close' as const), entry: fc.constantFrom(...entries)}),
+			fc.record({kind: fc.constant('queued' as const), entry: fc.constantFrom(...entries), count: fc.nat(20)}),
+			fc.record({kind: fc.constant('returned' as const), entry: fc.constantFrom(...entries), count: fc.nat(20)}),
+			fc.record({kind: fc.constant('use' as const), entry: fc.constantFrom(...entries)}),
+			fc.record({kind: fc.constant('release' as const)}),
+			fc.record({kind: fc.constant('slots' as const), count: fc.integer({min: 1, max: 8})}),
+			fc.record({kind: fc.constant('draining' as const), draining: fc.boolean()}),
+		);
+		fc.assert(fc.property(fc.array(action, {maxLength: 200}), actions => {
+			const granter = createGranter(8);
+			let slots = 8;
+			let running = 0;
+			for (const step of actions) {
+				switch (step.kind) {
+					case 'open': {
+						granter.open(step.entry);
+						break;
+					}
+
+					case 'close': {
+						granter.close(step.entry);
+						break;
+					}
+
+					case 'queued': {
+						granter.setQueued(step.entry, step.count);
+						break;
+					}
+
+					case 'returned': {
+						granter.setReturned(step.entry, step.count);
+						break;
+					}
+
+					case 'use': {
+						const isUsed = granter.tryUse(step.entry);
+						running += isUsed ? 1 : 0;
+						if (isUsed && running > slots) {
+							return false;
+						}
+
+						break;
+					}
+
+					case 'release': {
+						if (running > 0) {
+							granter.release();
+							running--;
+						}
+
+						break;
+					}
+
+					case 'slots': {
+						slots = step.count;
+						granter.setSlots(slots);
+						break;
+					}
+
+					case 'draining': {
+						granter.setDraining(step.draining);
+						break;
+					}
+				}
+			}
+
+			return countUsable(granter) + running <= Math.max(slots, running);
+		}), {seed: 5, numRuns: 2000});
+		t.pass();
+	});
+});
+
+function createGranter(slots: number) {
+	return createCreditGranter({clock: createFakeClock(), changed: () => undefined}, slots);
+}
+
+function countUsable(granter: ReturnType<typeof createGranter>): number {
+	let count = 0;
+	for (const entry of entries) {
+		while (granter.tryUse(entry)) {
+			count++;
+		}
+	}
+
+	return count;
+}
