Read the settings of entry and agent

Cause: every process needs its settings checked whole at start. Ruled out: zod's own messages alone, which name neither line nor nearest key; checking wildcard addresses after the schema, which hid them behind other faults. Conclusion: the processes can read their settings.

--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -60,6 +60,11 @@
 	// 2xxx: objects and change sets
 
 	// 3xxx: settings
+	Settings_are_not_toml: row(3001, 'SettingsNotToml', 'The settings are not valid TOML: {0}.', 'Correct the syntax at this line.'),
+	Setting_is_unknown: row(3002, 'SettingUnknown', 'There is no setting {0}.', 'Remove it or correct its name; the nearest known one is {1}.'),
+	Setting_is_missing: row(3003, 'SettingMissing', 'The setting {0} is missing.', 'Add it; docs/OPERATORS.md lists all settings.'),
+	Setting_is_invalid: row(3004, 'SettingInvalid', 'The setting {0} is invalid: {1}.', 'Correct its value; docs/OPERATORS.md lists all settings.'),
+	Settings_cannot_be_read: row(3005, 'SettingsUnreadable', 'The settings file {0} cannot be read: {1}.', 'Give the path of a readable file.'),
 
 	// 4xxx: platform
 	Platform_is_unreachable: row(4001, 'PlatformUnreachable', 'The platform service did not answer: {0}.', 'Check the platform; the call is tried again.'),
--- /dev/null
+++ b/src/process/settings.ts
@@ -0,0 +1,287 @@
+/**
+ * Settings of the entry and the agent: TOML files that are checked whole at start.
+ */
+import type {Result} from 'neverthrow';
+import {z} from 'zod';
+import {
+	isWildcard, tryParseAddress, type Address,
+} from './address.js';
+import type {Milliseconds} from './clock.js';
+import {createDiagnostic, Diagnostics, type Diagnostic} from './diagnostics.js';
+import {
+	checkSchema, formatPath, parseToml, type SchemaFault, type TomlDocument,
+} from './toml.js';
+
+/** Where the platform's table service and object store answer. */
+export type PlatformSettings = {
+	readonly url: string;
+	/** Longest wait for one call. */
+	readonly timeoutMs: Milliseconds;
+};
+
+/** What is logged. */
+export type LogSettings = {
+	readonly level: LogLevel;
+};
+
+/** Least severity that is logged. */
+export type LogLevel = (typeof logLevels)[number];
+
+const logLevels = ['trace', 'debug', 'info', 'warn', 'error', 'fatal'] as const;
+
+/** Where metrics are sent. */
+export type MetricsSettings = {
+	/** Address of a StatsD server; undefined sends none. */
+	readonly address: Address | undefined;
+	/** Put before the name of each metric. */
+	readonly prefix: string;
+};
+
+/** Addresses of one entry. */
+export type EntryAddresses = {
+	/** For callers, operators and the balancer. */
+	readonly http: Address;
+	/** For agents and other entries. */
+	readonly links: Address;
+};
+
+/** Limits and times of one entry. */
+export type EntryLimits = {
+	/** Links addresses of other entries, to find them while the platform is down. */
+	readonly seeds: readonly Address[];
+	/** Life of the entry's lease in the directory without a renewal. */
+	readonly leaseMs: Milliseconds;
+	/** Time within which a ticket has to be used. */
+	readonly ticketLifetimeMs: Milliseconds;
+	/** Tickets issued within this time have their records saved together. */
+	readonly blockMs: Milliseconds;
+	/** Bound on records that are not yet saved, in bytes. */
+	readonly fateMemoryBytes: number;
+	/** Bound on writes of records to the platform, per second. */
+	readonly fateWritesPerSecond: number;
+	/** Time for which a final answer can be fetched again. */
+	readonly answerKeepMs: Milliseconds;
+	/** Largest body of a request. */
+	readonly maxBodyBytes: number;
+	/** Most tasks in one job. */
+	readonly maxTasks: number;
+	/** Largest size of all headers of a request. */
+	readonly maxHeaderBytes: number;
+	/** Longest time that one request may wait for an answer. */
+	readonly maxWaitMs: Milliseconds;
+	/** Time that an agent has to return after its link was cut, before its tasks count as "may have run". */
+	readonly agentGraceMs: Milliseconds;
+	/** Longest graceful shutdown. */
+	readonly drainMs: Milliseconds;
+};
+
+/** Settings of one entry. */
+export type EntrySettings = {
+	readonly name: string;
+	readonly dataCentre: string;
+	/** Empty if unknown. */
+	readonly rack: string;
+	readonly listen: EntryAddresses;
+	/** Addresses at which others reach this entry. */
+	readonly advertise: EntryAddresses;
+	readonly platform: PlatformSettings;
+	readonly entry: EntryLimits;
+	readonly log: LogSettings;
+	readonly metrics: MetricsSettings;
+};
+
+/** The upstream beside an agent. */
+export type UpstreamServerSettings = {
+	readonly url: string;
+	/** Tasks that it runs at the same time. */
+	readonly slots: number;
+	/** Connections that it accepts. */
+	readonly connections: number;
+	/** Longest run time of one task. */
+	readonly taskTimeoutMs: Milliseconds;
+};
+
+/** Limits and times of one agent. */
+export type AgentLimits = {
+	/** Links addresses of entries, to find them while the platform is down. */
+	readonly seeds: readonly Address[];
+	/** Interval between reads of the directory of entries. */
+	readonly discoverMs: Milliseconds;
+	/** Time after which an upstream that is leaving takes no new work, in seconds. */
+	readonly drainSeconds: number;
+	/** Longest graceful shutdown. */
+	readonly drainMs: Milliseconds;
+	/** Bound on results that no entry has acknowledged, in bytes. */
+	readonly resultMemoryBytes: number;
+};
+
+/** Settings of one agent. */
+export type AgentSettings = {
+	readonly name: string;
+	/** Name under which the upstream is announced. */
+	readonly upstream: string;
+	readonly service: string;
+	readonly dataCentre: string;
+	/** Empty if unknown. */
+	readonly rack: string;
+	readonly upstreamServer: UpstreamServerSettings;
+	readonly agent: AgentLimits;
+	readonly platform: PlatformSettings;
+	readonly log: LogSettings;
+	readonly metrics: MetricsSettings;
+};
+
+/** Reads the settings of an entry from the text of `file`; all faults are reported together. */
+export function readEntrySettings(text: string, file: string): Result<EntrySettings, readonly Diagnostic[]> {
+	return readFile(entryFile, text, file).map(({listen, advertise, ...rest}) => ({
+		...rest,
+		listen,
+		advertise: {http: advertise.http ?? listen.http, links: advertise.links ?? listen.links},
+	}));
+}
+
+/** Reads the settings of an agent from the text of `file`; all faults are reported together. */
+export function readAgentSettings(text: string, file: string): Result<AgentSettings, readonly Diagnostic[]> {
+	return readFile(agentFile, text, file).map(({'upstream-server': upstreamServer, ...rest}) => ({...rest, upstreamServer}));
+}
+
+const name = z.string().regex(/^[a-z0-9][a-z0-9.\-]{0,62}$/v, 'expected 1 to 63 lower-case letters, digits, "-" or "."');
+const duration = (byDefault: Milliseconds) => z.int().min(1).max(86_400_000).default(byDefault);
+const count = (byDefault: number) => z.int().min(1).default(byDefault);
+const url = z.url({protocol: /^https?$/v, error: 'expected an address that starts with http:// or https://'}).transform(text => text.replace(/\/+$/v, ''));
+
+const wildcardDetail = 'other processes cannot connect to a wildcard address; advertise an address of this machine';
+
+const listenAddress = z.string().transform((text, ctx): Address => {
+	const parsed = tryParseAddress(text);
+	if (parsed === undefined) {
+		ctx.addIssue({code: 'custom', message: 'expected an IP number and a port, for instance "127.0.0.1:7100"'});
+		return z.NEVER;
+	}
+
+	return parsed;
+});
+
+const peerAddress = listenAddress
+	.refine(address => address.port > 0, 'expected a port from 1 to 65535')
+	.refine(address => !isWildcard(address), wildcardDetail);
+
+const platform = z.strictObject({
+	url,
+	timeoutMs: duration(2000),
+});
+
+const log = z.strictObject({
+	level: z.enum(logLevels).default('info'),
+}).prefault({});
+
+const metrics = z.strictObject({
+	address: z.string().default('').pipe(z.literal('').transform(() => undefined).or(peerAddress)),
+	prefix: z.string().default('kingcuplane.'),
+}).prefault({});
+
+const addresses = z.strictObject({
+	listen: z.strictObject({
+		http: listenAddress.prefault('127.0.0.1:7100'),
+		links: listenAddress.prefault('127.0.0.1:7200'),
+	}).prefault({}),
+	advertise: z.strictObject({
+		http: peerAddress.optional(),
+		links: peerAddress.optional(),
+	}).prefault({}),
+});
+
+type Addresses = z.infer<typeof addresses>;
+
+const entryFile = z.strictObject({
+	name,
+	dataCentre: name,
+	rack: z.string().default(''),
+	...addresses.shape,
+	platform,
+	entry: z.strictObject({
+		seeds: z.array(peerAddress).default([]),
+		leaseMs: duration(6000),
+		ticketLifetimeMs: duration(600_000),
+		blockMs: duration(1000),
+		fateMemoryBytes: count(67_108_864),
+		fateWritesPerSecond: count(5),
+		answerKeepMs: duration(120_000),
+		maxBodyBytes: count(16_777_216),
+		maxTasks: count(1100),
+		maxHeaderBytes: count(16_384),
+		maxWaitMs: duration(30_000),
+		agentGraceMs: duration(3000),
+		drainMs: duration(30_000),
+	}).prefault({}),
+	log,
+	metrics,
+})
+	.refine(value => canAdvertise(value, 'http'), {path: ['listen', 'http'], error: wildcardDetail, when: payload => isAddressValid(payload, 'http')})
+	.refine(value => canAdvertise(value, 'links'), {path: ['listen', 'links'], error: wildcardDetail, when: payload => isAddressValid(payload, 'links')});
+
+function canAdvertise({listen, advertise}: Addresses, key: keyof EntryAddresses): boolean {
+	return advertise[key] !== undefined || !isWildcard(listen[key]);
+}
+
+/** Whether both addresses of `key` are valid by themselves, whatever else is wrong. */
+function isAddressValid(payload: z.core.ParsePayload, key: keyof EntryAddresses): boolean {
+	return payload.issues.every(({path = []}) => !isPrefix(path, ['listen', key]) && !isPrefix(path, ['advertise', key]));
+}
+
+function isPrefix(path: readonly PropertyKey[], whole: readonly PropertyKey[]): boolean {
+	return path.length > 0 && path.every((part, index) => part === whole[index]);
+}
+
+const agentFile = z.strictObject({
+	name,
+	upstream: name,
+	service: name,
+	dataCentre: name,
+	rack: z.string().default(''),
+	'upstream-server': z.strictObject({
+		url,
+		slots: z.int().min(1).max(65_535),
+		connections: count(64),
+		taskTimeoutMs: duration(30_000),
+	}),
+	agent: z.strictObject({
+		seeds: z.array(peerAddress).default([]),
+		discoverMs: duration(2000),
+		drainSeconds: z.number().min(0).max(3600).default(2),
+		drainMs: duration(30_000),
+		resultMemoryBytes: count(67_108_864),
+	}).prefault({}),
+	platform,
+	log,
+	metrics,
+});
+
+function readFile<T>(schema: z.ZodType<T>, text: string, file: string): Result<T, readonly Diagnostic[]> {
+	return parseToml(text)
+		.mapErr(({message, line}): readonly Diagnostic[] => [{...createDiagnostic(Diagnostics.Settings_are_not_toml, message), file, line}])
+		.andThen(document => checkSchema(schema, document.root).mapErr(faults => toDiagnostics(faults, file, document)));
+}
+
+function toDiagnostics(faults: readonly SchemaFault[], file: string, document: TomlDocument): Diagnostic[] {
+	return faults
+		.map(fault => ({...toDiagnostic(fault), file, line: document.tryGetLine(fault.path)}))
+		.toSorted((a, b) => (a.line ?? 0) - (b.line ?? 0));
+}
+
+function toDiagnostic(fault: SchemaFault): Diagnostic {
+	const path = formatPath(fault.path);
+	switch (fault.kind) {
+		case 'unknown': {
+			return createDiagnostic(Diagnostics.Setting_is_unknown, path, fault.nearest ?? 'none');
+		}
+
+		case 'missing': {
+			return createDiagnostic(Diagnostics.Setting_is_missing, path);
+		}
+
+		case 'invalid': {
+			return createDiagnostic(Diagnostics.Setting_is_invalid, path, fault.detail);
+		}
+	}
+}
--- /dev/null
+++ b/src/process/toml.ts
@@ -0,0 +1,169 @@
+/**
+ * Reads TOML text and checks it against a schema, naming the line of every fault.
+ * Used for settings and for files of objects, which differ only in the diagnostics that they report.
+ */
+import {parse, TomlError} from 'smol-toml';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {checkDefined} from './debug.js';
+import {tryGetNearest} from './edit-distance.js';
+
+/** Keys and array positions that lead from the root of a document to a value. */
+export type TomlPath = ReadonlyArray<string | number>;
+
+/** Parsed TOML text. */
+export type TomlDocument = {
+	readonly root: Readonly<Record<string, unknown>>;
+	/** Line of the value at `path`, or of its nearest parent with a line of its own. */
+	tryGetLine(path: TomlPath): number | undefined;
+};
+
+/** Text that is not TOML. */
+export type TomlSyntaxError = {
+	readonly message: string;
+	readonly line: number;
+};
+
+/** One way in which a value departs from its schema. */
+export type SchemaFault
+	= | {readonly kind: 'unknown'; readonly path: TomlPath; readonly nearest: string | undefined}
+		| {readonly kind: 'missing'; readonly path: TomlPath}
+		| {readonly kind: 'invalid'; readonly path: TomlPath; readonly detail: string};
+
+/** Parses TOML text. */
+export function parseToml(text: string): Result<TomlDocument, TomlSyntaxError> {
+	try {
+		const root = parse(text);
+		const lines = indexLines(text);
+		return ok({root, tryGetLine: path => tryGetLine(lines, path)});
+	} catch (err_) {
+		if (err_ instanceof TomlError) {
+			return err({message: getFirstLine(err_.message), line: err_.line});
+		}
+
+		throw err_;
+	}
+}
+
+/** Checks `value` against `schema`; either the value with its defaults, or every fault. */
+export function checkSchema<T>(schema: z.ZodType<T>, value: unknown): Result<T, readonly SchemaFault[]> {
+	const parsed = schema.safeParse(value);
+	return parsed.success ? ok(parsed.data) : err(parsed.error.issues.flatMap(issue => toFaults(schema, value, issue)));
+}
+
+/** Writes a path the way it is written in TOML, for instance "entry.seeds[0]". */
+export function formatPath(path: TomlPath): string {
+	return path
+		.map(part => typeof part === 'number' ? `[${part}]` : `.${part}`)
+		.join('')
+		.replace(/^\./v, '');
+}
+
+function getFirstLine(text: string): string {
+	return text.split('\n')[0]!.replace(/^Invalid TOML document: /v, '');
+}
+
+function toFaults(schema: z.ZodType, value: unknown, issue: z.core.$ZodIssue): SchemaFault[] {
+	const path = issue.path.filter(part => typeof part !== 'symbol');
+	if (issue.code === 'unrecognized_keys') {
+		const known = getKnownKeys(schema, path);
+		return issue.keys.map(key => ({kind: 'unknown', path: [...path, key], nearest: tryGetNearest(key, known)}));
+	}
+
+	if (issue.code === 'invalid_type' && getValue(value, path) === undefined) {
+		return [{kind: 'missing', path}];
+	}
+
+	return [{kind: 'invalid', path, detail: toDetail(issue.message)}];
+}
+
+function toDetail(message: string): string {
+	const text = message.replace(/^Invalid (?:input|option): /v, '');
+	return text.charAt(0).toLowerCase() + text.slice(1);
+}
+
+function getValue(root: unknown, path: TomlPath): unknown {
+	let value = root;
+	for (const part of path) {
+		value = isRecord(value) ? value[part] : undefined;
+	}
+
+	return value;
+}
+
+function isRecord(value: unknown): value is Record<string | number, unknown> {
+	return typeof value === 'object' && Boolean(value);
+}
+
+function getKnownKeys(schema: z.core.$ZodType, path: TomlPath): string[] {
+	let current = unwrap(schema);
+	for (const part of path) {
+		if (current instanceof z.core.$ZodObject && typeof part === 'string') {
+			current = unwrap(checkDefined(getMembers(current).get(part), `the schema has the key ${part}`));
+		} else if (current instanceof z.core.$ZodArray) {
+			current = unwrap(current._zod.def.element);
+		}
+	}
+
+	return current instanceof z.core.$ZodObject ? [...getMembers(current).keys()] : [];
+}
+
+function getMembers(schema: z.core.$ZodObject): ReadonlyMap<string, z.core.$ZodType> {
+	return new Map(Object.entries(schema._zod.def.shape));
+}
+
+function unwrap(schema: z.core.$ZodType): z.core.$ZodType {
+	return schema instanceof z.core.$ZodPrefault || schema instanceof z.core.$ZodDefault || schema instanceof z.core.$ZodOptional
+		? unwrap(schema._zod.def.innerType)
+		: schema;
+}
+
+type LineIndex = ReadonlyMap<string, number>;
+
+/** Finds the lines of tables and keys. Text within multi-line strings is passed over. */
+function indexLines(text: string): LineIndex {
+	const lines = new Map<string, number>();
+	const counts = new Map<string, number>();
+	let table = '';
+	let closing: string | undefined;
+	for (const [index, line] of text.split('\n').entries()) {
+		if (closing !== undefined) {
+			closing = line.includes(closing) ? undefined : closing;
+			continue;
+		}
+
+		const [, array] = /^\s*\[\[\s*([\w\-.]+)\s*\]\]/v.exec(line) ?? [];
+		const [, header] = /^\s*\[\s*([\w\-.]+)\s*\]/v.exec(line) ?? [];
+		const [, key] = /^\s*([\w\-.]+)\s*=/v.exec(line) ?? [];
+		if (array !== undefined) {
+			const count = counts.get(array) ?? 0;
+			counts.set(array, count + 1);
+			table = `${array}[${count}]`;
+			lines.set(table, index + 1);
+		} else if (header !== undefined) {
+			table = header;
+			lines.set(table, index + 1);
+		} else if (key !== undefined) {
+			lines.set(table === '' ? key : `${table}.${key}`, index + 1);
+			closing = getOpenString(line);
+		}
+	}
+
+	return lines;
+}
+
+/** The delimiter of a multi-line string that `line` opens and does not close. */
+function getOpenString(line: string): string | undefined {
+	return ['"""', '\'\'\''].find(delimiter => line.split(delimiter).length % 2 === 0);
+}
+
+function tryGetLine(lines: LineIndex, path: TomlPath): number | undefined {
+	for (let {length} = path; length > 0; length--) {
+		const line = lines.get(formatPath(path.slice(0, length)));
+		if (line !== undefined) {
+			return line;
+		}
+	}
+
+	return undefined;
+}
