Add the platform's HTTP client and an in-memory platform

Cause: the entry, the fates and the configuration need the platform's table and objects. Ruled out: retries inside the client; callers know better whether a repeat is safe. Change: client over undici with typed errors, bounded connections and a circuit breaker; memory platform with faults; HTTP routes over it for development; one contract test for both. Conclusion: an error says mayHaveTakenEffect false only for a refused connection, a rate limit, a 4xx or a call not made.

--- /dev/null
+++ b/test/process/platform/client.test.ts
@@ -0,0 +1,127 @@
+import {once} from 'node:events';
+import http from 'node:http';
+import net from 'node:net';
+import {createAdaptorServer} from '@hono/node-server';
+import {createPlatformApp} from '../../../dev/platform-app.js';
+import {checkDefined} from '../../../src/process/debug.js';
+import {createFakeClock} from '../../../src/process/fake-clock.js';
+import {createPlatformClient} from '../../../src/process/platform/client.js';
+import {createMemoryPlatform} from '../../../src/process/platform/memory.js';
+import type {Transaction} from '../../../src/process/platform/types.js';
+import {describe, it} from '../../describe.js';
+import {unwrapError} from '../../unwrap.js';
+import {describePlatform} from './contract.js';
+
+const anyWrite: Transaction = {conditions: [], writes: [{key: 'a', value: '1'}]};
+
+describe('platform client', () => {
+	describePlatform(async () => {
+		const clock = createFakeClock();
+		const memory = createMemoryPlatform({clock});
+		const server = createAdaptorServer({fetch: createPlatformApp(memory).fetch});
+		const client = createPlatformClient({clock, url: await listen(server), timeoutMs: 1000});
+		return {
+			platform: client,
+			memory,
+			async close() {
+				await client.close();
+				server.close();
+			},
+		};
+	});
+
+	it('says that nothing took effect when the connection is refused', async t => {
+		const server = net.createServer();
+		const url = await listen(server);
+		server.close();
+		await once(server, 'close');
+		const client = createPlatformClient({clock: createFakeClock(), url, timeoutMs: 1000});
+		const error = await unwrapError(client.table.commit(anyWrite));
+		t.is(error.kind, 'unreachable');
+		t.false(error.mayHaveTakenEffect);
+	});
+
+	it('says that a write may have taken effect when no answer comes in time', async t => {
+		const clock = createFakeClock();
+		const server = http.createServer();
+		const client = createPlatformClient({clock, url: await listen(server), timeoutMs: 1000});
+		const pending = client.table.commit(anyWrite);
+		await once(server, 'request');
+		clock.advance(1000);
+		const error = await unwrapError(pending);
+		t.is(error.kind, 'timeout');
+		t.true(error.mayHaveTakenEffect);
+		t.true(error.diagnostic.message.includes('1000 ms'));
+
+		server.closeAllConnections();
+		server.close();
+	});
+
+	it('takes an answer of another form as invalid', async t => {
+		const server = http.createServer((req, res) => {
+			res.statusCode = req.method === 'GET' ? 200 : 404;
+			res.end('<html>');
+		});
+		const client = createPlatformClient({clock: createFakeClock(), url: await listen(server), timeoutMs: 1000});
+		t.is(await unwrapError(client.table.get('a').mapErr(({kind}) => kind)), 'invalid');
+		const error = await unwrapError(client.table.commit(anyWrite));
+		t.is(error.kind, 'invalid');
+		t.false(error.mayHaveTakenEffect);
+
+		await client.close();
+		server.close();
+	});
+
+	it('makes no call during the pause after failures in a row, and then one at a time', async t => {
+		const clock = createFakeClock();
+		let requests = 0;
+		const server = http.createServer(req => {
+			requests++;
+			req.socket.destroy();
+		});
+		const client = createPlatformClient({
+			clock, url: await listen(server), timeoutMs: 1000, failuresToOpen: 2, pauseMs: 500,
+		});
+		for (let i = 0; i < 6; i++) {
+			await client.table.get('a');
+		}
+
+		t.is(requests, 2);
+		const error = await unwrapError(client.table.commit(anyWrite));
+		t.false(error.mayHaveTakenEffect);
+		t.is(error.retryAfter, 500);
+
+		clock.advance(500);
+		await Promise.all([client.table.get('a'), client.table.get('a')]);
+		t.is(requests, 3);
+		await client.close();
+		server.close();
+	});
+
+	it('opens no more connections than it may', async t => {
+		let connections = 0;
+		const server = http.createServer((req, res) => {
+			setImmediate(() => {
+				res.end('{"rows":[]}');
+			});
+		});
+		server.on('connection', () => {
+			connections++;
+		});
+		const client = createPlatformClient({
+			clock: createFakeClock(), url: await listen(server), timeoutMs: 1000, connections: 3,
+		});
+		const results = await Promise.all(Array.from({length: 30}, async () => client.table.scan('a', 1)));
+		t.true(results.every(result => result.isOk()));
+		t.is(connections, 3);
+		await client.close();
+		server.close();
+	});
+});
+
+async function listen(server: Pick<net.Server, 'listen' | 'address'> & NodeJS.EventEmitter): Promise<string> {
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const address = checkDefined(server.address() ?? undefined, 'address of a listening server');
+	return `http://127.0.0.1:${typeof address === 'string' ? address : address.port}`;
+}
