--- /dev/null
+++ b/src/connection/entry-sessions.ts
@@ -0,0 +1,325 @@
+/**
+ * The agent's side of its links to entries, and the only place that starts work on the upstream. It runs
+ * each start number of an entry incarnation at most once, refuses truthfully, and keeps each result until
+ * the entry has acknowledged it.
+ */
+import type {Clock, Milliseconds} from '../process/clock.js';
+import {
+	RefusalReason, TaskOutcome,
+	type AgentHello, type EntryBatch, type HeldReply, type HeldTask, type TaskResult, type TaskStart,
+} from '../generated/kingcuplane.js';
+import type {AgentFacts, CreditGranter} from './types.js';
+
+/** How a run at the upstream ended. */
+export type RunEnd = {
+	readonly outcome: TaskOutcome;
+	readonly reason: RefusalReason;
+	readonly payload: Uint8Array;
+	readonly run: Milliseconds;
+	/** Failure text; empty on success. */
+	readonly detail: string;
+};
+
+/** Effects of the agent's side. */
+export type EntrySessionsHost = {
+	readonly clock: Clock;
+	readonly agent: AgentFacts;
+	/** How long records of ended tasks, and the payloads of results that cannot be delivered, are kept. */
+	readonly keepMs: Milliseconds;
+	/** Bound on the payload bytes of kept records. */
+	readonly keepBytes: number;
+	/** Hands the task to the upstream; `done` is called once. */
+	run(start: TaskStart, done: (end: RunEnd) => void): void;
+	/** Something is to be sent to this entry incarnation. */
+	changed(entry: string): void;
+};
+
+/** What is due to one entry. */
+export type DueForEntry = {
+	readonly granted: number;
+	readonly results: readonly TaskResult[];
+	readonly held: readonly HeldReply[];
+};
+
+/** The agent's sessions with all entries. */
+export type EntrySessions = {
+	/** A link to this entry incarnation opened; the hello to answer with. Earlier links must be dropped first. */
+	open(entry: string): AgentHello;
+	/** The link was cut. Running tasks go on. */
+	close(entry: string): void;
+	receive(entry: string, batch: EntryBatch): void;
+	/** What has not been sent on the open link yet; counts as sent from now on. */
+	takeDue(entry: string): DueForEntry;
+	/** While draining every start is refused. */
+	setDraining(draining: boolean): void;
+	getRunning(): number;
+	/** Results that no entry has acknowledged yet. */
+	getUnacknowledged(): number;
+};
+
+type SessionRecord = {
+	lastStartSeq: number;
+	lastResultSeq: number;
+	/** Unacknowledged results by number, oldest first. */
+	readonly results: Map<number, TaskResult>;
+	/** Highest result number sent on the open link. */
+	sentSeq: number;
+	held: HeldReply[];
+	isOpen: boolean;
+	closedAt: Milliseconds;
+};
+
+/** A task that was started here, for questions about a ticket. */
+type Recollection = {
+	readonly task: HeldTask;
+	endedAt?: Milliseconds;
+};
+
+const noPayload = new Uint8Array();
+
+/** Creates the agent's side without any session. */
+export function createEntrySessions(host: EntrySessionsHost, granter: CreditGranter): EntrySessions {
+	const records = new Map<string, SessionRecord>();
+	const recollections = new Map<string, Recollection[]>();
+	const ended: Array<{readonly ticket: string; readonly recollection: Recollection}> = [];
+	const fenced = new Set<string>();
+	let endedBytes = 0;
+	let running = 0;
+	let isDraining = false;
+
+	return {
+		open(entry) {
+			const record = records.get(entry) ?? createRecord();
+			records.set(entry, record);
+			if (record.isOpen) {
+				granter.close(entry);
+			}
+
+			record.isOpen = true;
+			record.sentSeq = 0;
+			granter.open(entry);
+			return toHello(host.agent, entry, record);
+		},
+		close(entry) {
+			const record = records.get(entry);
+			if (record?.isOpen) {
+				record.isOpen = false;
+				record.closedAt = host.clock.now();
+				granter.close(entry);
+			}
+		},
+		receive,
+		takeDue(entry) {
+			const record = records.get(entry);
+			if (!record?.isOpen) {
+				return {granted: 0, results: [], held: []};
+			}
+
+			const results = [...record.results.values()].filter(result => result.seq > record.sentSeq);
+			record.sentSeq = record.lastResultSeq;
+			const {held} = record;
+			record.held = [];
+			return {granted: granter.getGranted(entry), results, held};
+		},
+		setDraining(draining) {
+			isDraining = draining;
+			granter.setDraining(draining);
+		},
+		getRunning: () => running,
+		getUnacknowledged() {
+			let count = 0;
+			for (const record of records.values()) {
+				count += record.results.size;
+			}
+
+			return count;
+		},
+	};
+
+	function receive(entry: string, batch: EntryBatch): void {
+		const record = records.get(entry);
+		if (!record?.isOpen) {
+			return;
+		}
+
+		for (const incarnation of batch.fenced) {
+			fenced.add(incarnation);
+		}
+
+		acknowledge(record, batch.resultsAcked);
+		granter.setReturned(entry, batch.returned);
+		for (const start of batch.starts) {
+			receiveStart(entry, record, start);
+		}
+
+		granter.setQueued(entry, batch.queued);
+		for (const query of batch.queries) {
+			record.held.push({id: query.id, tasks: getHeldTasks(query.ticket)});
+			host.changed(entry);
+		}
+	}
+
+	function receiveStart(entry: string, record: SessionRecord, start: TaskStart): void {
+		if (start.seq <= record.lastStartSeq) {
+			return;
+		}
+
+		record.lastStartSeq = start.seq;
+		const refusal = tryGetRefusal(entry);
+		if (refusal !== undefined) {
+			addResult(entry, record, start, createRefusal(refusal));
+			return;
+		}
+
+		running++;
+		const recollection = recall(start);
+		host.run(start, end => {
+			running--;
+			granter.release();
+			const result = addResult(entry, record, start, end);
+			rememberEnd(start, recollection, result);
+		});
+	}
+
+	function tryGetRefusal(entry: string): RefusalReason | undefined {
+		if (fenced.has(entry)) {
+			return RefusalReason.REFUSAL_REASON_FENCED;
+		}
+
+		if (isDraining) {
+			return RefusalReason.REFUSAL_REASON_DRAINING;
+		}
+
+		return granter.tryUse(entry) ? undefined : RefusalReason.REFUSAL_REASON_FULL;
+	}
+
+	function addResult(entry: string, record: SessionRecord, start: TaskStart, end: RunEnd): TaskResult {
+		record.lastResultSeq++;
+		const result: TaskResult = {
+			task: start.task,
+			seq: record.lastResultSeq,
+			attempt: start.attempt,
+			outcome: end.outcome,
+			reason: end.reason,
+			payload: end.payload,
+			runMs: Math.round(end.run),
+			detail: end.detail,
+			startSeq: start.seq,
+		};
+		record.results.set(result.seq, result);
+		compactAbandoned();
+		if (record.isOpen) {
+			host.changed(entry);
+		}
+
+		return result;
+	}
+
+	// The numbers of an entry incarnation are kept for good: if they were forgotten, a paused entry that comes
+	// back would take its starts for lost. After the cut no start arrives, so few results wait.
+	function compactAbandoned(): void {
+		const oldest = host.clock.now() - host.keepMs;
+		for (const record of records.values()) {
+			if (!record.isOpen && record.closedAt < oldest) {
+				dropPayloads(record);
+			}
+		}
+	}
+
+	function recall(start: TaskStart): Recollection {
+		const recollection: Recollection = {
+			task: {
+				task: start.task, taskCount: start.taskCount, running: true, result: undefined, startedAt: Math.round(host.clock.wall()),
+			},
+		};
+		const {ticket} = (start.task!);
+		const list = recollections.get(ticket);
+		if (list === undefined) {
+			recollections.set(ticket, [recollection]);
+		} else {
+			list.push(recollection);
+		}
+
+		return recollection;
+	}
+
+	function rememberEnd(start: TaskStart, recollection: Recollection, result: TaskResult): void {
+		recollection.task.running = false;
+		recollection.task.result = result;
+		recollection.endedAt = host.clock.now();
+		ended.push({ticket: start.task!.ticket, recollection});
+		endedBytes += result.payload.length;
+		forgetOld();
+	}
+
+	function forgetOld(): void {
+		const oldest = host.clock.now() - host.keepMs;
+		while (ended[0] !== undefined && (ended[0].recollection.endedAt! < oldest || endedBytes > host.keepBytes)) {
+			const {ticket, recollection} = ended.shift()!;
+			endedBytes -= recollection.task.result?.payload.length ?? 0;
+			const rest = recollections.get(ticket)?.filter(other => other !== recollection) ?? [];
+			if (rest.length === 0) {
+				recollections.delete(ticket);
+			} else {
+				recollections.set(ticket, rest);
+			}
+		}
+	}
+
+	function getHeldTasks(ticket: string): HeldTask[] {
+		return (recollections.get(ticket) ?? []).map(recollection => recollection.task);
+	}
+}
+
+function createRecord(): SessionRecord {
+	return {
+		lastStartSeq: 0,
+		lastResultSeq: 0,
+		results: new Map(),
+		sentSeq: 0,
+		held: [],
+		isOpen: false,
+		closedAt: 0,
+	};
+}
+
+function acknowledge(record: SessionRecord, seq: number): void {
+	for (const known of record.results.keys()) {
+		if (known > seq) {
+			return;
+		}
+
+		record.results.delete(known);
+	}
+}
+
+function dropPayloads(record: SessionRecord): void {
+	for (const [seq, result] of record.results) {
+		if (result.payload.length > 0) {
+			record.results.set(seq, {
+				...result, payload: noPayload, outcome: TaskOutcome.TASK_OUTCOME_FAILED, detail: 'The answer was dropped because its entry stayed away.',
+			});
+		}
+	}
+}
+
+function createRefusal(reason: RefusalReason): RunEnd {
+	return {
+		outcome: TaskOutcome.TASK_OUTCOME_REFUSED, reason, payload: noPayload, run: 0, detail: '',
+	};
+}
+
+function toHello(agent: AgentFacts, entry: string, record: SessionRecord): AgentHello {
+	return {
+		agent: agent.name,
+		incarnation: agent.incarnation,
+		upstream: agent.upstream,
+		service: agent.service,
+		dataCentre: agent.dataCentre,
+		rack: agent.rack,
+		slots: agent.slots,
+		entryIncarnation: entry,
+		lastStartSeq: record.lastStartSeq,
+		lastResultSeq: record.lastResultSeq,
+	};
+}
--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -32,6 +32,7 @@
 	Ticket_is_malformed: row(1001, 'TicketMalformed', 'The ticket {0} is not one that this system issued.', 'Obtain tickets with POST /v1/tickets and send them unchanged.'),
 	Ticket_has_expired: row(1002, 'TicketExpired', 'The ticket {0} was not used within its lifetime of {1} ms.', 'Obtain a fresh ticket; nothing was started under this one.'),
 	Ticket_is_foreign: row(1003, 'TicketForeign', 'The ticket {0} was issued to another caller.', 'Use tickets issued to your own token.'),
+	Ticket_names_other_request: row(1004, 'TicketNamesOtherRequest', 'The ticket {0} was used for a request with other contents.', 'Use one ticket for one request; send it again unchanged.'),
 	Token_is_missing: row(1010, 'TokenMissing', 'The request carries no bearer token.', 'Send the header "Authorization: Bearer <token>".'),
 	Token_is_unknown: row(1011, 'TokenUnknown', 'The bearer token is not valid.', 'Ask an operator for a token.'),
 	Token_lacks_role: row(1012, 'TokenLacksRole', 'The token {0} may not do this; it needs the role {1}.', 'Use a token with that role.'),
@@ -40,6 +41,7 @@
 	Too_many_tasks: row(1022, 'TooManyTasks', 'The job has {0} tasks; the limit is {1}.', 'Split the job.'),
 	Submission_is_unknown: row(1023, 'SubmissionUnknown', 'There is no submission object named {0} in configuration version {1}.', 'Name one that "kingcuplane get submissions" lists.'),
 	Submission_is_not_allowed: row(1024, 'SubmissionNotAllowed', 'The team {0} may not use the submission {1}.', 'Ask an operator to set the team of the submission object.'),
+	Payload_is_too_large: row(1025, 'PayloadTooLarge', 'A payload is larger than the {0} bytes that the service takes.', 'Send smaller payloads.'),
 	Service_has_no_upstream: row(1030, 'ServiceHasNoUpstream', 'No upstream has announced itself for the service {0}.', 'Start an upstream with its agent, or come back later.'),
 	Queue_is_full: row(1031, 'QueueFull', 'The queue of the service {0} is full ({1} tasks).', 'Come back after the stated time.'),
 	Deadline_cannot_be_met: row(1032, 'DeadlineCannotBeMet', 'The queue of the service {0} needs about {1} ms; the deadline is {2} ms.', 'Come back after the stated time or allow a longer deadline.'),
@@ -55,6 +57,7 @@
 	Home_is_unreachable: row(1045, 'HomeUnreachable', 'The entry {0} that answers for this ticket cannot be reached at present.', 'Ask again with the same ticket after the stated time.'),
 	Fate_is_unknown: row(1046, 'FateUnknown', 'No record of the ticket {0} was found.', 'Check the ticket; records are kept for the time that docs/OPERATORS.md states.'),
 	Fate_is_malformed: row(1047, 'FateMalformed', 'The record of a submission is not in a form that this version reads: {0}.', 'Read it with the version that wrote it, or report the fault.'),
+	Answer_is_no_longer_kept: row(1047, 'AnswerNoLongerKept', 'The payloads of the answer to {0} are no longer kept.', 'Read the record of this ticket for its outcome; ask sooner next time.'),
 	Route_is_unknown: row(1050, 'RouteUnknown', 'There is no {0} {1}.', 'See docs/API.md.'),
 	Internal_fault: row(1099, 'InternalFault', 'An unexpected fault occurred: {0}.', 'Read the trail of the ticket and report the fault.'),
 	// 2xxx: objects and change sets
