Encode blocks of records as compressed JSON lines

Cause: the records of one block of tickets are saved as one object, and a lookup needs one of them. Change: encodeBlock, decodeBlock, findInBlock; a header with format, version, block and number of records; each line starts with its sequence, so that one record is found without parsing the others.

--- /dev/null
+++ b/test/request/fate-codec.test.ts
@@ -0,0 +1,62 @@
+import {Buffer} from 'node:buffer';
+import {gunzipSync, gzipSync} from 'node:zlib';
+import fc from 'fast-check';
+import {describe, it} from '../describe.js';
+import {decodeBlock, encodeBlock, findInBlock} from '../../src/request/fate-codec.js';
+import {toFateJson} from '../../src/request/fate-json.js';
+import type {SubmissionFate} from '../../src/request/types.js';
+import {
+	createAttempt, createCancelledFate, createFailedFate, createFate, createFinishedFate, createRefusedFate, createTasks, createTicket,
+} from './fates.js';
+
+const fates: readonly SubmissionFate[] = [createFinishedFate(), createRefusedFate(), createCancelledFate(), createFailedFate()]
+	.map((fate, sequence) => ({...fate, ticket: createTicket(sequence)}));
+const block = {incarnation: '42', block: 7, fates};
+
+describe('fate codec', () => {
+	it('gives back what was encoded', t => {
+		const read = decodeBlock(encodeBlock(block))._unsafeUnwrap();
+		t.deepEqual(read.fates.map(fate => toPlain(fate)), fates.map(fate => toPlain(fate)));
+	});
+
+	it('finds one record and no other', t => {
+		const bytes = encodeBlock(block);
+		t.is(findInBlock(bytes, 2)._unsafeUnwrap()?.cancelledBy, 'ordering-app');
+		t.is(findInBlock(bytes, 4)._unsafeUnwrap(), undefined);
+	});
+
+	it('keeps any text of callers and agents whole', t => {
+		fc.assert(fc.property(fc.string({unit: 'binary'}), fc.string({unit: 'grapheme'}), (reference, detail) => {
+			const fate = createFate({reference, tasks: createTasks({index: 0, attempts: [createAttempt({detail})]})});
+			const read = decodeBlock(encodeBlock({...block, fates: [fate]}))._unsafeUnwrap().fates[0];
+			t.is(read?.reference, reference);
+			t.is(read?.tasks.get(0)?.attempts[0]?.detail, detail);
+		}), {seed: 4, numRuns: 200});
+	});
+
+	it('refuses every damaged block', t => {
+		const bytes = encodeBlock(block);
+		for (let cut = 0; cut < bytes.length; cut += 7) {
+			t.is(decodeBlock(bytes.subarray(0, cut)).isErr(), true, `cut at ${cut}`);
+		}
+	});
+
+	for (const [name, edit] of [
+		['another version', (text: string) => text.replace('"version":1', '"version":2')],
+		['a missing record', (text: string) => text.slice(0, text.lastIndexOf('\n'))],
+		['a record of another block', (text: string) => text.replace('"block":7,"sequence":1', '"block":8,"sequence":1')],
+		['an unknown key', (text: string) => text.replace('"entry":', '"entrance":1,"entry":')],
+	] as const) {
+		it(`refuses ${name}`, t => {
+			const text = Buffer.from(gunzipSync(encodeBlock(block))).toString('utf8');
+			const edited = edit(text);
+			t.not(edited, text);
+			t.is(decodeBlock(gzipSync(edited))._unsafeUnwrapErr().kind, 'FateMalformed');
+		});
+	}
+});
+
+function toPlain(fate: SubmissionFate): unknown {
+	const text = JSON.stringify(toFateJson(fate));
+	return JSON.parse(text);
+}
