Add the agent, the links, peers, the directory of entries and the router

Cause: the decision parts need processes, streams and a way from any entry to a ticket's home. Change: gRPC streams between agents and entries and among entries; leases judged by the observer's monotonic clock; a tombstone that a paused entry meets when it renews; requests led to their home.

--- a/src/connection/credit-granter.ts
+++ b/src/connection/credit-granter.ts
@@ -76,6 +76,14 @@
 			grantFree();
 		},
 		getGranted: entry => accounts.get(entry)?.granted ?? 0,
+		getOutstanding() {
+			let count = 0;
+			for (const account of accounts.values()) {
+				count += getHeld(account);
+			}
+
+			return count;
+		},
 	};
 
 	function tryUse(entry: string): boolean {
--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -186,11 +186,11 @@
 			return RefusalReason.REFUSAL_REASON_FENCED;
 		}
 
-		if (isDraining) {
-			return RefusalReason.REFUSAL_REASON_DRAINING;
+		if (granter.tryUse(entry)) {
+			return undefined;
 		}
 
-		return granter.tryUse(entry) ? undefined : RefusalReason.REFUSAL_REASON_FULL;
+		return isDraining ? RefusalReason.REFUSAL_REASON_DRAINING : RefusalReason.REFUSAL_REASON_FULL;
 	}
 
 	function addResult(entry: string, record: SessionRecord, start: TaskStart, end: RunEnd): TaskResult {
--- /dev/null
+++ b/src/connection/link-client.ts
@@ -0,0 +1,194 @@
+/**
+ * The agent's end of one gRPC stream to one entry: dials, answers the entry's welcome, and dials again
+ * after a cut until it is stopped.
+ */
+import {credentials, type ClientDuplexStream} from '@grpc/grpc-js';
+import {
+	LinkClient,
+	type AgentBatch, type AgentState, type ConfigUpdate, type EntryAddress, type EntryBatch,
+} from '../generated/kingcuplane.js';
+import type {Clock, Milliseconds, Timer} from '../process/clock.js';
+import type {EntrySessions} from './entry-sessions.js';
+import {channelOptions} from './channel-options.js';
+
+/** What one link needs from its agent. */
+export type LinkClientHost = {
+	readonly clock: Clock;
+	readonly sessions: EntrySessions;
+	getState(): AgentState;
+	receiveConfig(config: ConfigUpdate): void;
+	receiveEntries(entries: readonly EntryAddress[]): void;
+	/** A link to this entry incarnation has its welcome; the earlier link to it, if any, must stop reading. */
+	claimEntry(incarnation: string, link: AgentLink): void;
+	/** A number in [0, 1), for jitter. */
+	random(): number;
+	/** Runs an action at the end of this turn of the event loop. */
+	defer(action: () => void): void;
+};
+
+/** A dialed link to one address. */
+export type AgentLink = {
+	/** "IP:port" of the entry. */
+	readonly address: string;
+	/** Something is due to the entry. */
+	changed(): void;
+	/** The agent's condition has changed and is to be restated. */
+	stateChanged(): void;
+	/** Drops the stream at once, reads nothing more from it, and dials again. */
+	drop(): void;
+	/** Ends the link for good. */
+	stop(): void;
+	isOpen(): boolean;
+};
+
+const firstDelayMs: Milliseconds = 50;
+const maxDelayMs: Milliseconds = 2000;
+
+type Stream = ClientDuplexStream<AgentBatch, EntryBatch>;
+
+/** Dials `address` ("IP:port") and keeps the link up. */
+export function createAgentLink(host: LinkClientHost, address: string): AgentLink {
+	const client = new LinkClient(address, credentials.createInsecure(), channelOptions);
+	let stream: Stream | undefined;
+	let entry: string | undefined;
+	let delay = firstDelayMs;
+	let timer: Timer | undefined;
+	let isStopped = false;
+	let isFlushPlanned = false;
+	let hasNewState = false;
+	let sentGranted = 0;
+
+	const link: AgentLink = {
+		address,
+		changed: planFlush,
+		stateChanged() {
+			hasNewState = true;
+			planFlush();
+		},
+		drop() {
+			closeStream();
+		},
+		stop() {
+			isStopped = true;
+			timer?.cancel();
+			closeStream();
+			client.close();
+		},
+		isOpen: () => entry !== undefined,
+	};
+	dial();
+	return link;
+
+	function dial(): void {
+		if (isStopped) {
+			return;
+		}
+
+		const current = client.open();
+		stream = current;
+		current.on('data', (batch: EntryBatch) => {
+			if (stream === current) {
+				receive(batch);
+			}
+		});
+		// Errors also end the stream; both lead to the same place, once.
+		current.on('error', () => {
+			closeIfCurrent(current);
+		});
+		current.on('end', () => {
+			closeIfCurrent(current);
+		});
+	}
+
+	function closeIfCurrent(closed: Stream): void {
+		if (stream === closed) {
+			closeStream();
+		}
+	}
+
+	function closeStream(): void {
+		const closed = stream;
+		if (closed === undefined) {
+			return;
+		}
+
+		stream = undefined;
+		closed.cancel();
+		if (entry !== undefined) {
+			host.sessions.close(entry);
+			entry = undefined;
+		}
+
+		if (!isStopped) {
+			timer = host.clock.after(delay * (0.5 + host.random()), dial);
+			delay = Math.min(maxDelayMs, delay * 2);
+		}
+	}
+
+	function receive(batch: EntryBatch): void {
+		if (batch.welcome !== undefined) {
+			open(batch.welcome.incarnation);
+		}
+
+		if (entry === undefined) {
+			return;
+		}
+
+		if (batch.config !== undefined) {
+			host.receiveConfig(batch.config);
+		}
+
+		if (batch.entries.length > 0) {
+			host.receiveEntries(batch.entries);
+		}
+
+		if (batch.welcome === undefined) {
+			host.sessions.receive(entry, batch);
+		}
+	}
+
+	function open(incarnation: string): void {
+		host.claimEntry(incarnation, link);
+		entry = incarnation;
+		delay = firstDelayMs;
+		sentGranted = 0;
+		const hello = host.sessions.open(incarnation);
+		write({hello, state: host.getState()});
+		planFlush();
+	}
+
+	function planFlush(): void {
+		if (!isFlushPlanned) {
+			isFlushPlanned = true;
+			host.defer(flush);
+		}
+	}
+
+	function flush(): void {
+		isFlushPlanned = false;
+		if (entry === undefined) {
+			return;
+		}
+
+		const due = host.sessions.takeDue(entry);
+		const isNews = hasNewState || due.granted !== sentGranted || due.results.length > 0 || due.held.length > 0;
+		if (!isNews) {
+			return;
+		}
+
+		write({
+			state: hasNewState ? host.getState() : undefined,
+			granted: due.granted,
+			results: [...due.results],
+			held: [...due.held],
+		});
+		hasNewState = false;
+		sentGranted = due.granted;
+	}
+
+	function write(part: Partial<AgentBatch>): void {
+		stream?.write({
+			hello: undefined, state: undefined, granted: 0, results: [], held: [], ...part,
+		});
+	}
+}
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -143,4 +143,6 @@
 	release(): void;
 	/** Credits granted to this entry since its link opened. */
 	getGranted(entry: string): number;
+	/** Credits that entries on open links still count as their own; none of them can start a task once this is 0. */
+	getOutstanding(): number;
 };
--- /dev/null
+++ b/src/process/agent.ts
@@ -0,0 +1,297 @@
+/**
+ * The agent: the process beside one upstream instance. It announces the upstream to every entry, is the only
+ * one that starts work on it, and drains on shutdown.
+ */
+import {createCreditGranter} from '../connection/credit-granter.js';
+import {createEntrySessions, type RunEnd} from '../connection/entry-sessions.js';
+import {createAgentLink, type AgentLink} from '../connection/link-client.js';
+import type {AgentFacts} from '../connection/types.js';
+import {
+	RefusalReason, TaskOutcome, type AgentState, type ConfigUpdate, type EntryAddress, type TaskStart,
+} from '../generated/kingcuplane.js';
+import type {UpstreamCaller} from '../request/upstream-call.js';
+import {formatAddress} from './address.js';
+import {
+	every, sleep, type Clock, type Milliseconds,
+} from './clock.js';
+import type {Log} from './log.js';
+import type {AgentSettings} from './settings.js';
+
+/** Effects of the agent. */
+export type AgentHost = {
+	readonly clock: Clock;
+	readonly settings: AgentSettings;
+	/** Unique over all processes and restarts. */
+	readonly incarnation: string;
+	readonly upstream: UpstreamCaller;
+	readonly log: Log;
+	/** A number in [0, 1), for jitter. */
+	random(): number;
+	/** Addresses ("IP:port") of the entries in the platform's directory; undefined if it cannot be read. */
+	readDirectory(): Promise<readonly string[] | undefined>;
+	/** Runs an action at the end of this turn of the event loop. */
+	defer(action: () => void): void;
+};
+
+/** A running agent. */
+export type Agent = {
+	/** Refuses new work, waits for the running tasks and for the acknowledgement of their results. */
+	drain(): Promise<DrainReport>;
+	stop(): void;
+	getLinks(): number;
+};
+
+/** What a drain left behind; all zero after a whole one. */
+export type DrainReport = {
+	readonly running: number;
+	readonly unacknowledged: number;
+	/** Credits with which entries may still have sent starts. */
+	readonly outstanding: number;
+};
+
+/** Weight of the newest run time in the mean. */
+const meanWeight = 0.1;
+const stateIntervalMs: Milliseconds = 1000;
+const keepMs: Milliseconds = 60_000;
+const probeIntervalMs: Milliseconds = 200;
+const drainCheckMs: Milliseconds = 10;
+
+/** Starts an agent; the upstream is announced as soon as it can be reached. */
+export function createAgent(host: AgentHost): Agent {
+	const {settings, clock} = host;
+	const facts = toFacts(settings, host.incarnation);
+	const links = new Map<string, AgentLink>();
+	const linkByEntry = new Map<string, AgentLink>();
+	let slots = 0;
+	let configuredSlots = facts.slots;
+	let configVersion = 0;
+	let isDraining = false;
+	let isStopping = false;
+	let isProbing = false;
+	let meanRun = 0;
+	let failedShare = 0;
+
+	const granter = createCreditGranter({
+		clock,
+		changed(entry) {
+			linkByEntry.get(entry)?.changed();
+		},
+	}, slots);
+	const sessions = createEntrySessions({
+		clock,
+		agent: facts,
+		keepMs,
+		keepBytes: settings.agent.resultMemoryBytes,
+		run,
+		changed(entry) {
+			linkByEntry.get(entry)?.changed();
+		},
+	}, granter);
+
+	const timers = [
+		every(clock, stateIntervalMs, restateState),
+		every(clock, settings.agent.discoverMs, () => {
+			void discover();
+		}),
+	];
+	void discover();
+	void probe();
+
+	return {
+		drain,
+		stop() {
+			for (const timer of timers) {
+				timer.cancel();
+			}
+
+			for (const link of links.values()) {
+				link.stop();
+			}
+		},
+		getLinks: () => [...links.values()].filter(link => link.isOpen()).length,
+	};
+
+	function run(start: TaskStart, done: (end: RunEnd) => void): void {
+		host.upstream.run(start, end => {
+			learn(end);
+			done(end);
+		});
+	}
+
+	function learn(end: RunEnd): void {
+		if (end.outcome === TaskOutcome.TASK_OUTCOME_REFUSED) {
+			if (end.reason === RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE) {
+				void probe();
+			}
+
+			return;
+		}
+
+		const isFailed = end.outcome !== TaskOutcome.TASK_OUTCOME_COMPLETED;
+		failedShare += meanWeight * ((isFailed ? 1 : 0) - failedShare);
+		if (!isFailed) {
+			meanRun = meanRun === 0 ? end.run : meanRun + (meanWeight * (end.run - meanRun));
+		}
+	}
+
+	// While the upstream cannot be reached it offers no slots, so that no start is sent only to be refused.
+	async function probe(): Promise<void> {
+		if (isProbing) {
+			return;
+		}
+
+		isProbing = true;
+		setSlots(0);
+		while (!await host.upstream.isReachable()) {
+			await sleep(clock, probeIntervalMs);
+		}
+
+		isProbing = false;
+		setSlots(configuredSlots);
+	}
+
+	function setSlots(count: number): void {
+		if (slots !== count) {
+			slots = count;
+			granter.setSlots(count);
+			restateState();
+		}
+	}
+
+	function restateState(): void {
+		for (const link of links.values()) {
+			link.stateChanged();
+		}
+	}
+
+	function getState(): AgentState {
+		return {
+			draining: isDraining,
+			running: sessions.getRunning(),
+			slots,
+			meanRunMs: Math.round(meanRun),
+			failedPerMille: Math.round(failedShare * 1000),
+			configVersion,
+		};
+	}
+
+	function receiveConfig(config: ConfigUpdate): void {
+		if (config.version <= configVersion) {
+			return;
+		}
+
+		configVersion = config.version;
+		configuredSlots = config.slots === 0 ? facts.slots : Math.min(config.slots, facts.slots);
+		setDraining(config.drain);
+		if (!isProbing) {
+			setSlots(configuredSlots);
+		}
+
+		restateState();
+		host.log.info({configVersion, slots: configuredSlots, drain: config.drain}, 'configuration in force');
+	}
+
+	function setDraining(draining: boolean): void {
+		if (isStopping || isDraining === draining) {
+			return;
+		}
+
+		isDraining = draining;
+		sessions.setDraining(draining);
+		restateState();
+	}
+
+	async function discover(): Promise<void> {
+		if (isStopping || [...links.values()].some(link => link.isOpen())) {
+			return;
+		}
+
+		for (const seed of settings.agent.seeds) {
+			addLink(formatAddress(seed));
+		}
+
+		for (const address of await host.readDirectory() ?? []) {
+			addLink(address);
+		}
+	}
+
+	function receiveEntries(entries: readonly EntryAddress[]): void {
+		for (const entry of entries) {
+			addLink(entry.links);
+		}
+
+		const known = new Set(entries.map(entry => entry.links));
+		for (const [address, link] of links) {
+			if (!known.has(address) && !link.isOpen()) {
+				link.stop();
+				links.delete(address);
+			}
+		}
+	}
+
+	function addLink(address: string): void {
+		if (links.has(address)) {
+			return;
+		}
+
+		links.set(address, createAgentLink({
+			clock,
+			sessions,
+			getState,
+			receiveConfig,
+			receiveEntries,
+			claimEntry,
+			random: host.random,
+			defer: host.defer,
+		}, address));
+	}
+
+	// One entry may be known under two addresses; only the newest link to an incarnation is read.
+	function claimEntry(incarnation: string, link: AgentLink): void {
+		const earlier = linkByEntry.get(incarnation);
+		if (earlier !== undefined && earlier !== link) {
+			earlier.stop();
+			links.delete(earlier.address);
+		}
+
+		linkByEntry.set(incarnation, link);
+	}
+
+	// Entries hand back their credits when they hear of the drain. Once none is out, no start is on its way; once
+	// every result is acknowledged, no answer depends on this process.
+	async function drain(): Promise<DrainReport> {
+		setDraining(true);
+		isStopping = true;
+		const end = clock.now() + settings.agent.drainMs;
+		while (!isDrained() && clock.now() < end) {
+			await sleep(clock, drainCheckMs);
+		}
+
+		return getDrainReport();
+	}
+
+	function isDrained(): boolean {
+		const report = getDrainReport();
+		return report.running === 0 && report.unacknowledged === 0 && report.outstanding === 0;
+	}
+
+	function getDrainReport(): DrainReport {
+		return {
+			running: sessions.getRunning(),
+			unacknowledged: sessions.getUnacknowledged(),
+			outstanding: granter.getOutstanding(),
+		};
+	}
+}
+
+function toFacts(settings: AgentSettings, incarnation: string): AgentFacts {
+	return {
+		incarnation,
+		name: settings.name,
+		upstream: settings.upstream,
+		service: settings.service,
+		dataCentre: settings.dataCentre,
+		rack: settings.rack,
+		slots: settings.upstreamServer.slots,
+	};
+}
--- /dev/null
+++ b/src/process/bin/kingcuplane-agent.ts
@@ -0,0 +1,39 @@
+#!/usr/bin/env node
+/**
+ * The agent's program: `kingcuplane-agent SETTINGS`.
+ */
+import {createUpstreamCaller} from '../../request/upstream-call.js';
+import {createAgent} from '../agent.js';
+import {createSystemClock} from '../clock.js';
+import {readEntryAddresses} from '../entry-directory.js';
+import {createIncarnation} from '../incarnation.js';
+import {createLog} from '../log.js';
+import {createPlatformClient} from '../platform/client.js';
+import {readAgentSettings} from '../settings.js';
+import {loadSettings, onceAskedToStop, printReady} from './program.js';
+
+const settings = loadSettings('kingcuplane-agent', readAgentSettings);
+const clock = createSystemClock();
+const log = createLog('kingcuplane-agent', settings.name, settings.log);
+const platform = createPlatformClient({...settings.platform, clock});
+const upstream = createUpstreamCaller({clock, ...settings.upstreamServer});
+const incarnation = createIncarnation();
+const agent = createAgent({
+	clock,
+	settings,
+	incarnation,
+	upstream,
+	log,
+	random: Math.random,
+	readDirectory: async () => readEntryAddresses(platform.table),
+	defer: setImmediate,
+});
+log.info({incarnation, upstream: settings.upstream}, 'agent started');
+printReady('kingcuplane-agent', {name: settings.name, incarnation});
+
+await onceAskedToStop();
+const report = await agent.drain();
+log.info({report}, 'agent drained');
+agent.stop();
+await upstream.close();
+await platform.close();
--- /dev/null
+++ b/src/process/entry-directory.ts
@@ -0,0 +1,322 @@
+/**
+ * The directory of entries in the platform's table service: who is there, at which address, and who has been
+ * declared dead. Each entry holds a lease on its own row by rewriting it; the others judge the lease by
+ * their own monotonic clock, never by a time written in the row.
+ */
+import {z} from 'zod';
+import type {EntryAddress} from '../generated/kingcuplane.js';
+import {
+	every, type Clock, type Milliseconds, type Timer,
+} from './clock.js';
+import type {TableRow, TableStore} from './platform/types.js';
+
+/** What the directory needs. */
+export type EntryDirectoryHost = {
+	readonly clock: Clock;
+	readonly table: TableStore;
+	readonly self: EntryAddress;
+	/** A row that stays unchanged for twice this time belongs to a dead entry. */
+	readonly leaseMs: Milliseconds;
+	/** Whether a stream to this entry incarnation is open. */
+	isLinked(incarnation: string): boolean;
+	/** Live entries, or the dead ones, have changed. */
+	changed(): void;
+	/** Another entry has declared this one dead: it must stop. */
+	declaredDead(): void;
+};
+
+/** Whether an entry incarnation may still act. */
+export type EntryStatus =
+	| 'live'
+	/** Declared dead by a transaction; it gives no more answers. */
+	| 'dead'
+	/** Not in the directory as last read, or never read. */
+	| 'unknown';
+
+/** The directory as one entry sees it. */
+export type EntryDirectory = {
+	getStatus(incarnation: string): EntryStatus;
+	/** Address of an entry that is not dead. */
+	tryGetAddress(incarnation: string): EntryAddress | undefined;
+	/** All live entries, this one included. */
+	getLive(): readonly EntryAddress[];
+	getDead(): readonly string[];
+	/** Adds entries that a peer told of, for the time that the platform cannot be read. */
+	learn(entries: readonly EntryAddress[]): void;
+	/**
+	 * Whether this entry still holds its lease. Renews it first if it has lapsed by this entry's own clock, as
+	 * after a pause. `unknown` means that the platform did not answer, so nobody can have taken the lease since.
+	 */
+	confirmLease(): Promise<'held' | 'lost' | 'unknown'>;
+	/** Whether the directory was read at least once. */
+	isKnown(): boolean;
+	/** Removes this entry's row; others see at once that it has gone. */
+	leave(): Promise<void>;
+	stop(): void;
+};
+
+type Observation = {
+	readonly address: EntryAddress;
+	readonly isDead: boolean;
+	readonly revision: number;
+	/** When this entry first saw the revision. */
+	readonly since: Milliseconds;
+};
+
+const rowPrefix = 'entries/';
+const maxEntries = 1000;
+const renewalsPerLease = 3;
+/** Dead rows stay this long, so that every entry and agent hears of them. */
+const deadKeepMs: Milliseconds = 3_600_000;
+
+const rowSchema = z.object({
+	name: z.string(), incarnation: z.string(), links: z.string(), dead: z.boolean(), renewals: z.int(),
+});
+
+/** Creates the directory, registers this entry and keeps its lease until stopped. */
+export function createEntryDirectory(host: EntryDirectoryHost): EntryDirectory {
+	const {clock, table, self} = host;
+	const key = `${rowPrefix}${self.incarnation}`;
+	const observations = new Map<string, Observation>();
+	const learned = new Map<string, EntryAddress>();
+	let revision = 0;
+	let renewals = 0;
+	let heldUntil = clock.now();
+	let isKnown = false;
+	let isLost = false;
+	let isStopped = false;
+	let renewal: Promise<'held' | 'lost' | 'unknown'> | undefined;
+	const timers: readonly Timer[] = [every(clock, host.leaseMs / renewalsPerLease, () => {
+		void renew();
+		void observe();
+	})];
+	void renew();
+	void observe();
+
+	return {
+		getStatus,
+		tryGetAddress(incarnation) {
+			const observation = observations.get(incarnation);
+			return observation?.isDead ? undefined : observation?.address ?? learned.get(incarnation);
+		},
+		getLive,
+		getDead: () => [...observations.values()].filter(seen => seen.isDead).map(seen => seen.address.incarnation),
+		learn(entries) {
+			const before = learned.size;
+			for (const entry of entries) {
+				learned.set(entry.incarnation, entry);
+			}
+
+			if (learned.size !== before) {
+				host.changed();
+			}
+		},
+		async confirmLease() {
+			if (isLost) {
+				return 'lost';
+			}
+
+			return clock.now() < heldUntil ? 'held' : renew();
+		},
+		isKnown: () => isKnown,
+		async leave() {
+			stop();
+			await table.commit({conditions: [{key, revision}], writes: [{key, value: undefined}]});
+		},
+		stop,
+	};
+
+	function stop(): void {
+		isStopped = true;
+		for (const timer of timers) {
+			timer.cancel();
+		}
+	}
+
+	function getStatus(incarnation: string): EntryStatus {
+		const observation = observations.get(incarnation);
+		if (observation?.isDead) {
+			return 'dead';
+		}
+
+		return observation === undefined && incarnation !== self.incarnation && !host.isLinked(incarnation) ? 'unknown' : 'live';
+	}
+
+	function getLive(): readonly EntryAddress[] {
+		const live = new Map([[self.incarnation, self]]);
+		for (const [incarnation, {address, isDead}] of observations) {
+			if (!isDead) {
+				live.set(incarnation, address);
+			}
+		}
+
+		for (const [incarnation, address] of learned) {
+			if (host.isLinked(incarnation)) {
+				live.set(incarnation, address);
+			}
+		}
+
+		return [...live.values()];
+	}
+
+	async function renew(): Promise<'held' | 'lost' | 'unknown'> {
+		renewal ??= renewOnce().finally(() => {
+			renewal = undefined;
+		});
+		return renewal;
+	}
+
+	async function renewOnce(): Promise<'held' | 'lost' | 'unknown'> {
+		if (isStopped) {
+			return 'unknown';
+		}
+
+		const startedAt = clock.now();
+		const value = JSON.stringify({...self, dead: false, renewals: renewals + 1});
+		const outcome = await table.commit({conditions: [{key, revision}], writes: [{key, value}]});
+		if (outcome.isErr()) {
+			return 'unknown';
+		}
+
+		if (outcome.value.kind === 'committed') {
+			revision++;
+			renewals++;
+			heldUntil = startedAt + host.leaseMs;
+			return 'held';
+		}
+
+		return reconcile(outcome.value.revision);
+	}
+
+	// The row has another revision than expected: either an earlier renewal took effect although its answer was
+	// lost, or another entry has declared this one dead.
+	async function reconcile(found: number): Promise<'held' | 'lost' | 'unknown'> {
+		if (found === 0) {
+			return lose();
+		}
+
+		const row = await table.get(key);
+		if (row.isErr()) {
+			return 'unknown';
+		}
+
+		// The store may serve an old read; only the revision that the transaction reported tells what happened.
+		if (row.value?.revision !== found) {
+			return 'unknown';
+		}
+
+		if (tryReadRow(row.value)?.dead !== false) {
+			return lose();
+		}
+
+		revision = found;
+		return 'unknown';
+	}
+
+	function lose(): 'lost' {
+		if (!isLost) {
+			isLost = true;
+			stop();
+			host.declaredDead();
+		}
+
+		return 'lost';
+	}
+
+	async function observe(): Promise<void> {
+		const rows = await table.scan(rowPrefix, maxEntries);
+		if (rows.isErr() || isStopped) {
+			return;
+		}
+
+		isKnown = true;
+		const before = describe(observations);
+		const seen = new Set<string>();
+		for (const row of rows.value) {
+			const value = tryReadRow(row);
+			if (value !== undefined) {
+				seen.add(value.incarnation);
+				note(row, value);
+			}
+		}
+
+		for (const incarnation of observations.keys()) {
+			if (!seen.has(incarnation)) {
+				observations.delete(incarnation);
+			}
+		}
+
+		await buryLapsed();
+		if (describe(observations) !== before) {
+			host.changed();
+		}
+	}
+
+	function note(row: TableRow, value: z.infer<typeof rowSchema>): void {
+		const earlier = observations.get(value.incarnation);
+		if (earlier !== undefined && row.revision <= earlier.revision) {
+			return;
+		}
+
+		observations.set(value.incarnation, {
+			address: {name: value.name, incarnation: value.incarnation, links: value.links},
+			isDead: value.dead,
+			revision: row.revision,
+			since: clock.now(),
+		});
+	}
+
+	async function buryLapsed(): Promise<void> {
+		const now = clock.now();
+		for (const [incarnation, seen] of observations) {
+			const age = now - seen.since;
+			if (seen.isDead && age > deadKeepMs) {
+				await table.commit({conditions: [{key: `${rowPrefix}${incarnation}`, revision: seen.revision}], writes: [{key: `${rowPrefix}${incarnation}`, value: undefined}]});
+			} else if (!seen.isDead && incarnation !== self.incarnation && age > 2 * host.leaseMs && !host.isLinked(incarnation)) {
+				await declareDead(seen);
+			}
+		}
+	}
+
+	async function declareDead(seen: Observation): Promise<void> {
+		const {address} = seen;
+		const deadKey = `${rowPrefix}${address.incarnation}`;
+		const value = JSON.stringify({...address, dead: true, renewals: 0});
+		const outcome = await table.commit({conditions: [{key: deadKey, revision: seen.revision}], writes: [{key: deadKey, value}]});
+		if (outcome.isOk() && outcome.value.kind === 'committed') {
+			observations.set(address.incarnation, {
+				address, isDead: true, revision: seen.revision + 1, since: clock.now(),
+			});
+		}
+	}
+}
+
+/** Reads the links addresses of all live entries once; undefined if the platform does not answer. */
+export async function readEntryAddresses(table: TableStore): Promise<readonly string[] | undefined> {
+	const rows = await table.scan(rowPrefix, maxEntries);
+	if (rows.isErr()) {
+		return undefined;
+	}
+
+	return rows.value
+		.map(row => tryReadRow(row))
+		.filter(row => row !== undefined && !row.dead)
+		.map(row => row!.links);
+}
+
+function tryReadRow(row: TableRow): z.infer<typeof rowSchema> | undefined {
+	const parsed = rowSchema.safeParse(tryParseJson(row.value));
+	return parsed.success ? parsed.data : undefined;
+}
+
+function tryParseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
+
+function describe(observations: ReadonlyMap<string, Observation>): string {
+	return [...observations.values()].map(seen => `${seen.address.incarnation}=${seen.isDead ? 'dead' : 'live'}`).toSorted().join(' ');
+}
--- /dev/null
+++ b/src/request/router.ts
@@ -0,0 +1,408 @@
+/**
+ * Leads each request about a ticket to the ticket's home: served here if this entry issued the ticket, passed
+ * on to the entry that did, or answered from what is left of it if that entry is dead.
+ */
+import {createHash} from 'node:crypto';
+import {Buffer} from 'node:buffer';
+import {z} from 'zod';
+import type {RelayReply} from '../generated/kingcuplane.js';
+import type {PeerRequest} from '../connection/peer-hub.js';
+import type {Clock, Milliseconds} from '../process/clock.js';
+import {assertNever} from '../process/debug.js';
+import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
+import type {EntryDirectory, EntryStatus} from '../process/entry-directory.js';
+import type {
+	Caller, Home, JobHandle, SubmissionRequest,
+} from './home.js';
+import {parseTicket} from './ticket.js';
+import type {Answer, SubmissionFate, Ticket} from './types.js';
+
+/** Who asks, as the token tells. */
+export type Principal = Caller & {
+	readonly role: 'caller' | 'operator' | 'support';
+};
+
+/** What can be asked about a ticket. */
+export type Operation = 'submit' | 'wait' | 'cancel' | 'fate';
+
+/** One request about a ticket. */
+export type TicketRequest = {
+	readonly operation: Operation;
+	readonly principal: Principal;
+	readonly ticket: Ticket;
+	/** Body of a submission; undefined for all other operations. */
+	readonly submission?: SubmissionBody;
+	/** Longest time to wait for the answer. */
+	readonly waitMs: Milliseconds;
+};
+
+/** Body of a submission as callers send it, in JSON. */
+export const submissionSchema = z.strictObject({
+	ticket: z.string(),
+	submission: z.string().max(63),
+	reference: z.string().max(200).default(''),
+	deadlineMs: z.int().min(1).max(3_600_000).optional(),
+	kind: z.enum(['job', 'request']).default('job'),
+	wait: z.boolean().default(true),
+	tasks: z.array(z.strictObject({payload: z.base64()})).min(1),
+}).refine(body => body.kind === 'job' || body.tasks.length === 1, {path: ['tasks'], error: 'a request has exactly one task'});
+
+/** Body of a submission after its check. */
+export type SubmissionBody = z.infer<typeof submissionSchema>;
+
+/** A reply to a caller: an HTTP status and a JSON body. */
+export type Reply = {
+	readonly status: number;
+	readonly body: unknown;
+	/** When to come back; undefined if that makes no sense. */
+	readonly retryAfter?: Milliseconds;
+};
+
+/** The answer of a job in JSON. */
+export type AnswerBody = {
+	readonly ticket: string;
+	readonly state: Answer['state'] | 'running';
+	readonly ran: Answer['ran'];
+	/** Present if the state is `complete`. */
+	readonly tasks?: ReadonlyArray<{readonly payload: string}>;
+	readonly diagnostic?: Diagnostic;
+	readonly retryAfterMs?: Milliseconds;
+};
+
+/** A record of a submission and where it was found. */
+export type FoundFate = {
+	readonly fate: SubmissionFate;
+	readonly json: unknown;
+};
+
+/** What the router needs from its entry. */
+export type RouterHost = {
+	readonly clock: Clock;
+	readonly entry: string;
+	readonly incarnation: string;
+	readonly home: Home;
+	readonly directory: Pick<EntryDirectory, 'getStatus' | 'confirmLease'>;
+	/** Passes a request on to an entry incarnation; undefined if it did not answer. */
+	relay(incarnation: string, req: PeerRequest): Promise<RelayReply | undefined>;
+	/** The record of a ticket from memory, the platform or agents; undefined if none was found. */
+	findFate(ticket: Ticket): Promise<FoundFate | undefined>;
+	/** The answer of a dead entry's job, if agents hold all of it. */
+	recoverAnswer(ticket: Ticket): Promise<Answer | undefined>;
+	recordDelivery(ticket: string, via: string): void;
+};
+
+/** Serves requests about tickets. */
+export type Router = {
+	/** Serves a request that came to this entry, wherever its home is. */
+	route(req: TicketRequest): Promise<Reply>;
+	/** Serves a request that another entry passed on; it is never passed on again. */
+	serveRelayed(req: PeerRequest): Promise<Omit<RelayReply, 'id'>>;
+};
+
+const unreachableRetryMs: Milliseconds = 1000;
+
+const relayedSchema = z.object({
+	operation: z.enum(['submit', 'wait', 'cancel', 'fate']),
+	principal: z.object({name: z.string(), team: z.string(), role: z.enum(['caller', 'operator', 'support'])}),
+	via: z.string(),
+	submission: submissionSchema.optional(),
+});
+
+/** Creates the router of one entry. */
+export function createRouter(host: RouterHost): Router {
+	return {route, serveRelayed};
+
+	async function route(req: TicketRequest): Promise<Reply> {
+		if (req.ticket.incarnation === host.incarnation) {
+			return serve(req, host.entry);
+		}
+
+		const reply = await host.relay(req.ticket.incarnation, {
+			operation: req.operation,
+			ticket: req.ticket.text,
+			principal: req.principal.name,
+			timeoutMs: req.waitMs,
+			body: Buffer.from(JSON.stringify({
+				operation: req.operation, principal: req.principal, via: host.entry, submission: req.submission,
+			})),
+		});
+		if (reply !== undefined) {
+			return fromRelayReply(reply);
+		}
+
+		return serveWithoutHome(req, host.directory.getStatus(req.ticket.incarnation));
+	}
+
+	async function serveRelayed(req: PeerRequest): Promise<Omit<RelayReply, 'id'>> {
+		const ticket = parseTicket(req.ticket);
+		const parsed = relayedSchema.safeParse(JSON.parse(Buffer.from(req.body).toString()));
+		if (ticket.isErr() || !parsed.success || ticket.value.incarnation !== host.incarnation) {
+			return toRelayReply(toReply(createDiagnostic(Diagnostics.Ticket_is_malformed, req.ticket)));
+		}
+
+		const {operation, principal, via, submission} = parsed.data;
+		return toRelayReply(await serve({
+			operation, principal, submission, ticket: ticket.value, waitMs: req.timeoutMs,
+		}, via));
+	}
+
+	async function serve(req: TicketRequest, via: string): Promise<Reply> {
+		switch (req.operation) {
+			case 'submit': {
+				return submit(req, via);
+			}
+
+			case 'wait': {
+				return reportJob(req, via);
+			}
+
+			case 'cancel': {
+				const job = tryGetOwnJob(req);
+				if (job !== undefined) {
+					host.home.cancel(job.ticket.text, req.principal.name);
+				}
+
+				return reportJob(req, via);
+			}
+
+			case 'fate': {
+				return reportFate(req);
+			}
+
+			default: {
+				return assertNever(req.operation);
+			}
+		}
+	}
+
+	async function submit(req: TicketRequest, via: string): Promise<Reply> {
+		const outcome = host.home.submit(req.principal, toSubmissionRequest(req.ticket, req.submission!));
+		switch (outcome.kind) {
+			case 'taken': {
+				return answerJob(outcome.job, req.submission!.wait ? req.waitMs : 0, via);
+			}
+
+			case 'forgotten': {
+				return reportFromFate(req);
+			}
+
+			case 'invalid': {
+				return toReply(outcome.diagnostic);
+			}
+
+			default: {
+				return assertNever(outcome);
+			}
+		}
+	}
+
+	async function reportJob(req: TicketRequest, via: string): Promise<Reply> {
+		const job = tryGetOwnJob(req);
+		return job === undefined ? reportFromFate(req) : answerJob(job, req.waitMs, via);
+	}
+
+	function tryGetOwnJob(req: TicketRequest): JobHandle | undefined {
+		const job = host.home.tryGetJob(req.ticket.text);
+		return job !== undefined && mayRead(req.principal, job.owner) ? job : undefined;
+	}
+
+	async function answerJob(job: JobHandle, waitMs: Milliseconds, via: string): Promise<Reply> {
+		const answer = await waitForAnswer(job, waitMs);
+		if (answer === undefined) {
+			return {status: 202, body: {ticket: job.ticket.text, state: 'running', ran: 'may-have-run'} satisfies AnswerBody};
+		}
+
+		// After a pause another entry may have declared this one dead and answered for it.
+		if (await host.directory.confirmLease() === 'lost') {
+			return homeUnreachable(host.entry);
+		}
+
+		host.recordDelivery(job.ticket.text, via);
+		return toAnswerReply(job.ticket.text, answer);
+	}
+
+	async function waitForAnswer(job: JobHandle, waitMs: Milliseconds): Promise<Answer | undefined> {
+		const ready = job.tryGetAnswer();
+		if (ready !== undefined || waitMs === 0) {
+			return ready;
+		}
+
+		return new Promise(resolve => {
+			const withdraw = job.whenAnswered(answer => {
+				timer.cancel();
+				resolve(answer);
+			});
+			const timer = host.clock.after(waitMs, () => {
+				withdraw();
+				resolve(undefined);
+			});
+		});
+	}
+
+	// The job is no longer in memory, or this entry never had it.
+	async function reportFromFate(req: TicketRequest): Promise<Reply> {
+		const found = await host.findFate(req.ticket);
+		if (found === undefined) {
+			return toReply(createDiagnostic(Diagnostics.Fate_is_unknown, req.ticket.text));
+		}
+
+		if (!mayRead(req.principal, found.fate.caller)) {
+			return toReply(createDiagnostic(Diagnostics.Ticket_is_foreign, req.ticket.text));
+		}
+
+		return toFateReply(req.ticket, found.fate);
+	}
+
+	async function reportFate(req: TicketRequest): Promise<Reply> {
+		const found = await host.findFate(req.ticket);
+		if (found === undefined) {
+			return toReply(createDiagnostic(Diagnostics.Fate_is_unknown, req.ticket.text));
+		}
+
+		return mayRead(req.principal, found.fate.caller)
+			? {status: 200, body: found.json}
+			: toReply(createDiagnostic(Diagnostics.Ticket_is_foreign, req.ticket.text));
+	}
+
+	async function serveWithoutHome(req: TicketRequest, status: EntryStatus): Promise<Reply> {
+		if (status === 'live') {
+			return homeUnreachable(req.ticket.incarnation);
+		}
+
+		if (req.operation === 'fate') {
+			return reportFate(req);
+		}
+
+		const found = await host.findFate(req.ticket);
+		if (found !== undefined && !mayRead(req.principal, found.fate.caller)) {
+			return toReply(createDiagnostic(Diagnostics.Ticket_is_foreign, req.ticket.text));
+		}
+
+		const recovered = await host.recoverAnswer(req.ticket);
+		if (recovered !== undefined) {
+			return toAnswerReply(req.ticket.text, recovered);
+		}
+
+		if (found?.fate.answer !== undefined) {
+			return toFateReply(req.ticket, found.fate);
+		}
+
+		return toAnswerReply(req.ticket.text, {
+			state: 'failed', ran: 'may-have-run', diagnostic: createDiagnostic(Diagnostics.Home_is_lost, req.ticket.incarnation),
+		});
+	}
+}
+
+/** Turns a refusal that concerns no job into a reply. */
+export function toReply(diagnostic: Diagnostic, retryAfter?: Milliseconds): Reply {
+	const body: Omit<AnswerBody, 'ticket'> = {
+		state: 'refused', ran: getRanOf(diagnostic), diagnostic, retryAfterMs: retryAfter,
+	};
+	return {status: getStatus(diagnostic), body, retryAfter};
+}
+
+function homeUnreachable(home: string): Reply {
+	return toReply(createDiagnostic(Diagnostics.Home_is_unreachable, home), unreachableRetryMs);
+}
+
+function toAnswerReply(ticket: string, answer: Answer): Reply {
+	const body: AnswerBody = {
+		ticket,
+		state: answer.state,
+		ran: answer.ran,
+		tasks: answer.payloads?.map(payload => ({payload: Buffer.from(payload).toString('base64')})),
+		diagnostic: answer.diagnostic,
+		retryAfterMs: answer.retryAfter,
+	};
+	return {status: answer.diagnostic === undefined ? 200 : getStatus(answer.diagnostic), body, retryAfter: answer.retryAfter};
+}
+
+// A record holds no payloads: a complete job whose payloads are gone is reported as such.
+function toFateReply(ticket: Ticket, fate: SubmissionFate): Reply {
+	if (fate.answer === undefined) {
+		return homeUnreachable(fate.entry);
+	}
+
+	const {state, ran} = fate.answer;
+	const diagnostic = fate.answer.diagnostic ?? createDiagnostic(Diagnostics.Answer_is_no_longer_kept, ticket.text);
+	const body: AnswerBody = {
+		ticket: ticket.text, state, ran, diagnostic,
+	};
+	return {status: getStatus(diagnostic), body};
+}
+
+function toSubmissionRequest(ticket: Ticket, body: SubmissionBody): SubmissionRequest {
+	const digest = createHash('sha256').update(JSON.stringify([body.submission, body.kind, body.tasks])).digest('base64');
+	return {
+		ticket,
+		submission: body.submission,
+		reference: body.reference,
+		deadlineMs: body.deadlineMs,
+		payloads: body.tasks.map(task => Buffer.from(task.payload, 'base64')),
+		isRequest: body.kind === 'request',
+		digest,
+	};
+}
+
+function mayRead(principal: Principal, owner: string): boolean {
+	return principal.role !== 'caller' || principal.name === owner;
+}
+
+const statusByKind: Readonly<Record<string, number>> = {
+	TicketMalformed: 400,
+	TicketExpired: 410,
+	TicketForeign: 403,
+	TicketNamesOtherRequest: 409,
+	TokenMissing: 401,
+	TokenUnknown: 401,
+	TokenLacksRole: 403,
+	BodyTooLarge: 413,
+	BodyInvalid: 400,
+	TooManyTasks: 413,
+	PayloadTooLarge: 413,
+	SubmissionUnknown: 404,
+	SubmissionNotAllowed: 403,
+	ServiceHasNoUpstream: 503,
+	QueueFull: 429,
+	DeadlineCannotBeMet: 429,
+	QuotaExhausted: 429,
+	EntryDraining: 503,
+	EntryNotReady: 503,
+	FateMemoryFull: 503,
+	DeadlinePassed: 504,
+	JobCancelled: 409,
+	TaskFailed: 502,
+	TaskMayHaveRun: 502,
+	HomeLost: 502,
+	HomeUnreachable: 503,
+	FateUnknown: 404,
+	AnswerNoLongerKept: 410,
+	RouteUnknown: 404,
+};
+
+function getStatus(diagnostic: Diagnostic): number {
+	return statusByKind[diagnostic.kind] ?? 500;
+}
+
+// These say nothing about the work itself, which may be under way elsewhere.
+const undecidedKinds = new Set(['HomeUnreachable', 'FateUnknown', 'InternalFault', 'TicketForeign', 'TicketNamesOtherRequest']);
+
+function getRanOf(diagnostic: Diagnostic): Answer['ran'] {
+	return undecidedKinds.has(diagnostic.kind) ? 'may-have-run' : 'not-run';
+}
+
+function fromRelayReply(reply: RelayReply): Reply {
+	return {
+		status: reply.status,
+		body: JSON.parse(Buffer.from(reply.body).toString()),
+		retryAfter: reply.retryAfterMs === 0 ? undefined : reply.retryAfterMs,
+	};
+}
+
+function toRelayReply(reply: Reply): Omit<RelayReply, 'id'> {
+	return {
+		status: reply.status,
+		body: Buffer.from(JSON.stringify(reply.body)),
+		retryAfterMs: reply.retryAfter ?? 0,
+	};
+}
--- /dev/null
+++ b/src/request/upstream-call.ts
@@ -0,0 +1,114 @@
+/**
+ * Runs tasks on the upstream beside the agent, over HTTP. Tells apart a task that was certainly not handed
+ * over from one that may have run.
+ */
+import {Pool} from 'undici';
+import {RefusalReason, TaskOutcome, type TaskStart} from '../generated/kingcuplane.js';
+import type {RunEnd} from '../connection/entry-sessions.js';
+import type {Clock, Milliseconds} from '../process/clock.js';
+
+/** Address and limits of the upstream. */
+export type UpstreamCallerHost = {
+	readonly clock: Clock;
+	/** For instance "http://127.0.0.1:8080". */
+	readonly url: string;
+	readonly connections: number;
+	/** Longest run time of a task that names none. */
+	readonly taskTimeoutMs: Milliseconds;
+};
+
+/** Calls one upstream. */
+export type UpstreamCaller = {
+	/** Runs one task; `done` is called once and never before this call returns. */
+	run(start: TaskStart, done: (end: RunEnd) => void): void;
+	/** Whether the upstream accepts connections now. */
+	isReachable(): Promise<boolean>;
+	close(): Promise<void>;
+};
+
+const noPayload = new Uint8Array();
+const maxDetailLength = 200;
+
+/** Creates the caller; connects when first used. */
+export function createUpstreamCaller(host: UpstreamCallerHost): UpstreamCaller {
+	const pool = new Pool(host.url, {connections: host.connections, pipelining: 1, connect: {timeout: 1000}});
+
+	return {
+		run(start, done) {
+			void call(start).then(done);
+		},
+		async isReachable() {
+			try {
+				const res = await pool.request({method: 'GET', path: '/healthz'});
+				await res.body.dump();
+				return true;
+			} catch (err) {
+				return !isConnectFailure(err);
+			}
+		},
+		close: async () => pool.close(),
+	};
+
+	async function call(start: TaskStart): Promise<RunEnd> {
+		const startedAt = host.clock.now();
+		const abort = new AbortController();
+		const timer = host.clock.after(start.timeoutMs || host.taskTimeoutMs, () => {
+			abort.abort();
+		});
+		try {
+			const res = await pool.request({
+				method: 'POST', path: '/run', headers: getHeaders(start), body: start.payload, signal: abort.signal,
+			});
+			const payload = await res.body.bytes();
+			const run = host.clock.now() - startedAt;
+			return res.statusCode >= 200 && res.statusCode < 300
+				? createEnd(TaskOutcome.TASK_OUTCOME_COMPLETED, run, '', payload)
+				: createEnd(TaskOutcome.TASK_OUTCOME_FAILED, run, `status ${res.statusCode}: ${new TextDecoder().decode(payload).slice(0, maxDetailLength)}`);
+		} catch (err) {
+			const run = host.clock.now() - startedAt;
+			return isConnectFailure(err)
+				? createEnd(TaskOutcome.TASK_OUTCOME_REFUSED, 0, '')
+				: createEnd(TaskOutcome.TASK_OUTCOME_UNKNOWN, run, describeError(err, abort.signal.aborted));
+		} finally {
+			timer.cancel();
+		}
+	}
+}
+
+function getHeaders(start: TaskStart): Record<string, string> {
+	return {
+		'content-type': 'application/octet-stream',
+		'x-kingcuplane-task': `${start.task!.ticket}/${start.task!.index}`,
+		'x-kingcuplane-attempt': String(start.attempt),
+		'x-kingcuplane-service': start.service,
+	};
+}
+
+function createEnd(outcome: TaskOutcome, run: Milliseconds, detail: string, payload: Uint8Array = noPayload): RunEnd {
+	const reason = outcome === TaskOutcome.TASK_OUTCOME_REFUSED
+		? RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE
+		: RefusalReason.REFUSAL_REASON_UNSPECIFIED;
+	return {
+		outcome, reason, payload, run, detail,
+	};
+}
+
+// Only these are raised before any byte of the request has left.
+const connectFailures = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+
+function isConnectFailure(err: unknown): boolean {
+	const code = getCode(err);
+	return code !== undefined && connectFailures.has(code);
+}
+
+function getCode(err: unknown): string | undefined {
+	return err instanceof Error && 'code' in err && typeof err.code === 'string' ? err.code : undefined;
+}
+
+function describeError(err: unknown, isTimeout: boolean): string {
+	if (isTimeout) {
+		return 'the upstream did not answer in time';
+	}
+
+	return `the connection to the upstream broke: ${getCode(err) ?? String(err)}`;
+}
