Add the HTTP interface and the questions to agents about a dead entry's jobs

Cause: callers need HTTP; a job whose home died can still be answered when agents hold all of it. Ruled out: starting the rest of such a job elsewhere (only the home may start its tasks). Change: hono routes with typed refusals; queries to agents and the recovery of an answer.

--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -94,6 +94,8 @@
 		query(id, ticket) {
 			for (const link of links.values()) {
 				link.queries.push({id, ticket});
+				// An agent that answers must refuse starts of dead entries from then on.
+				link.hasNewsForAll = true;
 				planFlush(link, true);
 			}
 
--- /dev/null
+++ b/src/process/http-api.ts
@@ -0,0 +1,157 @@
+/**
+ * The HTTP interface of an entry for callers, operators and the balancer; docs/API.md describes it.
+ */
+import {bodyLimit} from 'hono/body-limit';
+import {type Context, Hono} from 'hono';
+import type {Result} from 'neverthrow';
+import {z} from 'zod';
+import {
+	submissionSchema, toReply, type Operation, type Principal, type Reply, type Router, type SubmissionBody,
+} from '../request/router.js';
+import {parseTicket} from '../request/ticket.js';
+import type {Ticket} from '../request/types.js';
+import type {Milliseconds} from './clock.js';
+import {createDiagnostic, Diagnostics, type Diagnostic} from './diagnostics.js';
+
+/** What the interface needs from its entry. */
+export type HttpApiHost = {
+	readonly router: Router;
+	/** Largest body of a request. */
+	readonly maxBodyBytes: number;
+	/** Most tickets given out at once. */
+	readonly maxTickets: number;
+	/** Longest wait for an answer. */
+	readonly maxWaitMs: Milliseconds;
+	readonly ticketLifetimeMs: Milliseconds;
+	authenticate(token: string): Result<Principal, Diagnostic>;
+	issueTickets(owner: string, count: number): readonly Ticket[];
+	/** Whether the balancer may send requests here. */
+	isReady(): boolean;
+	/** State of this process and of those that it knows, as JSON. */
+	getStatus(): unknown;
+	logFault(err: unknown): void;
+};
+
+const bearer = /^Bearer (.+)$/v;
+const ticketsSchema = z.strictObject({count: z.int().min(1).default(1)});
+const notReadyRetryMs: Milliseconds = 1000;
+
+type Env = {Variables: {principal: Principal}};
+type RequestContext = Context<Env>;
+
+/** Creates the routes of one entry. */
+export function createHttpApi(host: HttpApiHost): Hono<Env> {
+	const app = new Hono<Env>();
+	const limit = bodyLimit({
+		maxSize: host.maxBodyBytes,
+		onError: () => send(toReply(createDiagnostic(Diagnostics.Body_is_too_large, host.maxBodyBytes))),
+	});
+
+	app.get('/healthz', c => c.text('ok'));
+	app.get('/readyz', c => host.isReady() ? c.text('ready') : c.text('not ready', 503));
+
+	app.use('/v1/*', async (c, next) => {
+		const principal = authenticate(c.req.header('authorization'));
+		if ('code' in principal) {
+			return send(toReply(principal));
+		}
+
+		c.set('principal', principal);
+		return next();
+	});
+	app.get('/v1/status', () => Response.json(host.getStatus()));
+	app.post('/v1/tickets', limit, issueTickets);
+	app.post('/v1/submissions', limit, submit);
+	app.get('/v1/submissions/:ticket', async c => askAboutTicket(c, 'wait', getWait(c)));
+	app.delete('/v1/submissions/:ticket', async c => askAboutTicket(c, 'cancel', 0));
+	app.get('/v1/submissions/:ticket/fate', async c => askAboutTicket(c, 'fate', 0));
+
+	app.notFound(c => send(toReply(createDiagnostic(Diagnostics.Route_is_unknown, c.req.method, c.req.path))));
+	app.onError(err => {
+		host.logFault(err);
+		return send(toReply(createDiagnostic(Diagnostics.Internal_fault, err.message)));
+	});
+	return app;
+
+	function authenticate(header: string | undefined): Principal | Diagnostic {
+		const token = bearer.exec(header ?? '')?.[1];
+		return token === undefined
+			? createDiagnostic(Diagnostics.Token_is_missing)
+			: host.authenticate(token).unwrapOr(createDiagnostic(Diagnostics.Token_is_unknown));
+	}
+
+	async function issueTickets(c: RequestContext): Promise<Response> {
+		const body = await readBody(c, ticketsSchema);
+		if (body instanceof Response) {
+			return body;
+		}
+
+		if (!host.isReady()) {
+			return send(toReply(createDiagnostic(Diagnostics.Entry_is_not_ready), notReadyRetryMs));
+		}
+
+		const tickets = host.issueTickets(c.var.principal.name, Math.min(body.count, host.maxTickets));
+		return c.json({tickets: tickets.map(ticket => ticket.text), lifetimeMs: host.ticketLifetimeMs});
+	}
+
+	async function submit(c: RequestContext): Promise<Response> {
+		const submission = await readBody<SubmissionBody>(c, submissionSchema);
+		if (submission instanceof Response) {
+			return submission;
+		}
+
+		const ticket = parseTicket(submission.ticket);
+		if (ticket.isErr()) {
+			return send(toReply(ticket.error));
+		}
+
+		return send(await host.router.route({
+			operation: 'submit', principal: c.var.principal, ticket: ticket.value, submission, waitMs: host.maxWaitMs,
+		}));
+	}
+
+	async function askAboutTicket(c: RequestContext, operation: Operation, waitMs: Milliseconds): Promise<Response> {
+		const ticket = parseTicket(c.req.param('ticket')!);
+		if (ticket.isErr()) {
+			return send(toReply(ticket.error));
+		}
+
+		return send(await host.router.route({
+			operation, principal: c.var.principal, ticket: ticket.value, waitMs,
+		}));
+	}
+
+	function getWait(c: RequestContext): Milliseconds {
+		const waitMs = Number(c.req.query('waitMs') ?? 0);
+		return Number.isFinite(waitMs) ? Math.min(Math.max(0, waitMs), host.maxWaitMs) : 0;
+	}
+}
+
+// Gives the checked body, or the response that names all its faults.
+async function readBody<T>(c: RequestContext, schema: z.ZodType<T>): Promise<T | Response> {
+	let json: unknown;
+	try {
+		json = await c.req.json();
+	} catch {
+		return send(toReply(createDiagnostic(Diagnostics.Body_is_invalid, 'it is not JSON')));
+	}
+
+	const parsed = schema.safeParse(json);
+	return parsed.success ? parsed.data : send(toReply(createDiagnostic(Diagnostics.Body_is_invalid, describeIssues(parsed.error))));
+}
+
+const maxIssues = 10;
+
+function describeIssues(error: z.ZodError): string {
+	return error.issues
+		.slice(0, maxIssues)
+		.map(issue => `${issue.path.join('.') || 'body'}: ${issue.message}`)
+		.join('; ');
+}
+
+function send(reply: Reply): Response {
+	const headers: Record<string, string> = reply.retryAfter === undefined
+		? {}
+		: {'retry-after': String(Math.ceil(reply.retryAfter / 1000))};
+	return Response.json(reply.body, {status: reply.status, headers});
+}
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
 import type {RelayReply} from '../generated/kingcuplane.js';
+import type {Recovery} from '../connection/held-queries.js';
 import type {PeerRequest} from '../connection/peer-hub.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
 import {assertNever} from '../process/debug.js';
@@ -86,8 +87,8 @@
 	relay(incarnation: string, req: PeerRequest): Promise<RelayReply | undefined>;
 	/** The record of a ticket from memory, the platform or agents; undefined if none was found. */
 	findFate(ticket: Ticket): Promise<FoundFate | undefined>;
-	/** The answer of a dead entry's job, if agents hold all of it. */
-	recoverAnswer(ticket: Ticket): Promise<Answer | undefined>;
+	/** What agents tell of a dead entry's job. */
+	recover(ticket: Ticket): Promise<Recovery>;
 	recordDelivery(ticket: string, via: string): void;
 };
 
@@ -278,18 +279,7 @@
 			return toReply(createDiagnostic(Diagnostics.Ticket_is_foreign, req.ticket.text));
 		}
 
-		const recovered = await host.recoverAnswer(req.ticket);
-		if (recovered !== undefined) {
-			return toAnswerReply(req.ticket.text, recovered);
-		}
-
-		if (found?.fate.answer !== undefined) {
-			return toFateReply(req.ticket, found.fate);
-		}
-
-		return toAnswerReply(req.ticket.text, {
-			state: 'failed', ran: 'may-have-run', diagnostic: createDiagnostic(Diagnostics.Home_is_lost, req.ticket.incarnation),
-		});
+		return replyForDeadHome(req.ticket, await host.recover(req.ticket), found?.fate);
 	}
 }
 
@@ -331,6 +321,28 @@
 	return {status: getStatus(diagnostic), body};
 }
 
+function replyForDeadHome(ticket: Ticket, recovery: Recovery, fate: SubmissionFate | undefined): Reply {
+	switch (recovery.kind) {
+		case 'answered': {
+			return toAnswerReply(ticket.text, recovery.answer);
+		}
+
+		case 'running': {
+			return homeUnreachable(ticket.incarnation);
+		}
+
+		case 'unknown': {
+			return fate?.answer === undefined
+				? toAnswerReply(ticket.text, {state: 'failed', ran: 'may-have-run', diagnostic: createDiagnostic(Diagnostics.Home_is_lost, ticket.incarnation)})
+				: toFateReply(ticket, fate);
+		}
+
+		default: {
+			return assertNever(recovery);
+		}
+	}
+}
+
 function toSubmissionRequest(ticket: Ticket, body: SubmissionBody): SubmissionRequest {
 	const digest = createHash('sha256').update(JSON.stringify([body.submission, body.kind, body.tasks])).digest('base64');
 	return {
