--- /dev/null
+++ b/dev/http-server.ts
@@ -0,0 +1,73 @@
+/**
+ * The HTTP servers of development programs.
+ */
+import {once} from 'node:events';
+import http from 'node:http';
+import process from 'node:process';
+import {getRequestListener, type HttpBindings} from '@hono/node-server';
+import type {Hono} from 'hono';
+import {formatAddress, tryParseAddress, type Address} from '../src/process/address.js';
+import type {Milliseconds} from '../src/process/clock.js';
+import {checkDefined} from '../src/process/debug.js';
+
+/** Bindings of routes that reach through to the connection. */
+export type HttpEnv = {Bindings: HttpBindings};
+
+/** A server that listens. */
+export type HttpServer = {
+	/** For instance `http://127.0.0.1:7000`. */
+	readonly url: string;
+	/** Refuses new connections for a time. Connections with a request in progress stay until it is answered. */
+	refuseFor(duration: Milliseconds): void;
+	/** Stops listening and closes all connections. */
+	close(): Promise<void>;
+};
+
+/**
+ * Serves `app` on an address; with port 0 the operating system chooses the port. `report` gets a line each
+ * time that the server begins to listen.
+ */
+export async function startHttpServer(app: Hono<HttpEnv>, listen: Address, report: (line: string) => void = () => undefined): Promise<HttpServer> {
+	const handle = getRequestListener(app.fetch);
+	const server = http.createServer((req, res) => {
+		void handle(req, res);
+	});
+	server.listen(listen.port, listen.host);
+	await once(server, 'listening');
+	const bound = server.address();
+	const port = typeof bound === 'object' && bound !== null ? bound.port : listen.port;
+	const url = `http://${formatAddress({host: listen.host, port})}`;
+	report(`listening on ${url}`);
+
+	return {
+		url,
+		refuseFor(duration) {
+			server.close();
+			server.closeIdleConnections();
+			// The timer keeps the process alive, which a timer of the clock would not.
+			setTimeout(() => {
+				server.listen(port, listen.host, () => {
+					report(`listening again on ${url}`);
+				});
+			}, duration);
+		},
+		async close() {
+			server.closeAllConnections();
+			if (server.listening) {
+				server.close();
+				await once(server, 'close');
+			}
+		},
+	};
+}
+
+/** Serves `app` for the life of the process, and prints one line with the address when ready. */
+export async function runHttpServer(name: string, app: Hono<HttpEnv>, listen: string): Promise<HttpServer> {
+	const address = checkDefined(tryParseAddress(listen), `--listen takes ip:port, not "${listen}"`);
+	process.once('SIGTERM', () => {
+		process.exit(0);
+	});
+	return startHttpServer(app, address, line => {
+		console.log(`${name} ${line}`);
+	});
+}
--- a/dev/platform-app.ts
+++ b/dev/platform-app.ts
@@ -3,14 +3,12 @@
  * `GET /stats`, `GET /faults` and `POST /faults` (a JSON object with the faults to change).
  */
 import {Buffer} from 'node:buffer';
-import type {HttpBindings} from '@hono/node-server';
 import {Hono, type Context} from 'hono';
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
 import {noPlatformFaults, type MemoryPlatform, type PlatformFaults} from '../src/process/platform/memory.js';
 import type {PlatformError} from '../src/process/platform/types.js';
-
-type Env = {Bindings: HttpBindings};
+import type {HttpEnv} from './http-server.js';
 
 const defaultLimit = 1000;
 
@@ -30,9 +28,9 @@
 }).partial();
 
 /** Creates the HTTP routes over `platform`. */
-export function createPlatformApp(platform: MemoryPlatform): Hono<Env> {
+export function createPlatformApp(platform: MemoryPlatform): Hono<HttpEnv> {
 	const {table, objects} = platform;
-	const app = new Hono<Env>();
+	const app = new Hono<HttpEnv>();
 
 	app.get('/table/row', async c => answer(c, await table.get(key(c)), row => c.json({row})));
 	app.get('/table/rows', async c => answer(c, await table.scan(prefix(c), limit(c), c.req.query('after')), rows => c.json({rows})));
@@ -69,7 +67,7 @@
 }
 
 /** Sends a result; an unreachable platform cuts the connection without an answer. */
-function answer<T>(c: Context<Env>, result: Result<T, PlatformError>, send: (value: T) => Response): Response {
+function answer<T>(c: Context<HttpEnv>, result: Result<T, PlatformError>, send: (value: T) => Response): Response {
 	if (result.isOk()) {
 		return send(result.value);
 	}
@@ -83,14 +81,14 @@
 	return c.body(null);
 }
 
-function key(c: Context<Env>): string {
+function key(c: Context<HttpEnv>): string {
 	return c.req.query('key') ?? '';
 }
 
-function prefix(c: Context<Env>): string {
+function prefix(c: Context<HttpEnv>): string {
 	return c.req.query('prefix') ?? '';
 }
 
-function limit(c: Context<Env>): number {
+function limit(c: Context<HttpEnv>): number {
 	return Number(c.req.query('limit') ?? defaultLimit);
 }
