Run the decision parts under random failures with a fake clock

Cause: nothing shows what the parts do together when links, processes and the platform fail. Ruled out: own copies of the links; the agent and both ends of its links now take any stream with the few calls they need, so the runs use them as they are. Change: test/failure simulates processes, network, upstreams and callers around the product's parts; a checker reads what callers got, what upstreams counted and the versions in force; npm run failures prints a seed, the fewest faults that break a promise, and the log.

--- /dev/null
+++ b/dev/failures.ts
@@ -0,0 +1,68 @@
+/**
+ * Random failure runs over the decision parts with a fake clock. For each seed whose run breaks a promise it
+ * prints the fewest faults found that still break it, and the log about the first broken promise.
+ * Usage: npm run failures -- --seed N --runs M
+ */
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import type {Violation} from '../test/failure/checker.js';
+import type {PlannedFault} from '../test/failure/faults.js';
+import {formatEntry, type JournalEntry} from '../test/failure/journal.js';
+import {getFaults, runFailures, type RunReport} from '../test/failure/run.js';
+
+const {values} = parseArgs({options: {seed: {type: 'string', default: '1'}, runs: {type: 'string', default: '100'}, whole: {type: 'boolean', default: false}}});
+const firstSeed = Number(values.seed);
+const runs = Number(values.runs);
+const broken = new Map<string, number>();
+let failed = 0;
+
+for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
+	const report = await runFailures(seed, getFaults(seed));
+	if (report.violations.length > 0) {
+		failed++;
+		await explain(seed, report);
+	}
+}
+
+for (const [rule, count] of broken) {
+	console.log(`${rule}: broken in ${count} runs`);
+}
+
+console.log(`${runs} runs from seed ${firstSeed}, ${failed} with broken promises`);
+process.exitCode = failed === 0 ? 0 : 1;
+
+async function explain(seed: number, report: RunReport): Promise<void> {
+	for (const rule of new Set(report.violations.map(violation => violation.rule))) {
+		broken.set(rule, (broken.get(rule) ?? 0) + 1);
+	}
+
+	const {rule} = report.violations[0]!;
+	const faults = values.whole ? getFaults(seed) : await shrink(seed, rule);
+	const {violations, journal} = await runFailures(seed, faults);
+	console.log(`seed ${seed}`);
+	for (const violation of violations) {
+		console.log(`  ${violation.rule}: ${violation.subject}: ${violation.detail}`);
+	}
+
+	for (const entry of journal.filter(other => concerns(other, violations[0]!))) {
+		console.log(`  ${formatEntry(entry)}`);
+	}
+}
+
+/** Leaves out each fault without which the run still breaks the same promise. */
+async function shrink(seed: number, rule: string): Promise<readonly PlannedFault[]> {
+	let faults: readonly PlannedFault[] = getFaults(seed);
+	for (const fault of faults) {
+		const fewer = faults.filter(other => other !== fault);
+		const {violations} = await runFailures(seed, fewer);
+		if (violations.some(violation => violation.rule === rule)) {
+			faults = fewer;
+		}
+	}
+
+	return faults;
+}
+
+function concerns(entry: JournalEntry, {subject}: Violation): boolean {
+	return entry.kind === 'fault' || JSON.stringify(entry).includes(subject);
+}
--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -2,7 +2,7 @@
  * The agent's end of one gRPC stream to one entry: dials, answers the entry's welcome, and dials again
  * after a cut until it is stopped.
  */
-import {credentials, type ClientDuplexStream} from '@grpc/grpc-js';
+import {credentials} from '@grpc/grpc-js';
 import {
 	LinkClient,
 	type AgentBatch, type AgentState, type ConfigUpdate, type EntryAddress, type EntryBatch,
@@ -24,6 +24,22 @@
 	random(): number;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
+	/** Prepares streams to "IP:port"; over gRPC if undefined. */
+	connect?(address: string): LinkConnection;
+};
+
+/** Opens streams to one entry. */
+export type LinkConnection = {
+	open(): Stream;
+	close(): void;
+};
+
+/** The part of a gRPC stream that a link needs at the agent. */
+type Stream = {
+	on(event: 'data', listener: (batch: EntryBatch) => void): unknown;
+	on(event: 'error' | 'end', listener: () => void): unknown;
+	write(batch: AgentBatch): unknown;
+	cancel(): void;
 };
 
 /** A dialed link to one address. */
@@ -44,11 +60,9 @@
 const firstDelayMs: Milliseconds = 50;
 const maxDelayMs: Milliseconds = 2000;
 
-type Stream = ClientDuplexStream<AgentBatch, EntryBatch>;
-
 /** Dials `address` ("IP:port") and keeps the link up. */
 export function createAgentLink(host: LinkClientHost, address: string): AgentLink {
-	const client = new LinkClient(address, credentials.createInsecure(), channelOptions);
+	const client = host.connect?.(address) ?? new LinkClient(address, credentials.createInsecure(), channelOptions);
 	let stream: Stream | undefined;
 	let entry: string | undefined;
 	let delay = firstDelayMs;
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -2,7 +2,6 @@
  * The entry's end of the gRPC streams that agents open. Everything due to one agent within a turn of the
  * event loop travels in one batch.
  */
-import type {ServerDuplexStream} from '@grpc/grpc-js';
 import type {
 	AgentBatch, ConfigUpdate, EntryAddress, EntryBatch, HeldReply, LinkServer, TaskStart,
 } from '../generated/kingcuplane.js';
@@ -38,6 +37,8 @@
 export type LinkHub = {
 	/** The service to add to the gRPC server. */
 	readonly service: LinkServer;
+	/** Takes a stream that an agent opened. */
+	accept(stream: LinkStream): void;
 	send(agent: string, start: TaskStart): void;
 	/** Queue length, returned credits or acknowledgements for this agent have changed. */
 	changed(agent: string): void;
@@ -51,11 +52,17 @@
 /** Longest time that news other than a start waits for more to travel with. */
 const newsDelayMs = 1;
 
-type Stream = ServerDuplexStream<AgentBatch, EntryBatch>;
+/** The part of a gRPC stream that a link needs at the entry. */
+export type LinkStream = {
+	on(event: 'data', listener: (batch: AgentBatch) => void): unknown;
+	on(event: 'end' | 'error' | 'cancelled', listener: () => void): unknown;
+	write(batch: EntryBatch): unknown;
+	end(): void;
+};
 
 type Link = {
 	readonly session: AgentSession;
-	readonly stream: Stream;
+	readonly stream: LinkStream;
 	starts: TaskStart[];
 	queries: Array<{id: number; ticket: string}>;
 	isFlushPlanned: boolean;
@@ -72,6 +79,7 @@
 
 	return {
 		service: {open: accept},
+		accept,
 		send(agent, start) {
 			const link = links.get(agent);
 			if (link !== undefined) {
@@ -104,7 +112,7 @@
 		getLinked: () => links.size,
 	};
 
-	function accept(stream: Stream): void {
+	function accept(stream: LinkStream): void {
 		let link: Link | undefined;
 		stream.on('data', (batch: AgentBatch) => {
 			if (batch.hello !== undefined && link === undefined) {
@@ -215,7 +223,7 @@
 	}
 }
 
-function createLink(session: AgentSession, stream: Stream): Link {
+function createLink(session: AgentSession, stream: LinkStream): Link {
 	return {
 		session,
 		stream,
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -4,7 +4,7 @@
  */
 import {createCreditGranter} from '../connection/credit-granter.js';
 import {createEntrySessions, type RunEnd} from '../connection/entry-sessions.js';
-import {createAgentLink, type AgentLink} from '../connection/link-client.js';
+import {createAgentLink, type AgentLink, type LinkConnection} from '../connection/link-client.js';
 import type {AgentFacts} from '../connection/types.js';
 import {
 	RefusalReason, TaskOutcome, type AgentState, type ConfigUpdate, type EntryAddress, type TaskStart,
@@ -31,6 +31,8 @@
 	readDirectory(): Promise<readonly string[] | undefined>;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
+	/** Prepares streams to "IP:port"; over gRPC if undefined. */
+	connect?(address: string): LinkConnection;
 };
 
 /** A running agent. */
@@ -243,6 +245,7 @@
 			claimEntry,
 			random: host.random,
 			defer: host.defer,
+			connect: host.connect,
 		}, address));
 	}
 
--- /dev/null
+++ b/test/failure/agent.ts
@@ -0,0 +1,85 @@
+/**
+ * An agent of a simulated run: the whole agent over the simulated network and upstream.
+ */
+import Logger from 'bunyan';
+import {z} from 'zod';
+import {createAgent, type Agent} from '../../src/process/agent.js';
+import {readAgentSettings} from '../../src/process/settings.js';
+import {slotsPerUpstream} from './config.js';
+import type {Journal} from './journal.js';
+import type {Network} from './network.js';
+import type {Dice, SimulatedProcess} from './simulation.js';
+import type {SimulatedUpstream} from './upstream.js';
+
+/** The log line that tells of a version. */
+const versionSchema = z.object({configVersion: z.number(), drain: z.boolean()});
+
+/** One incarnation of an agent. */
+export type SimulatedAgent = {
+	readonly process: SimulatedProcess;
+	readonly agent: Agent;
+	getVersion(): number;
+};
+
+/** Surroundings of the agent. */
+export type SimulatedAgentHost = {
+	readonly process: SimulatedProcess;
+	readonly upstream: SimulatedUpstream;
+	readonly network: Network;
+	readonly journal: Journal;
+	readonly dice: Dice;
+	readonly entries: readonly string[];
+};
+
+/** Starts an agent whose incarnation is the name of its process. */
+export function createSimulatedAgent({process, upstream, network, journal, dice, entries}: SimulatedAgentHost): SimulatedAgent {
+	let version = 0;
+	let isDrained = false;
+	const agent = createAgent({
+		clock: process.clock,
+		settings: readAgentSettings(getSettings(upstream.name), 'agent.toml')._unsafeUnwrap(),
+		incarnation: process.name,
+		upstream: upstream.createCaller(process),
+		log: Logger.createLogger({name: process.name, streams: [{type: 'raw', stream: {write: noteVersion}}]}),
+		random: dice.fraction,
+		readDirectory: async () => process.carry(Promise.resolve(entries)),
+		defer(action) {
+			process.clock.after(0, action);
+		},
+		connect: address => network.connect(process, address),
+	});
+	return {process, agent, getVersion: () => version};
+
+	function noteVersion(record: unknown): void {
+		const parsed = versionSchema.safeParse(record);
+		if (!parsed.success) {
+			return;
+		}
+
+		const {configVersion, drain} = parsed.data;
+		version = configVersion;
+		journal.note({kind: 'in-force', process: process.name, version});
+		if (drain !== isDrained) {
+			isDrained = drain;
+			journal.note({kind: drain ? 'leaving' : 'returned', upstream: upstream.name});
+		}
+	}
+}
+
+function getSettings(name: string): string {
+	return `
+name = "${name}"
+upstream = "${name}"
+service = "meals"
+dataCentre = "makati"
+[upstream-server]
+url = "http://127.0.0.1:1"
+slots = ${slotsPerUpstream}
+taskTimeoutMs = 1500
+[agent]
+discoverMs = 1000
+drainMs = 10_000
+[platform]
+url = "http://127.0.0.1:2"
+`;
+}
--- /dev/null
+++ b/test/failure/entry.ts
@@ -0,0 +1,178 @@
+/**
+ * An entry of a simulated run: the parts that decide, joined as the program joins them, over the simulated
+ * network and platform.
+ */
+import {createHeldQueries, recoverAnswer} from '../../src/connection/held-queries.js';
+import {createLinkHub, type LinkHub} from '../../src/connection/link-server.js';
+import type {EntryAddress, RelayReply} from '../../src/generated/kingcuplane.js';
+import type {PeerRequest} from '../../src/connection/peer-hub.js';
+import {every, type Milliseconds} from '../../src/process/clock.js';
+import {createEntryDirectory, type EntryDirectory} from '../../src/process/entry-directory.js';
+import type {Platform} from '../../src/process/platform/types.js';
+import {createHome, type Home} from '../../src/request/home.js';
+import {createRouter, type Router} from '../../src/request/router.js';
+import {createTicketIssuer, type TicketIssuer} from '../../src/request/ticket.js';
+import type {Snapshot} from '../../src/version/types.js';
+import {createFates} from './fates.js';
+import type {Journal} from './journal.js';
+import type {SimulatedProcess} from './simulation.js';
+
+/** Surroundings of the entry. */
+export type SimulatedEntryHost = {
+	readonly process: SimulatedProcess;
+	readonly platform: Platform;
+	readonly journal: Journal;
+	readonly address: string;
+	isLinked(incarnation: string): boolean;
+	relay(incarnation: string, req: PeerRequest): Promise<RelayReply | undefined>;
+	getSnapshot(version: number): Snapshot;
+	declaredDead(): void;
+};
+
+/** One incarnation of an entry. */
+export type SimulatedEntry = {
+	readonly process: SimulatedProcess;
+	readonly issuer: TicketIssuer;
+	readonly home: Home;
+	readonly router: Router;
+	readonly directory: EntryDirectory;
+	readonly links: LinkHub;
+	getVersion(): number;
+	isDraining(): boolean;
+	/** Tasks counted against the team's quota. */
+	getTaken(): number;
+	/** Takes no new work, and calls `done` with the open jobs once there are none or time is up. */
+	drain(done: (openJobs: number) => void): void;
+};
+
+const pollMs: Milliseconds = 1000;
+const drainMs: Milliseconds = 20_000;
+const drainCheckMs: Milliseconds = 10;
+
+/** Time for which entries hold their lease. */
+export const leaseMs: Milliseconds = 2000;
+
+/** Starts an entry whose incarnation is the name of its process. */
+export function createSimulatedEntry(host: SimulatedEntryHost): SimulatedEntry {
+	const {process, platform, journal} = host;
+	const {clock, name: incarnation} = process;
+	const self: EntryAddress = {name: host.address, incarnation, links: host.address};
+	let snapshot: Snapshot | undefined;
+	let isDraining = false;
+	let taken = 0;
+	const fates = createFates(clock, platform.objects);
+	const issuer = createTicketIssuer({
+		clock, incarnation, key: new Uint8Array(32), blockMs: 2000, lifetimeMs: 20_000,
+	});
+	const home = createHome({
+		clock,
+		entry: host.address,
+		issuer,
+		fates: fates.recorder,
+		quota: {
+			tryTake(_team, tasks, limit) {
+				const isFree = taken + tasks <= limit;
+				taken += isFree ? tasks : 0;
+				return isFree;
+			},
+			release(_team, tasks) {
+				taken -= tasks;
+			},
+		},
+		agentGraceMs: 3000,
+		answerKeepMs: 8000,
+		maxTasks: 100,
+		tryGetSnapshot: () => snapshot,
+		isDraining: () => isDraining,
+		send(agent, start) {
+			links.send(agent, start);
+		},
+		changed(agent) {
+			links.changed(agent);
+		},
+	});
+	const directory = createEntryDirectory({
+		clock,
+		table: platform.table,
+		self,
+		leaseMs,
+		isLinked: host.isLinked,
+		changed() {
+			links.changedForAll();
+		},
+		declaredDead: host.declaredDead,
+	});
+	const links = createLinkHub({
+		entry: host.address,
+		incarnation,
+		sessions: home.sessions,
+		getQueued: home.scheduler.getQueued,
+		getReturned: home.scheduler.getReturned,
+		tryGetConfig: agent => snapshot && {
+			version: snapshot.version, slots: snapshot.upstreams.get(agent.upstream)!.slots, taskTimeoutMs: 0, drain: snapshot.upstreams.get(agent.upstream)!.drain,
+		},
+		getEntries: directory.getLive,
+		getFenced: directory.getDead,
+		isDraining: () => isDraining,
+		reportVersion: () => undefined,
+		receiveHeld(_agent, reply) {
+			held.receive(reply);
+		},
+		defer(action) {
+			clock.after(0, action);
+		},
+		after: clock.after,
+	});
+	const held = createHeldQueries({clock, timeoutMs: 500, query: links.query});
+	const router = createRouter({
+		clock,
+		entry: host.address,
+		incarnation,
+		home,
+		directory,
+		relay: host.relay,
+		findFate: fates.find,
+		recover: async ticket => recoverAnswer(await held.ask(ticket.text)),
+		recordDelivery: fates.recorder.recordDelivery,
+	});
+	every(clock, pollMs, () => {
+		void follow();
+	});
+	void follow();
+
+	return {
+		process,
+		issuer,
+		home,
+		router,
+		directory,
+		links,
+		getVersion: () => snapshot?.version ?? 0,
+		isDraining: () => isDraining,
+		getTaken: () => taken,
+		drain(done) {
+			isDraining = true;
+			links.changedForAll();
+			const end = clock.now() + drainMs;
+			const timer = every(clock, drainCheckMs, () => {
+				if (home.getOpenJobs() === 0 || clock.now() > end) {
+					timer.cancel();
+					void fates.recorder.flush().then(async () => directory.leave()).then(() => {
+						done(home.getOpenJobs());
+					});
+				}
+			});
+		},
+	};
+
+	async function follow(): Promise<void> {
+		const row = await platform.table.get('config/head');
+		const version = row.isOk() ? Number(row.value?.value ?? 0) : 0;
+		if (version > (snapshot?.version ?? 0)) {
+			snapshot = host.getSnapshot(version);
+			journal.note({kind: 'in-force', process: incarnation, version});
+			home.applySnapshot(snapshot);
+			links.changedForAll();
+		}
+	}
+}
--- /dev/null
+++ b/test/failure/journal.ts
@@ -0,0 +1,56 @@
+/**
+ * What the judge of a run knows: what callers were told, what upstreams counted and what was recorded.
+ */
+import type {Milliseconds} from '../../src/process/clock.js';
+import type {AnswerBody} from '../../src/request/router.js';
+
+/** One observation. */
+export type JournalEvent =
+	| {readonly kind: 'submitted'; readonly ticket: string; readonly taskCount: number; readonly idempotent: boolean; readonly deadlineMs: Milliseconds}
+	/** A caller was told something about its ticket. */
+	| {readonly kind: 'replied'; readonly ticket: string; readonly via: string; readonly body: AnswerBody}
+	/** A caller gave up without a final answer at the end of the run. */
+	| {readonly kind: 'unanswered'; readonly ticket: string}
+	/** An upstream started a task. */
+	| {readonly kind: 'started'; readonly upstream: string; readonly ticket: string; readonly index: number; readonly attempt: number}
+	/** An upstream starts to leave, or is back. */
+	| {readonly kind: 'leaving' | 'returned'; readonly upstream: string}
+	/** A graceful shutdown ended; `cut` counts the tasks, results or jobs that it left behind. */
+	| {readonly kind: 'shut-down'; readonly process: string; readonly cut: number}
+	/** What one process held at the end of the run. */
+	| {readonly kind: 'left-over'; readonly process: string; readonly what: string; readonly count: number}
+	| {readonly kind: 'published'; readonly version: number}
+	/** A configuration version came into force in a process. */
+	| {readonly kind: 'in-force'; readonly process: string; readonly version: number}
+	/** The processes that were alive and not frozen for the bound before, and the version in force there. */
+	| {readonly kind: 'version-check'; readonly process: string; readonly version: number; readonly published: number}
+	/** A saved record at the end of the run. */
+	| {readonly kind: 'recorded'; readonly ticket: string; readonly state: string; readonly ran: string}
+	/** A fault was brought about; for people who read the log. */
+	| {readonly kind: 'fault'; readonly text: string};
+
+/** An observation and when it was made, in milliseconds of the run. */
+export type JournalEntry = JournalEvent & {readonly at: Milliseconds};
+
+/** The observations of one run, in order. */
+export type Journal = {
+	readonly entries: readonly JournalEntry[];
+	note(event: JournalEvent): void;
+};
+
+/** Creates an empty journal. */
+export function createJournal(now: () => Milliseconds): Journal {
+	const entries: JournalEntry[] = [];
+
+	return {
+		entries,
+		note(event) {
+			entries.push({...event, at: now()});
+		},
+	};
+}
+
+/** Writes one observation on a line. */
+export function formatEntry({at, kind, ...rest}: JournalEntry): string {
+	return `${String(Math.round(at)).padStart(7)} ${kind} ${JSON.stringify(rest)}`;
+}
--- /dev/null
+++ b/test/failure/simulation.ts
@@ -0,0 +1,141 @@
+/**
+ * Simulated time, chance and processes. A simulated process has its own drifting clock and can be frozen,
+ * thawed and killed; whatever would happen in it while it is frozen happens at once when it is thawed.
+ */
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {Clock, Milliseconds, Timer} from '../../src/process/clock.js';
+import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
+
+/** Seeded chance. */
+export type Dice = {
+	/** An integer from `min` to `max`, both included. */
+	between(min: number, max: number): number;
+	/** True with this probability. */
+	chance(probability: number): boolean;
+	pick<T>(items: readonly T[]): T;
+	/** A number in [0, 1). */
+	fraction(): number;
+};
+
+/** What everything in one run shares. */
+export type Simulation = {
+	readonly clock: FakeClock;
+	readonly dice: Dice;
+};
+
+/** One simulated process. */
+export type SimulatedProcess = {
+	readonly name: string;
+	readonly clock: Clock;
+	isAlive(): boolean;
+	isFrozen(): boolean;
+	/** Does something in the process: now, when it is thawed, or never if it is dead by then. */
+	perform(action: () => void): void;
+	/** Carries a result into the process. */
+	carry<T>(pending: PromiseLike<T>): Promise<T>;
+	kill(): void;
+	freeze(): void;
+	thaw(): void;
+};
+
+const fractionSteps = 1_000_000;
+const wallStart: Milliseconds = Date.UTC(2026, 0);
+
+/** Creates a simulation whose course follows from the seed. */
+export function createSimulation(seed: number): Simulation {
+	return {clock: createFakeClock(), dice: createDice(seed)};
+}
+
+/** Creates the source of chance of one part of a run. */
+export function createDice(seed: number): Dice {
+	const generator = xoroshiro128plus(seed);
+	const between = (min: number, max: number) => uniformInt(generator, min, max);
+	const fraction = () => between(0, fractionSteps - 1) / fractionSteps;
+
+	return {
+		between,
+		fraction,
+		chance: probability => fraction() < probability,
+		pick: items => items[between(0, items.length - 1)]!,
+	};
+}
+
+/** Creates a process whose clock runs up to 1 % too fast or too slow. */
+export function createProcess({clock, dice}: Simulation, name: string): SimulatedProcess {
+	const rate = 1 + (dice.between(-10, 10) / 1000);
+	const skew = dice.between(-5000, 5000);
+	let state: 'running' | 'frozen' | 'dead' = 'running';
+	let backlog: Array<() => void> = [];
+
+	return {
+		name,
+		clock: {now: () => clock.now() * rate, wall: () => wallStart + clock.now() + skew, after},
+		isAlive: () => state !== 'dead',
+		isFrozen: () => state === 'frozen',
+		perform,
+		async carry(pending) {
+			const value = await pending;
+			return new Promise(resolve => {
+				perform(() => {
+					resolve(value);
+				});
+			});
+		},
+		kill() {
+			state = 'dead';
+			backlog = [];
+		},
+		freeze() {
+			state = state === 'running' ? 'frozen' : state;
+		},
+		thaw() {
+			state = state === 'frozen' ? 'running' : state;
+			const waiting = backlog;
+			backlog = [];
+			for (const action of waiting) {
+				perform(action);
+			}
+		},
+	};
+
+	function perform(action: () => void): void {
+		if (state === 'running') {
+			action();
+		} else if (state === 'frozen') {
+			backlog.push(action);
+		}
+	}
+
+	function after(delay: Milliseconds, action: () => void): Timer {
+		let isCancelled = false;
+		const timer = clock.after(delay / rate, () => {
+			perform(() => {
+				if (!isCancelled) {
+					action();
+				}
+			});
+		});
+		return {
+			cancel() {
+				isCancelled = true;
+				timer.cancel();
+			},
+		};
+	}
+}
+
+/** Runs for `duration`, letting every promise settle between two points in time. */
+export async function run({clock}: Simulation, duration: Milliseconds): Promise<void> {
+	const end = clock.now() + duration;
+	clock.after(duration, () => undefined);
+	while (clock.now() < end && clock.step()) {
+		await settle();
+	}
+}
+
+async function settle(): Promise<void> {
+	return new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
--- /dev/null
+++ b/test/failure/stream.ts
@@ -0,0 +1,132 @@
+/**
+ * Simulated gRPC streams between an agent and an entry: in order, with delays, and cut at any moment.
+ */
+import type {LinkConnection} from '../../src/connection/link-client.js';
+import type {LinkStream} from '../../src/connection/link-server.js';
+import {AgentBatch, EntryBatch} from '../../src/generated/kingcuplane.js';
+import type {Milliseconds} from '../../src/process/clock.js';
+import type {SimulatedProcess, Simulation} from './simulation.js';
+
+/** One stream with both its ends. */
+export type SimulatedStream = {
+	readonly client: ReturnType<LinkConnection['open']>;
+	readonly server: LinkStream;
+	readonly agent: SimulatedProcess;
+	readonly entry: SimulatedProcess;
+	isOpen(): boolean;
+	/** Loses everything in flight; each side notices after its own delay, in milliseconds. */
+	cut(agentNotices: Milliseconds, entryNotices: Milliseconds): void;
+};
+
+/** Chance that a batch is delivered again later, also after the stream was cut. */
+export type StreamFaults = {
+	repeatChance: number;
+};
+
+type Codec<T> = {encode(message: T): {finish(): Uint8Array}; decode(bytes: Uint8Array): T};
+type Direction<T> = {send(batch: T): void; close(event: string): void};
+
+const repeatWithinMs: Milliseconds = 4000;
+
+/** Creates an open stream; nothing is delivered before listeners are added. */
+export function createStream(sim: Simulation, agent: SimulatedProcess, entry: SimulatedProcess, faults: StreamFaults): SimulatedStream {
+	let isOpen = true;
+	const atAgent = createListeners<EntryBatch>();
+	const atEntry = createListeners<AgentBatch>();
+	const toEntry = createDirection<AgentBatch>(AgentBatch, entry, atEntry, batch => batch.hello === undefined);
+	const toAgent = createDirection<EntryBatch>(EntryBatch, agent, atAgent, batch => batch.welcome === undefined);
+
+	return {
+		agent,
+		entry,
+		isOpen: () => isOpen,
+		client: {
+			on: atAgent.on,
+			write: toEntry.send,
+			cancel() {
+				toEntry.close('cancelled');
+			},
+		},
+		server: {
+			on: atEntry.on,
+			write: toAgent.send,
+			end() {
+				toAgent.close('end');
+			},
+		},
+		cut(agentNotices, entryNotices) {
+			if (isOpen) {
+				isOpen = false;
+				notify(agent, atAgent, 'error', agentNotices);
+				notify(entry, atEntry, 'cancelled', entryNotices);
+			}
+		},
+	};
+
+	function notify(to: SimulatedProcess, listeners: Pick<Listeners<never>, 'emit'>, event: string, delay: Milliseconds): void {
+		sim.clock.after(delay, () => {
+			to.perform(() => {
+				listeners.emit(event);
+			});
+		});
+	}
+
+	function createDirection<T>(codec: Codec<T>, to: SimulatedProcess, listeners: Listeners<T>, isRepeatable: (batch: T) => boolean): Direction<T> {
+		let lastAt = 0;
+
+		return {
+			send(batch) {
+				const bytes = codec.encode(batch).finish();
+				const deliver = () => {
+					to.perform(() => {
+						listeners.emit('data', codec.decode(bytes));
+					});
+				};
+
+				inOrder(deliver);
+				if (isRepeatable(batch) && sim.dice.chance(faults.repeatChance)) {
+					sim.clock.after(sim.dice.between(0, repeatWithinMs), deliver);
+				}
+			},
+			close(event) {
+				inOrder(() => {
+					isOpen = false;
+					to.perform(() => {
+						listeners.emit(event);
+					});
+				});
+			},
+		};
+
+		function inOrder(action: () => void): void {
+			lastAt = Math.max(lastAt, sim.clock.now() + sim.dice.between(1, 3));
+			sim.clock.after(lastAt - sim.clock.now(), () => {
+				if (isOpen) {
+					action();
+				}
+			});
+		}
+	}
+}
+
+type Listener<T> = (...batches: readonly T[]) => void;
+
+type Listeners<T> = {
+	on(event: string, listener: Listener<T>): void;
+	emit(event: string, ...batches: readonly T[]): void;
+};
+
+function createListeners<T>(): Listeners<T> {
+	const listeners = new Map<string, Array<Listener<T>>>();
+
+	return {
+		on(event, listener) {
+			listeners.set(event, [...listeners.get(event) ?? [], listener]);
+		},
+		emit(event, ...batches) {
+			for (const listener of listeners.get(event) ?? []) {
+				listener(...batches);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/test/failure/upstream.ts
@@ -0,0 +1,101 @@
+/**
+ * A simulated upstream, which counts every start in the journal. It lives on when its agent dies.
+ */
+import {
+	RefusalReason, TaskOutcome, type TaskStart,
+} from '../../src/generated/kingcuplane.js';
+import type {RunEnd} from '../../src/connection/entry-sessions.js';
+import type {UpstreamCaller} from '../../src/request/upstream-call.js';
+import type {Journal} from './journal.js';
+import type {SimulatedProcess, Simulation} from './simulation.js';
+
+/** How the upstream behaves for new requests. */
+export type UpstreamMode = 'serving' | 'failing' | 'breaking' | 'refusing';
+
+/** One upstream. */
+export type SimulatedUpstream = {
+	readonly name: string;
+	mode: UpstreamMode;
+	/** Tasks that run now. */
+	getRunning(): number;
+	/** The caller that an agent process uses. */
+	createCaller(agent: SimulatedProcess): UpstreamCaller;
+};
+
+/** Creates an upstream whose tasks run for up to half a second, and some for longer than their time-out. */
+export function createUpstream(sim: Simulation, journal: Journal, name: string): SimulatedUpstream {
+	const {clock, dice} = sim;
+	let running = 0;
+	const upstream: SimulatedUpstream = {
+		name,
+		mode: 'serving',
+		getRunning: () => running,
+		createCaller: agent => ({
+			run(start, done) {
+				call(agent, start, done);
+			},
+			isReachable: async () => agent.carry(wait(1).then(() => upstream.mode !== 'refusing')),
+			close: async () => undefined,
+		}),
+	};
+	return upstream;
+
+	function call(agent: SimulatedProcess, start: TaskStart, done: (end: RunEnd) => void): void {
+		let isDone = false;
+		const finish = (end: RunEnd) => {
+			agent.perform(() => {
+				if (!isDone) {
+					isDone = true;
+					timer.cancel();
+					done(end);
+				}
+			});
+		};
+
+		const timer = agent.clock.after(start.timeoutMs, () => {
+			finish(createEnd(TaskOutcome.TASK_OUTCOME_UNKNOWN, 'the upstream did not answer in time'));
+		});
+		clock.after(1, () => {
+			if (upstream.mode === 'refusing') {
+				finish(createEnd(TaskOutcome.TASK_OUTCOME_REFUSED, ''));
+			} else {
+				receive(start, finish);
+			}
+		});
+	}
+
+	function receive(start: TaskStart, finish: (end: RunEnd) => void): void {
+		const {ticket, index} = start.task!;
+		running++;
+		journal.note({
+			kind: 'started', upstream: name, ticket, index, attempt: start.attempt,
+		});
+		const {mode} = upstream;
+		const runMs = dice.chance(0.02) ? dice.between(1000, 3000) : dice.between(20, 500);
+		clock.after(mode === 'serving' ? runMs : 1, () => {
+			running--;
+			if (mode === 'breaking') {
+				finish(createEnd(TaskOutcome.TASK_OUTCOME_UNKNOWN, 'the connection broke'));
+			} else if (mode === 'failing') {
+				finish(createEnd(TaskOutcome.TASK_OUTCOME_FAILED, 'status 500'));
+			} else {
+				finish({...createEnd(TaskOutcome.TASK_OUTCOME_COMPLETED, ''), payload: start.payload, run: runMs});
+			}
+		});
+	}
+
+	async function wait(ms: number): Promise<void> {
+		return new Promise(resolve => {
+			clock.after(ms, resolve);
+		});
+	}
+}
+
+function createEnd(outcome: TaskOutcome, detail: string): RunEnd {
+	const reason = outcome === TaskOutcome.TASK_OUTCOME_REFUSED
+		? RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE
+		: RefusalReason.REFUSAL_REASON_UNSPECIFIED;
+	return {
+		outcome, reason, payload: new Uint8Array(), run: 1, detail,
+	};
+}
--- /dev/null
+++ b/test/failure/world.ts
@@ -0,0 +1,208 @@
+/**
+ * A whole simulated deployment: entries, agents and upstreams that run the product's own parts, the platform
+ * and the network between them.
+ */
+import {err, ResultAsync, type Result} from 'neverthrow';
+import type {Milliseconds} from '../../src/process/clock.js';
+import {createMemoryPlatform, type MemoryPlatform} from '../../src/process/platform/memory.js';
+import {createUnreachableError} from '../../src/process/platform/errors.js';
+import type {Platform, PlatformError} from '../../src/process/platform/types.js';
+import {createSimulatedAgent, type SimulatedAgent} from './agent.js';
+import {createSnapshot, upstreamNames} from './config.js';
+import {createSimulatedEntry, type SimulatedEntry} from './entry.js';
+import {createJournal, type Journal} from './journal.js';
+import {createNetwork, getHost, type Network} from './network.js';
+import {
+	createProcess, createSimulation, run, type SimulatedProcess, type Simulation,
+} from './simulation.js';
+import {createUpstream, type SimulatedUpstream} from './upstream.js';
+
+/** Names of the entries, which are also their addresses. */
+export const entryNames = ['e1', 'e2', 'e3'] as const;
+
+/** A deployment under test. */
+export type World = {
+	readonly sim: Simulation;
+	readonly journal: Journal;
+	readonly network: Network;
+	readonly platform: MemoryPlatform;
+	readonly upstreams: ReadonlyMap<string, SimulatedUpstream>;
+	getEntry(name: string): SimulatedEntry;
+	getAgent(name: string): SimulatedAgent;
+	/** Kills an entry or an agent; it comes back as another incarnation. */
+	kill(name: string, backAfter: Milliseconds): void;
+	freeze(name: string, duration: Milliseconds): void;
+	/** Shuts an entry or an agent down in order; it comes back as another incarnation. */
+	shutDown(name: string, backAfter: Milliseconds): void;
+	/** Publishes a version in which the named upstreams take no new work. */
+	publish(drained: readonly string[]): void;
+	getPublished(): number;
+	advance(duration: Milliseconds): Promise<void>;
+};
+
+/** Starts a deployment and runs it until all links are up. */
+export async function createWorld(seed: number): Promise<World> {
+	const sim = createSimulation(seed);
+	const journal = createJournal(sim.clock.now);
+	const network = createNetwork(sim);
+	const platform = createMemoryPlatform({clock: sim.clock, timeout: 1000});
+	const upstreams = new Map(upstreamNames.map(name => [name as string, createUpstream(sim, journal, name)]));
+	const entries = new Map<string, SimulatedEntry>();
+	const agents = new Map<string, SimulatedAgent>();
+	const incarnations = new Map<string, number>();
+	const drainedByVersion: Array<readonly string[]> = [[]];
+	const world: World = {
+		sim,
+		journal,
+		network,
+		platform,
+		upstreams,
+		getEntry: name => entries.get(name)!,
+		getAgent: name => agents.get(name)!,
+		kill,
+		freeze(name, duration) {
+			network.freeze(getProcess(name), duration);
+		},
+		shutDown(name, backAfter) {
+			if (entries.has(name)) {
+				shutDownEntry(entries.get(name)!, backAfter);
+			} else {
+				shutDownAgent(agents.get(name)!, backAfter);
+			}
+		},
+		publish,
+		getPublished: () => drainedByVersion.length - 1,
+		advance: async duration => run(sim, duration),
+	};
+	publish([]);
+	for (const name of [...entryNames, ...upstreamNames]) {
+		startProcess(name);
+	}
+
+	await world.advance(2000);
+	return world;
+
+	function startProcess(name: string): void {
+		const count = (incarnations.get(name) ?? 0) + 1;
+		incarnations.set(name, count);
+		const process = createProcess(sim, `${name}-${count}`);
+		if (upstreams.has(name)) {
+			agents.set(name, createSimulatedAgent({
+				process, upstream: upstreams.get(name)!, network, journal, dice: sim.dice, entries: entryNames,
+			}));
+		} else {
+			startEntry(name, process);
+		}
+	}
+
+	function startEntry(name: string, process: SimulatedProcess): void {
+		const entry = createSimulatedEntry({
+			process,
+			platform: carryPlatform(process),
+			journal,
+			address: name,
+			getSnapshot: version => createSnapshot(version, drainedByVersion[version]!),
+			isLinked: incarnation => tryGetPeer(name, incarnation) !== undefined,
+			async relay(incarnation, req) {
+				const peer = tryGetPeer(name, incarnation);
+				return peer && process.carry(network.request(name, peer.process, async () => ({...await peer.router.serveRelayed(req), id: 0}), req.timeoutMs + 2000));
+			},
+			declaredDead() {
+				journal.note({kind: 'fault', text: `${process.name} learns that it was declared dead`});
+				kill(name, 500);
+			},
+		});
+		entries.set(name, entry);
+		network.listen({address: name, process, links: entry.links});
+	}
+
+	function tryGetPeer(from: string, incarnation: string): SimulatedEntry | undefined {
+		const peer = entries.get(incarnation.split('-')[0]!);
+		const isLinked = peer?.process.name === incarnation && network.isAnswering(peer.process) && !network.isBlocked(from, getHost(peer.process));
+		return isLinked ? peer : undefined;
+	}
+
+	function getProcess(name: string): SimulatedProcess {
+		return (entries.get(name) ?? agents.get(name)!).process;
+	}
+
+	function kill(name: string, backAfter: Milliseconds): void {
+		const process = getProcess(name);
+		if (!process.isAlive()) {
+			return;
+		}
+
+		network.kill(process, sim.dice.pick([0, 50, 4000]));
+		sim.clock.after(backAfter, () => {
+			startProcess(name);
+		});
+		if (upstreams.has(name)) {
+			journal.note({kind: 'returned', upstream: name});
+		}
+	}
+
+	function shutDownEntry(entry: SimulatedEntry, backAfter: Milliseconds): void {
+		const {process} = entry;
+		process.perform(() => {
+			entry.drain(cut => {
+				journal.note({kind: 'shut-down', process: process.name, cut});
+				kill(getHost(process), backAfter);
+			});
+		});
+	}
+
+	function shutDownAgent({process, agent}: SimulatedAgent, backAfter: Milliseconds): void {
+		process.perform(() => {
+			journal.note({kind: 'leaving', upstream: getHost(process)});
+			void agent.drain().then(({running, unacknowledged}) => {
+				journal.note({kind: 'shut-down', process: process.name, cut: running + unacknowledged});
+				kill(getHost(process), backAfter);
+			});
+		});
+	}
+
+	function publish(drained: readonly string[]): void {
+		const version = drainedByVersion.length;
+		drainedByVersion.push(drained);
+		const key = 'config/head';
+		void platform.table.commit({conditions: [], writes: [{key, value: String(version)}]});
+		journal.note({kind: 'published', version});
+	}
+
+	/** The platform as one process reaches it: calls and replies take time and may be lost on the way. */
+	function carryPlatform(process: SimulatedProcess): Platform {
+		const {table, objects} = platform;
+		const call = <T>(action: () => ResultAsync<T, PlatformError>) => new ResultAsync(process.carry(reach(getHost(process), action)));
+
+		return {
+			table: {
+				get: key => call(() => table.get(key)),
+				scan: (...args) => call(() => table.scan(...args)),
+				commit: transaction => call(() => table.commit(transaction)),
+			},
+			objects: {
+				get: key => call(() => objects.get(key)),
+				put: (...args) => call(() => objects.put(...args)),
+				delete: key => call(() => objects.delete(key)),
+				list: (...args) => call(() => objects.list(...args)),
+			},
+		};
+	}
+
+	async function reach<T>(host: string, action: () => ResultAsync<T, PlatformError>): Promise<Result<T, PlatformError>> {
+		await pause();
+		if (network.isBlocked('platform', host)) {
+			return err(createUnreachableError('no route', false, 100));
+		}
+
+		const outcome = await action();
+		await pause();
+		return network.isBlocked('platform', host) ? err(createUnreachableError('no route', true, 100)) : outcome;
+	}
+
+	async function pause(): Promise<void> {
+		return new Promise(resolve => {
+			sim.clock.after(sim.dice.between(1, 5), resolve);
+		});
+	}
+}
