Keep and save the records of submissions

Cause: the trail must outlive the entry, and an outage of the store must lose no final record in bounded memory.

--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -56,7 +56,7 @@
 	Home_is_lost: row(1044, 'HomeLost', 'The entry {0} that accepted this ticket is gone.', 'Check with the back end before submitting again under a new ticket.'),
 	Home_is_unreachable: row(1045, 'HomeUnreachable', 'The entry {0} that answers for this ticket cannot be reached at present.', 'Ask again with the same ticket after the stated time.'),
 	Fate_is_unknown: row(1046, 'FateUnknown', 'No record of the ticket {0} was found.', 'Check the ticket; records are kept for the time that docs/OPERATORS.md states.'),
-	Fate_is_malformed: row(1047, 'FateMalformed', 'The record of a submission is not in a form that this version reads: {0}.', 'Read it with the version that wrote it, or report the fault.'),
+	Fate_is_malformed: row(1048, 'FateMalformed', 'The record of a submission is not in a form that this version reads: {0}.', 'Read it with the version that wrote it, or report the fault.'),
 	Answer_is_no_longer_kept: row(1047, 'AnswerNoLongerKept', 'The payloads of the answer to {0} are no longer kept.', 'Read the record of this ticket for its outcome; ask sooner next time.'),
 	Route_is_unknown: row(1050, 'RouteUnknown', 'There is no {0} {1}.', 'See docs/API.md.'),
 	Internal_fault: row(1099, 'InternalFault', 'An unexpected fault occurred: {0}.', 'Read the trail of the ticket and report the fault.'),
--- /dev/null
+++ b/src/request/fate-block.ts
@@ -0,0 +1,166 @@
+/**
+ * The records of one block of tickets in memory. While one of them may change soon, all are objects; a block
+ * whose records are all final can be kept encoded, in a fraction of the memory and without loss.
+ */
+import type {Milliseconds} from '../process/clock.js';
+import {assert} from '../process/debug.js';
+import {decodeBlock, encodeBlock, findInBlock} from './fate-codec.js';
+import {
+	blockBytes, estimateAccepted, estimateFinal,
+} from './fate-memory.js';
+import type {SubmissionFacts, SubmissionFate} from './types.js';
+
+/** Changes a record; gives the bytes of memory by which it grew beyond what was set aside for it. */
+export type FateChange = (fate: SubmissionFate) => number;
+
+/** The records of a block. */
+export type FateBlockState = {
+	readonly block: number;
+	/** When the first record was added. */
+	readonly openedAt: Milliseconds;
+	/** When a record was last added or changed. */
+	changedAt: Milliseconds;
+	/** Adds a record and sets memory aside for its tasks. */
+	add(facts: SubmissionFacts): void;
+	/** Changes a record; false if the block has none of this sequence. */
+	change(sequence: number, apply: FateChange): boolean;
+	/** The record, not to be changed. */
+	tryGet(sequence: number): SubmissionFate | undefined;
+	/** Bytes by which the block grows when a record is added or changed: it is decoded first if it is frozen. */
+	getThawGrowth(): number;
+	/** Whether every record has its answer. */
+	isFinal(): boolean;
+	isFrozen(): boolean;
+	/** Keeps only the encoded form of a final block; `encoded` is that form, if the caller has it. */
+	freeze(encoded?: Uint8Array): void;
+	/** Leaves out the attempts of final records; gives the number of records that had some. */
+	dropDetail(): number;
+	encode(): Uint8Array;
+	getRecords(): number;
+	/** Approximate memory in bytes. */
+	getBytes(): number;
+};
+
+/** One record with its share of the memory. */
+type Entry = {
+	readonly fate: SubmissionFate;
+	bytes: number;
+};
+
+/** Creates a block without records. */
+export function createFateBlock(incarnation: string, block: number, now: Milliseconds): FateBlockState {
+	const entries = new Map<number, Entry>();
+	let frozen: Uint8Array | undefined;
+	let records = 0;
+	let openRecords = 0;
+	let bytes = blockBytes;
+	let thawedBytes = bytes;
+	/** Whether a final record may have attempts. */
+	let hasDetail = false;
+
+	return {
+		block,
+		openedAt: now,
+		changedAt: now,
+		add,
+		change,
+		tryGet: sequence => frozen === undefined
+			? entries.get(sequence)?.fate
+			: findInBlock(frozen, sequence)._unsafeUnwrap(),
+		getThawGrowth: () => frozen === undefined ? 0 : thawedBytes - bytes,
+		isFinal: () => openRecords === 0,
+		isFrozen: () => frozen !== undefined,
+		freeze,
+		dropDetail,
+		encode,
+		getRecords: () => records,
+		getBytes: () => bytes,
+	};
+
+	function add(facts: SubmissionFacts): void {
+		thaw();
+		const {sequence} = facts.ticket;
+		assert(!entries.has(sequence), 'a ticket is accepted once');
+		const fate: SubmissionFate = {
+			...facts, deliveries: [], tasks: new Map(), detailDropped: false,
+		};
+		addEntry({fate, bytes: estimateAccepted(facts)});
+		records++;
+		openRecords++;
+	}
+
+	function change(sequence: number, apply: FateChange): boolean {
+		thaw();
+		const entry = entries.get(sequence);
+		if (entry === undefined) {
+			return false;
+		}
+
+		const wasOpen = entry.fate.answer === undefined;
+		const growth = apply(entry.fate);
+		const isOpen = entry.fate.answer === undefined;
+		if (wasOpen && !isOpen) {
+			openRecords--;
+		}
+
+		hasDetail = true;
+
+		setBytes(entry, isOpen ? entry.bytes + growth : estimateFinal(entry.fate));
+		return true;
+	}
+
+	function encode(): Uint8Array {
+		return frozen ?? encodeBlock({incarnation, block, fates: Array.from(entries.values(), ({fate}) => fate)});
+	}
+
+	function freeze(encoded = encode()): void {
+		assert(openRecords === 0, 'only final records are kept encoded');
+		thawedBytes = bytes;
+		frozen = encoded;
+		entries.clear();
+		bytes = blockBytes + frozen.length;
+	}
+
+	function thaw(): void {
+		if (frozen === undefined) {
+			return;
+		}
+
+		const {fates} = decodeBlock(frozen)._unsafeUnwrap();
+		frozen = undefined;
+		bytes = blockBytes;
+		for (const fate of fates) {
+			addEntry({fate, bytes: estimateFinal(fate)});
+		}
+	}
+
+	function dropDetail(): number {
+		if (!hasDetail) {
+			return 0;
+		}
+
+		thaw();
+		hasDetail = false;
+		let dropped = 0;
+		for (const entry of entries.values()) {
+			if (entry.fate.answer !== undefined && entry.fate.tasks.size > 0) {
+				entry.fate.tasks.clear();
+				entry.fate.detailDropped = true;
+				setBytes(entry, estimateFinal(entry.fate));
+				dropped++;
+			}
+		}
+
+		return dropped;
+	}
+
+	function addEntry(entry: Entry): void {
+		entries.set(entry.fate.ticket.sequence, entry);
+		bytes += entry.bytes;
+	}
+
+	function setBytes(entry: Entry, size: number): void {
+		bytes += size - entry.bytes;
+		entry.bytes = size;
+	}
+}
--- a/test/request/fate-format.test.ts
+++ b/test/request/fate-format.test.ts
@@ -30,7 +30,7 @@
 
 	it('says where a report came from and what is not known', t => {
 		const report: FateReport = {
-			ticket: '42.7.0.k3y', fate: undefined, sources: ['agents'], mayChange: true, unknown: ['The entry 42 did not answer.'],
+			ticket: 'kc1.42.7.0.cmVhZC10aGUtZG9j', fate: undefined, sources: ['agents'], mayChange: true, unknown: ['The entry 42 did not answer.'],
 		};
 		const json = sendAsText(toFateReportJson(report));
 		const read = fromFateReportJson(json)._unsafeUnwrap();
--- a/test/request/fates.ts
+++ b/test/request/fates.ts
@@ -11,7 +11,7 @@
 
 export function createTicket(sequence: number, block = 7, incarnation = '42'): Ticket {
 	return {
-		incarnation, block, sequence, text: `${incarnation}.${block}.${sequence}.k3y`,
+		incarnation, block, sequence, text: ['kc1', incarnation, block.toString(36), sequence.toString(36), 'cmVhZC10aGUtZG9j'].join('.'),
 	};
 }
 
