Check, publish and follow versions of the configuration

Cause: operators publish objects that refer to one another; a broken or conflicting set must never come into force, and no process may go back. Ruled out: a sequence number alone as identity of a set (a lost reply would publish it twice); the watermark on the head row alone (an offer or a second poll can overtake a read); an object key without digest (two sets under one identifier could replace each other's object).

--- a/src/process/toml.ts
+++ b/src/process/toml.ts
@@ -16,6 +16,8 @@
 	readonly root: Readonly<Record<string, unknown>>;
 	/** Line of the value at `path`, or of its nearest parent with a line of its own. */
 	tryGetLine(path: TomlPath): number | undefined;
+	/** The value at `path`. */
+	tryGetValue(path: TomlPath): unknown;
 };
 
 /** Text that is not TOML. */
@@ -35,7 +37,7 @@
 	try {
 		const root = parse(text);
 		const lines = indexLines(text);
-		return ok({root, tryGetLine: path => tryGetLine(lines, path)});
+		return ok({root, tryGetLine: path => tryGetLine(lines, path), tryGetValue: path => tryGetValue(root, path)});
 	} catch (err_) {
 		if (err_ instanceof TomlError) {
 			return err({message: getFirstLine(err_.message), line: err_.line});
@@ -70,7 +72,7 @@
 		return issue.keys.map(key => ({kind: 'unknown', path: [...path, key], nearest: tryGetNearest(key, known)}));
 	}
 
-	if (issue.code === 'invalid_type' && getValue(value, path) === undefined) {
+	if (issue.code === 'invalid_type' && tryGetValue(value, path) === undefined) {
 		return [{kind: 'missing', path}];
 	}
 
@@ -82,7 +84,7 @@
 	return text.charAt(0).toLowerCase() + text.slice(1);
 }
 
-function getValue(root: unknown, path: TomlPath): unknown {
+function tryGetValue(root: unknown, path: TomlPath): unknown {
 	let value = root;
 	for (const part of path) {
 		value = isRecord(value) ? value[part] : undefined;
@@ -113,6 +115,10 @@
 }
 
 function unwrap(schema: z.core.$ZodType): z.core.$ZodType {
+	if (schema instanceof z.core.$ZodPipe) {
+		return unwrap(schema._zod.def.in);
+	}
+
 	return schema instanceof z.core.$ZodPrefault || schema instanceof z.core.$ZodDefault || schema instanceof z.core.$ZodOptional
 		? unwrap(schema._zod.def.innerType)
 		: schema;
@@ -159,7 +165,8 @@
 
 function tryGetLine(lines: LineIndex, path: TomlPath): number | undefined {
 	for (let {length} = path; length > 0; length--) {
-		const line = lines.get(formatPath(path.slice(0, length)));
+		const text = formatPath(path.slice(0, length));
+		const line = lines.get(text) ?? lines.get(`${text}[0]`);
 		if (line !== undefined) {
 			return line;
 		}
--- /dev/null
+++ b/src/version/follower.ts
@@ -0,0 +1,170 @@
+/**
+ * Follows the published configuration. The version in force only goes up, whatever the store or a peer serves and in
+ * whatever order answers arrive, and it stays in force while nothing newer can be read.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import type {Clock, Milliseconds, Timer} from '../process/clock.js';
+import {checkDefined} from '../process/debug.js';
+import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
+import type {Platform} from '../process/platform/types.js';
+import {loadHead, loadSnapshot, type LoadError} from './load.js';
+import {decodeSnapshot, encodeSnapshot} from './snapshot-codec.js';
+import type {Snapshot} from './types.js';
+
+/** What a follower needs. */
+export type VersionFollowerHost = {
+	readonly platform: Platform;
+	readonly clock: Clock;
+	/** Interval between reads of the head row. Default 1000 ms, plus or minus a fifth. */
+	readonly pollMs?: Milliseconds;
+	/** Longest interval while reads fail. Default 8000 ms, plus or minus a fifth. */
+	readonly maxPollMs?: Milliseconds;
+	/** A random number from 0 to below 1, for jitter. */
+	random(): number;
+	/** Told of every read that failed or was ignored; the version in force stays. */
+	onFault(diagnostic: Diagnostic): void;
+};
+
+/** Called with each version that comes into force. */
+export type VersionListener = (snapshot: Snapshot) => void;
+
+/** What became of a version that a peer offered. */
+export type OfferOutcome = 'in-force' | 'not-newer';
+
+/** Holds the version in force in this process. */
+export type VersionFollower = {
+	/** Starts to poll; the first read is sent at once. */
+	start(): void;
+	/** Stops polling. */
+	stop(): void;
+	/** Reads the head row once and takes what it names if it is newer. */
+	poll(): Promise<void>;
+	/** Takes an encoded version from a peer if it is newer. */
+	offer(bytes: Uint8Array): Result<OfferOutcome, Diagnostic>;
+	/** The version in force; throws before there is one. */
+	get(): Snapshot;
+	/** The version in force, if there is one yet. */
+	tryGet(): Snapshot | undefined;
+	/** The encoded version in force, to offer to peers. */
+	tryGetBytes(): Uint8Array | undefined;
+	/** Calls `listener` with each version that comes into force from now on; gives a function that ends this. */
+	onChange(listener: VersionListener): () => void;
+};
+
+const defaultPoll: Milliseconds = 1000;
+const defaultMaxPoll: Milliseconds = 8000;
+
+/** Jitter on each side of an interval, as a share of it. */
+const jitter = 0.2;
+
+/** Creates a follower that has no version yet. */
+export function createVersionFollower(host: VersionFollowerHost): VersionFollower {
+	const {platform, clock, pollMs = defaultPoll, maxPollMs = defaultMaxPoll} = host;
+	const listeners = new Set<VersionListener>();
+	let inForce: Snapshot | undefined;
+	let inForceBytes: Uint8Array | undefined;
+	let failures = 0;
+	let timer: Timer | undefined;
+	let isRunning = false;
+
+	return {
+		start() {
+			isRunning = true;
+			void run();
+		},
+		stop() {
+			isRunning = false;
+			timer?.cancel();
+		},
+		poll,
+		offer(bytes) {
+			return decodeSnapshot(bytes, 'a peer')
+				.map((snapshot): OfferOutcome => take(snapshot) ? 'in-force' : 'not-newer')
+				.orTee(diagnostic => {
+					host.onFault(diagnostic);
+				});
+		},
+		get: () => checkDefined(inForce, 'a configuration version is in force'),
+		tryGet: () => inForce,
+		tryGetBytes() {
+			inForceBytes ??= inForce === undefined ? undefined : encodeSnapshot(inForce);
+			return inForceBytes;
+		},
+		onChange(listener) {
+			listeners.add(listener);
+			return () => {
+				listeners.delete(listener);
+			};
+		},
+	};
+
+	async function run(): Promise<void> {
+		await poll();
+		if (isRunning) {
+			timer = clock.after(getInterval(), run);
+		}
+	}
+
+	async function poll(): Promise<void> {
+		const outcome = await load();
+		if (outcome.isOk()) {
+			failures = 0;
+			return;
+		}
+
+		failures++;
+		host.onFault(outcome.error.diagnostic);
+	}
+
+	/** Reads the head row, and the version that it names only if that is newer. */
+	async function load(): Promise<Result<void, LoadError>> {
+		const head = await loadHead(platform);
+		if (head.isErr()) {
+			return err(head.error);
+		}
+
+		const current = getVersion();
+		if (head.value.version <= current) {
+			reportOldRead(head.value.version, current);
+			return ok();
+		}
+
+		const snapshot = await loadSnapshot(platform, head.value);
+		if (snapshot.isErr()) {
+			return err(snapshot.error);
+		}
+
+		take(snapshot.value);
+		return ok();
+	}
+
+	/** The only place where a version comes into force. It compares at that moment: a newer one may have come during a read. */
+	function take(snapshot: Snapshot): boolean {
+		if (snapshot.version <= getVersion()) {
+			return false;
+		}
+
+		inForce = snapshot;
+		inForceBytes = undefined;
+		for (const listener of listeners) {
+			listener(snapshot);
+		}
+
+		return true;
+	}
+
+	function getVersion(): number {
+		return inForce?.version ?? 0;
+	}
+
+	function reportOldRead(served: number, current: number): void {
+		if (served < current) {
+			host.onFault(createDiagnostic(Diagnostics.Version_was_overtaken, served, current));
+		}
+	}
+
+	function getInterval(): Milliseconds {
+		const interval = Math.min(pollMs * (2 ** Math.min(failures, 16)), Math.max(pollMs, maxPollMs));
+		return interval * (1 + (jitter * ((2 * host.random()) - 1)));
+	}
+}
--- /dev/null
+++ b/src/version/load.ts
@@ -0,0 +1,87 @@
+/**
+ * Reads the newest version and the audit trail from the platform. Every read may be old.
+ */
+import {
+	err, ok, okAsync, Result, type ResultAsync,
+} from 'neverthrow';
+import type {Milliseconds} from '../process/clock.js';
+import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
+import type {Platform, PlatformError} from '../process/platform/types.js';
+import {
+	auditPrefix, getAuditKey, headKey, readAuditRecord, readHead, type Head,
+} from './rows.js';
+import {decodeSnapshot} from './snapshot-codec.js';
+import {emptySnapshot} from './snapshot.js';
+import type {AuditRecord, Snapshot} from './types.js';
+
+/** Why something could not be read. */
+export type LoadError = {
+	readonly diagnostic: Diagnostic;
+	/** When a new read may help; undefined if what is stored is broken. */
+	readonly retryAfter: Milliseconds | undefined;
+};
+
+/** The head row as read. */
+export type LoadedHead = {
+	/** Version 0 if nothing was published. */
+	readonly version: number;
+	/** Revision of the row, 0 if it is absent. */
+	readonly revision: number;
+	readonly head: Head | undefined;
+};
+
+const absentObjectRetry: Milliseconds = 200;
+const scanLimit = 500;
+
+/** Reads the head row. */
+export function loadHead(platform: Platform): ResultAsync<LoadedHead, LoadError> {
+	return platform.table.get(headKey)
+		.mapErr(error => toLoadError(error))
+		.andThen(row => row === undefined
+			? ok({version: 0, revision: 0, head: undefined})
+			: readHead(row)
+				.map(head => ({version: head.version, revision: row.revision, head}))
+				.mapErr(diagnostic => toBrokenError(diagnostic)));
+}
+
+/** Reads the version that a head row names. */
+export function loadSnapshot(platform: Platform, {head}: LoadedHead): ResultAsync<Snapshot, LoadError> {
+	return head === undefined
+		? okAsync(emptySnapshot)
+		: platform.objects.get(head.object)
+			.mapErr(error => toLoadError(error))
+			.andThen(bytes => bytes === undefined
+				? err({diagnostic: createDiagnostic(Diagnostics.Snapshot_is_absent, head.object), retryAfter: absentObjectRetry})
+				: readSnapshot(head, bytes).mapErr(diagnostic => toBrokenError(diagnostic)));
+}
+
+/** Reads the newest version. */
+export function loadNewest(platform: Platform): ResultAsync<Snapshot, LoadError> {
+	return loadHead(platform).andThen(head => loadSnapshot(platform, head));
+}
+
+/** Reads the audit records of the versions after `version`, oldest first, at most `limit`. */
+export function loadAudit(platform: Platform, version: number, limit: number): ResultAsync<readonly AuditRecord[], LoadError> {
+	const count = Math.min(limit, scanLimit);
+	return platform.table.scan(auditPrefix, count, getAuditKey(version))
+		.mapErr(error => toLoadError(error))
+		.andThen(rows => Result.combine(rows.map(row => readAuditRecord(row))).mapErr(diagnostic => toBrokenError(diagnostic)))
+		.andThen(records => records.length < count || records.length === limit
+			? okAsync(records)
+			: loadAudit(platform, records.at(-1)!.version, limit - count).map(rest => [...records, ...rest]));
+}
+
+/** Turns an error of the platform into one that names when a new read may help. */
+export function toLoadError(error: PlatformError): LoadError {
+	return {diagnostic: error.diagnostic, retryAfter: error.retryAfter};
+}
+
+function toBrokenError(diagnostic: Diagnostic): LoadError {
+	return {diagnostic, retryAfter: undefined};
+}
+
+function readSnapshot(head: Head, bytes: Uint8Array): Result<Snapshot, Diagnostic> {
+	return decodeSnapshot(bytes, head.object).andThen(snapshot => snapshot.version === head.version
+		? ok(snapshot)
+		: err(createDiagnostic(Diagnostics.Snapshot_is_invalid, head.object, `it holds version ${snapshot.version}`)));
+}
--- /dev/null
+++ b/src/version/rows.ts
@@ -0,0 +1,98 @@
+/**
+ * Keys and values of the platform's rows and objects that hold the configuration.
+ *
+ * | Key | Value |
+ * | --- | --- |
+ * | row `config/head` | the newest version and the object that holds it |
+ * | row `config/audit/<version, 10 digits>` | who published it, when, why and what changed |
+ * | row `config/changeset/<id>` | the version that the change set became |
+ * | object `config/<version>-<change set>-<digest>` | the whole version |
+ */
+import {createHash} from 'node:crypto';
+import type {Result} from 'neverthrow';
+import {z} from 'zod';
+import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
+import {readJson} from '../process/json.js';
+import type {TableRow} from '../process/platform/types.js';
+import {objectKinds, type AuditRecord, type Change} from './types.js';
+
+/** Value of the head row. */
+export type Head = {
+	readonly version: number;
+	readonly changeSet: string;
+	/** Key of the object that holds the version. */
+	readonly object: string;
+};
+
+/** Value of the row of one published change set. */
+export type PublishedChangeSet = {
+	readonly version: number;
+	/** Digest of the changes; tells a repetition from another set under the same identifier. */
+	readonly digest: string;
+};
+
+/** Key of the head row. */
+export const headKey = 'config/head';
+
+/** Prefix of the keys of audit rows. */
+export const auditPrefix = 'config/audit/';
+
+/** Key of the audit row of one version; keys sort like versions. */
+export function getAuditKey(version: number): string {
+	return `${auditPrefix}${String(version).padStart(10, '0')}`;
+}
+
+/** Key of the row of one published change set. */
+export function getChangeSetKey(id: string): string {
+	return `config/changeset/${id}`;
+}
+
+/** Key of the object of one version. The digest keeps two sets under one identifier from replacing each other. */
+export function getObjectKey(version: number, changeSet: string, digest: string): string {
+	return `config/${version}-${changeSet}-${digest}`;
+}
+
+/** Digest of changes, equal for equal changes in the same order. */
+export function getDigest(changes: readonly Change[]): string {
+	return createHash('sha256').update(JSON.stringify(changes)).digest('hex').slice(0, 16);
+}
+
+/** Reads the head row. */
+export function readHead(row: TableRow): Result<Head, Diagnostic> {
+	return readRow(headSchema, row);
+}
+
+/** Reads an audit row. */
+export function readAuditRecord(row: TableRow): Result<AuditRecord, Diagnostic> {
+	return readRow(auditSchema, row);
+}
+
+/** Reads the row of a published change set. */
+export function readPublishedChangeSet(row: TableRow): Result<PublishedChangeSet, Diagnostic> {
+	return readRow(changeSetSchema, row);
+}
+
+const headSchema: z.ZodType<Head> = z.strictObject({
+	version: z.int().min(1),
+	changeSet: z.string(),
+	object: z.string(),
+});
+
+const changeSetSchema: z.ZodType<PublishedChangeSet> = z.strictObject({
+	version: z.int().min(1),
+	digest: z.string(),
+});
+
+const auditSchema: z.ZodType<AuditRecord> = z.strictObject({
+	version: z.int().min(1),
+	changeSet: z.string(),
+	author: z.string(),
+	reason: z.string(),
+	at: z.number(),
+	changed: z.array(z.strictObject({kind: z.enum(objectKinds), name: z.string()})),
+	summary: z.array(z.string()),
+});
+
+function readRow<T>(schema: z.ZodType<T>, row: TableRow): Result<T, Diagnostic> {
+	return readJson(schema, row.value).mapErr(reason => createDiagnostic(Diagnostics.Row_is_invalid, row.key, reason));
+}
--- /dev/null
+++ b/src/version/schema.ts
@@ -0,0 +1,119 @@
+/**
+ * The forms of objects: as published, strict and whole, and as written in files, with defaults.
+ * Ranges, names and references are checked apart, in `check.ts`.
+ */
+import {z} from 'zod';
+import {
+	objectKinds, type ConfigObject, type ObjectKind, type ObjectName, type PolicyObject, type ServiceObject, type SubmissionObject, type TeamObject, type UpstreamObject,
+} from './types.js';
+
+const placementModes = ['response', 'messages'] as const;
+
+/** A policy as published. */
+export const policySchema: z.ZodType<PolicyObject> = z.strictObject({
+	kind: z.literal('policy'),
+	name: z.string(),
+	placement: z.enum(placementModes),
+	maxQueuedTasks: z.int(),
+	taskTimeout: z.int(),
+	deadline: z.int(),
+	retryPercent: z.number(),
+	hedgePercent: z.number(),
+	recordBeforeStart: z.boolean(),
+});
+
+/** A service as published. */
+export const serviceSchema: z.ZodType<ServiceObject> = z.strictObject({
+	kind: z.literal('service'),
+	name: z.string(),
+	policy: z.string(),
+	maxTasksPerJob: z.int(),
+	maxPayload: z.int(),
+});
+
+/** An upstream as published. */
+export const upstreamSchema: z.ZodType<UpstreamObject> = z.strictObject({
+	kind: z.literal('upstream'),
+	name: z.string(),
+	service: z.string(),
+	slots: z.int(),
+	drain: z.boolean(),
+});
+
+/** A submission as published. */
+export const submissionSchema: z.ZodType<SubmissionObject> = z.strictObject({
+	kind: z.literal('submission'),
+	name: z.string(),
+	service: z.string(),
+	team: z.string(),
+	idempotent: z.boolean(),
+	deadline: z.int(),
+	expectedRun: z.int(),
+});
+
+/** A team as published. */
+export const teamSchema: z.ZodType<TeamObject> = z.strictObject({
+	kind: z.literal('team'),
+	name: z.string(),
+	maxTasks: z.int(),
+	weight: z.number(),
+});
+
+const policyTable = z.strictObject({
+	name: z.string(),
+	placement: z.enum(placementModes).default('response'),
+	maxQueuedTasks: z.int().default(10_000),
+	taskTimeoutMs: z.int().default(30_000),
+	deadlineMs: z.int().default(30_000),
+	retryPercent: z.number().default(10),
+	hedgePercent: z.number().default(0),
+	recordBeforeStart: z.boolean().default(false),
+}).transform(({taskTimeoutMs, deadlineMs, ...rest}): PolicyObject => ({
+	kind: 'policy', ...rest, taskTimeout: taskTimeoutMs, deadline: deadlineMs,
+}));
+
+const serviceTable = z.strictObject({
+	name: z.string(),
+	policy: z.string(),
+	maxTasksPerJob: z.int().default(1100),
+	maxPayloadBytes: z.int().default(65_536),
+}).transform(({maxPayloadBytes, ...rest}): ServiceObject => ({kind: 'service', ...rest, maxPayload: maxPayloadBytes}));
+
+const upstreamTable = z.strictObject({
+	name: z.string(),
+	service: z.string(),
+	slots: z.int(),
+	drain: z.boolean().default(false),
+}).transform((rest): UpstreamObject => ({kind: 'upstream', ...rest}));
+
+const submissionTable = z.strictObject({
+	name: z.string(),
+	service: z.string(),
+	team: z.string(),
+	idempotent: z.boolean().default(false),
+	deadlineMs: z.int().default(30_000),
+	expectedRunMs: z.int().default(500),
+}).transform(({deadlineMs, expectedRunMs, ...rest}): SubmissionObject => ({
+	kind: 'submission', ...rest, deadline: deadlineMs, expectedRun: expectedRunMs,
+}));
+
+const teamTable = z.strictObject({
+	name: z.string(),
+	maxTasks: z.int(),
+	weight: z.number().default(1),
+}).transform((rest): TeamObject => ({kind: 'team', ...rest}));
+
+/** The form of one table of a file, by the kind that its header names. */
+export const tableSchemas: Readonly<Record<ObjectKind, z.ZodType<ConfigObject>>> = {
+	service: serviceTable,
+	upstream: upstreamTable,
+	policy: policyTable,
+	submission: submissionTable,
+	team: teamTable,
+};
+
+/** The form of one `[[delete]]` table of a file. */
+export const deleteTableSchema: z.ZodType<ObjectName> = z.strictObject({
+	kind: z.enum(objectKinds),
+	name: z.string(),
+});
--- /dev/null
+++ b/src/version/snapshot-codec.ts
@@ -0,0 +1,58 @@
+/**
+ * The form of published versions in the object store and on the way to peers: JSON in UTF-8.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
+import {readJson} from '../process/json.js';
+import {checkSnapshot} from './check.js';
+import {
+	policySchema, serviceSchema, submissionSchema, teamSchema, upstreamSchema,
+} from './schema.js';
+import {createSnapshot} from './snapshot.js';
+import type {Snapshot} from './types.js';
+
+/** Writes a version the way it is kept in the object store and sent to peers: JSON in UTF-8. */
+export function encodeSnapshot(snapshot: Snapshot): Uint8Array {
+	const {version} = snapshot;
+	const services = [...snapshot.services.values()];
+	const upstreams = [...snapshot.upstreams.values()];
+	const policies = [...snapshot.policies.values()];
+	const submissions = [...snapshot.submissions.values()];
+	const teams = [...snapshot.teams.values()];
+	return new TextEncoder().encode(JSON.stringify({
+		format: 1, version, services, upstreams, policies, submissions, teams,
+	}));
+}
+
+/** Reads what {@link encodeSnapshot} wrote. Anything else, also broken references, is refused. `source` names its origin. */
+export function decodeSnapshot(bytes: Uint8Array, source: string): Result<Snapshot, Diagnostic> {
+	return decodeText(bytes)
+		.andThen(text => readJson(snapshotSchema, text))
+		.map(file => createSnapshot(file.version, [
+			...file.services, ...file.upstreams, ...file.policies, ...file.submissions, ...file.teams,
+		]))
+		.andThen(snapshot => {
+			const [fault] = checkSnapshot(snapshot);
+			return fault === undefined ? ok(snapshot) : err(fault.message);
+		})
+		.mapErr(reason => createDiagnostic(Diagnostics.Snapshot_is_invalid, source, reason));
+}
+
+const snapshotSchema = z.strictObject({
+	format: z.literal(1),
+	version: z.int().min(0),
+	services: z.array(serviceSchema),
+	upstreams: z.array(upstreamSchema),
+	policies: z.array(policySchema),
+	submissions: z.array(submissionSchema),
+	teams: z.array(teamSchema),
+});
+
+function decodeText(bytes: Uint8Array): Result<string, string> {
+	try {
+		return ok(new TextDecoder('utf-8', {fatal: true}).decode(bytes));
+	} catch {
+		return err('it is not text in UTF-8');
+	}
+}
--- a/src/version/types.ts
+++ b/src/version/types.ts
@@ -9,6 +9,12 @@
 /** One kind of object. */
 export type ObjectKind = (typeof objectKinds)[number];
 
+/** Names one object. */
+export type ObjectName = {
+	readonly kind: ObjectKind;
+	readonly name: string;
+};
+
 /**
  * How a service's waiting tasks are matched with slots. `response` gives the lowest response time: a freed
  * slot goes at once where the longest queue is. `messages` sends the fewest messages: slots stay where they
@@ -121,6 +127,8 @@
 	readonly reason: string;
 	/** Wall time of the publication in milliseconds. */
 	readonly at: Milliseconds;
+	/** The objects that were put or deleted. */
+	readonly changed: readonly ObjectName[];
 	/** One line per changed object, for instance "put service ordering". */
 	readonly summary: readonly string[];
 };
--- /dev/null
+++ b/test/version/fixtures.ts
@@ -0,0 +1,83 @@
+/**
+ * Objects and change sets that the tests of this area share.
+ */
+import type {FakeClock} from '../../src/process/fake-clock.js';
+import {parseFiles} from '../../src/version/parse.js';
+import type {Change, ChangeSet} from '../../src/version/types.js';
+
+/** A whole and valid file of objects. */
+export const objectsText = `
+[[policy]]
+name = "default"
+
+[[service]]
+name = "ordering"
+policy = "default"
+
+[[team]]
+name = "lunch"
+maxTasks = 2000
+
+[[submission]]
+name = "confirm"
+service = "ordering"
+team = "lunch"
+
+[[upstream]]
+name = "ordering-1"
+service = "ordering"
+slots = 8
+`;
+
+/** The changes that a text of objects asks for. */
+export function parseChanges(text: string): readonly Change[] {
+	return parseFiles([{name: 'objects.toml', text}]).changes;
+}
+
+/** A change set that puts one more team. */
+export function createTeamChangeSet(id: string, base: number, team: string, author = 'ana'): ChangeSet {
+	return createChangeSet(id, base, `[[team]]\nname = "${team}"\nmaxTasks = 10\n`, author);
+}
+
+/** A change set of the given objects. */
+export function createChangeSet(id: string, base: number, text: string, author = 'ana'): ChangeSet {
+	return {
+		id, base, author, reason: 'lunch rush', changes: parseChanges(text),
+	};
+}
+
+/** Steps through timers until `pending` is settled. */
+export async function settle<T>(clock: FakeClock, pending: PromiseLike<T>): Promise<T> {
+	const state = {isSettled: false};
+	const result = markSettled(pending, state);
+	await flush();
+	while (!state.isSettled) {
+		clock.step();
+		await flush();
+	}
+
+	return result;
+}
+
+async function markSettled<T>(pending: PromiseLike<T>, state: {isSettled: boolean}): Promise<T> {
+	try {
+		return await pending;
+	} finally {
+		state.isSettled = true;
+	}
+}
+
+/** Lets all promise callbacks run that are due without a timer. */
+export async function flush(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
+
+/** Advances the clock in steps, with promise callbacks between them. */
+export async function advance(clock: FakeClock, duration: number, step = 50): Promise<void> {
+	for (let elapsed = 0; elapsed < duration; elapsed += step) {
+		clock.advance(step);
+		await flush();
+	}
+}
