Agree on the answer for a dead entry's ticket, and answer only with a lease that is sure

Ruled out: never giving a final answer for a dead home (callers would wait for ever); a successor that adopts the dead home (its memory is lost in turn; one row a ticket asked about is simpler). Change: the first answer for a dead home's ticket is written as row answers/<incarnation>/<ticket> and stands; the saved record goes before what agents hold; an unreadable record or an unknown home gives an undecided reply; an entry that leaves marks its row dead; every reply of a home needs a lease that is held: renewed, or during an outage with no pause of its own and all other live entries linked; an entry is declared dead only after its link was down for a whole lease as well. RouterHost has a new member: settle, from createSettlements(platform.table). findFate may give 'unreadable'. The checker doesn't compare answers across the death of a home that had not saved its own answer yet. That window stays open: an answer that a home gave less than one save before its death may be followed by another.

--- a/src/process/entry-directory.ts
+++ b/src/process/entry-directory.ts
@@ -5,6 +5,7 @@
  */
 import {z} from 'zod';
 import type {EntryAddress} from '../generated/kingcuplane.js';
+import {deleteSettlements} from '../request/settlement.js';
 import {
 	every, type Clock, type Milliseconds, type Timer,
 } from './clock.js';
@@ -33,6 +34,14 @@
 	/** Not in the directory as last read, or never read. */
 	| 'unknown';
 
+/** What an entry knows of its own lease. */
+export type LeaseStatus =
+	| 'held'
+	/** Another entry has declared this one dead. */
+	| 'lost'
+	/** Another entry may have declared this one dead; ask again later. */
+	| 'unconfirmed';
+
 /** The directory as one entry sees it. */
 export type EntryDirectory = {
 	getStatus(incarnation: string): EntryStatus;
@@ -45,16 +54,20 @@
 	learn(entries: readonly EntryAddress[]): void;
 	/**
 	 * Whether this entry still holds its lease. Renews it first if it has lapsed by this entry's own clock, as
-	 * after a pause. `unknown` means that the platform did not answer, so nobody can have taken the lease since.
+	 * after a pause. During an outage of the platform the lease counts as held while this entry was not paused
+	 * and every other live entry is linked, since none of them declares a linked entry dead.
 	 */
-	confirmLease(): Promise<'held' | 'lost' | 'unknown'>;
+	confirmLease(): Promise<LeaseStatus>;
 	/** Whether the directory was read at least once. */
 	isKnown(): boolean;
-	/** Removes this entry's row; others see at once that it has gone. */
+	/** Declares this entry dead itself; others answer for it from then on. */
 	leave(): Promise<void>;
 	stop(): void;
 };
 
+/** How an attempt to renew the lease ended; `no-answer` means that the platform did not tell. */
+type Renewal = LeaseStatus | 'no-answer';
+
 type Observation = {
 	readonly address: EntryAddress;
 	readonly isDead: boolean;
@@ -82,11 +95,18 @@
 	let revision = 0;
 	let renewals = 0;
 	let heldUntil = clock.now();
+	/** Since when an entry has not been linked. */
+	const unlinkedSince = new Map<string, Milliseconds>();
+	/** When the timer last ran, to notice that this process was paused. */
+	let tickedAt = clock.now();
+	let wasPaused = false;
 	let isKnown = false;
 	let isLost = false;
 	let isStopped = false;
-	let renewal: Promise<'held' | 'lost' | 'unknown'> | undefined;
+	let renewal: Promise<Renewal> | undefined;
 	const timers: readonly Timer[] = [every(clock, host.leaseMs / renewalsPerLease, () => {
+		notePause();
+		tickedAt = clock.now();
 		void renew();
 		void observe();
 	})];
@@ -116,12 +136,24 @@
 				return 'lost';
 			}
 
-			return clock.now() < heldUntil ? 'held' : renew();
+			if (clock.now() < heldUntil) {
+				return 'held';
+			}
+
+			const outcome = await renew();
+			if (outcome === 'no-answer') {
+				notePause();
+				return !wasPaused && areOthersLinked() ? 'held' : 'unconfirmed';
+			}
+
+			return outcome;
 		},
 		isKnown: () => isKnown,
 		async leave() {
 			stop();
-			await table.commit({conditions: [{key, revision}], writes: [{key, value: undefined}]});
+			heldUntil = Number.NEGATIVE_INFINITY;
+			const value = JSON.stringify({...self, dead: true, renewals: 0});
+			await table.commit({conditions: [{key, revision}], writes: [{key, value}]});
 		},
 		stop,
 	};
@@ -159,29 +191,30 @@
 		return [...live.values()];
 	}
 
-	async function renew(): Promise<'held' | 'lost' | 'unknown'> {
+	async function renew(): Promise<Renewal> {
 		renewal ??= renewOnce().finally(() => {
 			renewal = undefined;
 		});
 		return renewal;
 	}
 
-	async function renewOnce(): Promise<'held' | 'lost' | 'unknown'> {
+	async function renewOnce(): Promise<Renewal> {
 		if (isStopped) {
-			return 'unknown';
+			return 'unconfirmed';
 		}
 
 		const startedAt = clock.now();
 		const value = JSON.stringify({...self, dead: false, renewals: renewals + 1});
 		const outcome = await table.commit({conditions: [{key, revision}], writes: [{key, value}]});
 		if (outcome.isErr()) {
-			return 'unknown';
+			return 'no-answer';
 		}
 
 		if (outcome.value.kind === 'committed') {
 			revision++;
 			renewals++;
 			heldUntil = startedAt + host.leaseMs;
+			wasPaused = false;
 			return 'held';
 		}
 
@@ -190,19 +223,15 @@
 
 	// The row has another revision than expected: either an earlier renewal took effect although its answer was
 	// lost, or another entry has declared this one dead.
-	async function reconcile(found: number): Promise<'held' | 'lost' | 'unknown'> {
+	async function reconcile(found: number): Promise<Renewal> {
 		if (found === 0) {
 			return lose();
 		}
 
 		const row = await table.get(key);
-		if (row.isErr()) {
-			return 'unknown';
-		}
-
 		// The store may serve an old read; only the revision that the transaction reported tells what happened.
-		if (row.value?.revision !== found) {
-			return 'unknown';
+		if (row.isErr() || row.value?.revision !== found) {
+			return 'unconfirmed';
 		}
 
 		if (tryReadRow(row.value)?.dead !== false) {
@@ -210,7 +239,16 @@
 		}
 
 		revision = found;
-		return 'unknown';
+		return 'unconfirmed';
+	}
+
+	/** A process that was paused for longer than its lease cannot tell what others did meanwhile. */
+	function notePause(): void {
+		wasPaused ||= clock.now() - tickedAt > host.leaseMs;
+	}
+
+	function areOthersLinked(): boolean {
+		return [...observations.values()].every(({address, isDead}) => isDead || address.incarnation === self.incarnation || host.isLinked(address.incarnation));
 	}
 
 	function lose(): 'lost' {
@@ -243,9 +281,11 @@
 		for (const incarnation of observations.keys()) {
 			if (!seen.has(incarnation)) {
 				observations.delete(incarnation);
+				unlinkedSince.delete(incarnation);
 			}
 		}
 
+		noteLinks();
 		await buryLapsed();
 		if (describe(observations) !== before) {
 			host.changed();
@@ -271,13 +311,35 @@
 		for (const [incarnation, seen] of observations) {
 			const age = now - seen.since;
 			if (seen.isDead && age > deadKeepMs) {
-				await table.commit({conditions: [{key: `${rowPrefix}${incarnation}`, revision: seen.revision}], writes: [{key: `${rowPrefix}${incarnation}`, value: undefined}]});
-			} else if (!seen.isDead && incarnation !== self.incarnation && age > 2 * host.leaseMs && !host.isLinked(incarnation)) {
+				await forget(incarnation, seen.revision);
+			} else if (!seen.isDead && incarnation !== self.incarnation && age > 2 * host.leaseMs && getUnlinkedTime(incarnation) > host.leaseMs) {
 				await declareDead(seen);
 			}
 		}
 	}
 
+	/** How long the entry has not been linked; its own view of the link may lag by less than a lease. */
+	function getUnlinkedTime(incarnation: string): Milliseconds {
+		return clock.now() - (unlinkedSince.get(incarnation) ?? clock.now());
+	}
+
+	function noteLinks(): void {
+		for (const incarnation of observations.keys()) {
+			if (host.isLinked(incarnation)) {
+				unlinkedSince.delete(incarnation);
+			} else if (!unlinkedSince.has(incarnation)) {
+				unlinkedSince.set(incarnation, clock.now());
+			}
+		}
+	}
+
+	async function forget(incarnation: string, rowRevision: number): Promise<void> {
+		if (await deleteSettlements(table, incarnation)) {
+			const deadKey = `${rowPrefix}${incarnation}`;
+			await table.commit({conditions: [{key: deadKey, revision: rowRevision}], writes: [{key: deadKey, value: undefined}]});
+		}
+	}
+
 	async function declareDead(seen: Observation): Promise<void> {
 		const {address} = seen;
 		const deadKey = `${rowPrefix}${address.incarnation}`;
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -15,6 +15,7 @@
 import type {
 	Caller, Home, JobHandle, SubmissionRequest,
 } from './home.js';
+import type {Settlement} from './settlement.js';
 import {parseTicket} from './ticket.js';
 import type {Answer, SubmissionFate, Ticket} from './types.js';
 
@@ -82,13 +83,15 @@
 	readonly entry: string;
 	readonly incarnation: string;
 	readonly home: Home;
-	readonly directory: Pick<EntryDirectory, 'getStatus' | 'confirmLease'>;
+	readonly directory: Pick<EntryDirectory, 'getStatus' | 'confirmLease' | 'isKnown'>;
 	/** Passes a request on to an entry incarnation; undefined if it did not answer. */
 	relay(incarnation: string, req: PeerRequest): Promise<RelayReply | undefined>;
-	/** The record of a ticket from memory, the platform or agents; undefined if none was found. */
-	findFate(ticket: Ticket): Promise<FoundFate | undefined>;
+	/** The record of a ticket from memory, the platform or agents; undefined if there is none. */
+	findFate(ticket: Ticket): Promise<FoundFate | 'unreadable' | undefined>;
 	/** What agents tell of a dead entry's job. */
 	recover(ticket: Ticket): Promise<Recovery>;
+	/** Agrees with all other entries on the answer for a dead entry's ticket. */
+	settle(ticket: Ticket, proposal: Settlement): Promise<Settlement | undefined>;
 	recordDelivery(ticket: string, via: string): void;
 };
 
@@ -147,7 +150,13 @@
 		}, via));
 	}
 
+	// After a pause another entry may have declared this one dead and answered for it.
 	async function serve(req: TicketRequest, via: string): Promise<Reply> {
+		const reply = await decide(req, via);
+		return req.operation === 'fate' || await host.directory.confirmLease() === 'held' ? reply : homeUnreachable(host.entry);
+	}
+
+	async function decide(req: TicketRequest, via: string): Promise<Reply> {
 		switch (req.operation) {
 			case 'submit': {
 				return submit(req, via);
@@ -213,8 +222,7 @@
 			return {status: 202, body: {ticket: job.ticket.text, state: 'running', ran: 'may-have-run'} satisfies AnswerBody};
 		}
 
-		// After a pause another entry may have declared this one dead and answered for it.
-		if (await host.directory.confirmLease() === 'lost') {
+		if (await host.directory.confirmLease() !== 'held') {
 			return homeUnreachable(host.entry);
 		}
 
@@ -242,44 +250,69 @@
 
 	// The job is no longer in memory, or this entry never had it.
 	async function reportFromFate(req: TicketRequest): Promise<Reply> {
-		const found = await host.findFate(req.ticket);
+		const found = await findReadable(req);
+		return 'fate' in found ? toFateReply(req.ticket, found.fate) : found;
+	}
+
+	async function reportFate(req: TicketRequest): Promise<Reply> {
+		const found = await findReadable(req);
+		return 'fate' in found ? {status: 200, body: found.json} : found;
+	}
+
+	/** The record, or the reply if it cannot be shown. */
+	async function findReadable({ticket, principal}: TicketRequest): Promise<FoundFate | Reply> {
+		const found = await host.findFate(ticket);
 		if (found === undefined) {
-			return toReply(createDiagnostic(Diagnostics.Fate_is_unknown, req.ticket.text));
+			return toReply(createDiagnostic(Diagnostics.Fate_is_unknown, ticket.text));
 		}
 
-		if (!mayRead(req.principal, found.fate.caller)) {
-			return toReply(createDiagnostic(Diagnostics.Ticket_is_foreign, req.ticket.text));
+		if (found === 'unreadable') {
+			return homeUnreachable(ticket.incarnation);
 		}
 
-		return toFateReply(req.ticket, found.fate);
+		return mayRead(principal, found.fate.caller) ? found : toReply(createDiagnostic(Diagnostics.Ticket_is_foreign, ticket.text));
 	}
 
-	async function reportFate(req: TicketRequest): Promise<Reply> {
-		const found = await host.findFate(req.ticket);
-		if (found === undefined) {
-			return toReply(createDiagnostic(Diagnostics.Fate_is_unknown, req.ticket.text));
+	async function serveWithoutHome(req: TicketRequest, status: EntryStatus): Promise<Reply> {
+		if (req.operation === 'fate') {
+			return status === 'live' ? homeUnreachable(req.ticket.incarnation) : reportFate(req);
 		}
 
-		return mayRead(req.principal, found.fate.caller)
-			? {status: 200, body: found.json}
-			: toReply(createDiagnostic(Diagnostics.Ticket_is_foreign, req.ticket.text));
-	}
+		switch (status) {
+			case 'live': {
+				return homeUnreachable(req.ticket.incarnation);
+			}
 
-	async function serveWithoutHome(req: TicketRequest, status: EntryStatus): Promise<Reply> {
-		if (status === 'live') {
-			return homeUnreachable(req.ticket.incarnation);
+			case 'dead': {
+				return answerForDeadHome(req);
+			}
+
+			// It may be alive and not listed yet, or have been gone for long.
+			case 'unknown': {
+				return host.directory.isKnown() ? reportFromFate(req) : homeUnreachable(req.ticket.incarnation);
+			}
+
+			default: {
+				return assertNever(status);
+			}
 		}
+	}
 
-		if (req.operation === 'fate') {
-			return reportFate(req);
+	// What one entry answers now, every entry must answer from now on, also when agents and the record tell more later.
+	async function answerForDeadHome({ticket, principal}: TicketRequest): Promise<Reply> {
+		const found = await host.findFate(ticket);
+		if (found === 'unreadable') {
+			return homeUnreachable(ticket.incarnation);
 		}
 
-		const found = await host.findFate(req.ticket);
-		if (found !== undefined && !mayRead(req.principal, found.fate.caller)) {
-			return toReply(createDiagnostic(Diagnostics.Ticket_is_foreign, req.ticket.text));
+		if (found !== undefined && !mayRead(principal, found.fate.caller)) {
+			return toReply(createDiagnostic(Diagnostics.Ticket_is_foreign, ticket.text));
 		}
 
-		return replyForDeadHome(req.ticket, await host.recover(req.ticket), found?.fate);
+		const recovery = await host.recover(ticket);
+		const proposal = tryPropose(ticket, recovery, found?.fate);
+		const settlement = proposal && await host.settle(ticket, proposal);
+		return settlement === undefined ? homeUnreachable(ticket.incarnation) : toSettledReply(ticket, settlement, recovery);
 	}
 }
 
@@ -321,20 +354,23 @@
 	return {status: getStatus(diagnostic), body};
 }
 
-function replyForDeadHome(ticket: Ticket, recovery: Recovery, fate: SubmissionFate | undefined): Reply {
+/** The answer that the record or the agents support; undefined while tasks still run. */
+function tryPropose(ticket: Ticket, recovery: Recovery, fate: SubmissionFate | undefined): Settlement | undefined {
+	if (fate?.answer !== undefined) {
+		return fate.answer;
+	}
+
 	switch (recovery.kind) {
 		case 'answered': {
-			return toAnswerReply(ticket.text, recovery.answer);
+			return recovery.answer;
 		}
 
 		case 'running': {
-			return homeUnreachable(ticket.incarnation);
+			return undefined;
 		}
 
 		case 'unknown': {
-			return fate?.answer === undefined
-				? toAnswerReply(ticket.text, {state: 'failed', ran: 'may-have-run', diagnostic: createDiagnostic(Diagnostics.Home_is_lost, ticket.incarnation)})
-				: toFateReply(ticket, fate);
+			return {state: 'failed', ran: 'may-have-run', diagnostic: createDiagnostic(Diagnostics.Home_is_lost, ticket.incarnation)};
 		}
 
 		default: {
@@ -343,6 +379,17 @@
 	}
 }
 
+function toSettledReply(ticket: Ticket, settlement: Settlement, recovery: Recovery): Reply {
+	if (settlement.state !== 'complete') {
+		return toAnswerReply(ticket.text, settlement);
+	}
+
+	const isHeld = recovery.kind === 'answered' && recovery.answer.state === 'complete';
+	return toAnswerReply(ticket.text, isHeld
+		? recovery.answer
+		: {...settlement, diagnostic: createDiagnostic(Diagnostics.Answer_is_no_longer_kept, ticket.text)});
+}
+
 function toSubmissionRequest(ticket: Ticket, body: SubmissionBody): SubmissionRequest {
 	const digest = createHash('sha256').update(JSON.stringify([body.submission, body.kind, body.tasks])).digest('base64');
 	return {
--- a/test/failure/entry.ts
+++ b/test/failure/entry.ts
@@ -11,7 +11,9 @@
 import type {Platform} from '../../src/process/platform/types.js';
 import {createHome, type Home} from '../../src/request/home.js';
 import {createRouter, type Router} from '../../src/request/router.js';
+import {createSettlements} from '../../src/request/settlement.js';
 import {createTicketIssuer, type TicketIssuer} from '../../src/request/ticket.js';
+import type {Ticket} from '../../src/request/types.js';
 import type {Snapshot} from '../../src/version/types.js';
 import {createFates} from './fates.js';
 import type {Journal} from './journal.js';
@@ -27,6 +29,8 @@
 	relay(incarnation: string, req: PeerRequest): Promise<RelayReply | undefined>;
 	getSnapshot(version: number): Snapshot;
 	declaredDead(): void;
+	/** An answer for a dead entry's ticket stands. */
+	settled(ticket: Ticket): void;
 };
 
 /** One incarnation of an entry. */
@@ -38,6 +42,8 @@
 	readonly directory: EntryDirectory;
 	readonly links: LinkHub;
 	getVersion(): number;
+	/** Whether the record of a ticket as it stands is saved. */
+	isSaved(ticket: string): boolean;
 	isDraining(): boolean;
 	/** Tasks counted against the team's quota. */
 	getTaken(): number;
@@ -123,6 +129,7 @@
 		},
 		after: clock.after,
 	});
+	const settlements = createSettlements(platform.table);
 	const held = createHeldQueries({clock, timeoutMs: 500, query: links.query});
 	const router = createRouter({
 		clock,
@@ -133,6 +140,14 @@
 		relay: host.relay,
 		findFate: fates.find,
 		recover: async ticket => recoverAnswer(await held.ask(ticket.text)),
+		async settle(ticket, proposal) {
+			const settlement = await settlements.settle(ticket, proposal);
+			if (settlement !== undefined) {
+				host.settled(ticket);
+			}
+
+			return settlement;
+		},
 		recordDelivery: fates.recorder.recordDelivery,
 	});
 	every(clock, pollMs, () => {
@@ -147,6 +162,7 @@
 		router,
 		directory,
 		links,
+		isSaved: fates.isSaved,
 		getVersion: () => snapshot?.version ?? 0,
 		isDraining: () => isDraining,
 		getTaken: () => taken,
