--- /dev/null
+++ b/test/process/tokens.test.ts
@@ -0,0 +1,84 @@
+import type {Diagnostic} from '../../src/process/diagnostics.js';
+import {createFakeClock} from '../../src/process/fake-clock.js';
+import {createMemoryPlatform} from '../../src/process/platform/memory.js';
+import {createTokenDirectory, createTokenRow} from '../../src/process/tokens.js';
+import {describe, it} from '../describe.js';
+import {unwrap} from '../unwrap.js';
+
+const caller = {name: 'ordering-app', role: 'caller', team: 'lunch'} as const;
+
+describe('token directory', () => {
+	it('knows the bearer of a token, and nobody else', async t => {
+		const {platform, directory} = createBench();
+		const token = createTokenRow('app1', caller);
+		await unwrap(platform.table.commit({conditions: [], writes: [token.write]}));
+		t.false(directory.isKnown());
+		await directory.refresh();
+		t.true(directory.isKnown());
+		t.deepEqual(directory.authenticate(token.text)._unsafeUnwrap(), caller);
+		for (const text of ['', 'app1', 'app1.', `app1.x${token.text.slice(5)}`, `app2${token.text.slice(4)}`, `${token.text}x`]) {
+			t.is(directory.authenticate(text)._unsafeUnwrapErr().kind, 'TokenUnknown', text);
+		}
+
+		t.false(token.write.value!.includes(token.text.slice(5)), 'the row does not hold the secret');
+	});
+
+	it('keeps what it knows in an outage', async t => {
+		const {platform, directory, faults} = createBench();
+		const token = createTokenRow('app1', caller);
+		await unwrap(platform.table.commit({conditions: [], writes: [token.write]}));
+		await directory.refresh();
+		platform.setFaults({down: true});
+		await directory.refresh();
+		t.true(directory.authenticate(token.text).isOk());
+		t.deepEqual(faults.map(fault => fault.kind), ['PlatformUnreachable']);
+	});
+
+	it('does not bring a withdrawn token back on an old read', async t => {
+		const {clock, platform, directory} = createBench();
+		const token = createTokenRow('app1', caller);
+		await unwrap(platform.table.commit({conditions: [], writes: [token.write]}));
+		await directory.refresh();
+		clock.advance(10_000);
+		await unwrap(platform.table.commit({conditions: [], writes: [{key: token.write.key, value: undefined}]}));
+		await directory.refresh();
+		t.true(directory.authenticate(token.text).isErr());
+		platform.setFaults({oldReadsMs: 5000});
+		await directory.refresh();
+		t.true(directory.authenticate(token.text).isErr());
+	});
+
+	it('takes a new token again after an old read did not show it', async t => {
+		const {clock, platform, directory} = createBench();
+		clock.advance(10_000);
+		const token = createTokenRow('app1', caller);
+		await unwrap(platform.table.commit({conditions: [], writes: [token.write]}));
+		await directory.refresh();
+		platform.setFaults({oldReadsMs: 5000});
+		await directory.refresh();
+		t.true(directory.authenticate(token.text).isErr());
+		platform.setFaults({oldReadsMs: 0});
+		clock.advance(60_000);
+		await directory.refresh();
+		t.true(directory.authenticate(token.text).isOk());
+	});
+
+	it('reads all pages, and passes over a row that it cannot read', async t => {
+		const {platform, directory, faults} = createBench();
+		const tokens = Array.from({length: 2001}, (_, index) => createTokenRow(`app${index}`, caller, `secret${index}`));
+		await unwrap(platform.table.commit({conditions: [], writes: [...tokens.map(token => token.write), {key: 'tokens/bad', value: '{}'}]}));
+		await directory.refresh();
+		t.true(tokens.every(token => directory.authenticate(token.text).isOk()));
+		t.deepEqual(faults.map(fault => fault.kind), ['RowInvalid']);
+	});
+});
+
+function createBench() {
+	const clock = createFakeClock();
+	const platform = createMemoryPlatform({clock});
+	const faults: Diagnostic[] = [];
+	const directory = createTokenDirectory({table: platform.table, clock, onFault: fault => faults.push(fault)});
+	return {
+		clock, platform, directory, faults,
+	};
+}
