--- a/src/process/entry-directory.ts
+++ b/src/process/entry-directory.ts
@@ -60,6 +60,11 @@
 	confirmLease(): Promise<LeaseStatus>;
 	/** Whether the directory was read at least once. */
 	isKnown(): boolean;
+	/**
+	 * Whether this entry has its row. Before that it must issue no tickets: if it died, nobody could ever tell that
+	 * they will not be answered.
+	 */
+	isRegistered(): boolean;
 	/** Declares this entry dead itself; others answer for it from then on. */
 	leave(): Promise<void>;
 	stop(): void;
@@ -143,12 +148,13 @@
 			const outcome = await renew();
 			if (outcome === 'no-answer') {
 				notePause();
-				return !wasPaused && areOthersLinked() ? 'held' : 'unconfirmed';
+				return revision > 0 && !wasPaused && areOthersLinked() ? 'held' : 'unconfirmed';
 			}
 
 			return outcome;
 		},
 		isKnown: () => isKnown,
+		isRegistered: () => revision > 0,
 		async leave() {
 			stop();
 			heldUntil = Number.NEGATIVE_INFINITY;
--- a/test/failure/callers.ts
+++ b/test/failure/callers.ts
@@ -55,6 +55,10 @@
 		submit(plan) {
 			const issuer = world.getEntry(plan.home);
 			issuer.process.perform(() => {
+				if (!issuer.directory.isRegistered()) {
+					return;
+				}
+
 				const [ticket] = issuer.issuer.issue(principal.name, 1);
 				start(ticket!, plan);
 			});
--- a/test/failure/upstream.ts
+++ b/test/failure/upstream.ts
@@ -16,19 +16,22 @@
 export type SimulatedUpstream = {
 	readonly name: string;
 	mode: UpstreamMode;
+	/** Share of tasks that run for seconds, some of them for longer than their time-out. */
+	stragglers: number;
 	/** Tasks that run now. */
 	getRunning(): number;
 	/** The caller that an agent process uses. */
 	createCaller(agent: SimulatedProcess): UpstreamCaller;
 };
 
-/** Creates an upstream whose tasks run for up to half a second, and some for longer than their time-out. */
+/** Creates an upstream whose tasks run for up to half a second, but for the stragglers. */
 export function createUpstream(sim: Simulation, journal: Journal, name: string): SimulatedUpstream {
 	const {clock, dice} = sim;
 	let running = 0;
 	const upstream: SimulatedUpstream = {
 		name,
 		mode: 'serving',
+		stragglers: 0.02,
 		getRunning: () => running,
 		createCaller: agent => ({
 			run(start, done) {
@@ -71,7 +74,7 @@
 			kind: 'started', upstream: name, ticket, index, attempt: start.attempt,
 		});
 		const {mode} = upstream;
-		const runMs = dice.chance(0.02) ? dice.between(1000, 3000) : dice.between(20, 500);
+		const runMs = dice.chance(upstream.stragglers) ? dice.between(1000, 3000) : dice.between(20, 500);
 		clock.after(mode === 'serving' ? runMs : 1, () => {
 			running--;
 			if (mode === 'breaking') {
