Run the whole path as separate processes; hold quotas over entries without a store

Cause: requests had no process to travel through, and quotas need a bound over all entries without a write a request. Ruled out: a key of the ticket hash shared through the platform (only the issuing incarnation checks its tickets, and the key kept an entry from starting in an outage); an equal split of each quota (one entry with all the load would get a quarter); every entry telling every other one its usage (messages grow with the square of the entries).

--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -5,7 +5,7 @@
 import {credentials, type ClientDuplexStream, type ServerDuplexStream} from '@grpc/grpc-js';
 import {
 	PeerClient,
-	type EntryAddress, type PeerBatch, type PeerServer, type PeerState, type RelayReply, type RelayRequest,
+	type EntryAddress, type PeerBatch, type PeerServer, type PeerState, type RelayReply, type RelayRequest, type ShareNews,
 } from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import {channelOptions} from './channel-options.js';
@@ -18,7 +18,10 @@
 	serve(req: RelayRequest): Promise<Omit<RelayReply, 'id'>>;
 	getState(): PeerState;
 	receiveState(peer: EntryAddress, state: PeerState): void;
-	/** A stream to this entry opened or closed. */
+	receiveShares(peer: EntryAddress, news: ShareNews): void;
+	/** A stream to this entry opened. */
+	opened(peer: EntryAddress): void;
+	/** A stream to another entry opened or closed. */
 	changed(): void;
 };
 
@@ -33,6 +36,8 @@
 	setAddresses(addresses: readonly string[]): void;
 	/** Sends a request to an entry incarnation; undefined if it is not linked or did not answer. */
 	request(incarnation: string, req: PeerRequest): Promise<RelayReply | undefined>;
+	/** Sends news about shares of quotas; lost if the entry is not linked. */
+	sendShares(incarnation: string, news: ShareNews): void;
 	isLinked(incarnation: string): boolean;
 	getLinked(): readonly EntryAddress[];
 	/** Restates the shared state to every peer. */
@@ -79,6 +84,9 @@
 			}
 		},
 		request,
+		sendShares(incarnation, news) {
+			tryGetDial(incarnation)?.stream?.write(createBatch({shares: news}));
+		},
 		isLinked: incarnation => tryGetDial(incarnation) !== undefined,
 		getLinked: () => [...dials.values()].flatMap(dial => dial.peer ?? []),
 		restate() {
@@ -168,6 +176,7 @@
 		if (batch.hello?.address !== undefined) {
 			dial.peer = batch.hello.address;
 			host.changed();
+			host.opened(dial.peer);
 		}
 
 		for (const reply of batch.replies) {
@@ -214,6 +223,10 @@
 				host.receiveState(peer, batch.state);
 			}
 
+			if (batch.shares !== undefined && peer !== undefined) {
+				host.receiveShares(peer, batch.shares);
+			}
+
 			for (const req of batch.requests) {
 				void serve(stream, req);
 			}
@@ -238,6 +251,6 @@
 
 function createBatch(part: Partial<PeerBatch>): PeerBatch {
 	return {
-		hello: undefined, state: undefined, requests: [], replies: [], ...part,
+		hello: undefined, state: undefined, requests: [], replies: [], shares: undefined, ...part,
 	};
 }
--- /dev/null
+++ b/src/connection/quota-shares.ts
@@ -0,0 +1,405 @@
+/**
+ * Holds the quotas of teams over all entries without a store. One live entry coordinates each team, chosen by
+ * rendezvous hashing: the others report what they use and want, and it divides the quota among them. An
+ * entry never exceeds the share it was granted, and the coordinator grants more only from what other
+ * entries have given up, so the shares never exceed the quota while the set of live entries stands.
+ */
+import {createHash} from 'node:crypto';
+import type {Clock, Milliseconds} from '../process/clock.js';
+import type {TeamQuota} from './types.js';
+
+/** What one entry tells the coordinator of a team. Restated, so that a lost report does no harm. */
+export type ShareReport = {
+	readonly team: string;
+	/** Tasks waiting or running. */
+	readonly used: number;
+	/** Used and refused tasks: what the entry could use now. */
+	readonly demand: number;
+	/** The share that the entry counts as its own. */
+	readonly claim: number;
+	/** Number of the last grant applied; 0 if none was. */
+	readonly grantSeq: number;
+};
+
+/** What the coordinator grants to one entry. */
+export type ShareGrant = {
+	readonly team: string;
+	readonly share: number;
+	/** Grows with each grant for this team and entry. */
+	readonly seq: number;
+};
+
+/** Reports and grants to one entry. */
+export type ShareNews = {
+	readonly reports: readonly ShareReport[];
+	readonly grants: readonly ShareGrant[];
+	/**
+	 * The set of live entries, as a hash, under which the reports name every team that the sender claims a share
+	 * of and the receiver coordinates; empty if they name only what has changed.
+	 */
+	readonly fullFor: string;
+};
+
+/** Effects of the shares. */
+export type QuotaSharesHost = {
+	readonly clock: Clock;
+	/** Incarnation of this entry. */
+	readonly self: string;
+	/** Incarnations of all live entries, this one included. */
+	getLive(): readonly string[];
+	/** Quota of a team in the configuration in force. */
+	getLimit(team: string): number;
+	/** Sends news to another entry; it may be lost. */
+	send(entry: string, news: ShareNews): void;
+};
+
+/** The quotas as one entry enforces them; `tryTake` is false if this entry's share is used up. */
+export type QuotaShares = TeamQuota & {
+	receive(entry: string, news: ShareNews): void;
+	/** A stream to this entry opened: everything is told anew, since news may have been lost with the last one. */
+	connect(entry: string): void;
+	/** Reports and grants; to be called every {@link shareIntervalMs}. */
+	tick(): void;
+	getShare(team: string): number;
+};
+
+/** Time between two reports. */
+export const shareIntervalMs: Milliseconds = 200;
+
+/** Ticks for which the coordinator of a team that it first hears of waits for the reports of others. */
+const settleTicks = 2;
+/** Corrections of less than this part of the quota are not sent. */
+const smallCorrection = 0.05;
+/** Ticks after which unchanged figures are restated. */
+const restateTicks = 10;
+
+type OwnShare = {
+	used: number;
+	refused: number;
+	claim: number;
+	granted: number | undefined;
+	grantSeq: number;
+	sent?: ShareReport;
+	sentTo?: string;
+	sentAt: number;
+};
+
+type ReportedShare = {
+	report: ShareReport;
+	grant?: ShareGrant;
+	/** Tick at which the grant was last sent. */
+	grantedAt: number;
+};
+
+type Coordinated = {
+	readonly since: number;
+	readonly entries: Map<string, ReportedShare>;
+};
+
+/** Creates the shares of an entry that has none yet. */
+export function createQuotaShares(host: QuotaSharesHost): QuotaShares {
+	const own = new Map<string, OwnShare>();
+	const coordinated = new Map<string, Coordinated>();
+	/** The set of live entries under which the full reports of an entry have arrived. */
+	const fullFrom = new Map<string, string>();
+	/** Entries that have our full reports on the present stream. */
+	const fullTo = new Set<string>();
+	let liveKey = '';
+	let live: readonly string[] = [host.self];
+	let coordinators = new Map<string, string>();
+	let ticks = 0;
+
+	return {
+		tryTake(team, tasks) {
+			const share = getOwn(team);
+			if (share.used + tasks > getClaim(team, share)) {
+				share.refused += tasks;
+				return false;
+			}
+
+			share.used += tasks;
+			return true;
+		},
+		release(team, tasks) {
+			getOwn(team).used -= tasks;
+		},
+		receive,
+		connect(entry) {
+			fullTo.delete(entry);
+		},
+		tick,
+		getShare: team => getClaim(team, getOwn(team)),
+	};
+
+	function getOwn(team: string): OwnShare {
+		let share = own.get(team);
+		if (share === undefined) {
+			share = {
+				used: 0, refused: 0, claim: 0, granted: undefined, grantSeq: 0, sentAt: 0,
+			};
+			own.set(team, share);
+		}
+
+		return share;
+	}
+
+	// A team that its coordinator knows has a grant for every live entry. Without one the team was idle, and
+	// half of the quota may be used at once, split evenly.
+	function getClaim(team: string, share: OwnShare): number {
+		if (share.granted === undefined && share.claim === 0 && isCoordinatorKnown(team)) {
+			share.claim = live.length === 1 ? host.getLimit(team) : Math.floor(host.getLimit(team) / (2 * live.length));
+		}
+
+		return share.claim;
+	}
+
+	function isCoordinatorKnown(team: string): boolean {
+		const coordinator = getCoordinator(team);
+		return coordinator === host.self || fullFrom.get(coordinator) === liveKey;
+	}
+
+	function getCoordinator(team: string): string {
+		let coordinator = coordinators.get(team);
+		if (coordinator === undefined) {
+			coordinator = chooseByRendezvous(team, live);
+			coordinators.set(team, coordinator);
+		}
+
+		return coordinator;
+	}
+
+	function tick(): void {
+		ticks++;
+		updateLive();
+		shrinkClaims();
+		const news = new Map<string, {reports: ShareReport[]; grants: ShareGrant[]}>();
+		collectReports(news);
+		for (const [team, state] of coordinated) {
+			divide(team, state, news);
+		}
+
+		for (const entry of live) {
+			const isFull = entry !== host.self && !fullTo.has(entry);
+			const {reports, grants} = news.get(entry) ?? {reports: [], grants: []};
+			if (isFull || reports.length > 0 || grants.length > 0) {
+				fullTo.add(entry);
+				deliver(entry, {reports, grants, fullFor: isFull ? liveKey : ''});
+			}
+		}
+	}
+
+	function deliver(entry: string, news: ShareNews): void {
+		if (entry === host.self) {
+			receive(entry, news);
+		} else {
+			host.send(entry, news);
+		}
+	}
+
+	// Another set of live entries means other coordinators: everything is told anew.
+	function updateLive(): void {
+		const present = host.getLive().toSorted();
+		const key = createHash('sha1').update(present.join(' ')).digest('base64');
+		if (key === liveKey) {
+			return;
+		}
+
+		liveKey = key;
+		live = present;
+		coordinators = new Map();
+		fullTo.clear();
+		const known = new Set(present);
+		for (const [team, state] of coordinated) {
+			for (const entry of state.entries.keys()) {
+				if (!known.has(entry)) {
+					state.entries.delete(entry);
+				}
+			}
+
+			if (getCoordinator(team) !== host.self) {
+				coordinated.delete(team);
+			}
+		}
+	}
+
+	function shrinkClaims(): void {
+		for (const share of own.values()) {
+			if (share.granted !== undefined && share.claim > share.granted) {
+				share.claim = Math.max(share.granted, share.used);
+			}
+		}
+	}
+
+	function collectReports(news: Map<string, {reports: ShareReport[]; grants: ShareGrant[]}>): void {
+		for (const [team, share] of own) {
+			const coordinator = getCoordinator(team);
+			const report: ShareReport = {
+				team, used: share.used, demand: share.used + share.refused, claim: share.claim, grantSeq: share.grantSeq,
+			};
+			share.refused = 0;
+			const isDue = share.sentTo !== coordinator || !fullTo.has(coordinator) || ticks - share.sentAt >= restateTicks;
+			if (isDue || share.sent === undefined || !isSame(report, share.sent)) {
+				getNews(news, coordinator).reports.push(report);
+				share.sent = report;
+				share.sentTo = coordinator;
+				share.sentAt = ticks;
+			}
+		}
+	}
+
+	function receive(entry: string, news: ShareNews): void {
+		if (news.fullFor !== '') {
+			fullFrom.set(entry, news.fullFor);
+		}
+
+		for (const report of news.reports) {
+			acceptReport(entry, report);
+		}
+
+		for (const grant of news.grants) {
+			acceptGrant(entry, grant);
+		}
+	}
+
+	function acceptReport(entry: string, report: ShareReport): void {
+		if (getCoordinator(report.team) !== host.self) {
+			return;
+		}
+
+		const state: Coordinated = coordinated.get(report.team) ?? {since: ticks, entries: new Map()};
+		coordinated.set(report.team, state);
+		const share = state.entries.get(entry);
+		if (share === undefined) {
+			state.entries.set(entry, {report, grantedAt: 0});
+		} else {
+			share.report = report;
+		}
+	}
+
+	function acceptGrant(entry: string, grant: ShareGrant): void {
+		if (getCoordinator(grant.team) !== entry) {
+			return;
+		}
+
+		const share = getOwn(grant.team);
+		share.granted = grant.share;
+		share.grantSeq = grant.seq;
+		share.claim = Math.max(grant.share, Math.min(share.claim, share.used));
+	}
+
+	function divide(team: string, state: Coordinated, news: Map<string, {reports: ShareReport[]; grants: ShareGrant[]}>): void {
+		const isHeard = live.every(entry => entry === host.self || fullFrom.get(entry) === liveKey);
+		if (!isHeard || ticks - state.since < settleTicks) {
+			return;
+		}
+
+		for (const entry of live) {
+			if (!state.entries.has(entry)) {
+				state.entries.set(entry, {report: createIdleReport(team), grantedAt: 0});
+			}
+		}
+
+		const limit = host.getLimit(team);
+		const targets = getTargets(state.entries, limit);
+		let free = limit;
+		for (const share of state.entries.values()) {
+			free -= getAccounted(share);
+		}
+
+		const missing = getMissing(state.entries, targets);
+		const portion = missing <= 0 ? 0 : Math.min(1, Math.max(0, free) / missing);
+		for (const [entry, share] of state.entries) {
+			const accounted = getAccounted(share);
+			const target = targets.get(entry)!;
+			const granted = target > accounted ? Math.floor(accounted + (portion * (target - accounted))) : target;
+			if (isWorthTelling(granted, share, limit)) {
+				share.grant = {team, share: granted, seq: getNextSeq(share)};
+				share.grantedAt = ticks;
+				getNews(news, entry).grants.push(share.grant);
+			} else if (isUnapplied(share) && ticks - share.grantedAt >= restateTicks) {
+				share.grantedAt = ticks;
+				getNews(news, entry).grants.push(share.grant!);
+			}
+		}
+	}
+}
+
+// Small corrections wait, so that a steady team costs no messages; an entry short of quota does not.
+function isWorthTelling(granted: number, {report, grant}: ReportedShare, limit: number): boolean {
+	const present = grant?.share ?? report.claim;
+	const isShort = report.demand > present && granted > present;
+	return isShort || grant === undefined || Math.abs(granted - present) > limit * smallCorrection;
+}
+
+function isUnapplied({report, grant}: ReportedShare): boolean {
+	return grant !== undefined && report.grantSeq < grant.seq;
+}
+
+// Until the entry has applied the newest grant, both its claim and the grant may be in force.
+function getAccounted({report, grant}: ReportedShare): number {
+	return grant !== undefined && report.grantSeq < grant.seq ? Math.max(grant.share, report.claim) : report.claim;
+}
+
+function getNextSeq({report, grant}: ReportedShare): number {
+	return Math.max(report.grantSeq, grant?.seq ?? 0) + 1;
+}
+
+// Everybody gets what it can use and an equal part of the rest; if the quota is short, a part by demand.
+function getTargets(entries: ReadonlyMap<string, ReportedShare>, limit: number): ReadonlyMap<string, number> {
+	let demand = 0;
+	for (const {report} of entries.values()) {
+		demand += report.demand;
+	}
+
+	const rest = (limit - demand) / entries.size;
+	const targets = new Map<string, number>();
+	for (const [entry, {report}] of entries) {
+		targets.set(entry, Math.floor(rest >= 0 ? report.demand + rest : limit * report.demand / demand));
+	}
+
+	return targets;
+}
+
+function getMissing(entries: ReadonlyMap<string, ReportedShare>, targets: ReadonlyMap<string, number>): number {
+	let missing = 0;
+	for (const [entry, share] of entries) {
+		missing += Math.max(0, targets.get(entry)! - getAccounted(share));
+	}
+
+	return missing;
+}
+
+function createIdleReport(team: string): ShareReport {
+	return {
+		team, used: 0, demand: 0, claim: 0, grantSeq: 0,
+	};
+}
+
+function isSame(a: ShareReport, b: ShareReport): boolean {
+	return a.used === b.used && a.demand === b.demand && a.claim === b.claim && a.grantSeq === b.grantSeq;
+}
+
+function getNews(news: Map<string, {reports: ShareReport[]; grants: ShareGrant[]}>, entry: string): {reports: ShareReport[]; grants: ShareGrant[]} {
+	let due = news.get(entry);
+	if (due === undefined) {
+		due = {reports: [], grants: []};
+		news.set(entry, due);
+	}
+
+	return due;
+}
+
+/** Chooses one of `entries` for `name`; a change of the set moves only the names of the entries concerned. */
+export function chooseByRendezvous(name: string, entries: readonly string[]): string {
+	let best = '';
+	let bestScore = '';
+	for (const entry of entries) {
+		const score = createHash('sha1').update(name).update('\0').update(entry).digest('hex');
+		if (score > bestScore) {
+			best = entry;
+			bestScore = score;
+		}
+	}
+
+	return best;
+}
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -146,3 +146,10 @@
 	/** Credits that entries on open links still count as their own; none of them can start a task once this is 0. */
 	getOutstanding(): number;
 };
+
+/** Bounds the tasks that one team has waiting or running, over all entries. */
+export type TeamQuota = {
+	/** Takes quota for tasks about to be accepted; false, and nothing taken, if there is not enough. */
+	tryTake(team: string, tasks: number): boolean;
+	release(team: string, tasks: number): void;
+};
--- a/src/process/bin/kingcuplane-agent.ts
+++ b/src/process/bin/kingcuplane-agent.ts
@@ -2,6 +2,7 @@
 /**
  * The agent's program: `kingcuplane-agent SETTINGS`.
  */
+import process from 'node:process';
 import {createUpstreamCaller} from '../../request/upstream-call.js';
 import {createAgent} from '../agent.js';
 import {createSystemClock} from '../clock.js';
@@ -10,8 +11,11 @@
 import {createLog} from '../log.js';
 import {createPlatformClient} from '../platform/client.js';
 import {readAgentSettings} from '../settings.js';
-import {loadSettings, onceAskedToStop, printReady} from './program.js';
+import {
+	keepRunning, loadSettings, onceAskedToStop, printReady,
+} from './program.js';
 
+keepRunning();
 const settings = loadSettings('kingcuplane-agent', readAgentSettings);
 const clock = createSystemClock();
 const log = createLog('kingcuplane-agent', settings.name, settings.log);
@@ -37,3 +41,4 @@
 agent.stop();
 await upstream.close();
 await platform.close();
+process.exit(0);
--- /dev/null
+++ b/src/process/bin/kingcuplane-entry.ts
@@ -0,0 +1,26 @@
+#!/usr/bin/env node
+/**
+ * The entry's program: `kingcuplane-entry SETTINGS`.
+ */
+import process from 'node:process';
+import {createIncarnation} from '../incarnation.js';
+import {readEntrySettings} from '../settings.js';
+import {runEntry} from '../run-entry.js';
+import {
+	keepRunning, loadSettings, onceAskedToStop, printReady,
+} from './program.js';
+
+keepRunning();
+const settings = loadSettings('kingcuplane-entry', readEntrySettings);
+const incarnation = createIncarnation();
+const running = await runEntry(settings, incarnation, () => {
+	// Another entry has declared this one dead; the platform starts a fresh instance.
+	process.exit(3);
+});
+printReady('kingcuplane-entry', {
+	name: settings.name, incarnation, http: running.http, links: running.links,
+});
+
+await onceAskedToStop();
+await running.stop();
+process.exit(0);
--- a/src/process/bin/program.ts
+++ b/src/process/bin/program.ts
@@ -7,6 +7,8 @@
 import type {Result} from 'neverthrow';
 import {formatDiagnostic, type Diagnostic} from '../diagnostics.js';
 
+const keepRunningIntervalMs = 3_600_000;
+
 /** Reads the settings file named on the command line; prints all its faults and exits if it has any. */
 export function loadSettings<T>(program: string, read: (text: string, file: string) => Result<T, readonly Diagnostic[]>): T {
 	const file = process.argv[2];
@@ -27,6 +29,11 @@
 	return settings.value;
 }
 
+/** Keeps the process running until it exits by itself; the clock's timers do not. */
+export function keepRunning(): void {
+	setInterval(() => undefined, keepRunningIntervalMs);
+}
+
 /** Prints one line of JSON that tells that the process is up. */
 export function printReady(program: string, fields: Readonly<Record<string, string | number>>): void {
 	console.log(JSON.stringify({ready: program, ...fields}));
--- /dev/null
+++ b/src/process/entry.ts
@@ -0,0 +1,303 @@
+/**
+ * The entry: the process that callers and operators reach over HTTP. It issues tickets, is the home of the
+ * submissions sent under them, and leads every other request to its home.
+ */
+import type {Hono} from 'hono';
+import type {Result} from 'neverthrow';
+import {createHeldQueries, recoverAnswer} from '../connection/held-queries.js';
+import {createLinkHub} from '../connection/link-server.js';
+import {createPeerHub} from '../connection/peer-hub.js';
+import {createQuotaShares, shareIntervalMs} from '../connection/quota-shares.js';
+import type {AgentFacts} from '../connection/types.js';
+import type {
+	ConfigUpdate, EntryAddress, LinkServer, PeerServer, PeerState,
+} from '../generated/kingcuplane.js';
+import {toFateJson} from '../request/fate-json.js';
+import {createHome} from '../request/home.js';
+import {createRouter, type FoundFate, type Principal} from '../request/router.js';
+import {createTicketIssuer} from '../request/ticket.js';
+import type {FateRecorder, Ticket} from '../request/types.js';
+import type {VersionFollower} from '../version/follower.js';
+import type {Snapshot} from '../version/types.js';
+import {formatAddress} from './address.js';
+import {
+	every, sleep, type Clock, type Milliseconds,
+} from './clock.js';
+import type {Diagnostic} from './diagnostics.js';
+import {createEntryDirectory} from './entry-directory.js';
+import {createHttpApi} from './http-api.js';
+import type {Log} from './log.js';
+import type {Platform} from './platform/types.js';
+import type {EntrySettings} from './settings.js';
+
+/** Effects and parts of an entry. */
+export type EntryHost = {
+	readonly clock: Clock;
+	readonly settings: EntrySettings;
+	/** Unique over all processes and restarts. */
+	readonly incarnation: string;
+	readonly platform: Platform;
+	readonly follower: VersionFollower;
+	readonly fates: FateRecorder;
+	/** Key of the hash in tickets. */
+	readonly ticketKey: Uint8Array;
+	readonly log: Log;
+	authenticate(token: string): Result<Principal, Diagnostic>;
+	/** Another entry has declared this one dead. */
+	declaredDead(): void;
+	/** Runs an action at the end of this turn of the event loop. */
+	defer(action: () => void): void;
+};
+
+/** A running entry. */
+export type Entry = {
+	readonly http: Hono<{Variables: {principal: Principal}}>;
+	readonly links: LinkServer;
+	readonly peers: PeerServer;
+	/** Refuses new work and waits until every job has its answer. */
+	drain(): Promise<DrainReport>;
+	/** Gives up the lease and closes all streams. */
+	stop(): Promise<void>;
+};
+
+/** What a drain left behind; zero after a whole one. */
+export type DrainReport = {
+	readonly openJobs: number;
+};
+
+/** One process in the status report. */
+export type ProcessStatus = {
+	readonly role: 'entry' | 'agent';
+	readonly name: string;
+	readonly incarnation: string;
+	/** Configuration version in force there, as last told. */
+	readonly version: number;
+	readonly isReady: boolean;
+};
+
+const restateMs: Milliseconds = 1000;
+const heldTimeoutMs: Milliseconds = 500;
+const drainCheckMs: Milliseconds = 10;
+/** Time for which a draining entry still answers before it closes its port, so that the balancer turns away. */
+const drainNoticeMs: Milliseconds = 500;
+const maxTickets = 1000;
+
+/** Composes an entry. */
+export function createEntry(host: EntryHost): Entry {
+	const {clock, settings, incarnation, follower} = host;
+	const limits = settings.entry;
+	const self: EntryAddress = {name: settings.name, incarnation, links: formatAddress(settings.advertise.links)};
+	const agentVersions = new Map<string, number>();
+	const peerStates = new Map<string, PeerState>();
+	let isDraining = false;
+
+	const issuer = createTicketIssuer({
+		clock, incarnation, key: host.ticketKey, blockMs: limits.blockMs, lifetimeMs: limits.ticketLifetimeMs,
+	});
+	const shares = createQuotaShares({
+		clock,
+		self: incarnation,
+		getLive: () => directory.getLive().map(entry => entry.incarnation),
+		getLimit: team => follower.tryGet()?.teams.get(team)?.maxTasks ?? 0,
+		send(entry, news) {
+			peers.sendShares(entry, {...news, reports: [...news.reports], grants: [...news.grants]});
+		},
+	});
+	const home = createHome({
+		clock,
+		entry: settings.name,
+		issuer,
+		fates: host.fates,
+		quota: shares,
+		agentGraceMs: limits.agentGraceMs,
+		answerKeepMs: limits.answerKeepMs,
+		maxTasks: limits.maxTasks,
+		tryGetSnapshot: follower.tryGet,
+		isDraining: () => isDraining,
+		send(agent, start) {
+			links.send(agent, start);
+		},
+		changed(agent) {
+			links.changed(agent);
+		},
+	});
+	const directory = createEntryDirectory({
+		clock,
+		table: host.platform.table,
+		self,
+		leaseMs: limits.leaseMs,
+		isLinked: other => peers.isLinked(other),
+		changed: updateAddresses,
+		declaredDead: host.declaredDead,
+	});
+	const links = createLinkHub({
+		entry: settings.name,
+		incarnation,
+		sessions: home.sessions,
+		getQueued: home.scheduler.getQueued,
+		getReturned: home.scheduler.getReturned,
+		tryGetConfig: agent => tryGetConfig(follower.tryGet(), agent),
+		getEntries: directory.getLive,
+		getFenced: directory.getDead,
+		isDraining: () => isDraining,
+		reportVersion(agent, version) {
+			agentVersions.set(agent.incarnation, version);
+		},
+		receiveHeld(_agent, reply) {
+			held.receive(reply);
+		},
+		defer: host.defer,
+		after: clock.after,
+	});
+	const held = createHeldQueries({clock, timeoutMs: heldTimeoutMs, query: links.query});
+	const peers = createPeerHub({
+		clock,
+		self,
+		serve: async req => router.serveRelayed(req),
+		getState,
+		receiveState(peer, state) {
+			peerStates.set(peer.incarnation, state);
+			directory.learn([peer, ...state.entries]);
+		},
+		receiveShares(peer, news) {
+			shares.receive(peer.incarnation, news);
+		},
+		opened(peer) {
+			shares.connect(peer.incarnation);
+		},
+		changed: updateAddresses,
+	});
+	const router = createRouter({
+		clock,
+		entry: settings.name,
+		incarnation,
+		home,
+		directory,
+		relay: peers.request,
+		findFate,
+		recover: async ticket => recoverAnswer(await held.ask(ticket.text)),
+		recordDelivery: host.fates.recordDelivery,
+	});
+	const http = createHttpApi({
+		router,
+		maxBodyBytes: limits.maxBodyBytes,
+		maxTickets,
+		maxWaitMs: limits.maxWaitMs,
+		ticketLifetimeMs: limits.ticketLifetimeMs,
+		authenticate: host.authenticate,
+		issueTickets: issuer.issue,
+		isReady,
+		getStatus,
+		logFault(err) {
+			host.log.error({err}, 'request failed unexpectedly');
+		},
+	});
+
+	const timers = [
+		every(clock, restateMs, peers.restate),
+		every(clock, shareIntervalMs, shares.tick),
+	];
+	follower.onChange(applySnapshot);
+	const present = follower.tryGet();
+	if (present !== undefined) {
+		applySnapshot(present);
+	}
+
+	peers.setAddresses(settings.entry.seeds.map(seed => formatAddress(seed)));
+
+	return {
+		http, links: links.service, peers: peers.service, drain, stop,
+	};
+
+	async function findFate(ticket: Ticket): Promise<FoundFate | undefined> {
+		const own = host.fates.tryGet(ticket.text);
+		if (own !== undefined) {
+			return {fate: own, json: toFateJson(own)};
+		}
+
+		return undefined;
+	}
+
+	function applySnapshot(snapshot: Snapshot): void {
+		home.applySnapshot(snapshot);
+		links.changedForAll();
+		peers.restate();
+		host.log.info({configVersion: snapshot.version}, 'configuration in force');
+	}
+
+	function updateAddresses(): void {
+		const addresses = [...directory.getLive().map(entry => entry.links), ...settings.entry.seeds.map(seed => formatAddress(seed))];
+		peers.setAddresses(addresses);
+		links.changedForAll();
+	}
+
+	function getState(): PeerState {
+		return {
+			configVersion: follower.tryGet()?.version ?? 0,
+			draining: isDraining,
+			entries: [...peers.getLinked()],
+		};
+	}
+
+	function isReady(): boolean {
+		return !isDraining && follower.tryGet() !== undefined;
+	}
+
+	function getStatus(): {readonly processes: readonly ProcessStatus[]} {
+		const processes: ProcessStatus[] = [{
+			role: 'entry', name: settings.name, incarnation, version: follower.tryGet()?.version ?? 0, isReady: isReady(),
+		}];
+		for (const peer of peers.getLinked()) {
+			const state = peerStates.get(peer.incarnation);
+			processes.push({
+				role: 'entry', name: peer.name, incarnation: peer.incarnation, version: state?.configVersion ?? 0, isReady: state?.draining === false,
+			});
+		}
+
+		home.sessions.forEachOpen(({agent}) => {
+			processes.push({
+				role: 'agent', name: agent.name, incarnation: agent.incarnation, version: agentVersions.get(agent.incarnation) ?? 0, isReady: true,
+			});
+		});
+		return {processes};
+	}
+
+	async function drain(): Promise<DrainReport> {
+		isDraining = true;
+		peers.restate();
+		links.changedForAll();
+		const end = clock.now() + limits.drainMs;
+		await sleep(clock, drainNoticeMs);
+		while (home.getOpenJobs() > 0 && clock.now() < end) {
+			await sleep(clock, drainCheckMs);
+		}
+
+		await host.fates.flush();
+		return {openJobs: home.getOpenJobs()};
+	}
+
+	async function stop(): Promise<void> {
+		for (const timer of timers) {
+			timer.cancel();
+		}
+
+		peers.stop();
+		await directory.leave();
+	}
+}
+
+function tryGetConfig(snapshot: Snapshot | undefined, agent: AgentFacts): ConfigUpdate | undefined {
+	if (snapshot === undefined) {
+		return undefined;
+	}
+
+	const upstream = snapshot.upstreams.get(agent.upstream);
+	const service = snapshot.services.get(agent.service);
+	const policy = service === undefined ? undefined : snapshot.policies.get(service.policy);
+	return {
+		version: snapshot.version,
+		slots: upstream?.slots ?? 0,
+		taskTimeoutMs: policy?.taskTimeout ?? 0,
+		drain: upstream?.drain ?? false,
+	};
+}
--- /dev/null
+++ b/src/process/run-entry.ts
@@ -0,0 +1,166 @@
+/**
+ * Runs an entry as a process: opens its ports, connects it to the platform, and shuts it down in order.
+ */
+import {randomBytes} from 'node:crypto';
+import {Server, ServerCredentials} from '@grpc/grpc-js';
+import {createAdaptorServer, type ServerType} from '@hono/node-server';
+import {channelOptions} from '../connection/channel-options.js';
+import {LinkService, PeerService} from '../generated/kingcuplane.js';
+import {createFateRecorder, type FateRecorderEvent} from '../request/fate-recorder.js';
+import {createVersionFollower} from '../version/follower.js';
+import {formatAddress, type Address} from './address.js';
+import {
+	createSystemClock, type Milliseconds,
+} from './clock.js';
+import {assertNever} from './debug.js';
+import {formatDiagnostic} from './diagnostics.js';
+import {createEntry} from './entry.js';
+import {createLog, type Log} from './log.js';
+import {createPlatformClient} from './platform/client.js';
+import type {EntrySettings} from './settings.js';
+import {createTokenDirectory} from './tokens.js';
+
+/** An entry that serves. */
+export type RunningEntry = {
+	/** "IP:port" for callers and operators. */
+	readonly http: string;
+	/** "IP:port" for agents and other entries. */
+	readonly links: string;
+	/** Drains and closes everything. */
+	stop(): Promise<void>;
+};
+
+const ticketKeyBytes = 32;
+const fateSaveDelayMs: Milliseconds = 200;
+
+/** Starts an entry; resolves once it serves. `declaredDead` is called if another entry takes its lease. */
+export async function runEntry(settings: EntrySettings, incarnation: string, declaredDead: () => void): Promise<RunningEntry> {
+	const clock = createSystemClock();
+	const log = createLog('kingcuplane-entry', settings.name, settings.log);
+	const platform = createPlatformClient({...settings.platform, clock});
+	const follower = createVersionFollower({
+		platform,
+		clock,
+		random: Math.random,
+		onFault(diagnostic) {
+			log.warn({diagnostic}, formatDiagnostic(diagnostic));
+		},
+	});
+	follower.start();
+	const tokens = createTokenDirectory({table: platform.table, clock});
+	tokens.start();
+	const fates = createFateRecorder({
+		clock,
+		incarnation,
+		settings: {
+			memoryBytes: settings.entry.fateMemoryBytes,
+			writesPerSecond: settings.entry.fateWritesPerSecond,
+			saveDelayMs: fateSaveDelayMs,
+			keepMs: settings.entry.answerKeepMs,
+			blockOpenMs: settings.entry.ticketLifetimeMs + (2 * settings.entry.blockMs),
+		},
+		put: platform.objects.put,
+		random: Math.random,
+		log(event) {
+			logFateEvent(log, event);
+		},
+	});
+	const linkServer = new Server(channelOptions);
+	const linksPort = await bindLinks(linkServer, settings.listen.links);
+	const advertised: EntrySettings = {
+		...settings,
+		advertise: {...settings.advertise, links: withPort(settings.advertise.links, linksPort)},
+	};
+	const entry = createEntry({
+		clock,
+		settings: advertised,
+		incarnation,
+		platform,
+		follower,
+		fates,
+		ticketKey: randomBytes(ticketKeyBytes),
+		log,
+		authenticate: tokens.authenticate,
+		declaredDead,
+		defer: setImmediate,
+	});
+	linkServer.addService(LinkService, entry.links);
+	linkServer.addService(PeerService, entry.peers);
+	const httpServer = createAdaptorServer({fetch: entry.http.fetch, serverOptions: {maxHeaderSize: settings.entry.maxHeaderBytes}});
+	const httpPort = await listenHttp(httpServer, settings.listen.http);
+	log.info({incarnation, httpPort, linksPort}, 'entry serves');
+
+	return {
+		http: formatAddress(withPort(settings.advertise.http, httpPort)),
+		links: formatAddress(advertised.advertise.links),
+		async stop() {
+			const report = await entry.drain();
+			log.info({report}, 'entry drained');
+			await closeHttp(httpServer);
+			await entry.stop();
+			follower.stop();
+			tokens.stop();
+			linkServer.forceShutdown();
+			await platform.close();
+		},
+	};
+}
+
+async function bindLinks(server: Server, address: Address): Promise<number> {
+	return new Promise((resolve, reject) => {
+		server.bindAsync(formatAddress(address), ServerCredentials.createInsecure(), (err, port) => {
+			if (err === null) {
+				resolve(port);
+			} else {
+				reject(err);
+			}
+		});
+	});
+}
+
+async function listenHttp(server: ServerType, address: Address): Promise<number> {
+	return new Promise((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(address.port, address.host, () => {
+			const bound = server.address();
+			resolve(typeof bound === 'object' && bound !== null ? bound.port : address.port);
+		});
+	});
+}
+
+// Connections that are idle are closed at once; each other one after the reply under way.
+async function closeHttp(server: ServerType): Promise<void> {
+	return new Promise(resolve => {
+		server.close(() => {
+			resolve();
+		});
+	});
+}
+
+function withPort(address: Address, port: number): Address {
+	return address.port === 0 ? {...address, port} : address;
+}
+
+function logFateEvent(log: Log, event: FateRecorderEvent): void {
+	switch (event.kind) {
+		case 'save-failed': {
+			log.warn({...event}, formatDiagnostic(event.diagnostic));
+			break;
+		}
+
+		case 'memory-full': {
+			log.error({...event}, 'memory for unsaved records is full; new work is refused');
+			break;
+		}
+
+		case 'detail-dropped':
+		case 'change-ignored': {
+			log.warn({...event}, 'a record is incomplete');
+			break;
+		}
+
+		default: {
+			assertNever(event);
+		}
+	}
+}
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -7,7 +7,7 @@
 	createAgentSessions, type AgentSessions, type SentEnd, type SentStart,
 } from '../connection/agent-sessions.js';
 import type {
-	Admission, QueuedJob, QueuedTask, Scheduler,
+	Admission, QueuedJob, QueuedTask, Scheduler, TeamQuota,
 } from '../connection/types.js';
 import {
 	RefusalReason, TaskOutcome, type TaskResult, type TaskStart,
@@ -49,12 +49,6 @@
 	readonly digest: string;
 };
 
-/** Bounds the tasks that one team has waiting or running. */
-export type TeamQuota = {
-	tryTake(team: string, tasks: number, limit: number): boolean;
-	release(team: string, tasks: number): void;
-};
-
 /** Effects and surroundings of the home. */
 export type HomeHost = {
 	readonly clock: Clock;
@@ -299,7 +293,7 @@
 			return refusal;
 		}
 
-		return host.quota.tryTake(queued.team, queued.taskCount, rules.maxTeamTasks)
+		return host.quota.tryTake(queued.team, queued.taskCount)
 			? undefined
 			: {diagnostic: createDiagnostic(Diagnostics.Quota_is_exhausted, queued.team, rules.maxTeamTasks), retryAfter: quotaRetryMs};
 	}
--- a/src/request/ticket.ts
+++ b/src/request/ticket.ts
@@ -14,7 +14,7 @@
 	readonly clock: Clock;
 	/** This process's incarnation; unique over all processes and restarts. */
 	readonly incarnation: string;
-	/** Key of the hash, shared by all entries. */
+	/** Key of the hash; only this incarnation checks its tickets, so nobody else needs it. */
 	readonly key: Uint8Array;
 	/** Time between the first and the last ticket of a block. */
 	readonly blockMs: Milliseconds;
@@ -34,7 +34,7 @@
 /** Issues tickets and sees to it that each is used at most once. */
 export type TicketIssuer = {
 	issue(owner: string, count: number): readonly Ticket[];
-	/** Whether this ticket was issued by any entry to this owner. */
+	/** Whether this incarnation issued the ticket to this owner. */
 	verify(ticket: Ticket, owner: string): Result<void, Diagnostic>;
 	/** Uses up a ticket of this incarnation. */
 	claim(ticket: Ticket): TicketClaim;
--- a/test/failure/entry.ts
+++ b/test/failure/entry.ts
@@ -76,8 +76,8 @@
 		issuer,
 		fates: fates.recorder,
 		quota: {
-			tryTake(_team, tasks, limit) {
-				const isFree = taken + tasks <= limit;
+			tryTake(team, tasks) {
+				const isFree = taken + tasks <= (snapshot?.teams.get(team)?.maxTasks ?? 0);
 				taken += isFree ? tasks : 0;
 				return isFree;
 			},
--- /dev/null
+++ b/test/processes/client.ts
@@ -0,0 +1,121 @@
+/**
+ * A caller of a system under test.
+ */
+import {Buffer} from 'node:buffer';
+import {z} from 'zod';
+import type {System, SystemAgent, SystemEntry} from '../../dev/system.js';
+
+/** Objects of a service whose submissions are not idempotent. */
+export const testObjects = `
+[[policy]]
+name = "default"
+[[service]]
+name = "ordering"
+policy = "default"
+[[team]]
+name = "lunch"
+maxTasks = 20000
+[[submission]]
+name = "confirm"
+service = "ordering"
+team = "lunch"
+`;
+
+const replySchema = z.object({
+	ticket: z.string().optional(),
+	state: z.enum(['complete', 'failed', 'refused', 'running']),
+	ran: z.enum(['not-run', 'ran', 'may-have-run']),
+	tasks: z.array(z.object({payload: z.string()})).optional(),
+	diagnostic: z.object({kind: z.string(), message: z.string()}).optional(),
+});
+
+/** A reply of the callers' interface. */
+export type TestReply = z.infer<typeof replySchema>;
+
+const echoSchema = z.object({task: z.string(), payload: z.string()});
+const countsSchema = z.object({
+	total: z.number(),
+	greatest: z.number(),
+	tasks: z.record(z.string(), z.unknown()),
+});
+
+/** Calls the entries of one system. */
+export type TestCaller = {
+	issue(entry: SystemEntry, count: number): Promise<readonly string[]>;
+	submit(entry: SystemEntry, ticket: string, tasks: readonly string[]): Promise<TestReply>;
+	/** Asks until the reply is final; other entries are asked in turn when one does not answer. */
+	settle(entries: readonly SystemEntry[], ticket: string, tasks: readonly string[]): Promise<TestReply>;
+	getFate(entry: SystemEntry, ticket: string): Promise<unknown>;
+};
+
+const retryMs = 200;
+const maxTries = 150;
+
+/** Creates a caller with the system's caller token. */
+export function createTestCaller(system: System): TestCaller {
+	const headers = {authorization: `Bearer ${system.tokens.caller}`};
+
+	return {
+		async issue(entry, count) {
+			const res = await fetch(`${entry.url}/v1/tickets`, {method: 'POST', headers, body: JSON.stringify({count})});
+			return z.object({tickets: z.array(z.string())}).parse(await res.json()).tickets;
+		},
+		submit,
+		async settle(entries, ticket, tasks) {
+			for (let i = 0; i < maxTries; i++) {
+				const reply = await submit(entries[i % entries.length]!, ticket, tasks).catch(() => undefined);
+				if (reply !== undefined && reply.state !== 'running' && reply.diagnostic?.kind !== 'HomeUnreachable') {
+					return reply;
+				}
+
+				await new Promise(resolve => {
+					setTimeout(resolve, retryMs);
+				});
+			}
+
+			throw new Error(`${ticket} got no final answer`);
+		},
+		async getFate(entry, ticket) {
+			const res = await fetch(`${entry.url}/v1/submissions/${ticket}/fate`, {headers});
+			return res.json();
+		},
+	};
+
+	async function submit(entry: SystemEntry, ticket: string, tasks: readonly string[]): Promise<TestReply> {
+		const res = await fetch(`${entry.url}/v1/submissions`, {
+			method: 'POST',
+			headers,
+			body: JSON.stringify({
+				ticket, submission: 'confirm', tasks: tasks.map(task => ({payload: Buffer.from(task).toString('base64')})),
+			}),
+		});
+		return replySchema.parse(await res.json());
+	}
+}
+
+/** The tasks that a complete reply answers, as "<ticket>/<index> <payload>". */
+export function getEchoes(reply: TestReply): readonly string[] {
+	return (reply.tasks ?? []).map(task => {
+		const echo = echoSchema.parse(JSON.parse(Buffer.from(task.payload, 'base64').toString()));
+		return `${echo.task} ${Buffer.from(echo.payload, 'base64').toString()}`;
+	});
+}
+
+/** What the upstreams counted: starts in all, and the most of any one task. */
+export async function countStarts(agents: readonly SystemAgent[]): Promise<{readonly total: number; readonly greatest: number}> {
+	const counts = await Promise.all(agents.map(async agent => {
+		const res = await fetch(`${agent.upstreamUrl}/counts`);
+		return countsSchema.parse(await res.json());
+	}));
+	const starts = new Map<string, number>();
+	for (const {tasks} of counts) {
+		for (const task of Object.keys(tasks)) {
+			starts.set(task, (starts.get(task) ?? 0) + 1);
+		}
+	}
+
+	return {
+		total: counts.reduce((sum, {total}) => sum + total, 0),
+		greatest: Math.max(0, ...counts.map(({greatest}) => greatest), ...starts.values()),
+	};
+}
--- /dev/null
+++ b/test/processes/failures.test.ts
@@ -0,0 +1,184 @@
+/**
+ * The whole system as processes, with failures. The upstream stand-ins' counts are the judge.
+ */
+import {startSystem, type System, type SystemOptions} from '../../dev/system.js';
+import {describe, itAlone} from '../describe.js';
+import {
+	countStarts, createTestCaller, getEchoes, testObjects, type TestCaller, type TestReply,
+} from './client.js';
+
+const options: SystemOptions = {
+	entries: 2, agents: 2, slots: 8, run: 'fixed:50', seed: 1, service: 'ordering', objects: testObjects,
+	entrySettings: 'leaseMs = 900\nagentGraceMs = 1500',
+};
+
+async function withSystem(changes: Partial<SystemOptions>, body: (system: System, caller: TestCaller) => Promise<void>): Promise<void> {
+	const system = await startSystem({...options, ...changes});
+	try {
+		await body(system, createTestCaller(system));
+	} finally {
+		await system.stop();
+	}
+}
+
+function createTasks(count: number): readonly string[] {
+	return Array.from({length: count}, (_, i) => `payload ${i}`);
+}
+
+function getExpectedEchoes(ticket: string, tasks: readonly string[]): readonly string[] {
+	return tasks.map((task, i) => `${ticket}/${i} ${task}`);
+}
+
+describe('processes', () => {
+	describe('whole path', () => {
+		itAlone('answers a job of 1,100 tasks over 11 agents with 8 slots, each task with its own answer', async t => {
+			await withSystem({entries: 4, agents: 11}, async (system, caller) => {
+				const tasks = createTasks(1100);
+				const [ticket] = await caller.issue(system.entries[0]!, 1);
+				const reply = await caller.submit(system.entries[1]!, ticket!, tasks);
+				t.is(reply.state, 'complete');
+				t.deepEqual(getEchoes(reply), getExpectedEchoes(ticket!, tasks));
+				t.deepEqual(await countStarts(system.agents), {total: 1100, greatest: 1});
+			});
+		});
+	});
+
+	describe('resubmission', () => {
+		itAlone('at once to all entries and late gives one answer and one start', async t => {
+			await withSystem({}, async (system, caller) => {
+				const tasks = createTasks(20);
+				const [ticket] = await caller.issue(system.entries[0]!, 1);
+				const copies = [...system.entries, ...system.entries, ...system.entries];
+				const replies = await Promise.all(copies.map(async entry => caller.submit(entry, ticket!, tasks)));
+				replies.push(await caller.submit(system.entries[1]!, ticket!, tasks));
+				for (const reply of replies) {
+					t.deepEqual(getEchoes(reply), getExpectedEchoes(ticket!, tasks));
+				}
+
+				t.deepEqual(await countStarts(system.agents), {total: 20, greatest: 1});
+			});
+		});
+	});
+
+	describe('entry', () => {
+		itAlone('killed while its tasks run: others answer, from the agents where they can, and nothing starts twice', async t => {
+			await withSystem({entries: 3, run: 'fixed:600'}, async (system, caller) => {
+				const [home, ...others] = system.entries;
+				const tickets = await caller.issue(home!, 12);
+				const pending = tickets.map(async ticket => caller.submit(home!, ticket, ['a']).catch(() => undefined));
+				await delay(300);
+				await home!.program.kill();
+				await Promise.all(pending);
+				const replies = await Promise.all(tickets.map(async ticket => caller.settle(others, ticket, ['a'])));
+				for (const [i, reply] of replies.entries()) {
+					t.is(reply.state, 'complete', reply.diagnostic?.message);
+					t.deepEqual(getEchoes(reply), [`${tickets[i]!}/0 a`]);
+				}
+
+				t.deepEqual(await countStarts(system.agents), {total: 12, greatest: 1});
+			});
+		});
+
+		itAlone('killed with tasks waiting: the job fails as may-have-run and no task starts twice', async t => {
+			await withSystem({run: 'fixed:300'}, async (system, caller) => {
+				const [home, other] = system.entries;
+				const tasks = createTasks(100);
+				const [ticket] = await caller.issue(home!, 1);
+				const pending = caller.submit(home!, ticket!, tasks).catch(() => undefined);
+				await delay(400);
+				await home!.program.kill();
+				await pending;
+				const reply = await caller.settle([other!], ticket!, tasks);
+				t.like(reply, {state: 'failed', ran: 'may-have-run', tasks: undefined});
+				const {greatest} = await countStarts(system.agents);
+				t.is(greatest, 1);
+			});
+		});
+
+		itAlone('frozen past its lease, then resumed: final answers do not contradict each other', async t => {
+			await withSystem({run: 'fixed:200'}, async (system, caller) => {
+				const [home, other] = system.entries;
+				const tasks = createTasks(40);
+				const [ticket] = await caller.issue(home!, 1);
+				const early = caller.submit(home!, ticket!, tasks).catch(() => undefined);
+				await delay(300);
+				home!.program.freeze();
+				const reply = await caller.settle([other!], ticket!, tasks);
+				home!.program.resume();
+				const replies = [reply, await early, await caller.settle([other!, home!], ticket!, tasks)];
+				t.is(countFinalKinds(replies), 1);
+				const {greatest} = await countStarts(system.agents);
+				t.is(greatest, 1);
+			});
+		});
+	});
+
+	describe('agent', () => {
+		itAlone('killed with its upstream alive: no task starts twice and no answer claims not-run falsely', async t => {
+			await withSystem({run: 'fixed:400'}, async (system, caller) => {
+				const tickets = await caller.issue(system.entries[0]!, 12);
+				const pending = tickets.map(async ticket => caller.submit(system.entries[0]!, ticket, ['a']));
+				await delay(200);
+				await system.agents[0]!.program.kill();
+				const replies = await Promise.all(pending);
+				const unknown = replies.filter(reply => reply.ran === 'may-have-run');
+				t.true(unknown.length > 0);
+				t.is(replies.filter(reply => reply.state === 'complete').length, 12 - unknown.length);
+				t.deepEqual(await countStarts(system.agents), {total: 12, greatest: 1});
+			});
+		});
+	});
+
+	describe('graceful shutdown', () => {
+		itAlone('of an agent and an entry under load cuts nothing off', async t => {
+			await withSystem({entries: 2, agents: 3}, async (system, caller) => {
+				const [leaving, staying] = system.entries;
+				const tickets = await caller.issue(staying!, 150);
+				const leavingTickets = await caller.issue(leaving!, 50);
+				const replies: Array<Promise<TestReply>> = [];
+				for (const [i, ticket] of tickets.entries()) {
+					replies.push(caller.submit(staying!, ticket, ['a']));
+					if (leavingTickets[i] !== undefined) {
+						replies.push(caller.submit(leaving!, leavingTickets[i], ['a']));
+					}
+
+					if (i === 60) {
+						void system.agents[0]!.program.stop();
+						void leaving!.program.stop();
+					}
+
+					await delay(5);
+				}
+
+				const ended = await Promise.all(replies);
+				const states = new Set(ended.map(reply => reply.state));
+				t.deepEqual([...states], ['complete']);
+				t.deepEqual(await countStarts(system.agents), {total: 200, greatest: 1});
+			});
+		});
+	});
+
+	describe('platform', () => {
+		itAlone('down: tickets, jobs and answers go on', async t => {
+			await withSystem({}, async (system, caller) => {
+				await fetch(`${system.platformUrl}/faults`, {method: 'POST', body: JSON.stringify({down: true})});
+				await delay(2500);
+				const tasks = createTasks(30);
+				const [ticket] = await caller.issue(system.entries[0]!, 1);
+				const reply = await caller.submit(system.entries[1]!, ticket!, tasks);
+				t.deepEqual(getEchoes(reply), getExpectedEchoes(ticket!, tasks));
+			});
+		});
+	});
+});
+
+async function delay(ms: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
+
+function countFinalKinds(replies: ReadonlyArray<TestReply | undefined>): number {
+	const final = replies.filter(reply => reply !== undefined && reply.state !== 'running' && reply.diagnostic?.kind !== 'HomeUnreachable');
+	return new Set(final.map(reply => `${reply!.state} ${reply!.ran}`)).size;
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -22,6 +22,8 @@
 			'@typescript-eslint/switch-exhaustiveness-check': ['error', {allowDefaultCaseForExhaustiveSwitch: true, considerDefaultExhaustiveForUnions: true}],
 			// Callbacks written as one expression may return a value that nobody reads.
 			'@typescript-eslint/strict-void-return': 'off',
+			// Nested describe blocks add two levels to each test.
+			'max-nested-callbacks': ['warn', 6],
 			// Tests run from dist/, and test/describe.ts wraps ava for all of them.
 			'ava/no-ignored-test-files': 'off',
 			// The public function comes first; its helpers follow below.
