Look records up wherever they are, from the entry

Cause: the entry found only records in its own memory, so a trail died with its home. Ruled out: asking agents first (the saved block is one read). Change: the entry composes the lookup and the agreed answers for dead homes; a record pieced together from agents can be read by whoever holds its ticket.

--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -156,7 +156,16 @@
 function openAgents(bench: Bench, count: number, slots: number): void {
 	for (let i = 0; i < count; i++) {
 		const session = bench.home.sessions.open({
-			agent: `agent-${i}`, incarnation: `incarnation-${i}`, upstream: `ordering-${i}`, service: 'ordering', dataCentre: 'makati', rack: 'r1', slots, entryIncarnation: 'bench', lastStartSeq: 0, lastResultSeq: 0,
+			agent: `agent-${i}`,
+			incarnation: `incarnation-${i}`,
+			upstream: `ordering-${i}`,
+			service: 'ordering',
+			dataCentre: 'makati',
+			rack: 'r1',
+			slots,
+			entryIncarnation: 'bench',
+			lastStartSeq: 0,
+			lastResultSeq: 0,
 		});
 		session.receiveState({
 			draining: false, running: 0, slots, meanRunMs: 100, failedPerMille: 0, configVersion: 1,
@@ -178,7 +187,15 @@
 	const batch = bench.starts.splice(0);
 	for (const {agent, start} of batch) {
 		bench.home.sessions.tryGet(agent)!.receiveResult({
-			task: start.task, seq: start.seq, attempt: 1, outcome: TaskOutcome.TASK_OUTCOME_COMPLETED, reason: RefusalReason.REFUSAL_REASON_UNSPECIFIED, payload, runMs: 100, detail: '', startSeq: start.seq,
+			task: start.task,
+			seq: start.seq,
+			attempt: 1,
+			outcome: TaskOutcome.TASK_OUTCOME_COMPLETED,
+			reason: RefusalReason.REFUSAL_REASON_UNSPECIFIED,
+			payload,
+			runMs: 100,
+			detail: '',
+			startSeq: start.seq,
 		});
 	}
 
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -12,9 +12,11 @@
 import type {
 	ConfigUpdate, EntryAddress, LinkServer, PeerServer, PeerState,
 } from '../generated/kingcuplane.js';
-import {toFateJson} from '../request/fate-json.js';
+import {toFateReportJson} from '../request/fate-json.js';
+import {createFateLookup} from '../request/fate-lookup.js';
 import {createHome} from '../request/home.js';
 import {createRouter, type FoundFate, type Principal} from '../request/router.js';
+import {createSettlements} from '../request/settlement.js';
 import {createTicketIssuer} from '../request/ticket.js';
 import type {FateRecorder, Ticket} from '../request/types.js';
 import type {VersionFollower} from '../version/follower.js';
@@ -167,6 +169,15 @@
 		},
 		changed: updateAddresses,
 	});
+	const lookup = createFateLookup({
+		incarnation,
+		recorder: host.fates,
+		getObject: host.platform.objects.get,
+		// The router has asked the home before it looks the record up.
+		askHome: async ticket => ({kind: directory.getStatus(ticket.incarnation) === 'dead' ? 'lost' : 'unreachable'}),
+		askAgents: async ticket => held.ask(ticket.text),
+	});
+	const settlements = createSettlements(host.platform.table);
 	const router = createRouter({
 		clock,
 		entry: settings.name,
@@ -176,6 +187,7 @@
 		relay: peers.request,
 		findFate,
 		recover: async ticket => recoverAnswer(await held.ask(ticket.text)),
+		settle: settlements.settle,
 		recordDelivery: host.fates.recordDelivery,
 	});
 	const http = createHttpApi({
@@ -209,13 +221,13 @@
 		http, links: links.service, peers: peers.service, drain, stop,
 	};
 
-	async function findFate(ticket: Ticket): Promise<FoundFate | undefined> {
-		const own = host.fates.tryGet(ticket.text);
-		if (own !== undefined) {
-			return {fate: own, json: toFateJson(own)};
+	async function findFate(ticket: Ticket): Promise<FoundFate | 'unreadable' | undefined> {
+		const report = await lookup.find(ticket);
+		if (report.fate !== undefined) {
+			return {fate: report.fate, json: toFateReportJson(report)};
 		}
 
-		return undefined;
+		return report.mayChange ? 'unreadable' : undefined;
 	}
 
 	function applySnapshot(snapshot: Snapshot): void {
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -16,6 +16,7 @@
 	Caller, Home, JobHandle, SubmissionRequest,
 } from './home.js';
 import type {Settlement} from './settlement.js';
+import {lostName} from './fate-merge.js';
 import {parseTicket} from './ticket.js';
 import type {Answer, SubmissionFate, Ticket} from './types.js';
 
@@ -403,8 +404,9 @@
 	};
 }
 
+// A record pieced together from agents names no caller; the hash in the ticket keeps others from guessing it.
 function mayRead(principal: Principal, owner: string): boolean {
-	return principal.role !== 'caller' || principal.name === owner;
+	return principal.role !== 'caller' || principal.name === owner || owner === lostName;
 }
 
 const statusByKind: Readonly<Record<string, number>> = {
