--- /dev/null
+++ b/src/process/cli/apply.ts
@@ -0,0 +1,44 @@
+/**
+ * `kingcuplane apply FILES`: publishes files of objects as one change set.
+ */
+import {ok, safeTry, type ResultAsync} from 'neverthrow';
+import {diffChanges} from '../../version/diff.js';
+import {publish} from '../../version/publish.js';
+import type {Snapshot} from '../../version/types.js';
+import type {Diagnostic} from '../diagnostics.js';
+import type {Platform} from '../platform/types.js';
+import {readChangeSet, readNewest, type ReadChangeSet} from './change-set.js';
+import {openPlatform, tryGetCount, tryGetText} from './options.js';
+import type {CliHost, Command} from './types.js';
+
+/** Runs the command. The set is checked by publishing, which first recognises a repetition with the same --id. */
+export const runApply: Command = async (host, {args, options}) => safeTry(async function * () {
+	const platform = yield * openPlatform(host, options);
+	const base = yield * tryGetCount(host, options, 'base');
+	const snapshot = yield * readNewest(platform);
+	const heading = {
+		id: tryGetText(host, options, 'id') ?? host.createId(),
+		base: base ?? snapshot.version,
+		author: tryGetText(host, options, 'author') ?? '',
+		reason: tryGetText(host, options, 'reason') ?? '',
+	};
+	const read = yield * readChangeSet(host, args, heading, snapshot);
+	return publishAndPrint(host, platform, read, snapshot);
+});
+
+/** Publishes a change set and prints its version and what it changed in `snapshot`. */
+export function publishAndPrint(host: CliHost, platform: Platform, {changeSet, options}: ReadChangeSet, snapshot: Snapshot): ResultAsync<void, readonly Diagnostic[]> {
+	return publish({platform, clock: host.clock}, changeSet, options).andThen(({version, isRepetition}) => {
+		if (isRepetition) {
+			host.print(`Change set ${changeSet.id} was already published as version ${version}.`);
+			return ok();
+		}
+
+		host.print(`Published version ${version} (change set ${changeSet.id}).`);
+		for (const line of diffChanges(changeSet.changes, snapshot)) {
+			host.print(line);
+		}
+
+		return ok();
+	});
+}
--- /dev/null
+++ b/src/process/cli/drain.ts
@@ -0,0 +1,32 @@
+/**
+ * `kingcuplane drain NAME`: publishes that an upstream takes no new work; `--undo` takes it back.
+ */
+import {err, safeTry} from 'neverthrow';
+import type {Change} from '../../version/types.js';
+import {createDiagnostic, Diagnostics} from '../diagnostics.js';
+import {publishAndPrint} from './apply.js';
+import {readNewest} from './change-set.js';
+import {openPlatform, tryGetText} from './options.js';
+import type {Command} from './types.js';
+
+/** Runs the command. */
+export const runDrain: Command = async (host, {args, options}) => safeTry(async function * () {
+	const [name = ''] = args;
+	const drain = options.undo !== true;
+	const platform = yield * openPlatform(host, options);
+	const snapshot = yield * readNewest(platform);
+	const upstream = snapshot.upstreams.get(name);
+	if (upstream === undefined) {
+		return err([createDiagnostic(Diagnostics.Object_is_unknown, `upstream ${name}`, snapshot.version)]);
+	}
+
+	const change: Change = {kind: 'put', object: {...upstream, drain}};
+	const changeSet = {
+		id: tryGetText(host, options, 'id') ?? host.createId(),
+		base: snapshot.version,
+		author: tryGetText(host, options, 'author') ?? '',
+		reason: tryGetText(host, options, 'reason') ?? `${drain ? 'drain' : 'undrain'} ${name}`,
+		changes: [change],
+	};
+	return publishAndPrint(host, platform, {changeSet, options: {}}, snapshot);
+});
--- /dev/null
+++ b/src/process/cli/status.ts
@@ -0,0 +1,58 @@
+/**
+ * `kingcuplane status`: lists the processes that an entry knows, with the version in force in each.
+ */
+import {ok, safeTry} from 'neverthrow';
+import {z} from 'zod';
+import {callEntry} from './entry-call.js';
+import {openEntry} from './options.js';
+import type {Command} from './types.js';
+
+const statusSchema = z.object({
+	processes: z.array(z.object({
+		role: z.string(),
+		name: z.string(),
+		incarnation: z.string(),
+		version: z.number(),
+		isReady: z.boolean(),
+	})),
+});
+
+type ProcessStatus = z.infer<typeof statusSchema>['processes'][number];
+
+const heading = ['ROLE', 'NAME', 'VERSION', 'READY', 'INCARNATION'];
+
+/** Runs the command. */
+export const runStatus: Command = async (host, {options}) => safeTry(async function * () {
+	const client = yield * openEntry(host, options);
+	const {processes} = yield * callEntry(client, {method: 'GET', path: '/v1/status'}, statusSchema);
+	const rows = processes
+		.toSorted(compareProcesses)
+		.map(process => toRow(process));
+	for (const line of alignColumns([heading, ...rows])) {
+		host.print(line);
+	}
+
+	const versions = new Set(processes.map(process => process.version));
+	host.print(versions.size === 1
+		? `Version ${processes[0]!.version} is in force in all ${processes.length} processes.`
+		: `${versions.size} versions are in force: ${[...versions].toSorted((a, b) => a - b).join(', ')}.`);
+	return ok();
+});
+
+/** Entries come before agents, and both are in order of name. */
+function compareProcesses(a: ProcessStatus, b: ProcessStatus): number {
+	return compareText(b.role, a.role) || compareText(a.name, b.name);
+}
+
+function compareText(a: string, b: string): number {
+	return a < b ? -1 : Number(a > b);
+}
+
+function toRow({role, name, version, isReady, incarnation}: ProcessStatus): string[] {
+	return [role, name, String(version), isReady ? 'yes' : 'no', incarnation];
+}
+
+function alignColumns(rows: ReadonlyArray<readonly string[]>): string[] {
+	const widths = heading.map((_, column) => Math.max(...rows.map(row => row[column]!.length)));
+	return rows.map(row => row.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd());
+}
--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -105,6 +105,12 @@
 	// 5xxx: links and peers
 
 	// 6xxx: command line
+	Option_is_missing: row(6001, 'OptionMissing', 'The option --{0} is missing.', 'Add --{0}{1}.'),
+	Option_is_invalid: row(6002, 'OptionInvalid', 'The option --{0} is invalid: {1}.', 'Correct its value; "kingcuplane --help" lists all options.'),
+	Object_is_unknown: row(6003, 'ObjectUnknown', 'There is no {0} in version {1}.', 'List the objects with "kingcuplane get".'),
+	Object_kind_is_unknown: row(6004, 'ObjectKindUnknown', 'There is no kind of object named {0}.', 'Use one of {1}.'),
+	Entry_is_unreachable: row(6005, 'EntryUnreachable', 'The entry at {0} did not answer: {1}.', 'Check --entry, or ask another entry.'),
+	Entry_answer_is_invalid: row(6006, 'EntryAnswerInvalid', 'The entry at {0} answered in an unexpected form: {1}.', 'Check --entry, and that entry and command line are of the same release.'),
 } as const;
 
 /** Fills in a diagnostic's arguments. */
--- a/src/version/parse.ts
+++ b/src/version/parse.ts
@@ -2,6 +2,7 @@
  * Reads changes from TOML files: an array of tables for each kind of object, and `[[delete]]` with `kind` and `name`.
  * Fields are written in camelCase; lengths of time end in `Ms`. All faults of all files are reported together.
  */
+import type {Result} from 'neverthrow';
 import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
 import {tryGetNearest} from '../process/edit-distance.js';
 import {
@@ -77,7 +78,7 @@
 
 type TableOutcome = {
 	readonly table: Table;
-	/** Undefined if there are faults. */
+	/** Undefined if the table cannot be read. */
 	readonly change: Change | undefined;
 	readonly faults: readonly Diagnostic[];
 };
@@ -112,16 +113,29 @@
 		: createDiagnostic(Diagnostics.Kind_is_unknown, key, tryGetNearest(key, [...tableKinds.keys()]) ?? 'none');
 }
 
+/** Unknown fields alone do not keep a table from being read, so that its other faults are found as well. */
 function readTable(table: Table): TableOutcome {
-	const change = table.kind === 'delete'
-		? checkSchema(deleteTableSchema, table.value).map(({kind, name}): Change => ({kind: 'delete', objectKind: kind, name}))
-		: checkSchema(tableSchemas[table.kind], table.value).map((object): Change => ({kind: 'put', object}));
-	return change.match(
-		value => ({table, change: value, faults: []}),
-		faults => ({table, change: undefined, faults: toDiagnostics(faults, table)}),
+	return readChange(table, table.value).match(
+		change => ({table, change, faults: []}),
+		faults => ({
+			table,
+			change: faults.every(fault => fault.kind === 'unknown') ? readChange(table, omit(table.value, faults)).unwrapOr(undefined) : undefined,
+			faults: toDiagnostics(faults, table),
+		}),
 	);
 }
 
+function readChange({kind}: Table, value: unknown): Result<Change, readonly SchemaFault[]> {
+	return kind === 'delete'
+		? checkSchema(deleteTableSchema, value).map(name => ({kind: 'delete', objectKind: name.kind, name: name.name}))
+		: checkSchema(tableSchemas[kind], value).map(object => ({kind: 'put', object}));
+}
+
+function omit(value: unknown, faults: readonly SchemaFault[]): unknown {
+	const keys = new Set(faults.map(fault => formatPath(fault.path)));
+	return Object.fromEntries(Object.entries(value ?? {}).filter(([key]) => !keys.has(key)));
+}
+
 function toDiagnostics(faults: readonly SchemaFault[], table: Table): Diagnostic[] {
 	return faults
 		.map(fault => ({...toDiagnostic(fault, table), ...getPlace(table, fault.path)}))
