Keep answering through an outage in which an entry dies

Cause: during an outage a lease counted as held only while every other entry was linked, so one more death silenced all others until the platform was back; and each reply whose lease had lapsed waited for a call that timed out. Ruled out: counting every lease as held in an outage (a paused entry could contradict one that answered for it). Change: at least half of the other entries must be linked; while the last renewal got no answer, replies take that as the state and the timer goes on trying. With two entries, an outage and the death of one leave the other unconfirmed.

--- a/src/process/entry-directory.ts
+++ b/src/process/entry-directory.ts
@@ -55,7 +55,7 @@
 	/**
 	 * Whether this entry still holds its lease. Renews it first if it has lapsed by this entry's own clock, as
 	 * after a pause. During an outage of the platform the lease counts as held while this entry was not paused
-	 * and every other live entry is linked, since none of them declares a linked entry dead.
+	 * and at least half of the other live entries are linked, since none of them declares a linked entry dead.
 	 */
 	confirmLease(): Promise<LeaseStatus>;
 	/** Whether the directory was read at least once. */
@@ -109,6 +109,7 @@
 	let isLost = false;
 	let isStopped = false;
 	let renewal: Promise<Renewal> | undefined;
+	let lastRenewal: Renewal | undefined;
 	const timers: readonly Timer[] = [every(clock, host.leaseMs / renewalsPerLease, () => {
 		notePause();
 		tickedAt = clock.now();
@@ -145,10 +146,12 @@
 				return 'held';
 			}
 
-			const outcome = await renew();
+			// During an outage the timer keeps trying, so that no reply waits for the platform.
+			notePause();
+			const outcome = wasPaused || lastRenewal !== 'no-answer' ? await renew() : lastRenewal;
 			if (outcome === 'no-answer') {
 				notePause();
-				return revision > 0 && !wasPaused && areOthersLinked() ? 'held' : 'unconfirmed';
+				return revision > 0 && !wasPaused && areMostOthersLinked() ? 'held' : 'unconfirmed';
 			}
 
 			return outcome;
@@ -198,8 +201,10 @@
 	}
 
 	async function renew(): Promise<Renewal> {
-		renewal ??= renewOnce().finally(() => {
+		renewal ??= renewOnce().then(outcome => {
 			renewal = undefined;
+			lastRenewal = outcome;
+			return outcome;
 		});
 		return renewal;
 	}
@@ -253,8 +258,11 @@
 		wasPaused ||= clock.now() - tickedAt > host.leaseMs;
 	}
 
-	function areOthersLinked(): boolean {
-		return [...observations.values()].every(({address, isDead}) => isDead || address.incarnation === self.incarnation || host.isLinked(address.incarnation));
+	// Entries that are down as well must not silence the rest for as long as the platform is down.
+	function areMostOthersLinked(): boolean {
+		const others = [...observations.values()].filter(({address, isDead}) => !isDead && address.incarnation !== self.incarnation);
+		const linked = others.filter(({address}) => host.isLinked(address.incarnation));
+		return linked.length * 2 >= others.length;
 	}
 
 	function lose(): 'lost' {
