Take a newer version from a peer; be ready only when registered and with tokens known

Cause: an entry that cannot read the store stayed on its version although a peer had a newer one, and an entry was ready before it could check a token. Ruled out: pushing the version to every peer (peers that are up to date would pay). Change: an entry that hears of a newer version on a peer stream asks that peer for it; readiness covers registration and tokens.

--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -10,7 +10,7 @@
 import {createQuotaShares, shareIntervalMs} from '../connection/quota-shares.js';
 import type {AgentFacts} from '../connection/types.js';
 import type {
-	ConfigUpdate, EntryAddress, LinkServer, PeerServer, PeerState,
+	ConfigUpdate, EntryAddress, LinkServer, PeerServer, PeerState, RelayReply,
 } from '../generated/kingcuplane.js';
 import {toFateReportJson} from '../request/fate-json.js';
 import {createFateLookup} from '../request/fate-lookup.js';
@@ -45,6 +45,8 @@
 	readonly ticketKey: Uint8Array;
 	readonly log: Log;
 	authenticate(token: string): Result<Principal, Diagnostic>;
+	/** Whether tokens can be checked. */
+	areTokensKnown(): boolean;
 	/** Another entry has declared this one dead. */
 	declaredDead(): void;
 	/** Runs an action at the end of this turn of the event loop. */
@@ -77,6 +79,9 @@
 	readonly isReady: boolean;
 };
 
+/** Operation of a request between entries for the configuration in force. */
+const snapshotOperation = 'snapshot';
+const snapshotTimeoutMs: Milliseconds = 2000;
 const restateMs: Milliseconds = 1000;
 const heldTimeoutMs: Milliseconds = 500;
 const drainCheckMs: Milliseconds = 10;
@@ -92,6 +97,7 @@
 	const agentVersions = new Map<string, number>();
 	const peerStates = new Map<string, PeerState>();
 	let isDraining = false;
+	let isTakingVersion = false;
 
 	const issuer = createTicketIssuer({
 		clock, incarnation, key: host.ticketKey, blockMs: limits.blockMs, lifetimeMs: limits.ticketLifetimeMs,
@@ -155,11 +161,12 @@
 	const peers = createPeerHub({
 		clock,
 		self,
-		serve: async req => router.serveRelayed(req),
+		serve: async req => req.operation === snapshotOperation ? serveSnapshot() : router.serveRelayed(req),
 		getState,
 		receiveState(peer, state) {
 			peerStates.set(peer.incarnation, state);
 			directory.learn([peer, ...state.entries]);
+			void takeNewerVersion(peer, state.configVersion);
 		},
 		receiveShares(peer, news) {
 			shares.receive(peer.incarnation, news);
@@ -221,6 +228,27 @@
 		http, links: links.service, peers: peers.service, drain, stop,
 	};
 
+	// A peer may have a version before this entry can read it, as in an outage of the platform.
+	async function takeNewerVersion(peer: EntryAddress, version: number): Promise<void> {
+		if (isTakingVersion || version <= (follower.tryGet()?.version ?? 0)) {
+			return;
+		}
+
+		isTakingVersion = true;
+		const reply = await peers.request(peer.incarnation, {
+			operation: snapshotOperation, ticket: '', principal: '', body: new Uint8Array(), timeoutMs: snapshotTimeoutMs,
+		});
+		isTakingVersion = false;
+		if (reply?.status === 200) {
+			follower.offer(reply.body);
+		}
+	}
+
+	function serveSnapshot(): Omit<RelayReply, 'id'> {
+		const bytes = follower.tryGetBytes();
+		return {status: bytes === undefined ? 404 : 200, body: bytes ?? new Uint8Array(), retryAfterMs: 0};
+	}
+
 	async function findFate(ticket: Ticket): Promise<FoundFate | 'unreadable' | undefined> {
 		const report = await lookup.find(ticket);
 		if (report.fate !== undefined) {
@@ -252,7 +280,7 @@
 	}
 
 	function isReady(): boolean {
-		return !isDraining && follower.tryGet() !== undefined;
+		return !isDraining && follower.tryGet() !== undefined && directory.isRegistered() && host.areTokensKnown();
 	}
 
 	function getStatus(): {readonly processes: readonly ProcessStatus[]} {
--- a/src/process/run-entry.ts
+++ b/src/process/run-entry.ts
@@ -81,6 +81,7 @@
 		ticketKey: randomBytes(ticketKeyBytes),
 		log,
 		authenticate: tokens.authenticate,
+		areTokensKnown: tokens.isKnown,
 		declaredDead,
 		defer: setImmediate,
 	});
