Test that one publication reaches every process

Cause: the version in force everywhere was shown by status but not checked over processes. Ruled out: nothing. Change: a process test that publishes and waits for every entry to report the version for all five processes.

--- a/test/processes/client.ts
+++ b/test/processes/client.ts
@@ -32,6 +32,7 @@
 /** A reply of the callers' interface. */
 export type TestReply = z.infer<typeof replySchema>;
 
+const statusSchema = z.object({processes: z.array(z.object({version: z.number()}))});
 const echoSchema = z.object({task: z.string(), payload: z.string()});
 const countsSchema = z.object({
 	total: z.number(),
@@ -46,6 +47,8 @@
 	/** Asks until the reply is final; other entries are asked in turn when one does not answer. */
 	settle(entries: readonly SystemEntry[], ticket: string, tasks: readonly string[]): Promise<TestReply>;
 	getFate(entry: SystemEntry, ticket: string): Promise<unknown>;
+	/** Asks an entry until it reports this version in force in at least `processes` processes, itself included. */
+	waitForVersion(entry: SystemEntry, version: number, processes: number): Promise<void>;
 };
 
 const retryMs = 200;
@@ -79,6 +82,21 @@
 			const res = await fetch(`${entry.url}/v1/submissions/${ticket}/fate`, {headers});
 			return res.json();
 		},
+		async waitForVersion(entry, version, processes) {
+			for (let i = 0; i < maxTries; i++) {
+				const res = await fetch(`${entry.url}/v1/status`, {headers});
+				const status = statusSchema.parse(await res.json());
+				if (status.processes.filter(process => process.version === version).length >= processes) {
+					return;
+				}
+
+				await new Promise(resolve => {
+					setTimeout(resolve, retryMs);
+				});
+			}
+
+			throw new Error(`version ${version} is not in force everywhere`);
+		},
 	};
 
 	async function submit(entry: SystemEntry, ticket: string, tasks: readonly string[]): Promise<TestReply> {
--- a/test/processes/failures.test.ts
+++ b/test/processes/failures.test.ts
@@ -158,6 +158,16 @@
 		});
 	});
 
+	describe('configuration', () => {
+		itAlone('published once is in force in every entry and agent', async t => {
+			await withSystem({entries: 3}, async (system, caller) => {
+				const version = await system.publish('[[team]]\nname = "dinner"\nmaxTasks = 10\n');
+				await Promise.all(system.entries.map(async entry => caller.waitForVersion(entry, version, 5)));
+				t.is(version, 2);
+			});
+		});
+	});
+
 	describe('platform', () => {
 		itAlone('down: tickets, jobs and answers go on', async t => {
 			await withSystem({}, async (system, caller) => {
