Pause between polls of the load tool

Cause: against an entry that answers a poll at once, the tool would ask in a tight loop. Ruled out: a longer pause, which would add to the measured response. Change: 5 ms before each poll. Measured: npx ava dist/test/dev/load/runner.test.js passes as before; on a scratch copy with polls replaced by submissions the test process no longer hangs. Conclusion: kept.

--- a/dev/load/runner.ts
+++ b/dev/load/runner.ts
@@ -36,6 +36,8 @@
 const resendPauseMs: Milliseconds = 200;
 /** Longest wait of one request for an answer that is still to come. */
 const pollMs: Milliseconds = 5000;
+/** Pause before each such request, in case an entry does not wait. */
+const pollPauseMs: Milliseconds = 5;
 
 /** Runs all jobs; resolves when each has a final answer or was given up. */
 export async function runLoad(host: LoadHost): Promise<void> {
@@ -122,6 +124,7 @@
 
 			isAccepted = reply.isOk() && reply.value.state === 'running';
 			if (isAccepted) {
+				await sleep(clock, pollPauseMs);
 				continue;
 			}
 
