Close servers and programs when a test fails

Cause: a failed assertion left its server open, and the test process hung until ava's time limit instead of showing the failure. Ruled out: ending the process by force, which would hide leaks. Change: servers and programs end by t.teardown.

--- a/test/dev/load/load.test.ts
+++ b/test/dev/load/load.test.ts
@@ -39,6 +39,7 @@
 	it('prints one line of JSON and ends with 1 if an answer is crossed', async t => {
 		const authorizations = new Set<string | undefined>();
 		const server = await startHttpServer(createCrossingEntry(authorizations), {host: '127.0.0.1', port: 0});
+		t.teardown(async () => server.close());
 		const program = startProgram('dev/load.js', ['--entries', server.url, '--token', '0123', '--submission', 'order', '--rate', '50', '--seconds', '0.2']);
 		const {code} = await program.waitForExit();
 		const output = getJsonLine(program);
@@ -48,7 +49,6 @@
 		t.deepEqual(output.verdicts, {crossed: output.jobs});
 		t.deepEqual([...authorizations], ['Bearer 0123']);
 		t.false(JSON.stringify(output).includes('0123'));
-		await server.close();
 	});
 
 	it('names every wrong option', async t => {
--- a/test/dev/processes.test.ts
+++ b/test/dev/processes.test.ts
@@ -2,9 +2,10 @@
 import os from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import type {ExecutionContext} from 'ava';
 import {request} from 'undici';
 import {z} from 'zod';
-import {startProgram, waitForUrl} from '../../dev/processes.js';
+import {startProgram, waitForUrl, type Program} from '../../dev/processes.js';
 import {taskHeaders} from '../../dev/upstream-app.js';
 import {createSystemClock} from '../../src/process/clock.js';
 import {createPlatformClient} from '../../src/process/platform/client.js';
@@ -18,7 +19,7 @@
 	it('platform stand-in serves the seeded rows, and its faults are switched by request', async t => {
 		const file = path.join(fs.mkdtempSync(path.join(os.tmpdir(), 'kingcuplane-')), 'tokens.toml');
 		fs.writeFileSync(file, '[rows."tokens/a"]\nteam = "lunch"\n');
-		const program = startProgram('dev/platform-standin.js', ['--seed-tokens', file]);
+		const program = start(t, 'dev/platform-standin.js', ['--seed-tokens', file]);
 		const url = await waitForUrl(program);
 		const {table, close} = createPlatformClient({clock: createSystemClock(), url, timeoutMs: 5000});
 		t.is(await unwrap(table.get('tokens/a').map(row => row?.value)), '{"team":"lunch"}');
@@ -35,7 +36,7 @@
 	});
 
 	it('upstream stand-in runs tasks, counts them, and refuses connections for a time', async t => {
-		const program = startProgram('dev/upstream-standin.js', ['--run', 'fixed:1']);
+		const program = start(t, 'dev/upstream-standin.js', ['--run', 'fixed:1']);
 		const url = await waitForUrl(program);
 		t.like(await post(`${url}/run`, 'x', task), {task: 'A/0', payload: 'Ingi'});
 		t.like(await get(`${url}/counts`), {total: 1, greatest: 1, tasks: {'A/0': {starts: 1}}});
@@ -50,7 +51,7 @@
 	});
 
 	it('tell why a program ended before it was ready', async t => {
-		const program = startProgram('dev/upstream-standin.js', ['--run', 'sometimes']);
+		const program = start(t, 'dev/upstream-standin.js', ['--run', 'sometimes']);
 		const error = await t.throwsAsync(waitForUrl(program));
 		t.regex(error.message, /--run takes fixed:MS/v);
 		const {code} = await program.waitForExit();
@@ -58,8 +59,8 @@
 	});
 
 	it('freeze and resume a program', async t => {
-		const frozen = startProgram('dev/platform-standin.js');
-		const other = startProgram('dev/platform-standin.js');
+		const frozen = start(t, 'dev/platform-standin.js');
+		const other = start(t, 'dev/platform-standin.js');
 		const [frozenUrl, otherUrl] = await Promise.all([waitForUrl(frozen), waitForUrl(other)]);
 		frozen.freeze();
 		let answered = false;
@@ -73,17 +74,23 @@
 		t.false(answered);
 		frozen.resume();
 		t.like(await pending, {tableReads: 0});
-		await Promise.all([frozen.kill(), other.kill()]);
 	});
 
 	it('leave no program behind', async t => {
-		const program = startProgram('dev/platform-standin.js');
+		const program = start(t, 'dev/platform-standin.js');
 		await waitForUrl(program);
 		await program.kill();
 		t.throws(() => process.kill(program.pid, 0), {code: 'ESRCH'});
 	});
 });
 
+/** Starts a program that ends with the test. */
+function start(t: ExecutionContext, script: string, args: readonly string[] = []): Program {
+	const program = startProgram(script, args);
+	t.teardown(async () => program.kill());
+	return program;
+}
+
 async function get(url: string): Promise<Record<string, unknown>> {
 	const {body} = await request(url, {headers: {connection: 'close'}});
 	return jsonObject.parse(await body.json());
--- a/test/process/platform/client.test.ts
+++ b/test/process/platform/client.test.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import {createAdaptorServer} from '@hono/node-server';
+import type {ExecutionContext} from 'ava';
 import {createPlatformApp} from '../../../dev/platform-app.js';
 import {checkDefined} from '../../../src/process/debug.js';
 import {createFakeClock} from '../../../src/process/fake-clock.js';
@@ -44,7 +45,7 @@
 	it('says that a write may have taken effect when no answer comes in time', async t => {
 		const clock = createFakeClock();
 		const server = http.createServer();
-		const client = createPlatformClient({clock, url: await listen(server), timeoutMs: 1000});
+		const client = createPlatformClient({clock, url: await open(t, server), timeoutMs: 1000});
 		const pending = client.table.commit(anyWrite);
 		await once(server, 'request');
 		clock.advance(1000);
@@ -52,9 +53,6 @@
 		t.is(error.kind, 'timeout');
 		t.true(error.mayHaveTakenEffect);
 		t.true(error.diagnostic.message.includes('1000 ms'));
-
-		server.closeAllConnections();
-		server.close();
 	});
 
 	it('takes an answer of another form as invalid', async t => {
@@ -62,14 +60,11 @@
 			res.statusCode = req.method === 'GET' ? 200 : 404;
 			res.end('<html>');
 		});
-		const client = createPlatformClient({clock: createFakeClock(), url: await listen(server), timeoutMs: 1000});
+		const client = createPlatformClient({clock: createFakeClock(), url: await open(t, server), timeoutMs: 1000});
 		t.is(await unwrapError(client.table.get('a').mapErr(({kind}) => kind)), 'invalid');
 		const error = await unwrapError(client.table.commit(anyWrite));
 		t.is(error.kind, 'invalid');
 		t.false(error.mayHaveTakenEffect);
-
-		await client.close();
-		server.close();
 	});
 
 	it('makes no call during the pause after failures in a row, and then one at a time', async t => {
@@ -80,7 +75,7 @@
 			req.socket.destroy();
 		});
 		const client = createPlatformClient({
-			clock, url: await listen(server), timeoutMs: 1000, failuresToOpen: 2, pauseMs: 500,
+			clock, url: await open(t, server), timeoutMs: 1000, failuresToOpen: 2, pauseMs: 500,
 		});
 		for (let i = 0; i < 6; i++) {
 			await client.table.get('a');
@@ -94,8 +89,6 @@
 		clock.advance(500);
 		await Promise.all([client.table.get('a'), client.table.get('a')]);
 		t.is(requests, 3);
-		await client.close();
-		server.close();
 	});
 
 	it('opens no more connections than it may', async t => {
@@ -109,16 +102,23 @@
 			connections++;
 		});
 		const client = createPlatformClient({
-			clock: createFakeClock(), url: await listen(server), timeoutMs: 1000, connections: 3,
+			clock: createFakeClock(), url: await open(t, server), timeoutMs: 1000, connections: 3,
 		});
 		const results = await Promise.all(Array.from({length: 30}, async () => client.table.scan('a', 1)));
 		t.true(results.every(result => result.isOk()));
 		t.is(connections, 3);
-		await client.close();
-		server.close();
 	});
 });
 
+/** Listens until the test ends. */
+async function open(t: ExecutionContext, server: http.Server): Promise<string> {
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	return listen(server);
+}
+
 async function listen(server: Pick<net.Server, 'listen' | 'address'> & NodeJS.EventEmitter): Promise<string> {
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
--- a/test/process/platform/contract.ts
+++ b/test/process/platform/contract.ts
@@ -4,7 +4,7 @@
 import {Buffer} from 'node:buffer';
 import type {MemoryPlatform} from '../../../src/process/platform/memory.js';
 import type {Platform} from '../../../src/process/platform/types.js';
-import {it} from '../../describe.js';
+import {it, type TestBody} from '../../describe.js';
 import {unwrap, unwrapError} from '../../unwrap.js';
 
 /** A platform under test, and the memory platform behind it, whose faults can be switched. */
@@ -16,11 +16,11 @@
 
 /** Declares the tests. */
 export function describePlatform(open: () => Promise<OpenPlatform>): void {
-	function test(name: string, body: (t: Parameters<Parameters<typeof it>[1]>[0], platform: Platform, memory: MemoryPlatform) => Promise<void>): void {
+	function test(name: string, body: (t: Parameters<TestBody>[0], platform: Platform, memory: MemoryPlatform) => Promise<void>): void {
 		it(name, async t => {
 			const {platform, memory, close} = await open();
+			t.teardown(async () => close?.());
 			await body(t, platform, memory);
-			await close?.();
 		});
 	}
 
