Run random failures with the real versions and records, and with racing operators

Cause: the runs had stand-ins of their own for the configuration and the records of submissions. Change: entries of the runs follow and publish versions through src/version and keep records through createFateRecorder; each drain is published while a second operator changes the policy.

--- a/test/failure/config.ts
+++ b/test/failure/config.ts
@@ -1,7 +1,15 @@
 /**
- * The configuration of simulated runs.
+ * The configuration of simulated runs, and the operators who change it.
  */
-import type {Snapshot} from '../../src/version/types.js';
+import {sleep} from '../../src/process/clock.js';
+import type {Platform} from '../../src/process/platform/types.js';
+import {loadHead} from '../../src/version/load.js';
+import {publish} from '../../src/version/publish.js';
+import type {
+	Change, ConfigObject, PlacementMode, PolicyObject, UpstreamObject,
+} from '../../src/version/types.js';
+import type {Journal} from './journal.js';
+import type {SimulatedProcess} from './simulation.js';
 
 /** Names of the upstreams; the agent beside each bears the same name. */
 export const upstreamNames = ['u1', 'u2', 'u3'] as const;
@@ -12,25 +20,74 @@
 /** Longest time to an answer. */
 export const deadlineMs = 6000;
 
-/** Builds a version in which the named upstreams take no new work. */
-export function createSnapshot(version: number, drained: readonly string[]): Snapshot {
+/** Publishes changes, and tries again until each is accepted. */
+export type Operator = {
+	publish(objects: readonly ConfigObject[]): void;
+	/** The newest version that was accepted. */
+	getPublished(): number;
+};
+
+const retryMs = 200;
+
+/** Creates an operator. */
+export function createOperator(process: SimulatedProcess, platform: Platform, journal: Journal): Operator {
+	const {clock} = process;
+	let published = 0;
+	let changeSets = 0;
+
+	return {
+		publish(objects) {
+			changeSets++;
+			void publishUntilAccepted(`change-${changeSets}`, objects.map(object => ({kind: 'put', object})));
+		},
+		getPublished: () => published,
+	};
+
+	async function publishUntilAccepted(id: string, changes: readonly Change[]): Promise<void> {
+		for (;;) {
+			const head = await loadHead(platform);
+			const outcome = await publish({platform, clock}, {
+				id, base: head.isOk() ? head.value.version : 0, author: process.name, reason: 'test', changes,
+			});
+			if (outcome.isOk()) {
+				published = Math.max(published, outcome.value.version);
+				journal.note({kind: 'published', version: outcome.value.version});
+				return;
+			}
+
+			await sleep(clock, retryMs);
+		}
+	}
+}
+
+/** An upstream that takes new work or not. */
+export function createUpstreamObject(name: string, drain: boolean): UpstreamObject {
 	return {
-		version,
-		services: new Map([['meals', {
+		kind: 'upstream', name, service: 'meals', slots: slotsPerUpstream, drain,
+	};
+}
+
+/** The policy of the only service. */
+export function createPolicy(placement: PlacementMode): PolicyObject {
+	return {
+		kind: 'policy', name: 'standard', placement, maxQueuedTasks: 80,
+		taskTimeout: 1500, deadline: deadlineMs, retryPercent: 20, hedgePercent: 0, recordBeforeStart: false,
+	};
+}
+
+/** Everything that the first version holds. */
+export function createObjects(): ConfigObject[] {
+	return [
+		createPolicy('response'),
+		{
 			kind: 'service', name: 'meals', policy: 'standard', maxTasksPerJob: 100, maxPayload: 1000,
-		}]]),
-		upstreams: new Map(upstreamNames.map(name => [name, {
-			kind: 'upstream', name, service: 'meals', slots: slotsPerUpstream, drain: drained.includes(name),
-		}])),
-		policies: new Map([['standard', {
-			kind: 'policy', name: 'standard', placement: version % 2 === 0 ? 'response' : 'messages', maxQueuedTasks: 80,
-			taskTimeout: 1500, deadline: deadlineMs, retryPercent: 20, hedgePercent: 0, recordBeforeStart: false,
-		}]]),
-		submissions: new Map([true, false].map(idempotent => [idempotent ? 'check' : 'order', {
-			kind: 'submission', name: idempotent ? 'check' : 'order', service: 'meals', team: 'office', idempotent, deadline: deadlineMs, expectedRun: 200,
-		}])),
-		teams: new Map([['office', {
+		},
+		...upstreamNames.map(name => createUpstreamObject(name, false)),
+		{
 			kind: 'team', name: 'office', maxTasks: 100, weight: 1,
-		}]]),
-	};
+		},
+		...['check', 'order'].map((name): ConfigObject => ({
+			kind: 'submission', name, service: 'meals', team: 'office', idempotent: name === 'check', deadline: deadlineMs, expectedRun: 200,
+		})),
+	];
 }
--- a/test/failure/directed.test.ts
+++ b/test/failure/directed.test.ts
@@ -3,6 +3,7 @@
 import {describe, it} from '../describe.js';
 import {createCallers, type Callers, type SubmissionPlan} from './callers.js';
 import {findViolations} from './checker.js';
+import {createUpstreamObject, upstreamNames} from './config.js';
 import type {JournalEntry} from './journal.js';
 import {createWorld, entryNames, type World} from './world.js';
 
@@ -21,6 +22,7 @@
 			const {world, callers} = await start(1);
 			for (let i = 0; i < 20; i++) {
 				callers.submit({...job, isDoubled: true, askAgainAfter: 500 + (i * 1500)});
+				await world.advance(100);
 			}
 
 			await world.advance(40_000);
@@ -121,12 +123,13 @@
 			const {world, callers} = await start(5);
 			for (let round = 0; round < 10; round++) {
 				await load(world, callers, 30, 20);
-				world.publish([['u1', 'u2', 'u3'][round % 3]!]);
+				const name = upstreamNames[round % 3]!;
+				world.operator.publish([createUpstreamObject(name, true)]);
 				callers.cancelWave(0.2);
 				await world.advance(1500);
+				world.operator.publish([createUpstreamObject(name, false)]);
 			}
 
-			world.publish([]);
 			await world.advance(settleMs);
 			t.true(countRan(world, 'not-run') > 0);
 			expectKept(t, world, callers);
--- a/test/failure/entry.ts
+++ b/test/failure/entry.ts
@@ -4,7 +4,7 @@
  */
 import {createHeldQueries, recoverAnswer} from '../../src/connection/held-queries.js';
 import {createLinkHub, type LinkHub} from '../../src/connection/link-server.js';
-import type {EntryAddress, RelayReply} from '../../src/generated/kingcuplane.js';
+import type {ConfigUpdate, EntryAddress, RelayReply} from '../../src/generated/kingcuplane.js';
 import type {PeerRequest} from '../../src/connection/peer-hub.js';
 import {every, type Milliseconds} from '../../src/process/clock.js';
 import {createEntryDirectory, type EntryDirectory} from '../../src/process/entry-directory.js';
@@ -14,6 +14,7 @@
 import {createSettlements} from '../../src/request/settlement.js';
 import {createTicketIssuer, type TicketIssuer} from '../../src/request/ticket.js';
 import type {Ticket} from '../../src/request/types.js';
+import {createVersionFollower} from '../../src/version/follower.js';
 import type {Snapshot} from '../../src/version/types.js';
 import {createFates} from './fates.js';
 import type {Journal} from './journal.js';
@@ -27,7 +28,8 @@
 	readonly address: string;
 	isLinked(incarnation: string): boolean;
 	relay(incarnation: string, req: PeerRequest): Promise<RelayReply | undefined>;
-	getSnapshot(version: number): Snapshot;
+	/** A number in [0, 1), for jitter. */
+	random(): number;
 	declaredDead(): void;
 	/** An answer for a dead entry's ticket stands. */
 	settled(ticket: Ticket): void;
@@ -51,7 +53,6 @@
 	drain(done: (openJobs: number) => void): void;
 };
 
-const pollMs: Milliseconds = 1000;
 const drainMs: Milliseconds = 20_000;
 const drainCheckMs: Milliseconds = 10;
 
@@ -63,10 +64,12 @@
 	const {process, platform, journal} = host;
 	const {clock, name: incarnation} = process;
 	const self: EntryAddress = {name: host.address, incarnation, links: host.address};
-	let snapshot: Snapshot | undefined;
+	const follower = createVersionFollower({
+		platform, clock, random: host.random, onFault: () => undefined,
+	});
 	let isDraining = false;
 	let taken = 0;
-	const fates = createFates(clock, platform.objects);
+	const fates = createFates(clock, incarnation, platform.objects);
 	const issuer = createTicketIssuer({
 		clock, incarnation, key: new Uint8Array(32), blockMs: 2000, lifetimeMs: 20_000,
 	});
@@ -88,7 +91,7 @@
 		agentGraceMs: 3000,
 		answerKeepMs: 8000,
 		maxTasks: 100,
-		tryGetSnapshot: () => snapshot,
+		tryGetSnapshot: follower.tryGet,
 		isDraining: () => isDraining,
 		send(agent, start) {
 			links.send(agent, start);
@@ -114,9 +117,7 @@
 		sessions: home.sessions,
 		getQueued: home.scheduler.getQueued,
 		getReturned: home.scheduler.getReturned,
-		tryGetConfig: agent => snapshot && {
-			version: snapshot.version, slots: snapshot.upstreams.get(agent.upstream)!.slots, taskTimeoutMs: 0, drain: snapshot.upstreams.get(agent.upstream)!.drain,
-		},
+		tryGetConfig: agent => tryGetConfig(follower.tryGet(), agent.upstream),
 		getEntries: directory.getLive,
 		getFenced: directory.getDead,
 		isDraining: () => isDraining,
@@ -150,10 +151,12 @@
 		},
 		recordDelivery: fates.recorder.recordDelivery,
 	});
-	every(clock, pollMs, () => {
-		void follow();
+	follower.onChange(snapshot => {
+		journal.note({kind: 'in-force', process: incarnation, version: snapshot.version});
+		home.applySnapshot(snapshot);
+		links.changedForAll();
 	});
-	void follow();
+	follower.start();
 
 	return {
 		process,
@@ -163,7 +166,7 @@
 		directory,
 		links,
 		isSaved: fates.isSaved,
-		getVersion: () => snapshot?.version ?? 0,
+		getVersion: () => follower.tryGet()?.version ?? 0,
 		isDraining: () => isDraining,
 		getTaken: () => taken,
 		drain(done) {
@@ -180,15 +183,11 @@
 			});
 		},
 	};
+}
 
-	async function follow(): Promise<void> {
-		const row = await platform.table.get('config/head');
-		const version = row.isOk() ? Number(row.value?.value ?? 0) : 0;
-		if (version > (snapshot?.version ?? 0)) {
-			snapshot = host.getSnapshot(version);
-			journal.note({kind: 'in-force', process: incarnation, version});
-			home.applySnapshot(snapshot);
-			links.changedForAll();
-		}
-	}
+function tryGetConfig(snapshot: Snapshot | undefined, name: string): ConfigUpdate | undefined {
+	const upstream = snapshot?.upstreams.get(name);
+	return upstream && {
+		version: snapshot!.version, slots: upstream.slots, taskTimeoutMs: 0, drain: upstream.drain,
+	};
 }
--- a/test/failure/fates.ts
+++ b/test/failure/fates.ts
@@ -1,11 +1,12 @@
 /**
- * Records of submissions for simulated runs: kept in memory, and saved a second later as one object each.
+ * Records of submissions in simulated runs, and the search for them in memory and at the platform.
  */
-import {every, type Clock} from '../../src/process/clock.js';
-import {encodeBlock, findInBlock} from '../../src/request/fate-codec.js';
+import type {Clock} from '../../src/process/clock.js';
 import type {ObjectStore} from '../../src/process/platform/types.js';
+import {findInBlock, getBlockKey} from '../../src/request/fate-codec.js';
+import {createFateRecorder} from '../../src/request/fate-recorder.js';
 import type {FoundFate} from '../../src/request/router.js';
-import type {FateRecorder, SubmissionFate, Ticket} from '../../src/request/types.js';
+import type {FateRecorder, Ticket} from '../../src/request/types.js';
 
 /** A recorder and the search for its records. */
 export type Fates = {
@@ -16,74 +17,40 @@
 };
 
 /** Creates the records of one entry incarnation. */
-export function createFates(clock: Clock, objects: ObjectStore): Fates {
-	const fates = new Map<string, SubmissionFate>();
-	const unsaved = new Set<string>();
-	const saving = new Set<string>();
-	every(clock, 1000, () => {
-		void flush();
+export function createFates(clock: Clock, incarnation: string, objects: ObjectStore): Fates {
+	const recorder = createFateRecorder({
+		clock,
+		incarnation,
+		settings: {
+			memoryBytes: 10_000_000, writesPerSecond: 50, saveDelayMs: 200, keepMs: 5000, blockOpenMs: 24_000,
+		},
+		put: objects.put,
+		random: () => 0.5,
+		log: () => undefined,
 	});
 
 	return {
-		recorder: {
-			tryAccept(facts) {
-				fates.set(facts.ticket.text, {
-					...facts, deliveries: [], tasks: new Map(), detailDropped: false,
-				});
-				unsaved.add(facts.ticket.text);
-				return undefined;
-			},
-			recordSent: () => undefined,
-			recordEnded: () => undefined,
-			recordCancelled: () => undefined,
-			recordAnswer(ticket, {state, ran, diagnostic}) {
-				fates.get(ticket)!.answer = {
-					state, ran, diagnostic, at: clock.wall(),
-				};
-				unsaved.add(ticket);
-			},
-			recordDelivery: () => undefined,
-			tryGet: ticket => fates.get(ticket),
-			whenSaved(_ticket, action) {
-				void flush().then(action);
-			},
-			flush,
-			getUnsaved: () => unsaved.size,
+		recorder,
+		isSaved(ticket) {
+			let isSaved = false;
+			recorder.whenSaved(ticket, () => {
+				isSaved = true;
+			});
+			return isSaved;
 		},
-		isSaved: ticket => !unsaved.has(ticket) && !saving.has(ticket),
 		async find(ticket) {
-			const own = fates.get(ticket.text);
+			const own = recorder.tryGet(ticket.text);
 			if (own !== undefined) {
 				return {fate: own, json: own};
 			}
 
-			const answered = await objects.get(getKey(ticket.text, true));
-			const saved = answered.isOk() && answered.value === undefined ? await objects.get(getKey(ticket.text, false)) : answered;
-			if (saved.isErr()) {
+			const bytes = await objects.get(getBlockKey(ticket.incarnation, ticket.block));
+			if (bytes.isErr()) {
 				return 'unreadable';
 			}
 
-			const fate = saved.value && findInBlock(saved.value, ticket.sequence)._unsafeUnwrap();
+			const fate = bytes.value && findInBlock(bytes.value, ticket.sequence)._unsafeUnwrap();
 			return fate && {fate, json: fate};
 		},
 	};
-
-	async function flush(): Promise<void> {
-		const texts = [...unsaved];
-		unsaved.clear();
-		await Promise.all(texts.map(async text => {
-			saving.add(text);
-			const fate = fates.get(text)!;
-			const outcome = await objects.put(getKey(text, fate.answer !== undefined), encodeBlock({...fate.ticket, fates: [fate]}));
-			saving.delete(text);
-			if (outcome.isErr()) {
-				unsaved.add(text);
-			}
-		}));
-	}
-}
-
-// A write that timed out may take effect late; it must not replace a record that has the answer.
-function getKey(ticket: string, isAnswered: boolean): string {
-	return `fates/${ticket}/${isAnswered ? 'answered' : 'open'}`;
 }
--- a/test/failure/faults.ts
+++ b/test/failure/faults.ts
@@ -4,7 +4,7 @@
 import type {Milliseconds} from '../../src/process/clock.js';
 import type {PlatformFaults} from '../../src/process/platform/memory.js';
 import type {Callers} from './callers.js';
-import {upstreamNames} from './config.js';
+import {createPolicy, createUpstreamObject, upstreamNames} from './config.js';
 import {createDice, type Dice} from './simulation.js';
 import type {UpstreamMode} from './upstream.js';
 import {entryNames, type World} from './world.js';
@@ -119,9 +119,11 @@
 		}
 
 		case 'drain': {
-			world.publish([fault.name]);
+			// A second operator changes something else at the same time.
+			world.operator.publish([createUpstreamObject(fault.name, true)]);
+			world.operator.publish([createPolicy('messages')]);
 			clock.after(fault.duration, () => {
-				world.publish([]);
+				world.operator.publish([createUpstreamObject(fault.name, false)]);
 			});
 			break;
 		}
--- a/test/failure/run.ts
+++ b/test/failure/run.ts
@@ -4,7 +4,9 @@
 import type {Milliseconds} from '../../src/process/clock.js';
 import {createCallers, type SubmissionPlan} from './callers.js';
 import {findViolations, type Violation} from './checker.js';
-import {deadlineMs, slotsPerUpstream, upstreamNames} from './config.js';
+import {
+	createObjects, deadlineMs, slotsPerUpstream, upstreamNames,
+} from './config.js';
 import {
 	applyFault, drawFaults, faultsMs, longestFaultMs, type PlannedFault,
 } from './faults.js';
@@ -57,7 +59,7 @@
 
 	await world.advance(faultsMs + recoverMs);
 	callers.finish();
-	await placeForResponse(world);
+	await restoreConfiguration(world);
 	await probeSlots(world, callers.submit);
 	noteEnd(world);
 	return {violations: findViolations(world.journal.entries), journal: world.journal.entries};
@@ -74,13 +76,10 @@
 	};
 }
 
-/** Entries that place for few messages keep credits while idle, which the probe would count as slots out of use. */
-async function placeForResponse(world: World): Promise<void> {
-	while (world.getPublished() % 2 !== 0) {
-		world.publish([]);
-	}
-
-	await world.advance(3000);
+/** Drained upstreams, and idle credits that entries keep to save messages, would count as slots out of use. */
+async function restoreConfiguration(world: World): Promise<void> {
+	world.operator.publish(createObjects());
+	await world.advance(4000);
 }
 
 /** After all faults every slot can be used again. */
@@ -111,7 +110,7 @@
 
 function noteEnd(world: World): void {
 	const {journal} = world;
-	const published = world.getPublished();
+	const published = world.operator.getPublished();
 	for (const name of entryNames) {
 		const entry = world.getEntry(name);
 		const process = entry.process.name;
--- a/test/failure/world.ts
+++ b/test/failure/world.ts
@@ -8,7 +8,9 @@
 import {createUnreachableError} from '../../src/process/platform/errors.js';
 import type {Platform, PlatformError} from '../../src/process/platform/types.js';
 import {createSimulatedAgent, type SimulatedAgent} from './agent.js';
-import {createSnapshot, upstreamNames} from './config.js';
+import {
+	createObjects, createOperator, upstreamNames, type Operator,
+} from './config.js';
 import {createSimulatedEntry, type SimulatedEntry} from './entry.js';
 import {createJournal, type Journal} from './journal.js';
 import {createNetwork, getHost, type Network} from './network.js';
@@ -26,6 +28,7 @@
 	readonly journal: Journal;
 	readonly network: Network;
 	readonly platform: MemoryPlatform;
+	readonly operator: Operator;
 	readonly upstreams: ReadonlyMap<string, SimulatedUpstream>;
 	getEntry(name: string): SimulatedEntry;
 	getAgent(name: string): SimulatedAgent;
@@ -34,9 +37,6 @@
 	freeze(name: string, duration: Milliseconds): void;
 	/** Shuts an entry or an agent down in order; it comes back as another incarnation. */
 	shutDown(name: string, backAfter: Milliseconds): void;
-	/** Publishes a version in which the named upstreams take no new work. */
-	publish(drained: readonly string[]): void;
-	getPublished(): number;
 	advance(duration: Milliseconds): Promise<void>;
 };
 
@@ -52,12 +52,14 @@
 	const homes = new Map<string, SimulatedEntry>();
 	const agents = new Map<string, SimulatedAgent>();
 	const incarnations = new Map<string, number>();
-	const drainedByVersion: Array<readonly string[]> = [[]];
+	const operatorProcess = createProcess(sim, 'operator');
+	const operator = createOperator(operatorProcess, carryPlatform(operatorProcess), journal);
 	const world: World = {
 		sim,
 		journal,
 		network,
 		platform,
+		operator,
 		upstreams,
 		getEntry: name => entries.get(name)!,
 		getAgent: name => agents.get(name)!,
@@ -72,11 +74,9 @@
 				shutDownAgent(agents.get(name)!, backAfter);
 			}
 		},
-		publish,
-		getPublished: () => drainedByVersion.length - 1,
 		advance: async duration => run(sim, duration),
 	};
-	publish([]);
+	operator.publish(createObjects());
 	for (const name of [...entryNames, ...upstreamNames]) {
 		startProcess(name);
 	}
@@ -103,7 +103,7 @@
 			platform: carryPlatform(process),
 			journal,
 			address: name,
-			getSnapshot: version => createSnapshot(version, drainedByVersion[version]!),
+			random: sim.dice.fraction,
 			isLinked: incarnation => tryGetPeer(name, incarnation) !== undefined,
 			async relay(incarnation, req) {
 				const peer = tryGetPeer(name, incarnation);
@@ -167,18 +167,10 @@
 		});
 	}
 
-	function publish(drained: readonly string[]): void {
-		const version = drainedByVersion.length;
-		drainedByVersion.push(drained);
-		const key = 'config/head';
-		void platform.table.commit({conditions: [], writes: [{key, value: String(version)}]});
-		journal.note({kind: 'published', version});
-	}
-
 	/** The platform as one process reaches it: calls and replies take time and may be lost on the way. */
 	function carryPlatform(process: SimulatedProcess): Platform {
 		const {table, objects} = platform;
-		const call = <T>(action: () => ResultAsync<T, PlatformError>) => new ResultAsync(process.carry(reach(getHost(process), action)));
+		const call = <T>(action: () => ResultAsync<T, PlatformError>) => new ResultAsync(process.carry(reach(process, action)));
 
 		return {
 			table: {
@@ -195,7 +187,12 @@
 		};
 	}
 
-	async function reach<T>(host: string, action: () => ResultAsync<T, PlatformError>): Promise<Result<T, PlatformError>> {
+	async function reach<T>(process: SimulatedProcess, action: () => ResultAsync<T, PlatformError>): Promise<Result<T, PlatformError>> {
+		if (!process.isAlive()) {
+			return err(createUnreachableError('the process is dead', false, 100));
+		}
+
+		const host = getHost(process);
 		await pause();
 		if (network.isBlocked('platform', host)) {
 			return err(createUnreachableError('no route', false, 100));
