Judge the window of unsaved answers by what the platform holds, and count it

Change: the judge reads the object as it stands when an answer for a dead home is agreed; npm run failures prints how many tickets were answered for dead homes, and how many of them against an unsaved answer.

--- a/dev/failures.ts
+++ b/dev/failures.ts
@@ -5,7 +5,7 @@
  */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
-import type {Violation} from '../test/failure/checker.js';
+import {countLostAnswers, type Violation} from '../test/failure/checker.js';
 import type {PlannedFault} from '../test/failure/faults.js';
 import {formatEntry, type JournalEntry} from '../test/failure/journal.js';
 import {getFaults, runFailures, type RunReport} from '../test/failure/run.js';
@@ -15,9 +15,16 @@
 const runs = Number(values.runs);
 const broken = new Map<string, number>();
 let failed = 0;
+let settled = 0;
+let lost = 0;
+let starts = 0;
 
 for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
 	const report = await runFailures(seed, getFaults(seed));
+	const answers = countLostAnswers(report.journal);
+	settled += answers.settled;
+	lost += answers.lost;
+	starts += report.journal.filter(({kind}) => kind === 'started').length;
 	if (report.violations.length > 0) {
 		failed++;
 		await explain(seed, report);
@@ -28,6 +35,7 @@
 	console.log(`${rule}: broken in ${count} runs`);
 }
 
+console.log(`${starts} starts; ${settled} tickets answered for dead entries, ${lost} of them against an answer that the entry had given and not saved`);
 console.log(`${runs} runs from seed ${firstSeed}, ${failed} with broken promises`);
 process.exitCode = failed === 0 ? 0 : 1;
 
--- a/test/failure/checker.ts
+++ b/test/failure/checker.ts
@@ -45,6 +45,13 @@
 	return violations;
 }
 
+/** Tickets answered for a dead home, and those of them that had got another answer from that home, unsaved when it died. */
+export function countLostAnswers(entries: readonly JournalEntry[]): {readonly settled: number; readonly lost: number} {
+	const settled = new Set(entries.flatMap(entry => entry.kind === 'settled' ? [entry.ticket] : []));
+	const lost = [...collect(entries).values()].filter(({replies, settledUnsavedAt}) => settledUnsavedAt !== undefined && !isAgreed(replies));
+	return {settled: settled.size, lost: lost.length};
+}
+
 function collect(entries: readonly JournalEntry[]): Map<string, SubmissionHistory> {
 	const histories = new Map<string, SubmissionHistory>();
 	for (const entry of entries) {
@@ -130,12 +137,20 @@
 }
 
 function checkAgreement(replies: ReadonlyArray<Of<'replied'>>, report: Report): void {
-	const finals = replies.map(({body}) => body).filter(body => isFinal(body));
+	if (!isAgreed(replies)) {
+		report('final answers agree', getFinals(replies).map(({state, ran, diagnostic}) => `${state}/${ran}/${diagnostic?.kind ?? ''}`).join(', '));
+	}
+}
+
+function isAgreed(replies: ReadonlyArray<Of<'replied'>>): boolean {
+	const finals = getFinals(replies);
 	const states = new Set(finals.map(({state}) => state));
 	const hasBoth = finals.some(({ran}) => ran === 'not-run') && finals.some(({ran}) => ran === 'ran');
-	if (states.size > 1 || hasBoth) {
-		report('final answers agree', finals.map(({state, ran, diagnostic}) => `${state}/${ran}/${diagnostic?.kind ?? ''}`).join(', '));
-	}
+	return states.size <= 1 && !hasBoth;
+}
+
+function getFinals(replies: ReadonlyArray<Of<'replied'>>): AnswerBody[] {
+	return replies.map(({body}) => body).filter(body => isFinal(body));
 }
 
 function checkWhole(ticket: string, taskCount: number, {tasks, ran, diagnostic}: AnswerBody, report: Report): void {
--- a/test/failure/entry.ts
+++ b/test/failure/entry.ts
@@ -32,7 +32,7 @@
 	random(): number;
 	declaredDead(): void;
 	/** An answer for a dead entry's ticket stands. */
-	settled(ticket: Ticket): void;
+	settled(ticket: Ticket): Promise<void>;
 };
 
 /** One incarnation of an entry. */
@@ -44,8 +44,6 @@
 	readonly directory: EntryDirectory;
 	readonly links: LinkHub;
 	getVersion(): number;
-	/** Whether the record of a ticket as it stands is saved. */
-	isSaved(ticket: string): boolean;
 	isDraining(): boolean;
 	/** Tasks counted against the team's quota. */
 	getTaken(): number;
@@ -80,7 +78,7 @@
 		fates: fates.recorder,
 		quota: {
 			tryTake(team, tasks) {
-				const isFree = taken + tasks <= (snapshot?.teams.get(team)?.maxTasks ?? 0);
+				const isFree = taken + tasks <= (follower.tryGet()?.teams.get(team)?.maxTasks ?? 0);
 				taken += isFree ? tasks : 0;
 				return isFree;
 			},
@@ -144,7 +142,7 @@
 		async settle(ticket, proposal) {
 			const settlement = await settlements.settle(ticket, proposal);
 			if (settlement !== undefined) {
-				host.settled(ticket);
+				await host.settled(ticket);
 			}
 
 			return settlement;
@@ -165,7 +163,6 @@
 		router,
 		directory,
 		links,
-		isSaved: fates.isSaved,
 		getVersion: () => follower.tryGet()?.version ?? 0,
 		isDraining: () => isDraining,
 		getTaken: () => taken,
--- a/test/failure/fates.ts
+++ b/test/failure/fates.ts
@@ -2,6 +2,7 @@
  * Records of submissions in simulated runs, and the search for them in memory and at the platform.
  */
 import type {Clock} from '../../src/process/clock.js';
+import {noPlatformFaults, type MemoryPlatform} from '../../src/process/platform/memory.js';
 import type {ObjectStore} from '../../src/process/platform/types.js';
 import {findInBlock, getBlockKey} from '../../src/request/fate-codec.js';
 import {createFateRecorder} from '../../src/request/fate-recorder.js';
@@ -11,8 +12,6 @@
 /** A recorder and the search for its records. */
 export type Fates = {
 	readonly recorder: FateRecorder;
-	/** Whether the record as it stands is known to be saved. */
-	isSaved(ticket: string): boolean;
 	find(ticket: Ticket): Promise<FoundFate | 'unreadable' | undefined>;
 };
 
@@ -31,13 +30,6 @@
 
 	return {
 		recorder,
-		isSaved(ticket) {
-			let isSaved = false;
-			recorder.whenSaved(ticket, () => {
-				isSaved = true;
-			});
-			return isSaved;
-		},
 		async find(ticket) {
 			const own = recorder.tryGet(ticket.text);
 			if (own !== undefined) {
@@ -54,3 +46,14 @@
 		},
 	};
 }
+
+/** Whether the answer to a ticket stands at the platform now, whatever faults are in force. */
+export async function isAnswerSaved(platform: MemoryPlatform, {incarnation, block, sequence}: Ticket): Promise<boolean> {
+	const faults = platform.getFaults();
+	platform.setFaults(noPlatformFaults);
+	const reading = platform.objects.get(getBlockKey(incarnation, block));
+	platform.setFaults(faults);
+	const result = await reading;
+	const bytes = result._unsafeUnwrap();
+	return bytes !== undefined && findInBlock(bytes, sequence)._unsafeUnwrap()?.answer !== undefined;
+}
--- a/test/failure/journal.ts
+++ b/test/failure/journal.ts
@@ -24,7 +24,7 @@
 	| {readonly kind: 'in-force'; readonly process: string; readonly version: number}
 	/** The processes that were alive and not frozen for the bound before, and the version in force there. */
 	| {readonly kind: 'version-check'; readonly process: string; readonly version: number; readonly published: number}
-	/** An answer for a dead entry's ticket stands; `wasSaved` tells whether that entry had saved its record as it stood. */
+	/** An answer for a dead entry's ticket stands; `wasSaved` tells whether that entry's own answer stands at the platform. */
 	| {readonly kind: 'settled'; readonly ticket: string; readonly wasSaved: boolean}
 	/** A fault was brought about; for people who read the log. */
 	| {readonly kind: 'fault'; readonly text: string};
--- a/test/failure/world.ts
+++ b/test/failure/world.ts
@@ -12,6 +12,7 @@
 	createObjects, createOperator, upstreamNames, type Operator,
 } from './config.js';
 import {createSimulatedEntry, type SimulatedEntry} from './entry.js';
+import {isAnswerSaved} from './fates.js';
 import {createJournal, type Journal} from './journal.js';
 import {createNetwork, getHost, type Network} from './network.js';
 import {
@@ -48,8 +49,6 @@
 	const platform = createMemoryPlatform({clock: sim.clock, timeout: 1000});
 	const upstreams = new Map(upstreamNames.map(name => [name as string, createUpstream(sim, journal, name)]));
 	const entries = new Map<string, SimulatedEntry>();
-	/** Every entry that ever ran, by incarnation. */
-	const homes = new Map<string, SimulatedEntry>();
 	const agents = new Map<string, SimulatedAgent>();
 	const incarnations = new Map<string, number>();
 	const operatorProcess = createProcess(sim, 'operator');
@@ -113,12 +112,11 @@
 				journal.note({kind: 'fault', text: `${process.name} learns that it was declared dead`});
 				kill(name, 500);
 			},
-			settled({text, incarnation}) {
-				journal.note({kind: 'settled', ticket: text, wasSaved: homes.get(incarnation)!.isSaved(text)});
+			async settled(ticket) {
+				journal.note({kind: 'settled', ticket: ticket.text, wasSaved: await isAnswerSaved(platform, ticket)});
 			},
 		});
 		entries.set(name, entry);
-		homes.set(process.name, entry);
 		network.listen({address: name, process, links: entry.links});
 	}
 
