Place tasks by urgency, with free slots that any entry may use

Cause: each change of a queue was told to all agents (23.6 messages a task at 80 %), the longest queue took every freed slot, and idle credits lay at entries that did not need them. Ruled out: starts without a credit wherever slots - running seems free (half of them refused); a reserve kept at agents for all entries (waiting entries rush for it: 1.6 to 2.9 messages); job order by ideal time without a cap. Change: agents tell the slots granted to nobody (AgentCondition.free, CreditGranter.getFree) and accept starts without a credit there; freed slots go to the most urgent waiting job (Scheduler.tryGetHead, setQueued(entry, queued, head?)), at no message to the entry whose task ended (release(entry?)); demand is divided among usable agents; run times are learned for each submission (QueuedJob.submission?); a draining agent waits for one answer from each entry, as a start without a credit may be on its way.

--- a/src/connection/credit-granter.ts
+++ b/src/connection/credit-granter.ts
@@ -3,7 +3,24 @@
  * unused credits and running tasks together never exceed the slots.
  */
 import {assert} from '../process/debug.js';
-import type {CreditGranter, CreditGranterHost} from './types.js';
+import type {Milliseconds} from '../process/clock.js';
+import type {CreditGranter, CreditGranterHost, WaitingHead} from './types.js';
+import {getUrgency} from './urgency.js';
+
+/**
+ * A job may be this many times more urgent than another before a freed slot changes hands for it: towards an
+ * entry that keeps its credits, and towards one that hands them back at once.
+ */
+const keeperTolerance = 4;
+const returnerTolerance = 2;
+/** Taken for an entry that tells no waiting job. */
+const unknownHead: WaitingHead = {waited: 0, size: 1000};
+/** Slots are first divided into at least this many parts, so that a second entry finds some. */
+const minShares = 2;
+/** Weight of the newest credit in the share of credits that an entry hands back. */
+const newestWeight = 0.05;
+/** An entry that hands back a larger share of its credits gets one only while tasks wait there. */
+const maxReturnedShare = 0.3;
 
 /** What is known of one entry. All counters start from zero when its link opens. */
 type EntryAccount = {
@@ -15,8 +32,11 @@
 	voided: number;
 	/** Tasks that wait at the entry, as last told. */
 	queued: number;
-	/** True once the entry has handed credits back and has shown no demand since. */
-	isSated: boolean;
+	/** The job that the entry would start next, and when it was told. */
+	head: WaitingHead | undefined;
+	toldAt: Milliseconds;
+	/** Share of the credits handed back, the newest counting most. */
+	returnedShare: number;
 };
 
 /** Creates the granter of an upstream that runs `slots` tasks at the same time. */
@@ -33,16 +53,18 @@
 			grantFree();
 		},
 		setDraining(draining) {
-			isDraining = draining;
-			if (draining) {
+			if (draining && !isDraining) {
 				voidExcess(0);
+				askForReply();
 			}
 
+			isDraining = draining;
+
 			grantFree();
 		},
 		open(entry) {
 			accounts.set(entry, {
-				entry, granted: 0, used: 0, returned: 0, voided: 0, queued: 0, isSated: false,
+				entry, granted: 0, used: 0, returned: 0, voided: 0, queued: 0, head: undefined, toldAt: 0, returnedShare: 0,
 			});
 			grantFree();
 		},
@@ -50,17 +72,15 @@
 			accounts.delete(entry);
 			grantFree();
 		},
-		setQueued(entry, queued) {
+		setQueued(entry, queued, head) {
 			const account = accounts.get(entry);
 			if (account === undefined) {
 				return;
 			}
 
 			account.queued = queued;
-			if (queued > 0) {
-				account.isSated = false;
-			}
-
+			account.head = head;
+			account.toldAt = host.clock.now();
 			grantFree();
 		},
 		setReturned(entry, returned) {
@@ -70,10 +90,10 @@
 			}
 		},
 		tryUse,
-		release() {
+		release(entry) {
 			assert(running > 0, 'a slot is released once for each credit used');
 			running--;
-			grantFree();
+			grantFree(entry === undefined ? choosePoorest() : accounts.get(entry));
 		},
 		getGranted: entry => accounts.get(entry)?.granted ?? 0,
 		getOutstanding() {
@@ -84,40 +104,46 @@
 
 			return count;
 		},
+		getFree: () => isDraining ? 0 : Math.max(0, getFree()),
 	};
 
 	function tryUse(entry: string): boolean {
 		const account = accounts.get(entry);
-		if (account === undefined || getHeld(account) === 0) {
+		if (account === undefined) {
 			return false;
 		}
 
-		const isUsable = getUsable(account) > 0;
+		const isGranted = getHeld(account) > 0;
+		const isUsable = isGranted ? getUsable(account) > 0 : !isDraining && getFree() > 0;
+		if (!isGranted) {
+			account.granted++;
+		}
+
 		account.used++;
-		account.queued = Math.max(0, account.queued - 1);
-		account.isSated = false;
 		if (isUsable) {
 			running++;
-		} else {
+		} else if (isGranted) {
 			account.voided--;
 		}
 
 		return isUsable;
 	}
 
-	function grantFree(): void {
+	/** Grants what is free. `releasing` is the entry whose task has just ended. */
+	function grantFree(releasing?: EntryAccount): void {
 		if (isDraining) {
 			return;
 		}
 
 		const changed = new Set<EntryAccount>();
 		for (let free = getFree(); free > 0; free--) {
-			const account = chooseEntry(accounts.values());
+			const account = chooseWaiting(accounts.values(), releasing, host.clock.now()) ?? chooseIdle(releasing);
 			if (account === undefined) {
 				break;
 			}
 
 			account.granted++;
+			account.returnedShare -= account.returnedShare * newestWeight;
 			changed.add(account);
 		}
 
@@ -126,6 +152,35 @@
 		}
 	}
 
+	/** Where a slot goes that no task waits for: back to the entry that used it, or evenly to new entries. */
+	function chooseIdle(releasing: EntryAccount | undefined): EntryAccount | undefined {
+		if (releasing !== undefined) {
+			return isReturner(releasing) ? undefined : releasing;
+		}
+
+		const evenPart = Math.ceil(slotCount / Math.max(minShares, accounts.size));
+		let poorest: EntryAccount | undefined;
+		for (const account of accounts.values()) {
+			if (isNew(account) && getHeld(account) < evenPart && (poorest === undefined || getHeld(account) < getHeld(poorest))) {
+				poorest = account;
+			}
+		}
+
+		return poorest;
+	}
+
+	/** Stands in for the entry whose task ended where the caller does not know it. */
+	function choosePoorest(): EntryAccount | undefined {
+		let poorest: EntryAccount | undefined;
+		for (const account of accounts.values()) {
+			if (poorest === undefined || getHeld(account) < getHeld(poorest)) {
+				poorest = account;
+			}
+		}
+
+		return poorest;
+	}
+
 	function getFree(): number {
 		return slotCount - running - sumUsable();
 	}
@@ -139,6 +194,18 @@
 		return sum;
 	}
 
+	/**
+	 * Gives each entry one credit that allows no start. An entry hands it back once it knows of the draining, and
+	 * sends nothing without a credit from then on; until then it counts as outstanding.
+	 */
+	function askForReply(): void {
+		for (const account of accounts.values()) {
+			account.granted++;
+			account.voided++;
+			host.changed(account.entry);
+		}
+	}
+
 	/** Voids unused credits until they and the running tasks fit into `limit` slots. */
 	function voidExcess(limit: number): void {
 		let excess = running + sumUsable() - limit;
@@ -158,11 +225,18 @@
 	}
 
 	account.returned = returned;
+	account.returnedShare = 1 - ((1 - account.returnedShare) * ((1 - newestWeight) ** count));
 	account.voided -= Math.min(account.voided, count);
-	account.isSated = account.queued === 0;
+	// An entry keeps its credits while tasks wait for them.
+	account.queued = 0;
 	return true;
 }
 
+/** The demand of an entry is unknown until it has used a credit or handed one back. */
+function isNew(account: EntryAccount): boolean {
+	return account.used === 0 && account.returned === 0;
+}
+
 /** Credits that the entry counts as its own. */
 function getHeld(account: EntryAccount): number {
 	return account.granted - account.used - account.returned;
@@ -173,23 +247,38 @@
 	return getHeld(account) - account.voided;
 }
 
-/** The entry with the longest unserved queue; without any queue, the one with the fewest credits. */
-function chooseEntry(accounts: Iterable<EntryAccount>): EntryAccount | undefined {
-	let neediest: EntryAccount | undefined;
-	let poorest: EntryAccount | undefined;
+/**
+ * The entry with the most urgent job among those whose queue is not served. The one whose task has just
+ * ended goes first if its job is nearly as urgent, because a grant to it needs no message.
+ */
+function chooseWaiting(accounts: Iterable<EntryAccount>, releasing: EntryAccount | undefined, now: Milliseconds): EntryAccount | undefined {
+	let best: EntryAccount | undefined;
+	let bestUrgency = 0;
 	for (const account of accounts) {
-		if (getUnserved(account) > (neediest === undefined ? 0 : getUnserved(neediest))) {
-			neediest = account;
-		}
-
-		if (!account.isSated && (poorest === undefined || getHeld(account) < getHeld(poorest))) {
-			poorest = account;
+		const isFree = account === releasing && account.head !== undefined;
+		const urgency = getHeadUrgency(account, now) * (isFree ? getTolerance(account) : 1);
+		if ((isFree || isUnserved(account)) && urgency > bestUrgency) {
+			best = account;
+			bestUrgency = urgency;
 		}
 	}
 
-	return neediest ?? poorest;
+	return best;
+}
+
+/** An entry that soon hands back what it does not need. */
+function isReturner(account: EntryAccount): boolean {
+	return account.returnedShare > maxReturnedShare;
+}
+
+function getTolerance(account: EntryAccount): number {
+	return isReturner(account) ? returnerTolerance : keeperTolerance;
+}
+
+function isUnserved(account: EntryAccount): boolean {
+	return account.queued > getUsable(account);
 }
 
-function getUnserved(account: EntryAccount): number {
-	return account.queued - getUsable(account);
+function getHeadUrgency({head = unknownHead, toldAt}: EntryAccount, now: Milliseconds): number {
+	return getUrgency(head.waited + now - toldAt, head.size);
 }
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -27,6 +27,8 @@
 	readonly meanRun: Milliseconds;
 	/** Share of recent tasks that failed, in thousandths. */
 	readonly failedPerMille: number;
+	/** Free slots granted to nobody: a start without a credit may use one. Undefined if the agent does not tell. */
+	readonly free?: number;
 };
 
 /** A job whose tasks wait for slots. */
@@ -34,6 +36,8 @@
 	/** Text of its ticket. */
 	readonly ticket: string;
 	readonly service: string;
+	/** Name of the submission object; run times are learned for each. */
+	readonly submission?: string;
 	readonly team: string;
 	/** Tasks with the indexes 0 to taskCount - 1 wait. */
 	readonly taskCount: number;
@@ -53,6 +57,17 @@
 	readonly attempt: number;
 };
 
+/** The waiting job that an entry would start next. Entries are compared by it when a slot becomes free. */
+export type WaitingHead = {
+	/** Time that it has waited. */
+	readonly waited: Milliseconds;
+	/**
+	 * Expected run time of all its tasks together, at most what all slots do in a few rounds, and at most the
+	 * time allowed for its answer.
+	 */
+	readonly size: Milliseconds;
+};
+
 /** Effects of the scheduler. */
 export type SchedulerHost = {
 	readonly clock: Clock;
@@ -108,8 +123,13 @@
 	remove(ticket: string): readonly number[];
 	/** A task that was started has ended, whatever its outcome; `run` is undefined if it did not run. */
 	recordEnd(incarnation: string, ticket: string, outcome: 'completed' | 'failed' | 'unknown' | 'refused', run: Milliseconds | undefined): void;
-	/** Tasks waiting here that this agent could run. */
+	/**
+	 * Credits wanted from this agent for waiting tasks. The tasks are divided among the agents, so this is less
+	 * than the length of the queue. Read it when a batch is made up: what was read counts as told.
+	 */
 	getQueued(incarnation: string): number;
+	/** The job that would start next on this agent; undefined if none waits. */
+	tryGetHead(incarnation: string): WaitingHead | undefined;
 	/** Credits handed back unused to this agent since the link opened. */
 	getReturned(incarnation: string): number;
 };
@@ -133,18 +153,26 @@
 	open(entry: string): void;
 	/** The link was lost: its unused credits are void and their slots free again. */
 	close(entry: string): void;
-	/** Tasks that wait at the entry for this service, as last told. */
-	setQueued(entry: string, queued: number): void;
+	/** Credits that the entry wants for waiting tasks, as last told, and the job that it would start next. */
+	setQueued(entry: string, queued: number, head?: WaitingHead): void;
 	/** Credits handed back since the link opened; a lower figure than before is ignored. */
 	setReturned(entry: string, returned: number): void;
-	/** A start from this entry has arrived: spends a credit; false if it has none. */
+	/**
+	 * A start from this entry has arrived: spends a credit. Without one, a slot that is free and granted to
+	 * nobody is granted and spent at once; false if there is none, and then the start must be refused.
+	 */
 	tryUse(entry: string): boolean;
-	/** A task that used a credit has ended: its slot is free. */
-	release(): void;
+	/**
+	 * A task that used a credit has ended: its slot is free. `entry` is the one that started it; a grant to it
+	 * costs no message of its own, as it goes with the result.
+	 */
+	release(entry?: string): void;
 	/** Credits granted to this entry since its link opened. */
 	getGranted(entry: string): number;
 	/** Credits that entries on open links still count as their own; none of them can start a task once this is 0. */
 	getOutstanding(): number;
+	/** Free slots granted to nobody. */
+	getFree(): number;
 };
 
 /** Bounds the tasks that one team has waiting or running, over all entries. */
--- a/src/request/credit-pool.ts
+++ b/src/request/credit-pool.ts
@@ -13,8 +13,15 @@
 	granted: number;
 	started: number;
 	returned: number;
-	/** Since when at least one credit has lain unused. */
-	idleSince: Milliseconds;
+	/** Slots that are probably free and granted to nobody: a start without a credit may succeed there. */
+	believedFree: number;
+	/** When the agent last told its condition. */
+	toldAt: Milliseconds;
+	/** Credits wanted from this agent, and how many it was last told. */
+	wanted: number;
+	toldWanted: number;
+	/** Whether a batch is due because of the credits wanted. */
+	isReported: boolean;
 };
 
 /** All agents with open links. */
@@ -24,7 +31,7 @@
 	tryGet(incarnation: string): PooledAgent | undefined;
 	/** Agents of a service, in the order in which their links opened. */
 	getAgents(service: string): ReadonlySet<PooledAgent>;
-	setCondition(agent: PooledAgent, condition: AgentCondition): void;
+	getSlots(service: string): number;
 };
 
 const noAgents: ReadonlySet<PooledAgent> = new Set();
@@ -37,9 +44,7 @@
 	return {
 		open(facts) {
 			close(facts.incarnation);
-			const agent: PooledAgent = {
-				facts, slots: facts.slots, isDraining: false, granted: 0, started: 0, returned: 0, idleSince: 0,
-			};
+			const agent = createAgent(facts);
 			agents.set(facts.incarnation, agent);
 			const members = byService.get(facts.service);
 			if (members === undefined) {
@@ -51,9 +56,13 @@
 		close,
 		tryGet: incarnation => agents.get(incarnation),
 		getAgents: service => byService.get(service) ?? noAgents,
-		setCondition(agent, condition) {
-			agent.slots = condition.slots;
-			agent.isDraining = condition.draining;
+		getSlots(service) {
+			let sum = 0;
+			for (const agent of byService.get(service) ?? noAgents) {
+				sum += agent.slots;
+			}
+
+			return sum;
 		},
 	};
 
@@ -74,18 +83,48 @@
 	}
 }
 
-/** Credits that allow a start now. */
+function createAgent(facts: AgentFacts): PooledAgent {
+	return {
+		facts,
+		slots: facts.slots,
+		isDraining: false,
+		granted: 0,
+		started: 0,
+		returned: 0,
+		believedFree: 0,
+		toldAt: 0,
+		wanted: 0,
+		toldWanted: 0,
+		isReported: false,
+	};
+}
+
+/** Takes over what an agent tells of itself. */
+export function setCondition(agent: PooledAgent, condition: AgentCondition, now: Milliseconds): void {
+	agent.slots = condition.slots;
+	agent.isDraining = condition.draining;
+	agent.believedFree = condition.draining ? 0 : condition.free ?? 0;
+	agent.toldAt = now;
+}
+
+/** Credits that allow a start now; negative while a start without a credit is on its way. */
 export function getUnused(agent: PooledAgent): number {
 	return agent.granted - agent.started - agent.returned;
 }
 
-/** Hands back all but `keep` unused credits; false if there were no more. */
-export function handBack(agent: PooledAgent, keep: number): boolean {
-	const count = getUnused(agent) - keep;
-	if (count <= 0) {
-		return false;
+/** Unused credits of several agents. */
+export function sumUnused(agents: Iterable<PooledAgent>): number {
+	let sum = 0;
+	for (const agent of agents) {
+		sum += Math.max(0, getUnused(agent));
 	}
 
-	agent.returned += count;
-	return true;
+	return sum;
+}
+
+/** Hands back up to `count` unused credits; gives the number handed back. */
+export function handBack(agent: PooledAgent, count: number): number {
+	const handed = Math.max(0, Math.min(count, getUnused(agent)));
+	agent.returned += handed;
+	return handed;
 }
--- a/src/request/job-queue.ts
+++ b/src/request/job-queue.ts
@@ -4,13 +4,16 @@
  */
 import type {Milliseconds} from '../process/clock.js';
 import type {QueuedTask, TeamShare} from '../connection/types.js';
+import {getUrgency} from '../connection/urgency.js';
 
 /** A job with waiting tasks. */
 export type WaitingJob = {
 	readonly ticket: string;
 	readonly team: string;
-	/** Time that the job would take with every slot free for it. */
-	readonly ideal: Milliseconds;
+	/** Key of its run times. */
+	readonly kind: string;
+	/** Work that decides the order; see the size of a waiting head. */
+	readonly size: Milliseconds;
 	/** Expected run time of one task. */
 	readonly expectedRun: Milliseconds;
 	readonly arrivedAt: Milliseconds;
@@ -25,6 +28,8 @@
 	remove(job: WaitingJob): void;
 	/** Takes the task that starts next; undefined if none waits or every waiting team is at its bound. */
 	tryTake(now: Milliseconds): TakenTask | undefined;
+	/** The job whose task starts next. */
+	tryGetHead(now: Milliseconds): WaitingJob | undefined;
 	/** Waiting tasks whose team is not at its bound count as much as the others. */
 	getTaskCount(): number;
 	/** Expected run time of all waiting tasks together. */
@@ -90,6 +95,10 @@
 
 			return {job, task};
 		},
+		tryGetHead(now) {
+			const team = chooseTeam(now);
+			return team === undefined ? undefined : chooseJob(team, now);
+		},
 		getTaskCount: () => taskCount,
 		getWork: () => work,
 	};
@@ -134,7 +143,7 @@
 		let best: TeamQueue | undefined;
 		let bestUrgency = -1;
 		for (const team of eligible) {
-			const urgency = getUrgency(chooseJob(team, now)!, now);
+			const urgency = getJobUrgency(chooseJob(team, now)!, now);
 			if (team.served <= least + shareSlack && urgency > bestUrgency) {
 				best = team;
 				bestUrgency = urgency;
@@ -155,9 +164,9 @@
 	}
 }
 
-/** Jobs of one class have ideals within a factor of two. */
+/** Jobs of one class have sizes within a factor of two. */
 function getSizeClass(job: WaitingJob): number {
-	return Math.floor(Math.log2(Math.max(1, job.ideal)));
+	return Math.floor(Math.log2(Math.max(1, job.size)));
 }
 
 /** The most urgent of the oldest jobs of each class. */
@@ -165,7 +174,7 @@
 	let best: WaitingJob | undefined;
 	for (const members of team.classes.values()) {
 		const [oldest] = members.values();
-		if (best === undefined || getUrgency(oldest!, now) > getUrgency(best, now)) {
+		if (best === undefined || getJobUrgency(oldest!, now) > getJobUrgency(best, now)) {
 			best = oldest;
 		}
 	}
@@ -173,7 +182,6 @@
 	return best;
 }
 
-/** Time waited relative to the ideal: grows fast for small jobs, and without bound for all. */
-function getUrgency(job: WaitingJob, now: Milliseconds): number {
-	return (now - job.arrivedAt + 1) / Math.max(1, job.ideal);
+function getJobUrgency(job: WaitingJob, now: Milliseconds): number {
+	return getUrgency(now - job.arrivedAt, job.size);
 }
--- /dev/null
+++ b/src/request/placement.ts
@@ -0,0 +1,62 @@
+/**
+ * Chooses the agent of the next start, and which unused credits go back.
+ */
+import type {Milliseconds} from '../process/clock.js';
+import type {PlacementMode} from '../version/types.js';
+import {
+	getUnused, handBack, sumUnused, type PooledAgent,
+} from './credit-pool.js';
+
+/** Age up to which news of free slots is acted on without a credit, by placement mode. */
+const freshness: Readonly<Record<PlacementMode, Milliseconds>> = {response: 200, messages: 50};
+
+/** The agent with the most unused credits, or else one that probably has a free slot. */
+export function chooseAgent(agents: Iterable<PooledAgent>, isUsable: (agent: PooledAgent) => boolean, mode: PlacementMode, now: Milliseconds): PooledAgent | undefined {
+	let credited: PooledAgent | undefined;
+	let believed: PooledAgent | undefined;
+	for (const agent of agents) {
+		if (!isUsable(agent)) {
+			continue;
+		}
+
+		if (getUnused(agent) > (credited === undefined ? 0 : getUnused(credited))) {
+			credited = agent;
+		}
+
+		if (agent.toldAt >= now - freshness[mode] && agent.believedFree > (believed?.believedFree ?? 0)) {
+			believed = agent;
+		}
+	}
+
+	return credited ?? believed;
+}
+
+/**
+ * Unused credits that are kept although nothing waits. In mode `response` every free slot goes back, where all
+ * entries find it; in mode `messages` the entry keeps as many as its load is likely to vary by.
+ */
+export function getStock(mode: PlacementMode, running: number): number {
+	return mode === 'response' ? 0 : Math.ceil(Math.sqrt(running));
+}
+
+/** Hands back `count` unused credits, from the agents that have most; gives the agents concerned. */
+export function handBackMost(agents: Iterable<PooledAgent>, count: number): readonly PooledAgent[] {
+	const concerned: PooledAgent[] = [];
+	let left = count;
+	for (const agent of [...agents].toSorted((a, b) => getUnused(b) - getUnused(a))) {
+		const handed = handBack(agent, left);
+		if (handed === 0) {
+			break;
+		}
+
+		left -= handed;
+		concerned.push(agent);
+	}
+
+	return concerned;
+}
+
+/** Unused credits above the stock. */
+export function getExcess(agents: Iterable<PooledAgent>, mode: PlacementMode, running: number): number {
+	return sumUnused(agents) - getStock(mode, running);
+}
--- a/src/request/run-times.ts
+++ b/src/request/run-times.ts
@@ -5,7 +5,7 @@
 import type {Milliseconds} from '../process/clock.js';
 
 /** Weight of the newest run in a mean. */
-const newestWeight = 0.05;
+const newestWeight = 0.01;
 /** Runs after which a mean replaces the declared run time altogether. */
 const trustedRuns = 20;
 
--- a/src/request/scheduler.ts
+++ b/src/request/scheduler.ts
@@ -7,11 +7,14 @@
 } from '../connection/types.js';
 import {createOutlierDetector, type OutlierDetector} from '../connection/outlier.js';
 import type {Milliseconds} from '../process/clock.js';
+import type {PlacementMode} from '../version/types.js';
 import {assessJob} from './admission.js';
 import {
-	createCreditPool, getUnused, handBack, type PooledAgent,
+	createCreditPool, getUnused, handBack, setCondition, type PooledAgent,
 } from './credit-pool.js';
+import {createDemand, type Demand} from './demand.js';
 import {createJobQueue, type JobQueue, type WaitingJob} from './job-queue.js';
+import {chooseAgent, getExcess, handBackMost} from './placement.js';
 import {createRunTimes} from './run-times.js';
 
 /** Rules of a service that has none. */
@@ -19,9 +22,12 @@
 /** Share of a team that has none. */
 const defaultShare: TeamShare = {weight: 1, maxRunning: Infinity};
 /** Time that unused credits are kept before they are handed back, by placement mode. */
-const idleTime: Readonly<Record<SchedulingRules['placement'], Milliseconds>> = {response: 5, messages: 100};
-/** Unused credits of one agent that an entry keeps although nothing waits, by placement mode. */
-const idleCredits: Readonly<Record<SchedulingRules['placement'], number>> = {response: 0, messages: 1};
+const idleTime: Readonly<Record<PlacementMode, Milliseconds>> = {response: 1, messages: 500};
+/** Jobs with more work than all slots do in this many rounds count as equally large. */
+const largeJobRounds = 1;
+
+/** Weight of the newest end in the slots that an entry expects. */
+const newestWeight = 0.02;
 
 /** What the scheduler keeps of one service. */
 type ServiceState = {
@@ -29,12 +35,17 @@
 	rules: SchedulingRules;
 	readonly queue: JobQueue;
 	readonly outliers: OutlierDetector;
+	readonly demand: Demand;
 	running: number;
+	/** Mean of the tasks running while others waited, the newest counting most. */
+	usedSlots: number | undefined;
 	isReturnPlanned: boolean;
 };
 
 /** A job with running tasks. */
 type RunningJob = {
+	/** Key of its run times. */
+	readonly kind: string;
 	readonly service: string;
 	readonly team: string;
 	running: number;
@@ -60,13 +71,17 @@
 		},
 		openAgent(facts) {
 			pool.open(facts);
-			getService(facts.service).outliers.open(facts.incarnation);
+			const state = getService(facts.service);
+			state.outliers.open(facts.incarnation);
+			tellDemand(state);
 			host.changed(facts.incarnation);
 		},
 		closeAgent(incarnation) {
 			const agent = pool.close(incarnation);
 			if (agent !== undefined) {
-				getService(agent.facts.service).outliers.close(incarnation);
+				const state = getService(agent.facts.service);
+				state.outliers.close(incarnation);
+				tellDemand(state);
 			}
 		},
 		setCondition(incarnation, condition) {
@@ -75,27 +90,23 @@
 				return;
 			}
 
-			pool.setCondition(agent, condition);
-			getService(agent.facts.service).outliers.setFailedShare(incarnation, condition.failedPerMille / 1000);
-			if (condition.draining && handBack(agent, 0)) {
+			setCondition(agent, condition, clock.now());
+			const state = getService(agent.facts.service);
+			state.outliers.setFailedShare(incarnation, condition.failedPerMille / 1000);
+			tellDemand(state);
+			if (condition.draining && handBack(agent, Infinity) > 0) {
 				host.changed(incarnation);
 			}
 		},
 		setGranted(incarnation, granted) {
 			const agent = pool.tryGet(incarnation);
-			if (agent === undefined || granted <= agent.granted) {
+			if (agent === undefined) {
 				return;
 			}
 
-			if (getUnused(agent) === 0) {
-				agent.idleSince = clock.now();
-			}
-
-			agent.granted = granted;
-			if (agent.isDraining) {
-				handBack(agent, 0);
+			agent.granted = Math.max(agent.granted, granted);
+			if (agent.isDraining && handBack(agent, Infinity) > 0) {
 				host.changed(incarnation);
-				return;
 			}
 
 			dispatch(getService(agent.facts.service));
@@ -128,7 +139,23 @@
 		recordEnd,
 		getQueued(incarnation) {
 			const agent = pool.tryGet(incarnation);
-			return agent === undefined || agent.isDraining ? 0 : getService(agent.facts.service).queue.getTaskCount();
+			if (agent === undefined || agent.isDraining) {
+				return 0;
+			}
+
+			agent.toldWanted = agent.wanted;
+			agent.isReported = false;
+			return agent.wanted;
+		},
+		tryGetHead(incarnation) {
+			const agent = pool.tryGet(incarnation);
+			if (agent === undefined) {
+				return undefined;
+			}
+
+			const now = clock.now();
+			const job = getService(agent.facts.service).queue.tryGetHead(now);
+			return job === undefined ? undefined : {waited: now - job.arrivedAt, size: job.size};
 		},
 		getReturned: incarnation => pool.tryGet(incarnation)?.returned ?? 0,
 	};
@@ -147,19 +174,17 @@
 		});
 	}
 
-	/** While tasks wait, the slots that serve this entry are those that run its tasks. */
+	/** Slots that this entry was given while tasks waited; all slots until that was seen. */
 	function getExpectedSlots(state: ServiceState): number {
-		const slots = getSlots(state.service);
-		return state.queue.getTaskCount() === 0 ? slots : Math.min(slots, Math.max(1, state.running));
+		const slots = pool.getSlots(state.service);
+		return state.queue.getTaskCount() === 0 ? slots : Math.min(slots, state.usedSlots ?? slots);
 	}
 
-	function getSlots(service: string): number {
-		let sum = 0;
-		for (const agent of pool.getAgents(service)) {
-			sum += agent.slots;
+	function learnSlots(state: ServiceState): void {
+		if (state.queue.getTaskCount() > 0) {
+			const before = state.usedSlots ?? state.running;
+			state.usedSlots = Math.max(1, before + ((state.running - before) * newestWeight));
 		}
-
-		return sum;
 	}
 
 	function recordEnd(...[incarnation, ticket, outcome, run]: Parameters<Scheduler['recordEnd']>): void {
@@ -169,8 +194,14 @@
 		}
 
 		const state = getService(job.service);
+		learnSlots(state);
 		if (outcome === 'completed' && run !== undefined) {
-			runTimes.record(job.service, run);
+			runTimes.record(job.kind, run);
+		}
+
+		const agent = pool.tryGet(incarnation);
+		if (outcome === 'refused' && agent !== undefined) {
+			agent.believedFree = 0;
 		}
 
 		state.outliers.record(incarnation, outcome);
@@ -191,7 +222,6 @@
 
 		state.queue.add(createWaitingJob(job, tasks));
 		dispatch(state);
-		tellDemand(state);
 	}
 
 	function createWaitingJob(job: QueuedJob, tasks: QueuedTask[]): WaitingJob {
@@ -199,15 +229,23 @@
 		return {
 			ticket: job.ticket,
 			team: job.team,
-			ideal: expectedRun * Math.ceil(job.taskCount / Math.max(1, getSlots(job.service))),
+			kind: getKind(job),
+			size: getSize(job, expectedRun),
 			expectedRun,
 			arrivedAt: job.arrivedAt,
 			tasks,
 		};
 	}
 
+	/** A job with little time for its answer counts as small. */
+	function getSize(job: QueuedJob, expectedRun: Milliseconds): Milliseconds {
+		const slots = Math.max(1, pool.getSlots(job.service));
+		const tasks = Math.min(job.taskCount, largeJobRounds * slots);
+		return Math.min(tasks * expectedRun, job.deadlineAt - job.arrivedAt);
+	}
+
 	function getExpectedRun(job: QueuedJob): Milliseconds {
-		return runTimes.getExpected(job.service, job.expectedRun);
+		return runTimes.getExpected(getKind(job), job.expectedRun);
 	}
 
 	function dispatchAll(): void {
@@ -217,22 +255,43 @@
 	}
 
 	function dispatch(state: ServiceState): void {
+		const agents = pool.getAgents(state.service);
 		for (;;) {
-			const agent = chooseAgent(state);
+			const agent = chooseAgent(agents, candidate => isUsable(state, candidate), state.rules.placement, clock.now());
 			const taken = agent === undefined ? undefined : state.queue.tryTake(clock.now());
 			if (agent === undefined || taken === undefined) {
-				planReturn(state);
-				return;
+				break;
 			}
 
-			agent.started++;
-			agent.idleSince = clock.now();
+			spendCredit(agent);
+			state.demand.noteStart();
 			startTask(state, agent, taken.job, taken.task);
+			returnAlong(state, agent);
+		}
+
+		tellDemand(state);
+		planReturn(state);
+	}
+
+	function spendCredit(agent: PooledAgent): void {
+		if (getUnused(agent) <= 0) {
+			agent.believedFree--;
+		}
+
+		agent.started++;
+	}
+
+	/** Hands credits back with a start, which costs no message. */
+	function returnAlong(state: ServiceState, agent: PooledAgent): void {
+		if (state.queue.getTaskCount() === 0) {
+			handBack(agent, getExcess(pool.getAgents(state.service), state.rules.placement, state.running));
 		}
 	}
 
 	function startTask(state: ServiceState, agent: PooledAgent, job: WaitingJob, task: QueuedTask): void {
-		const running = runningJobs.get(job.ticket) ?? {service: state.service, team: job.team, running: 0};
+		const running = runningJobs.get(job.ticket) ?? {
+			kind: job.kind, service: state.service, team: job.team, running: 0,
+		};
 		runningJobs.set(job.ticket, running);
 		countRunning(job.ticket, running, state, 1);
 		state.outliers.noteStart(agent.facts.incarnation);
@@ -254,61 +313,44 @@
 		}
 	}
 
-	/** The agent with the most unused credits among those that are not ejected. */
-	function chooseAgent(state: ServiceState): PooledAgent | undefined {
-		let best: PooledAgent | undefined;
-		for (const agent of pool.getAgents(state.service)) {
-			const unused = getUnused(agent);
-			if (unused > 0 && !agent.isDraining && state.outliers.isUsable(agent.facts.incarnation)
-				&& (best === undefined || unused > getUnused(best))) {
-				best = agent;
-			}
-		}
-
-		return best;
-	}
-
 	/** Hands credits back once they have lain unused for a while. */
 	function planReturn(state: ServiceState): void {
-		if (state.isReturnPlanned || !hasUnused(state)) {
+		const {placement} = state.rules;
+		if (state.isReturnPlanned || getExcess(pool.getAgents(state.service), placement, state.running) <= 0) {
 			return;
 		}
 
 		state.isReturnPlanned = true;
-		clock.after(idleTime[state.rules.placement], () => {
+		clock.after(idleTime[placement], () => {
 			state.isReturnPlanned = false;
-			dispatch(state);
 			returnIdle(state);
+			dispatch(state);
 		});
 	}
 
 	function returnIdle(state: ServiceState): void {
-		const {placement} = state.rules;
-		const latest = clock.now() - idleTime[placement];
-		for (const agent of pool.getAgents(state.service)) {
-			if (agent.idleSince <= latest && handBack(agent, idleCredits[placement])) {
-				host.changed(agent.facts.incarnation);
-			}
+		const agents = pool.getAgents(state.service);
+		const excess = getExcess(agents, state.rules.placement, state.running);
+		for (const agent of handBackMost(agents, excess)) {
+			host.changed(agent.facts.incarnation);
 		}
-
-		planReturn(state);
 	}
 
-	function hasUnused(state: ServiceState): boolean {
-		const kept = idleCredits[state.rules.placement];
+	/** Agents that may not be used are asked for nothing. */
+	function tellDemand(state: ServiceState): void {
+		const usable: PooledAgent[] = [];
 		for (const agent of pool.getAgents(state.service)) {
-			if (getUnused(agent) > kept) {
-				return true;
+			agent.wanted = 0;
+			if (isUsable(state, agent)) {
+				usable.push(agent);
 			}
 		}
 
-		return false;
+		state.demand.update(usable, state.queue.getTaskCount(), state.running, state.rules.placement);
 	}
 
-	function tellDemand(state: ServiceState): void {
-		for (const agent of pool.getAgents(state.service)) {
-			host.changed(agent.facts.incarnation);
-		}
+	function isUsable(state: ServiceState, agent: PooledAgent): boolean {
+		return !agent.isDraining && state.outliers.isUsable(agent.facts.incarnation);
 	}
 
 	function getRunning(team: string): number {
@@ -330,10 +372,19 @@
 			rules: defaultRules,
 			queue: createJobQueue({getShare, getRunning}),
 			outliers: createOutlierDetector(clock),
+			demand: createDemand(agent => {
+				host.changed(agent.facts.incarnation);
+			}),
 			running: 0,
+			usedSlots: undefined,
 			isReturnPlanned: false,
 		};
 		services.set(service, created);
 		return created;
 	}
 }
+
+/** Tasks of one kind of submission are expected to run equally long. */
+function getKind(job: QueuedJob): string {
+	return JSON.stringify([job.service, job.submission]);
+}
