Add the bench of placement and order

Cause: goals for response time, messages and order need figures, and a check that they stay. Ruled out: a plot (no plotting package is installed); a simulated cluster (fake links and upstreams suffice).

--- /dev/null
+++ b/dev/bench/link.ts
@@ -0,0 +1,54 @@
+/**
+ * A fake link between one entry and one agent: whatever is due at the same instant goes in one batch and
+ * arrives after the one-way latency, in order.
+ */
+import type {Clock, Milliseconds} from '../../src/process/clock.js';
+
+/** One direction of a link. */
+export type Pipe = {
+	/** Something is due: sends a batch at the end of this instant. */
+	touch(): void;
+	/** Sends nothing more and drops what is on the way. */
+	close(): void;
+};
+
+/** Effects of a pipe. */
+export type PipeHost<Batch> = {
+	readonly clock: Clock;
+	readonly latency: Milliseconds;
+	/** Everything that is due now. */
+	takeDue(): Batch;
+	receive(batch: Batch): void;
+};
+
+/** Creates one direction of a link. */
+export function createPipe<Batch>(host: PipeHost<Batch>): Pipe {
+	let isPlanned = false;
+	let isClosed = false;
+
+	return {
+		touch() {
+			if (!isPlanned && !isClosed) {
+				isPlanned = true;
+				host.clock.after(0, send);
+			}
+		},
+		close() {
+			isClosed = true;
+		},
+	};
+
+	function send(): void {
+		isPlanned = false;
+		if (isClosed) {
+			return;
+		}
+
+		const batch = host.takeDue();
+		host.clock.after(host.latency, () => {
+			if (!isClosed) {
+				host.receive(batch);
+			}
+		});
+	}
+}
--- /dev/null
+++ b/dev/bench/random.ts
@@ -0,0 +1,31 @@
+/**
+ * Seeded random numbers of the bench.
+ */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** A source of random numbers; the same seed gives the same numbers. */
+export type Random = {
+	/** Uniform from 0 (included) to 1 (excluded). */
+	float(): number;
+	/** Uniform whole number from 0 to `count - 1`. */
+	below(count: number): number;
+	/** Exponentially distributed with the given mean. */
+	exponential(mean: number): number;
+	/** Between `min` and `max`, its logarithm uniform. */
+	logUniform(min: number, max: number): number;
+};
+
+/** Creates a source of random numbers. */
+export function createRandom(seed: number): Random {
+	const generator = xoroshiro128plus(seed);
+	const float = () => uniformFloat64(generator);
+
+	return {
+		float,
+		below: count => uniformInt(generator, 0, count - 1),
+		exponential: mean => -Math.log(1 - float()) * mean,
+		logUniform: (min, max) => min * ((max / min) ** float()),
+	};
+}
