--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -116,7 +116,12 @@
 		entry: 'bench',
 		issuer,
 		fates: noFates,
-		quota: {tryTake: () => true, release: () => undefined},
+		quota: {
+			take(_team, _tasks, done) {
+				done(true);
+			},
+			release: () => undefined,
+		},
 		agentGraceMs: 3000,
 		answerKeepMs: 1,
 		maxTasks: 1100,
--- a/dev/processes.ts
+++ b/dev/processes.ts
@@ -1,7 +1,7 @@
 /**
  * Starts and steers programs of this project from tests and demonstrations.
  */
-import {spawn} from 'node:child_process';
+import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import process from 'node:process';
 import readline from 'node:readline';
@@ -42,6 +42,15 @@
 /** Root of the compiled project. */
 const compiledRoot = new URL('..', import.meta.url);
 
+/** Programs to kill when this process ends. */
+const running = new Set<ChildProcess>();
+
+process.once('exit', () => {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+});
+
 /** Lines of output that the error for an unexpected end shows. */
 const shownLines = 20;
 
@@ -60,14 +69,10 @@
 	let waiters: LineWaiter[] = [];
 	let status: ExitStatus | undefined;
 
-	const killAtExit = () => {
-		child.kill('SIGKILL');
-	};
-
-	process.once('exit', killAtExit);
+	running.add(child);
 	// 'close' comes after the last line of output, 'exit' may come before.
 	const closed = once(child, 'close').then(([code, signal]: Array<number | NodeJS.Signals | undefined>) => {
-		process.off('exit', killAtExit);
+		running.delete(child);
 		status = {
 			code: typeof code === 'number' ? code : undefined,
 			signal: typeof signal === 'string' ? signal : undefined,
--- a/dev/system.ts
+++ b/dev/system.ts
@@ -25,6 +25,10 @@
 	readonly objects: string;
 	/** Service of the upstreams. */
 	readonly service: string;
+	/** Team of the tokens. */
+	readonly team?: string;
+	/** Names of the data centres; entries and agents are spread over them in turn. */
+	readonly dataCentres?: readonly string[];
 	/** Lines added to the section `[entry]` of each entry's settings. */
 	readonly entrySettings?: string;
 };
@@ -63,7 +67,8 @@
 };
 
 const secret = 'loopback-secret';
-const team = 'lunch';
+const defaultTeam = 'lunch';
+const defaultDataCentres = ['makati'];
 const roles = ['caller', 'support', 'operator'] as const;
 
 /** Starts a system and waits until every agent is linked and the objects are in force at every entry. */
@@ -76,7 +81,7 @@
 	const programs: Program[] = [standin];
 	const entries: SystemEntry[] = [];
 	const agents: SystemAgent[] = [];
-	await writeTokens(platform);
+	await writeTokens(platform, options.team ?? defaultTeam);
 	await publishObjects(options.objects);
 
 	const system: System = {
@@ -102,7 +107,7 @@
 	async function startEntry(name: string): Promise<SystemEntry> {
 		const file = path.join(folder, `${name}-${programs.length}.toml`);
 		fs.writeFileSync(file, `name = "${name}"
-dataCentre = "makati"
+dataCentre = "${getDataCentre(entries.length)}"
 [listen]
 http = "127.0.0.1:0"
 links = "127.0.0.1:0"
@@ -132,7 +137,7 @@
 		fs.writeFileSync(file, `name = "${name}"
 upstream = "${name.replace('agent', options.service)}"
 service = "${options.service}"
-dataCentre = "makati"
+dataCentre = "${getDataCentre(agents.length)}"
 [upstream-server]
 url = "${upstreamUrl}"
 slots = ${options.slots}
@@ -153,6 +158,11 @@
 		return agent;
 	}
 
+	function getDataCentre(index: number): string {
+		const names = options.dataCentres ?? defaultDataCentres;
+		return names[index % names.length]!;
+	}
+
 	async function publishObjects(text: string): Promise<number> {
 		const parsed = parseFiles([{name: 'objects.toml', text}]);
 		const published = await publish({platform, clock}, {
@@ -166,7 +176,7 @@
 	}
 }
 
-async function writeTokens(platform: PlatformClient): Promise<void> {
+async function writeTokens(platform: PlatformClient, team: string): Promise<void> {
 	const secretSha256 = createHash('sha256').update(secret).digest('hex');
 	const outcome = await platform.table.commit({
 		conditions: [],
--- a/src/connection/quota-shares.ts
+++ b/src/connection/quota-shares.ts
@@ -38,6 +38,8 @@
 	 * of and the receiver coordinates; empty if they name only what has changed.
 	 */
 	readonly fullFor: string;
+	/** The set of live entries, as a hash, for which the sender has divided all teams it coordinates; empty if unchanged. */
+	readonly dividedFor: string;
 };
 
 /** Effects of the shares. */
@@ -53,7 +55,7 @@
 	send(entry: string, news: ShareNews): void;
 };
 
-/** The quotas as one entry enforces them; `tryTake` is false if this entry's share is used up. */
+/** The quotas as one entry enforces them: it takes from its share of each. */
 export type QuotaShares = TeamQuota & {
 	receive(entry: string, news: ShareNews): void;
 	/** A stream to this entry opened: everything is told anew, since news may have been lost with the last one. */
@@ -70,12 +72,27 @@
 const settleTicks = 2;
 /** Corrections of less than this part of the quota are not sent. */
 const smallCorrection = 0.05;
+/** Ticks within which a demand has been reported, divided and granted, or will not be. */
+const waitTicks = 5;
+/** Ticks for which a shortage counts as known. */
+const shortTicks = 25;
 /** Ticks after which unchanged figures are restated. */
 const restateTicks = 10;
 
+/** Tasks that wait for the answer to a first report of their demand. */
+type WaitingTake = {
+	readonly tasks: number;
+	/** Tick at which they are refused. */
+	readonly until: number;
+	readonly done: (isTaken: boolean) => void;
+};
+
 type OwnShare = {
 	used: number;
 	refused: number;
+	readonly waiting: WaitingTake[];
+	/** Tick up to which a shortage counts as known, so that nothing waits. */
+	shortUntil: number;
 	claim: number;
 	granted: number | undefined;
 	grantSeq: number;
@@ -102,23 +119,34 @@
 	const coordinated = new Map<string, Coordinated>();
 	/** The set of live entries under which the full reports of an entry have arrived. */
 	const fullFrom = new Map<string, string>();
+	/** The set of live entries for which an entry has divided all teams that it coordinates. */
+	const dividedBy = new Map<string, string>();
+	/** Entries that were told that this one has divided all its teams for the present set. */
+	const dividedTo = new Set<string>();
 	/** Entries that have our full reports on the present stream. */
 	const fullTo = new Set<string>();
 	let liveKey = '';
 	let live: readonly string[] = [host.self];
 	let coordinators = new Map<string, string>();
 	let ticks = 0;
+	/** Tick at which the full reports of all live entries were there. */
+	let heardAt: number | undefined;
 
 	return {
-		tryTake(team, tasks) {
+		take(team, tasks, done) {
 			const share = getOwn(team);
-			if (share.used + tasks > getClaim(team, share)) {
-				share.refused += tasks;
-				return false;
+			if (tryTake(team, share, tasks)) {
+				done(true);
+				return;
+			}
+
+			share.refused += tasks;
+			if (ticks < share.shortUntil || tasks > host.getLimit(team)) {
+				done(false);
+				return;
 			}
 
-			share.used += tasks;
-			return true;
+			share.waiting.push({tasks, until: ticks + waitTicks, done});
 		},
 		release(team, tasks) {
 			getOwn(team).used -= tasks;
@@ -126,6 +154,7 @@
 		receive,
 		connect(entry) {
 			fullTo.delete(entry);
+			dividedTo.delete(entry);
 		},
 		tick,
 		getShare: team => getClaim(team, getOwn(team)),
@@ -135,7 +164,7 @@
 		let share = own.get(team);
 		if (share === undefined) {
 			share = {
-				used: 0, refused: 0, claim: 0, granted: undefined, grantSeq: 0, sentAt: 0,
+				used: 0, refused: 0, waiting: [], shortUntil: 0, claim: 0, granted: undefined, grantSeq: 0, sentAt: 0,
 			};
 			own.set(team, share);
 		}
@@ -143,19 +172,39 @@
 		return share;
 	}
 
-	// A team that its coordinator knows has a grant for every live entry. Without one the team was idle, and
-	// half of the quota may be used at once, split evenly.
+	function serveWaiting(team: string, share: OwnShare): void {
+		while (share.waiting[0] !== undefined && tryTake(team, share, share.waiting[0].tasks)) {
+			share.waiting.shift()!.done(true);
+		}
+	}
+
+	// The coordinator has heard of the demand by now and found no more quota; for a while others need not wait.
+	function refuseOverdue(team: string, share: OwnShare): void {
+		serveWaiting(team, share);
+		if (share.granted !== undefined || isCoordinatorKnown(team)) {
+			while (share.waiting[0] !== undefined && share.waiting[0].until <= ticks) {
+				share.shortUntil = ticks + shortTicks;
+				share.waiting.shift()!.done(false);
+			}
+		}
+
+		for (const {tasks} of share.waiting) {
+			share.refused += tasks;
+		}
+	}
+
+	// A team that its coordinator knows has a grant for every live entry. Without one the team was idle, and the
+	// quota may be used at once, split evenly.
 	function getClaim(team: string, share: OwnShare): number {
 		if (share.granted === undefined && share.claim === 0 && isCoordinatorKnown(team)) {
-			share.claim = live.length === 1 ? host.getLimit(team) : Math.floor(host.getLimit(team) / (2 * live.length));
+			share.claim = Math.floor(host.getLimit(team) / live.length);
 		}
 
 		return share.claim;
 	}
 
 	function isCoordinatorKnown(team: string): boolean {
-		const coordinator = getCoordinator(team);
-		return coordinator === host.self || fullFrom.get(coordinator) === liveKey;
+		return dividedBy.get(getCoordinator(team)) === liveKey;
 	}
 
 	function getCoordinator(team: string): string {
@@ -168,9 +217,22 @@
 		return coordinator;
 	}
 
+	function tryTake(team: string, share: OwnShare, tasks: number): boolean {
+		if (share.used + tasks > getClaim(team, share)) {
+			return false;
+		}
+
+		share.used += tasks;
+		return true;
+	}
+
 	function tick(): void {
 		ticks++;
 		updateLive();
+		for (const [team, share] of own) {
+			refuseOverdue(team, share);
+		}
+
 		shrinkClaims();
 		const news = new Map<string, {reports: ShareReport[]; grants: ShareGrant[]}>();
 		collectReports(news);
@@ -178,17 +240,42 @@
 			divide(team, state, news);
 		}
 
+		noteDivision();
 		for (const entry of live) {
-			const isFull = entry !== host.self && !fullTo.has(entry);
+			const fullFor = entry === host.self || fullTo.has(entry) ? '' : liveKey;
+			const dividedFor = isDivided() && !dividedTo.has(entry) ? liveKey : '';
 			const {reports, grants} = news.get(entry) ?? {reports: [], grants: []};
-			if (isFull || reports.length > 0 || grants.length > 0) {
-				fullTo.add(entry);
-				deliver(entry, {reports, grants, fullFor: isFull ? liveKey : ''});
+			if (fullFor !== '' || dividedFor !== '' || reports.length > 0 || grants.length > 0) {
+				deliver(entry, {
+					reports, grants, fullFor, dividedFor,
+				});
 			}
 		}
 	}
 
+	// Every team named in the full reports is divided some ticks after the last of these has arrived.
+	function noteDivision(): void {
+		if (!isHeard()) {
+			heardAt = undefined;
+		}
+
+		heardAt ??= isHeard() ? ticks : undefined;
+	}
+
+	function isDivided(): boolean {
+		return heardAt !== undefined && ticks - heardAt > settleTicks;
+	}
+
+	function isHeard(): boolean {
+		return live.every(entry => entry === host.self || fullFrom.get(entry) === liveKey);
+	}
+
 	function deliver(entry: string, news: ShareNews): void {
+		fullTo.add(entry);
+		if (news.dividedFor !== '') {
+			dividedTo.add(entry);
+		}
+
 		if (entry === host.self) {
 			receive(entry, news);
 		} else {
@@ -208,6 +295,8 @@
 		live = present;
 		coordinators = new Map();
 		fullTo.clear();
+		dividedTo.clear();
+		heardAt = undefined;
 		const known = new Set(present);
 		for (const [team, state] of coordinated) {
 			for (const entry of state.entries.keys()) {
@@ -252,6 +341,10 @@
 			fullFrom.set(entry, news.fullFor);
 		}
 
+		if (news.dividedFor !== '') {
+			dividedBy.set(entry, news.dividedFor);
+		}
+
 		for (const report of news.reports) {
 			acceptReport(entry, report);
 		}
@@ -285,11 +378,11 @@
 		share.granted = grant.share;
 		share.grantSeq = grant.seq;
 		share.claim = Math.max(grant.share, Math.min(share.claim, share.used));
+		serveWaiting(grant.team, share);
 	}
 
 	function divide(team: string, state: Coordinated, news: Map<string, {reports: ShareReport[]; grants: ShareGrant[]}>): void {
-		const isHeard = live.every(entry => entry === host.self || fullFrom.get(entry) === liveKey);
-		if (!isHeard || ticks - state.since < settleTicks) {
+		if (!isHeard() || ticks - state.since < settleTicks) {
 			return;
 		}
 
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -177,7 +177,10 @@
 
 /** Bounds the tasks that one team has waiting or running, over all entries. */
 export type TeamQuota = {
-	/** Takes quota for tasks about to be accepted; false, and nothing taken, if there is not enough. */
-	tryTake(team: string, tasks: number): boolean;
+	/**
+	 * Takes quota for tasks about to be accepted. `done` is called once, at once unless other entries may still
+	 * give up some of their part: with true if it was taken, with false if nothing was.
+	 */
+	take(team: string, tasks: number, done: (isTaken: boolean) => void): void;
 	release(team: string, tasks: number): void;
 };
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -118,6 +118,7 @@
 	readonly request: SubmissionRequest;
 	readonly rules: JobRules;
 	readonly configVersion: number;
+	hasQuota: boolean;
 	timer?: Timer;
 };
 
@@ -254,21 +255,37 @@
 
 	function admit(record: JobRecord, req: SubmissionRequest, rules: JobRules, configVersion: number): void {
 		const queued = toQueuedJob(req, rules, host.clock.now());
-		const refusal = tryGetRefusal(queued, rules);
+		const refusal = tryGetRefusal(queued);
 		if (refusal !== undefined) {
 			refuse(record, refusal);
 			return;
 		}
 
 		const entry: OpenJob = {
-			record, queued, request: req, rules, configVersion,
+			record, queued, request: req, rules, configVersion, hasQuota: false,
 		};
 		open.set(req.ticket.text, entry);
 		entry.timer = host.clock.after(queued.deadlineAt - host.clock.now(), () => {
 			failJob(entry, {diagnostic: createDiagnostic(Diagnostics.Deadline_has_passed, queued.deadlineAt - queued.arrivedAt)});
 		});
-		if (rules.policy.recordBeforeStart) {
-			host.fates.whenSaved(req.ticket.text, () => {
+		host.quota.take(queued.team, queued.taskCount, isTaken => {
+			endQuotaWait(entry, isTaken);
+		});
+	}
+
+	function endQuotaWait(entry: OpenJob, isTaken: boolean): void {
+		const {queued, rules} = entry;
+		if (!open.has(queued.ticket)) {
+			releaseQuota(queued, isTaken);
+			return;
+		}
+
+		entry.hasQuota = isTaken;
+		if (!isTaken) {
+			close(entry);
+			refuse(entry.record, {diagnostic: createDiagnostic(Diagnostics.Quota_is_exhausted, queued.team, rules.maxTeamTasks), retryAfter: quotaRetryMs});
+		} else if (rules.policy.recordBeforeStart) {
+			host.fates.whenSaved(queued.ticket, () => {
 				enqueueIfOpen(entry);
 			});
 		} else {
@@ -276,26 +293,29 @@
 		}
 	}
 
+	function releaseQuota(queued: QueuedJob, isTaken: boolean): void {
+		if (isTaken) {
+			host.quota.release(queued.team, queued.taskCount);
+		}
+	}
+
+	function close(entry: OpenJob): void {
+		open.delete(entry.queued.ticket);
+		entry.timer?.cancel();
+	}
+
 	function enqueueIfOpen(entry: OpenJob): void {
 		if (open.has(entry.queued.ticket)) {
 			scheduler.enqueue(entry.queued);
 		}
 	}
 
-	// Takes the team's quota as its last step, so that no other refusal has to give it back.
-	function tryGetRefusal(queued: QueuedJob, rules: JobRules): JobFailure | undefined {
+	function tryGetRefusal(queued: QueuedJob): JobFailure | undefined {
 		if (host.isDraining()) {
 			return {diagnostic: createDiagnostic(Diagnostics.Entry_is_draining), retryAfter: drainRetryMs};
 		}
 
-		const refusal = toFailure(scheduler.assess(queued), queued, host.clock.now());
-		if (refusal !== undefined) {
-			return refusal;
-		}
-
-		return host.quota.tryTake(queued.team, queued.taskCount)
-			? undefined
-			: {diagnostic: createDiagnostic(Diagnostics.Quota_is_exhausted, queued.team, rules.maxTeamTasks), retryAfter: quotaRetryMs};
+		return toFailure(scheduler.assess(queued), queued, host.clock.now());
 	}
 
 	function startTask(agent: string, task: QueuedTask): void {
@@ -417,10 +437,9 @@
 	}
 
 	function finish(entry: OpenJob): void {
-		open.delete(entry.queued.ticket);
-		entry.timer?.cancel();
+		close(entry);
 		scheduler.remove(entry.queued.ticket);
-		host.quota.release(entry.queued.team, entry.queued.taskCount);
+		releaseQuota(entry.queued, entry.hasQuota);
 		publish(entry.record, entry.record.job.tryGetAnswer()!);
 	}
 
--- a/test/connection/quota-shares.test.ts
+++ b/test/connection/quota-shares.test.ts
@@ -43,11 +43,12 @@
 	offer(name: string, team: string, tasks: number): void {
 		const shares = this.entries.get(name)!;
 		for (let i = 0; i < tasks; i++) {
-			const counts = shares.tryTake(team, 1) ? this.taken : this.refused;
-			add(counts, team, 1);
-			if (counts === this.taken) {
-				this.start(shares, team);
-			}
+			shares.take(team, 1, isTaken => {
+				add(isTaken ? this.taken : this.refused, team, 1);
+				if (isTaken) {
+					this.start(shares, team);
+				}
+			});
 		}
 	}
 
@@ -65,13 +66,19 @@
 	counts.set(key, (counts.get(key) ?? 0) + value);
 }
 
+/** A system whose entries have exchanged their first news. */
+function createSettledWorld(entries: number): World {
+	const world = createWorld(entries);
+	world.clock.advance(10 * shareIntervalMs);
+	return world;
+}
+
 function createWorld(entries: number): World {
 	const world = new World();
 	for (let i = 0; i < entries; i++) {
 		world.add(`entry-${i}`);
 	}
 
-	world.clock.advance(1000);
 	return world;
 }
 
@@ -86,7 +93,7 @@
 
 describe('quota shares', () => {
 	it('use the whole quota when one entry gets all the load', t => {
-		const world = createWorld(4);
+		const world = createSettledWorld(4);
 		run(world, 200, () => {
 			world.offer('entry-1', 'lunch', 40);
 		});
@@ -100,7 +107,7 @@
 	});
 
 	it('hold the quota when the load moves between entries and entries join, leave and die', t => {
-		const world = createWorld(4);
+		const world = createSettledWorld(4);
 		let step = 0;
 		run(world, 1200, random => {
 			step++;
@@ -120,7 +127,7 @@
 	});
 
 	it('keep a team at 50 times its quota from costing 999 others anything', t => {
-		const world = createWorld(4);
+		const world = createSettledWorld(4);
 		run(world, 200, random => {
 			for (let team = 0; team < 999; team++) {
 				if (random() < 0.1) {
@@ -144,9 +151,32 @@
 		t.log(`others refused ${refused} of ${offered}; greedy at most ${world.greatest.get('greedy')} of ${limit}; ${world.messages} messages in 11 s`);
 	});
 
-	it('allow the first tasks of an idle team at once', t => {
+	it('give an idle team more than its split to a job that needs it, and the rest of the quota its refusal', t => {
+		const world = createSettledWorld(4);
+		const ends: boolean[] = [];
+		const shares = world.entries.get('entry-3')!;
+		shares.take('lunch', 180, isTaken => ends.push(isTaken));
+		shares.take('lunch', 180, isTaken => ends.push(isTaken));
+		shares.take('lunch', limit + 1, isTaken => ends.push(isTaken));
+		t.deepEqual(ends, [false]);
+		world.clock.advance(2000);
+		t.deepEqual(ends, [false, true, false]);
+		shares.take('lunch', 100, isTaken => ends.push(isTaken));
+		t.deepEqual(ends, [false, true, false, false]);
+	});
+
+	it('let tasks wait, not fail, until the entries have exchanged their first news', t => {
 		const world = createWorld(4);
 		world.offer('entry-2', 'lunch', 20);
+		t.is(world.taken.get('lunch'), undefined);
+		world.clock.advance(10 * shareIntervalMs);
+		t.is(world.taken.get('lunch'), 20);
+		t.is(world.refused.get('lunch'), undefined);
+	});
+
+	it('allow the first tasks of an idle team at once', t => {
+		const world = createSettledWorld(4);
+		world.offer('entry-2', 'lunch', 20);
 		t.is(world.taken.get('lunch'), 20);
 	});
 });
--- a/test/failure/entry.ts
+++ b/test/failure/entry.ts
@@ -77,10 +77,10 @@
 		issuer,
 		fates: fates.recorder,
 		quota: {
-			tryTake(team, tasks) {
+			take(team, tasks, done) {
 				const isFree = taken + tasks <= (follower.tryGet()?.teams.get(team)?.maxTasks ?? 0);
 				taken += isFree ? tasks : 0;
-				return isFree;
+				done(isFree);
 			},
 			release(_team, tasks) {
 				taken -= tasks;
