--- a/src/process/bin/program.ts
+++ b/src/process/bin/program.ts
@@ -13,7 +13,7 @@
 export function loadSettings<T>(program: string, read: (text: string, file: string) => Result<T, readonly Diagnostic[]>): T {
 	const file = process.argv[2];
 	if (file === undefined || !fs.existsSync(file)) {
-		console.error(`usage: ${program} SETTINGS\nSETTINGS is a TOML file; docs/OPERATORS.md lists its keys.`);
+		console.error(`usage: ${program} SETTINGS\nSETTINGS is a TOML file; docs/REFERENCE.md lists its keys.`);
 		process.exit(2);
 	}
 
--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -63,8 +63,8 @@
 	// 2xxx: objects and change sets
 	Objects_are_not_toml: row(2001, 'ObjectsNotToml', 'The file is not valid TOML: {0}.', 'Correct the syntax at this line.'),
 	Field_is_unknown: row(2002, 'FieldUnknown', 'The {0} cannot have a field {1}.', 'Remove it or correct its name; the nearest known one is {2}.'),
-	Field_is_missing: row(2003, 'FieldMissing', 'The {0} has no field {1}.', 'Add it; docs/OPERATORS.md lists all fields.'),
-	Field_is_invalid: row(2004, 'FieldInvalid', 'The field {1} of the {0} is invalid: {2}.', 'Correct its value; docs/OPERATORS.md lists all fields.'),
+	Field_is_missing: row(2003, 'FieldMissing', 'The {0} has no field {1}.', 'Add it; docs/REFERENCE.md lists all fields.'),
+	Field_is_invalid: row(2004, 'FieldInvalid', 'The field {1} of the {0} is invalid: {2}.', 'Correct its value; docs/REFERENCE.md lists all fields.'),
 	Kind_is_unknown: row(2005, 'KindUnknown', 'There is no kind of object named {0}.', 'Remove the table or correct its name; the nearest known one is {1}.'),
 	Kind_is_not_a_list: row(2006, 'KindNotAList', 'The table {0} is not in the form of a list.', 'Write its header as [[{0}]].'),
 	File_cannot_be_read: row(2007, 'FileUnreadable', 'The file {0} cannot be read: {1}.', 'Give the path of a readable file.'),
@@ -93,8 +93,8 @@
 	// 3xxx: settings
 	Settings_are_not_toml: row(3001, 'SettingsNotToml', 'The settings are not valid TOML: {0}.', 'Correct the syntax at this line.'),
 	Setting_is_unknown: row(3002, 'SettingUnknown', 'There is no setting {0}.', 'Remove it or correct its name; the nearest known one is {1}.'),
-	Setting_is_missing: row(3003, 'SettingMissing', 'The setting {0} is missing.', 'Add it; docs/OPERATORS.md lists all settings.'),
-	Setting_is_invalid: row(3004, 'SettingInvalid', 'The setting {0} is invalid: {1}.', 'Correct its value; docs/OPERATORS.md lists all settings.'),
+	Setting_is_missing: row(3003, 'SettingMissing', 'The setting {0} is missing.', 'Add it; docs/REFERENCE.md lists all settings.'),
+	Setting_is_invalid: row(3004, 'SettingInvalid', 'The setting {0} is invalid: {1}.', 'Correct its value; docs/REFERENCE.md lists all settings.'),
 	Settings_cannot_be_read: row(3005, 'SettingsUnreadable', 'The settings file {0} cannot be read: {1}.', 'Give the path of a readable file.'),
 
 	// 4xxx: platform
