Split the home and the router into modules of one job

Ruled out: classes (factory functions are the house style). Change: submission-rules, job-record, attempt-end and reply are modules of their own. No behaviour changes.

--- a/src/process/http-api.ts
+++ b/src/process/http-api.ts
@@ -6,8 +6,9 @@
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
 import {
-	submissionSchema, toReply, type Operation, type Principal, type Reply, type Router, type SubmissionBody,
+	submissionSchema, type Operation, type Principal, type Router, type SubmissionBody,
 } from '../request/router.js';
+import {toReply, type Reply} from '../request/reply.js';
 import {parseTicket} from '../request/ticket.js';
 import type {Ticket} from '../request/types.js';
 import type {Milliseconds} from './clock.js';
--- /dev/null
+++ b/src/request/attempt-end.ts
@@ -0,0 +1,101 @@
+/**
+ * Reads the end of an attempt: what it means for the job, for the record and for people.
+ */
+import type {SentEnd, SentStart} from '../connection/agent-sessions.js';
+import {RefusalReason, TaskOutcome, type TaskResult} from '../generated/kingcuplane.js';
+import {assertNever} from '../process/debug.js';
+import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
+import type {AttemptEnd} from './job.js';
+import type {AttemptOutcome} from './types.js';
+
+const refusalTexts: Readonly<Record<RefusalReason, string>> = {
+	[RefusalReason.REFUSAL_REASON_UNSPECIFIED]: 'no reason given',
+	[RefusalReason.REFUSAL_REASON_FULL]: 'no free slot',
+	[RefusalReason.REFUSAL_REASON_DRAINING]: 'the agent is draining',
+	[RefusalReason.REFUSAL_REASON_CANCELLED]: 'cancelled',
+	[RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE]: 'the upstream cannot be reached',
+	[RefusalReason.REFUSAL_REASON_FENCED]: 'this entry was declared dead',
+	[RefusalReason.UNRECOGNIZED]: 'unknown reason',
+};
+
+/** What an attempt came to. `tryRetry` is asked if its end is not known: true if the task may be tried again. */
+export function toAttemptEnd(start: SentStart, end: SentEnd, tryRetry: () => boolean): AttemptEnd {
+	switch (end.kind) {
+		case 'result': {
+			return toResultEnd(start, end.result, tryRetry);
+		}
+
+		case 'not-received': {
+			return {kind: 'refused'};
+		}
+
+		case 'agent-gone': {
+			return toUnknownEnd(start, 'its agent is gone', tryRetry);
+		}
+
+		default: {
+			return assertNever(end);
+		}
+	}
+}
+
+function toResultEnd(start: SentStart, result: TaskResult, tryRetry: () => boolean): AttemptEnd {
+	switch (result.outcome) {
+		case TaskOutcome.TASK_OUTCOME_COMPLETED: {
+			return {kind: 'completed', payload: result.payload};
+		}
+
+		case TaskOutcome.TASK_OUTCOME_REFUSED: {
+			return {kind: 'refused'};
+		}
+
+		case TaskOutcome.TASK_OUTCOME_FAILED: {
+			return {kind: 'failed', failure: {diagnostic: createDiagnostic(Diagnostics.Task_failed, start.index, start.agent.upstream, result.detail)}};
+		}
+
+		default: {
+			return toUnknownEnd(start, result.detail, tryRetry);
+		}
+	}
+}
+
+function toUnknownEnd(start: SentStart, detail: string, tryRetry: () => boolean): AttemptEnd {
+	return tryRetry()
+		? {kind: 'retried'}
+		: {kind: 'unknown', failure: {diagnostic: createDiagnostic(Diagnostics.Task_may_have_run, start.index, start.agent.upstream, detail)}};
+}
+
+/** The outcome that is recorded. */
+export function toOutcome(end: SentEnd): AttemptOutcome {
+	if (end.kind !== 'result') {
+		return end.kind === 'not-received' ? 'refused' : 'unknown';
+	}
+
+	switch (end.result.outcome) {
+		case TaskOutcome.TASK_OUTCOME_COMPLETED: {
+			return 'completed';
+		}
+
+		case TaskOutcome.TASK_OUTCOME_FAILED: {
+			return 'failed';
+		}
+
+		case TaskOutcome.TASK_OUTCOME_REFUSED: {
+			return 'refused';
+		}
+
+		default: {
+			return 'unknown';
+		}
+	}
+}
+
+/** Why the attempt ended as it did; empty for a completed one. */
+export function describeEnd(end: SentEnd): string {
+	if (end.kind === 'result') {
+		return end.result.outcome === TaskOutcome.TASK_OUTCOME_REFUSED ? refusalTexts[end.result.reason] : end.result.detail;
+	}
+
+	return end.kind === 'not-received' ? 'the link was cut before the start arrived' : 'the agent is gone';
+}
+
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -7,47 +7,23 @@
 	createAgentSessions, type AgentSessions, type SentEnd, type SentStart,
 } from '../connection/agent-sessions.js';
 import type {
-	Admission, QueuedJob, QueuedTask, Scheduler, TeamQuota,
+	QueuedJob, QueuedTask, Scheduler, TeamQuota,
 } from '../connection/types.js';
-import {
-	RefusalReason, TaskOutcome, type TaskResult, type TaskStart,
-} from '../generated/kingcuplane.js';
+import type {TaskResult, TaskStart} from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
-import {assertNever, checkDefined} from '../process/debug.js';
+import {checkDefined} from '../process/debug.js';
 import {createDiagnostic, type Diagnostic, Diagnostics} from '../process/diagnostics.js';
-import type {
-	ServiceObject, Snapshot, SubmissionObject, PolicyObject,
-} from '../version/types.js';
-import {
-	createJob, type AttemptEnd, type Job, type JobFailure,
-} from './job.js';
+import type {Snapshot} from '../version/types.js';
+import {describeEnd, toAttemptEnd, toOutcome} from './attempt-end.js';
+import type {JobFailure} from './job.js';
+import {createJobRecord, type JobHandle, type JobRecord} from './job-record.js';
 import {createRetryBudget, type RetryBudget} from './retry-budget.js';
 import {createScheduler} from './scheduler.js';
+import {
+	applyRules, findRules, toFailure, toQueuedJob, type Caller, type JobRules, type SubmissionRequest,
+} from './submission-rules.js';
 import type {TicketIssuer} from './ticket.js';
-import type {
-	Answer, AttemptOutcome, FateRecorder, Ticket,
-} from './types.js';
-
-/** Who sends a request. */
-export type Caller = {
-	readonly name: string;
-	readonly team: string;
-};
-
-/** What a caller asks for under a ticket. */
-export type SubmissionRequest = {
-	readonly ticket: Ticket;
-	/** Name of a submission object. */
-	readonly submission: string;
-	readonly reference: string;
-	/** Longest time to the answer; the submission object's own if undefined. */
-	readonly deadlineMs?: Milliseconds;
-	readonly payloads: readonly Uint8Array[];
-	/** A single request, which may run again if its submission object is idempotent; tasks of jobs never do. */
-	readonly isRequest: boolean;
-	/** Hash of everything above but the ticket; tells a repetition from a different request. */
-	readonly digest: string;
-};
+import type {Answer, FateRecorder} from './types.js';
 
 /** Effects and surroundings of the home. */
 export type HomeHost = {
@@ -71,16 +47,6 @@
 	changed(agent: string): void;
 };
 
-/** A submission that has a final answer or will have one. */
-export type JobHandle = {
-	readonly ticket: Ticket;
-	readonly owner: string;
-	readonly taskCount: number;
-	tryGetAnswer(): Answer | undefined;
-	/** Calls `action` with the answer, at once if it stands; the returned function withdraws the call. */
-	whenAnswered(action: (answer: Answer) => void): () => void;
-};
-
 /** How the home takes a request. */
 export type SubmitOutcome =
 	/** The answer follows, or stands already for a repeated request. */
@@ -104,13 +70,6 @@
 	getOpenJobs(): number;
 };
 
-type JobRecord = JobHandle & {
-	readonly job: Job;
-	readonly digest: string;
-	answer?: Answer;
-	readonly listeners: Set<(answer: Answer) => void>;
-};
-
 /** What an accepted job needs until its answer stands. */
 type OpenJob = {
 	readonly record: JobRecord;
@@ -122,24 +81,6 @@
 	timer?: Timer;
 };
 
-/** The objects under which a job was accepted. */
-type JobRules = {
-	readonly submission: SubmissionObject;
-	readonly service: ServiceObject;
-	readonly policy: PolicyObject;
-	readonly maxTeamTasks: number;
-};
-
-const refusalTexts: Readonly<Record<RefusalReason, string>> = {
-	[RefusalReason.REFUSAL_REASON_UNSPECIFIED]: 'no reason given',
-	[RefusalReason.REFUSAL_REASON_FULL]: 'no free slot',
-	[RefusalReason.REFUSAL_REASON_DRAINING]: 'the agent is draining',
-	[RefusalReason.REFUSAL_REASON_CANCELLED]: 'cancelled',
-	[RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE]: 'the upstream cannot be reached',
-	[RefusalReason.REFUSAL_REASON_FENCED]: 'this entry was declared dead',
-	[RefusalReason.UNRECOGNIZED]: 'unknown reason',
-};
-
 const fateRetryMs = 5000;
 const drainRetryMs = 100;
 const quotaRetryMs = 1000;
@@ -223,7 +164,7 @@
 	// From here on the ticket is spent: a refusal stands for good, so that a copy of the request that arrives
 	// later cannot start what the caller was told is not run.
 	function take(caller: Caller, req: SubmissionRequest): JobHandle {
-		const record = createRecord(caller, req);
+		const record = createJobRecord(caller, req);
 		records.set(req.ticket.text, record);
 		const snapshot = host.tryGetSnapshot();
 		const rules = snapshot === undefined
@@ -357,7 +298,7 @@
 			return;
 		}
 
-		const attemptEnd = toAttemptEnd(entry, start, end);
+		const attemptEnd = toAttemptEnd(start, end, () => tryRetry(entry));
 		entry.record.job.markEnded(start.index, start.attempt, attemptEnd);
 		if (entry.record.job.tryGetAnswer() !== undefined) {
 			finish(entry);
@@ -366,54 +307,9 @@
 		}
 	}
 
-	function toAttemptEnd(entry: OpenJob, start: SentStart, end: SentEnd): AttemptEnd {
-		switch (end.kind) {
-			case 'result': {
-				return toResultEnd(entry, start, end.result);
-			}
-
-			case 'not-received': {
-				return {kind: 'refused'};
-			}
-
-			case 'agent-gone': {
-				return toUnknownEnd(entry, start, 'its agent is gone');
-			}
-
-			default: {
-				return assertNever(end);
-			}
-		}
-	}
-
-	function toResultEnd(entry: OpenJob, start: SentStart, result: TaskResult): AttemptEnd {
-		switch (result.outcome) {
-			case TaskOutcome.TASK_OUTCOME_COMPLETED: {
-				return {kind: 'completed', payload: result.payload};
-			}
-
-			case TaskOutcome.TASK_OUTCOME_REFUSED: {
-				return {kind: 'refused'};
-			}
-
-			case TaskOutcome.TASK_OUTCOME_FAILED: {
-				return {kind: 'failed', failure: {diagnostic: createDiagnostic(Diagnostics.Task_failed, start.index, start.agent.upstream, result.detail)}};
-			}
-
-			default: {
-				return toUnknownEnd(entry, start, result.detail);
-			}
-		}
-	}
-
 	// Only a single request that is idempotent may run again after an end that is not known.
-	function toUnknownEnd(entry: OpenJob, start: SentStart, detail: string): AttemptEnd {
-		const mayRetry = entry.request.isRequest && entry.rules.submission.idempotent;
-		if (mayRetry && getRetryBudget(entry.rules).trySpend()) {
-			return {kind: 'retried'};
-		}
-
-		return {kind: 'unknown', failure: {diagnostic: createDiagnostic(Diagnostics.Task_may_have_run, start.index, start.agent.upstream, detail)}};
+	function tryRetry(entry: OpenJob): boolean {
+		return entry.request.isRequest && entry.rules.submission.idempotent && getRetryBudget(entry.rules).trySpend();
 	}
 
 	function recordLateEnd(agent: {readonly incarnation: string}, result: TaskResult): void {
@@ -473,136 +369,3 @@
 		return budget;
 	}
 }
-
-function createRecord(caller: Caller, req: SubmissionRequest): JobRecord {
-	const record: JobRecord = {
-		ticket: req.ticket,
-		owner: caller.name,
-		taskCount: req.payloads.length,
-		job: createJob(req.payloads.length),
-		digest: req.digest,
-		listeners: new Set(),
-		tryGetAnswer: () => record.answer,
-		whenAnswered(action) {
-			if (record.answer === undefined) {
-				record.listeners.add(action);
-			} else {
-				action(record.answer);
-			}
-
-			return () => {
-				record.listeners.delete(action);
-			};
-		},
-	};
-	return record;
-}
-
-function findRules(snapshot: Snapshot, caller: Caller, req: SubmissionRequest, maxTasks: number): JobRules | Diagnostic {
-	const submission = snapshot.submissions.get(req.submission);
-	if (submission === undefined) {
-		return createDiagnostic(Diagnostics.Submission_is_unknown, req.submission, snapshot.version);
-	}
-
-	if (submission.team !== caller.team) {
-		return createDiagnostic(Diagnostics.Submission_is_not_allowed, caller.team, req.submission);
-	}
-
-	// A published version is whole: references resolve.
-	const service = checkDefined(snapshot.services.get(submission.service), 'the service of a submission exists');
-	const policy = checkDefined(snapshot.policies.get(service.policy), 'the policy of a service exists');
-	const team = checkDefined(snapshot.teams.get(submission.team), 'the team of a submission exists');
-	const limit = Math.min(maxTasks, service.maxTasksPerJob);
-	if (req.payloads.length > limit) {
-		return createDiagnostic(Diagnostics.Too_many_tasks, req.payloads.length, limit);
-	}
-
-	if (req.payloads.some(payload => payload.length > service.maxPayload)) {
-		return createDiagnostic(Diagnostics.Payload_is_too_large, service.maxPayload);
-	}
-
-	return {
-		submission, service, policy, maxTeamTasks: team.maxTasks,
-	};
-}
-
-function toQueuedJob(req: SubmissionRequest, rules: JobRules, now: Milliseconds): QueuedJob {
-	const longest = Math.min(rules.submission.deadline, rules.policy.deadline);
-	return {
-		ticket: req.ticket.text,
-		service: rules.service.name,
-		team: rules.submission.team,
-		taskCount: req.payloads.length,
-		expectedRun: rules.submission.expectedRun,
-		arrivedAt: now,
-		deadlineAt: now + Math.min(req.deadlineMs ?? longest, longest),
-	};
-}
-
-function toFailure(admission: Admission, queued: QueuedJob, now: Milliseconds): JobFailure | undefined {
-	switch (admission.kind) {
-		case 'admitted': {
-			return undefined;
-		}
-
-		case 'no-upstream': {
-			return {diagnostic: createDiagnostic(Diagnostics.Service_has_no_upstream, queued.service), retryAfter: admission.retryAfter};
-		}
-
-		case 'queue-full': {
-			return {diagnostic: createDiagnostic(Diagnostics.Queue_is_full, queued.service, admission.queued), retryAfter: admission.retryAfter};
-		}
-
-		case 'too-late': {
-			const left = Math.round(queued.deadlineAt - now);
-			return {diagnostic: createDiagnostic(Diagnostics.Deadline_cannot_be_met, queued.service, Math.round(admission.wait), left), retryAfter: admission.retryAfter};
-		}
-
-		default: {
-			return assertNever(admission);
-		}
-	}
-}
-
-function toOutcome(end: SentEnd): AttemptOutcome {
-	if (end.kind !== 'result') {
-		return end.kind === 'not-received' ? 'refused' : 'unknown';
-	}
-
-	switch (end.result.outcome) {
-		case TaskOutcome.TASK_OUTCOME_COMPLETED: {
-			return 'completed';
-		}
-
-		case TaskOutcome.TASK_OUTCOME_FAILED: {
-			return 'failed';
-		}
-
-		case TaskOutcome.TASK_OUTCOME_REFUSED: {
-			return 'refused';
-		}
-
-		default: {
-			return 'unknown';
-		}
-	}
-}
-
-function describeEnd(end: SentEnd): string {
-	if (end.kind === 'result') {
-		return end.result.outcome === TaskOutcome.TASK_OUTCOME_REFUSED ? refusalTexts[end.result.reason] : end.result.detail;
-	}
-
-	return end.kind === 'not-received' ? 'the link was cut before the start arrived' : 'the agent is gone';
-}
-
-function applyRules(scheduler: Scheduler, snapshot: Snapshot): void {
-	for (const service of snapshot.services.values()) {
-		const policy = checkDefined(snapshot.policies.get(service.policy), 'the policy of a service exists');
-		scheduler.setRules(service.name, {placement: policy.placement, maxQueuedTasks: policy.maxQueuedTasks});
-	}
-
-	for (const team of snapshot.teams.values()) {
-		scheduler.setShare(team.name, {weight: team.weight, maxRunning: team.maxTasks});
-	}
-}
--- /dev/null
+++ b/src/request/job-record.ts
@@ -0,0 +1,50 @@
+/**
+ * A submission under its ticket, from its first copy until its answer is forgotten.
+ */
+import {createJob, type Job} from './job.js';
+import type {Caller, SubmissionRequest} from './submission-rules.js';
+import type {Answer, Ticket} from './types.js';
+
+/** A submission that has a final answer or will have one. */
+export type JobHandle = {
+	readonly ticket: Ticket;
+	readonly owner: string;
+	readonly taskCount: number;
+	tryGetAnswer(): Answer | undefined;
+	/** Calls `action` with the answer, at once if it stands; the returned function withdraws the call. */
+	whenAnswered(action: (answer: Answer) => void): () => void;
+};
+
+/** What the home keeps of a submission. */
+export type JobRecord = JobHandle & {
+	readonly job: Job;
+	readonly digest: string;
+	answer?: Answer;
+	readonly listeners: Set<(answer: Answer) => void>;
+};
+
+/** Creates the record of a request whose ticket was just claimed. */
+export function createJobRecord(caller: Caller, req: SubmissionRequest): JobRecord {
+	const record: JobRecord = {
+		ticket: req.ticket,
+		owner: caller.name,
+		taskCount: req.payloads.length,
+		job: createJob(req.payloads.length),
+		digest: req.digest,
+		listeners: new Set(),
+		tryGetAnswer: () => record.answer,
+		whenAnswered(action) {
+			if (record.answer === undefined) {
+				record.listeners.add(action);
+			} else {
+				action(record.answer);
+			}
+
+			return () => {
+				record.listeners.delete(action);
+			};
+		},
+	};
+	return record;
+}
+
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -5,18 +5,21 @@
 import {createHash} from 'node:crypto';
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
-import type {RelayReply} from '../generated/kingcuplane.js';
 import type {Recovery} from '../connection/held-queries.js';
 import type {PeerRequest} from '../connection/peer-hub.js';
+import type {RelayReply} from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
 import {assertNever} from '../process/debug.js';
-import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
+import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
 import type {EntryDirectory, EntryStatus} from '../process/entry-directory.js';
-import type {
-	Caller, Home, JobHandle, SubmissionRequest,
-} from './home.js';
-import type {Settlement} from './settlement.js';
 import {lostName} from './fate-merge.js';
+import type {Home} from './home.js';
+import type {JobHandle} from './job-record.js';
+import {
+	fromRelayReply, homeUnreachable, toAnswerReply, toFateReply, toRelayReply, toReply, toSettledReply, type AnswerBody, type Reply,
+} from './reply.js';
+import type {Settlement} from './settlement.js';
+import type {Caller, SubmissionRequest} from './submission-rules.js';
 import {parseTicket} from './ticket.js';
 import type {Answer, SubmissionFate, Ticket} from './types.js';
 
@@ -53,25 +56,6 @@
 /** Body of a submission after its check. */
 export type SubmissionBody = z.infer<typeof submissionSchema>;
 
-/** A reply to a caller: an HTTP status and a JSON body. */
-export type Reply = {
-	readonly status: number;
-	readonly body: unknown;
-	/** When to come back; undefined if that makes no sense. */
-	readonly retryAfter?: Milliseconds;
-};
-
-/** The answer of a job in JSON. */
-export type AnswerBody = {
-	readonly ticket: string;
-	readonly state: Answer['state'] | 'running';
-	readonly ran: Answer['ran'];
-	/** Present if the state is `complete`. */
-	readonly tasks?: ReadonlyArray<{readonly payload: string}>;
-	readonly diagnostic?: Diagnostic;
-	readonly retryAfterMs?: Milliseconds;
-};
-
 /** A record of a submission and where it was found. */
 export type FoundFate = {
 	readonly fate: SubmissionFate;
@@ -104,8 +88,6 @@
 	serveRelayed(req: PeerRequest): Promise<Omit<RelayReply, 'id'>>;
 };
 
-const unreachableRetryMs: Milliseconds = 1000;
-
 const relayedSchema = z.object({
 	operation: z.enum(['submit', 'wait', 'cancel', 'fate']),
 	principal: z.object({name: z.string(), team: z.string(), role: z.enum(['caller', 'operator', 'support'])}),
@@ -317,44 +299,6 @@
 	}
 }
 
-/** Turns a refusal that concerns no job into a reply. */
-export function toReply(diagnostic: Diagnostic, retryAfter?: Milliseconds): Reply {
-	const body: Omit<AnswerBody, 'ticket'> = {
-		state: 'refused', ran: getRanOf(diagnostic), diagnostic, retryAfterMs: retryAfter,
-	};
-	return {status: getStatus(diagnostic), body, retryAfter};
-}
-
-function homeUnreachable(home: string): Reply {
-	return toReply(createDiagnostic(Diagnostics.Home_is_unreachable, home), unreachableRetryMs);
-}
-
-function toAnswerReply(ticket: string, answer: Answer): Reply {
-	const body: AnswerBody = {
-		ticket,
-		state: answer.state,
-		ran: answer.ran,
-		tasks: answer.payloads?.map(payload => ({payload: Buffer.from(payload).toString('base64')})),
-		diagnostic: answer.diagnostic,
-		retryAfterMs: answer.retryAfter,
-	};
-	return {status: answer.diagnostic === undefined ? 200 : getStatus(answer.diagnostic), body, retryAfter: answer.retryAfter};
-}
-
-// A record holds no payloads: a complete job whose payloads are gone is reported as such.
-function toFateReply(ticket: Ticket, fate: SubmissionFate): Reply {
-	if (fate.answer === undefined) {
-		return homeUnreachable(fate.entry);
-	}
-
-	const {state, ran} = fate.answer;
-	const diagnostic = fate.answer.diagnostic ?? createDiagnostic(Diagnostics.Answer_is_no_longer_kept, ticket.text);
-	const body: AnswerBody = {
-		ticket: ticket.text, state, ran, diagnostic,
-	};
-	return {status: getStatus(diagnostic), body};
-}
-
 /** The answer that the record or the agents support; undefined while tasks still run. */
 function tryPropose(ticket: Ticket, recovery: Recovery, fate: SubmissionFate | undefined): Settlement | undefined {
 	if (fate?.answer !== undefined) {
@@ -380,17 +324,6 @@
 	}
 }
 
-function toSettledReply(ticket: Ticket, settlement: Settlement, recovery: Recovery): Reply {
-	if (settlement.state !== 'complete') {
-		return toAnswerReply(ticket.text, settlement);
-	}
-
-	const isHeld = recovery.kind === 'answered' && recovery.answer.state === 'complete';
-	return toAnswerReply(ticket.text, isHeld
-		? recovery.answer
-		: {...settlement, diagnostic: createDiagnostic(Diagnostics.Answer_is_no_longer_kept, ticket.text)});
-}
-
 function toSubmissionRequest(ticket: Ticket, body: SubmissionBody): SubmissionRequest {
 	const digest = createHash('sha256').update(JSON.stringify([body.submission, body.kind, body.tasks])).digest('base64');
 	return {
@@ -408,62 +341,3 @@
 function mayRead(principal: Principal, owner: string): boolean {
 	return principal.role !== 'caller' || principal.name === owner || owner === lostName;
 }
-
-const statusByKind: Readonly<Record<string, number>> = {
-	TicketMalformed: 400,
-	TicketExpired: 410,
-	TicketForeign: 403,
-	TicketNamesOtherRequest: 409,
-	TokenMissing: 401,
-	TokenUnknown: 401,
-	TokenLacksRole: 403,
-	BodyTooLarge: 413,
-	BodyInvalid: 400,
-	TooManyTasks: 413,
-	PayloadTooLarge: 413,
-	SubmissionUnknown: 404,
-	SubmissionNotAllowed: 403,
-	ServiceHasNoUpstream: 503,
-	QueueFull: 429,
-	DeadlineCannotBeMet: 429,
-	QuotaExhausted: 429,
-	EntryDraining: 503,
-	EntryNotReady: 503,
-	FateMemoryFull: 503,
-	DeadlinePassed: 504,
-	JobCancelled: 409,
-	TaskFailed: 502,
-	TaskMayHaveRun: 502,
-	HomeLost: 502,
-	HomeUnreachable: 503,
-	FateUnknown: 404,
-	AnswerNoLongerKept: 410,
-	RouteUnknown: 404,
-};
-
-function getStatus(diagnostic: Diagnostic): number {
-	return statusByKind[diagnostic.kind] ?? 500;
-}
-
-// These say nothing about the work itself, which may be under way elsewhere.
-const undecidedKinds = new Set(['HomeUnreachable', 'FateUnknown', 'InternalFault', 'TicketForeign', 'TicketNamesOtherRequest']);
-
-function getRanOf(diagnostic: Diagnostic): Answer['ran'] {
-	return undecidedKinds.has(diagnostic.kind) ? 'may-have-run' : 'not-run';
-}
-
-function fromRelayReply(reply: RelayReply): Reply {
-	return {
-		status: reply.status,
-		body: JSON.parse(Buffer.from(reply.body).toString()),
-		retryAfter: reply.retryAfterMs === 0 ? undefined : reply.retryAfterMs,
-	};
-}
-
-function toRelayReply(reply: Reply): Omit<RelayReply, 'id'> {
-	return {
-		status: reply.status,
-		body: Buffer.from(JSON.stringify(reply.body)),
-		retryAfterMs: reply.retryAfter ?? 0,
-	};
-}
--- a/test/failure/callers.ts
+++ b/test/failure/callers.ts
@@ -4,9 +4,8 @@
  */
 import {Buffer} from 'node:buffer';
 import type {Milliseconds} from '../../src/process/clock.js';
-import type {
-	AnswerBody, Operation, Principal, Reply, SubmissionBody,
-} from '../../src/request/router.js';
+import type {AnswerBody, Reply} from '../../src/request/reply.js';
+import type {Operation, Principal, SubmissionBody} from '../../src/request/router.js';
 import type {Ticket} from '../../src/request/types.js';
 import {deadlineMs} from './config.js';
 import {entryNames, type World} from './world.js';
--- a/test/failure/checker.ts
+++ b/test/failure/checker.ts
@@ -2,7 +2,7 @@
  * Judges a run by what callers were told, what upstreams counted and what was recorded, and by nothing else.
  */
 import type {Milliseconds} from '../../src/process/clock.js';
-import type {AnswerBody} from '../../src/request/router.js';
+import type {AnswerBody} from '../../src/request/reply.js';
 import {getPayload, isFinal} from './callers.js';
 import type {JournalEntry, JournalEvent} from './journal.js';
 
--- a/test/failure/journal.ts
+++ b/test/failure/journal.ts
@@ -2,7 +2,7 @@
  * What the judge of a run knows: what callers were told, what upstreams counted and what was recorded.
  */
 import type {Milliseconds} from '../../src/process/clock.js';
-import type {AnswerBody} from '../../src/request/router.js';
+import type {AnswerBody} from '../../src/request/reply.js';
 
 /** One observation. */
 export type JournalEvent =
