--- a/src/request/block-saver.ts
+++ b/src/request/block-saver.ts
@@ -39,6 +39,8 @@
 	version: number;
 	/** The newest version that is known to be saved. */
 	savedVersion: number;
+	/** Time of the first change that is not known to be saved, or an earlier one; undefined if all are. */
+	unsavedSince: Milliseconds | undefined;
 	/** When the block should be written; undefined while nothing is to be written. */
 	dueAt: Milliseconds | undefined;
 	/** Failed writes since the last one that ended well. */
@@ -117,10 +119,11 @@
 
 	return {
 		add: content => ({
-			content, version: 0, savedVersion: 0, dueAt: undefined, failures: 0, retryAt: 0, doubtfulUntil: 0, isWriting: false, waiters: [],
+			content, version: 0, savedVersion: 0, unsavedSince: undefined, dueAt: undefined, failures: 0, retryAt: 0, doubtfulUntil: 0, isWriting: false, waiters: [],
 		}),
 		change(block) {
 			block.version++;
+			block.unsavedSince ??= clock.now();
 			setDue(block, clock.now() + host.saveDelayMs);
 		},
 		isSaved,
@@ -208,18 +211,21 @@
 
 	function write(block: SavedBlock): void {
 		const {version} = block;
-		const dueAt = block.dueAt ?? clock.now();
+		const startedAt = clock.now();
+		const dueAt = block.dueAt ?? startedAt;
 		const bytes = block.content.encode();
 		pending.delete(block);
 		block.dueAt = undefined;
 		block.isWriting = true;
-		budgetFullAt = Math.max(budgetFullAt, clock.now()) + spacing;
+		budgetFullAt = Math.max(budgetFullAt, startedAt) + spacing;
 		inFlight++;
 		writes++;
 		bytesWritten += bytes.length;
 		void host.put(block.content.key, bytes).match(
 			() => {
 				endWrite(block);
+				block.savedVersion = version;
+				block.unsavedSince = isSaved(block) ? undefined : startedAt;
 				handleSaved(block, version, bytes);
 				pump();
 				endFlushes();
@@ -243,7 +249,6 @@
 		pausedUntil = 0;
 		block.failures = 0;
 		block.retryAt = 0;
-		block.savedVersion = version;
 		if (clock.now() < block.doubtfulUntil) {
 			setDue(block, block.doubtfulUntil);
 		}
--- a/src/request/fate-memory.ts
+++ b/src/request/fate-memory.ts
@@ -5,13 +5,13 @@
 import type {SubmissionFacts, SubmissionFate} from './types.js';
 
 /** A record without its tasks and texts. */
-const recordBytes = 1000;
+const recordBytes = 1350;
 
 /** A task with one attempt. */
-const taskBytes = 400;
+const taskBytes = 350;
 
 /** A further attempt at the same task. */
-export const attemptBytes = 250;
+export const attemptBytes = 200;
 
 /** A delivery. */
 const deliveryBytes = 100;
--- a/src/request/fate-merge.ts
+++ b/src/request/fate-merge.ts
@@ -9,9 +9,9 @@
 /** Stands for a name that was lost with the home. */
 export const lostName = 'unknown';
 
-/** Gives a record of its own: `base` with what `held` adds. Without a base, all but the tasks is unknown. */
+/** Adds what `held` tells to `base` and gives it back. Without a base, all but the tasks is unknown. */
 export function mergeHeldTasks(base: SubmissionFate | undefined, ticket: Ticket, held: readonly HeldTask[]): SubmissionFate {
-	const fate = base === undefined ? createLostFate(ticket, held) : copyFate(base);
+	const fate = base ?? createLostFate(ticket, held);
 	for (const heldTask of held) {
 		mergeTask(fate, heldTask);
 	}
@@ -37,11 +37,6 @@
 	};
 }
 
-function copyFate(fate: SubmissionFate): SubmissionFate {
-	const tasks = Array.from(fate.tasks.values(), task => ({...task, attempts: task.attempts.map(attempt => ({...attempt}))}));
-	return {...fate, deliveries: [...fate.deliveries], tasks: new Map(tasks.map(task => [task.index, task]))};
-}
-
 function mergeTask(fate: SubmissionFate, held: HeldTask): void {
 	const index = held.task?.index ?? 0;
 	const task = fate.tasks.get(index) ?? {index, attempts: []};
--- a/src/request/fate-recorder.ts
+++ b/src/request/fate-recorder.ts
@@ -67,6 +67,8 @@
 	readonly memoryBytes: number;
 	readonly records: number;
 	readonly blocks: number;
+	/** Age of the oldest change that is not saved: what a crash now would lose at most. */
+	readonly oldestUnsavedMs: Milliseconds;
 	/** Records that lost the detail of their attempts, since the start. */
 	readonly detailDropped: number;
 	/** Submissions refused because the memory was full, since the start. */
@@ -171,6 +173,7 @@
 			memoryBytes,
 			records: sum(blocks.values(), ({state}) => state.getRecords()),
 			blocks: blocks.size,
+			oldestUnsavedMs: getOldestUnsaved(),
 			detailDropped,
 			refused,
 			changesIgnored,
@@ -180,6 +183,15 @@
 		},
 	};
 
+	function getOldestUnsaved(): Milliseconds {
+		let oldest = clock.now();
+		for (const {saved} of blocks.values()) {
+			oldest = Math.min(oldest, saved.unsavedSince ?? oldest);
+		}
+
+		return clock.now() - oldest;
+	}
+
 	function createSaver(): BlockSaver {
 		return createBlockSaver({
 			clock,
