Send metrics and log each answer with its ticket

Cause: metrics and logs existed as modules that no process used. Ruled out: a log line at info for each complete job (at the target that is the largest load on the log). Change: counters and times of answers and requests, gauges each second, a line with the ticket for each refused or failed job (complete ones at debug) and for each task that did not complete.

--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -131,6 +131,7 @@
 			starts.push({agent, start});
 		},
 		changed: () => undefined,
+		answered: () => undefined,
 	});
 	home.applySnapshot(snapshot);
 	return {
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -15,6 +15,7 @@
 	every, sleep, type Clock, type Milliseconds,
 } from './clock.js';
 import type {Log} from './log.js';
+import type {Metrics} from './metrics.js';
 import type {AgentSettings} from './settings.js';
 
 /** Effects of the agent. */
@@ -25,6 +26,7 @@
 	readonly incarnation: string;
 	readonly upstream: UpstreamCaller;
 	readonly log: Log;
+	readonly metrics: Metrics;
 	/** A number in [0, 1), for jitter. */
 	random(): number;
 	/** Addresses ("IP:port") of the entries in the platform's directory; undefined if it cannot be read. */
@@ -116,10 +118,18 @@
 	function run(start: TaskStart, done: (end: RunEnd) => void): void {
 		host.upstream.run(start, end => {
 			learn(end);
+			report(start, end);
 			done(end);
 		});
 	}
 
+	function report(start: TaskStart, end: RunEnd): void {
+		host.metrics.time('task.run', end.run, {outcome: outcomeNames[end.outcome]});
+		if (end.outcome !== TaskOutcome.TASK_OUTCOME_COMPLETED) {
+			host.log.child({ticket: start.task!.ticket}).info({index: start.task!.index, attempt: start.attempt, detail: end.detail}, 'task did not complete');
+		}
+	}
+
 	function learn(end: RunEnd): void {
 		if (end.outcome === TaskOutcome.TASK_OUTCOME_REFUSED) {
 			if (end.reason === RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE) {
@@ -164,6 +174,10 @@
 		for (const link of links.values()) {
 			link.stateChanged();
 		}
+
+		host.metrics.gauge('tasks.running', sessions.getRunning());
+		host.metrics.gauge('slots', slots);
+		host.metrics.gauge('config.version', configVersion);
 	}
 
 	function getState(): AgentState {
@@ -298,3 +312,12 @@
 		slots: settings.upstreamServer.slots,
 	};
 }
+
+const outcomeNames: Readonly<Record<TaskOutcome, string>> = {
+	[TaskOutcome.TASK_OUTCOME_UNSPECIFIED]: 'unknown',
+	[TaskOutcome.TASK_OUTCOME_COMPLETED]: 'completed',
+	[TaskOutcome.TASK_OUTCOME_FAILED]: 'failed',
+	[TaskOutcome.TASK_OUTCOME_UNKNOWN]: 'unknown',
+	[TaskOutcome.TASK_OUTCOME_REFUSED]: 'refused',
+	[TaskOutcome.UNRECOGNIZED]: 'unknown',
+};
--- a/src/process/bin/kingcuplane-agent.ts
+++ b/src/process/bin/kingcuplane-agent.ts
@@ -9,6 +9,7 @@
 import {readEntryAddresses} from '../entry-directory.js';
 import {createIncarnation} from '../incarnation.js';
 import {createLog} from '../log.js';
+import {createMetrics} from '../metrics.js';
 import {createPlatformClient} from '../platform/client.js';
 import {readAgentSettings} from '../settings.js';
 import {
@@ -19,6 +20,13 @@
 const settings = loadSettings('kingcuplane-agent', readAgentSettings);
 const clock = createSystemClock();
 const log = createLog('kingcuplane-agent', settings.name, settings.log);
+const metrics = createMetrics({
+	settings: settings.metrics,
+	tags: {role: 'agent', process: settings.name},
+	onError(err) {
+		log.warn({err}, 'metrics were lost');
+	},
+});
 const platform = createPlatformClient({...settings.platform, clock});
 const upstream = createUpstreamCaller({clock, ...settings.upstreamServer});
 const incarnation = createIncarnation();
@@ -28,6 +36,7 @@
 	incarnation,
 	upstream,
 	log,
+	metrics,
 	random: Math.random,
 	readDirectory: async () => readEntryAddresses(platform.table),
 	defer: setImmediate,
@@ -41,4 +50,5 @@
 agent.stop();
 await upstream.close();
 await platform.close();
+await metrics.close();
 process.exit(0);
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -15,10 +15,11 @@
 import {toFateReportJson} from '../request/fate-json.js';
 import {createFateLookup} from '../request/fate-lookup.js';
 import {createHome} from '../request/home.js';
+import type {JobHandle} from '../request/job-record.js';
 import {createRouter, type FoundFate, type Principal} from '../request/router.js';
 import {createSettlements} from '../request/settlement.js';
 import {createTicketIssuer} from '../request/ticket.js';
-import type {FateRecorder, Ticket} from '../request/types.js';
+import type {Answer, FateRecorder, Ticket} from '../request/types.js';
 import type {VersionFollower} from '../version/follower.js';
 import type {Snapshot} from '../version/types.js';
 import {formatAddress} from './address.js';
@@ -29,6 +30,7 @@
 import {createEntryDirectory} from './entry-directory.js';
 import {createHttpApi} from './http-api.js';
 import type {Log} from './log.js';
+import type {Metrics} from './metrics.js';
 import type {Platform} from './platform/types.js';
 import type {EntrySettings} from './settings.js';
 
@@ -44,6 +46,7 @@
 	/** Key of the hash in tickets. */
 	readonly ticketKey: Uint8Array;
 	readonly log: Log;
+	readonly metrics: Metrics;
 	authenticate(token: string): Result<Principal, Diagnostic>;
 	/** Whether tokens can be checked. */
 	areTokensKnown(): boolean;
@@ -83,6 +86,7 @@
 const snapshotOperation = 'snapshot';
 const snapshotTimeoutMs: Milliseconds = 2000;
 const restateMs: Milliseconds = 1000;
+const gaugeMs: Milliseconds = 1000;
 const heldTimeoutMs: Milliseconds = 500;
 const drainCheckMs: Milliseconds = 10;
 /** Time for which a draining entry still answers before it closes its port, so that the balancer turns away. */
@@ -128,6 +132,7 @@
 		changed(agent) {
 			links.changed(agent);
 		},
+		answered: reportAnswer,
 	});
 	const directory = createEntryDirectory({
 		clock,
@@ -198,6 +203,7 @@
 		recordDelivery: host.fates.recordDelivery,
 	});
 	const http = createHttpApi({
+		clock,
 		router,
 		maxBodyBytes: limits.maxBodyBytes,
 		maxTickets,
@@ -210,11 +216,15 @@
 		logFault(err) {
 			host.log.error({err}, 'request failed unexpectedly');
 		},
+		served(route, status, duration) {
+			host.metrics.time('http.request', duration, {route, status: String(status)});
+		},
 	});
 
 	const timers = [
 		every(clock, restateMs, peers.restate),
 		every(clock, shareIntervalMs, shares.tick),
+		every(clock, gaugeMs, stateGauges),
 	];
 	follower.onChange(applySnapshot);
 	const present = follower.tryGet();
@@ -302,6 +312,29 @@
 		return {processes};
 	}
 
+	function reportAnswer(job: JobHandle, answer: Answer, elapsed: Milliseconds): void {
+		const kind = answer.diagnostic?.kind ?? 'Complete';
+		host.metrics.count('job.answered', 1, {state: answer.state, ran: answer.ran, kind});
+		host.metrics.time('job.response', elapsed, {state: answer.state});
+		const log = host.log.child({ticket: job.ticket.text});
+		if (answer.state === 'complete') {
+			log.debug({tasks: job.taskCount, elapsed}, 'job complete');
+		} else {
+			log.info({
+				tasks: job.taskCount, elapsed, ran: answer.ran, diagnostic: answer.diagnostic,
+			}, `job ${answer.state}`);
+		}
+	}
+
+	function stateGauges(): void {
+		host.metrics.gauge('jobs.open', home.getOpenJobs());
+		host.metrics.gauge('tasks.outstanding', home.sessions.getOutstanding());
+		host.metrics.gauge('links.open', links.getLinked());
+		host.metrics.gauge('peers.open', peers.getLinked().length);
+		host.metrics.gauge('fates.unsaved', host.fates.getUnsaved());
+		host.metrics.gauge('config.version', follower.tryGet()?.version ?? 0);
+	}
+
 	async function drain(): Promise<DrainReport> {
 		isDraining = true;
 		peers.restate();
--- a/src/process/http-api.ts
+++ b/src/process/http-api.ts
@@ -2,6 +2,7 @@
  * The HTTP interface of an entry for callers, operators and the balancer; docs/API.md describes it.
  */
 import {bodyLimit} from 'hono/body-limit';
+import {routePath} from 'hono/route';
 import {type Context, Hono} from 'hono';
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
@@ -11,11 +12,12 @@
 import {toReply, type Reply} from '../request/reply.js';
 import {parseTicket} from '../request/ticket.js';
 import type {Ticket} from '../request/types.js';
-import type {Milliseconds} from './clock.js';
+import type {Clock, Milliseconds} from './clock.js';
 import {createDiagnostic, Diagnostics, type Diagnostic} from './diagnostics.js';
 
 /** What the interface needs from its entry. */
 export type HttpApiHost = {
+	readonly clock: Clock;
 	readonly router: Router;
 	/** Largest body of a request. */
 	readonly maxBodyBytes: number;
@@ -31,6 +33,8 @@
 	/** State of this process and of those that it knows, as JSON. */
 	getStatus(): unknown;
 	logFault(err: unknown): void;
+	/** A request was answered with `status` after `duration`; `route` is the pattern that it matched. */
+	served(route: string, status: number, duration: Milliseconds): void;
 };
 
 const bearer = /^Bearer (.+)$/v;
@@ -48,6 +52,11 @@
 		onError: () => send(toReply(createDiagnostic(Diagnostics.Body_is_too_large, host.maxBodyBytes))),
 	});
 
+	app.use(async (c, next) => {
+		const startedAt = host.clock.now();
+		await next();
+		host.served(`${c.req.method} ${routePath(c, -1)}`, c.res.status, host.clock.now() - startedAt);
+	});
 	app.get('/healthz', c => c.text('ok'));
 	app.get('/readyz', c => host.isReady() ? c.text('ready') : c.text('not ready', 503));
 
--- a/src/process/run-entry.ts
+++ b/src/process/run-entry.ts
@@ -16,6 +16,7 @@
 import {formatDiagnostic} from './diagnostics.js';
 import {createEntry} from './entry.js';
 import {createLog, type Log} from './log.js';
+import {createMetrics} from './metrics.js';
 import {createPlatformClient} from './platform/client.js';
 import type {EntrySettings} from './settings.js';
 import {createTokenDirectory} from './tokens.js';
@@ -37,6 +38,13 @@
 export async function runEntry(settings: EntrySettings, incarnation: string, declaredDead: () => void): Promise<RunningEntry> {
 	const clock = createSystemClock();
 	const log = createLog('kingcuplane-entry', settings.name, settings.log);
+	const metrics = createMetrics({
+		settings: settings.metrics,
+		tags: {role: 'entry', process: settings.name},
+		onError(err) {
+			log.warn({err}, 'metrics were lost');
+		},
+	});
 	const platform = createPlatformClient({...settings.platform, clock});
 	const follower = createVersionFollower({
 		platform,
@@ -80,6 +88,7 @@
 		fates,
 		ticketKey: randomBytes(ticketKeyBytes),
 		log,
+		metrics,
 		authenticate: tokens.authenticate,
 		areTokensKnown: tokens.isKnown,
 		declaredDead,
@@ -103,6 +112,7 @@
 			tokens.stop();
 			linkServer.forceShutdown();
 			await platform.close();
+			await metrics.close();
 		},
 	};
 }
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -45,6 +45,8 @@
 	send(agent: string, start: TaskStart): void;
 	/** Queue lengths, credits or acknowledgements for this agent have changed. */
 	changed(agent: string): void;
+	/** A submission has its final answer, `elapsed` after it was taken. */
+	answered(job: JobHandle, answer: Answer, elapsed: Milliseconds): void;
 };
 
 /** How the home takes a request. */
@@ -164,7 +166,7 @@
 	// From here on the ticket is spent: a refusal stands for good, so that a copy of the request that arrives
 	// later cannot start what the caller was told is not run.
 	function take(caller: Caller, req: SubmissionRequest): JobHandle {
-		const record = createJobRecord(caller, req);
+		const record = createJobRecord(caller, req, host.clock.now());
 		records.set(req.ticket.text, record);
 		const snapshot = host.tryGetSnapshot();
 		const rules = snapshot === undefined
@@ -342,6 +344,7 @@
 	function publish(record: JobRecord, answer: Answer): void {
 		host.fates.recordAnswer(record.ticket.text, answer);
 		record.answer = answer;
+		host.answered(record, answer, host.clock.now() - record.takenAt);
 		answered.set(record.ticket.text, host.clock.now());
 		for (const listener of record.listeners) {
 			listener(answer);
--- a/src/request/job-record.ts
+++ b/src/request/job-record.ts
@@ -1,6 +1,7 @@
 /**
  * A submission under its ticket, from its first copy until its answer is forgotten.
  */
+import type {Milliseconds} from '../process/clock.js';
 import {createJob, type Job} from './job.js';
 import type {Caller, SubmissionRequest} from './submission-rules.js';
 import type {Answer, Ticket} from './types.js';
@@ -19,18 +20,21 @@
 export type JobRecord = JobHandle & {
 	readonly job: Job;
 	readonly digest: string;
+	/** Time on the monotonic clock. */
+	readonly takenAt: Milliseconds;
 	answer?: Answer;
 	readonly listeners: Set<(answer: Answer) => void>;
 };
 
 /** Creates the record of a request whose ticket was just claimed. */
-export function createJobRecord(caller: Caller, req: SubmissionRequest): JobRecord {
+export function createJobRecord(caller: Caller, req: SubmissionRequest, takenAt: Milliseconds): JobRecord {
 	const record: JobRecord = {
 		ticket: req.ticket,
 		owner: caller.name,
 		taskCount: req.payloads.length,
 		job: createJob(req.payloads.length),
 		digest: req.digest,
+		takenAt,
 		listeners: new Set(),
 		tryGetAnswer: () => record.answer,
 		whenAnswered(action) {
--- a/test/failure/agent.ts
+++ b/test/failure/agent.ts
@@ -5,6 +5,7 @@
 import {z} from 'zod';
 import {createAgent, type Agent} from '../../src/process/agent.js';
 import {readAgentSettings} from '../../src/process/settings.js';
+import {noMetrics} from '../../src/process/metrics.js';
 import {slotsPerUpstream} from './config.js';
 import type {Journal} from './journal.js';
 import type {Network} from './network.js';
@@ -40,6 +41,7 @@
 		settings: readAgentSettings(getSettings(upstream.name), 'agent.toml')._unsafeUnwrap(),
 		incarnation: process.name,
 		upstream: upstream.createCaller(process),
+		metrics: noMetrics,
 		log: Logger.createLogger({name: process.name, streams: [{type: 'raw', stream: {write: noteVersion}}]}),
 		random: dice.fraction,
 		readDirectory: async () => process.carry(Promise.resolve(entries)),
--- a/test/failure/entry.ts
+++ b/test/failure/entry.ts
@@ -97,6 +97,7 @@
 		changed(agent) {
 			links.changed(agent);
 		},
+		answered: () => undefined,
 	});
 	const directory = createEntryDirectory({
 		clock,
