Carry free slots, the next job and piggybacked acknowledgements on the real links

Change: AgentState.free on each batch of an agent; EntryBatch.head; release names the entry whose task ended; acknowledgements travel with the next batch or after 200 ms; a batch on each link every 500 ms; run times are learned for each submission object. Process tests wait for counted starts instead of a time. The process test with a killed agent had counted 10 starts of 12 on a busy machine (it killed after 200 ms of wall time); it now waits for 12.

--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -131,6 +131,7 @@
 			starts.push({agent, start});
 		},
 		changed: () => undefined,
+		acknowledge: () => undefined,
 		answered: () => undefined,
 	});
 	home.applySnapshot(snapshot);
@@ -174,7 +175,7 @@
 			lastResultSeq: 0,
 		});
 		session.receiveState({
-			draining: false, running: 0, slots, meanRunMs: 100, failedPerMille: 0, configVersion: 1,
+			draining: false, running: 0, slots, meanRunMs: 100, failedPerMille: 0, configVersion: 1, free: 0,
 		});
 		session.receiveGranted(slots);
 	}
@@ -305,7 +306,7 @@
 
 function createEntryBatch(starts: TaskStart[], acked: number): EntryBatch {
 	return {
-		welcome: undefined, starts, resultsAcked: acked, queued: 1, returned: 0, config: undefined, queries: [], fenced: [], draining: false, entries: [],
+		welcome: undefined, starts, resultsAcked: acked, queued: 1, returned: 0, config: undefined, queries: [], fenced: [], draining: false, entries: [], head: undefined,
 	};
 }
 
@@ -346,7 +347,7 @@
 const stateBytes = AgentBatch.encode({
 	hello: undefined,
 	state: {
-		draining: false, running: 8, slots: 8, meanRunMs: 100, failedPerMille: 0, configVersion: 100,
+		draining: false, running: 8, slots: 8, meanRunMs: 100, failedPerMille: 0, configVersion: 100, free: 1,
 	},
 	granted: 100_000,
 	results: [],
--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -53,7 +53,7 @@
 	/** While draining every start is refused. */
 	setDraining(draining: boolean): void;
 	getRunning(): number;
-	/** Results that no entry has acknowledged yet. */
+	/** Results that an entry is still to acknowledge: one that is linked, or was until a few seconds ago. */
 	getUnacknowledged(): number;
 };
 
@@ -76,6 +76,8 @@
 };
 
 const noPayload = new Uint8Array();
+/** An entry that stays away for longer has given this agent up, or is gone. */
+const returnMs: Milliseconds = 3000;
 
 /** Creates the agent's side without any session. */
 export function createEntrySessions(host: EntrySessionsHost, granter: CreditGranter): EntrySessions {
@@ -127,9 +129,10 @@
 		},
 		getRunning: () => running,
 		getUnacknowledged() {
+			const oldest = host.clock.now() - returnMs;
 			let count = 0;
 			for (const record of records.values()) {
-				count += record.results.size;
+				count += record.isOpen || record.closedAt >= oldest ? record.results.size : 0;
 			}
 
 			return count;
@@ -152,7 +155,7 @@
 			receiveStart(entry, record, start);
 		}
 
-		granter.setQueued(entry, batch.queued);
+		granter.setQueued(entry, batch.queued, batch.head);
 		for (const query of batch.queries) {
 			record.held.push({id: query.id, tasks: getHeldTasks(query.ticket)});
 			host.changed(entry);
@@ -175,7 +178,7 @@
 		const recollection = recall(start);
 		host.run(start, end => {
 			running--;
-			granter.release();
+			granter.release(entry);
 			const result = addResult(entry, record, start, end);
 			rememberEnd(start, recollection, result);
 		});
--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -191,7 +191,7 @@
 		}
 
 		write({
-			state: hasNewState ? host.getState() : undefined,
+			state: host.getState(),
 			granted: due.granted,
 			results: [...due.results],
 			held: [...due.held],
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -7,15 +7,17 @@
 } from '../generated/kingcuplane.js';
 import type {Milliseconds} from '../process/clock.js';
 import type {AgentSession, AgentSessions} from './agent-sessions.js';
-import type {AgentFacts} from './types.js';
+import type {AgentFacts, WaitingHead} from './types.js';
 
 /** What the link server needs from its entry. */
 export type LinkServerHost = {
 	readonly entry: string;
 	readonly incarnation: string;
 	readonly sessions: AgentSessions;
-	/** Tasks waiting here that this agent could run. */
+	/** Credits wanted from this agent; what was read counts as told. */
 	getQueued(agent: string): number;
+	/** The job that would start next on this agent. */
+	tryGetHead(agent: string): WaitingHead | undefined;
 	/** Credits handed back to this agent since the link opened. */
 	getReturned(agent: string): number;
 	/** The part of the configuration in force that concerns this agent. */
@@ -40,8 +42,12 @@
 	/** Takes a stream that an agent opened. */
 	accept(stream: LinkStream): void;
 	send(agent: string, start: TaskStart): void;
-	/** Queue length, returned credits or acknowledgements for this agent have changed. */
+	/** Wanted or returned credits are to be told to this agent. */
 	changed(agent: string): void;
+	/** Results of this agent were handled; the acknowledgement travels with the next batch, or soon by itself. */
+	acknowledge(agent: string): void;
+	/** Sends a batch on every link, as is to be done every {@link heartbeatMs}. */
+	sendHeartbeats(): void;
 	/** Configuration, entries, fences or draining have changed for all agents. */
 	changedForAll(): void;
 	/** Asks every linked agent for what it holds of a ticket; gives the number of agents asked. */
@@ -49,8 +55,11 @@
 	getLinked(): number;
 };
 
-/** Longest time that news other than a start waits for more to travel with. */
-const newsDelayMs = 1;
+/** Time between two batches on a link that has nothing else to carry. */
+export const heartbeatMs: Milliseconds = 500;
+
+/** Longest time that an acknowledgement waits for a batch to travel with. */
+const ackDelayMs: Milliseconds = 200;
 
 /** The part of a gRPC stream that a link needs at the entry. */
 export type LinkStream = {
@@ -66,10 +75,10 @@
 	starts: TaskStart[];
 	queries: Array<{id: number; ticket: string}>;
 	isFlushPlanned: boolean;
+	isReportDue: boolean;
+	isAckPlanned: boolean;
 	hasNewsForAll: boolean;
 	sentAcked: number;
-	sentQueued: number;
-	sentReturned: number;
 	sentConfigVersion: number;
 };
 
@@ -84,19 +93,35 @@
 			const link = links.get(agent);
 			if (link !== undefined) {
 				link.starts.push(start);
-				planFlush(link, true);
+				planFlush(link);
 			}
 		},
 		changed(agent) {
 			const link = links.get(agent);
 			if (link !== undefined) {
-				planFlush(link, false);
+				link.isReportDue = true;
+				planFlush(link);
+			}
+		},
+		acknowledge(agent) {
+			const link = links.get(agent);
+			if (link !== undefined && !link.isAckPlanned) {
+				link.isAckPlanned = true;
+				host.after(ackDelayMs, () => {
+					flushAck(link);
+				});
+			}
+		},
+		sendHeartbeats() {
+			for (const link of links.values()) {
+				link.isReportDue = true;
+				planFlush(link);
 			}
 		},
 		changedForAll() {
 			for (const link of links.values()) {
 				link.hasNewsForAll = true;
-				planFlush(link, false);
+				planFlush(link);
 			}
 		},
 		query(id, ticket) {
@@ -104,7 +129,7 @@
 				link.queries.push({id, ticket});
 				// An agent that answers must refuse starts of dead entries from then on.
 				link.hasNewsForAll = true;
-				planFlush(link, true);
+				planFlush(link);
 			}
 
 			return links.size;
@@ -118,7 +143,7 @@
 			if (batch.hello !== undefined && link === undefined) {
 				link = createLink(host.sessions.open(batch.hello), stream);
 				links.set(link.session.agent.incarnation, link);
-				planFlush(link, true);
+				planFlush(link);
 			}
 
 			if (link !== undefined) {
@@ -168,19 +193,20 @@
 		}
 	}
 
-	function planFlush(link: Link, isUrgent: boolean): void {
-		if (isUrgent) {
+	function planFlush(link: Link): void {
+		if (!link.isFlushPlanned) {
+			link.isFlushPlanned = true;
 			host.defer(() => {
 				flush(link);
 			});
-			return;
 		}
+	}
 
-		if (!link.isFlushPlanned) {
-			link.isFlushPlanned = true;
-			host.after(newsDelayMs, () => {
-				flush(link);
-			});
+	function flushAck(link: Link): void {
+		link.isAckPlanned = false;
+		if (link.session.getResultsAcked() !== link.sentAcked) {
+			link.isReportDue = true;
+			flush(link);
 		}
 	}
 
@@ -193,21 +219,18 @@
 
 		const config = host.tryGetConfig(link.session.agent);
 		const isNewConfig = config !== undefined && config.version > link.sentConfigVersion;
-		const acked = link.session.getResultsAcked();
-		const queued = host.getQueued(agent);
-		const returned = host.getReturned(agent);
-		const isNews = link.starts.length > 0 || link.queries.length > 0 || link.hasNewsForAll || isNewConfig
-			|| acked !== link.sentAcked || queued !== link.sentQueued || returned !== link.sentReturned;
-		if (!isNews) {
+		if (link.starts.length === 0 && link.queries.length === 0 && !link.hasNewsForAll && !isNewConfig && !link.isReportDue) {
 			return;
 		}
 
+		const acked = link.session.getResultsAcked();
 		link.stream.write(createBatch({
 			starts: link.starts,
 			queries: link.queries,
 			resultsAcked: acked,
-			queued,
-			returned,
+			queued: host.getQueued(agent),
+			head: host.tryGetHead(agent),
+			returned: host.getReturned(agent),
 			config: isNewConfig ? config : undefined,
 			entries: link.hasNewsForAll ? [...host.getEntries()] : [],
 			fenced: link.hasNewsForAll ? [...host.getFenced()] : [],
@@ -216,9 +239,8 @@
 		link.starts = [];
 		link.queries = [];
 		link.hasNewsForAll = false;
+		link.isReportDue = false;
 		link.sentAcked = acked;
-		link.sentQueued = queued;
-		link.sentReturned = returned;
 		link.sentConfigVersion = isNewConfig ? config.version : link.sentConfigVersion;
 	}
 }
@@ -230,10 +252,10 @@
 		starts: [],
 		queries: [],
 		isFlushPlanned: false,
+		isReportDue: false,
+		isAckPlanned: false,
 		hasNewsForAll: true,
 		sentAcked: 0,
-		sentQueued: 0,
-		sentReturned: 0,
 		sentConfigVersion: 0,
 	};
 }
@@ -250,6 +272,7 @@
 		fenced: [],
 		draining: false,
 		entries: [],
+		head: undefined,
 		...part,
 	};
 }
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -55,7 +55,7 @@
 
 /** Weight of the newest run time in the mean. */
 const meanWeight = 0.1;
-const stateIntervalMs: Milliseconds = 1000;
+const stateIntervalMs: Milliseconds = 500;
 const keepMs: Milliseconds = 60_000;
 const probeIntervalMs: Milliseconds = 200;
 const drainCheckMs: Milliseconds = 10;
@@ -188,6 +188,7 @@
 			meanRunMs: Math.round(meanRun),
 			failedPerMille: Math.round(failedShare * 1000),
 			configVersion,
+			free: granter.getFree(),
 		};
 	}
 
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -5,7 +5,7 @@
 import type {Hono} from 'hono';
 import type {Result} from 'neverthrow';
 import {createHeldQueries, recoverAnswer} from '../connection/held-queries.js';
-import {createLinkHub} from '../connection/link-server.js';
+import {createLinkHub, heartbeatMs} from '../connection/link-server.js';
 import {createPeerHub} from '../connection/peer-hub.js';
 import {createQuotaShares, shareIntervalMs} from '../connection/quota-shares.js';
 import type {AgentFacts} from '../connection/types.js';
@@ -132,6 +132,9 @@
 		changed(agent) {
 			links.changed(agent);
 		},
+		acknowledge(agent) {
+			links.acknowledge(agent);
+		},
 		answered: reportAnswer,
 	});
 	const directory = createEntryDirectory({
@@ -148,6 +151,7 @@
 		incarnation,
 		sessions: home.sessions,
 		getQueued: home.scheduler.getQueued,
+		tryGetHead: home.scheduler.tryGetHead,
 		getReturned: home.scheduler.getReturned,
 		tryGetConfig: agent => tryGetConfig(follower.tryGet(), agent),
 		getEntries: directory.getLive,
@@ -224,6 +228,7 @@
 	const timers = [
 		every(clock, restateMs, peers.restate),
 		every(clock, shareIntervalMs, shares.tick),
+		every(clock, heartbeatMs, links.sendHeartbeats),
 		every(clock, gaugeMs, stateGauges),
 	];
 	follower.onChange(applySnapshot);
@@ -345,6 +350,8 @@
 			await sleep(clock, drainCheckMs);
 		}
 
+		// Agents that drain as well wait for the acknowledgement of their results.
+		links.sendHeartbeats();
 		await host.fates.flush();
 		return {openJobs: home.getOpenJobs()};
 	}
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -43,8 +43,10 @@
 	isDraining(): boolean;
 	/** Puts a start on the link of an agent. */
 	send(agent: string, start: TaskStart): void;
-	/** Queue lengths, credits or acknowledgements for this agent have changed. */
+	/** Wanted or returned credits are to be told to this agent. */
 	changed(agent: string): void;
+	/** A result of this agent was handled. */
+	acknowledge(agent: string): void;
 	/** A submission has its final answer, `elapsed` after it was taken. */
 	answered(job: JobHandle, answer: Answer, elapsed: Milliseconds): void;
 };
@@ -294,7 +296,7 @@
 		host.fates.recordEnded(start.ticket, start.index, start.attempt, {
 			endedAt: host.clock.wall(), outcome, detail: describeEnd(end), runMs: run,
 		});
-		host.changed(start.agent.incarnation);
+		host.acknowledge(start.agent.incarnation);
 		const entry = open.get(start.ticket);
 		if (entry === undefined) {
 			return;
@@ -321,7 +323,7 @@
 			detail: `late: ${result.detail}`,
 			runMs: result.runMs,
 		});
-		host.changed(agent.incarnation);
+		host.acknowledge(agent.incarnation);
 	}
 
 	function failJob(entry: OpenJob, failure: JobFailure): void {
--- a/src/request/submission-rules.ts
+++ b/src/request/submission-rules.ts
@@ -76,6 +76,7 @@
 	return {
 		ticket: req.ticket.text,
 		service: rules.service.name,
+		submission: rules.submission.name,
 		team: rules.submission.team,
 		taskCount: req.payloads.length,
 		expectedRun: rules.submission.expectedRun,
--- a/test/failure/entry.ts
+++ b/test/failure/entry.ts
@@ -3,7 +3,7 @@
  * network and platform.
  */
 import {createHeldQueries, recoverAnswer} from '../../src/connection/held-queries.js';
-import {createLinkHub, type LinkHub} from '../../src/connection/link-server.js';
+import {heartbeatMs, createLinkHub, type LinkHub} from '../../src/connection/link-server.js';
 import type {ConfigUpdate, EntryAddress, RelayReply} from '../../src/generated/kingcuplane.js';
 import type {PeerRequest} from '../../src/connection/peer-hub.js';
 import {every, type Milliseconds} from '../../src/process/clock.js';
@@ -97,6 +97,9 @@
 		changed(agent) {
 			links.changed(agent);
 		},
+		acknowledge(agent) {
+			links.acknowledge(agent);
+		},
 		answered: () => undefined,
 	});
 	const directory = createEntryDirectory({
@@ -115,6 +118,7 @@
 		incarnation,
 		sessions: home.sessions,
 		getQueued: home.scheduler.getQueued,
+		tryGetHead: home.scheduler.tryGetHead,
 		getReturned: home.scheduler.getReturned,
 		tryGetConfig: agent => tryGetConfig(follower.tryGet(), agent.upstream),
 		getEntries: directory.getLive,
@@ -157,6 +161,7 @@
 	});
 	follower.start();
 
+	every(clock, heartbeatMs, links.sendHeartbeats);
 	return {
 		process,
 		issuer,
@@ -174,6 +179,7 @@
 			const timer = every(clock, drainCheckMs, () => {
 				if (home.getOpenJobs() === 0 || clock.now() > end) {
 					timer.cancel();
+					links.sendHeartbeats();
 					void fates.recorder.flush().then(async () => directory.leave()).then(() => {
 						done(home.getOpenJobs());
 					});
--- a/test/processes/client.ts
+++ b/test/processes/client.ts
@@ -119,6 +119,22 @@
 	});
 }
 
+/** Waits until the upstreams have counted this many starts. */
+export async function waitForStarts(agents: readonly SystemAgent[], total: number): Promise<void> {
+	for (let i = 0; i < maxTries; i++) {
+		const counted = await countStarts(agents);
+		if (counted.total >= total) {
+			return;
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, retryMs);
+		});
+	}
+
+	throw new Error(`fewer than ${total} starts were counted`);
+}
+
 /** What the upstreams counted: starts in all, and the most of any one task. */
 export async function countStarts(agents: readonly SystemAgent[]): Promise<{readonly total: number; readonly greatest: number}> {
 	const counts = await Promise.all(agents.map(async agent => {
--- a/test/processes/failures.test.ts
+++ b/test/processes/failures.test.ts
@@ -4,7 +4,7 @@
 import {startSystem, type System, type SystemOptions} from '../../dev/system.js';
 import {describe, itAlone} from '../describe.js';
 import {
-	countStarts, createTestCaller, getEchoes, testObjects, type TestCaller, type TestReply,
+	countStarts, createTestCaller, getEchoes, testObjects, waitForStarts, type TestCaller, type TestReply,
 } from './client.js';
 
 const options: SystemOptions = {
@@ -62,11 +62,11 @@
 
 	describe('entry', () => {
 		itAlone('killed while its tasks run: others answer, from the agents where they can, and nothing starts twice', async t => {
-			await withSystem({entries: 3, run: 'fixed:600'}, async (system, caller) => {
+			await withSystem({entries: 3, run: 'fixed:3000'}, async (system, caller) => {
 				const [home, ...others] = system.entries;
 				const tickets = await caller.issue(home!, 12);
 				const pending = tickets.map(async ticket => caller.submit(home!, ticket, ['a']).catch(() => undefined));
-				await delay(300);
+				await waitForStarts(system.agents, 12);
 				await home!.program.kill();
 				await Promise.all(pending);
 				const replies = await Promise.all(tickets.map(async ticket => caller.settle(others, ticket, ['a'])));
@@ -80,12 +80,12 @@
 		});
 
 		itAlone('killed with tasks waiting: the job fails as may-have-run and no task starts twice', async t => {
-			await withSystem({run: 'fixed:300'}, async (system, caller) => {
+			await withSystem({run: 'fixed:1000'}, async (system, caller) => {
 				const [home, other] = system.entries;
 				const tasks = createTasks(100);
 				const [ticket] = await caller.issue(home!, 1);
 				const pending = caller.submit(home!, ticket!, tasks).catch(() => undefined);
-				await delay(400);
+				await waitForStarts(system.agents, 16);
 				await home!.program.kill();
 				await pending;
 				const reply = await caller.settle([other!], ticket!, tasks);
@@ -96,12 +96,12 @@
 		});
 
 		itAlone('frozen past its lease, then resumed: final answers do not contradict each other', async t => {
-			await withSystem({run: 'fixed:200'}, async (system, caller) => {
+			await withSystem({run: 'fixed:1000'}, async (system, caller) => {
 				const [home, other] = system.entries;
 				const tasks = createTasks(40);
 				const [ticket] = await caller.issue(home!, 1);
 				const early = caller.submit(home!, ticket!, tasks).catch(() => undefined);
-				await delay(300);
+				await waitForStarts(system.agents, 16);
 				home!.program.freeze();
 				const reply = await caller.settle([other!], ticket!, tasks);
 				home!.program.resume();
@@ -115,10 +115,10 @@
 
 	describe('agent', () => {
 		itAlone('killed with its upstream alive: no task starts twice and no answer claims not-run falsely', async t => {
-			await withSystem({run: 'fixed:400'}, async (system, caller) => {
+			await withSystem({run: 'fixed:3000'}, async (system, caller) => {
 				const tickets = await caller.issue(system.entries[0]!, 12);
 				const pending = tickets.map(async ticket => caller.submit(system.entries[0]!, ticket, ['a']));
-				await delay(200);
+				await waitForStarts(system.agents, 12);
 				await system.agents[0]!.program.kill();
 				const replies = await Promise.all(pending);
 				const unknown = replies.filter(reply => reply.ran === 'may-have-run');
