Count on all slots until a shortage was seen

Ruled out: not learning the share at all (with many entries each would promise all slots). Change: the learned share starts from all slots of the linked agents. Measured: test 'counts on all slots at first' fails before and passes after; the placement and failure tests give the same verdicts.

--- a/src/request/scheduler.ts
+++ b/src/request/scheduler.ts
@@ -184,7 +184,7 @@
 
 	function learnSlots(state: ServiceState): void {
 		if (state.queue.getTaskCount() > 0) {
-			const before = state.usedSlots ?? state.running;
+			const before = state.usedSlots ?? pool.getSlots(state.service);
 			state.usedSlots = Math.max(1, before + ((state.running - before) * newestWeight));
 		}
 	}
--- a/test/request/scheduler.test.ts
+++ b/test/request/scheduler.test.ts
@@ -66,6 +66,16 @@
 		t.is(scheduler.getReturned('a1'), 3);
 	});
 
+	it('counts on all slots at first, although a burst has got only one of them yet', t => {
+		const {scheduler} = createTestScheduler();
+		scheduler.openAgent(createFacts('a1'));
+		scheduler.setGranted('a1', 1);
+		scheduler.enqueue(createJob({ticket: 'burst', taskCount: 40}));
+		scheduler.recordEnd('a1', 'burst', 'completed', 100);
+		// 39 tasks of 100 ms take about 500 ms on 8 slots, and 3,900 ms on one.
+		t.is(scheduler.assess(createJob({ticket: 'next', taskCount: 1, deadlineAt: 2000})).kind, 'admitted');
+	});
+
 	it('puts refused tasks back and takes waiting ones out', t => {
 		const {scheduler, starts} = createTestScheduler();
 		scheduler.openAgent(createFacts('a1'));
