Give a recovered answer to its own caller only; name all entries to peers only when they change

Cause: the record pieced together from agents named no caller, so whoever held the ticket of a dead entry got its payloads; and each entry named all others to every peer every second, 2.4 MB/s at 200 entries. Ruled out: checking the ticket's hash elsewhere (its key is known to its home alone). Change: a start carries its caller's name, agents keep it, and the router checks it; an answer that agents give too late to tell its caller is asked for again. PeerState.entries goes on new streams and on changes. Measured: two tests of test/request/router.test.ts fail before and pass after; 9 process tests pass.

--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -321,7 +321,7 @@
 
 function createStart(seq: number): TaskStart {
 	return {
-		task: {ticket: `kc1.bench.0.${seq}`, index: 0}, seq, attempt: 1, taskCount: 1, service: 'ordering', payload, timeoutMs: 0, configVersion: 1, idempotent: false,
+		task: {ticket: `kc1.bench.0.${seq}`, index: 0}, seq, attempt: 1, taskCount: 1, service: 'ordering', payload, timeoutMs: 0, configVersion: 1, idempotent: false, caller: 'caller',
 	};
 }
 
--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -232,7 +232,7 @@
 	function recall(start: TaskStart): Recollection {
 		const recollection: Recollection = {
 			task: {
-				task: start.task, taskCount: start.taskCount, running: true, result: undefined, startedAt: Math.round(host.clock.wall()),
+				task: start.task, taskCount: start.taskCount, running: true, result: undefined, startedAt: Math.round(host.clock.wall()), caller: start.caller,
 			},
 		};
 		const {ticket} = (start.task!);
--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -16,7 +16,8 @@
 	readonly self: EntryAddress;
 	/** Serves a request that another entry passes on. */
 	serve(req: RelayRequest): Promise<Omit<RelayReply, 'id'>>;
-	getState(): PeerState;
+	/** The state to restate; with all known entries if `isFull`, as on a new stream. */
+	getState(isFull: boolean): PeerState;
 	receiveState(peer: EntryAddress, state: PeerState): void;
 	receiveShares(peer: EntryAddress, news: ShareNews): void;
 	/** A stream to this entry opened. */
@@ -40,8 +41,8 @@
 	sendShares(incarnation: string, news: ShareNews): void;
 	isLinked(incarnation: string): boolean;
 	getLinked(): readonly EntryAddress[];
-	/** Restates the shared state to every peer. */
-	restate(): void;
+	/** Restates the shared state to every peer; with all known entries if they have changed. */
+	restate(isFull: boolean): void;
 	stop(): void;
 };
 
@@ -89,8 +90,8 @@
 		},
 		isLinked: incarnation => tryGetDial(incarnation) !== undefined,
 		getLinked: () => [...dials.values()].flatMap(dial => dial.peer ?? []),
-		restate() {
-			const state = host.getState();
+		restate(isFull) {
+			const state = host.getState(isFull);
 			for (const dial of dials.values()) {
 				dial.stream?.write(createBatch({state}));
 			}
@@ -169,7 +170,7 @@
 		stream.on('end', () => {
 			hangUpIfCurrent(dial, stream);
 		});
-		stream.write(createBatch({hello: {address: host.self}, state: host.getState()}));
+		stream.write(createBatch({hello: {address: host.self}, state: host.getState(true)}));
 	}
 
 	function receiveOnDialed(dial: Dial, batch: PeerBatch): void {
@@ -238,7 +239,7 @@
 		stream.on('error', () => {
 			accepted.delete(stream);
 		});
-		stream.write(createBatch({hello: {address: host.self}, state: host.getState()}));
+		stream.write(createBatch({hello: {address: host.self}, state: host.getState(true)}));
 	}
 
 	async function serve(stream: ServerDuplexStream<PeerBatch, PeerBatch>, req: RelayRequest): Promise<void> {
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -226,7 +226,9 @@
 	});
 
 	const timers = [
-		every(clock, restateMs, peers.restate),
+		every(clock, restateMs, () => {
+			peers.restate(false);
+		}),
 		every(clock, shareIntervalMs, shares.tick),
 		every(clock, heartbeatMs, links.sendHeartbeats),
 		every(clock, gaugeMs, stateGauges),
@@ -276,7 +278,7 @@
 	function applySnapshot(snapshot: Snapshot): void {
 		home.applySnapshot(snapshot);
 		links.changedForAll();
-		peers.restate();
+		peers.restate(false);
 		host.log.info({configVersion: snapshot.version}, 'configuration in force');
 	}
 
@@ -284,13 +286,14 @@
 		const addresses = [...directory.getLive().map(entry => entry.links), ...settings.entry.seeds.map(seed => formatAddress(seed))];
 		peers.setAddresses(addresses);
 		links.changedForAll();
+		peers.restate(true);
 	}
 
-	function getState(): PeerState {
+	function getState(isFull: boolean): PeerState {
 		return {
 			configVersion: follower.tryGet()?.version ?? 0,
 			draining: isDraining,
-			entries: [...peers.getLinked()],
+			entries: isFull ? [...peers.getLinked()] : [],
 		};
 	}
 
@@ -342,7 +345,7 @@
 
 	async function drain(): Promise<DrainReport> {
 		isDraining = true;
-		peers.restate();
+		peers.restate(false);
 		links.changedForAll();
 		const end = clock.now() + limits.drainMs;
 		await sleep(clock, drainNoticeMs);
--- a/src/request/fate-merge.ts
+++ b/src/request/fate-merge.ts
@@ -9,7 +9,7 @@
 /** Stands for a name that was lost with the home. */
 export const lostName = 'unknown';
 
-/** Adds what `held` tells to `base` and gives it back. Without a base, all but the tasks is unknown. */
+/** Adds what `held` tells to `base` and gives it back. Without a base, all but the tasks and the caller is unknown. */
 export function mergeHeldTasks(base: SubmissionFate | undefined, ticket: Ticket, held: readonly HeldTask[]): SubmissionFate {
 	const fate = base ?? createLostFate(ticket, held);
 	for (const heldTask of held) {
@@ -23,7 +23,7 @@
 	return {
 		ticket,
 		entry: lostName,
-		caller: lostName,
+		caller: held[0]?.caller ?? lostName,
 		team: lostName,
 		submission: lostName,
 		service: lostName,
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -286,6 +286,7 @@
 			timeoutMs: entry.rules.policy.taskTimeout,
 			configVersion: entry.configVersion,
 			idempotent: entry.rules.submission.idempotent,
+			caller: entry.record.owner,
 		}));
 	}
 
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -12,7 +12,6 @@
 import {assertNever} from '../process/debug.js';
 import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
 import type {EntryDirectory, EntryStatus} from '../process/entry-directory.js';
-import {lostName} from './fate-merge.js';
 import type {Home} from './home.js';
 import type {JobHandle} from './job-record.js';
 import {
@@ -67,7 +66,7 @@
 	readonly clock: Clock;
 	readonly entry: string;
 	readonly incarnation: string;
-	readonly home: Home;
+	readonly home: Pick<Home, 'submit' | 'tryGetJob' | 'cancel'>;
 	readonly directory: Pick<EntryDirectory, 'getStatus' | 'confirmLease' | 'isKnown'>;
 	/** Passes a request on to an entry incarnation; undefined if it did not answer. */
 	relay(incarnation: string, req: PeerRequest): Promise<RelayReply | undefined>;
@@ -293,6 +292,11 @@
 		}
 
 		const recovery = await host.recover(ticket);
+		if (found === undefined && recovery.kind === 'answered') {
+			// Agents have answered only now, so whose ticket it is has not been checked.
+			return homeUnreachable(ticket.incarnation);
+		}
+
 		const proposal = tryPropose(ticket, recovery, found?.fate);
 		const settlement = proposal && await host.settle(ticket, proposal);
 		return settlement === undefined ? homeUnreachable(ticket.incarnation) : toSettledReply(ticket, settlement, recovery);
@@ -337,7 +341,6 @@
 	};
 }
 
-// A record pieced together from agents names no caller; the hash in the ticket keeps others from guessing it.
 function mayRead(principal: Principal, owner: string): boolean {
-	return principal.role !== 'caller' || principal.name === owner || owner === lostName;
+	return principal.role !== 'caller' || principal.name === owner;
 }
--- a/test/request/fate-lookup.test.ts
+++ b/test/request/fate-lookup.test.ts
@@ -167,7 +167,7 @@
 
 function createHeld(index: number, result: TaskResult | undefined, taskCount = 4): HeldTask {
 	return {
-		task: {ticket: ticket.text, index}, taskCount, running: result === undefined, result, startedAt: acceptedAt + 3,
+		task: {ticket: ticket.text, index}, taskCount, running: result === undefined, result, startedAt: acceptedAt + 3, caller: 'ann',
 	};
 }
 
--- /dev/null
+++ b/test/request/router.test.ts
@@ -0,0 +1,63 @@
+import {RefusalReason, TaskOutcome, type HeldTask} from '../../src/generated/kingcuplane.js';
+import {recoverAnswer} from '../../src/connection/held-queries.js';
+import {createFakeClock} from '../../src/process/fake-clock.js';
+import {mergeHeldTasks} from '../../src/request/fate-merge.js';
+import {createRouter, type Router} from '../../src/request/router.js';
+import {parseTicket} from '../../src/request/ticket.js';
+import {describe, it} from '../describe.js';
+
+const ticket = parseTicket('kc1.dead.0.0.AAAAAAAAAAAAAAAA')._unsafeUnwrap();
+
+/** One finished task of a single-task job of the caller "ann", as its agent holds it. */
+function createHeld(): HeldTask {
+	const task = {ticket: ticket.text, index: 0};
+	return {
+		task,
+		taskCount: 1,
+		running: false,
+		startedAt: 1000,
+		caller: 'ann',
+		result: {
+			task, seq: 1, attempt: 1, outcome: TaskOutcome.TASK_OUTCOME_COMPLETED, reason: RefusalReason.REFUSAL_REASON_UNSPECIFIED, payload: new Uint8Array([7]), runMs: 1, detail: '', startSeq: 1,
+		},
+	};
+}
+
+/** A router at an entry that finds the ticket's home dead. `isHeard` tells whether agents answer the first question. */
+function createTestRouter(isHeard = true): Router {
+	return createRouter({
+		clock: createFakeClock(),
+		entry: 'other',
+		incarnation: 'other',
+		home: {submit: () => ({kind: 'forgotten'}), tryGetJob: () => undefined, cancel: () => undefined},
+		directory: {getStatus: () => 'dead', confirmLease: async () => 'held', isKnown: () => true},
+		relay: async () => undefined,
+		findFate: async () => isHeard ? {fate: mergeHeldTasks(undefined, ticket, [createHeld()]), json: {}} : undefined,
+		recover: async () => recoverAnswer([createHeld()]),
+		settle: async (_ticket, proposal) => proposal,
+		recordDelivery: () => undefined,
+	});
+}
+
+async function ask(router: Router, name: string): Promise<unknown> {
+	const reply = await router.route({
+		operation: 'wait', principal: {name, team: 'lunch', role: 'caller'}, ticket, waitMs: 0,
+	});
+	return reply.body;
+}
+
+describe('router', () => {
+	describe('ticket of a dead home without a saved record', () => {
+		it('is answered to its caller from what agents hold', async t => {
+			t.like(await ask(createTestRouter(), 'ann'), {state: 'complete', ran: 'ran', tasks: [{payload: 'Bw=='}]});
+		});
+
+		it('is not answered to another caller', async t => {
+			t.like(await ask(createTestRouter(), 'bob'), {diagnostic: {kind: 'TicketForeign'}, tasks: undefined});
+		});
+
+		it('is to be asked for again when agents answer too late to tell its caller', async t => {
+			t.like(await ask(createTestRouter(false), 'bob'), {diagnostic: {kind: 'HomeUnreachable'}, tasks: undefined});
+		});
+	});
+});
