Let a recovered answer name its caller

Ruled out: looking the record up a second time (a second question to all agents). Change: the recovery carries the caller of the tasks it rests on, and the router checks that. The router test 'is to be asked for again' is replaced by one as strict: another caller is refused, the own caller is answered.

--- a/src/connection/held-queries.ts
+++ b/src/connection/held-queries.ts
@@ -23,7 +23,8 @@
 
 /** What agents' records tell about a job whose home is dead. */
 export type Recovery =
-	| {readonly kind: 'answered'; readonly answer: Answer}
+	/** `caller` is the one whom the answer belongs to. */
+	| {readonly kind: 'answered'; readonly answer: Answer; readonly caller: string}
 	/** Every task was started and none has failed, but some still run. */
 	| {readonly kind: 'running'}
 	/** The records do not cover the job. */
@@ -86,7 +87,7 @@
 	const failure = started.find(task => task.result?.outcome === TaskOutcome.TASK_OUTCOME_FAILED);
 	if (failure !== undefined) {
 		const diagnostic = createDiagnostic(Diagnostics.Task_failed, failure.task!.index, 'its upstream', failure.result!.detail);
-		return {kind: 'answered', answer: {state: 'failed', ran: 'ran', diagnostic}};
+		return {kind: 'answered', answer: {state: 'failed', ran: 'ran', diagnostic}, caller: first.caller};
 	}
 
 	const byIndex = new Map(started.map(task => [task.task!.index, task]));
@@ -101,5 +102,5 @@
 	}
 
 	const payloads = Array.from({length: first.taskCount}, (_, index) => byIndex.get(index)!.result!.payload);
-	return {kind: 'answered', answer: {state: 'complete', ran: 'ran', payloads}};
+	return {kind: 'answered', answer: {state: 'complete', ran: 'ran', payloads}, caller: first.caller};
 }
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -292,9 +292,8 @@
 		}
 
 		const recovery = await host.recover(ticket);
-		if (found === undefined && recovery.kind === 'answered') {
-			// Agents have answered only now, so whose ticket it is has not been checked.
-			return homeUnreachable(ticket.incarnation);
+		if (recovery.kind === 'answered' && !mayRead(principal, recovery.caller)) {
+			return toReply(createDiagnostic(Diagnostics.Ticket_is_foreign, ticket.text));
 		}
 
 		const proposal = tryPropose(ticket, recovery, found?.fate);
--- a/test/request/router.test.ts
+++ b/test/request/router.test.ts
@@ -56,8 +56,9 @@
 			t.like(await ask(createTestRouter(), 'bob'), {diagnostic: {kind: 'TicketForeign'}, tasks: undefined});
 		});
 
-		it('is to be asked for again when agents answer too late to tell its caller', async t => {
-			t.like(await ask(createTestRouter(false), 'bob'), {diagnostic: {kind: 'HomeUnreachable'}, tasks: undefined});
+		it('is answered to its caller only, also when agents answer too late for the record', async t => {
+			t.like(await ask(createTestRouter(false), 'bob'), {diagnostic: {kind: 'TicketForeign'}, tasks: undefined});
+			t.like(await ask(createTestRouter(false), 'ann'), {state: 'complete', ran: 'ran', tasks: [{payload: 'Bw=='}]});
 		});
 	});
 });
