Split the division of quotas from their exchange; write unions one way

Ruled out: nothing. Change: quota-division.ts (pure) and rendezvous.ts; unions start below the equals sign everywhere. No behaviour changes.

--- a/dev/upstream.ts
+++ b/dev/upstream.ts
@@ -9,10 +9,10 @@
 import {createRandom, drawExponential, type Random} from './random.js';
 
 /** How run times are drawn for tasks that don't state their own; means and bounds in milliseconds. */
-export type RunTimes
-	= | {readonly kind: 'fixed'; readonly ms: Milliseconds}
-		| {readonly kind: 'uniform'; readonly min: Milliseconds; readonly max: Milliseconds}
-		| {readonly kind: 'exponential'; readonly mean: Milliseconds};
+export type RunTimes =
+	| {readonly kind: 'fixed'; readonly ms: Milliseconds}
+	| {readonly kind: 'uniform'; readonly min: Milliseconds; readonly max: Milliseconds}
+	| {readonly kind: 'exponential'; readonly mean: Milliseconds};
 
 /** Faults in force. */
 export type UpstreamFaults = {
--- a/src/connection/quota-shares.ts
+++ b/src/connection/quota-shares.ts
@@ -6,29 +6,12 @@
  */
 import {createHash} from 'node:crypto';
 import type {Clock, Milliseconds} from '../process/clock.js';
+import {
+	createIdleReport, divideQuota, getNextSeq, isSameReport, isUnapplied, isWorthTelling, type ReportedShare, type ShareGrant, type ShareReport,
+} from './quota-division.js';
+import {chooseByRendezvous} from './rendezvous.js';
 import type {TeamQuota} from './types.js';
 
-/** What one entry tells the coordinator of a team. Restated, so that a lost report does no harm. */
-export type ShareReport = {
-	readonly team: string;
-	/** Tasks waiting or running. */
-	readonly used: number;
-	/** Used and refused tasks: what the entry could use now. */
-	readonly demand: number;
-	/** The share that the entry counts as its own. */
-	readonly claim: number;
-	/** Number of the last grant applied; 0 if none was. */
-	readonly grantSeq: number;
-};
-
-/** What the coordinator grants to one entry. */
-export type ShareGrant = {
-	readonly team: string;
-	readonly share: number;
-	/** Grows with each grant for this team and entry. */
-	readonly seq: number;
-};
-
 /** Reports and grants to one entry. */
 export type ShareNews = {
 	readonly reports: readonly ShareReport[];
@@ -70,8 +53,6 @@
 
 /** Ticks for which the coordinator of a team that it first hears of waits for the reports of others. */
 const settleTicks = 2;
-/** Corrections of less than this part of the quota are not sent. */
-const smallCorrection = 0.05;
 /** Ticks within which a demand has been reported, divided and granted, or will not be. */
 const waitTicks = 5;
 /** Ticks for which a shortage counts as known. */
@@ -101,12 +82,8 @@
 	sentAt: number;
 };
 
-type ReportedShare = {
-	report: ShareReport;
-	grant?: ShareGrant;
-	/** Tick at which the grant was last sent. */
-	grantedAt: number;
-};
+/** Reports and grants of one tick, by the entry that they go to. */
+type DueNews = Map<string, {readonly reports: ShareReport[]; readonly grants: ShareGrant[]}>;
 
 type Coordinated = {
 	readonly since: number;
@@ -234,7 +211,7 @@
 		}
 
 		shrinkClaims();
-		const news = new Map<string, {reports: ShareReport[]; grants: ShareGrant[]}>();
+		const news: DueNews = new Map();
 		collectReports(news);
 		for (const [team, state] of coordinated) {
 			divide(team, state, news);
@@ -319,7 +296,7 @@
 		}
 	}
 
-	function collectReports(news: Map<string, {reports: ShareReport[]; grants: ShareGrant[]}>): void {
+	function collectReports(news: DueNews): void {
 		for (const [team, share] of own) {
 			const coordinator = getCoordinator(team);
 			const report: ShareReport = {
@@ -327,7 +304,7 @@
 			};
 			share.refused = 0;
 			const isDue = share.sentTo !== coordinator || !fullTo.has(coordinator) || ticks - share.sentAt >= restateTicks;
-			if (isDue || share.sent === undefined || !isSame(report, share.sent)) {
+			if (isDue || share.sent === undefined || !isSameReport(report, share.sent)) {
 				getNews(news, coordinator).reports.push(report);
 				share.sent = report;
 				share.sentTo = coordinator;
@@ -381,7 +358,7 @@
 		serveWaiting(grant.team, share);
 	}
 
-	function divide(team: string, state: Coordinated, news: Map<string, {reports: ShareReport[]; grants: ShareGrant[]}>): void {
+	function divide(team: string, state: Coordinated, news: DueNews): void {
 		if (!isHeard() || ticks - state.since < settleTicks) {
 			return;
 		}
@@ -393,86 +370,30 @@
 		}
 
 		const limit = host.getLimit(team);
-		const targets = getTargets(state.entries, limit);
-		let free = limit;
-		for (const share of state.entries.values()) {
-			free -= getAccounted(share);
-		}
-
-		const missing = getMissing(state.entries, targets);
-		const portion = missing <= 0 ? 0 : Math.min(1, Math.max(0, free) / missing);
+		const portions = divideQuota(state.entries, limit);
 		for (const [entry, share] of state.entries) {
-			const accounted = getAccounted(share);
-			const target = targets.get(entry)!;
-			const granted = target > accounted ? Math.floor(accounted + (portion * (target - accounted))) : target;
-			if (isWorthTelling(granted, share, limit)) {
-				share.grant = {team, share: granted, seq: getNextSeq(share)};
-				share.grantedAt = ticks;
-				getNews(news, entry).grants.push(share.grant);
-			} else if (isUnapplied(share) && ticks - share.grantedAt >= restateTicks) {
-				share.grantedAt = ticks;
-				getNews(news, entry).grants.push(share.grant!);
+			const grant = tryGetGrant(team, share, portions.get(entry)!, limit);
+			if (grant !== undefined) {
+				getNews(news, entry).grants.push(grant);
 			}
 		}
 	}
-}
-
-// Small corrections wait, so that a steady team costs no messages; an entry short of quota does not.
-function isWorthTelling(granted: number, {report, grant}: ReportedShare, limit: number): boolean {
-	const present = grant?.share ?? report.claim;
-	const isShort = report.demand > present && granted > present;
-	return isShort || grant === undefined || Math.abs(granted - present) > limit * smallCorrection;
-}
-
-function isUnapplied({report, grant}: ReportedShare): boolean {
-	return grant !== undefined && report.grantSeq < grant.seq;
-}
-
-// Until the entry has applied the newest grant, both its claim and the grant may be in force.
-function getAccounted({report, grant}: ReportedShare): number {
-	return grant !== undefined && report.grantSeq < grant.seq ? Math.max(grant.share, report.claim) : report.claim;
-}
-
-function getNextSeq({report, grant}: ReportedShare): number {
-	return Math.max(report.grantSeq, grant?.seq ?? 0) + 1;
-}
-
-// Everybody gets what it can use and an equal part of the rest; if the quota is short, a part by demand.
-function getTargets(entries: ReadonlyMap<string, ReportedShare>, limit: number): ReadonlyMap<string, number> {
-	let demand = 0;
-	for (const {report} of entries.values()) {
-		demand += report.demand;
-	}
-
-	const rest = (limit - demand) / entries.size;
-	const targets = new Map<string, number>();
-	for (const [entry, {report}] of entries) {
-		targets.set(entry, Math.floor(rest >= 0 ? report.demand + rest : limit * report.demand / demand));
-	}
 
-	return targets;
-}
+	/** The grant to send now: a new one, or the last one again if it seems lost. */
+	function tryGetGrant(team: string, share: ReportedShare, granted: number, limit: number): ShareGrant | undefined {
+		const isLost = isUnapplied(share) && ticks - share.grantedAt >= restateTicks;
+		if (isWorthTelling(granted, share, limit)) {
+			share.grant = {team, share: granted, seq: getNextSeq(share)};
+		} else if (!isLost) {
+			return undefined;
+		}
 
-function getMissing(entries: ReadonlyMap<string, ReportedShare>, targets: ReadonlyMap<string, number>): number {
-	let missing = 0;
-	for (const [entry, share] of entries) {
-		missing += Math.max(0, targets.get(entry)! - getAccounted(share));
+		share.grantedAt = ticks;
+		return share.grant;
 	}
-
-	return missing;
 }
 
-function createIdleReport(team: string): ShareReport {
-	return {
-		team, used: 0, demand: 0, claim: 0, grantSeq: 0,
-	};
-}
-
-function isSame(a: ShareReport, b: ShareReport): boolean {
-	return a.used === b.used && a.demand === b.demand && a.claim === b.claim && a.grantSeq === b.grantSeq;
-}
-
-function getNews(news: Map<string, {reports: ShareReport[]; grants: ShareGrant[]}>, entry: string): {reports: ShareReport[]; grants: ShareGrant[]} {
+function getNews(news: DueNews, entry: string): {readonly reports: ShareReport[]; readonly grants: ShareGrant[]} {
 	let due = news.get(entry);
 	if (due === undefined) {
 		due = {reports: [], grants: []};
@@ -481,18 +402,3 @@
 
 	return due;
 }
-
-/** Chooses one of `entries` for `name`; a change of the set moves only the names of the entries concerned. */
-export function chooseByRendezvous(name: string, entries: readonly string[]): string {
-	let best = '';
-	let bestScore = '';
-	for (const entry of entries) {
-		const score = createHash('sha1').update(name).update('\0').update(entry).digest('hex');
-		if (score > bestScore) {
-			best = entry;
-			bestScore = score;
-		}
-	}
-
-	return best;
-}
--- a/src/process/toml.ts
+++ b/src/process/toml.ts
@@ -27,10 +27,10 @@
 };
 
 /** One way in which a value departs from its schema. */
-export type SchemaFault
-	= | {readonly kind: 'unknown'; readonly path: TomlPath; readonly nearest: string | undefined}
-		| {readonly kind: 'missing'; readonly path: TomlPath}
-		| {readonly kind: 'invalid'; readonly path: TomlPath; readonly detail: string};
+export type SchemaFault =
+	| {readonly kind: 'unknown'; readonly path: TomlPath; readonly nearest: string | undefined}
+	| {readonly kind: 'missing'; readonly path: TomlPath}
+	| {readonly kind: 'invalid'; readonly path: TomlPath; readonly detail: string};
 
 /** Parses TOML text. */
 export function parseToml(text: string): Result<TomlDocument, TomlSyntaxError> {
--- a/src/request/fate-lookup.ts
+++ b/src/request/fate-lookup.ts
@@ -11,12 +11,12 @@
 } from './types.js';
 
 /** What the home says. */
-export type HomeReply
-	= | {readonly kind: 'report'; readonly report: FateReport}
-		/** It did not answer; it may be alive. */
-		| {readonly kind: 'unreachable'}
-		/** It is gone for good, and records nothing any more. */
-		| {readonly kind: 'lost'};
+export type HomeReply =
+	| {readonly kind: 'report'; readonly report: FateReport}
+	/** It did not answer; it may be alive. */
+	| {readonly kind: 'unreachable'}
+	/** It is gone for good, and records nothing any more. */
+	| {readonly kind: 'lost'};
 
 /** Where the lookup asks. */
 export type FateLookupHost = {
@@ -36,11 +36,11 @@
 };
 
 /** What the platform says. */
-type StoreReply
-	= | {readonly kind: 'found'; readonly fate: SubmissionFate}
-		| {readonly kind: 'absent'}
-		/** The platform did not answer, or what is saved cannot be read. */
-		| {readonly kind: 'failed'; readonly reason: string};
+type StoreReply =
+	| {readonly kind: 'found'; readonly fate: SubmissionFate}
+	| {readonly kind: 'absent'}
+	/** The platform did not answer, or what is saved cannot be read. */
+	| {readonly kind: 'failed'; readonly reason: string};
 
 type HomeState = 'own' | Exclude<HomeReply['kind'], 'report'>;
 
--- a/src/request/fate-recorder.ts
+++ b/src/request/fate-recorder.ts
@@ -51,12 +51,12 @@
 };
 
 /** What the recorder reports, for logs. */
-export type FateRecorderEvent
-	= | {readonly kind: 'save-failed'; readonly block: number; readonly failures: number; readonly diagnostic: Diagnostic}
-		| {readonly kind: 'detail-dropped'; readonly block: number; readonly records: number}
-		| {readonly kind: 'memory-full'; readonly ticket: string; readonly bytes: number}
-		/** A change to a record that is not in memory; the saved record stays as it is. */
-		| {readonly kind: 'change-ignored'; readonly ticket: string; readonly change: FateChangeKind};
+export type FateRecorderEvent =
+	| {readonly kind: 'save-failed'; readonly block: number; readonly failures: number; readonly diagnostic: Diagnostic}
+	| {readonly kind: 'detail-dropped'; readonly block: number; readonly records: number}
+	| {readonly kind: 'memory-full'; readonly ticket: string; readonly bytes: number}
+	/** A change to a record that is not in memory; the saved record stays as it is. */
+	| {readonly kind: 'change-ignored'; readonly ticket: string; readonly change: FateChangeKind};
 
 /** Kinds of changes to a record. */
 export type FateChangeKind = 'sent' | 'ended' | 'cancelled' | 'answer' | 'delivery';
--- a/src/version/publish.ts
+++ b/src/version/publish.ts
@@ -54,15 +54,15 @@
 const maxVersionsBehind = 1000;
 
 /** Why an attempt did not publish. */
-type Setback
+type Setback =
 	/** Another attempt would end the same. */
-	= | {readonly kind: 'rejected'; readonly diagnostics: readonly Diagnostic[]}
+	| {readonly kind: 'rejected'; readonly diagnostics: readonly Diagnostic[]}
 	/** Another operator published between read and write, or a read was old. */
-		| {readonly kind: 'contended'; readonly diagnostic?: Diagnostic}
+	| {readonly kind: 'contended'; readonly diagnostic?: Diagnostic}
 	/** The platform failed before the transaction was sent. */
-		| {readonly kind: 'unavailable'; readonly diagnostic: Diagnostic; readonly retryAfter: Milliseconds}
+	| {readonly kind: 'unavailable'; readonly diagnostic: Diagnostic; readonly retryAfter: Milliseconds}
 	/** The transaction was sent and its outcome is not known. */
-		| {readonly kind: 'uncertain'; readonly diagnostic: Diagnostic; readonly retryAfter: Milliseconds};
+	| {readonly kind: 'uncertain'; readonly diagnostic: Diagnostic; readonly retryAfter: Milliseconds};
 
 async function publishWithRetries(host: PublishHost, changeSet: ChangeSet, options: CheckOptions | undefined): Promise<Result<Published, readonly Diagnostic[]>> {
 	const {clock, maxAttempts = defaultMaxAttempts} = host;
