Tell 'not run' of an expired ticket, and no delivery to a caller that hung up

Cause: a ticket whose lifetime was over and that was never used gave FateUnknown and may-have-run, though it is certain that nothing ran; the trail told a delivery although the caller's connection had gone; versions told by restarted processes were kept for ever. Ruled out: taking the request's abort signal when the answer is there (it does not tell if first asked for after the abort). Change: 'expired' is an outcome of its own, refused as not-run when there is no record; the signal is watched from the start of a request; gone processes are forgotten each second. A reply that another entry passes on still counts as delivered when it is passed on.

--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -30,7 +30,7 @@
 export const Diagnostics = {
 	// 1xxx: requests
 	Ticket_is_malformed: row(1001, 'TicketMalformed', 'The ticket {0} is not one that this system issued.', 'Obtain tickets with POST /v1/tickets and send them unchanged.'),
-	Ticket_has_expired: row(1002, 'TicketExpired', 'The ticket {0} was not used within its lifetime of {1} ms.', 'Obtain a fresh ticket; nothing was started under this one.'),
+	Ticket_has_expired: row(1002, 'TicketExpired', 'The ticket {0} was not used within its lifetime.', 'Obtain a fresh ticket; nothing was started under this one.'),
 	Ticket_is_foreign: row(1003, 'TicketForeign', 'The ticket {0} was issued to another caller.', 'Use tickets issued to your own token.'),
 	Ticket_names_other_request: row(1004, 'TicketNamesOtherRequest', 'The ticket {0} was used for a request with other contents.', 'Use one ticket for one request; send it again unchanged.'),
 	Token_is_missing: row(1010, 'TokenMissing', 'The request carries no bearer token.', 'Send the header "Authorization: Bearer <token>".'),
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -335,6 +335,7 @@
 	}
 
 	function stateGauges(): void {
+		forgetGone();
 		host.metrics.gauge('jobs.open', home.getOpenJobs());
 		host.metrics.gauge('tasks.outstanding', home.sessions.getOutstanding());
 		host.metrics.gauge('links.open', links.getLinked());
@@ -343,6 +344,21 @@
 		host.metrics.gauge('config.version', follower.tryGet()?.version ?? 0);
 	}
 
+	// Restarted processes come back under other names, so what was told by earlier ones would pile up.
+	function forgetGone(): void {
+		for (const agent of agentVersions.keys()) {
+			if (home.sessions.tryGet(agent) === undefined) {
+				agentVersions.delete(agent);
+			}
+		}
+
+		for (const peer of peerStates.keys()) {
+			if (!peers.isLinked(peer)) {
+				peerStates.delete(peer);
+			}
+		}
+	}
+
 	async function drain(): Promise<DrainReport> {
 		isDraining = true;
 		peers.restate(false);
--- a/src/process/http-api.ts
+++ b/src/process/http-api.ts
@@ -116,7 +116,7 @@
 		}
 
 		return send(await host.router.route({
-			operation: 'submit', principal: c.var.principal, ticket: ticket.value, submission, waitMs: host.maxWaitMs,
+			operation: 'submit', principal: c.var.principal, ticket: ticket.value, submission, waitMs: host.maxWaitMs, isConnected: watchConnection(c),
 		}));
 	}
 
@@ -127,7 +127,7 @@
 		}
 
 		return send(await host.router.route({
-			operation, principal: c.var.principal, ticket: ticket.value, waitMs,
+			operation, principal: c.var.principal, ticket: ticket.value, waitMs, isConnected: watchConnection(c),
 		}));
 	}
 
@@ -150,6 +150,12 @@
 	return parsed.success ? parsed.data : send(toReply(createDiagnostic(Diagnostics.Body_is_invalid, describeIssues(parsed.error))));
 }
 
+// The signal is taken now: one that is first asked for after the caller has hung up does not tell.
+function watchConnection(c: Context): () => boolean {
+	const {signal} = c.req.raw;
+	return () => !signal.aborted;
+}
+
 const maxIssues = 10;
 
 function describeIssues(error: z.ZodError): string {
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -57,6 +57,8 @@
 	| {readonly kind: 'taken'; readonly job: JobHandle}
 	/** The ticket was used before and its answer is no longer in memory; the record tells. */
 	| {readonly kind: 'forgotten'}
+	/** The ticket's lifetime is over: it starts nothing any more. If it was used, there is a record. */
+	| {readonly kind: 'expired'}
 	/** The request cannot be served under this ticket; nothing was started or changed. */
 	| {readonly kind: 'invalid'; readonly diagnostic: Diagnostic};
 
@@ -158,10 +160,13 @@
 				return {kind: 'taken', job: take(caller, req)};
 			}
 
-			case 'spent':
-			case 'expired': {
+			case 'spent': {
 				return {kind: 'forgotten'};
 			}
+
+			case 'expired': {
+				return {kind: 'expired'};
+			}
 		}
 	}
 
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -39,6 +39,8 @@
 	readonly submission?: SubmissionBody;
 	/** Longest time to wait for the answer. */
 	readonly waitMs: Milliseconds;
+	/** Whether the caller's connection still stands; undefined if only another entry can tell. */
+	readonly isConnected?: () => boolean;
 };
 
 /** Body of a submission as callers send it, in JSON. */
@@ -171,13 +173,17 @@
 		const outcome = host.home.submit(req.principal, toSubmissionRequest(req.ticket, req.submission!));
 		switch (outcome.kind) {
 			case 'taken': {
-				return answerJob(outcome.job, req.submission!.wait ? req.waitMs : 0, via);
+				return answerJob(outcome.job, {...req, waitMs: req.submission!.wait ? req.waitMs : 0}, via);
 			}
 
 			case 'forgotten': {
 				return reportFromFate(req);
 			}
 
+			case 'expired': {
+				return reportExpired(req);
+			}
+
 			case 'invalid': {
 				return toReply(outcome.diagnostic);
 			}
@@ -190,7 +196,7 @@
 
 	async function reportJob(req: TicketRequest, via: string): Promise<Reply> {
 		const job = tryGetOwnJob(req);
-		return job === undefined ? reportFromFate(req) : answerJob(job, req.waitMs, via);
+		return job === undefined ? reportFromFate(req) : answerJob(job, req, via);
 	}
 
 	function tryGetOwnJob(req: TicketRequest): JobHandle | undefined {
@@ -198,7 +204,7 @@
 		return job !== undefined && mayRead(req.principal, job.owner) ? job : undefined;
 	}
 
-	async function answerJob(job: JobHandle, waitMs: Milliseconds, via: string): Promise<Reply> {
+	async function answerJob(job: JobHandle, {waitMs, isConnected}: TicketRequest, via: string): Promise<Reply> {
 		const answer = await waitForAnswer(job, waitMs);
 		if (answer === undefined) {
 			return {status: 202, body: {ticket: job.ticket.text, state: 'running', ran: 'may-have-run'} satisfies AnswerBody};
@@ -208,7 +214,11 @@
 			return homeUnreachable(host.entry);
 		}
 
-		host.recordDelivery(job.ticket.text, via);
+		// A caller that has hung up gets nothing; it may ask again.
+		if (isConnected?.() !== false) {
+			host.recordDelivery(job.ticket.text, via);
+		}
+
 		return toAnswerReply(job.ticket.text, answer);
 	}
 
@@ -241,6 +251,13 @@
 		return 'fate' in found ? {status: 200, body: found.json} : found;
 	}
 
+	// A ticket that is used has a record before anything starts, so without one nothing ran or will run.
+	async function reportExpired(req: TicketRequest): Promise<Reply> {
+		return await host.findFate(req.ticket) === undefined
+			? toReply(createDiagnostic(Diagnostics.Ticket_has_expired, req.ticket.text))
+			: reportFromFate(req);
+	}
+
 	/** The record, or the reply if it cannot be shown. */
 	async function findReadable({ticket, principal}: TicketRequest): Promise<FoundFate | Reply> {
 		const found = await host.findFate(ticket);
--- a/test/processes/client.ts
+++ b/test/processes/client.ts
@@ -32,6 +32,7 @@
 /** A reply of the callers' interface. */
 export type TestReply = z.infer<typeof replySchema>;
 
+const fateSchema = z.object({fate: z.object({deliveries: z.array(z.unknown())})});
 const statusSchema = z.object({processes: z.array(z.object({version: z.number()}))});
 const echoSchema = z.object({task: z.string(), payload: z.string()});
 const countsSchema = z.object({
@@ -43,10 +44,11 @@
 /** Calls the entries of one system. */
 export type TestCaller = {
 	issue(entry: SystemEntry, count: number): Promise<readonly string[]>;
-	submit(entry: SystemEntry, ticket: string, tasks: readonly string[]): Promise<TestReply>;
+	submit(entry: SystemEntry, ticket: string, tasks: readonly string[], signal?: AbortSignal): Promise<TestReply>;
 	/** Asks until the reply is final; other entries are asked in turn when one does not answer. */
 	settle(entries: readonly SystemEntry[], ticket: string, tasks: readonly string[]): Promise<TestReply>;
-	getFate(entry: SystemEntry, ticket: string): Promise<unknown>;
+	/** Hand-overs of the answer that the record tells of. */
+	countDeliveries(entry: SystemEntry, ticket: string): Promise<number>;
 	/** Asks an entry until it reports this version in force in at least `processes` processes, itself included. */
 	waitForVersion(entry: SystemEntry, version: number, processes: number): Promise<void>;
 };
@@ -78,9 +80,9 @@
 
 			throw new Error(`${ticket} got no final answer`);
 		},
-		async getFate(entry, ticket) {
+		async countDeliveries(entry, ticket) {
 			const res = await fetch(`${entry.url}/v1/submissions/${ticket}/fate`, {headers});
-			return res.json();
+			return fateSchema.parse(await res.json()).fate.deliveries.length;
 		},
 		async waitForVersion(entry, version, processes) {
 			for (let i = 0; i < maxTries; i++) {
@@ -99,10 +101,11 @@
 		},
 	};
 
-	async function submit(entry: SystemEntry, ticket: string, tasks: readonly string[]): Promise<TestReply> {
+	async function submit(entry: SystemEntry, ticket: string, tasks: readonly string[], signal?: AbortSignal): Promise<TestReply> {
 		const res = await fetch(`${entry.url}/v1/submissions`, {
 			method: 'POST',
 			headers,
+			signal,
 			body: JSON.stringify({
 				ticket, submission: 'confirm', tasks: tasks.map(task => ({payload: Buffer.from(task).toString('base64')})),
 			}),
--- a/test/processes/failures.test.ts
+++ b/test/processes/failures.test.ts
@@ -168,6 +168,21 @@
 		});
 	});
 
+	describe('trail', () => {
+		itAlone('tells no delivery to a caller that hung up, and one after it asked again', async t => {
+			await withSystem({run: 'fixed:800'}, async (system, caller) => {
+				const [entry] = system.entries;
+				const [ticket] = await caller.issue(entry!, 1);
+				await t.throwsAsync(caller.submit(entry!, ticket!, ['a'], AbortSignal.timeout(400)), {any: true});
+				await waitForStarts(system.agents, 1);
+				await delay(1200);
+				t.is(await caller.countDeliveries(entry!, ticket!), 0);
+				await caller.submit(entry!, ticket!, ['a']);
+				t.is(await caller.countDeliveries(entry!, ticket!), 1);
+			});
+		});
+	});
+
 	describe('platform', () => {
 		itAlone('down: tickets, jobs and answers go on', async t => {
 			await withSystem({}, async (system, caller) => {
--- a/test/request/router.test.ts
+++ b/test/request/router.test.ts
@@ -46,7 +46,46 @@
 	return reply.body;
 }
 
+/** A router at the home of a ticket whose lifetime is over, with what the lookup of its record finds. */
+function createExpiredRouter(found: 'unreadable' | undefined): Router {
+	return createRouter({
+		clock: createFakeClock(),
+		entry: 'home',
+		incarnation: ticket.incarnation,
+		home: {submit: () => ({kind: 'expired'}), tryGetJob: () => undefined, cancel: () => undefined},
+		directory: {getStatus: () => 'live', confirmLease: async () => 'held', isKnown: () => true},
+		relay: async () => undefined,
+		findFate: async () => found,
+		recover: async () => ({kind: 'unknown'}),
+		settle: async (_ticket, proposal) => proposal,
+		recordDelivery: () => undefined,
+	});
+}
+
+async function submit(router: Router): Promise<unknown> {
+	const reply = await router.route({
+		operation: 'submit',
+		principal: {name: 'ann', team: 'lunch', role: 'caller'},
+		ticket,
+		waitMs: 0,
+		submission: {
+			ticket: ticket.text, submission: 'confirm', reference: '', kind: 'job', wait: true, tasks: [{payload: ''}],
+		},
+	});
+	return reply.body;
+}
+
 describe('router', () => {
+	describe('ticket whose lifetime is over', () => {
+		it('was not run if there is no record of it', async t => {
+			t.like(await submit(createExpiredRouter(undefined)), {state: 'refused', ran: 'not-run', diagnostic: {kind: 'TicketExpired'}});
+		});
+
+		it('is undecided while its record cannot be read', async t => {
+			t.like(await submit(createExpiredRouter('unreadable')), {ran: 'may-have-run', diagnostic: {kind: 'HomeUnreachable'}});
+		});
+	});
+
 	describe('ticket of a dead home without a saved record', () => {
 		it('is answered to its caller from what agents hold', async t => {
 			t.like(await ask(createTestRouter(), 'ann'), {state: 'complete', ran: 'ran', tasks: [{payload: 'Bw=='}]});
