Remove settings that did nothing

Cause: hedgePercent of policies and drainSeconds of agents were read, checked and documented, and no code acted on them. Ruled out: leaving them for later (an operator would count on them). Hedges are not built; an agent that leaves refuses new starts at once, whatever a time says.

--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -144,7 +144,7 @@
 function createTestSnapshot(teams: number): Snapshot {
 	const objects: ConfigObject[] = [
 		{
-			kind: 'policy', name: 'default', placement: 'response', maxQueuedTasks: 10_000_000, taskTimeout: 30_000, deadline: 600_000, retryPercent: 0, hedgePercent: 0, recordBeforeStart: false,
+			kind: 'policy', name: 'default', placement: 'response', maxQueuedTasks: 10_000_000, taskTimeout: 30_000, deadline: 600_000, retryPercent: 0, recordBeforeStart: false,
 		},
 		{
 			kind: 'service', name: 'ordering', policy: 'default', maxTasksPerJob: 1100, maxPayload: 65_536,
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -107,8 +107,6 @@
 	readonly seeds: readonly Address[];
 	/** Interval between reads of the directory of entries. */
 	readonly discoverMs: Milliseconds;
-	/** Time after which an upstream that is leaving takes no new work, in seconds. */
-	readonly drainSeconds: number;
 	/** Longest graceful shutdown. */
 	readonly drainMs: Milliseconds;
 	/** Bound on results that no entry has acknowledged, in bytes. */
@@ -248,7 +246,6 @@
 	agent: z.strictObject({
 		seeds: z.array(peerAddress).default([]),
 		discoverMs: duration(2000),
-		drainSeconds: z.number().min(0).max(3600).default(2),
 		drainMs: duration(30_000),
 		resultMemoryBytes: count(67_108_864),
 	}).prefault({}),
--- a/src/version/fields.ts
+++ b/src/version/fields.ts
@@ -43,7 +43,6 @@
 		{name: 'taskTimeout', fileName: 'taskTimeoutMs', range: {min: 1, max: hourMs}},
 		{name: 'deadline', fileName: 'deadlineMs', range: {min: 1, max: dayMs}},
 		{name: 'retryPercent', fileName: 'retryPercent', range: {min: 0, max: 100}},
-		{name: 'hedgePercent', fileName: 'hedgePercent', range: {min: 0, max: 100}},
 		{name: 'recordBeforeStart', fileName: 'recordBeforeStart'},
 	],
 	submission: [
--- a/src/version/schema.ts
+++ b/src/version/schema.ts
@@ -18,7 +18,6 @@
 	taskTimeout: z.int(),
 	deadline: z.int(),
 	retryPercent: z.number(),
-	hedgePercent: z.number(),
 	recordBeforeStart: z.boolean(),
 });
 
@@ -66,7 +65,6 @@
 	taskTimeoutMs: z.int().default(30_000),
 	deadlineMs: z.int().default(30_000),
 	retryPercent: z.number().default(10),
-	hedgePercent: z.number().default(0),
 	recordBeforeStart: z.boolean().default(false),
 }).transform(({taskTimeoutMs, deadlineMs, ...rest}): PolicyObject => ({
 	kind: 'policy', ...rest, taskTimeout: taskTimeoutMs, deadline: deadlineMs,
--- a/src/version/types.ts
+++ b/src/version/types.ts
@@ -35,8 +35,6 @@
 	readonly deadline: Milliseconds;
 	/** Extra attempts allowed for each hundred first attempts, for idempotent requests only. */
 	readonly retryPercent: number;
-	/** Hedged attempts allowed for each hundred first attempts, for idempotent requests only. */
-	readonly hedgePercent: number;
 	/** Whether acceptance is recorded at the platform before any task starts. */
 	readonly recordBeforeStart: boolean;
 };
--- a/test/failure/config.ts
+++ b/test/failure/config.ts
@@ -71,7 +71,7 @@
 export function createPolicy(placement: PlacementMode): PolicyObject {
 	return {
 		kind: 'policy', name: 'standard', placement, maxQueuedTasks: 80,
-		taskTimeout: 1500, deadline: deadlineMs, retryPercent: 20, hedgePercent: 0, recordBeforeStart: false,
+		taskTimeout: 1500, deadline: deadlineMs, retryPercent: 20, recordBeforeStart: false,
 	};
 }
 
