Take a silent upstream for unreachable

Cause: the agent's probe had no time limit and took a hang-up for an answer: an upstream that accepts connections and never answers kept the probe waiting for ever, with no slots offered even after it recovered. Ruled out: connecting without a request (a frozen process still accepts). Change: the probe waits a second, and only an answer, of whatever status, counts.

--- a/src/request/upstream-call.ts
+++ b/src/request/upstream-call.ts
@@ -21,13 +21,14 @@
 export type UpstreamCaller = {
 	/** Runs one task; `done` is called once and never before this call returns. */
 	run(start: TaskStart, done: (end: RunEnd) => void): void;
-	/** Whether the upstream accepts connections now. */
+	/** Whether the upstream answers now, with whatever status. */
 	isReachable(): Promise<boolean>;
 	close(): Promise<void>;
 };
 
 const noPayload = new Uint8Array();
 const maxDetailLength = 200;
+const probeTimeoutMs: Milliseconds = 1000;
 
 /** Creates the caller; connects when first used. */
 export function createUpstreamCaller(host: UpstreamCallerHost): UpstreamCaller {
@@ -39,11 +40,13 @@
 		},
 		async isReachable() {
 			try {
-				const res = await pool.request({method: 'GET', path: '/healthz'});
+				const res = await pool.request({
+					method: 'GET', path: '/healthz', headersTimeout: probeTimeoutMs, bodyTimeout: probeTimeoutMs,
+				});
 				await res.body.dump();
 				return true;
-			} catch (err) {
-				return !isConnectFailure(err);
+			} catch {
+				return false;
 			}
 		},
 		close: async () => pool.close(),
