Test the trails of four kinds of jobs through another entry

Cause: only baselines of the trail's form and traces of two kinds over processes stood. Ruled out: nothing. Change: a process test that traces a finished, a refused, a cancelled and a failed job with the command line through an entry that did not serve them.

--- a/test/processes/client.ts
+++ b/test/processes/client.ts
@@ -3,6 +3,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
+import {startProgram} from '../../dev/processes.js';
 import type {System, SystemAgent, SystemEntry} from '../../dev/system.js';
 
 /** Objects of a service whose submissions are not idempotent. */
@@ -47,6 +48,7 @@
 	submit(entry: SystemEntry, ticket: string, tasks: readonly string[], signal?: AbortSignal): Promise<TestReply>;
 	/** Asks until the reply is final; other entries are asked in turn when one does not answer. */
 	settle(entries: readonly SystemEntry[], ticket: string, tasks: readonly string[]): Promise<TestReply>;
+	cancel(entry: SystemEntry, ticket: string): Promise<void>;
 	/** Hand-overs of the answer that the record tells of. */
 	countDeliveries(entry: SystemEntry, ticket: string): Promise<number>;
 	/** Asks an entry until it reports this version in force in at least `processes` processes, itself included. */
@@ -80,6 +82,9 @@
 
 			throw new Error(`${ticket} got no final answer`);
 		},
+		async cancel(entry, ticket) {
+			await fetch(`${entry.url}/v1/submissions/${ticket}`, {method: 'DELETE', headers});
+		},
 		async countDeliveries(entry, ticket) {
 			const res = await fetch(`${entry.url}/v1/submissions/${ticket}/fate`, {headers});
 			return fateSchema.parse(await res.json()).fate.deliveries.length;
@@ -114,6 +119,18 @@
 	}
 }
 
+/** What `kingcuplane trace` prints when it asks this entry. */
+export async function trace(system: System, entry: SystemEntry, ticket: string): Promise<string> {
+	const program = startProgram('src/process/bin/kingcuplane.js', ['trace', ticket, '--entry', entry.url, '--token', system.tokens.support]);
+	await program.waitForExit();
+	return program.lines.join('\n');
+}
+
+/** Switches faults of the upstream beside an agent on or off. */
+export async function setUpstreamFaults(agent: SystemAgent, faults: Readonly<Record<string, boolean | number>>): Promise<void> {
+	await fetch(`${agent.upstreamUrl}/faults`, {method: 'POST', body: JSON.stringify(faults)});
+}
+
 /** The tasks that a complete reply answers, as "<ticket>/<index> <payload>". */
 export function getEchoes(reply: TestReply): readonly string[] {
 	return (reply.tasks ?? []).map(task => {
--- a/test/processes/failures.test.ts
+++ b/test/processes/failures.test.ts
@@ -4,7 +4,7 @@
 import {startSystem, type System, type SystemOptions} from '../../dev/system.js';
 import {describe, itAlone} from '../describe.js';
 import {
-	countStarts, createTestCaller, getEchoes, testObjects, waitForStarts, type TestCaller, type TestReply,
+	countStarts, createTestCaller, getEchoes, setUpstreamFaults, testObjects, trace, waitForStarts, type TestCaller, type TestReply,
 } from './client.js';
 
 const options: SystemOptions = {
@@ -169,6 +169,26 @@
 	});
 
 	describe('trail', () => {
+		itAlone('of a finished, a refused, a cancelled and a failed job is told by another entry', async t => {
+			await withSystem({run: 'fixed:100'}, async (system, caller) => {
+				const [home, other] = system.entries;
+				const [finished, refused, cancelled, failed] = await caller.issue(home!, 4);
+				await caller.submit(home!, finished!, createTasks(3));
+				await caller.submit(home!, refused!, createTasks(1101));
+				const pending = caller.submit(home!, cancelled!, createTasks(200));
+				await caller.cancel(home!, cancelled!);
+				await pending;
+				await Promise.all(system.agents.map(async agent => setUpstreamFaults(agent, {failFast: true})));
+				await caller.submit(home!, failed!, createTasks(1));
+				const trails = await Promise.all([finished, refused, cancelled, failed].map(async ticket => trace(system, other!, ticket!)));
+				t.regex(trails[0]!, /Conclusion +RAN ONCE: all 3 tasks ran exactly once, and the answer is complete/v);
+				t.regex(trails[1]!, /Conclusion +NOT RUN: the submission was refused/v);
+				t.regex(trails[2]!, /Cancelled .*by caller/v);
+				t.regex(trails[2]!, /JobCancelled|was cancelled by caller/v);
+				t.regex(trails[3]!, /Conclusion +RAN ONCE: .*the answer is failed/v);
+			});
+		});
+
 		itAlone('tells no delivery to a caller that hung up, and one after it asked again', async t => {
 			await withSystem({run: 'fixed:800'}, async (system, caller) => {
 				const [entry] = system.entries;
