Remove what nothing calls, and read directory rows with the shared JSON reader

Cause: the read-through found members and diagnostics without a caller (tryGetAddress, getLinks, drop, two rows of the table), a JSON parser in the directory beside json.ts, and the test of an unapplied grant written twice. Change: these are gone; readJson and isUnapplied serve both places. No behaviour changes.

--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -50,8 +50,6 @@
 	changed(): void;
 	/** The agent's condition has changed and is to be restated. */
 	stateChanged(): void;
-	/** Drops the stream at once, reads nothing more from it, and dials again. */
-	drop(): void;
 	/** Ends the link for good. */
 	stop(): void;
 	isOpen(): boolean;
@@ -79,9 +77,6 @@
 			hasNewState = true;
 			planFlush();
 		},
-		drop() {
-			closeStream();
-		},
 		stop() {
 			isStopped = true;
 			timer?.cancel();
--- a/src/connection/quota-division.ts
+++ b/src/connection/quota-division.ts
@@ -62,8 +62,9 @@
 }
 
 // Until the entry has applied the newest grant, both its claim and the grant may be in force.
-function getAccounted({report, grant}: ReportedShare): number {
-	return grant !== undefined && report.grantSeq < grant.seq ? Math.max(grant.share, report.claim) : report.claim;
+function getAccounted(reported: ReportedShare): number {
+	const {report, grant} = reported;
+	return grant !== undefined && isUnapplied(reported) ? Math.max(grant.share, report.claim) : report.claim;
 }
 
 /** Number of the next grant to the entry. */
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -42,7 +42,6 @@
 	/** Refuses new work, waits for the running tasks and for the acknowledgement of their results. */
 	drain(): Promise<DrainReport>;
 	stop(): void;
-	getLinks(): number;
 };
 
 /** What a drain left behind; all zero after a whole one. */
@@ -112,7 +111,6 @@
 				link.stop();
 			}
 		},
-		getLinks: () => [...links.values()].filter(link => link.isOpen()).length,
 	};
 
 	function run(start: TaskStart, done: (end: RunEnd) => void): void {
--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -35,7 +35,6 @@
 	Ticket_names_other_request: row(1004, 'TicketNamesOtherRequest', 'The ticket {0} was used for a request with other contents.', 'Use one ticket for one request; send it again unchanged.'),
 	Token_is_missing: row(1010, 'TokenMissing', 'The request carries no bearer token.', 'Send the header "Authorization: Bearer <token>".'),
 	Token_is_unknown: row(1011, 'TokenUnknown', 'The bearer token is not valid.', 'Ask an operator for a token.'),
-	Token_lacks_role: row(1012, 'TokenLacksRole', 'The token {0} may not do this; it needs the role {1}.', 'Use a token with that role.'),
 	Body_is_too_large: row(1020, 'BodyTooLarge', 'The body is larger than {0} bytes.', 'Send smaller payloads or split the job.'),
 	Body_is_invalid: row(1021, 'BodyInvalid', 'The body is not valid: {0}.', 'Correct the named fields; docs/API.md shows the form.'),
 	Too_many_tasks: row(1022, 'TooManyTasks', 'The job has {0} tasks; the limit is {1}.', 'Split the job.'),
@@ -95,7 +94,6 @@
 	Setting_is_unknown: row(3002, 'SettingUnknown', 'There is no setting {0}.', 'Remove it or correct its name; the nearest known one is {1}.'),
 	Setting_is_missing: row(3003, 'SettingMissing', 'The setting {0} is missing.', 'Add it; docs/REFERENCE.md lists all settings.'),
 	Setting_is_invalid: row(3004, 'SettingInvalid', 'The setting {0} is invalid: {1}.', 'Correct its value; docs/REFERENCE.md lists all settings.'),
-	Settings_cannot_be_read: row(3005, 'SettingsUnreadable', 'The settings file {0} cannot be read: {1}.', 'Give the path of a readable file.'),
 
 	// 4xxx: platform
 	Platform_is_unreachable: row(4001, 'PlatformUnreachable', 'The platform service did not answer: {0}.', 'Check the platform; the call is tried again.'),
--- a/src/process/entry-directory.ts
+++ b/src/process/entry-directory.ts
@@ -9,6 +9,7 @@
 import {
 	every, type Clock, type Milliseconds, type Timer,
 } from './clock.js';
+import {readJson} from './json.js';
 import type {TableRow, TableStore} from './platform/types.js';
 
 /** What the directory needs. */
@@ -45,8 +46,6 @@
 /** The directory as one entry sees it. */
 export type EntryDirectory = {
 	getStatus(incarnation: string): EntryStatus;
-	/** Address of an entry that is not dead. */
-	tryGetAddress(incarnation: string): EntryAddress | undefined;
 	/** All live entries, this one included. */
 	getLive(): readonly EntryAddress[];
 	getDead(): readonly string[];
@@ -121,10 +120,6 @@
 
 	return {
 		getStatus,
-		tryGetAddress(incarnation) {
-			const observation = observations.get(incarnation);
-			return observation?.isDead ? undefined : observation?.address ?? learned.get(incarnation);
-		},
 		getLive,
 		getDead: () => [...observations.values()].filter(seen => seen.isDead).map(seen => seen.address.incarnation),
 		learn(entries) {
@@ -381,16 +376,7 @@
 }
 
 function tryReadRow(row: TableRow): z.infer<typeof rowSchema> | undefined {
-	const parsed = rowSchema.safeParse(tryParseJson(row.value));
-	return parsed.success ? parsed.data : undefined;
-}
-
-function tryParseJson(text: string): unknown {
-	try {
-		return JSON.parse(text);
-	} catch {
-		return undefined;
-	}
+	return readJson(rowSchema, row.value).unwrapOr(undefined);
 }
 
 function describe(observations: ReadonlyMap<string, Observation>): string {
--- a/src/request/reply.ts
+++ b/src/request/reply.ts
@@ -107,7 +107,6 @@
 	TicketNamesOtherRequest: 409,
 	TokenMissing: 401,
 	TokenUnknown: 401,
-	TokenLacksRole: 403,
 	BodyTooLarge: 413,
 	BodyInvalid: 400,
 	TooManyTasks: 413,
