--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -131,6 +131,7 @@
 		send(agent, start) {
 			starts.push({agent, start});
 		},
+		stop: () => undefined,
 		changed: () => undefined,
 		acknowledge: () => undefined,
 		answered: () => undefined,
@@ -174,9 +175,11 @@
 			entryIncarnation: 'bench',
 			lastStartSeq: 0,
 			lastResultSeq: 0,
+			room: undefined,
+			labels: [],
 		});
 		session.receiveState({
-			draining: false, running: 0, slots, meanRunMs: 100, failedPerMille: 0, configVersion: 1, free: 0,
+			draining: false, running: 0, slots, meanRunMs: 100, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: undefined, receivedStarts: 0,
 		});
 		session.receiveGranted(slots);
 	}
@@ -310,6 +313,7 @@
 				outcome: TaskOutcome.TASK_OUTCOME_COMPLETED, reason: RefusalReason.REFUSAL_REASON_UNSPECIFIED, payload, run: 100, detail: '',
 			});
 		},
+		stop: () => undefined,
 		changed: () => undefined,
 	}, granter);
 	for (let i = 0; i < entries; i++) {
@@ -321,13 +325,13 @@
 
 function createStart(seq: number): TaskStart {
 	return {
-		task: {ticket: `kc1.bench.0.${seq}`, index: 0}, seq, attempt: 1, taskCount: 1, service: 'ordering', payload, timeoutMs: 0, configVersion: 1, idempotent: false, caller: 'caller',
+		task: {ticket: `kc1.bench.0.${seq}`, index: 0}, seq, attempt: 1, taskCount: 1, service: 'ordering', payload, timeoutMs: 0, configVersion: 1, idempotent: false, caller: 'caller', reference: '', need: undefined, expectedRunMs: 0,
 	};
 }
 
 function createEntryBatch(starts: TaskStart[], acked: number): EntryBatch {
 	return {
-		welcome: undefined, starts, resultsAcked: acked, queued: 1, returned: 0, config: undefined, queries: [], fenced: [], draining: false, entries: [], head: undefined,
+		welcome: undefined, starts, resultsAcked: acked, queued: 1, returned: 0, config: undefined, queries: [], fenced: [], draining: false, entries: [], head: undefined, stops: [],
 	};
 }
 
@@ -368,7 +372,7 @@
 const stateBytes = AgentBatch.encode({
 	hello: undefined,
 	state: {
-		draining: false, running: 8, slots: 8, meanRunMs: 100, failedPerMille: 0, configVersion: 100, free: 1,
+		draining: false, running: 8, slots: 8, meanRunMs: 100, failedPerMille: 0, configVersion: 100, free: 1, freeRoom: undefined, receivedStarts: 0,
 	},
 	granted: 100_000,
 	results: [],
--- a/dev/platform-app.ts
+++ b/dev/platform-app.ts
@@ -1,5 +1,5 @@
 /**
- * The HTTP face of a platform in memory: the interface of `src/process/platform/client.ts`, and beside it
+ * The HTTP face of a platform in memory: what the users' store speaks, and beside it
  * `GET /stats`, `GET /faults` and `POST /faults` (a JSON object with the faults to change).
  */
 import {Buffer} from 'node:buffer';
@@ -7,14 +7,18 @@
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
 import {noPlatformFaults, type MemoryPlatform, type PlatformFaults} from '../src/process/platform/memory.js';
-import type {PlatformError} from '../src/process/platform/types.js';
+import type {PlatformError, TableRow} from '../src/process/platform/types.js';
 import type {HttpEnv} from './http-server.js';
 
-const defaultLimit = 1000;
+const maxRows = 500;
+const pollMs = 10;
+const plainTable = 'kingcuplane';
 
+const rowName = z.object({table: z.string(), part: z.string(), key: z.string()});
 const transaction = z.object({
-	conditions: z.array(z.object({key: z.string(), revision: z.number()})),
-	writes: z.array(z.object({key: z.string(), value: z.string().optional()})),
+	'expect-rev': z.array(rowName.extend({ver: z.number()})).default([]),
+	'set-keys': z.array(rowName.extend({value: z.string()})).default([]),
+	'delete-keys': z.array(rowName).default([]),
 });
 
 const faultChanges = z.strictObject({
@@ -32,22 +36,47 @@
 	const {table, objects} = platform;
 	const app = new Hono<HttpEnv>();
 
-	app.get('/table/row', async c => answer(c, await table.get(key(c)), row => c.json({row})));
-	app.get('/table/rows', async c => answer(c, await table.scan(prefix(c), limit(c), c.req.query('after')), rows => c.json({rows})));
-	app.post('/table/commit', async c => {
+	app.get('/v1/rows-get', async c => answer(c, await scanTable(c), rows => {
+		const {from = '', target} = c.req.query();
+		const found = rows.map(row => toWireRow(row)).filter(row => row.key >= from && (target === undefined || row.key < target));
+		const limit = Math.min(maxRows, Number(c.req.query('limit') ?? maxRows));
+		return c.json({rows: found.slice(0, limit), 'has-more': found.length > limit, ver: platform.getRevision()});
+	}));
+	app.get('/v1/rows-feed', async c => {
+		const after = Number(c.req.query('after'));
+		const end = Date.now() + Number(c.req.query('wait-ms') ?? 0);
+		for (;;) {
+			const rows = await scanTable(c);
+			const changed = rows.map(found => found.filter(row => row.revision > after));
+			if (changed.isErr() || changed.value.length > 0 || Date.now() >= end) {
+				return answer(c, changed, found => c.json({rows: found.map(row => toWireRow(row)), ver: platform.getRevision()}));
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, pollMs);
+			});
+		}
+	});
+	app.post('/v1/rows-tx', async c => {
 		const parsed = transaction.safeParse(await c.req.json());
 		if (!parsed.success) {
 			return c.json({message: parsed.error.message}, 400);
 		}
 
-		const {conditions, writes} = parsed.data;
-		return answer(c, await table.commit({conditions, writes: writes.map(write => ({key: write.key, value: write.value}))}), outcome => c.json(outcome));
+		const conditions = parsed.data['expect-rev'].map(({ver, ...name}) => ({key: toKey(name), revision: ver}));
+		const writes = [
+			...parsed.data['set-keys'].map(({value, ...name}) => ({key: toKey(name), value: Buffer.from(value, 'base64').toString()})),
+			...parsed.data['delete-keys'].map(name => ({key: toKey(name), value: undefined})),
+		];
+		return answer(c, await table.commit({conditions, writes}), async outcome => outcome.kind === 'committed'
+			? c.json({ver: outcome.revision})
+			: c.json({rows: await readPresent(conditions)}, 412));
 	});
 
-	app.get('/objects/keys', async c => answer(c, await objects.list(prefix(c), limit(c)), keys => c.json({keys})));
-	app.get('/objects', async c => answer(c, await objects.get(key(c)), bytes => bytes === undefined ? c.body(null, 204) : c.body(Buffer.from(bytes))));
-	app.put('/objects', async c => answer(c, await objects.put(key(c), new Uint8Array(await c.req.arrayBuffer())), () => c.body(null, 204)));
-	app.delete('/objects', async c => answer(c, await objects.delete(key(c)), () => c.body(null, 204)));
+	app.get('/v1/blob-list', async c => answer(c, await objects.list(c.req.query('path-prefix') ?? '', Infinity), names => c.json({names, 'has-more': false})));
+	app.get('/v1/blob-get/:name', async c => answer(c, await objects.get(c.req.param('name')), bytes => bytes === undefined ? c.body(null, 404) : c.body(Buffer.from(bytes))));
+	app.put('/v1/blob-put/:name', async c => answer(c, await objects.put(c.req.param('name'), new Uint8Array(await c.req.arrayBuffer())), () => c.json({})));
+	app.delete('/v1/blob-drop/:name', async c => answer(c, await objects.delete(c.req.param('name')), () => c.json({})));
 
 	app.get('/stats', c => c.json(platform.getStats()));
 	app.get('/faults', c => c.json(platform.getFaults()));
@@ -64,10 +93,40 @@
 	});
 
 	return app;
+
+	async function scanTable(c: Context<HttpEnv>): Promise<Result<readonly TableRow[], PlatformError>> {
+		const name = c.req.query('table') ?? '';
+		const rows = await table.scan(name === plainTable ? '' : `${name}/`, Infinity);
+		return rows.map(found => found.filter(row => toWireRow(row).table === name));
+	}
+
+	async function readPresent(conditions: ReadonlyArray<{readonly key: string}>): Promise<unknown[]> {
+		const rows = await Promise.all(conditions.map(async ({key}) => table.get(key)));
+		return rows.flatMap(row => row.isOk() && row.value !== undefined ? [toWireRow(row.value)] : []);
+	}
+}
+
+function toKey({table, key}: {readonly table: string; readonly key: string}): string {
+	return table === plainTable ? key : `${table}/${key}`;
 }
 
+function toWireRow({key, value, revision}: TableRow): WireRow {
+	const slash = key.indexOf('/');
+	return {
+		table: slash === -1 ? plainTable : key.slice(0, slash), part: '', key: key.slice(slash + 1), value: Buffer.from(value).toString('base64'), ver: revision,
+	};
+}
+
+type WireRow = {
+	readonly table: string;
+	readonly part: string;
+	readonly key: string;
+	readonly value: string;
+	readonly ver: number;
+};
+
 /** Sends a result; an unreachable platform cuts the connection without an answer. */
-function answer<T>(c: Context<HttpEnv>, result: Result<T, PlatformError>, send: (value: T) => Response): Response {
+function answer<T, R extends Response | Promise<Response>>(c: Context<HttpEnv>, result: Result<T, PlatformError>, send: (value: T) => R): R | Response {
 	if (result.isOk()) {
 		return send(result.value);
 	}
@@ -80,15 +139,3 @@
 	c.env.incoming.socket.destroy();
 	return c.body(null);
 }
-
-function key(c: Context<HttpEnv>): string {
-	return c.req.query('key') ?? '';
-}
-
-function prefix(c: Context<HttpEnv>): string {
-	return c.req.query('prefix') ?? '';
-}
-
-function limit(c: Context<HttpEnv>): number {
-	return Number(c.req.query('limit') ?? defaultLimit);
-}
--- a/dev/system.ts
+++ b/dev/system.ts
@@ -8,7 +8,7 @@
 import {z} from 'zod';
 import {createSystemClock} from '../src/process/clock.js';
 import {formatDiagnostic} from '../src/process/diagnostics.js';
-import {createPlatformClient, type PlatformClient} from '../src/process/platform/client.js';
+import {createPlatformClient, type PlatformClient} from '../src/platform/store-client.js';
 import {parseFiles} from '../src/version/parse.js';
 import {publish} from '../src/version/publish.js';
 import {startProgram, waitForUrl, type Program} from './processes.js';
--- a/src/connection/agent-sessions.ts
+++ b/src/connection/agent-sessions.ts
@@ -31,6 +31,8 @@
 	readonly clock: Clock;
 	/** How long an agent may stay away before its starts are given up. */
 	readonly graceMs: Milliseconds;
+	/** Whether an agent that comes back as another incarnation vouches that all runs of its earlier ones are over. */
+	readonly endsEarlierLives?: boolean;
 	opened(agent: AgentFacts): void;
 	closed(agent: AgentFacts): void;
 	stateChanged(agent: AgentFacts, state: AgentState): void;
@@ -109,6 +111,7 @@
 	};
 
 	function open(hello: AgentHello): AgentSession {
+		giveUpEarlierLives(hello);
 		const record = records.get(hello.incarnation) ?? createRecord(hello);
 		records.set(hello.incarnation, record);
 		if (record.isOpen) {
@@ -125,6 +128,20 @@
 		return session;
 	}
 
+	// An agent says hello only once nothing of its earlier life runs on its upstream any more.
+	function giveUpEarlierLives(hello: AgentHello): void {
+		for (const record of records.values()) {
+			if (host.endsEarlierLives && record.agent.name === hello.agent && record.agent.incarnation !== hello.incarnation) {
+				if (record.isOpen) {
+					closeLink(record);
+				}
+
+				record.graceTimer?.cancel();
+				giveUp(record);
+			}
+		}
+	}
+
 	// Starts above the highest number that the agent received were lost with the earlier link, from which the
 	// agent reads no more.
 	function giveUpLostStarts(record: SessionRecord, lastStartSeq: number): void {
@@ -229,5 +246,7 @@
 		dataCentre: hello.dataCentre,
 		rack: hello.rack,
 		slots: hello.slots,
+		room: hello.room,
+		labels: hello.labels,
 	};
 }
--- a/src/connection/channel-options.ts
+++ b/src/connection/channel-options.ts
@@ -11,7 +11,7 @@
 	'grpc.max_receive_message_length': 64 * 1024 * 1024,
 	'grpc.max_send_message_length': 64 * 1024 * 1024,
 	'grpc.initial_reconnect_backoff_ms': 100,
-	'grpc.max_reconnect_backoff_ms': 2000,
+	'grpc.max_reconnect_backoff_ms': 500,
 	// Each address is its own process; a shared channel would couple their failures.
 	'grpc.use_local_subchannel_pool': 1,
 } as const;
--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -3,7 +3,7 @@
  * each start number of an entry incarnation at most once, refuses truthfully, and keeps each result until
  * the entry has acknowledged it.
  */
-import type {Clock, Milliseconds} from '../process/clock.js';
+import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import {
 	RefusalReason, TaskOutcome,
 	type AgentHello, type EntryBatch, type HeldReply, type HeldTask, type TaskResult, type TaskStart,
@@ -30,6 +30,10 @@
 	readonly keepBytes: number;
 	/** Hands the task to the upstream; `done` is called once. */
 	run(start: TaskStart, done: (end: RunEnd) => void): void;
+	/** Ends a run whose answer nobody waits for; `done` follows. Does nothing if it has ended. */
+	stop(start: TaskStart): void;
+	/** How long after a cut the runs of an entry go on; undefined if they always end by themselves. */
+	readonly abandonMs?: Milliseconds;
 	/** Something is to be sent to this entry incarnation. */
 	changed(entry: string): void;
 };
@@ -38,6 +42,8 @@
 export type DueForEntry = {
 	readonly granted: number;
 	readonly results: readonly TaskResult[];
+	/** Starts received on the open link. */
+	readonly receivedStarts: number;
 	readonly held: readonly HeldReply[];
 };
 
@@ -45,8 +51,10 @@
 export type EntrySessions = {
 	/** A link to this entry incarnation opened; the hello to answer with. Earlier links must be dropped first. */
 	open(entry: string): AgentHello;
-	/** The link was cut. Running tasks go on. */
+	/** The link was cut. Running tasks go on, or are stopped if the entry stays away for the host's `abandonMs`. */
 	close(entry: string): void;
+	/** Stops every run, as after a pause in which entries may have given this agent up. */
+	stopAll(): void;
 	receive(entry: string, batch: EntryBatch): void;
 	/** What has not been sent on the open link yet; counts as sent from now on. */
 	takeDue(entry: string): DueForEntry;
@@ -64,6 +72,11 @@
 	readonly results: Map<number, TaskResult>;
 	/** Highest result number sent on the open link. */
 	sentSeq: number;
+	/** Starts received on the open link. */
+	receivedStarts: number;
+	/** Runs under way by number of their start. */
+	readonly running: Map<number, TaskStart>;
+	abandonTimer?: Timer;
 	held: HeldReply[];
 	isOpen: boolean;
 	closedAt: Milliseconds;
@@ -97,8 +110,10 @@
 				granter.close(entry);
 			}
 
+			record.abandonTimer?.cancel();
 			record.isOpen = true;
 			record.sentSeq = 0;
+			record.receivedStarts = 0;
 			granter.open(entry);
 			return toHello(host.agent, entry, record);
 		},
@@ -108,20 +123,30 @@
 				record.isOpen = false;
 				record.closedAt = host.clock.now();
 				granter.close(entry);
+				planAbandon(record);
+			}
+		},
+		stopAll() {
+			for (const record of records.values()) {
+				stopRuns(record);
 			}
 		},
 		receive,
 		takeDue(entry) {
 			const record = records.get(entry);
 			if (!record?.isOpen) {
-				return {granted: 0, results: [], held: []};
+				return {
+					granted: 0, results: [], receivedStarts: 0, held: [],
+				};
 			}
 
 			const results = [...record.results.values()].filter(result => result.seq > record.sentSeq);
 			record.sentSeq = record.lastResultSeq;
 			const {held} = record;
 			record.held = [];
-			return {granted: granter.getGranted(entry), results, held};
+			return {
+				granted: granter.getGranted(entry), results, receivedStarts: record.receivedStarts, held,
+			};
 		},
 		setDraining(draining) {
 			isDraining = draining;
@@ -155,6 +180,13 @@
 			receiveStart(entry, record, start);
 		}
 
+		for (const {startSeq} of batch.stops) {
+			const start = record.running.get(startSeq);
+			if (start !== undefined) {
+				host.stop(start);
+			}
+		}
+
 		granter.setQueued(entry, batch.queued, batch.head);
 		for (const query of batch.queries) {
 			record.held.push({id: query.id, tasks: getHeldTasks(query.ticket)});
@@ -168,28 +200,47 @@
 		}
 
 		record.lastStartSeq = start.seq;
-		const refusal = tryGetRefusal(entry);
+		record.receivedStarts++;
+		const refusal = tryGetRefusal(entry, start);
 		if (refusal !== undefined) {
 			addResult(entry, record, start, createRefusal(refusal));
 			return;
 		}
 
 		running++;
+		record.running.set(start.seq, start);
 		const recollection = recall(start);
 		host.run(start, end => {
 			running--;
-			granter.release(entry);
+			record.running.delete(start.seq);
+			granter.release(entry, start.need);
 			const result = addResult(entry, record, start, end);
 			rememberEnd(start, recollection, result);
 		});
 	}
 
-	function tryGetRefusal(entry: string): RefusalReason | undefined {
+	// The entry may have died, or may have given its starts up; either way nobody waits for these runs, and their
+	// tasks may be started elsewhere soon.
+	function planAbandon(record: SessionRecord): void {
+		if (host.abandonMs !== undefined) {
+			record.abandonTimer = host.clock.after(host.abandonMs, () => {
+				stopRuns(record);
+			});
+		}
+	}
+
+	function stopRuns(record: SessionRecord): void {
+		for (const start of record.running.values()) {
+			host.stop(start);
+		}
+	}
+
+	function tryGetRefusal(entry: string, start: TaskStart): RefusalReason | undefined {
 		if (fenced.has(entry)) {
 			return RefusalReason.REFUSAL_REASON_FENCED;
 		}
 
-		if (granter.tryUse(entry)) {
+		if (granter.tryUse(entry, start.need)) {
 			return undefined;
 		}
 
@@ -280,6 +331,8 @@
 		lastResultSeq: 0,
 		results: new Map(),
 		sentSeq: 0,
+		receivedStarts: 0,
+		running: new Map(),
 		held: [],
 		isOpen: false,
 		closedAt: 0,
@@ -321,6 +374,8 @@
 		dataCentre: agent.dataCentre,
 		rack: agent.rack,
 		slots: agent.slots,
+		room: agent.room,
+		labels: [...agent.labels ?? []],
 		entryIncarnation: entry,
 		lastStartSeq: record.lastStartSeq,
 		lastResultSeq: record.lastResultSeq,
--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -10,6 +10,7 @@
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import type {EntrySessions} from './entry-sessions.js';
 import {channelOptions} from './channel-options.js';
+import type {LinkTiming} from './link-timing.js';
 
 /** What one link needs from its agent. */
 export type LinkClientHost = {
@@ -26,6 +27,7 @@
 	defer(action: () => void): void;
 	/** Prepares streams to "IP:port"; over gRPC if undefined. */
 	connect?(address: string): LinkConnection;
+	readonly timing: LinkTiming;
 };
 
 /** Opens streams to one entry. */
@@ -50,13 +52,14 @@
 	changed(): void;
 	/** The agent's condition has changed and is to be restated. */
 	stateChanged(): void;
+	/** Restates the condition unless something was sent within the last heartbeat interval. */
+	heartbeat(): void;
 	/** Ends the link for good. */
 	stop(): void;
 	isOpen(): boolean;
 };
 
 const firstDelayMs: Milliseconds = 50;
-const maxDelayMs: Milliseconds = 2000;
 
 /** Dials `address` ("IP:port") and keeps the link up. */
 export function createAgentLink(host: LinkClientHost, address: string): AgentLink {
@@ -66,9 +69,11 @@
 	let delay = firstDelayMs;
 	let timer: Timer | undefined;
 	let isStopped = false;
+	let silence: Timer | undefined;
 	let isFlushPlanned = false;
 	let hasNewState = false;
 	let sentGranted = 0;
+	let sentAt = -Infinity;
 
 	const link: AgentLink = {
 		address,
@@ -77,6 +82,12 @@
 			hasNewState = true;
 			planFlush();
 		},
+		heartbeat() {
+			if (host.clock.now() - sentAt >= host.timing.heartbeatMs / 2) {
+				hasNewState = true;
+				planFlush();
+			}
+		},
 		stop() {
 			isStopped = true;
 			timer?.cancel();
@@ -95,8 +106,10 @@
 
 		const current = client.open();
 		stream = current;
+		watchSilence(current);
 		current.on('data', (batch: EntryBatch) => {
 			if (stream === current) {
+				watchSilence(current);
 				receive(batch);
 			}
 		});
@@ -109,6 +122,15 @@
 		});
 	}
 
+	function watchSilence(current: Stream): void {
+		silence?.cancel();
+		silence = host.timing.silenceMs === undefined
+			? undefined
+			: host.clock.after(host.timing.silenceMs, () => {
+				closeIfCurrent(current);
+			});
+	}
+
 	function closeIfCurrent(closed: Stream): void {
 		if (stream === closed) {
 			closeStream();
@@ -122,6 +144,7 @@
 		}
 
 		stream = undefined;
+		silence?.cancel();
 		closed.cancel();
 		if (entry !== undefined) {
 			host.sessions.close(entry);
@@ -130,7 +153,7 @@
 
 		if (!isStopped) {
 			timer = host.clock.after(delay * (0.5 + host.random()), dial);
-			delay = Math.min(maxDelayMs, delay * 2);
+			delay = Math.min(host.timing.maxRedialMs, delay * 2);
 		}
 	}
 
@@ -186,7 +209,7 @@
 		}
 
 		write({
-			state: host.getState(),
+			state: {...host.getState(), receivedStarts: due.receivedStarts},
 			granted: due.granted,
 			results: [...due.results],
 			held: [...due.held],
@@ -196,6 +219,7 @@
 	}
 
 	function write(part: Partial<AgentBatch>): void {
+		sentAt = host.clock.now();
 		stream?.write({
 			hello: undefined, state: undefined, granted: 0, results: [], held: [], ...part,
 		});
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -3,9 +3,9 @@
  * event loop travels in one batch.
  */
 import type {
-	AgentBatch, ConfigUpdate, EntryAddress, EntryBatch, HeldReply, LinkServer, TaskStart,
+	AgentBatch, ConfigUpdate, EntryAddress, EntryBatch, HeldReply, LinkServer, TaskStart, TaskStop,
 } from '../generated/kingcuplane.js';
-import type {Milliseconds} from '../process/clock.js';
+import type {Milliseconds, Timer} from '../process/clock.js';
 import type {AgentSession, AgentSessions} from './agent-sessions.js';
 import type {AgentFacts, WaitingHead} from './types.js';
 
@@ -32,7 +32,11 @@
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
 	/** Runs an action after a delay. */
-	after(delay: Milliseconds, action: () => void): void;
+	after(delay: Milliseconds, action: () => void): Timer;
+	/** A link on which nothing arrives for this time is closed. */
+	readonly silenceMs?: Milliseconds;
+	/** A batch has arrived and is about to be read. */
+	arrived?(): void;
 };
 
 /** The links of one entry to all agents. */
@@ -42,11 +46,13 @@
 	/** Takes a stream that an agent opened. */
 	accept(stream: LinkStream): void;
 	send(agent: string, start: TaskStart): void;
+	/** Asks an agent to end a run. */
+	stop(agent: string, stop: TaskStop): void;
 	/** Wanted or returned credits are to be told to this agent. */
 	changed(agent: string): void;
 	/** Results of this agent were handled; the acknowledgement travels with the next batch, or soon by itself. */
 	acknowledge(agent: string): void;
-	/** Sends a batch on every link, as is to be done every {@link heartbeatMs}. */
+	/** Sends a batch on every link, as is to be done every `heartbeatMs`. */
 	sendHeartbeats(): void;
 	/** Configuration, entries, fences or draining have changed for all agents. */
 	changedForAll(): void;
@@ -55,9 +61,6 @@
 	getLinked(): number;
 };
 
-/** Time between two batches on a link that has nothing else to carry. */
-export const heartbeatMs: Milliseconds = 500;
-
 /** Longest time that an acknowledgement waits for a batch to travel with. */
 const ackDelayMs: Milliseconds = 200;
 
@@ -67,16 +70,20 @@
 	on(event: 'end' | 'error' | 'cancelled', listener: () => void): unknown;
 	write(batch: EntryBatch): unknown;
 	end(): void;
+	/** Cuts the stream without waiting for what is still to be sent. */
+	destroy?(): void;
 };
 
 type Link = {
 	readonly session: AgentSession;
 	readonly stream: LinkStream;
 	starts: TaskStart[];
+	stops: TaskStop[];
 	queries: Array<{id: number; ticket: string}>;
 	isFlushPlanned: boolean;
 	isReportDue: boolean;
 	isAckPlanned: boolean;
+	silence: Timer | undefined;
 	hasNewsForAll: boolean;
 	sentAcked: number;
 	sentConfigVersion: number;
@@ -96,6 +103,13 @@
 				planFlush(link);
 			}
 		},
+		stop(agent, stop) {
+			const link = links.get(agent);
+			if (link !== undefined) {
+				link.stops.push(stop);
+				planFlush(link);
+			}
+		},
 		changed(agent) {
 			const link = links.get(agent);
 			if (link !== undefined) {
@@ -140,6 +154,7 @@
 	function accept(stream: LinkStream): void {
 		let link: Link | undefined;
 		stream.on('data', (batch: AgentBatch) => {
+			host.arrived?.();
 			if (batch.hello !== undefined && link === undefined) {
 				link = createLink(host.sessions.open(batch.hello), stream);
 				links.set(link.session.agent.incarnation, link);
@@ -147,6 +162,7 @@
 			}
 
 			if (link !== undefined) {
+				watchSilence(link);
 				receive(link, batch);
 			}
 		});
@@ -173,9 +189,23 @@
 			links.delete(agent);
 		}
 
+		link.silence?.cancel();
 		link.session.close();
 	}
 
+	// GRPC's own keepalive takes seconds, and a stream whose bytes are held up shows no error.
+	function watchSilence(link: Link): void {
+		if (host.silenceMs === undefined) {
+			return;
+		}
+
+		link.silence?.cancel();
+		link.silence = host.after(host.silenceMs, () => {
+			close(link);
+			link.stream.destroy?.();
+		});
+	}
+
 	function receive(link: Link, batch: AgentBatch): void {
 		const {session} = link;
 		if (batch.state !== undefined) {
@@ -219,13 +249,14 @@
 
 		const config = host.tryGetConfig(link.session.agent);
 		const isNewConfig = config !== undefined && config.version > link.sentConfigVersion;
-		if (link.starts.length === 0 && link.queries.length === 0 && !link.hasNewsForAll && !isNewConfig && !link.isReportDue) {
+		if (link.starts.length === 0 && link.stops.length === 0 && link.queries.length === 0 && !link.hasNewsForAll && !isNewConfig && !link.isReportDue) {
 			return;
 		}
 
 		const acked = link.session.getResultsAcked();
 		link.stream.write(createBatch({
 			starts: link.starts,
+			stops: link.stops,
 			queries: link.queries,
 			resultsAcked: acked,
 			queued: host.getQueued(agent),
@@ -237,6 +268,7 @@
 			draining: host.isDraining(),
 		}));
 		link.starts = [];
+		link.stops = [];
 		link.queries = [];
 		link.hasNewsForAll = false;
 		link.isReportDue = false;
@@ -250,6 +282,8 @@
 		session,
 		stream,
 		starts: [],
+		stops: [],
+		silence: undefined,
 		queries: [],
 		isFlushPlanned: false,
 		isReportDue: false,
@@ -273,6 +307,7 @@
 		draining: false,
 		entries: [],
 		head: undefined,
+		stops: [],
 		...part,
 	};
 }
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -1,6 +1,7 @@
 /**
  * What entries and agents know of each other, and the parts that divide slots and choose what runs next.
  */
+import type {Resources} from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {PlacementMode} from '../version/types.js';
 
@@ -17,6 +18,27 @@
 	readonly rack: string;
 	/** Tasks that the upstream runs at the same time. */
 	readonly slots: number;
+	/** What the upstream has in all; undefined where slots bound it. */
+	readonly room?: Resources;
+	/** Properties that a task may require. */
+	readonly labels?: readonly string[];
+};
+
+/** What one task needs of an upstream that is bounded by room. */
+export type TaskNeed = {
+	readonly resources: Resources;
+	/** The upstream must have this label. */
+	readonly label?: string;
+	/** Rack that holds the data of the task; it runs longer elsewhere. */
+	readonly rack?: string;
+	/** Most tasks of the job on one upstream at the same time. */
+	readonly maxPerUpstream?: number;
+};
+
+/** When an answer has its full worth: a multiple of the expected run time after arrival, and a margin. */
+export type Objective = {
+	readonly stretch: number;
+	readonly margin: Milliseconds;
 };
 
 /** The condition that an agent restates when it changes. */
@@ -29,6 +51,10 @@
 	readonly failedPerMille: number;
 	/** Free slots granted to nobody: a start without a credit may use one. Undefined if the agent does not tell. */
 	readonly free?: number;
+	/** Room that no run uses; undefined where slots bound the upstream. */
+	readonly freeRoom?: Resources;
+	/** Starts that the agent had received from this entry on the open link when it told this. */
+	readonly receivedStarts?: number;
 };
 
 /** A job whose tasks wait for slots. */
@@ -47,6 +73,9 @@
 	readonly arrivedAt: Milliseconds;
 	/** Time on the monotonic clock by which the answer is due. */
 	readonly deadlineAt: Milliseconds;
+	/** Undefined where slots bound the upstreams. */
+	readonly need?: TaskNeed;
+	readonly objective?: Objective;
 };
 
 /** One task that waits for a slot or is about to start. */
@@ -55,6 +84,8 @@
 	readonly index: number;
 	/** From 1; grows with each start that was refused before it happened, and with each retry. */
 	readonly attempt: number;
+	/** Names of agents on which the task has failed; others are tried first. */
+	readonly failedOn?: readonly string[];
 };
 
 /** The waiting job that an entry would start next. Entries are compared by it when a slot becomes free. */
@@ -161,12 +192,12 @@
 	 * A start from this entry has arrived: spends a credit. Without one, a slot that is free and granted to
 	 * nobody is granted and spent at once; false if there is none, and then the start must be refused.
 	 */
-	tryUse(entry: string): boolean;
+	tryUse(entry: string, need?: Resources): boolean;
 	/**
 	 * A task that used a credit has ended: its slot is free. `entry` is the one that started it; a grant to it
 	 * costs no message of its own, as it goes with the result.
 	 */
-	release(entry?: string): void;
+	release(entry?: string, need?: Resources): void;
 	/** Credits granted to this entry since its link opened. */
 	getGranted(entry: string): number;
 	/** Credits that entries on open links still count as their own; none of them can start a task once this is 0. */
--- /dev/null
+++ b/src/platform/bin/kingcuplane-platform.ts
@@ -0,0 +1,66 @@
+#!/usr/bin/env node
+/**
+ * The program on the platform: `kingcuplane-platform entry` or `kingcuplane-platform agent`. The path of the settings
+ * file stands in KINGCUPLANE_CONFIG.
+ */
+import fs from 'node:fs';
+import process from 'node:process';
+import {keepRunning, onceAskedToStop} from '../../process/bin/program.js';
+import {createSystemClock} from '../../process/clock.js';
+import {formatDiagnostic} from '../../process/diagnostics.js';
+import {createIncarnation} from '../../process/incarnation.js';
+import {createLog} from '../../process/log.js';
+import {createLogStream} from '../../process/log-stream.js';
+import {runPlatformAgent} from '../run-agent.js';
+import {runPlatformEntry} from '../run-entry.js';
+import {readMachineSettings, type MachineSettings} from '../settings.js';
+
+keepRunning();
+const stream = createLogStream(createSystemClock());
+const role = process.argv[2] ?? '';
+const file = process.env.KINGCUPLANE_CONFIG ?? '';
+const machine = loadMachine();
+const incarnation = createIncarnation();
+const log = createLog(`kingcuplane-${role}`, machine.name, {level: 'info'}, stream);
+process.on('SIGHUP', () => {
+	// Seeds and bounds are read at start; a running process keeps what it has found since.
+	log.info({file}, 'settings changed; they are read at the next start');
+});
+const running = await start();
+log.info({incarnation, role}, 'started');
+
+await onceAskedToStop();
+log.info({incarnation}, 'asked to stop');
+await running.stop();
+log.info({incarnation}, 'stopped');
+stream.flushNow();
+process.exit(0);
+
+function loadMachine(): MachineSettings {
+	const read = readMachineSettings(fs.existsSync(file) ? fs.readFileSync(file, 'utf8') : '');
+	return read.match(settings => settings, faults => {
+		console.error(faults.map(fault => formatDiagnostic(fault)).join('\n'));
+		process.exit(2);
+	});
+}
+
+async function start(): Promise<{stop(): Promise<void>}> {
+	switch (role) {
+		case 'entry': {
+			return runPlatformEntry(machine, incarnation, log, () => {
+				log.error({incarnation}, 'another entry declared this one dead');
+				stream.flushNow();
+				process.exit(3);
+			});
+		}
+
+		case 'agent': {
+			return runPlatformAgent(machine, log);
+		}
+
+		default: {
+			console.error('usage: kingcuplane-platform entry|agent');
+			return process.exit(2);
+		}
+	}
+}
--- /dev/null
+++ b/src/platform/ingress.ts
@@ -0,0 +1,255 @@
+/**
+ * The platform's clients: HTTP requests with a name for the job that the client chose. Each becomes a submission under
+ * a ticket of this entry, whose answer is the response.
+ */
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import {Hono, type Context} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
+import {z} from 'zod';
+import type {Milliseconds} from '../process/clock.js';
+import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
+import type {Entry} from '../process/entry.js';
+import {readJson} from '../process/json.js';
+import type {Log} from '../process/log.js';
+import type {JobHandle} from '../request/job-record.js';
+import type {SubmissionRequest} from '../request/submission-rules.js';
+import type {Answer} from '../request/types.js';
+import {createRouteTable, type RouteTable} from '../version/route-table.js';
+import type {Route, Snapshot} from '../version/types.js';
+import {clientTeam} from './desired-state.js';
+
+/** What the interface needs. */
+export type IngressHost = {
+	readonly entry: Entry;
+	readonly log: Log;
+	tryGetSnapshot(): Snapshot | undefined;
+};
+
+const caller = {name: clientTeam, team: clientTeam};
+const jobName = /^[\da-f]{16}$/v;
+/** Largest body, as the operator's limits on this platform set it. */
+const maxBodyBytes = 262_144;
+const notReadyRetryMs: Milliseconds = 1000;
+/** Kinds of work that this system does not do on this platform; coming back makes no sense soon. */
+const notServedRetryMs: Milliseconds = 60_000;
+
+const wireStep = z.object({
+	count: z.int().min(1).default(1),
+	cpu: z.number().default(0),
+	'mem-mb': z.number().default(0),
+	gpu: z.number().default(0),
+	'est-runtime-ms': z.number().default(0),
+	requires: z.string().optional(),
+	'data-rack': z.string().optional(),
+	'max-per-server': z.number().default(0),
+	gang: z.boolean().default(false),
+	'long-running': z.boolean().default(false),
+	fills: z.boolean().default(false),
+});
+const wireJob = z.object({
+	spec: z.string(),
+	steps: z.array(wireStep).min(1),
+	// The job need not be stored; the response carries its end.
+	'best-effort': z.boolean().default(false),
+	times: z.number().default(0),
+});
+type WireJob = z.infer<typeof wireJob>;
+
+/** A job whose client waits, with the number of requests that wait for it. */
+type OpenJob = {
+	readonly job: JobHandle;
+	waiters: number;
+};
+
+/** Creates the HTTP routes. */
+export function createIngress({entry, log, tryGetSnapshot}: IngressHost): Hono {
+	const app = new Hono();
+	const open = new Map<string, OpenJob>();
+	let tableOf: {readonly snapshot: Snapshot; readonly table: RouteTable} | undefined;
+
+	app.use(async (c, next) => {
+		await next();
+		if (entry.isLeaving()) {
+			c.header('connection', 'close');
+		}
+	});
+	app.all('*', bodyLimit({maxSize: maxBodyBytes}), async c => {
+		const snapshot = tryGetSnapshot();
+		if (snapshot === undefined) {
+			return refuse(c, undefined, 503, notReadyRetryMs, 'no configuration is in force');
+		}
+
+		const route = getTable(snapshot).tryFind(c.req.header('host') ?? '', c.req.path);
+		if (route === undefined) {
+			return c.json({error: 'no such queue'}, 404);
+		}
+
+		return serve(c, route, c.req.path.slice(route.pathPrefix.length));
+	});
+	return app;
+
+	function getTable(snapshot: Snapshot): RouteTable {
+		if (tableOf?.snapshot !== snapshot) {
+			tableOf = {snapshot, table: createRouteTable(snapshot.routes ?? [])};
+		}
+
+		return tableOf.table;
+	}
+
+	async function serve(c: Context, route: Route, name: string): Promise<Response> {
+		switch (c.req.method) {
+			case 'POST': {
+				return jobName.test(name) ? submit(c, route, name) : c.json({error: 'a job is named by 16 hexadecimal digits'}, 400);
+			}
+
+			case 'GET': {
+				// Only jobs that need not be stored are taken, and nobody asks for these later.
+				return name === '' ? c.json({waiting: countWaiting(route)}) : c.json({error: 'no such job'}, 410);
+			}
+
+			case 'DELETE': {
+				return cancel(c, name);
+			}
+
+			default: {
+				return c.json({error: 'use GET, POST or DELETE'}, 405);
+			}
+		}
+	}
+
+	function countWaiting(route: Route): number {
+		let waiting = 0;
+		for (const {job} of open.values()) {
+			waiting += job.submission === route.submission && job.tryGetAnswer() === undefined && job.getRan() === 'not-run' ? 1 : 0;
+		}
+
+		return waiting;
+	}
+
+	function cancel(c: Context, name: string): Response {
+		const found = open.get(name);
+		if (found === undefined) {
+			return c.json({error: 'no such job'}, 410);
+		}
+
+		entry.home.cancel(found.job.ticket.text, 'its client');
+		return c.json({});
+	}
+
+	async function submit(c: Context, route: Route, name: string): Promise<Response> {
+		const text = await c.req.text();
+		const body = readJson(wireJob, text);
+		if (body.isErr()) {
+			return c.json({error: body.error}, 400);
+		}
+
+		const obstacle = getObstacle(body.value);
+		if (obstacle !== undefined) {
+			return refuse(c, name, 503, notServedRetryMs, obstacle);
+		}
+
+		return answer(c, name, open.get(name) ?? take(c, route, name, body.value, text));
+	}
+
+	function take(c: Context, route: Route, name: string, body: WireJob, text: string): OpenJob {
+		const ticket = entry.issueTicket(caller.name);
+		const req = toRequest(body, route, name, Number(c.req.header('request-deadline')));
+		const digest = createHash('sha256').update(text).digest('base64');
+		const outcome = entry.home.submit(caller, {...req, ticket, digest});
+		if (outcome.kind !== 'taken') {
+			throw new Error(`a fresh ticket was not taken: ${outcome.kind}`);
+		}
+
+		const taken: OpenJob = {job: outcome.job, waiters: 0};
+		if (outcome.job.tryGetAnswer() === undefined) {
+			open.set(name, taken);
+		}
+
+		return taken;
+	}
+
+	/** Waits for the answer; the job ends when the last client that waits for it has gone. */
+	async function answer(c: Context, name: string, taken: OpenJob): Promise<Response> {
+		const {signal} = c.req.raw;
+		taken.waiters++;
+		const found = await new Promise<Answer | undefined>(resolve => {
+			taken.job.whenAnswered(resolve);
+			signal.addEventListener('abort', () => {
+				resolve(undefined);
+			});
+			if (signal.aborted) {
+				resolve(undefined);
+			}
+		});
+		taken.waiters--;
+		if (found === undefined) {
+			if (taken.waiters === 0) {
+				entry.home.cancel(taken.job.ticket.text, 'its client, who hung up');
+				open.delete(name);
+			}
+
+			return c.body(null, 499 as 500);
+		}
+
+		open.delete(name);
+		return toResponse(c, name, found);
+	}
+
+	function toResponse(c: Context, name: string, found: Answer): Response {
+		if (found.state === 'complete') {
+			return c.json({state: 'completed'});
+		}
+
+		if (found.ran === 'not-run') {
+			return refuse(c, name, found.diagnostic?.kind === 'QueueFull' ? 429 : 503, found.retryAfter ?? notReadyRetryMs, found.diagnostic?.message ?? '');
+		}
+
+		// Failed runs have used up the attempts; anything else says nothing about the job, and it may be sent again.
+		return found.diagnostic?.kind === 'TaskFailed'
+			? c.json({state: 'failed'})
+			: c.json({error: found.diagnostic?.message}, 504);
+	}
+
+	function refuse(c: Context, job: string | undefined, status: 429 | 503, retryAfter: Milliseconds, reason: string): Response {
+		log.info({
+			job, status, retryAfter, reason,
+		}, 'request refused; it has not run');
+		return c.json({error: reason}, status, {'retry-after': String(Math.ceil(retryAfter / 1000))});
+	}
+}
+
+/** Why a job cannot be served here at all; undefined if it can. */
+function getObstacle(job: WireJob): string | undefined {
+	const [step] = job.steps;
+	if (!job['best-effort']) {
+		return 'jobs that must be stored are not served';
+	}
+
+	if (job.steps.length > 1 || job.times > 0) {
+		return 'jobs of several steps or occurrences are not served';
+	}
+
+	return step!.gang || step!['long-running'] || step!.fills ? 'gangs, tasks that last and tasks that fill are not served' : undefined;
+}
+
+function toRequest(job: WireJob, route: Route, name: string, deadlineMs: number): Omit<SubmissionRequest, 'ticket' | 'digest'> {
+	const step = job.steps[0]!;
+	const payload = Buffer.from(job.spec);
+	return {
+		submission: route.submission,
+		reference: name,
+		deadlineMs: Number.isFinite(deadlineMs) && deadlineMs > 0 ? deadlineMs : route.deadline,
+		payloads: Array.from({length: step.count}, () => payload),
+		isRequest: false,
+		expectedRun: step['est-runtime-ms'],
+		need: {
+			resources: {cpu: step.cpu, memory: step['mem-mb'], accelerators: step.gpu},
+			label: step.requires,
+			rack: step['data-rack'],
+			maxPerUpstream: step['max-per-server'] > 0 ? step['max-per-server'] : undefined,
+		},
+		objective: {stretch: route.stretch, margin: route.margin},
+		attempts: route.attempts,
+	};
+}
--- /dev/null
+++ b/src/platform/run-agent.ts
@@ -0,0 +1,175 @@
+/**
+ * Runs an agent on the platform, beside one executor. The executor announces itself by heartbeats; each life of it
+ * gets an agent of its own, so that what was told of an earlier life never counts for a later one.
+ */
+import {Hono} from 'hono';
+import {createAgent, type Agent} from '../process/agent.js';
+import {createSystemClock, type Milliseconds} from '../process/clock.js';
+import {readEntryAddresses} from '../process/entry-directory.js';
+import {createIncarnation} from '../process/incarnation.js';
+import {createLeasedUpstream, type LeasedUpstream} from '../process/leased-upstream.js';
+import type {Log} from '../process/log.js';
+import {createPauseWatch} from '../process/pause-watch.js';
+import {createScrapedMetrics} from '../process/scraped-metrics.js';
+import type {AgentSettings} from '../process/settings.js';
+import {createExecutorClient} from './executor-client.js';
+import {createHeartbeatApp, type ExecutorFacts, type Heartbeat} from './heartbeats.js';
+import {closeHttp, serveHttp} from './http.js';
+import type {MachineSettings} from './settings.js';
+import {createPlatformClient} from './store-client.js';
+import {closingMs, platformTiming} from './timing.js';
+
+/** One life of the executor and its agent. */
+type Life = {
+	readonly facts: ExecutorFacts;
+	readonly upstream: LeasedUpstream;
+	agent?: Agent;
+	isLeaving: boolean;
+	isOver: boolean;
+};
+
+const storeTimeoutMs: Milliseconds = 800;
+const discoverMs: Milliseconds = 300;
+const resultMemoryBytes = 8_000_000;
+
+/** Starts an agent; resolves once it takes heartbeats. */
+export async function runPlatformAgent(machine: MachineSettings, log: Log): Promise<{stop(): Promise<void>}> {
+	const clock = createSystemClock();
+	const metrics = createScrapedMetrics({role: 'agent', process: machine.name});
+	const store = createPlatformClient({clock, url: `http://${machine.store}`, timeoutMs: storeTimeoutMs});
+	const pauses = createPauseWatch(clock);
+	let life: Life | undefined;
+	let isStopping = false;
+	const server = await serveHttp(createHeartbeatApp({log, receive, left}), machine.control!);
+	const scrape = await serveHttp(new Hono().get('/metrics', async c => c.text(await metrics.getText())), {host: machine.ip, port: machine.metricsPort});
+
+	return {
+		async stop() {
+			isStopping = true;
+			const report = await life?.agent?.drain();
+			log.info({report}, 'agent drained');
+			life?.agent?.stop();
+			await life?.upstream.close();
+			await Promise.all([closeHttp(server), closeHttp(scrape), store.close()]);
+		},
+	};
+
+	function receive({facts, isLeaving}: Heartbeat): void {
+		if (isStopping) {
+			return;
+		}
+
+		if (life === undefined || life.isOver || life.facts.id !== facts.id || life.facts.bornAt !== facts.bornAt) {
+			if (life !== undefined && !life.isOver && facts.bornAt < life.facts.bornAt) {
+				log.info({executor: facts.id, bornAt: facts.bornAt}, 'heartbeat of an earlier life ignored');
+				return;
+			}
+
+			replaceLife(facts, isLeaving);
+			return;
+		}
+
+		if (life.isLeaving !== isLeaving) {
+			life.isLeaving = isLeaving;
+			log.info({executor: facts.id, isLeaving}, 'executor changed its state');
+			life.agent?.setLeaving(isLeaving);
+		}
+	}
+
+	function left(id: string): void {
+		if (life?.facts.id === id) {
+			log.info({executor: id}, 'executor left');
+			endLife(life);
+		}
+	}
+
+	function replaceLife(facts: ExecutorFacts, isLeaving: boolean): void {
+		if (life !== undefined) {
+			endLife(life);
+		}
+
+		log.info({executor: facts}, 'executor announced');
+		const started: Life = {
+			facts,
+			isLeaving,
+			isOver: false,
+			upstream: createLeasedUpstream({
+				clock,
+				executor: createExecutorClient(facts),
+				firstToken: Math.floor(clock.wall()),
+				maxLeaseMs: machine.maxLeaseMs,
+				log,
+				lifeChanged() {
+					log.warn({executor: facts.id}, 'the executor is in another life');
+					endLife(started);
+				},
+				unreachable() {
+					started.agent?.checkUpstream();
+				},
+				takePause: pauses.take,
+			}),
+		};
+		life = started;
+		void announce(started);
+	}
+
+	// Entries hear of the executor once nothing of an earlier agent runs there any more.
+	async function announce(started: Life): Promise<void> {
+		await started.upstream.takeOver();
+		if (started.isOver || isStopping) {
+			return;
+		}
+
+		const incarnation = createIncarnation();
+		started.agent = createAgent({
+			clock,
+			settings: toAgentSettings(machine, started.facts),
+			incarnation,
+			upstream: started.upstream,
+			log,
+			metrics,
+			random: Math.random,
+			readDirectory: async () => readEntryAddresses(store.table),
+			defer: setImmediate,
+			timing: platformTiming,
+			room: started.facts.room,
+			labels: started.facts.labels,
+		});
+		started.agent.setLeaving(started.isLeaving);
+		log.info({executor: started.facts.id, incarnation}, 'executor taken over');
+	}
+
+	function endLife(ended: Life): void {
+		if (ended.isOver) {
+			return;
+		}
+
+		ended.isOver = true;
+		ended.upstream.endAll('the executor ended');
+		// Its links carry the ends of its runs first.
+		setImmediate(() => {
+			ended.agent?.stop();
+			void ended.upstream.close();
+		});
+	}
+}
+
+function toAgentSettings(machine: MachineSettings, facts: ExecutorFacts): AgentSettings {
+	const [, rack = ''] = facts.labels;
+	return {
+		name: machine.name,
+		upstream: facts.id,
+		service: facts.service,
+		dataCentre: machine.dataCentre,
+		rack,
+		upstreamServer: {
+			url: facts.address, slots: 1, connections: 1, taskTimeoutMs: 0,
+		},
+		agent: {
+			seeds: machine.seeds.map(host => ({host, port: machine.linksPort})), discoverMs, drainMs: machine.graceMs - closingMs, resultMemoryBytes,
+		},
+		platform: {url: '', timeoutMs: storeTimeoutMs},
+		log: {level: 'info'},
+		metrics: {address: undefined, prefix: ''},
+	};
+}
--- /dev/null
+++ b/src/platform/run-entry.ts
@@ -0,0 +1,116 @@
+/**
+ * Runs an entry on the platform: its clients, its store and its settings in place of ours.
+ */
+import {Hono} from 'hono';
+import {err, type Result} from 'neverthrow';
+import {
+	createDiagnostic, Diagnostics, formatDiagnostic, type Diagnostic,
+} from '../process/diagnostics.js';
+import {createSystemClock} from '../process/clock.js';
+import type {Log} from '../process/log.js';
+import {createPauseWatch} from '../process/pause-watch.js';
+import {runEntry, type RunningEntry} from '../process/run-entry.js';
+import {createScrapedMetrics} from '../process/scraped-metrics.js';
+import type {EntrySettings} from '../process/settings.js';
+import {createRoomScheduler} from '../request/room-scheduler.js';
+import type {Principal} from '../request/router.js';
+import {createWatchedFollower} from '../version/watched-follower.js';
+import {createDesiredStateCodec, createDesiredStateSource} from './desired-state.js';
+import {closeHttp, serveHttp} from './http.js';
+import {createIngress} from './ingress.js';
+import type {MachineSettings} from './settings.js';
+import {createPlatformClient} from './store-client.js';
+import {
+	agentGraceMs, closingMs, drainNoticeMs, platformTiming,
+} from './timing.js';
+
+/** Longest wait for an answer of the store; it answers within some milliseconds when it is well. */
+const storeTimeoutMs = 800;
+
+/** Starts an entry; resolves once it serves. */
+export async function runPlatformEntry(machine: MachineSettings, incarnation: string, log: Log, declaredDead: () => void): Promise<Pick<RunningEntry, 'stop'>> {
+	const clock = createSystemClock();
+	const settings = toEntrySettings(machine);
+	const metrics = createScrapedMetrics({role: 'entry', process: machine.name});
+	const platform = createPlatformClient({...settings.platform, clock});
+	const pauses = createPauseWatch(clock);
+	const follower = createWatchedFollower({
+		clock,
+		source: createDesiredStateSource(platform),
+		codec: createDesiredStateCodec(),
+		random: Math.random,
+		onFault(diagnostic) {
+			log.warn({diagnostic}, formatDiagnostic(diagnostic));
+		},
+	});
+	follower.start();
+	const running = await runEntry(settings, incarnation, declaredDead, {
+		log,
+		metrics,
+		platform,
+		follower,
+		authenticate: refuseToken,
+		host: {
+			timing: platformTiming,
+			drainNoticeMs,
+			createScheduler: host => createRoomScheduler({...host, random: Math.random}),
+			quota: {
+				take(_team, _tasks, done) {
+					done(true);
+				},
+				release: () => undefined,
+			},
+		},
+	});
+	const {entry} = running;
+	const ingress = await serveHttp(createIngress({entry, log, tryGetSnapshot: follower.tryGet}), machine.clients!);
+	const ready = await serveHttp(new Hono().get('/v1/readyz', c => isReady() ? c.text('ready') : c.text('not ready', 503)), machine.ready!);
+	const scrape = await serveHttp(new Hono().get('/metrics', async c => c.text(await metrics.getText())), {host: machine.ip, port: machine.metricsPort});
+
+	return {
+		async stop() {
+			await running.stop();
+			pauses.stop();
+			await Promise.all([closeHttp(ingress), closeHttp(ready), closeHttp(scrape)]);
+		},
+	};
+
+	function isReady(): boolean {
+		return !entry.isLeaving() && follower.tryGet() !== undefined && entry.getLinked() > 0;
+	}
+}
+
+// The platform gives no tokens; operators and support engineers read logs and the open pages.
+function refuseToken(): Result<Principal, Diagnostic> {
+	return err(createDiagnostic(Diagnostics.Token_is_unknown));
+}
+
+function toEntrySettings(machine: MachineSettings): EntrySettings {
+	const links = {host: machine.ip, port: machine.linksPort};
+	const http = machine.control ?? {host: machine.ip, port: machine.metricsPort + 1};
+	return {
+		name: machine.name,
+		dataCentre: machine.dataCentre,
+		rack: '',
+		listen: {http, links},
+		advertise: {http, links},
+		platform: {url: `http://${machine.store}`, timeoutMs: storeTimeoutMs},
+		entry: {
+			seeds: machine.seeds.filter(host => host !== machine.ip).map(host => ({host, port: machine.linksPort})),
+			leaseMs: 9000,
+			ticketLifetimeMs: 10_000,
+			blockMs: 2000,
+			fateMemoryBytes: 16_000_000,
+			fateWritesPerSecond: 2,
+			answerKeepMs: 10_000,
+			maxBodyBytes: 262_144,
+			maxTasks: 1100,
+			maxHeaderBytes: 16_384,
+			maxWaitMs: 10_000,
+			agentGraceMs,
+			drainMs: machine.graceMs - closingMs,
+		},
+		log: {level: 'info'},
+		metrics: {address: undefined, prefix: ''},
+	};
+}
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -5,9 +5,11 @@
 import {createCreditGranter} from '../connection/credit-granter.js';
 import {createEntrySessions, type RunEnd} from '../connection/entry-sessions.js';
 import {createAgentLink, type AgentLink, type LinkConnection} from '../connection/link-client.js';
-import type {AgentFacts} from '../connection/types.js';
+import {relaxedTiming, type LinkTiming} from '../connection/link-timing.js';
+import {createRoomKeeper} from '../connection/room-keeper.js';
+import type {AgentFacts, CreditGranter} from '../connection/types.js';
 import {
-	RefusalReason, TaskOutcome, type AgentState, type ConfigUpdate, type EntryAddress, type TaskStart,
+	RefusalReason, TaskOutcome, type AgentState, type ConfigUpdate, type EntryAddress, type Resources, type TaskStart,
 } from '../generated/kingcuplane.js';
 import type {UpstreamCaller} from '../request/upstream-call.js';
 import {formatAddress} from './address.js';
@@ -35,12 +37,22 @@
 	defer(action: () => void): void;
 	/** Prepares streams to "IP:port"; over gRPC if undefined. */
 	connect?(address: string): LinkConnection;
+	readonly timing?: LinkTiming;
+	/** Bounds the upstream by its room instead of its slots. */
+	readonly room?: Resources;
+	readonly labels?: readonly string[];
 };
 
 /** A running agent. */
 export type Agent = {
 	/** Refuses new work, waits for the running tasks and for the acknowledgement of their results. */
 	drain(): Promise<DrainReport>;
+	/** Whether the upstream itself leaves: while it does, starts are refused. */
+	setLeaving(isLeaving: boolean): void;
+	/** Stops every run, as after a pause in which entries may have given this agent up. */
+	stopRuns(): void;
+	/** The upstream may be unreachable: nothing is started there until it answers. */
+	checkUpstream(): void;
 	stop(): void;
 };
 
@@ -54,7 +66,6 @@
 
 /** Weight of the newest run time in the mean. */
 const meanWeight = 0.1;
-const stateIntervalMs: Milliseconds = 500;
 const keepMs: Milliseconds = 60_000;
 const probeIntervalMs: Milliseconds = 200;
 const drainCheckMs: Milliseconds = 10;
@@ -62,7 +73,8 @@
 /** Starts an agent; the upstream is announced as soon as it can be reached. */
 export function createAgent(host: AgentHost): Agent {
 	const {settings, clock} = host;
-	const facts = toFacts(settings, host.incarnation);
+	const facts = toFacts(host);
+	const {timing = relaxedTiming} = host;
 	const links = new Map<string, AgentLink>();
 	const linkByEntry = new Map<string, AgentLink>();
 	let slots = 0;
@@ -74,7 +86,8 @@
 	let meanRun = 0;
 	let failedShare = 0;
 
-	const granter = createCreditGranter({
+	const roomKeeper = host.room === undefined ? undefined : createRoomKeeper({changed: tellState}, host.room);
+	const granter: CreditGranter = roomKeeper ?? createCreditGranter({
 		clock,
 		changed(entry) {
 			linkByEntry.get(entry)?.changed();
@@ -86,13 +99,17 @@
 		keepMs,
 		keepBytes: settings.agent.resultMemoryBytes,
 		run,
+		stop(start) {
+			host.upstream.stop?.(start);
+		},
+		abandonMs: timing.abandonMs,
 		changed(entry) {
 			linkByEntry.get(entry)?.changed();
 		},
 	}, granter);
 
 	const timers = [
-		every(clock, stateIntervalMs, restateState),
+		every(clock, timing.heartbeatMs, sendHeartbeats),
 		every(clock, settings.agent.discoverMs, () => {
 			void discover();
 		}),
@@ -102,6 +119,13 @@
 
 	return {
 		drain,
+		setLeaving(isLeaving) {
+			setDraining(isLeaving);
+		},
+		stopRuns: sessions.stopAll,
+		checkUpstream() {
+			void probe();
+		},
 		stop() {
 			for (const timer of timers) {
 				timer.cancel();
@@ -129,11 +153,11 @@
 	}
 
 	function learn(end: RunEnd): void {
-		if (end.outcome === TaskOutcome.TASK_OUTCOME_REFUSED) {
-			if (end.reason === RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE) {
-				void probe();
-			}
+		if (end.reason === RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE) {
+			void probe();
+		}
 
+		if (end.outcome === TaskOutcome.TASK_OUTCOME_REFUSED) {
 			return;
 		}
 
@@ -168,11 +192,27 @@
 		}
 	}
 
+	function tellState(entry: string): void {
+		linkByEntry.get(entry)?.stateChanged();
+	}
+
+	function sendHeartbeats(): void {
+		for (const link of links.values()) {
+			link.heartbeat();
+		}
+
+		stateGauges();
+	}
+
 	function restateState(): void {
 		for (const link of links.values()) {
 			link.stateChanged();
 		}
 
+		stateGauges();
+	}
+
+	function stateGauges(): void {
 		host.metrics.gauge('tasks.running', sessions.getRunning());
 		host.metrics.gauge('slots', slots);
 		host.metrics.gauge('config.version', configVersion);
@@ -187,6 +227,8 @@
 			failedPerMille: Math.round(failedShare * 1000),
 			configVersion,
 			free: granter.getFree(),
+			freeRoom: roomKeeper?.getFreeRoom(),
+			receivedStarts: 0,
 		};
 	}
 
@@ -259,6 +301,7 @@
 			random: host.random,
 			defer: host.defer,
 			connect: host.connect,
+			timing,
 		}, address));
 	}
 
@@ -300,7 +343,9 @@
 	}
 }
 
-function toFacts(settings: AgentSettings, incarnation: string): AgentFacts {
+function toFacts({
+	settings, incarnation, room, labels,
+}: AgentHost): AgentFacts {
 	return {
 		incarnation,
 		name: settings.name,
@@ -309,6 +354,8 @@
 		dataCentre: settings.dataCentre,
 		rack: settings.rack,
 		slots: settings.upstreamServer.slots,
+		room,
+		labels,
 	};
 }
 
@@ -318,5 +365,6 @@
 	[TaskOutcome.TASK_OUTCOME_FAILED]: 'failed',
 	[TaskOutcome.TASK_OUTCOME_UNKNOWN]: 'unknown',
 	[TaskOutcome.TASK_OUTCOME_REFUSED]: 'refused',
+	[TaskOutcome.TASK_OUTCOME_ABORTED]: 'aborted',
 	[TaskOutcome.UNRECOGNIZED]: 'unknown',
 };
--- a/src/process/bin/kingcuplane-agent.ts
+++ b/src/process/bin/kingcuplane-agent.ts
@@ -10,7 +10,7 @@
 import {createIncarnation} from '../incarnation.js';
 import {createLog} from '../log.js';
 import {createMetrics} from '../metrics.js';
-import {createPlatformClient} from '../platform/client.js';
+import {createPlatformClient} from '../../platform/store-client.js';
 import {readAgentSettings} from '../settings.js';
 import {
 	keepRunning, loadSettings, onceAskedToStop, printReady,
--- a/src/process/entry-directory.ts
+++ b/src/process/entry-directory.ts
@@ -217,7 +217,7 @@
 		}
 
 		if (outcome.value.kind === 'committed') {
-			revision++;
+			revision = outcome.value.revision;
 			renewals++;
 			heldUntil = startedAt + host.leaseMs;
 			wasPaused = false;
@@ -356,7 +356,7 @@
 		const outcome = await table.commit({conditions: [{key: deadKey, revision: seen.revision}], writes: [{key: deadKey, value}]});
 		if (outcome.isOk() && outcome.value.kind === 'committed') {
 			observations.set(address.incarnation, {
-				address, isDead: true, revision: seen.revision + 1, since: clock.now(),
+				address, isDead: true, revision: outcome.value.revision, since: clock.now(),
 			});
 		}
 	}
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -5,16 +5,19 @@
 import type {Hono} from 'hono';
 import type {Result} from 'neverthrow';
 import {createHeldQueries, recoverAnswer} from '../connection/held-queries.js';
-import {createLinkHub, heartbeatMs} from '../connection/link-server.js';
+import {createLinkHub} from '../connection/link-server.js';
+import {relaxedTiming, type LinkTiming} from '../connection/link-timing.js';
 import {createPeerHub} from '../connection/peer-hub.js';
 import {createQuotaShares, shareIntervalMs} from '../connection/quota-shares.js';
-import type {AgentFacts} from '../connection/types.js';
+import type {
+	AgentFacts, Scheduler, SchedulerHost, TeamQuota,
+} from '../connection/types.js';
 import type {
 	ConfigUpdate, EntryAddress, LinkServer, PeerServer, PeerState, RelayReply,
 } from '../generated/kingcuplane.js';
 import {toFateReportJson} from '../request/fate-json.js';
 import {createFateLookup} from '../request/fate-lookup.js';
-import {createHome} from '../request/home.js';
+import {createHome, type Home} from '../request/home.js';
 import type {JobHandle} from '../request/job-record.js';
 import {createRouter, type FoundFate, type Principal} from '../request/router.js';
 import {createSettlements} from '../request/settlement.js';
@@ -54,10 +57,27 @@
 	declaredDead(): void;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
+	readonly timing?: LinkTiming;
+	/** Time after a request to stop during which work is still taken, until the balancer has turned away. */
+	readonly drainNoticeMs?: Milliseconds;
+	/** Chooses where tasks run; by credits if undefined. */
+	createScheduler?(host: SchedulerHost): Scheduler;
+	/** Bounds the tasks of each team; by shares that entries settle among themselves if undefined. */
+	readonly quota?: TeamQuota;
+	/** A batch of an agent is about to be read. */
+	beforeBatch?(): void;
 };
 
 /** A running entry. */
 export type Entry = {
+	/** The home of what this entry takes itself. */
+	readonly home: Home;
+	/** A ticket for a submission that arrives over another interface. */
+	issueTicket(owner: string): Ticket;
+	/** Whether it was asked to stop, so that callers had better turn to others. */
+	isLeaving(): boolean;
+	/** Links to agents and other entries that are open. */
+	getLinked(): number;
 	readonly http: Hono<{Variables: {principal: Principal}}>;
 	readonly links: LinkServer;
 	readonly peers: PeerServer;
@@ -90,17 +110,19 @@
 const heldTimeoutMs: Milliseconds = 500;
 const drainCheckMs: Milliseconds = 10;
 /** Time for which a draining entry still answers before it closes its port, so that the balancer turns away. */
-const drainNoticeMs: Milliseconds = 500;
+const refusalNoticeMs: Milliseconds = 500;
 const maxTickets = 1000;
 
 /** Composes an entry. */
 export function createEntry(host: EntryHost): Entry {
 	const {clock, settings, incarnation, follower} = host;
 	const limits = settings.entry;
+	const {timing = relaxedTiming} = host;
 	const self: EntryAddress = {name: settings.name, incarnation, links: formatAddress(settings.advertise.links)};
 	const agentVersions = new Map<string, number>();
 	const peerStates = new Map<string, PeerState>();
 	let isDraining = false;
+	let isLeaving = false;
 	let isTakingVersion = false;
 
 	const issuer = createTicketIssuer({
@@ -120,7 +142,7 @@
 		entry: settings.name,
 		issuer,
 		fates: host.fates,
-		quota: shares,
+		quota: host.quota ?? shares,
 		agentGraceMs: limits.agentGraceMs,
 		answerKeepMs: limits.answerKeepMs,
 		maxTasks: limits.maxTasks,
@@ -132,9 +154,14 @@
 		changed(agent) {
 			links.changed(agent);
 		},
+		stop(agent, stop) {
+			links.stop(agent, stop);
+		},
 		acknowledge(agent) {
 			links.acknowledge(agent);
 		},
+		createScheduler: host.createScheduler,
+		endsEarlierLives: host.createScheduler !== undefined,
 		answered: reportAnswer,
 	});
 	const directory = createEntryDirectory({
@@ -165,6 +192,8 @@
 		},
 		defer: host.defer,
 		after: clock.after,
+		silenceMs: timing.silenceMs,
+		arrived: host.beforeBatch,
 	});
 	const held = createHeldQueries({clock, timeoutMs: heldTimeoutMs, query: links.query});
 	const peers = createPeerHub({
@@ -230,7 +259,7 @@
 			peers.restate(false);
 		}),
 		every(clock, shareIntervalMs, shares.tick),
-		every(clock, heartbeatMs, links.sendHeartbeats),
+		every(clock, timing.heartbeatMs, links.sendHeartbeats),
 		every(clock, gaugeMs, stateGauges),
 	];
 	follower.onChange(applySnapshot);
@@ -242,6 +271,10 @@
 	peers.setAddresses(settings.entry.seeds.map(seed => formatAddress(seed)));
 
 	return {
+		home,
+		issueTicket: owner => issuer.issue(owner, 1)[0]!,
+		isLeaving: () => isLeaving,
+		getLinked: links.getLinked,
 		http, links: links.service, peers: peers.service, drain, stop,
 	};
 
@@ -298,7 +331,7 @@
 	}
 
 	function isReady(): boolean {
-		return !isDraining && follower.tryGet() !== undefined && directory.isRegistered() && host.areTokensKnown();
+		return !isLeaving && follower.tryGet() !== undefined && directory.isRegistered() && host.areTokensKnown();
 	}
 
 	function getStatus(): {readonly processes: readonly ProcessStatus[]} {
@@ -360,11 +393,19 @@
 	}
 
 	async function drain(): Promise<DrainReport> {
+		isLeaving = true;
+		const end = clock.now() + limits.drainMs;
+		if (host.drainNoticeMs !== undefined) {
+			await sleep(clock, host.drainNoticeMs);
+		}
+
 		isDraining = true;
 		peers.restate(false);
 		links.changedForAll();
-		const end = clock.now() + limits.drainMs;
-		await sleep(clock, drainNoticeMs);
+		if (host.drainNoticeMs === undefined) {
+			await sleep(clock, refusalNoticeMs);
+		}
+
 		while (home.getOpenJobs() > 0 && clock.now() < end) {
 			await sleep(clock, drainCheckMs);
 		}
--- a/src/process/log.ts
+++ b/src/process/log.ts
@@ -10,9 +10,9 @@
 	child(fields: Readonly<Record<string, unknown>>): Log;
 };
 
-/** Creates the log of one process; lines go to standard error. */
-export function createLog(program: string, name: string, settings: LogSettings): Log {
+/** Creates the log of one process; lines go to standard error unless another stream is named. */
+export function createLog(program: string, name: string, settings: LogSettings, stream: NodeJS.WritableStream = process.stderr): Log {
 	return Logger.createLogger({
-		name: program, process: name, level: settings.level, stream: process.stderr,
+		name: program, process: name, level: settings.level, stream,
 	});
 }
--- a/src/process/platform/memory.ts
+++ b/src/process/platform/memory.ts
@@ -50,6 +50,8 @@
 	setFaults(faults: Partial<PlatformFaults>): void;
 	getFaults(): PlatformFaults;
 	getStats(): PlatformStats;
+	/** Revision of the newest transaction. */
+	getRevision(): number;
 };
 
 /** No faults: what a memory platform starts with. */
@@ -79,6 +81,8 @@
 	let faults = noPlatformFaults;
 	let second = 0;
 	let callsInSecond = 0;
+	/** Counts the transactions. */
+	let revision = 0;
 
 	return {
 		table: {
@@ -107,6 +111,7 @@
 		},
 		getFaults: () => faults,
 		getStats: () => ({...stats}),
+		getRevision: () => revision,
 	};
 
 	function call<T>(kind: CallKind, action: () => T): ResultAsync<T, PlatformError> {
@@ -169,11 +174,12 @@
 			return {kind: 'conflict', key: broken.key, revision: rows.get(broken.key, 0)?.revision ?? 0};
 		}
 
+		revision++;
 		for (const write of writes) {
-			rows.write(write);
+			rows.write(write, revision);
 		}
 
-		return {kind: 'committed'};
+		return {kind: 'committed', revision};
 	}
 
 	function isMet({key, revision}: TableCondition): boolean {
@@ -191,10 +197,10 @@
 	keys(): Iterable<string>;
 	/** The row as it was `age` milliseconds ago. */
 	get(key: string, age: Milliseconds): TableRow | undefined;
-	write(write: TableWrite): void;
+	write(write: TableWrite, revision: number): void;
 };
 
-/** Keeps the versions of each row, oldest first. A deleted row keeps its revision count, so no revision returns. */
+/** Keeps the versions of each row, oldest first. */
 function createRowHistory(clock: Clock): RowHistory {
 	const versionsByKey = new Map<string, RowVersion[]>();
 
@@ -205,9 +211,8 @@
 			const version = versionsByKey.get(key)?.findLast(({at}) => at <= asOf);
 			return version?.value === undefined ? undefined : {key, value: version.value, revision: version.revision};
 		},
-		write({key, value}) {
+		write({key, value}, revision) {
 			const versions = versionsByKey.get(key) ?? [];
-			const revision = (versions.at(-1)?.revision ?? 0) + 1;
 			versions.push({at: clock.now(), value, revision});
 			versionsByKey.set(key, dropOldVersions(versions, clock.now() - rowHistoryMs));
 		},
--- a/src/process/platform/types.ts
+++ b/src/process/platform/types.ts
@@ -11,7 +11,7 @@
 	readonly key: string;
 	/** JSON text. */
 	readonly value: string;
-	/** Grows with each write to the row, from 1. Revision 0 stands for an absent row. */
+	/** Grows with each write to the row, from 1, and is never used again for it. Revision 0 stands for an absent row. */
 	readonly revision: number;
 };
 
@@ -35,7 +35,8 @@
 
 /** How a transaction ended. */
 export type CommitOutcome =
-	| {readonly kind: 'committed'}
+	/** Each row that was written has this revision now. */
+	| {readonly kind: 'committed'; readonly revision: number}
 	/** `key` has the revision `revision`, not the one that its condition names. */
 	| {readonly kind: 'conflict'; readonly key: string; readonly revision: number};
 
--- a/src/process/run-entry.ts
+++ b/src/process/run-entry.ts
@@ -7,17 +7,17 @@
 import {channelOptions} from '../connection/channel-options.js';
 import {LinkService, PeerService} from '../generated/kingcuplane.js';
 import {createFateRecorder, type FateRecorderEvent} from '../request/fate-recorder.js';
-import {createVersionFollower} from '../version/follower.js';
+import {createVersionFollower, type VersionFollower} from '../version/follower.js';
+import {createPlatformClient, type PlatformClient} from '../platform/store-client.js';
 import {formatAddress, type Address} from './address.js';
 import {
 	createSystemClock, type Milliseconds,
 } from './clock.js';
 import {assertNever} from './debug.js';
 import {formatDiagnostic} from './diagnostics.js';
-import {createEntry} from './entry.js';
+import {createEntry, type Entry, type EntryHost} from './entry.js';
 import {createLog, type Log} from './log.js';
-import {createMetrics} from './metrics.js';
-import {createPlatformClient} from './platform/client.js';
+import {createMetrics, type Metrics} from './metrics.js';
 import type {EntrySettings} from './settings.js';
 import {createTokenDirectory} from './tokens.js';
 
@@ -27,26 +27,37 @@
 	readonly http: string;
 	/** "IP:port" for agents and other entries. */
 	readonly links: string;
+	readonly entry: Entry;
 	/** Drains and closes everything. */
 	stop(): Promise<void>;
 };
 
+/** Parts that stand in for those of a deployment of its own. */
+export type EntryParts = {
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly platform: PlatformClient;
+	readonly follower: VersionFollower;
+	readonly authenticate: EntryHost['authenticate'];
+	readonly host: Partial<EntryHost>;
+};
+
 const ticketKeyBytes = 32;
 const fateSaveDelayMs: Milliseconds = 200;
 
 /** Starts an entry; resolves once it serves. `declaredDead` is called if another entry takes its lease. */
-export async function runEntry(settings: EntrySettings, incarnation: string, declaredDead: () => void): Promise<RunningEntry> {
+export async function runEntry(settings: EntrySettings, incarnation: string, declaredDead: () => void, parts: Partial<EntryParts> = {}): Promise<RunningEntry> {
 	const clock = createSystemClock();
-	const log = createLog('kingcuplane-entry', settings.name, settings.log);
-	const metrics = createMetrics({
+	const log = parts.log ?? createLog('kingcuplane-entry', settings.name, settings.log);
+	const metrics = parts.metrics ?? createMetrics({
 		settings: settings.metrics,
 		tags: {role: 'entry', process: settings.name},
 		onError(err) {
 			log.warn({err}, 'metrics were lost');
 		},
 	});
-	const platform = createPlatformClient({...settings.platform, clock});
-	const follower = createVersionFollower({
+	const platform = parts.platform ?? createPlatformClient({...settings.platform, clock});
+	const follower = parts.follower ?? createVersionFollower({
 		platform,
 		clock,
 		random: Math.random,
@@ -56,7 +67,10 @@
 	});
 	follower.start();
 	const tokens = createTokenDirectory({table: platform.table, clock});
-	tokens.start();
+	if (parts.authenticate === undefined) {
+		tokens.start();
+	}
+
 	const fates = createFateRecorder({
 		clock,
 		incarnation,
@@ -89,10 +103,11 @@
 		ticketKey: randomBytes(ticketKeyBytes),
 		log,
 		metrics,
-		authenticate: tokens.authenticate,
-		areTokensKnown: tokens.isKnown,
+		authenticate: parts.authenticate ?? tokens.authenticate,
+		areTokensKnown: () => parts.authenticate !== undefined || tokens.isKnown(),
 		declaredDead,
 		defer: setImmediate,
+		...parts.host,
 	});
 	linkServer.addService(LinkService, entry.links);
 	linkServer.addService(PeerService, entry.peers);
@@ -101,6 +116,7 @@
 	log.info({incarnation, httpPort, linksPort}, 'entry serves');
 
 	return {
+		entry,
 		http: formatAddress(withPort(settings.advertise.http, httpPort)),
 		links: formatAddress(advertised.advertise.links),
 		async stop() {
--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -8,7 +8,7 @@
 const minRetryAfter: Milliseconds = 50;
 const maxRetryAfter: Milliseconds = 30_000;
 /** Time after which a caller is told to come back when no upstream is announced. */
-const noUpstreamRetryAfter: Milliseconds = 2000;
+export const noUpstreamRetryAfter: Milliseconds = 2000;
 
 /** What admission looks at. */
 export type AdmissionFacts = {
@@ -44,6 +44,7 @@
 	return {kind: 'admitted', wait};
 }
 
-function limitRetryAfter(time: Milliseconds): Milliseconds {
+/** Keeps a time to come back within sensible bounds. */
+export function limitRetryAfter(time: Milliseconds): Milliseconds {
 	return Math.ceil(Math.min(maxRetryAfter, Math.max(minRetryAfter, time)));
 }
--- a/src/request/attempt-end.ts
+++ b/src/request/attempt-end.ts
@@ -18,11 +18,21 @@
 	[RefusalReason.UNRECOGNIZED]: 'unknown reason',
 };
 
-/** What an attempt came to. `tryRetry` is asked if its end is not known: true if the task may be tried again. */
-export function toAttemptEnd(start: SentStart, end: SentEnd, tryRetry: () => boolean): AttemptEnd {
+/** Whether a task may be tried again. */
+export type RetryRules = {
+	/** Asked if the end of an attempt is not known. */
+	tryRetryUnknown(): boolean;
+	/** Asked if the attempt was ended before it was done. */
+	tryRetryAborted(): boolean;
+	/** Asked if the upstream answered with a failure. */
+	tryRetryFailed(): boolean;
+};
+
+/** What an attempt came to. */
+export function toAttemptEnd(start: SentStart, end: SentEnd, retry: RetryRules): AttemptEnd {
 	switch (end.kind) {
 		case 'result': {
-			return toResultEnd(start, end.result, tryRetry);
+			return toResultEnd(start, end.result, retry);
 		}
 
 		case 'not-received': {
@@ -30,7 +40,7 @@
 		}
 
 		case 'agent-gone': {
-			return toUnknownEnd(start, 'its agent is gone', tryRetry);
+			return toUnknownEnd(start, 'its agent is gone', retry.tryRetryUnknown());
 		}
 
 		default: {
@@ -39,7 +49,7 @@
 	}
 }
 
-function toResultEnd(start: SentStart, result: TaskResult, tryRetry: () => boolean): AttemptEnd {
+function toResultEnd(start: SentStart, result: TaskResult, retry: RetryRules): AttemptEnd {
 	switch (result.outcome) {
 		case TaskOutcome.TASK_OUTCOME_COMPLETED: {
 			return {kind: 'completed', payload: result.payload};
@@ -50,17 +60,25 @@
 		}
 
 		case TaskOutcome.TASK_OUTCOME_FAILED: {
+			if (retry.tryRetryFailed()) {
+				return {kind: 'retried'};
+			}
+
 			return {kind: 'failed', failure: {diagnostic: createDiagnostic(Diagnostics.Task_failed, start.index, start.agent.upstream, result.detail)}};
 		}
 
+		case TaskOutcome.TASK_OUTCOME_ABORTED: {
+			return toUnknownEnd(start, result.detail, retry.tryRetryAborted());
+		}
+
 		default: {
-			return toUnknownEnd(start, result.detail, tryRetry);
+			return toUnknownEnd(start, result.detail, retry.tryRetryUnknown());
 		}
 	}
 }
 
-function toUnknownEnd(start: SentStart, detail: string, tryRetry: () => boolean): AttemptEnd {
-	return tryRetry()
+function toUnknownEnd(start: SentStart, detail: string, isRetried: boolean): AttemptEnd {
+	return isRetried
 		? {kind: 'retried'}
 		: {kind: 'unknown', failure: {diagnostic: createDiagnostic(Diagnostics.Task_may_have_run, start.index, start.agent.upstream, detail)}};
 }
--- a/src/request/fate-merge.ts
+++ b/src/request/fate-merge.ts
@@ -91,6 +91,7 @@
 			return 'refused';
 		}
 
+		case TaskOutcome.TASK_OUTCOME_ABORTED:
 		case TaskOutcome.TASK_OUTCOME_UNKNOWN:
 		case TaskOutcome.TASK_OUTCOME_UNSPECIFIED:
 		case TaskOutcome.UNRECOGNIZED: {
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -7,9 +7,9 @@
 	createAgentSessions, type AgentSessions, type SentEnd, type SentStart,
 } from '../connection/agent-sessions.js';
 import type {
-	QueuedJob, QueuedTask, Scheduler, TeamQuota,
+	QueuedJob, QueuedTask, Scheduler, SchedulerHost, TeamQuota,
 } from '../connection/types.js';
-import type {TaskResult, TaskStart} from '../generated/kingcuplane.js';
+import type {TaskResult, TaskStart, TaskStop} from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import {checkDefined} from '../process/debug.js';
 import {createDiagnostic, type Diagnostic, Diagnostics} from '../process/diagnostics.js';
@@ -18,6 +18,7 @@
 import type {JobFailure} from './job.js';
 import {createJobRecord, type JobHandle, type JobRecord} from './job-record.js';
 import {createRetryBudget, type RetryBudget} from './retry-budget.js';
+import {isFeasible} from './room-queue.js';
 import {createScheduler} from './scheduler.js';
 import {
 	applyRules, findRules, toFailure, toQueuedJob, type Caller, type JobRules, type SubmissionRequest,
@@ -33,6 +34,10 @@
 	readonly issuer: TicketIssuer;
 	readonly fates: FateRecorder;
 	readonly quota: TeamQuota;
+	/** Chooses where tasks run; by credits if undefined. */
+	createScheduler?(host: SchedulerHost): Scheduler;
+	/** Whether an agent that comes back as another incarnation vouches that its earlier runs are over. */
+	readonly endsEarlierLives?: boolean;
 	/** How long an agent may stay away before its starts are given up. */
 	readonly agentGraceMs: Milliseconds;
 	/** How long the payloads of an answer are kept. */
@@ -43,6 +48,8 @@
 	isDraining(): boolean;
 	/** Puts a start on the link of an agent. */
 	send(agent: string, start: TaskStart): void;
+	/** Asks an agent to end a run whose answer nobody waits for. */
+	stop(agent: string, stop: TaskStop): void;
 	/** Wanted or returned credits are to be told to this agent. */
 	changed(agent: string): void;
 	/** A result of this agent was handled. */
@@ -85,6 +92,17 @@
 	readonly configVersion: number;
 	hasQuota: boolean;
 	timer?: Timer;
+	/** Starts whose end is awaited, by number of the start at its agent. */
+	readonly sent: Map<string, SentRun>;
+	/** Runs that have failed, by index of the task. */
+	readonly failures: Map<number, number>;
+	/** Agents on which a run failed or was ended early, by index of the task. */
+	readonly avoided: Map<number, string[]>;
+};
+
+type SentRun = {
+	readonly agent: string;
+	readonly stop: TaskStop;
 };
 
 const fateRetryMs = 5000;
@@ -99,7 +117,7 @@
 	const answered = new Map<string, Milliseconds>();
 	const retryBudgets = new Map<string, RetryBudget>();
 
-	const scheduler = createScheduler({
+	const scheduler = (host.createScheduler ?? createScheduler)({
 		clock: host.clock,
 		start: startTask,
 		changed: host.changed,
@@ -107,6 +125,7 @@
 	const sessions = createAgentSessions({
 		clock: host.clock,
 		graceMs: host.agentGraceMs,
+		endsEarlierLives: host.endsEarlierLives,
 		opened: scheduler.openAgent,
 		closed(agent) {
 			scheduler.closeAgent(agent.incarnation);
@@ -212,7 +231,7 @@
 		}
 
 		const entry: OpenJob = {
-			record, queued, request: req, rules, configVersion, hasQuota: false,
+			record, queued, request: req, rules, configVersion, hasQuota: false, sent: new Map(), failures: new Map(), avoided: new Map(),
 		};
 		open.set(req.ticket.text, entry);
 		entry.timer = host.clock.after(queued.deadlineAt - host.clock.now(), () => {
@@ -282,7 +301,7 @@
 			upstream: session.agent.upstream,
 			sentAt: host.clock.wall(),
 		});
-		host.send(agent, session.prepareStart({
+		const start = session.prepareStart({
 			task: {ticket: task.ticket, index: task.index},
 			attempt: task.attempt,
 			taskCount: entry.queued.taskCount,
@@ -292,13 +311,20 @@
 			configVersion: entry.configVersion,
 			idempotent: entry.rules.submission.idempotent,
 			caller: entry.record.owner,
-		}));
+			reference: entry.request.reference,
+			need: entry.queued.need?.resources,
+			// A run that was ended as stalled may just be longer than declared, so the next one is not judged.
+			expectedRunMs: entry.avoided.has(task.index) ? 0 : Math.round(entry.queued.expectedRun),
+		});
+		entry.sent.set(getRunKey(task), {agent, stop: {task: start.task, startSeq: start.seq}});
+		host.send(agent, start);
 	}
 
 	function endAttempt(start: SentStart, end: SentEnd): void {
 		const outcome = toOutcome(end);
 		const run = end.kind === 'result' && outcome !== 'refused' ? end.result.runMs : undefined;
-		scheduler.recordEnd(start.agent.incarnation, start.ticket, outcome, run);
+		// What was stopped because its job has its answer says nothing about the upstream.
+		scheduler.recordEnd(start.agent.incarnation, start.ticket, open.has(start.ticket) ? outcome : 'refused', run);
 		host.fates.recordEnded(start.ticket, start.index, start.attempt, {
 			endedAt: host.clock.wall(), outcome, detail: describeEnd(end), runMs: run,
 		});
@@ -308,15 +334,38 @@
 			return;
 		}
 
-		const attemptEnd = toAttemptEnd(start, end, () => tryRetry(entry));
+		entry.sent.delete(getRunKey(start));
+		const attemptEnd = toAttemptEnd(start, end, {
+			tryRetryUnknown: () => canRestart(entry) || tryRetry(entry),
+			tryRetryAborted: () => canRestart(entry),
+			tryRetryFailed: () => canRestart(entry) && noteFailure(entry, start),
+		});
 		entry.record.job.markEnded(start.index, start.attempt, attemptEnd);
 		if (entry.record.job.tryGetAnswer() !== undefined) {
 			finish(entry);
 		} else if (attemptEnd.kind === 'refused' || attemptEnd.kind === 'retried') {
-			scheduler.requeue(entry.queued, {ticket: start.ticket, index: start.index, attempt: start.attempt + 1});
+			if (attemptEnd.kind === 'retried') {
+				entry.avoided.set(start.index, [...entry.avoided.get(start.index) ?? [], start.agent.name]);
+			}
+
+			scheduler.requeue(entry.queued, {
+				ticket: start.ticket, index: start.index, attempt: start.attempt + 1, failedOn: entry.avoided.get(start.index),
+			});
 		}
 	}
 
+	// The last run is over for certain by then: its end was listed, or its lease has run out.
+	function canRestart(entry: OpenJob): boolean {
+		return entry.request.attempts !== undefined && isFeasible(entry.queued, host.clock.now());
+	}
+
+	/** Counts a failed run; false if it was the last one allowed. */
+	function noteFailure(entry: OpenJob, start: SentStart): boolean {
+		const failures = (entry.failures.get(start.index) ?? 0) + 1;
+		entry.failures.set(start.index, failures);
+		return failures < entry.request.attempts!;
+	}
+
 	// Only a single request that is idempotent may run again after an end that is not known.
 	function tryRetry(entry: OpenJob): boolean {
 		return entry.request.isRequest && entry.rules.submission.idempotent && getRetryBudget(entry.rules).trySpend();
@@ -345,10 +394,18 @@
 	function finish(entry: OpenJob): void {
 		close(entry);
 		scheduler.remove(entry.queued.ticket);
+		stopRuns(entry);
 		releaseQuota(entry.queued, entry.hasQuota);
 		publish(entry.record, entry.record.job.tryGetAnswer()!);
 	}
 
+	/** Nobody waits for what still runs of an answered job. */
+	function stopRuns(entry: OpenJob): void {
+		for (const {agent, stop} of entry.sent.values()) {
+			host.stop(agent, stop);
+		}
+	}
+
 	function publish(record: JobRecord, answer: Answer): void {
 		host.fates.recordAnswer(record.ticket.text, answer);
 		record.answer = answer;
@@ -380,3 +437,7 @@
 		return budget;
 	}
 }
+
+function getRunKey({index, attempt}: {readonly index: number; readonly attempt: number}): string {
+	return `${index}.${attempt}`;
+}
--- a/src/request/job-record.ts
+++ b/src/request/job-record.ts
@@ -4,13 +4,17 @@
 import type {Milliseconds} from '../process/clock.js';
 import {createJob, type Job} from './job.js';
 import type {Caller, SubmissionRequest} from './submission-rules.js';
-import type {Answer, Ticket} from './types.js';
+import type {Answer, Ran, Ticket} from './types.js';
 
 /** A submission that has a final answer or will have one. */
 export type JobHandle = {
 	readonly ticket: Ticket;
 	readonly owner: string;
 	readonly taskCount: number;
+	/** Name of its submission object. */
+	readonly submission: string;
+	/** Whether any task was started, as far as is known now. */
+	getRan(): Ran;
 	tryGetAnswer(): Answer | undefined;
 	/** Calls `action` with the answer, at once if it stands; the returned function withdraws the call. */
 	whenAnswered(action: (answer: Answer) => void): () => void;
@@ -32,6 +36,8 @@
 		ticket: req.ticket,
 		owner: caller.name,
 		taskCount: req.payloads.length,
+		submission: req.submission,
+		getRan: () => record.job.getRan(),
 		job: createJob(req.payloads.length),
 		digest: req.digest,
 		takenAt,
--- /dev/null
+++ b/src/request/progress.ts
@@ -0,0 +1,30 @@
+/**
+ * Tells runs that will end far too late from runs that are merely long. Answers the pattern of executors that accept
+ * work and stand still or crawl: they look free, so they would draw more work than the sound ones.
+ */
+import type {Milliseconds} from '../process/clock.js';
+
+/** What is seen of a run. */
+export type RunProgress = {
+	/** Time since it was started. */
+	readonly elapsed: Milliseconds;
+	readonly percent: number;
+	/** Declared run time; 0 if none was declared. */
+	readonly expected: Milliseconds;
+};
+
+/** A run is judged once this share of its declared run time has passed, and not before the minimum. */
+const judgedShare = 0.4;
+const minElapsed: Milliseconds = 60;
+/** Of sound runs one in a thousand takes more than this many times its declared run time. */
+const soundRatio = 4;
+
+/** Whether the task would be done sooner if it were started again elsewhere. */
+export function isStalled({elapsed, percent, expected}: RunProgress): boolean {
+	if (expected === 0 || elapsed < Math.max(minElapsed, judgedShare * expected)) {
+		return false;
+	}
+
+	const total = percent <= 0 ? Infinity : elapsed * 100 / percent;
+	return total > soundRatio * expected && total - elapsed > soundRatio * expected;
+}
--- /dev/null
+++ b/src/request/room-pool.ts
@@ -0,0 +1,77 @@
+/**
+ * What one entry believes of the room at the upstreams: what agents told last, less the starts that they had not
+ * received by then.
+ */
+import {fits, noResources, subtractResources} from '../connection/resources.js';
+import type {AgentCondition, AgentFacts, TaskNeed} from '../connection/types.js';
+import type {Resources} from '../generated/kingcuplane.js';
+
+/** One agent with an open link. */
+export type RoomAgent = {
+	readonly facts: AgentFacts;
+	isDraining: boolean;
+	/** Free room as last told. */
+	told: Resources;
+	/** Starts sent since the link opened. */
+	sent: number;
+	/** Sent starts that the agent had not received when it last told its room, oldest first. */
+	readonly pending: Array<{readonly number: number; readonly resources: Resources}>;
+	/** Running tasks of each job, by ticket. */
+	readonly running: Map<string, number>;
+};
+
+/** Creates the view of an agent whose link has just opened. */
+export function createRoomAgent(facts: AgentFacts): RoomAgent {
+	return {
+		facts, isDraining: false, told: noResources, sent: 0, pending: [], running: new Map(),
+	};
+}
+
+/** Takes over what an agent tells of itself. */
+export function setRoomCondition(agent: RoomAgent, condition: AgentCondition): void {
+	agent.isDraining = condition.draining;
+	agent.told = condition.freeRoom ?? noResources;
+	const received = condition.receivedStarts ?? 0;
+	while (agent.pending[0] !== undefined && agent.pending[0].number <= received) {
+		agent.pending.shift();
+	}
+}
+
+/** Counts a start that is about to be sent. */
+export function noteSent(agent: RoomAgent, ticket: string, need: TaskNeed): void {
+	agent.sent++;
+	agent.pending.push({number: agent.sent, resources: need.resources});
+	agent.running.set(ticket, (agent.running.get(ticket) ?? 0) + 1);
+}
+
+/** Counts the end of a run. */
+export function noteEnd(agent: RoomAgent, ticket: string): void {
+	const left = (agent.running.get(ticket) ?? 0) - 1;
+	if (left > 0) {
+		agent.running.set(ticket, left);
+	} else {
+		agent.running.delete(ticket);
+	}
+}
+
+/** Room that is probably free. */
+export function getBelievedRoom(agent: RoomAgent): Resources {
+	let room = agent.told;
+	for (const {resources} of agent.pending) {
+		room = subtractResources(room, resources);
+	}
+
+	return room;
+}
+
+/** Whether a task may run on this upstream at all. */
+export function isEligible(agent: RoomAgent, need: TaskNeed): boolean {
+	const {room = noResources, labels = []} = agent.facts;
+	return fits(need.resources, room) && (need.label === undefined || labels.includes(need.label));
+}
+
+/** Whether a task probably fits now. */
+export function hasRoom(agent: RoomAgent, ticket: string, need: TaskNeed): boolean {
+	const isBelowLimit = need.maxPerUpstream === undefined || (agent.running.get(ticket) ?? 0) < need.maxPerUpstream;
+	return isBelowLimit && fits(need.resources, getBelievedRoom(agent));
+}
--- /dev/null
+++ b/src/request/room-scheduler.ts
@@ -0,0 +1,240 @@
+/**
+ * Chooses which waiting task starts next and on which agent where tasks differ in size and upstreams are bounded by
+ * their room. The room of an upstream is shared by all entries without reservation: an entry acts on what the agent
+ * told last, and an agent refuses what does not fit, which costs one round trip and no run.
+ */
+import {createOutlierDetector, type OutlierDetector} from '../connection/outlier.js';
+import {noResources} from '../connection/resources.js';
+import type {
+	Admission, QueuedJob, QueuedTask, Scheduler, SchedulerHost, SchedulingRules, TaskNeed,
+} from '../connection/types.js';
+import {limitRetryAfter, noUpstreamRetryAfter} from './admission.js';
+import {
+	createRoomAgent, getBelievedRoom, hasRoom, isEligible, noteEnd, noteSent, setRoomCondition, type RoomAgent,
+} from './room-pool.js';
+import {isFeasible, orderJobs, type RoomJob} from './room-queue.js';
+
+/** Effects of the scheduler. */
+export type RoomSchedulerHost = SchedulerHost & {
+	/** A number in [0, 1). */
+	random(): number;
+};
+
+/** Tasks that need nothing, as of jobs that state no need. */
+const noNeed: TaskNeed = {resources: noResources};
+const defaultMaxQueuedTasks = 100_000;
+
+type ServiceState = {
+	rules: SchedulingRules | undefined;
+	readonly jobs: Map<string, RoomJob>;
+	readonly agents: Map<string, RoomAgent>;
+	readonly outliers: OutlierDetector;
+	waitingTasks: number;
+	/** Whether agents were told that tasks wait. */
+	isDemanding: boolean;
+};
+
+/** Creates the scheduler of one entry. */
+export function createRoomScheduler(host: RoomSchedulerHost): Scheduler {
+	const {clock} = host;
+	const services = new Map<string, ServiceState>();
+	const serviceOfAgent = new Map<string, ServiceState>();
+	const jobsInFlight = new Map<string, {readonly state: ServiceState; running: number}>();
+
+	return {
+		setRules(service, rules) {
+			getService(service).rules = rules;
+		},
+		setShare: () => undefined,
+		openAgent(facts) {
+			const state = getService(facts.service);
+			state.agents.set(facts.incarnation, createRoomAgent(facts));
+			state.outliers.open(facts.incarnation);
+			serviceOfAgent.set(facts.incarnation, state);
+			host.changed(facts.incarnation);
+		},
+		closeAgent(incarnation) {
+			const state = serviceOfAgent.get(incarnation);
+			state?.agents.delete(incarnation);
+			state?.outliers.close(incarnation);
+			serviceOfAgent.delete(incarnation);
+		},
+		setCondition(incarnation, condition) {
+			const state = serviceOfAgent.get(incarnation);
+			const agent = state?.agents.get(incarnation);
+			if (state !== undefined && agent !== undefined) {
+				setRoomCondition(agent, condition);
+				dispatch(state);
+			}
+		},
+		setGranted: () => undefined,
+		assess,
+		enqueue(job) {
+			const tasks = Array.from({length: job.taskCount}, (_, index): QueuedTask => ({ticket: job.ticket, index, attempt: 1}));
+			addTasks(job, tasks);
+		},
+		requeue(job, task) {
+			addTasks(job, [task]);
+		},
+		remove,
+		recordEnd(incarnation, ticket, outcome) {
+			const inFlight = jobsInFlight.get(ticket);
+			if (inFlight === undefined) {
+				return;
+			}
+
+			const {state} = inFlight;
+			inFlight.running--;
+			if (inFlight.running === 0) {
+				jobsInFlight.delete(ticket);
+			}
+
+			const agent = state.agents.get(incarnation);
+			if (agent !== undefined) {
+				noteEnd(agent, ticket);
+				state.outliers.record(incarnation, outcome);
+			}
+
+			dispatch(state);
+		},
+		getQueued: incarnation => serviceOfAgent.get(incarnation)?.waitingTasks ?? 0,
+		tryGetHead: () => undefined,
+		getReturned: () => 0,
+	};
+
+	function assess(job: QueuedJob): Admission {
+		const state = getService(job.service);
+		const need = job.need ?? noNeed;
+		const eligible = [...state.agents.values()].filter(agent => !agent.isDraining && isEligible(agent, need));
+		if (eligible.length === 0) {
+			return {kind: 'no-upstream', retryAfter: noUpstreamRetryAfter};
+		}
+
+		if (state.waitingTasks + job.taskCount > (state.rules?.maxQueuedTasks ?? defaultMaxQueuedTasks)) {
+			return {kind: 'queue-full', queued: state.waitingTasks, retryAfter: limitRetryAfter(job.expectedRun)};
+		}
+
+		if (!isFeasible(job, clock.now())) {
+			return {kind: 'too-late', wait: 0, retryAfter: limitRetryAfter(0)};
+		}
+
+		return {kind: 'admitted', wait: 0};
+	}
+
+	function addTasks(job: QueuedJob, tasks: readonly QueuedTask[]): void {
+		const state = getService(job.service);
+		const waiting = state.jobs.get(job.ticket) ?? {job, tasks: []};
+		waiting.tasks.push(...tasks);
+		state.jobs.set(job.ticket, waiting);
+		state.waitingTasks += tasks.length;
+		dispatch(state);
+	}
+
+	function remove(ticket: string): readonly number[] {
+		for (const state of services.values()) {
+			const waiting = state.jobs.get(ticket);
+			if (waiting !== undefined) {
+				state.jobs.delete(ticket);
+				state.waitingTasks -= waiting.tasks.length;
+				tellDemand(state);
+				return waiting.tasks.map(task => task.index).toSorted((a, b) => a - b);
+			}
+		}
+
+		return [];
+	}
+
+	function dispatch(state: ServiceState): void {
+		if (state.waitingTasks > 0) {
+			for (const waiting of orderJobs(state.jobs.values(), clock.now())) {
+				startTasks(state, waiting);
+			}
+		}
+
+		tellDemand(state);
+	}
+
+	function startTasks(state: ServiceState, waiting: RoomJob): void {
+		const {job, tasks} = waiting;
+		while (tasks.length > 0) {
+			const agent = chooseAgent(state, job, tasks[0]!);
+			if (agent === undefined) {
+				return;
+			}
+
+			startTask(state, agent, job, tasks.shift()!);
+		}
+
+		state.jobs.delete(job.ticket);
+	}
+
+	function startTask(state: ServiceState, agent: RoomAgent, job: QueuedJob, task: QueuedTask): void {
+		const inFlight = jobsInFlight.get(job.ticket) ?? {state, running: 0};
+		inFlight.running++;
+		jobsInFlight.set(job.ticket, inFlight);
+		state.waitingTasks--;
+		noteSent(agent, job.ticket, job.need ?? noNeed);
+		state.outliers.noteStart(agent.facts.incarnation);
+		host.start(agent.facts.incarnation, task);
+	}
+
+	/**
+	 * Of two agents drawn at random among those with room, the one with more: entries that all chose the one with
+	 * most room would meet there.
+	 */
+	function chooseAgent(state: ServiceState, job: QueuedJob, task: QueuedTask): RoomAgent | undefined {
+		const candidates = getCandidates(state, job, task);
+		if (candidates.length <= 1) {
+			return candidates[0];
+		}
+
+		const first = candidates[Math.floor(host.random() * candidates.length)]!;
+		const second = candidates[Math.floor(host.random() * candidates.length)]!;
+		return getBelievedRoom(first).cpu >= getBelievedRoom(second).cpu ? first : second;
+	}
+
+	function getCandidates(state: ServiceState, job: QueuedJob, task: QueuedTask): readonly RoomAgent[] {
+		const need = job.need ?? noNeed;
+		const withRoom: RoomAgent[] = [];
+		for (const agent of state.agents.values()) {
+			if (!agent.isDraining && state.outliers.isUsable(agent.facts.incarnation) && isEligible(agent, need) && hasRoom(agent, job.ticket, need)) {
+				withRoom.push(agent);
+			}
+		}
+
+		const fresh = prefer(withRoom, agent => !task.failedOn?.includes(agent.facts.name));
+		return need.rack === undefined ? fresh : prefer(fresh, agent => agent.facts.rack === need.rack);
+	}
+
+	/** Agents that hear of waiting tasks tell at once when room becomes free. */
+	function tellDemand(state: ServiceState): void {
+		const isDemanding = state.waitingTasks > 0;
+		if (isDemanding === state.isDemanding) {
+			return;
+		}
+
+		state.isDemanding = isDemanding;
+		for (const incarnation of state.agents.keys()) {
+			host.changed(incarnation);
+		}
+	}
+
+	function getService(service: string): ServiceState {
+		const found = services.get(service);
+		if (found !== undefined) {
+			return found;
+		}
+
+		const created: ServiceState = {
+			rules: undefined, jobs: new Map(), agents: new Map(), outliers: createOutlierDetector(clock), waitingTasks: 0, isDemanding: false,
+		};
+		services.set(service, created);
+		return created;
+	}
+}
+
+/** The members that satisfy a wish, or all if none does. */
+function prefer<T>(members: readonly T[], isPreferred: (member: T) => boolean): readonly T[] {
+	const preferred = members.filter(member => isPreferred(member));
+	return preferred.length > 0 ? preferred : members;
+}
--- a/src/request/submission-rules.ts
+++ b/src/request/submission-rules.ts
@@ -2,7 +2,9 @@
  * The rules under which a submission is taken: its objects in the configuration in force, its limits, and what
  * the scheduler is told of it.
  */
-import type {Admission, QueuedJob, Scheduler} from '../connection/types.js';
+import type {
+	Admission, Objective, QueuedJob, Scheduler, TaskNeed,
+} from '../connection/types.js';
 import type {Milliseconds} from '../process/clock.js';
 import {assertNever, checkDefined} from '../process/debug.js';
 import {createDiagnostic, type Diagnostic, Diagnostics} from '../process/diagnostics.js';
@@ -29,6 +31,15 @@
 	readonly payloads: readonly Uint8Array[];
 	/** A single request, which may run again if its submission object is idempotent; tasks of jobs never do. */
 	readonly isRequest: boolean;
+	/** Declared run time of one task; the submission object's own if undefined. */
+	readonly expectedRun?: Milliseconds;
+	readonly need?: TaskNeed;
+	readonly objective?: Objective;
+	/**
+	 * Runs of one task that may fail before the job does. A task may be started again once its last run is over for
+	 * certain; undefined never starts one again.
+	 */
+	readonly attempts?: number;
 	/** Hash of everything above but the ticket; tells a repetition from a different request. */
 	readonly digest: string;
 };
@@ -79,7 +90,9 @@
 		submission: rules.submission.name,
 		team: rules.submission.team,
 		taskCount: req.payloads.length,
-		expectedRun: rules.submission.expectedRun,
+		expectedRun: req.expectedRun ?? rules.submission.expectedRun,
+		need: req.need,
+		objective: req.objective,
 		arrivedAt: now,
 		deadlineAt: now + Math.min(req.deadlineMs ?? longest, longest),
 	};
--- a/src/request/upstream-call.ts
+++ b/src/request/upstream-call.ts
@@ -21,6 +21,8 @@
 export type UpstreamCaller = {
 	/** Runs one task; `done` is called once and never before this call returns. */
 	run(start: TaskStart, done: (end: RunEnd) => void): void;
+	/** Ends a run early, if the upstream can do that; `done` follows. */
+	stop?(start: TaskStart): void;
 	/** Whether the upstream answers now, with whatever status. */
 	isReachable(): Promise<boolean>;
 	close(): Promise<void>;
--- a/src/version/follower.ts
+++ b/src/version/follower.ts
@@ -4,12 +4,11 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
-import {checkDefined} from '../process/debug.js';
 import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
 import type {Platform} from '../process/platform/types.js';
 import {loadHead, loadSnapshot, type LoadError} from './load.js';
 import {decodeSnapshot, encodeSnapshot} from './snapshot-codec.js';
-import type {Snapshot} from './types.js';
+import {createVersionHolder, type VersionHolder} from './version-holder.js';
 
 /** What a follower needs. */
 export type VersionFollowerHost = {
@@ -25,30 +24,14 @@
 	onFault(diagnostic: Diagnostic): void;
 };
 
-/** Called with each version that comes into force. */
-export type VersionListener = (snapshot: Snapshot) => void;
-
-/** What became of a version that a peer offered. */
-export type OfferOutcome = 'in-force' | 'not-newer';
-
 /** Holds the version in force in this process. */
-export type VersionFollower = {
+export type VersionFollower = Omit<VersionHolder, 'take'> & {
 	/** Starts to poll; the first read is sent at once. */
 	start(): void;
 	/** Stops polling. */
 	stop(): void;
 	/** Reads the head row once and takes what it names if it is newer. */
 	poll(): Promise<void>;
-	/** Takes an encoded version from a peer if it is newer. */
-	offer(bytes: Uint8Array): Result<OfferOutcome, Diagnostic>;
-	/** The version in force; throws before there is one. */
-	get(): Snapshot;
-	/** The version in force, if there is one yet. */
-	tryGet(): Snapshot | undefined;
-	/** The encoded version in force, to offer to peers. */
-	tryGetBytes(): Uint8Array | undefined;
-	/** Calls `listener` with each version that comes into force from now on; gives a function that ends this. */
-	onChange(listener: VersionListener): () => void;
 };
 
 const defaultPoll: Milliseconds = 1000;
@@ -60,9 +43,7 @@
 /** Creates a follower that has no version yet. */
 export function createVersionFollower(host: VersionFollowerHost): VersionFollower {
 	const {platform, clock, pollMs = defaultPoll, maxPollMs = defaultMaxPoll} = host;
-	const listeners = new Set<VersionListener>();
-	let inForce: Snapshot | undefined;
-	let inForceBytes: Uint8Array | undefined;
+	const holder = createVersionHolder({encode: encodeSnapshot, decode: decodeSnapshot}, host.onFault);
 	let failures = 0;
 	let timer: Timer | undefined;
 	let isRunning = false;
@@ -77,25 +58,11 @@
 			timer?.cancel();
 		},
 		poll,
-		offer(bytes) {
-			return decodeSnapshot(bytes, 'a peer')
-				.map((snapshot): OfferOutcome => take(snapshot) ? 'in-force' : 'not-newer')
-				.orTee(diagnostic => {
-					host.onFault(diagnostic);
-				});
-		},
-		get: () => checkDefined(inForce, 'a configuration version is in force'),
-		tryGet: () => inForce,
-		tryGetBytes() {
-			inForceBytes ??= inForce === undefined ? undefined : encodeSnapshot(inForce);
-			return inForceBytes;
-		},
-		onChange(listener) {
-			listeners.add(listener);
-			return () => {
-				listeners.delete(listener);
-			};
-		},
+		offer: holder.offer,
+		get: holder.get,
+		tryGet: holder.tryGet,
+		tryGetBytes: holder.tryGetBytes,
+		onChange: holder.onChange,
 	};
 
 	async function run(): Promise<void> {
@@ -134,27 +101,12 @@
 			return err(snapshot.error);
 		}
 
-		take(snapshot.value);
+		holder.take(snapshot.value);
 		return ok();
 	}
 
-	/** The only place where a version comes into force. It compares at that moment: a newer one may have come during a read. */
-	function take(snapshot: Snapshot): boolean {
-		if (snapshot.version <= getVersion()) {
-			return false;
-		}
-
-		inForce = snapshot;
-		inForceBytes = undefined;
-		for (const listener of listeners) {
-			listener(snapshot);
-		}
-
-		return true;
-	}
-
 	function getVersion(): number {
-		return inForce?.version ?? 0;
+		return holder.tryGet()?.version ?? 0;
 	}
 
 	function reportOldRead(served: number, current: number): void {
--- a/src/version/types.ts
+++ b/src/version/types.ts
@@ -77,6 +77,21 @@
 	readonly expectedRun: Milliseconds;
 };
 
+/** Leads requests to a host whose path begins with a prefix to a submission; the longest prefix decides. */
+export type Route = {
+	readonly host: string;
+	readonly pathPrefix: string;
+	/** Name of a submission. */
+	readonly submission: string;
+	/** Time for the answer to a request that states none. */
+	readonly deadline: Milliseconds;
+	/** Runs of one task that may fail before its job does. */
+	readonly attempts: number;
+	/** An answer has its full worth within this multiple of the run time and a margin. */
+	readonly stretch: number;
+	readonly margin: Milliseconds;
+};
+
 /** A group of callers that shares a quota. */
 export type TeamObject = {
 	readonly kind: 'team';
@@ -99,6 +114,8 @@
 	readonly policies: ReadonlyMap<string, PolicyObject>;
 	readonly submissions: ReadonlyMap<string, SubmissionObject>;
 	readonly teams: ReadonlyMap<string, TeamObject>;
+	/** Undefined where callers name their submission. */
+	readonly routes?: readonly Route[];
 };
 
 /** What a change set does to one object. */
--- /dev/null
+++ b/src/version/watched-follower.ts
@@ -0,0 +1,80 @@
+/**
+ * Follows a configuration that its store announces by itself. Reads wait at the store for a change, so that a new
+ * version is in force within milliseconds and an idle store is asked seldom.
+ */
+import type {ResultAsync} from 'neverthrow';
+import type {Clock, Milliseconds} from '../process/clock.js';
+import type {Diagnostic} from '../process/diagnostics.js';
+import type {PlatformError} from '../process/platform/types.js';
+import type {VersionFollower} from './follower.js';
+import {createVersionHolder, type VersionCodec} from './version-holder.js';
+
+/** Where versions come from. */
+export type VersionSource = {
+	/** Waits for a version that was not given yet; undefined if none came in the time that the source allows. */
+	next(): ResultAsync<Uint8Array | undefined, PlatformError>;
+};
+
+/** What a follower needs. */
+export type WatchedFollowerHost = {
+	readonly clock: Clock;
+	readonly source: VersionSource;
+	readonly codec: VersionCodec;
+	/** A random number from 0 to below 1, for jitter. */
+	random(): number;
+	/** Told of every read that failed or was ignored; the version in force stays. */
+	onFault(diagnostic: Diagnostic): void;
+};
+
+/** Pause after a failed read, and the longest one after several in a row; peers tell of new versions meanwhile. */
+const firstRetryMs: Milliseconds = 100;
+const maxRetryMs: Milliseconds = 400;
+
+/** Creates a follower that has no version yet. */
+export function createWatchedFollower(host: WatchedFollowerHost): VersionFollower {
+	const holder = createVersionHolder(host.codec, host.onFault);
+	let failures = 0;
+	let isRunning = false;
+
+	return {
+		start() {
+			isRunning = true;
+			void run();
+		},
+		stop() {
+			isRunning = false;
+		},
+		poll,
+		offer: holder.offer,
+		get: holder.get,
+		tryGet: holder.tryGet,
+		tryGetBytes: holder.tryGetBytes,
+		onChange: holder.onChange,
+	};
+
+	async function run(): Promise<void> {
+		while (isRunning) {
+			await poll();
+			if (failures > 0) {
+				const delay = Math.min(maxRetryMs, firstRetryMs * (2 ** (failures - 1)));
+				await new Promise<void>(resolve => {
+					host.clock.after(delay * (0.5 + host.random()), resolve);
+				});
+			}
+		}
+	}
+
+	async function poll(): Promise<void> {
+		const read = await host.source.next();
+		if (read.isErr()) {
+			failures++;
+			host.onFault(read.error.diagnostic);
+			return;
+		}
+
+		failures = 0;
+		if (read.value !== undefined) {
+			host.codec.decode(read.value, 'the store').map(snapshot => holder.take(snapshot)).orTee(host.onFault);
+		}
+	}
+}
--- a/test/failure/entry.ts
+++ b/test/failure/entry.ts
@@ -3,7 +3,8 @@
  * network and platform.
  */
 import {createHeldQueries, recoverAnswer} from '../../src/connection/held-queries.js';
-import {heartbeatMs, createLinkHub, type LinkHub} from '../../src/connection/link-server.js';
+import {createLinkHub, type LinkHub} from '../../src/connection/link-server.js';
+import {relaxedTiming} from '../../src/connection/link-timing.js';
 import type {ConfigUpdate, EntryAddress, RelayReply} from '../../src/generated/kingcuplane.js';
 import type {PeerRequest} from '../../src/connection/peer-hub.js';
 import {every, type Milliseconds} from '../../src/process/clock.js';
@@ -94,6 +95,9 @@
 		send(agent, start) {
 			links.send(agent, start);
 		},
+		stop(agent, stop) {
+			links.stop(agent, stop);
+		},
 		changed(agent) {
 			links.changed(agent);
 		},
@@ -161,7 +165,7 @@
 	});
 	follower.start();
 
-	every(clock, heartbeatMs, links.sendHeartbeats);
+	every(clock, relaxedTiming.heartbeatMs, links.sendHeartbeats);
 	return {
 		process,
 		issuer,
--- a/test/process/platform/client.test.ts
+++ b/test/process/platform/client.test.ts
@@ -6,7 +6,7 @@
 import {createPlatformApp} from '../../../dev/platform-app.js';
 import {checkDefined} from '../../../src/process/debug.js';
 import {createFakeClock} from '../../../src/process/fake-clock.js';
-import {createPlatformClient} from '../../../src/process/platform/client.js';
+import {createPlatformClient} from '../../../src/platform/store-client.js';
 import {createMemoryPlatform} from '../../../src/process/platform/memory.js';
 import type {Transaction} from '../../../src/process/platform/types.js';
 import {describe, it} from '../../describe.js';
--- a/test/process/platform/contract.ts
+++ b/test/process/platform/contract.ts
@@ -31,7 +31,7 @@
 
 	test('commits all writes of a transaction or none', async (t, {table}) => {
 		const first = await table.commit({conditions: [{key: 'a', revision: 0}], writes: [{key: 'a', value: '1'}, {key: 'b', value: '2'}]});
-		t.deepEqual(first._unsafeUnwrap(), {kind: 'committed'});
+		t.deepEqual(first._unsafeUnwrap(), {kind: 'committed', revision: 1});
 
 		const second = await table.commit({conditions: [{key: 'b', revision: 1}, {key: 'a', revision: 0}], writes: [{key: 'b', value: '3'}]});
 		t.deepEqual(second._unsafeUnwrap(), {kind: 'conflict', key: 'a', revision: 1});
--- a/test/process/platform/memory.test.ts
+++ b/test/process/platform/memory.test.ts
@@ -36,7 +36,7 @@
 		t.is(await unwrap(table.get('a')), undefined);
 
 		clock.advance(50);
-		t.deepEqual(await unwrap(pending), {kind: 'committed'});
+		t.deepEqual(await unwrap(pending), {kind: 'committed', revision: 1});
 		t.is(await unwrap(table.get('a').map(found => found?.value)), '1');
 		t.is(getStats().tableReads, 2);
 		t.is(getStats().tableWrites, 1);
--- a/test/request/upstream-call.test.ts
+++ b/test/request/upstream-call.test.ts
@@ -18,6 +18,9 @@
 	configVersion: 1,
 	idempotent: false,
 	caller: 'ann',
+	reference: '',
+	need: undefined,
+	expectedRunMs: 0,
 };
 
 /** Calls a server on loopback, or its port after it was closed again. */
