--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -28,12 +28,12 @@
 	readonly keepMs: Milliseconds;
 	/** Bound on the payload bytes of kept records. */
 	readonly keepBytes: number;
+	/** How long after a cut the runs of an entry go on; undefined if they always end by themselves. */
+	readonly abandonMs?: Milliseconds;
 	/** Hands the task to the upstream; `done` is called once. */
 	run(start: TaskStart, done: (end: RunEnd) => void): void;
 	/** Ends a run whose answer nobody waits for; `done` follows. Does nothing if it has ended. */
 	stop(start: TaskStart): void;
-	/** How long after a cut the runs of an entry go on; undefined if they always end by themselves. */
-	readonly abandonMs?: Milliseconds;
 	/** Something is to be sent to this entry incarnation. */
 	changed(entry: string): void;
 };
--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -16,18 +16,20 @@
 export type LinkClientHost = {
 	readonly clock: Clock;
 	readonly sessions: EntrySessions;
+	readonly timing: LinkTiming;
 	getState(): AgentState;
 	receiveConfig(config: ConfigUpdate): void;
 	receiveEntries(entries: readonly EntryAddress[]): void;
 	/** A link to this entry incarnation has its welcome; the earlier link to it, if any, must stop reading. */
 	claimEntry(incarnation: string, link: AgentLink): void;
+	/** A batch has arrived and is about to be read; it is dropped if this resets the link. */
+	arrived?(): void;
 	/** A number in [0, 1), for jitter. */
 	random(): number;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
 	/** Prepares streams to "IP:port"; over gRPC if undefined. */
 	connect?(address: string): LinkConnection;
-	readonly timing: LinkTiming;
 };
 
 /** Opens streams to one entry. */
@@ -54,6 +56,8 @@
 	stateChanged(): void;
 	/** Restates the condition unless something was sent within the last heartbeat interval. */
 	heartbeat(): void;
+	/** Drops the connection with all that waits in it, and dials again. */
+	reset(): void;
 	/** Ends the link for good. */
 	stop(): void;
 	isOpen(): boolean;
@@ -63,7 +67,7 @@
 
 /** Dials `address` ("IP:port") and keeps the link up. */
 export function createAgentLink(host: LinkClientHost, address: string): AgentLink {
-	const client = host.connect?.(address) ?? new LinkClient(address, credentials.createInsecure(), channelOptions);
+	let client = connect();
 	let stream: Stream | undefined;
 	let entry: string | undefined;
 	let delay = firstDelayMs;
@@ -88,6 +92,7 @@
 				planFlush();
 			}
 		},
+		reset,
 		stop() {
 			isStopped = true;
 			timer?.cancel();
@@ -99,6 +104,18 @@
 	dial();
 	return link;
 
+	function connect(): LinkConnection {
+		return host.connect?.(address) ?? new LinkClient(address, credentials.createInsecure(), channelOptions);
+	}
+
+	// A connection that went silent may never show an error, and new streams on it would be as silent.
+	function reset(): void {
+		const old = client;
+		client = connect();
+		closeStream();
+		old.close();
+	}
+
 	function dial(): void {
 		if (isStopped) {
 			return;
@@ -108,6 +125,7 @@
 		stream = current;
 		watchSilence(current);
 		current.on('data', (batch: EntryBatch) => {
+			host.arrived?.();
 			if (stream === current) {
 				watchSilence(current);
 				receive(batch);
@@ -127,7 +145,9 @@
 		silence = host.timing.silenceMs === undefined
 			? undefined
 			: host.clock.after(host.timing.silenceMs, () => {
-				closeIfCurrent(current);
+				if (stream === current) {
+					reset();
+				}
 			});
 	}
 
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -14,6 +14,8 @@
 	readonly entry: string;
 	readonly incarnation: string;
 	readonly sessions: AgentSessions;
+	/** A link on which nothing arrives for this time is closed. */
+	readonly silenceMs?: Milliseconds;
 	/** Credits wanted from this agent; what was read counts as told. */
 	getQueued(agent: string): number;
 	/** The job that would start next on this agent. */
@@ -33,8 +35,6 @@
 	defer(action: () => void): void;
 	/** Runs an action after a delay. */
 	after(delay: Milliseconds, action: () => void): Timer;
-	/** A link on which nothing arrives for this time is closed. */
-	readonly silenceMs?: Milliseconds;
 	/** A batch has arrived and is about to be read. */
 	arrived?(): void;
 };
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -102,8 +102,11 @@
 /** Effects of the scheduler. */
 export type SchedulerHost = {
 	readonly clock: Clock;
-	/** Sends the start of a task to an agent. One credit of that agent is spent. */
-	start(agent: string, task: QueuedTask): void;
+	/**
+	 * Sends the start of a task to an agent. One credit of that agent is spent. `newsAge` is the age of what the
+	 * choice was based on, where it was based on news.
+	 */
+	start(agent: string, task: QueuedTask, newsAge?: Milliseconds): void;
 	/** The queue length or the returned credits to be told to this agent have changed. */
 	changed(agent: string): void;
 };
@@ -163,6 +166,8 @@
 	tryGetHead(incarnation: string): WaitingHead | undefined;
 	/** Credits handed back unused to this agent since the link opened. */
 	getReturned(incarnation: string): number;
+	/** Starts nothing while held, as after a pause until news that came meanwhile has been read. */
+	setHeld?(isHeld: boolean): void;
 };
 
 /** Effects of the credit granter. */
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -24,6 +24,8 @@
 	readonly entry: Entry;
 	readonly log: Log;
 	tryGetSnapshot(): Snapshot | undefined;
+	/** To be called before work is taken that may have waited through a pause of this process. */
+	checkPause(): void;
 };
 
 const caller = {name: clientTeam, team: clientTeam};
@@ -56,6 +58,22 @@
 });
 type WireJob = z.infer<typeof wireJob>;
 
+/** A job as its client sent it. */
+type ClientJob = {
+	readonly route: Route;
+	/** The client's name for the job. */
+	readonly name: string;
+	readonly body: WireJob;
+	readonly text: string;
+};
+
+/** Why a job is refused before it has run. */
+type Refusal = {
+	readonly status: 429 | 503;
+	readonly retryAfter: Milliseconds;
+	readonly reason: string;
+};
+
 /** A job whose client waits, with the number of requests that wait for it. */
 type OpenJob = {
 	readonly job: JobHandle;
@@ -63,7 +81,9 @@
 };
 
 /** Creates the HTTP routes. */
-export function createIngress({entry, log, tryGetSnapshot}: IngressHost): Hono {
+export function createIngress({
+	entry, log, tryGetSnapshot, checkPause,
+}: IngressHost): Hono {
 	const app = new Hono();
 	const open = new Map<string, OpenJob>();
 	let tableOf: {readonly snapshot: Snapshot; readonly table: RouteTable} | undefined;
@@ -75,9 +95,10 @@
 		}
 	});
 	app.all('*', bodyLimit({maxSize: maxBodyBytes}), async c => {
+		checkPause();
 		const snapshot = tryGetSnapshot();
 		if (snapshot === undefined) {
-			return refuse(c, undefined, 503, notReadyRetryMs, 'no configuration is in force');
+			return refuse(c, undefined, {status: 503, retryAfter: notReadyRetryMs, reason: 'no configuration is in force'});
 		}
 
 		const route = getTable(snapshot).tryFind(c.req.header('host') ?? '', c.req.path);
@@ -146,13 +167,15 @@
 
 		const obstacle = getObstacle(body.value);
 		if (obstacle !== undefined) {
-			return refuse(c, name, 503, notServedRetryMs, obstacle);
+			return refuse(c, name, {status: 503, retryAfter: notServedRetryMs, reason: obstacle});
 		}
 
-		return answer(c, name, open.get(name) ?? take(c, route, name, body.value, text));
+		return answer(c, name, open.get(name) ?? take(c, {
+			route, name, body: body.value, text,
+		}));
 	}
 
-	function take(c: Context, route: Route, name: string, body: WireJob, text: string): OpenJob {
+	function take(c: Context, {route, name, body, text}: ClientJob): OpenJob {
 		const ticket = entry.issueTicket(caller.name);
 		const req = toRequest(body, route, name, Number(c.req.header('request-deadline')));
 		const digest = createHash('sha256').update(text).digest('base64');
@@ -189,7 +212,8 @@
 				open.delete(name);
 			}
 
-			return c.body(null, 499 as 500);
+			// Nobody reads this.
+			return c.body(null, 504);
 		}
 
 		open.delete(name);
@@ -202,7 +226,9 @@
 		}
 
 		if (found.ran === 'not-run') {
-			return refuse(c, name, found.diagnostic?.kind === 'QueueFull' ? 429 : 503, found.retryAfter ?? notReadyRetryMs, found.diagnostic?.message ?? '');
+			return refuse(c, name, {
+				status: found.diagnostic?.kind === 'QueueFull' ? 429 : 503, retryAfter: found.retryAfter ?? notReadyRetryMs, reason: found.diagnostic?.message ?? '',
+			});
 		}
 
 		// Failed runs have used up the attempts; anything else says nothing about the job, and it may be sent again.
@@ -211,9 +237,9 @@
 			: c.json({error: found.diagnostic?.message}, 504);
 	}
 
-	function refuse(c: Context, job: string | undefined, status: 429 | 503, retryAfter: Milliseconds, reason: string): Response {
+	function refuse(c: Context, name: string | undefined, {status, retryAfter, reason}: Refusal): Response {
 		log.info({
-			job, status, retryAfter, reason,
+			request: name, status, retryAfter, reason,
 		}, 'request refused; it has not run');
 		return c.json({error: reason}, status, {'retry-after': String(Math.ceil(retryAfter / 1000))});
 	}
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -39,6 +39,10 @@
 	const store = createPlatformClient({clock, url: `http://${machine.store}`, timeoutMs: storeTimeoutMs});
 	const pauses = createPauseWatch(clock);
 	let life: Life | undefined;
+	let pause: Milliseconds = 0;
+	pauses.onPause(length => {
+		pause += length;
+	});
 	let isStopping = false;
 	const server = await serveHttp(createHeartbeatApp({log, receive, left}), machine.control!);
 	const scrape = await serveHttp(new Hono().get('/metrics', async c => c.text(await metrics.getText())), {host: machine.ip, port: machine.metricsPort});
@@ -54,6 +58,13 @@
 		},
 	};
 
+	function takePause(): Milliseconds {
+		pauses.check();
+		const taken = pause;
+		pause = 0;
+		return taken;
+	}
+
 	function receive({facts, isLeaving}: Heartbeat): void {
 		if (isStopping) {
 			return;
@@ -106,7 +117,7 @@
 				unreachable() {
 					started.agent?.checkUpstream();
 				},
-				takePause: pauses.take,
+				takePause,
 			}),
 		};
 		life = started;
@@ -132,6 +143,7 @@
 			readDirectory: async () => readEntryAddresses(store.table),
 			defer: setImmediate,
 			timing: platformTiming,
+			pauses,
 			room: started.facts.room,
 			labels: started.facts.labels,
 		});
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -53,6 +53,7 @@
 		host: {
 			timing: platformTiming,
 			drainNoticeMs,
+			pauses,
 			createScheduler: host => createRoomScheduler({...host, random: Math.random}),
 			quota: {
 				take(_team, _tasks, done) {
@@ -63,7 +64,9 @@
 		},
 	});
 	const {entry} = running;
-	const ingress = await serveHttp(createIngress({entry, log, tryGetSnapshot: follower.tryGet}), machine.clients!);
+	const ingress = await serveHttp(createIngress({
+		entry, log, checkPause: pauses.check, tryGetSnapshot: follower.tryGet,
+	}), machine.clients!);
 	const ready = await serveHttp(new Hono().get('/v1/readyz', c => isReady() ? c.text('ready') : c.text('not ready', 503)), machine.ready!);
 	const scrape = await serveHttp(new Hono().get('/metrics', async c => c.text(await metrics.getText())), {host: machine.ip, port: machine.metricsPort});
 
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -44,7 +44,9 @@
 	return parsed;
 });
 const list = z.string().default('').transform(text => text.split(',').filter(part => part !== ''));
-const portRange = z.string().transform(text => text.split(',').map(Number)).refine(([from, to]) => Number.isInteger(from) && Number.isInteger(to) && to! > from!, 'expected two ports, the second one larger');
+const portRange = z.string()
+	.transform(text => text.split(',').map(Number))
+	.refine(([from, to]) => Number.isInteger(from) && Number.isInteger(to) && to! > from!, 'expected two ports, the second one larger');
 const secondMs: Milliseconds = 1000;
 
 const schema = z.object({
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -18,6 +18,7 @@
 } from './clock.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
+import type {PauseWatch} from './pause-watch.js';
 import type {AgentSettings} from './settings.js';
 
 /** Effects of the agent. */
@@ -29,6 +30,12 @@
 	readonly upstream: UpstreamCaller;
 	readonly log: Log;
 	readonly metrics: Metrics;
+	readonly timing?: LinkTiming;
+	/** Notices that this process stood still; undefined if nothing is to follow from that. */
+	readonly pauses?: PauseWatch;
+	/** Bounds the upstream by its room instead of its slots. */
+	readonly room?: Resources;
+	readonly labels?: readonly string[];
 	/** A number in [0, 1), for jitter. */
 	random(): number;
 	/** Addresses ("IP:port") of the entries in the platform's directory; undefined if it cannot be read. */
@@ -37,10 +44,6 @@
 	defer(action: () => void): void;
 	/** Prepares streams to "IP:port"; over gRPC if undefined. */
 	connect?(address: string): LinkConnection;
-	readonly timing?: LinkTiming;
-	/** Bounds the upstream by its room instead of its slots. */
-	readonly room?: Resources;
-	readonly labels?: readonly string[];
 };
 
 /** A running agent. */
@@ -114,6 +117,7 @@
 			void discover();
 		}),
 	];
+	host.pauses?.onPause(resetLinks);
 	void discover();
 	void probe();
 
@@ -137,6 +141,14 @@
 		},
 	};
 
+	// Entries may have given up starts that wait in the sockets. New links tell them which ones have arrived.
+	function resetLinks(pause: Milliseconds): void {
+		host.log.warn({pause}, 'this process may have stood still; links are opened anew');
+		for (const link of links.values()) {
+			link.reset();
+		}
+	}
+
 	function run(start: TaskStart, done: (end: RunEnd) => void): void {
 		host.upstream.run(start, end => {
 			learn(end);
@@ -148,7 +160,16 @@
 	function report(start: TaskStart, end: RunEnd): void {
 		host.metrics.time('task.run', end.run, {outcome: outcomeNames[end.outcome]});
 		if (end.outcome !== TaskOutcome.TASK_OUTCOME_COMPLETED) {
-			host.log.child({ticket: start.task!.ticket}).info({index: start.task!.index, attempt: start.attempt, detail: end.detail}, 'task did not complete');
+			host.log.info({
+				ticket: start.task!.ticket,
+				request: start.reference,
+				index: start.task!.index,
+				attempt: start.attempt,
+				outcome: outcomeNames[end.outcome],
+				reason: end.reason,
+				run: end.run,
+				detail: end.detail,
+			}, 'task did not complete');
 		}
 	}
 
@@ -302,6 +323,7 @@
 			defer: host.defer,
 			connect: host.connect,
 			timing,
+			arrived: host.pauses?.check,
 		}, address));
 	}
 
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -17,7 +17,7 @@
 } from '../generated/kingcuplane.js';
 import {toFateReportJson} from '../request/fate-json.js';
 import {createFateLookup} from '../request/fate-lookup.js';
-import {createHome, type Home} from '../request/home.js';
+import {createHome, type Decision, type Home} from '../request/home.js';
 import type {JobHandle} from '../request/job-record.js';
 import {createRouter, type FoundFate, type Principal} from '../request/router.js';
 import {createSettlements} from '../request/settlement.js';
@@ -27,13 +27,14 @@
 import type {Snapshot} from '../version/types.js';
 import {formatAddress} from './address.js';
 import {
-	every, sleep, type Clock, type Milliseconds,
+	every, sleep, type Clock, type Milliseconds, type Timer,
 } from './clock.js';
 import type {Diagnostic} from './diagnostics.js';
 import {createEntryDirectory} from './entry-directory.js';
 import {createHttpApi} from './http-api.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
+import type {PauseWatch} from './pause-watch.js';
 import type {Platform} from './platform/types.js';
 import type {EntrySettings} from './settings.js';
 
@@ -50,6 +51,13 @@
 	readonly ticketKey: Uint8Array;
 	readonly log: Log;
 	readonly metrics: Metrics;
+	readonly timing?: LinkTiming;
+	/** Notices that this process stood still; undefined if nothing is to follow from that. */
+	readonly pauses?: PauseWatch;
+	/** Time after a request to stop during which work is still taken, until the balancer has turned away. */
+	readonly drainNoticeMs?: Milliseconds;
+	/** Bounds the tasks of each team; by shares that entries settle among themselves if undefined. */
+	readonly quota?: TeamQuota;
 	authenticate(token: string): Result<Principal, Diagnostic>;
 	/** Whether tokens can be checked. */
 	areTokensKnown(): boolean;
@@ -57,30 +65,23 @@
 	declaredDead(): void;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
-	readonly timing?: LinkTiming;
-	/** Time after a request to stop during which work is still taken, until the balancer has turned away. */
-	readonly drainNoticeMs?: Milliseconds;
 	/** Chooses where tasks run; by credits if undefined. */
 	createScheduler?(host: SchedulerHost): Scheduler;
-	/** Bounds the tasks of each team; by shares that entries settle among themselves if undefined. */
-	readonly quota?: TeamQuota;
-	/** A batch of an agent is about to be read. */
-	beforeBatch?(): void;
 };
 
 /** A running entry. */
 export type Entry = {
 	/** The home of what this entry takes itself. */
 	readonly home: Home;
+	readonly http: Hono<{Variables: {principal: Principal}}>;
+	readonly links: LinkServer;
+	readonly peers: PeerServer;
 	/** A ticket for a submission that arrives over another interface. */
 	issueTicket(owner: string): Ticket;
 	/** Whether it was asked to stop, so that callers had better turn to others. */
 	isLeaving(): boolean;
 	/** Links to agents and other entries that are open. */
 	getLinked(): number;
-	readonly http: Hono<{Variables: {principal: Principal}}>;
-	readonly links: LinkServer;
-	readonly peers: PeerServer;
 	/** Refuses new work and waits until every job has its answer. */
 	drain(): Promise<DrainReport>;
 	/** Gives up the lease and closes all streams. */
@@ -112,6 +113,8 @@
 /** Time for which a draining entry still answers before it closes its port, so that the balancer turns away. */
 const refusalNoticeMs: Milliseconds = 500;
 const maxTickets = 1000;
+/** Time for reading what came during a pause; some turns of the event loop on a slow machine. */
+const pauseHoldMs: Milliseconds = 60;
 
 /** Composes an entry. */
 export function createEntry(host: EntryHost): Entry {
@@ -124,6 +127,7 @@
 	let isDraining = false;
 	let isLeaving = false;
 	let isTakingVersion = false;
+	let pauseTimer: Timer | undefined;
 
 	const issuer = createTicketIssuer({
 		clock, incarnation, key: host.ticketKey, blockMs: limits.blockMs, lifetimeMs: limits.ticketLifetimeMs,
@@ -162,6 +166,7 @@
 		},
 		createScheduler: host.createScheduler,
 		endsEarlierLives: host.createScheduler !== undefined,
+		decided: reportDecision,
 		answered: reportAnswer,
 	});
 	const directory = createEntryDirectory({
@@ -193,7 +198,7 @@
 		defer: host.defer,
 		after: clock.after,
 		silenceMs: timing.silenceMs,
-		arrived: host.beforeBatch,
+		arrived: host.pauses?.check,
 	});
 	const held = createHeldQueries({clock, timeoutMs: heldTimeoutMs, query: links.query});
 	const peers = createPeerHub({
@@ -262,6 +267,7 @@
 		every(clock, timing.heartbeatMs, links.sendHeartbeats),
 		every(clock, gaugeMs, stateGauges),
 	];
+	host.pauses?.onPause(holdStarts);
 	follower.onChange(applySnapshot);
 	const present = follower.tryGet();
 	if (present !== undefined) {
@@ -353,18 +359,18 @@
 		return {processes};
 	}
 
+	function reportDecision({ticket, reference, fact}: Decision): void {
+		const {kind, ...inputs} = fact;
+		host.log.info({ticket, request: reference, ...inputs}, `task ${kind}`);
+	}
+
 	function reportAnswer(job: JobHandle, answer: Answer, elapsed: Milliseconds): void {
 		const kind = answer.diagnostic?.kind ?? 'Complete';
 		host.metrics.count('job.answered', 1, {state: answer.state, ran: answer.ran, kind});
 		host.metrics.time('job.response', elapsed, {state: answer.state});
-		const log = host.log.child({ticket: job.ticket.text});
-		if (answer.state === 'complete') {
-			log.debug({tasks: job.taskCount, elapsed}, 'job complete');
-		} else {
-			log.info({
-				tasks: job.taskCount, elapsed, ran: answer.ran, diagnostic: answer.diagnostic,
-			}, `job ${answer.state}`);
-		}
+		host.log.info({
+			ticket: job.ticket.text, request: job.reference, tasks: job.taskCount, elapsed, ran: answer.ran, retryAfter: answer.retryAfter, diagnostic: answer.diagnostic,
+		}, `job ${answer.state}`);
 	}
 
 	function stateGauges(): void {
@@ -392,6 +398,17 @@
 		}
 	}
 
+	// While this process stood still callers may have hung up and sent their work elsewhere, and agents may have
+	// given it up. All that is in the sockets is read before anything is started again.
+	function holdStarts(pause: Milliseconds): void {
+		host.log.warn({pause, heldFor: pauseHoldMs}, 'this process may have stood still; starts are held');
+		home.scheduler.setHeld?.(true);
+		pauseTimer?.cancel();
+		pauseTimer = clock.after(pauseHoldMs, () => {
+			home.scheduler.setHeld?.(false);
+		});
+	}
+
 	async function drain(): Promise<DrainReport> {
 		isLeaving = true;
 		const end = clock.now() + limits.drainMs;
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -8,7 +8,9 @@
 import type {RunEnd} from '../connection/entry-sessions.js';
 import type {UpstreamCaller} from '../request/upstream-call.js';
 import {isStalled} from '../request/progress.js';
-import type {Clock, Milliseconds, Timer} from './clock.js';
+import {
+	sleep, type Clock, type Milliseconds, type Timer,
+} from './clock.js';
 import type {
 	EndedRow, Executor, HoldOutcome, Holding, OrderOutcome, RunName, RunOutcome, Timed,
 } from './leased-run.js';
@@ -105,6 +107,14 @@
 			const run: Run = {
 				start, task, run: start.attempt, done, startedAt: clock.now(), state: 'ordered', isStopWanted: false, isStopping: false, isStalled: false,
 			};
+			if (runs.has(task)) {
+				// An earlier start of the task, from an entry that has given it up, is still being stopped here.
+				queueMicrotask(() => {
+					done(createEnd(TaskOutcome.TASK_OUTCOME_REFUSED, RefusalReason.REFUSAL_REASON_FULL, 'an earlier run of the task is still being stopped', 0));
+				});
+				return;
+			}
+
 			runs.set(task, run);
 			planHold(0);
 			void order(run);
@@ -132,10 +142,14 @@
 		},
 	};
 
+	function isOpen(): boolean {
+		return !isClosed;
+	}
+
 	async function takeOver(): Promise<void> {
-		while (!isClosed) {
+		while (isOpen()) {
 			const holding = await ask(0, false);
-			if (holding !== undefined && holding.running.length === 0) {
+			if (holding?.running.length === 0) {
 				isReachable = true;
 				planHold(0);
 				return;
@@ -145,9 +159,7 @@
 				await executor.stop(stranger, token);
 			}
 
-			await new Promise<void>(resolve => {
-				clock.after(retryMs, resolve);
-			});
+			await sleep(clock, retryMs);
 		}
 	}
 
@@ -246,8 +258,8 @@
 
 	async function settleOnce(): Promise<boolean> {
 		const asked = token;
-		while (!isClosed) {
-			const holding = await ask(0, true);
+		while (isOpen()) {
+			const holding = await ask(0, false);
 			if (holding !== undefined && token === asked) {
 				return true;
 			}
@@ -258,9 +270,7 @@
 					return false;
 				}
 
-				await new Promise<void>(resolve => {
-					clock.after(retryMs, resolve);
-				});
+				await sleep(clock, retryMs);
 			} else {
 				return settleOnce();
 			}
@@ -273,6 +283,7 @@
 	function endIfLapsed(): void {
 		if (clock.now() > leaseEndsAt && runs.size > 0) {
 			log.warn({runs: runs.size}, 'the executor does not answer and its lease has run out');
+			token += tokenStep;
 			for (const run of runs.values()) {
 				end(run, TaskOutcome.TASK_OUTCOME_ABORTED, 'the executor does not answer; its lease has run out', RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE);
 			}
@@ -304,7 +315,6 @@
 			return;
 		}
 
-		silences = 0;
 		isReachable = true;
 		planHold(runs.size > 0 || holding.ended.length > 0 ? 0 : idleHoldMs);
 	}
@@ -342,8 +352,11 @@
 
 	/** Asks what the executor holds and takes the ends it lists; undefined without a usable answer. */
 	async function ask(waitMs: Milliseconds, renews: boolean): Promise<Holding | undefined> {
-		const leaseUntil = renews ? getLeaseUntil() : undefined;
-		if (renews) {
+		// A question without an answer may have renewed the lease. After some of these in a row none is renewed any more:
+		// otherwise the lease of an executor that cannot be heard would never be known to have run out.
+		const isRenewing = renews && silences < silentAnswers;
+		const leaseUntil = isRenewing ? getLeaseUntil() : undefined;
+		if (isRenewing) {
 			noteLease();
 		}
 
@@ -385,11 +398,16 @@
 		}
 
 		bornAt ??= holding.bornAt;
+		silences = 0;
 		for (const row of holding.running) {
 			const run = runs.get(row.task);
 			if (run?.run === row.run) {
 				noteRunning(run);
 				checkProgress(run, row.percent, askedAt);
+			} else if (run === undefined) {
+				// An order that was given up was carried out late.
+				log.warn({task: row.task, run: row.run}, 'unknown run; it is stopped');
+				void executor.stop(row, token);
 			}
 		}
 
@@ -432,16 +450,14 @@
 		}
 
 		run.isStopping = true;
-		while (runs.get(run.task) === run && !isClosed) {
+		while (runs.get(run.task) === run && isOpen()) {
 			const usedToken = token;
 			const {outcome} = note(await executor.stop(run, usedToken));
 			if (outcome.kind === 'fenced') {
 				raiseToken(usedToken);
 			}
 
-			await new Promise<void>(resolve => {
-				clock.after(stopRetryMs, resolve);
-			});
+			await sleep(clock, stopRetryMs);
 		}
 	}
 
@@ -451,9 +467,7 @@
 		}
 
 		runs.delete(run.task);
-		run.done({
-			outcome, reason, payload: noPayload, run: clock.now() - run.startedAt, detail,
-		});
+		run.done(createEnd(outcome, reason, detail, clock.now() - run.startedAt));
 	}
 
 	function raiseToken(usedToken: number): void {
@@ -480,6 +494,12 @@
 	}
 }
 
+function createEnd(outcome: TaskOutcome, reason: RefusalReason, detail: string, run: Milliseconds): RunEnd {
+	return {
+		outcome, reason, payload: noPayload, run, detail,
+	};
+}
+
 const outcomes: Readonly<Record<RunOutcome, TaskOutcome>> = {
 	completed: TaskOutcome.TASK_OUTCOME_COMPLETED,
 	failed: TaskOutcome.TASK_OUTCOME_FAILED,
--- a/src/process/log-stream.ts
+++ b/src/process/log-stream.ts
@@ -38,10 +38,13 @@
 	});
 	return Object.assign(stream, {
 		flushNow() {
-			if (waiting !== '') {
+			try {
 				fs.writeSync(file, waiting);
-				waiting = '';
+			} catch {
+				// Nobody reads the output any more, so there is nowhere to tell that the last lines are lost.
 			}
+
+			waiting = '';
 		},
 	});
 
--- a/src/process/pause-watch.ts
+++ b/src/process/pause-watch.ts
@@ -1,13 +1,15 @@
 /**
  * Notices that this process stood still: its timers came late, or the time of day ran on while the steady clock did
- * not. A step of the time of day looks the same, so what follows from a pause has to be confirmed by somebody else.
+ * not. A step of the time of day looks the same, so what cannot be undone has to be confirmed by somebody else first.
  */
 import {every, type Clock, type Milliseconds} from './clock.js';
 
 /** Watches for pauses. */
 export type PauseWatch = {
-	/** Length of the pauses since this was last asked; 0 if there were none. */
-	take(): Milliseconds;
+	/** Looks now, as before news is read that may have waited through a pause. */
+	check(): void;
+	/** Calls `action` with the length of each pause, as soon as it is noticed. */
+	onPause(action: (pause: Milliseconds) => void): void;
 	stop(): void;
 };
 
@@ -15,35 +17,33 @@
 /** Lateness up to this is taken for load. */
 const toleranceMs: Milliseconds = 200;
 
-/** Creates a watch; it ticks by itself, so that a pause is noticed although nobody asks. */
+/** Creates a watch; it also looks by itself, so that a pause is noticed although nobody asks. */
 export function createPauseWatch(clock: Clock): PauseWatch {
+	const listeners: Array<(pause: Milliseconds) => void> = [];
 	let seenAt = clock.now();
 	let drift = clock.wall() - seenAt;
-	let pause: Milliseconds = 0;
-	const timer = every(clock, tickMs, look);
+	const timer = every(clock, tickMs, check);
 
 	return {
-		take() {
-			look();
-			const taken = pause;
-			pause = 0;
-			return taken;
+		check,
+		onPause(action) {
+			listeners.push(action);
 		},
 		stop() {
 			timer.cancel();
 		},
 	};
 
-	function look(): void {
+	function check(): void {
 		const now = clock.now();
 		const newDrift = clock.wall() - now;
-		const late = Math.max(0, now - seenAt - tickMs);
-		const jump = Math.max(0, newDrift - drift);
-		if (late + jump > toleranceMs) {
-			pause += late + jump;
-		}
-
+		const pause = Math.max(0, now - seenAt - tickMs) + Math.max(0, newDrift - drift);
 		seenAt = now;
 		drift = newDrift;
+		if (pause > toleranceMs) {
+			for (const listener of listeners) {
+				listener(pause);
+			}
+		}
 	}
 }
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -34,8 +34,6 @@
 	readonly issuer: TicketIssuer;
 	readonly fates: FateRecorder;
 	readonly quota: TeamQuota;
-	/** Chooses where tasks run; by credits if undefined. */
-	createScheduler?(host: SchedulerHost): Scheduler;
 	/** Whether an agent that comes back as another incarnation vouches that its earlier runs are over. */
 	readonly endsEarlierLives?: boolean;
 	/** How long an agent may stay away before its starts are given up. */
@@ -43,6 +41,8 @@
 	/** How long the payloads of an answer are kept. */
 	readonly answerKeepMs: Milliseconds;
 	readonly maxTasks: number;
+	/** Chooses where tasks run; by credits if undefined. */
+	createScheduler?(host: SchedulerHost): Scheduler;
 	/** The configuration in force. */
 	tryGetSnapshot(): Snapshot | undefined;
 	isDraining(): boolean;
@@ -54,10 +54,34 @@
 	changed(agent: string): void;
 	/** A result of this agent was handled. */
 	acknowledge(agent: string): void;
+	/** A decision about a submission, for the log. */
+	decided?(decision: Decision): void;
 	/** A submission has its final answer, `elapsed` after it was taken. */
 	answered(job: JobHandle, answer: Answer, elapsed: Milliseconds): void;
 };
 
+/** A decision about a submission and what it was based on. Source: the home. */
+export type Decision = {
+	readonly ticket: string;
+	/** The caller's own name for the submission. */
+	readonly reference: string;
+	readonly fact:
+		| {readonly kind: 'taken'; readonly submission: string; readonly tasks: number; readonly expectedRun: Milliseconds; readonly timeLeft: Milliseconds; readonly configVersion: number}
+		| {
+			readonly kind: 'started'; readonly index: number; readonly attempt: number; readonly agent: string; readonly upstream: string;
+			/** Time since the submission was taken. */
+			readonly waited: Milliseconds;
+			/** Age of the news of free room that led to this agent; undefined if a credit did. */
+			readonly newsAge: Milliseconds | undefined;
+		}
+		| {
+			readonly kind: 'ended'; readonly index: number; readonly attempt: number; readonly agent: string; readonly upstream: string;
+			readonly outcome: string; readonly detail: string;
+			/** What follows for the task. */
+			readonly next: string;
+		};
+};
+
 /** How the home takes a request. */
 export type SubmitOutcome =
 	/** The answer follows, or stands already for a repeated request. */
@@ -234,6 +258,9 @@
 			record, queued, request: req, rules, configVersion, hasQuota: false, sent: new Map(), failures: new Map(), avoided: new Map(),
 		};
 		open.set(req.ticket.text, entry);
+		decide(entry, {
+			kind: 'taken', submission: req.submission, tasks: queued.taskCount, expectedRun: queued.expectedRun, timeLeft: queued.deadlineAt - queued.arrivedAt, configVersion,
+		});
 		entry.timer = host.clock.after(queued.deadlineAt - host.clock.now(), () => {
 			failJob(entry, {diagnostic: createDiagnostic(Diagnostics.Deadline_has_passed, queued.deadlineAt - queued.arrivedAt)});
 		});
@@ -287,7 +314,7 @@
 		return toFailure(scheduler.assess(queued), queued, host.clock.now());
 	}
 
-	function startTask(agent: string, task: QueuedTask): void {
+	function startTask(agent: string, task: QueuedTask, newsAge?: Milliseconds): void {
 		const entry = checkDefined(open.get(task.ticket), 'only open jobs have waiting tasks');
 		const session = checkDefined(sessions.tryGet(agent), 'the scheduler knows open agents only');
 		entry.record.job.markSent(task.index, task.attempt);
@@ -316,10 +343,17 @@
 			// A run that was ended as stalled may just be longer than declared, so the next one is not judged.
 			expectedRunMs: entry.avoided.has(task.index) ? 0 : Math.round(entry.queued.expectedRun),
 		});
+		decide(entry, {
+			kind: 'started', index: task.index, attempt: task.attempt, agent: session.agent.name, upstream: session.agent.upstream, waited: host.clock.now() - entry.queued.arrivedAt, newsAge,
+		});
 		entry.sent.set(getRunKey(task), {agent, stop: {task: start.task, startSeq: start.seq}});
 		host.send(agent, start);
 	}
 
+	function decide(entry: OpenJob, fact: Decision['fact']): void {
+		host.decided?.({ticket: entry.queued.ticket, reference: entry.request.reference, fact});
+	}
+
 	function endAttempt(start: SentStart, end: SentEnd): void {
 		const outcome = toOutcome(end);
 		const run = end.kind === 'result' && outcome !== 'refused' ? end.result.runMs : undefined;
@@ -341,6 +375,12 @@
 			tryRetryFailed: () => canRestart(entry) && noteFailure(entry, start),
 		});
 		entry.record.job.markEnded(start.index, start.attempt, attemptEnd);
+		if (attemptEnd.kind !== 'completed') {
+			decide(entry, {
+				kind: 'ended', index: start.index, attempt: start.attempt, agent: start.agent.name, upstream: start.agent.upstream, outcome, detail: describeEnd(end), next: attemptEnd.kind,
+			});
+		}
+
 		if (entry.record.job.tryGetAnswer() !== undefined) {
 			finish(entry);
 		} else if (attemptEnd.kind === 'refused' || attemptEnd.kind === 'retried') {
--- a/src/request/job-record.ts
+++ b/src/request/job-record.ts
@@ -13,6 +13,8 @@
 	readonly taskCount: number;
 	/** Name of its submission object. */
 	readonly submission: string;
+	/** The caller's own name for it. */
+	readonly reference: string;
 	/** Whether any task was started, as far as is known now. */
 	getRan(): Ran;
 	tryGetAnswer(): Answer | undefined;
@@ -37,6 +39,7 @@
 		owner: caller.name,
 		taskCount: req.payloads.length,
 		submission: req.submission,
+		reference: req.reference,
 		getRan: () => record.job.getRan(),
 		job: createJob(req.payloads.length),
 		digest: req.digest,
--- a/src/request/room-pool.ts
+++ b/src/request/room-pool.ts
@@ -5,6 +5,7 @@
 import {fits, noResources, subtractResources} from '../connection/resources.js';
 import type {AgentCondition, AgentFacts, TaskNeed} from '../connection/types.js';
 import type {Resources} from '../generated/kingcuplane.js';
+import type {Milliseconds} from '../process/clock.js';
 
 /** One agent with an open link. */
 export type RoomAgent = {
@@ -12,6 +13,7 @@
 	isDraining: boolean;
 	/** Free room as last told. */
 	told: Resources;
+	toldAt: Milliseconds;
 	/** Starts sent since the link opened. */
 	sent: number;
 	/** Sent starts that the agent had not received when it last told its room, oldest first. */
@@ -23,12 +25,13 @@
 /** Creates the view of an agent whose link has just opened. */
 export function createRoomAgent(facts: AgentFacts): RoomAgent {
 	return {
-		facts, isDraining: false, told: noResources, sent: 0, pending: [], running: new Map(),
+		facts, isDraining: false, told: noResources, toldAt: -Infinity, sent: 0, pending: [], running: new Map(),
 	};
 }
 
 /** Takes over what an agent tells of itself. */
-export function setRoomCondition(agent: RoomAgent, condition: AgentCondition): void {
+export function setRoomCondition(agent: RoomAgent, condition: AgentCondition, now: Milliseconds): void {
+	agent.toldAt = now;
 	agent.isDraining = condition.draining;
 	agent.told = condition.freeRoom ?? noResources;
 	const received = condition.receivedStarts ?? 0;
@@ -64,6 +67,11 @@
 	return room;
 }
 
+/** An agent refused a start: nothing more is sent there until it tells its room again. */
+export function noteRefusal(agent: RoomAgent): void {
+	agent.told = noResources;
+}
+
 /** Whether a task may run on this upstream at all. */
 export function isEligible(agent: RoomAgent, need: TaskNeed): boolean {
 	const {room = noResources, labels = []} = agent.facts;
--- a/src/request/room-scheduler.ts
+++ b/src/request/room-scheduler.ts
@@ -10,7 +10,7 @@
 } from '../connection/types.js';
 import {limitRetryAfter, noUpstreamRetryAfter} from './admission.js';
 import {
-	createRoomAgent, getBelievedRoom, hasRoom, isEligible, noteEnd, noteSent, setRoomCondition, type RoomAgent,
+	createRoomAgent, getBelievedRoom, hasRoom, isEligible, noteEnd, noteRefusal, noteSent, setRoomCondition, type RoomAgent,
 } from './room-pool.js';
 import {isFeasible, orderJobs, type RoomJob} from './room-queue.js';
 
@@ -39,6 +39,7 @@
 	const {clock} = host;
 	const services = new Map<string, ServiceState>();
 	const serviceOfAgent = new Map<string, ServiceState>();
+	let isHeld = false;
 	const jobsInFlight = new Map<string, {readonly state: ServiceState; running: number}>();
 
 	return {
@@ -63,7 +64,7 @@
 			const state = serviceOfAgent.get(incarnation);
 			const agent = state?.agents.get(incarnation);
 			if (state !== undefined && agent !== undefined) {
-				setRoomCondition(agent, condition);
+				setRoomCondition(agent, condition, clock.now());
 				dispatch(state);
 			}
 		},
@@ -92,6 +93,10 @@
 			const agent = state.agents.get(incarnation);
 			if (agent !== undefined) {
 				noteEnd(agent, ticket);
+				if (outcome === 'refused') {
+					noteRefusal(agent);
+				}
+
 				state.outliers.record(incarnation, outcome);
 			}
 
@@ -100,6 +105,14 @@
 		getQueued: incarnation => serviceOfAgent.get(incarnation)?.waitingTasks ?? 0,
 		tryGetHead: () => undefined,
 		getReturned: () => 0,
+		setHeld(value) {
+			isHeld = value;
+			if (!isHeld) {
+				for (const state of services.values()) {
+					dispatch(state);
+				}
+			}
+		},
 	};
 
 	function assess(job: QueuedJob): Admission {
@@ -145,7 +158,7 @@
 	}
 
 	function dispatch(state: ServiceState): void {
-		if (state.waitingTasks > 0) {
+		if (state.waitingTasks > 0 && !isHeld) {
 			for (const waiting of orderJobs(state.jobs.values(), clock.now())) {
 				startTasks(state, waiting);
 			}
@@ -175,7 +188,7 @@
 		state.waitingTasks--;
 		noteSent(agent, job.ticket, job.need ?? noNeed);
 		state.outliers.noteStart(agent.facts.incarnation);
-		host.start(agent.facts.incarnation, task);
+		host.start(agent.facts.incarnation, task, clock.now() - agent.toldAt);
 	}
 
 	/**
--- a/src/version/watched-follower.ts
+++ b/src/version/watched-follower.ts
@@ -3,7 +3,7 @@
  * version is in force within milliseconds and an idle store is asked seldom.
  */
 import type {ResultAsync} from 'neverthrow';
-import type {Clock, Milliseconds} from '../process/clock.js';
+import {sleep, type Clock, type Milliseconds} from '../process/clock.js';
 import type {Diagnostic} from '../process/diagnostics.js';
 import type {PlatformError} from '../process/platform/types.js';
 import type {VersionFollower} from './follower.js';
@@ -52,14 +52,16 @@
 		onChange: holder.onChange,
 	};
 
+	function isStarted(): boolean {
+		return isRunning;
+	}
+
 	async function run(): Promise<void> {
-		while (isRunning) {
+		while (isStarted()) {
 			await poll();
 			if (failures > 0) {
 				const delay = Math.min(maxRetryMs, firstRetryMs * (2 ** (failures - 1)));
-				await new Promise<void>(resolve => {
-					host.clock.after(delay * (0.5 + host.random()), resolve);
-				});
+				await sleep(host.clock, delay * (0.5 + host.random()));
 			}
 		}
 	}
--- /dev/null
+++ b/test/process/fake-executor.ts
@@ -0,0 +1,198 @@
+/**
+ * An executor in memory that keeps leases, fencing tokens and runs as the platform's pages say, with faults that can
+ * be switched.
+ */
+import type {Clock, Milliseconds} from '../../src/process/clock.js';
+import type {
+	EndedRow, Executor, HoldOutcome, OrderOutcome, RunName, RunOutcome, Timed,
+} from '../../src/process/leased-run.js';
+
+/** A run as the executor saw it, from its start to its end. */
+export type SeenRun = RunName & {
+	readonly startedAt: Milliseconds;
+	readonly length: Milliseconds;
+	endedAt?: Milliseconds;
+	how?: string;
+};
+
+/** Switches and counts. */
+export type FakeExecutor = Executor & {
+	readonly runs: SeenRun[];
+	/** Nothing arrives and nothing is answered. */
+	isDark: boolean;
+	/** The next orders of this kind get no answer and are carried out after the delay; undefined never carries them out. */
+	readonly late: {start: number; stop: number; hold: number; delay: Milliseconds | undefined};
+	/** Percent of each run stands still. */
+	isStandingStill: boolean;
+	bornAt: number;
+	getToken(): number;
+	getRunning(): readonly SeenRun[];
+};
+
+type NoAnswer = {readonly kind: 'no-answer'; readonly detail: string};
+
+const answerMs: Milliseconds = 1;
+const timeoutMs: Milliseconds = 150;
+const maxLeaseMs: Milliseconds = 1000;
+/** The executor's clock differs from ours by this and runs this much slower. */
+const clockOffset = 5000;
+const clockRate = 0.98;
+
+/** Creates an executor whose runs take `length`. */
+export function createFakeExecutor(clock: Clock, length: Milliseconds): FakeExecutor {
+	let token = 0;
+	let leaseUntil = 0;
+	let nextNumber = 1;
+	let acknowledged = 0;
+	const ended: EndedRow[] = [];
+	const highest = new Map<string, number>();
+	const executor: FakeExecutor = {
+		runs: [],
+		isDark: false,
+		late: {
+			start: 0, stop: 0, hold: 0, delay: undefined,
+		},
+		isStandingStill: false,
+		bornAt: 1,
+		getToken: () => token,
+		getRunning,
+		start: async order => call('start', (): OrderOutcome => {
+			const refusal = tryFence(order.fencingToken);
+			if (refusal !== undefined) {
+				return refusal;
+			}
+
+			if (order.leaseUntil <= getTime()) {
+				return {kind: 'expired'};
+			}
+
+			renew(order.leaseUntil);
+			if (order.run <= (highest.get(order.task) ?? 0)) {
+				return {kind: 'superseded'};
+			}
+
+			if (!getRunning().some(run => run.task === order.task && run.run === order.run)) {
+				begin(order);
+			}
+
+			return {kind: 'done'};
+		}),
+		stop: async (run, fencingToken) => call('stop', (): OrderOutcome => {
+			const refusal = tryFence(fencingToken);
+			if (refusal === undefined) {
+				highest.set(run.task, Math.max(run.run, highest.get(run.task) ?? 0));
+				for (const running of getRunning()) {
+					if (running.task === run.task && running.run <= run.run) {
+						finish(running, 'aborted', 'stopped');
+					}
+				}
+			}
+
+			return refusal ?? {kind: 'done'};
+		}),
+		hold: async req => call('hold', (): HoldOutcome => {
+			const refusal = tryFence(req.fencingToken);
+			if (refusal !== undefined) {
+				return refusal;
+			}
+
+			if (req.leaseUntil !== undefined) {
+				renew(req.leaseUntil);
+			}
+
+			acknowledged = Math.max(acknowledged, req.acknowledged);
+			return {
+				kind: 'held',
+				holding: {
+					bornAt: executor.bornAt,
+					running: getRunning().map(({task, run, startedAt, length: whole}) => ({
+						task, run, percent: executor.isStandingStill ? 0 : Math.floor(100 * (clock.now() - startedAt) / whole),
+					})),
+					ended: ended.filter(row => row.number > acknowledged),
+				},
+			};
+		}),
+		close: async () => undefined,
+	};
+	return executor;
+
+	function getTime(): Milliseconds {
+		return (clock.now() * clockRate) + clockOffset;
+	}
+
+	function getRunning(): readonly SeenRun[] {
+		return executor.runs.filter(run => run.endedAt === undefined);
+	}
+
+	function tryFence(used: number): {readonly kind: 'fenced'} | undefined {
+		if (used < token) {
+			return {kind: 'fenced'};
+		}
+
+		token = used;
+		return undefined;
+	}
+
+	function renew(until: Milliseconds): void {
+		leaseUntil = Math.max(leaseUntil, Math.min(until, getTime() + maxLeaseMs));
+		planLapse();
+	}
+
+	function planLapse(): void {
+		clock.after(Math.max(1, (leaseUntil - getTime()) / clockRate), () => {
+			if (getTime() >= leaseUntil) {
+				for (const run of getRunning()) {
+					finish(run, 'aborted', 'lapsed');
+				}
+			}
+		});
+	}
+
+	function begin({task, run}: RunName): void {
+		const seen: SeenRun = {
+			task, run, startedAt: clock.now(), length,
+		};
+		executor.runs.push(seen);
+		clock.after(length, () => {
+			if (seen.endedAt === undefined && !executor.isStandingStill) {
+				finish(seen, 'completed', 'done');
+			}
+		});
+	}
+
+	function finish(run: SeenRun, outcome: RunOutcome, how: string): void {
+		run.endedAt = clock.now();
+		run.how = how;
+		highest.set(run.task, Math.max(run.run, highest.get(run.task) ?? 0));
+		ended.push({
+			number: nextNumber++, task: run.task, run: run.run, outcome, detail: how,
+		});
+	}
+
+	async function call<T>(kind: 'start' | 'stop' | 'hold', act: () => T): Promise<Timed<T | NoAnswer>> {
+		const isLate = executor.late[kind] > 0;
+		if (executor.isDark || isLate) {
+			if (isLate) {
+				executor.late[kind]--;
+				if (executor.late.delay !== undefined) {
+					clock.after(executor.late.delay, act);
+				}
+			}
+
+			await wait(timeoutMs);
+			return {outcome: {kind: 'no-answer', detail: 'time-out'}, executorTime: undefined};
+		}
+
+		await wait(answerMs / 2);
+		const outcome = act();
+		const executorTime = getTime();
+		await wait(answerMs / 2);
+		return {outcome, executorTime};
+	}
+
+	async function wait(delay: Milliseconds): Promise<void> {
+		return new Promise(resolve => {
+			clock.after(delay, resolve);
+		});
+	}
+}
--- /dev/null
+++ b/test/process/leased-upstream.test.ts
@@ -0,0 +1,257 @@
+import type {ExecutionContext} from 'ava';
+import type {RunEnd} from '../../src/connection/entry-sessions.js';
+import {TaskOutcome, type TaskStart} from '../../src/generated/kingcuplane.js';
+import type {Milliseconds} from '../../src/process/clock.js';
+import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
+import {createLeasedUpstream, type LeasedUpstream} from '../../src/process/leased-upstream.js';
+import {describe, it} from '../describe.js';
+import {noLog} from '../no-log.js';
+import {createFakeExecutor, type FakeExecutor} from './fake-executor.js';
+
+const runMs: Milliseconds = 80;
+
+type Bench = {
+	readonly clock: FakeClock;
+	readonly executor: FakeExecutor;
+	readonly upstream: LeasedUpstream;
+	readonly ends: RunEnd[];
+	pause: Milliseconds;
+	lives: number;
+	start(reference: string, attempt?: number, expectedRunMs?: number): TaskStart;
+	pass(time: Milliseconds): Promise<void>;
+};
+
+async function open(t: ExecutionContext, length: Milliseconds = runMs, firstToken = 10): Promise<Bench> {
+	const clock = createFakeClock(1000);
+	const executor = createFakeExecutor(clock, length);
+	const bench: Bench = {
+		clock,
+		executor,
+		ends: [],
+		pause: 0,
+		lives: 0,
+		upstream: createLeasedUpstream({
+			clock,
+			executor,
+			firstToken,
+			maxLeaseMs: 1000,
+			log: noLog,
+			lifeChanged() {
+				bench.lives++;
+			},
+			unreachable: () => undefined,
+			takePause() {
+				const taken = bench.pause;
+				bench.pause = 0;
+				return taken;
+			},
+		}),
+		start(reference, attempt = 1, expectedRunMs = 0) {
+			const start = createStart(reference, attempt, expectedRunMs);
+			bench.upstream.run(start, end => {
+				bench.ends.push(end);
+			});
+			return start;
+		},
+		async pass(time) {
+			for (let i = 0; i < time; i++) {
+				clock.advance(1);
+				await new Promise(resolve => {
+					setImmediate(resolve);
+				});
+			}
+		},
+	};
+	t.teardown(async () => bench.upstream.close());
+	const taken = bench.upstream.takeOver();
+	await bench.pass(20);
+	await Promise.race([taken, bench.pass(500)]);
+	return bench;
+}
+
+function createStart(reference: string, attempt: number, expectedRunMs: number): TaskStart {
+	return {
+		task: {ticket: `kc1.${reference}`, index: 0},
+		seq: 1,
+		attempt,
+		taskCount: 1,
+		service: 's',
+		payload: new Uint8Array(),
+		timeoutMs: 0,
+		configVersion: 1,
+		idempotent: false,
+		caller: 'c',
+		reference,
+		need: undefined,
+		expectedRunMs,
+	};
+}
+
+describe('leased upstream', () => {
+	describe('a run', () => {
+		it('ends within some milliseconds of its end at the executor, after any idle time', async t => {
+			const bench = await open(t);
+			await bench.pass(1234);
+			bench.start('a');
+			await bench.pass(runMs + 15);
+			t.deepEqual(bench.ends.map(({outcome}) => outcome), [TaskOutcome.TASK_OUTCOME_COMPLETED]);
+			t.true(bench.ends[0]!.run < runMs + 15);
+		});
+
+		it('outlives many leases', async t => {
+			const bench = await open(t, 3000);
+			bench.start('a');
+			await bench.pass(3050);
+			t.is(bench.ends[0]?.outcome, TaskOutcome.TASK_OUTCOME_COMPLETED);
+		});
+
+		it('is stopped when nobody waits for it, also if the first stops get no answer', async t => {
+			const bench = await open(t, 5000);
+			const start = bench.start('a');
+			await bench.pass(50);
+			bench.executor.late.stop = 2;
+			bench.upstream.stop(start);
+			await bench.pass(700);
+			t.is(bench.executor.runs[0]?.how, 'stopped');
+			t.is(bench.ends[0]?.outcome, TaskOutcome.TASK_OUTCOME_ABORTED);
+		});
+
+		it('is stopped when it stands still, but not when it was declared without a run time', async t => {
+			const bench = await open(t, 5000);
+			bench.executor.isStandingStill = true;
+			bench.start('declared', 1, 100);
+			bench.start('undeclared');
+			await bench.pass(400);
+			t.deepEqual(bench.executor.runs.map(({how}) => how), ['stopped', undefined]);
+		});
+
+		it('gets a higher number where an earlier one was stopped', async t => {
+			const bench = await open(t, 5000);
+			const first = bench.start('a');
+			await bench.pass(10);
+			bench.upstream.stop(first);
+			await bench.pass(300);
+			bench.start('a');
+			await bench.pass(20);
+			t.deepEqual(bench.executor.runs.map(({run, how}) => [run, how]), [[1, 'stopped'], [2, undefined]]);
+		});
+
+		it('is refused while an earlier one of the task is still being stopped', async t => {
+			const bench = await open(t, 5000);
+			const first = bench.start('a');
+			await bench.pass(10);
+			bench.executor.late.stop = 3;
+			bench.upstream.stop(first);
+			bench.start('a');
+			await bench.pass(5);
+			t.is(bench.ends[0]?.outcome, TaskOutcome.TASK_OUTCOME_REFUSED);
+			t.is(bench.executor.runs.length, 1);
+		});
+	});
+
+	describe('an order without an answer', () => {
+		it('is refused as not run if it had no effect, and never has one', async t => {
+			const bench = await open(t);
+			bench.executor.late.start = 1;
+			bench.executor.late.delay = 2000;
+			bench.start('a');
+			await bench.pass(300);
+			t.is(bench.ends[0]?.outcome, TaskOutcome.TASK_OUTCOME_REFUSED);
+			await bench.pass(4000);
+			t.is(bench.executor.runs.length, 0);
+		});
+
+		it('is refused by its token even if its lease counts from its arrival', async t => {
+			const bench = await open(t);
+			const tokenBefore = bench.executor.getToken();
+			bench.executor.late.start = 1;
+			bench.start('a');
+			await bench.pass(300);
+			t.true(bench.executor.getToken() > tokenBefore);
+		});
+
+		it('is adopted if it had an effect', async t => {
+			const bench = await open(t, 400);
+			bench.executor.late.start = 1;
+			bench.executor.late.delay = 5;
+			bench.start('a');
+			await bench.pass(600);
+			t.is(bench.executor.runs.length, 1);
+			t.is(bench.ends[0]?.outcome, TaskOutcome.TASK_OUTCOME_COMPLETED);
+		});
+	});
+
+	describe('an executor that does not answer', () => {
+		it('has its runs ended only once its lease has run out there', async t => {
+			const bench = await open(t, 5000);
+			bench.start('a');
+			await bench.pass(200);
+			bench.executor.isDark = true;
+			while (bench.ends.length === 0 && bench.clock.now() < 6000) {
+				await bench.pass(1);
+			}
+
+			t.is(bench.ends[0]?.outcome, TaskOutcome.TASK_OUTCOME_ABORTED);
+			t.is(bench.executor.runs[0]?.how, 'lapsed');
+			t.false(await bench.upstream.isReachable());
+		});
+
+		it('is used again when it answers', async t => {
+			const bench = await open(t, 5000);
+			bench.executor.isDark = true;
+			await bench.pass(2000);
+			bench.executor.isDark = false;
+			await bench.pass(300);
+			t.true(await bench.upstream.isReachable());
+		});
+
+		it('keeps its runs if only single answers are lost', async t => {
+			const bench = await open(t, 2000);
+			bench.start('a');
+			for (let i = 0; i < 5; i++) {
+				bench.executor.late.hold = 1;
+				await bench.pass(390);
+			}
+
+			await bench.pass(300);
+			t.is(bench.ends[0]?.outcome, TaskOutcome.TASK_OUTCOME_COMPLETED);
+		});
+	});
+
+	describe('taking over', () => {
+		it('stops what an earlier agent left and uses a higher token than it', async t => {
+			const bench = await open(t, 5000);
+			bench.start('a');
+			await bench.pass(20);
+			const second = createLeasedUpstream({
+				clock: bench.clock, executor: bench.executor, firstToken: 3, maxLeaseMs: 1000, log: noLog, lifeChanged: () => undefined, unreachable: () => undefined, takePause: () => 0,
+			});
+			t.teardown(async () => second.close());
+			const taken = second.takeOver();
+			await bench.upstream.close();
+			await bench.pass(300);
+			await taken;
+			t.is(bench.executor.runs[0]?.how, 'stopped');
+		});
+	});
+
+	describe('a pause of this process', () => {
+		it('stops all runs if the executor\'s clock went on', async t => {
+			const bench = await open(t, 5000);
+			bench.start('a');
+			await bench.pass(100);
+			// The steady clock does not count a suspended machine; here the executor's clock is moved instead.
+			bench.clock.advance(450);
+			bench.pause = 450;
+			await bench.pass(400);
+			t.is(bench.executor.runs[0]?.how, 'stopped');
+		});
+	});
+
+	it('tells of another life of the executor', async t => {
+		const bench = await open(t);
+		bench.executor.bornAt = 2;
+		await bench.pass(600);
+		t.true(bench.lives > 0);
+	});
+});
