--- /dev/null
+++ b/dev/executor-standin.ts
@@ -0,0 +1,83 @@
+/**
+ * Stands in for one executor of the platform: takes orders over HTTP and sends heartbeats to its agent. A spec is JSON
+ * with `ms`, the run time, and `fails`. `GET /events` tells all starts and ends.
+ */
+import process from 'node:process';
+import {Hono} from 'hono';
+import sade from 'sade';
+import {z} from 'zod';
+import {createSystemClock} from '../src/process/clock.js';
+import {readJson} from '../src/process/json.js';
+import {createMemoryExecutor, type ExecutorReply} from './executor.js';
+import {runHttpServer, type HttpEnv} from './http-server.js';
+
+type Options = {
+	readonly listen: string;
+	readonly agent: string;
+	readonly id: string;
+	readonly service: string;
+	readonly cpu: number;
+	readonly beat: number;
+};
+
+const specSchema = z.object({ms: z.number(), fails: z.boolean().default(false)});
+const orderSchema = z.object({
+	task: z.string(), run: z.number(), spec: z.string().optional(), 'expires-at-ms': z.number().optional(), 'fence-token': z.number().optional(),
+});
+const holdSchema = orderSchema.omit({task: true, run: true}).extend({'seen-upto': z.number().optional(), 'wait-ms': z.number().optional()});
+
+sade('executor-standin', true)
+	.describe('Runs tasks under leases and announces itself to its agent.')
+	.option('--listen', 'Address and port; port 0 lets the system choose', '127.0.0.1:0')
+	.option('--agent', 'Address and port of the agent', '127.0.0.1:0')
+	.option('--id', 'Identifier', 'i-1')
+	.option('--service', 'Service', 'work')
+	.option('--cpu', 'Thousandths of cores', 16_000)
+	.option('--beat', 'Milliseconds between heartbeats', 300)
+	.action(async (options: Options) => {
+		const clock = createSystemClock();
+		const bornAt = Math.floor(clock.wall());
+		const executor = createMemoryExecutor(clock, bornAt, spec => readJson(specSchema, spec).unwrapOr({ms: 100, fails: false}));
+		const app = new Hono<HttpEnv>();
+		app.post('/v1/run-start', async c => toResponse(executor.start(orderSchema.parse(await c.req.json()))));
+		app.post('/v1/run-stop', async c => toResponse(executor.stop(orderSchema.parse(await c.req.json()))));
+		app.post('/v1/hold', async c => toResponse(await executor.hold(holdSchema.parse(await c.req.json()))));
+		app.get('/events', c => c.json(executor.events));
+		const server = await runHttpServer('executor-standin', app, options.listen);
+		let sequence = 0;
+		let state = 'ready';
+		process.on('SIGUSR2', () => {
+			state = 'draining';
+		});
+		setInterval(() => {
+			void beat();
+		}, options.beat);
+		await beat();
+
+		async function beat(): Promise<void> {
+			sequence++;
+			const body = {
+				upstream: options.service,
+				addr: new URL(server.url).host,
+				zone: 'z',
+				version: 'v1',
+				slots: 8,
+				state,
+				'cold-left-ms': 0,
+				seq: sequence,
+				born: bornAt,
+				room: {cpu: options.cpu, 'mem-mb': 65_536, gpu: 0},
+				labels: ['a', 'r1'],
+			};
+			try {
+				await fetch(`http://${options.agent}/v1/Executors.Heartbeat/${options.id}`, {method: 'POST', body: JSON.stringify(body)});
+			} catch {
+				// The agent is down; the next heartbeat finds it.
+			}
+		}
+	})
+	.parse(process.argv);
+
+function toResponse({status, body}: ExecutorReply): Response {
+	return Response.json(body, {status});
+}
--- /dev/null
+++ b/dev/platform-system.ts
@@ -0,0 +1,228 @@
+/**
+ * Starts entries and agents as the users' platform does, on loopback: a store, and an executor beside each agent. Each
+ * machine has an address of its own, as ports are the same on all of them.
+ */
+import {Buffer} from 'node:buffer';
+import fs from 'node:fs';
+import http from 'node:http';
+import os from 'node:os';
+import path from 'node:path';
+import {z} from 'zod';
+import type {Milliseconds} from '../src/process/clock.js';
+import {startProgram, waitForUrl, type Program} from './processes.js';
+
+/** What to start. */
+export type PlatformSystemOptions = {
+	readonly entries: number;
+	readonly agents: number;
+	/** Last but one number of all addresses; systems that run at the same time need different ones. */
+	readonly net: number;
+};
+
+/** A job to submit. */
+export type PlatformJob = {
+	readonly name: string;
+	readonly tasks: number;
+	readonly ms: Milliseconds;
+	readonly fails?: boolean;
+	readonly deadline?: Milliseconds;
+	readonly cpu?: number;
+};
+
+/** The response to a job; undefined if the connection broke. */
+export type PlatformReply = {
+	readonly status: number;
+	readonly body: string;
+	readonly retryAfter: string | undefined;
+} | undefined;
+
+/** One start or end at an executor. */
+export type PlatformEvent = z.infer<typeof eventSchema>[number] & {readonly executor: string};
+
+/** A machine of the system. */
+export type PlatformMachine = {
+	readonly name: string;
+	readonly address: string;
+	program: Program;
+	/** Starts the program again after it has ended. */
+	restart(): void;
+};
+
+/** A running system. */
+export type PlatformSystem = {
+	readonly store: string;
+	readonly entries: readonly PlatformMachine[];
+	readonly agents: readonly PlatformMachine[];
+	readonly executors: ReadonlyArray<{readonly program: Program; readonly url: string}>;
+	publish(version: number, prefixes?: readonly string[]): Promise<void>;
+	/** Submits to one entry; `signal` hangs up. */
+	submit(entry: number, job: PlatformJob, signal?: AbortSignal): Promise<PlatformReply>;
+	isReady(entry: number): Promise<boolean>;
+	/** All starts and ends so far, in order of time. */
+	getEvents(): Promise<PlatformEvent[]>;
+	setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void>;
+	stop(): Promise<void>;
+};
+
+const host = 'jobs.example';
+const prefix = '/jobs/';
+const ports = {
+	clients: 18_161, control: 18_166, ready: 18_167, links: 17_720,
+};
+const eventSchema = z.array(z.object({
+	at: z.number(), what: z.enum(['start', 'done', 'failed', 'stopped', 'lapsed']), task: z.string(), run: z.number(),
+}));
+
+/** Starts a system and waits until every entry is ready. */
+export async function startPlatformSystem(options: PlatformSystemOptions): Promise<PlatformSystem> {
+	const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kingcuplane-'));
+	const programs: Program[] = [];
+	const standin = start('dev/platform-standin.js');
+	const store = await waitForUrl(standin);
+	const connections = new http.Agent({keepAlive: true});
+	await publish(1);
+	const entries = createMachines('entry', options.entries, 1);
+	const agents = createMachines('agent', options.agents, 100);
+	const executors = await Promise.all(agents.map(async (agent, i) => {
+		const program = start('dev/executor-standin.js', ['--agent', `${agent.address}:${ports.control}`, '--id', `i-${i + 1}`]);
+		return {program, url: await waitForUrl(program)};
+	}));
+	const system: PlatformSystem = {
+		store, entries, agents, executors, publish, submit, isReady, getEvents, setStoreFaults, stop,
+	};
+	await waitUntilReady(system);
+	return system;
+
+	function start(script: string, args: readonly string[] = [], env: Readonly<Record<string, string>> = {}): Program {
+		const program = startProgram(script, args, env);
+		programs.push(program);
+		return program;
+	}
+
+	function createMachines(role: 'entry' | 'agent', count: number, first: number): PlatformMachine[] {
+		return Array.from({length: count}, (_, i) => {
+			const name = `${role}-${i + 1}`;
+			const address = `127.0.${options.net}.${first + i}`;
+			const file = path.join(folder, name);
+			fs.writeFileSync(file, toSettings(role, name, address));
+			const run = () => start('src/platform/bin/kingcuplane-platform.js', [role], {KINGCUPLANE_CONFIG: file});
+			const machine: PlatformMachine = {
+				name,
+				address,
+				program: run(),
+				restart() {
+					machine.program = run();
+				},
+			};
+			return machine;
+		});
+	}
+
+	function toSettings(role: 'entry' | 'agent', name: string, address: string): string {
+		const listen = role === 'entry' ? `listen.front=${address}:${ports.clients}\nlisten.ready=${address}:${ports.ready}\n` : '';
+		return `node=${name}\nzone=z\nip=${address}\n${listen}listen.control=${address}:${ports.control}\nport-range=${ports.links},${ports.links + 15}\n`
+			+ `seeds=127.0.${options.net}.1:${ports.control}\nplatform.addr=${new URL(store).host}\n`;
+	}
+
+	async function publish(version: number, prefixes: readonly string[] = [prefix]): Promise<void> {
+		const value = JSON.stringify({
+			version,
+			routes: prefixes.map((pathPrefix, i) => ({
+				name: `route-${i}`, host, 'path-prefix': pathPrefix, upstream: 'work', 'timeout-ms': 1500, 'slo-ms': 60, stretch: 1.6, attempts: 2,
+			})),
+			upstreams: [{name: 'work'}],
+		});
+		await fetch(`${store}/v1/rows-tx`, {
+			method: 'POST', body: JSON.stringify({
+				'set-keys': [{
+					table: 'op', part: '', key: 'config', value: Buffer.from(value).toString('base64'),
+				}],
+			}),
+		});
+	}
+
+	async function submit(entry: number, job: PlatformJob, signal?: AbortSignal): Promise<PlatformReply> {
+		const body = JSON.stringify({
+			spec: JSON.stringify({ms: job.ms, fails: job.fails ?? false}),
+			steps: [{
+				count: job.tasks, cpu: job.cpu ?? 1000, 'mem-mb': 64, 'est-runtime-ms': job.ms,
+			}],
+			'best-effort': true,
+		});
+		return new Promise(resolve => {
+			const req = http.request({
+				host: entries[entry]!.address,
+				port: ports.clients,
+				path: `${prefix}${job.name}`,
+				method: 'POST',
+				agent: connections,
+				signal,
+				headers: {host, 'content-type': 'application/json', 'request-deadline': String(job.deadline ?? 1500)},
+			}, res => {
+				const chunks: Buffer[] = [];
+				res.on('data', (chunk: Buffer) => chunks.push(chunk));
+				res.on('end', () => {
+					resolve({status: res.statusCode ?? 0, body: Buffer.concat(chunks).toString(), retryAfter: res.headers['retry-after']});
+				});
+				res.on('error', () => {
+					resolve(undefined);
+				});
+			});
+			req.on('error', () => {
+				resolve(undefined);
+			});
+			req.end(body);
+		});
+	}
+
+	async function isReady(entry: number): Promise<boolean> {
+		try {
+			const res = await fetch(`http://${entries[entry]!.address}:${ports.ready}/v1/readyz`);
+			return res.ok;
+		} catch {
+			return false;
+		}
+	}
+
+	async function getEvents(): Promise<PlatformEvent[]> {
+		const lists = await Promise.all(executors.map(async ({url}) => {
+			const res = await fetch(`${url}/events`);
+			return eventSchema.parse(await res.json()).map(event => ({...event, executor: url}));
+		}));
+		return lists.flat().toSorted((a, b) => a.at - b.at);
+	}
+
+	async function setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
+		await fetch(`${store}/faults`, {method: 'POST', body: JSON.stringify(faults)});
+	}
+
+	async function stop(): Promise<void> {
+		connections.destroy();
+		await Promise.all(programs.map(async program => program.kill()));
+		fs.rmSync(folder, {recursive: true});
+	}
+}
+
+const readyTimeoutMs: Milliseconds = 20_000;
+const pollMs: Milliseconds = 50;
+
+async function waitUntilReady(system: PlatformSystem): Promise<void> {
+	const end = Date.now() + readyTimeoutMs;
+	const full = /"linked":(?<count>\d+)/v;
+	for (const [index, entry] of system.entries.entries()) {
+		for (;;) {
+			const linked = entry.program.lines.findLast(line => full.test(line));
+			if (await system.isReady(index) && Number(full.exec(linked ?? '')?.groups?.count ?? 0) >= system.agents.length) {
+				break;
+			}
+
+			if (Date.now() > end) {
+				throw new Error(`${entry.name} is not linked to ${system.agents.length} agents:\n${entry.program.lines.slice(-20).join('\n')}`);
+			}
+
+			await new Promise<void>(resolve => {
+				setTimeout(resolve, pollMs);
+			});
+		}
+	}
+}
--- a/dev/processes.ts
+++ b/dev/processes.ts
@@ -58,8 +58,8 @@
  * Starts a compiled program of this project, for instance `dev/platform-standin.js`. It is killed when this
  * process ends.
  */
-export function startProgram(script: string, args: readonly string[] = []): Program {
-	const child = spawn(process.execPath, [fileURLToPath(new URL(script, compiledRoot)), ...args], {stdio: ['ignore', 'pipe', 'pipe']});
+export function startProgram(script: string, args: readonly string[] = [], env: Readonly<Record<string, string>> = {}): Program {
+	const child = spawn(process.execPath, [fileURLToPath(new URL(script, compiledRoot)), ...args], {stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...env}});
 	const {pid} = child;
 	if (pid === undefined) {
 		throw new Error(`${script} could not be started`);
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -35,10 +35,18 @@
 	defer(action: () => void): void;
 	/** Runs an action after a delay. */
 	after(delay: Milliseconds, action: () => void): Timer;
+	/** A link opened or was cut. */
+	linkChanged?(agent: AgentFacts, change: LinkChange): void;
 	/** A batch has arrived and is about to be read. */
 	arrived?(): void;
 };
 
+/** What became of a link, and how many are open now. */
+export type LinkChange = {
+	readonly kind: 'opened' | 'closed' | 'silent';
+	readonly linked: number;
+};
+
 /** The links of one entry to all agents. */
 export type LinkHub = {
 	/** The service to add to the gRPC server. */
@@ -158,6 +166,7 @@
 			if (batch.hello !== undefined && link === undefined) {
 				link = createLink(host.sessions.open(batch.hello), stream);
 				links.set(link.session.agent.incarnation, link);
+				host.linkChanged?.(link.session.agent, {kind: 'opened', linked: links.size});
 				planFlush(link);
 			}
 
@@ -179,7 +188,7 @@
 		stream.write(createBatch({welcome: {entry: host.entry, incarnation: host.incarnation}}));
 	}
 
-	function close(link: Link | undefined): void {
+	function close(link: Link | undefined, kind: LinkChange['kind'] = 'closed'): void {
 		if (link === undefined) {
 			return;
 		}
@@ -187,6 +196,7 @@
 		const agent = link.session.agent.incarnation;
 		if (links.get(agent) === link) {
 			links.delete(agent);
+			host.linkChanged?.(link.session.agent, {kind, linked: links.size});
 		}
 
 		link.silence?.cancel();
@@ -201,7 +211,7 @@
 
 		link.silence?.cancel();
 		link.silence = host.after(host.silenceMs, () => {
-			close(link);
+			close(link, 'silent');
 			link.stream.destroy?.();
 		});
 	}
--- a/src/platform/desired-state.ts
+++ b/src/platform/desired-state.ts
@@ -66,7 +66,7 @@
 }
 
 /** Watches the operator's row. */
-export function createDesiredStateSource(client: PlatformClient): VersionSource {
+export function createDesiredStateSource(client: Pick<PlatformClient, 'readOperatorRow' | 'waitForOperatorRow'>): VersionSource {
 	/** Revision up to which the row is known; undefined if it has to be read. */
 	let revision: number | undefined;
 
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -199,6 +199,11 @@
 		after: clock.after,
 		silenceMs: timing.silenceMs,
 		arrived: host.pauses?.check,
+		linkChanged(agent, change) {
+			host.log.info({
+				agent: agent.name, incarnation: agent.incarnation, upstream: agent.upstream, ...change,
+			}, `link ${change.kind}`);
+		},
 	});
 	const held = createHeldQueries({clock, timeoutMs: heldTimeoutMs, query: links.query});
 	const peers = createPeerHub({
--- /dev/null
+++ b/test/platform/desired-state.test.ts
@@ -0,0 +1,87 @@
+import {Buffer} from 'node:buffer';
+import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {createDesiredStateCodec, createDesiredStateSource} from '../../src/platform/desired-state.js';
+import type {PlatformClient, RowChange} from '../../src/platform/store-client.js';
+import {createUnreachableError} from '../../src/process/platform/errors.js';
+import type {PlatformError} from '../../src/process/platform/types.js';
+import {describe, it} from '../describe.js';
+
+const state = {
+	version: 7,
+	routes: [{
+		name: 'r-1', host: 'nony24.example', 'path-prefix': '/lohu930/', type: 'non_idempotent', 'timeout-ms': 1500, 'slo-ms': 60, priority: 0, upstream: 'huvo11a', attempts: 3, stretch: 1.6,
+	}],
+	upstreams: [{name: 'huvo11a', 'health-path': '/healthz', 'max-conns': 64}],
+	limits: {'max-header-bytes': 16_384},
+};
+
+function encode(value: unknown): Uint8Array {
+	return Buffer.from(JSON.stringify(value));
+}
+
+describe('desired state', () => {
+	it('becomes one version of our objects, and travels to peers unchanged', t => {
+		const codec = createDesiredStateCodec();
+		const snapshot = codec.decode(encode(state), 'test')._unsafeUnwrap();
+		t.is(snapshot.version, 7);
+		t.is(snapshot.submissions.get('r-1')?.service, 'huvo11a');
+		t.deepEqual(snapshot.routes, [{
+			host: 'nony24.example', pathPrefix: '/lohu930/', submission: 'r-1', deadline: 1500, attempts: 3, stretch: 1.6, margin: 60,
+		}]);
+		t.deepEqual(Buffer.from(codec.encode(snapshot)), Buffer.from(encode(state)));
+	});
+
+	it('is refused whole if it cannot be read or a route names no service', t => {
+		const codec = createDesiredStateCodec();
+		t.true(codec.decode(Buffer.from('{'), 'test').isErr());
+		t.true(codec.decode(encode({...state, version: 'x'}), 'test').isErr());
+		t.true(codec.decode(encode({...state, upstreams: []}), 'test').isErr());
+	});
+
+	describe('source', () => {
+		type Reply = ResultAsync<RowChange, PlatformError>;
+
+		function createSource(changes: Reply[]): {readonly next: () => Promise<string | undefined>; readonly reads: () => number; readonly asked: number[]} {
+			let reads = 0;
+			const asked: number[] = [];
+			const client: Pick<PlatformClient, 'readOperatorRow' | 'waitForOperatorRow'> = {
+				readOperatorRow() {
+					reads++;
+					return okAsync({text: `read ${reads}`, revision: reads * 10});
+				},
+				waitForOperatorRow(_name, after) {
+					asked.push(after);
+					return changes.shift()!;
+				},
+			};
+			const source = createDesiredStateSource(client);
+			return {
+				async next() {
+					const found = await source.next();
+					return found.map(bytes => bytes === undefined ? undefined : Buffer.from(bytes).toString()).unwrapOr('failed');
+				},
+				reads: () => reads,
+				asked,
+			};
+		}
+
+		it('reads the row once and then waits for changes after the newest revision', async t => {
+			const source = createSource([
+				okAsync({kind: 'changes', text: undefined, revision: 12}),
+				okAsync({kind: 'changes', text: 'changed', revision: 15}),
+				okAsync({kind: 'changes', text: undefined, revision: 15}),
+			]);
+			t.deepEqual([await source.next(), await source.next(), await source.next(), await source.next()], ['read 1', undefined, 'changed', undefined]);
+			t.deepEqual(source.asked, [10, 12, 15]);
+			t.is(source.reads(), 1);
+		});
+
+		it('reads the row anew when the store has dropped its history, and after a failed wait', async t => {
+			const source = createSource([
+				okAsync({kind: 'history-lost'}),
+				errAsync(createUnreachableError('away', false, 100)),
+			]);
+			t.deepEqual([await source.next(), await source.next(), await source.next(), await source.next()], ['read 1', 'read 2', 'failed', 'read 3']);
+		});
+	});
+});
--- /dev/null
+++ b/test/processes/platform.test.ts
@@ -0,0 +1,170 @@
+import type {ExecutionContext} from 'ava';
+import {startPlatformSystem, type PlatformEvent, type PlatformSystem} from '../../dev/platform-system.js';
+import type {Milliseconds} from '../../src/process/clock.js';
+import {describe, it} from '../describe.js';
+
+let nextNet = 20;
+
+async function open(t: ExecutionContext, entries: number, agents: number): Promise<PlatformSystem> {
+	const system = await startPlatformSystem({entries, agents, net: nextNet++});
+	t.teardown(system.stop);
+	return system;
+}
+
+async function pass(time: Milliseconds): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, time);
+	});
+}
+
+function name(number: number): string {
+	return number.toString(16).padStart(16, '0');
+}
+
+/** Runs of one task that were under way at the same time. */
+function findOverlaps(events: readonly PlatformEvent[]): readonly string[] {
+	const running = new Map<string, number>();
+	const overlaps: string[] = [];
+	for (const {what, task} of events) {
+		const count = (running.get(task) ?? 0) + (what === 'start' ? 1 : -1);
+		running.set(task, count);
+		if (count > 1) {
+			overlaps.push(task);
+		}
+	}
+
+	return overlaps;
+}
+
+function countStarts(events: readonly PlatformEvent[], job: string): number {
+	return events.filter(({what, task}) => what === 'start' && task.startsWith(job)).length;
+}
+
+describe('processes on the platform', () => {
+	it('serve jobs over all executors, each task started once', async t => {
+		const system = await open(t, 2, 3);
+		const replies = await Promise.all(Array.from({length: 40}, async (_, i) => system.submit(i % 2, {name: name(i), tasks: 4, ms: 60})));
+		t.true(replies.every(reply => reply?.status === 200 && reply.body === '{"state":"completed"}'));
+		const events = await system.getEvents();
+		t.is(events.filter(({what}) => what === 'start').length, 160);
+		t.is(new Set(events.map(({executor}) => executor)).size, 3);
+	});
+
+	it('tell a job whose runs fail as failed, after the attempts of its route', async t => {
+		const system = await open(t, 1, 2);
+		const reply = await system.submit(0, {
+			name: name(1), tasks: 1, ms: 50, fails: true,
+		});
+		t.is(reply?.body, '{"state":"failed"}');
+		t.is(countStarts(await system.getEvents(), name(1)), 2);
+	});
+
+	it('refuse at once, with a time to come back, what cannot run', async t => {
+		const system = await open(t, 1, 1);
+		const reply = await system.submit(0, {
+			name: name(1), tasks: 1, ms: 50, cpu: 64_000,
+		});
+		t.is(reply?.status, 503);
+		t.true(Number(reply?.retryAfter) >= 1);
+		t.is(countStarts(await system.getEvents(), name(1)), 0);
+	});
+
+	it('stop the runs of a client that hung up', async t => {
+		const system = await open(t, 1, 1);
+		const abort = new AbortController();
+		const reply = system.submit(0, {
+			name: name(1), tasks: 2, ms: 2000, deadline: 5000,
+		}, abort.signal);
+		await pass(200);
+		abort.abort();
+		await reply;
+		await pass(300);
+		const events = await system.getEvents();
+		t.is(events.filter(({what}) => what === 'stopped').length, 2);
+	});
+
+	it('end the runs of a killed entry before its client may send the job again', async t => {
+		const system = await open(t, 2, 2);
+		const job = {
+			name: name(1), tasks: 4, ms: 3000, deadline: 6000,
+		};
+		const first = system.submit(0, job);
+		await pass(300);
+		await system.entries[0]!.program.kill();
+		await first;
+		await pass(1300);
+		const second = system.submit(1, job);
+		await pass(300);
+		t.is(countStarts(await system.getEvents(), name(1)), 8);
+		t.deepEqual(findOverlaps(await system.getEvents()), []);
+		t.is((await second)?.status, 200);
+	});
+
+	it('start tasks of a frozen agent elsewhere only once its lease has run out', async t => {
+		const system = await open(t, 1, 2);
+		const reply = system.submit(0, {
+			name: name(1), tasks: 6, ms: 1200, deadline: 6000,
+		});
+		await pass(300);
+		system.agents[0]!.program.freeze();
+		await pass(3500);
+		system.agents[0]!.program.resume();
+		t.is((await reply)?.status, 200);
+		const events = await system.getEvents();
+		t.deepEqual(findOverlaps(events), []);
+		t.true(events.some(({what}) => what === 'lapsed'));
+	});
+
+	it('answer everything when entry and agent are stopped in turn under load', async t => {
+		const system = await open(t, 2, 2);
+		const replies: Array<ReturnType<typeof system.submit>> = [];
+		let isOver = false;
+		const load = (async () => {
+			for (let i = 0; !isOver; i++) {
+				replies.push(system.submit(i % 2, {name: name(i), tasks: 2, ms: 100}));
+				await pass(20);
+			}
+		})();
+		await pass(300);
+		const stopped = system.entries[0]!.program.stop();
+		await pass(100);
+		t.false(await system.isReady(0));
+		await pass(1500);
+		const agentStopped = system.agents[0]!.program.stop();
+		await pass(300);
+		isOver = true;
+		await load;
+		const settled = await Promise.all(replies);
+		t.is((await stopped).code, 0);
+		t.is((await agentStopped).code, 0);
+		t.deepEqual([...new Set(settled.map(reply => reply?.status))], [200]);
+		t.deepEqual(findOverlaps(await system.getEvents()), []);
+	});
+
+	it('take a new configuration within a second', async t => {
+		const system = await open(t, 2, 1);
+		await system.publish(2, ['/other/']);
+		await pass(1000);
+		const replies = await Promise.all([0, 1].map(async entry => system.submit(entry, {name: name(entry), tasks: 1, ms: 10})));
+		t.deepEqual(replies.map(reply => reply?.status), [404, 404]);
+	});
+
+	it('serve through an outage of the store, and again after all processes were killed', async t => {
+		const system = await open(t, 2, 2);
+		await system.setStoreFaults({down: true});
+		t.is((await system.submit(0, {name: name(1), tasks: 2, ms: 50}))?.status, 200);
+		await system.setStoreFaults({down: false});
+		await Promise.all([...system.entries, ...system.agents].map(async machine => machine.program.kill()));
+		for (const machine of [...system.entries, ...system.agents]) {
+			machine.restart();
+		}
+
+		const restartedAt = Date.now();
+		for (let i = 100; (await system.submit(0, {name: name(i), tasks: 2, ms: 50}))?.status !== 200; i++) {
+			t.true(Date.now() - restartedAt < 8000, 'serves again within some seconds');
+			await pass(50);
+		}
+
+		t.deepEqual(findOverlaps(await system.getEvents()), []);
+	});
+});
--- /dev/null
+++ b/test/request/room-scheduler.test.ts
@@ -0,0 +1,183 @@
+import type {
+	AgentFacts, QueuedJob, QueuedTask, Scheduler, TaskNeed,
+} from '../../src/connection/types.js';
+import type {Milliseconds} from '../../src/process/clock.js';
+import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
+import {createRoomScheduler} from '../../src/request/room-scheduler.js';
+import {describe, it} from '../describe.js';
+
+const core = 1000;
+
+type Bench = {
+	readonly clock: FakeClock;
+	readonly scheduler: Scheduler;
+	readonly starts: Array<QueuedTask & {readonly agent: string}>;
+	readonly told: string[];
+	/** Opens an agent with so many cores, all free. */
+	open(name: string, cores: number, labels?: readonly string[]): void;
+	tellRoom(name: string, cores: number, receivedStarts: number): void;
+};
+
+function createBench(): Bench {
+	const clock = createFakeClock(1000);
+	const starts: Bench['starts'] = [];
+	const told: string[] = [];
+	const scheduler = createRoomScheduler({
+		clock,
+		random: () => 0,
+		start(agent, task) {
+			starts.push({...task, agent});
+		},
+		changed(agent) {
+			told.push(agent);
+		},
+	});
+	const bench: Bench = {
+		clock,
+		scheduler,
+		starts,
+		told,
+		open(name, cores, labels = []) {
+			const facts: AgentFacts = {
+				incarnation: name, name, upstream: `u-${name}`, service: 's', dataCentre: 'd', rack: labels[1] ?? '', slots: 1, room: {cpu: cores * core, memory: 1000, accelerators: 0}, labels,
+			};
+			scheduler.openAgent(facts);
+			bench.tellRoom(name, cores, 0);
+		},
+		tellRoom(name, cores, receivedStarts) {
+			scheduler.setCondition(name, {
+				draining: false, running: 0, slots: 1, meanRun: 0, failedPerMille: 0, freeRoom: {cpu: cores * core, memory: 1000, accelerators: 0}, receivedStarts,
+			});
+		},
+	};
+	return bench;
+}
+
+function createJob(ticket: string, taskCount: number, expectedRun: Milliseconds, now: Milliseconds, need: Partial<TaskNeed> = {}): QueuedJob {
+	return {
+		ticket,
+		service: 's',
+		submission: 'check',
+		team: 't',
+		taskCount,
+		expectedRun,
+		arrivedAt: now,
+		deadlineAt: now + 1500,
+		need: {resources: {cpu: core, memory: 1, accelerators: 0}, ...need},
+		objective: {stretch: 1.6, margin: 60},
+	};
+}
+
+describe('room scheduler', () => {
+	describe('placement', () => {
+		it('fills an upstream up to its processors and no further', t => {
+			const {scheduler, starts, open, clock} = createBench();
+			open('a', 3);
+			scheduler.enqueue(createJob('j', 5, 100, clock.now()));
+			t.is(starts.length, 3);
+		});
+
+		it('counts starts that the agent had not received when it told its room', t => {
+			const {scheduler, starts, open, tellRoom, clock} = createBench();
+			open('a', 2);
+			scheduler.enqueue(createJob('j', 4, 100, clock.now()));
+			tellRoom('a', 2, 0);
+			t.is(starts.length, 2);
+			tellRoom('a', 1, 2);
+			t.is(starts.length, 3);
+		});
+
+		it('sends a large task to the upstream that holds it, not behind small ones', t => {
+			const {scheduler, starts, open, clock} = createBench();
+			open('small', 1);
+			open('large', 8);
+			scheduler.enqueue(createJob('j', 1, 100, clock.now(), {resources: {cpu: 6 * core, memory: 1, accelerators: 0}}));
+			t.deepEqual(starts.map(({agent}) => agent), ['large']);
+		});
+
+		it('keeps to labels, to the bound on one upstream, and prefers the rack of the data', t => {
+			const {scheduler, starts, open, clock} = createBench();
+			open('a', 8, ['x', 'r1']);
+			open('b', 8, ['y', 'r2']);
+			scheduler.enqueue(createJob('label', 1, 100, clock.now(), {label: 'y'}));
+			scheduler.enqueue(createJob('apart', 2, 100, clock.now(), {maxPerUpstream: 1}));
+			scheduler.enqueue(createJob('near', 2, 100, clock.now(), {rack: 'r2'}));
+			t.deepEqual(starts.filter(({ticket}) => ticket === 'label').map(({agent}) => agent), ['b']);
+			t.deepEqual(starts.filter(({ticket}) => ticket === 'apart').map(({agent}) => agent).toSorted(), ['a', 'b']);
+			t.deepEqual(starts.filter(({ticket}) => ticket === 'near').map(({agent}) => agent), ['b', 'b']);
+		});
+
+		it('tries another agent first where a run of the task has failed', t => {
+			const {scheduler, starts, open, clock} = createBench();
+			open('a', 8);
+			open('b', 8);
+			scheduler.requeue(createJob('j', 1, 100, clock.now()), {
+				ticket: 'j', index: 0, attempt: 2, failedOn: ['a'],
+			});
+			t.deepEqual(starts.map(({agent}) => agent), ['b']);
+		});
+
+		it('sends nothing more to an agent that refused until it tells its room again', t => {
+			const {scheduler, starts, open, tellRoom, clock} = createBench();
+			open('a', 8);
+			const job = createJob('j', 1, 100, clock.now());
+			scheduler.enqueue(job);
+			scheduler.recordEnd('a', 'j', 'refused', undefined);
+			scheduler.requeue(job, {ticket: 'j', index: 0, attempt: 2});
+			t.is(starts.length, 1);
+			tellRoom('a', 8, 1);
+			t.is(starts.length, 2);
+		});
+	});
+
+	describe('a short overload', () => {
+		it('serves who can still meet the objective by slack, and then the late by length', t => {
+			const {scheduler, starts, open, tellRoom, clock} = createBench();
+			open('a', 8);
+			tellRoom('a', 0, 0);
+			scheduler.enqueue(createJob('long-late', 1, 400, clock.now() - 900));
+			scheduler.enqueue(createJob('short-late', 1, 50, clock.now() - 900));
+			scheduler.enqueue(createJob('much-slack', 1, 800, clock.now()));
+			scheduler.enqueue(createJob('little-slack', 1, 50, clock.now()));
+			for (let i = 0; i < 4; i++) {
+				tellRoom('a', 1, starts.length);
+			}
+
+			t.deepEqual(starts.map(({ticket}) => ticket), ['little-slack', 'much-slack', 'short-late', 'long-late']);
+		});
+
+		it('asks agents to tell free room at once while tasks wait, and no longer', t => {
+			const {scheduler, told, open, tellRoom, clock} = createBench();
+			open('a', 8);
+			tellRoom('a', 0, 0);
+			told.length = 0;
+			scheduler.enqueue(createJob('j', 1, 100, clock.now()));
+			t.deepEqual(told, ['a']);
+			t.is(scheduler.getQueued('a'), 1);
+			tellRoom('a', 1, 0);
+			t.deepEqual(told, ['a', 'a']);
+			t.is(scheduler.getQueued('a'), 0);
+		});
+	});
+
+	describe('admission', () => {
+		it('refuses at once what no upstream can hold, and what cannot be done by its deadline', t => {
+			const {scheduler, open, clock} = createBench();
+			t.is(scheduler.assess(createJob('j', 1, 100, clock.now())).kind, 'no-upstream');
+			open('a', 2);
+			t.is(scheduler.assess(createJob('j', 1, 100, clock.now(), {resources: {cpu: 3 * core, memory: 1, accelerators: 0}})).kind, 'no-upstream');
+			t.is(scheduler.assess(createJob('j', 1, 2600, clock.now())).kind, 'too-late');
+			t.is(scheduler.assess(createJob('j', 1, 100, clock.now())).kind, 'admitted');
+		});
+	});
+
+	it('starts nothing while held, and everything that fits afterwards', t => {
+		const {scheduler, starts, open, clock} = createBench();
+		open('a', 8);
+		scheduler.setHeld?.(true);
+		scheduler.enqueue(createJob('j', 3, 100, clock.now()));
+		t.is(starts.length, 0);
+		scheduler.setHeld?.(false);
+		t.is(starts.length, 3);
+	});
+});
