Keep an upstream leaving when a configuration comes; judge progress from when a run was first seen

Ruled out: late heartbeats (the state was acknowledged two seconds earlier); pauses of the agent. Change: two reasons to drain, each on its own; a run's time counts from its first sign.

--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -84,6 +84,8 @@
 	let configuredSlots = facts.slots;
 	let configVersion = 0;
 	let isDraining = false;
+	let isDrainedByConfig = false;
+	let isUpstreamLeaving = false;
 	let isStopping = false;
 	let isProbing = false;
 	let meanRun = 0;
@@ -124,7 +126,8 @@
 	return {
 		drain,
 		setLeaving(isLeaving) {
-			setDraining(isLeaving);
+			isUpstreamLeaving = isLeaving;
+			updateDraining();
 		},
 		stopRuns: sessions.stopAll,
 		checkUpstream() {
@@ -260,7 +263,8 @@
 
 		configVersion = config.version;
 		configuredSlots = config.slots === 0 ? facts.slots : Math.min(config.slots, facts.slots);
-		setDraining(config.drain);
+		isDrainedByConfig = config.drain;
+		updateDraining();
 		if (!isProbing) {
 			setSlots(configuredSlots);
 		}
@@ -269,8 +273,9 @@
 		host.log.info({configVersion, slots: configuredSlots, drain: config.drain}, 'configuration in force');
 	}
 
-	function setDraining(draining: boolean): void {
-		if (isStopping || isDraining === draining) {
+	function updateDraining(): void {
+		const draining = isStopping || isDrainedByConfig || isUpstreamLeaving;
+		if (isDraining === draining) {
 			return;
 		}
 
@@ -341,8 +346,8 @@
 	// Entries hand back their credits when they hear of the drain. Once none is out, no start is on its way; once
 	// every result is acknowledged, no answer depends on this process.
 	async function drain(): Promise<DrainReport> {
-		setDraining(true);
 		isStopping = true;
+		updateDraining();
 		const end = clock.now() + settings.agent.drainMs;
 		while (!isDrained() && clock.now() < end) {
 			await sleep(clock, drainCheckMs);
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -48,7 +48,9 @@
 	readonly task: string;
 	run: number;
 	readonly done: (end: RunEnd) => void;
-	startedAt: Milliseconds;
+	readonly orderedAt: Milliseconds;
+	/** When it was first known to run; the order may have waited for a connection before. */
+	seenAt?: Milliseconds;
 	state: 'ordered' | 'running';
 	isStopWanted: boolean;
 	isStopping: boolean;
@@ -105,7 +107,7 @@
 		run(start, done) {
 			const task = `${start.reference}.0.0.${start.task!.index}`;
 			const run: Run = {
-				start, task, run: start.attempt, done, startedAt: clock.now(), state: 'ordered', isStopWanted: false, isStopping: false, isStalled: false,
+				start, task, run: start.attempt, done, orderedAt: clock.now(), state: 'ordered', isStopWanted: false, isStopping: false, isStalled: false,
 			};
 			if (runs.has(task)) {
 				// An earlier start of the task, from an entry that has given it up, is still being stopped here.
@@ -428,15 +430,17 @@
 
 	function noteRunning(run: Run): void {
 		run.state = 'running';
+		run.seenAt ??= clock.now();
 		if (run.isStopWanted) {
 			void stopRun(run);
 		}
 	}
 
 	function checkProgress(run: Run, percent: number, askedAt: Milliseconds): void {
-		if (!run.isStopWanted && isStalled({elapsed: askedAt - run.startedAt, percent, expected: run.start.expectedRunMs})) {
+		const elapsed = askedAt - (run.seenAt ?? askedAt);
+		if (!run.isStopWanted && isStalled({elapsed, percent, expected: run.start.expectedRunMs})) {
 			log.info({
-				task: run.task, run: run.run, percent, elapsed: askedAt - run.startedAt, expected: run.start.expectedRunMs,
+				task: run.task, run: run.run, percent, elapsed, expected: run.start.expectedRunMs,
 			}, 'run makes too little progress; it is stopped');
 			run.isStopWanted = true;
 			run.isStalled = true;
@@ -467,7 +471,7 @@
 		}
 
 		runs.delete(run.task);
-		run.done(createEnd(outcome, reason, detail, clock.now() - run.startedAt));
+		run.done(createEnd(outcome, reason, detail, clock.now() - run.orderedAt));
 	}
 
 	function raiseToken(usedToken: number): void {
--- a/test/process/fake-executor.ts
+++ b/test/process/fake-executor.ts
@@ -24,6 +24,8 @@
 	readonly late: {start: number; stop: number; hold: number; delay: Milliseconds | undefined};
 	/** Percent of each run stands still. */
 	isStandingStill: boolean;
+	/** Time that orders to start wait before they arrive. */
+	orderDelay: Milliseconds;
 	bornAt: number;
 	getToken(): number;
 	getRunning(): readonly SeenRun[];
@@ -53,6 +55,7 @@
 			start: 0, stop: 0, hold: 0, delay: undefined,
 		},
 		isStandingStill: false,
+		orderDelay: 0,
 		bornAt: 1,
 		getToken: () => token,
 		getRunning,
@@ -183,7 +186,7 @@
 			return {outcome: {kind: 'no-answer', detail: 'time-out'}, executorTime: undefined};
 		}
 
-		await wait(answerMs / 2);
+		await wait((answerMs / 2) + (kind === 'start' ? executor.orderDelay : 0));
 		const outcome = act();
 		const executorTime = getTime();
 		await wait(answerMs / 2);
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -125,6 +125,14 @@
 			t.deepEqual(bench.executor.runs.map(({how}) => how), ['stopped', undefined]);
 		});
 
+		it('is not taken for stalled because its order waited for a connection', async t => {
+			const bench = await open(t, 300);
+			bench.executor.orderDelay = 150;
+			bench.start('a', 1, 60);
+			await bench.pass(600);
+			t.is(bench.executor.runs[0]?.how, 'done');
+		});
+
 		it('gets a higher number where an earlier one was stopped', async t => {
 			const bench = await open(t, 5000);
 			const first = bench.start('a');
