--- a/dev/failures.ts
+++ b/dev/failures.ts
@@ -4,48 +4,62 @@
  * Usage: npm run failures -- --seed N --runs M
  */
 import process from 'node:process';
-import {parseArgs} from 'node:util';
+import sade from 'sade';
 import {countLostAnswers, type Violation} from '../test/failure/checker.js';
 import type {PlannedFault} from '../test/failure/faults.js';
 import {formatEntry, type JournalEntry} from '../test/failure/journal.js';
 import {getFaults, runFailures, type RunReport} from '../test/failure/run.js';
 
-const {values} = parseArgs({options: {seed: {type: 'string', default: '1'}, runs: {type: 'string', default: '100'}, whole: {type: 'boolean', default: false}}});
-const firstSeed = Number(values.seed);
-const runs = Number(values.runs);
+type Options = {
+	readonly seed: number;
+	readonly runs: number;
+	readonly whole: boolean;
+};
+
 const broken = new Map<string, number>();
-let failed = 0;
-let settled = 0;
-let lost = 0;
-let starts = 0;
 
-for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
-	const report = await runFailures(seed, getFaults(seed));
-	const answers = countLostAnswers(report.journal);
-	settled += answers.settled;
-	lost += answers.lost;
-	starts += report.journal.filter(({kind}) => kind === 'started').length;
-	if (report.violations.length > 0) {
-		failed++;
-		await explain(seed, report);
+sade('failures', true)
+	.describe('Runs the decision parts under random failures on a fake clock.')
+	.option('--seed', 'Seed of the first run', 1)
+	.option('--runs', 'Number of runs, each with the next seed', 100)
+	.option('--whole', 'Explain a broken promise with all faults of its run', false)
+	.action(run)
+	.parse(process.argv);
+
+async function run({seed: firstSeed, runs, whole}: Options): Promise<void> {
+	let failed = 0;
+	let settled = 0;
+	let lost = 0;
+	let starts = 0;
+
+	for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
+		const report = await runFailures(seed, getFaults(seed));
+		const answers = countLostAnswers(report.journal);
+		settled += answers.settled;
+		lost += answers.lost;
+		starts += report.journal.filter(({kind}) => kind === 'started').length;
+		if (report.violations.length > 0) {
+			failed++;
+			await explain(seed, report, whole);
+		}
+	}
+
+	for (const [rule, count] of broken) {
+		console.log(`${rule}: broken in ${count} runs`);
 	}
-}
 
-for (const [rule, count] of broken) {
-	console.log(`${rule}: broken in ${count} runs`);
+	console.log(`${starts} starts; ${settled} tickets answered for dead entries, ${lost} of them against an answer that the entry had given and not saved`);
+	console.log(`${runs} runs from seed ${firstSeed}, ${failed} with broken promises`);
+	process.exitCode = failed === 0 ? 0 : 1;
 }
 
-console.log(`${starts} starts; ${settled} tickets answered for dead entries, ${lost} of them against an answer that the entry had given and not saved`);
-console.log(`${runs} runs from seed ${firstSeed}, ${failed} with broken promises`);
-process.exitCode = failed === 0 ? 0 : 1;
-
-async function explain(seed: number, report: RunReport): Promise<void> {
+async function explain(seed: number, report: RunReport, whole: boolean): Promise<void> {
 	for (const rule of new Set(report.violations.map(violation => violation.rule))) {
 		broken.set(rule, (broken.get(rule) ?? 0) + 1);
 	}
 
 	const {rule} = report.violations[0]!;
-	const faults = values.whole ? getFaults(seed) : await shrink(seed, rule);
+	const faults = whole ? getFaults(seed) : await shrink(seed, rule);
 	const {violations, journal} = await runFailures(seed, faults);
 	console.log(`seed ${seed}`);
 	for (const violation of violations) {
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -14,6 +14,8 @@
 	readonly entry: string;
 	readonly incarnation: string;
 	readonly sessions: AgentSessions;
+	/** Time between two batches on a link that has nothing else to carry. */
+	readonly heartbeatMs: Milliseconds;
 	/** A link on which nothing arrives for this time is closed. */
 	readonly silenceMs?: Milliseconds;
 	/** Credits wanted from this agent; what was read counts as told. */
@@ -28,6 +30,8 @@
 	/** Incarnations of entries declared dead. */
 	getFenced(): readonly string[];
 	isDraining(): boolean;
+	/** Time on the monotonic clock. */
+	now(): Milliseconds;
 	/** The configuration version that an agent acts on. */
 	reportVersion(agent: AgentFacts, version: number): void;
 	receiveHeld(agent: AgentFacts, reply: HeldReply): void;
@@ -60,7 +64,7 @@
 	changed(agent: string): void;
 	/** Results of this agent were handled; the acknowledgement travels with the next batch, or soon by itself. */
 	acknowledge(agent: string): void;
-	/** Sends a batch on every link, as is to be done every `heartbeatMs`. */
+	/** Sends a batch on every link on which nothing was sent lately, as is to be done every `heartbeatMs`. */
 	sendHeartbeats(): void;
 	/** Configuration, entries, fences or draining have changed for all agents. */
 	changedForAll(): void;
@@ -92,6 +96,7 @@
 	isReportDue: boolean;
 	isAckPlanned: boolean;
 	silence: Timer | undefined;
+	sentAt: Milliseconds;
 	hasNewsForAll: boolean;
 	sentAcked: number;
 	sentConfigVersion: number;
@@ -135,9 +140,12 @@
 			}
 		},
 		sendHeartbeats() {
+			const recently = host.now() - (host.heartbeatMs / 2);
 			for (const link of links.values()) {
-				link.isReportDue = true;
-				planFlush(link);
+				if (link.sentAt < recently) {
+					link.isReportDue = true;
+					planFlush(link);
+				}
 			}
 		},
 		changedForAll() {
@@ -264,6 +272,7 @@
 		}
 
 		const acked = link.session.getResultsAcked();
+		link.sentAt = host.now();
 		link.stream.write(createBatch({
 			starts: link.starts,
 			stops: link.stops,
@@ -294,6 +303,7 @@
 		starts: [],
 		stops: [],
 		silence: undefined,
+		sentAt: -Infinity,
 		queries: [],
 		isFlushPlanned: false,
 		isReportDue: false,
--- a/src/process/bin/kingcuplane-agent.ts
+++ b/src/process/bin/kingcuplane-agent.ts
@@ -9,6 +9,7 @@
 import {readEntryAddresses} from '../entry-directory.js';
 import {createIncarnation} from '../incarnation.js';
 import {createLog} from '../log.js';
+import {createLogStream} from '../log-stream.js';
 import {createMetrics} from '../metrics.js';
 import {createPlatformClient} from '../../platform/store-client.js';
 import {readAgentSettings} from '../settings.js';
@@ -19,7 +20,8 @@
 keepRunning();
 const settings = loadSettings('kingcuplane-agent', readAgentSettings);
 const clock = createSystemClock();
-const log = createLog('kingcuplane-agent', settings.name, settings.log);
+const logStream = createLogStream(clock);
+const log = createLog('kingcuplane-agent', settings.name, settings.log, logStream);
 const metrics = createMetrics({
 	settings: settings.metrics,
 	tags: {role: 'agent', process: settings.name},
@@ -51,4 +53,5 @@
 await upstream.close();
 await platform.close();
 await metrics.close();
+logStream.flushNow();
 process.exit(0);
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -202,6 +202,8 @@
 		defer: host.defer,
 		after: clock.after,
 		silenceMs: timing.silenceMs,
+		heartbeatMs: timing.heartbeatMs,
+		now: clock.now,
 		arrived: host.pauses?.check,
 		linkChanged(agent, change) {
 			host.log.info({
--- a/src/process/log.ts
+++ b/src/process/log.ts
@@ -1,7 +1,6 @@
 /**
  * Structured logs: one JSON object a line, through bunyan. Lines about a submission carry its ticket.
  */
-import process from 'node:process';
 import Logger from 'bunyan';
 import type {LogSettings} from './settings.js';
 
@@ -10,8 +9,8 @@
 	child(fields: Readonly<Record<string, unknown>>): Log;
 };
 
-/** Creates the log of one process; lines go to standard error unless another stream is named. */
-export function createLog(program: string, name: string, settings: LogSettings, stream: NodeJS.WritableStream = process.stderr): Log {
+/** Creates the log of one process. */
+export function createLog(program: string, name: string, settings: LogSettings, stream: NodeJS.WritableStream): Log {
 	return Logger.createLogger({
 		name: program, process: name, level: settings.level, stream,
 	});
--- a/src/process/run-entry.ts
+++ b/src/process/run-entry.ts
@@ -17,6 +17,7 @@
 import {formatDiagnostic} from './diagnostics.js';
 import {createEntry, type Entry, type EntryHost} from './entry.js';
 import {createLog, type Log} from './log.js';
+import {createLogStream} from './log-stream.js';
 import {createMetrics, type Metrics} from './metrics.js';
 import type {EntrySettings} from './settings.js';
 import {createTokenDirectory} from './tokens.js';
@@ -48,7 +49,8 @@
 /** Starts an entry; resolves once it serves. `declaredDead` is called if another entry takes its lease. */
 export async function runEntry(settings: EntrySettings, incarnation: string, declaredDead: () => void, parts: Partial<EntryParts> = {}): Promise<RunningEntry> {
 	const clock = createSystemClock();
-	const log = parts.log ?? createLog('kingcuplane-entry', settings.name, settings.log);
+	const logStream = createLogStream(clock);
+	const log = parts.log ?? createLog('kingcuplane-entry', settings.name, settings.log, logStream);
 	const metrics = parts.metrics ?? createMetrics({
 		settings: settings.metrics,
 		tags: {role: 'entry', process: settings.name},
@@ -129,6 +131,7 @@
 			linkServer.forceShutdown();
 			await platform.close();
 			await metrics.close();
+			logStream.flushNow();
 		},
 	};
 }
--- a/test/failure/entry.ts
+++ b/test/failure/entry.ts
@@ -136,6 +136,8 @@
 			clock.after(0, action);
 		},
 		after: clock.after,
+		now: clock.now,
+		heartbeatMs: relaxedTiming.heartbeatMs,
 	});
 	const settlements = createSettlements(platform.table);
 	const held = createHeldQueries({clock, timeoutMs: 500, query: links.query});
--- a/test/failure/random.test.ts
+++ b/test/failure/random.test.ts
@@ -3,6 +3,11 @@
 
 const calmSeeds = 2;
 const seeds = 24;
+/**
+ * 90251 once left three slots out of use at the end: ends of tasks whose job had its answer counted against their
+ * upstream, which was still being probed then.
+ */
+const failedOnce = [90_251];
 
 describe('random failure runs', () => {
 	it(`break no promise without faults, seeds 1 to ${calmSeeds}`, async t => {
@@ -12,6 +17,13 @@
 		}
 	});
 
+	for (const seed of failedOnce) {
+		it(`break no promise, seed ${seed}, which did once`, async t => {
+			const {violations} = await runFailures(seed, getFaults(seed));
+			t.deepEqual(violations, []);
+		});
+	}
+
 	it(`break no promise, seeds 1 to ${seeds}`, async t => {
 		for (let seed = 1; seed <= seeds; seed++) {
 			const {violations} = await runFailures(seed, getFaults(seed));
