--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -179,7 +179,7 @@
 				attempt: start.attempt,
 				outcome: outcomeNames[end.outcome],
 				reason: end.reason,
-				run: end.run,
+				run: Math.round(end.run),
 				detail: end.detail,
 			}, 'task did not complete');
 		}
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -373,7 +373,7 @@
 
 	function reportDecision({ticket, reference, fact}: Decision): void {
 		const {kind, ...inputs} = fact;
-		host.log.info({ticket, request: reference, ...inputs}, `task ${kind}`);
+		host.log.info({ticket, request: reference, ...inputs}, kind === 'taken' ? 'job taken' : `task ${kind}`);
 	}
 
 	function reportAnswer(job: JobHandle, answer: Answer, elapsed: Milliseconds): void {
@@ -381,7 +381,7 @@
 		host.metrics.count('job.answered', 1, {state: answer.state, ran: answer.ran, kind});
 		host.metrics.time('job.response', elapsed, {state: answer.state});
 		host.log.info({
-			ticket: job.ticket.text, request: job.reference, tasks: job.taskCount, elapsed, ran: answer.ran, retryAfter: answer.retryAfter, diagnostic: answer.diagnostic,
+			ticket: job.ticket.text, request: job.reference, tasks: job.taskCount, elapsed: Math.round(elapsed), ran: answer.ran, retryAfter: answer.retryAfter, diagnostic: answer.diagnostic,
 		}, `job ${answer.state}`);
 	}
 
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -355,7 +355,7 @@
 			expectedRunMs: entry.avoided.has(task.index) ? 0 : Math.round(entry.queued.expectedRun),
 		});
 		decide(entry, {
-			kind: 'started', index: task.index, attempt: task.attempt, agent: session.agent.name, upstream: session.agent.upstream, waited: host.clock.now() - entry.queued.arrivedAt, newsAge,
+			kind: 'started', index: task.index, attempt: task.attempt, agent: session.agent.name, upstream: session.agent.upstream, waited: Math.round(host.clock.now() - entry.queued.arrivedAt), newsAge: newsAge === undefined ? undefined : Math.round(newsAge),
 		});
 		entry.sent.set(getRunKey(task), {agent, stop: {task: start.task, startSeq: start.seq}});
 		host.send(agent, start);
--- a/src/request/room-scheduler.ts
+++ b/src/request/room-scheduler.ts
@@ -126,7 +126,8 @@
 		const state = getService(job.service);
 		const need = job.need ?? noNeed;
 		const eligible = [...state.agents.values()].filter(agent => !agent.isDraining && isEligible(agent, need));
-		if (eligible.length === 0 && clock.now() >= settledAt) {
+		const mayStillCome = state.agents.size === 0 && clock.now() < settledAt;
+		if (eligible.length === 0 && !mayStillCome) {
 			return {kind: 'no-upstream', retryAfter: noUpstreamRetryAfter};
 		}
 
