--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -7,6 +7,7 @@
 	createDiagnostic, Diagnostics, formatDiagnostic, type Diagnostic,
 } from '../process/diagnostics.js';
 import {createSystemClock} from '../process/clock.js';
+import {closeHttp} from '../process/http-listen.js';
 import type {Log} from '../process/log.js';
 import {createPauseWatch} from '../process/pause-watch.js';
 import {runEntry, type RunningEntry} from '../process/run-entry.js';
@@ -16,7 +17,7 @@
 import type {Principal} from '../request/router.js';
 import {createWatchedFollower} from '../version/watched-follower.js';
 import {createDesiredStateCodec, createDesiredStateSource} from './desired-state.js';
-import {closeHttp, serveHttp} from './http.js';
+import {serveHttp} from './http.js';
 import {createIngress} from './ingress.js';
 import type {MachineSettings} from './settings.js';
 import {createPlatformClient} from './store-client.js';
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -442,7 +442,8 @@
 
 		// Agents that drain as well wait for the acknowledgement of their results.
 		links.sendHeartbeats();
-		await host.fates.flush();
+		// Without the platform the records cannot be saved; every caller has its answer by now.
+		await Promise.race([host.fates.flush(), sleep(clock, Math.max(0, end - clock.now()))]);
 		return {openJobs: home.getOpenJobs()};
 	}
 
--- a/src/process/run-entry.ts
+++ b/src/process/run-entry.ts
@@ -3,7 +3,7 @@
  */
 import {randomBytes} from 'node:crypto';
 import {Server, ServerCredentials} from '@grpc/grpc-js';
-import {createAdaptorServer, type ServerType} from '@hono/node-server';
+import {createAdaptorServer} from '@hono/node-server';
 import {channelOptions} from '../connection/channel-options.js';
 import {LinkService, PeerService} from '../generated/kingcuplane.js';
 import {createFateRecorder, type FateRecorderEvent} from '../request/fate-recorder.js';
@@ -16,6 +16,7 @@
 import {assertNever} from './debug.js';
 import {formatDiagnostic} from './diagnostics.js';
 import {createEntry, type Entry, type EntryHost} from './entry.js';
+import {closeHttp, listenHttp} from './http-listen.js';
 import {createLog, type Log} from './log.js';
 import {createLogStream} from './log-stream.js';
 import {createMetrics, type Metrics} from './metrics.js';
@@ -148,25 +149,6 @@
 	});
 }
 
-async function listenHttp(server: ServerType, address: Address): Promise<number> {
-	return new Promise((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(address.port, address.host, () => {
-			const bound = server.address();
-			resolve(typeof bound === 'object' && bound !== null ? bound.port : address.port);
-		});
-	});
-}
-
-// Connections that are idle are closed at once; each other one after the reply under way.
-async function closeHttp(server: ServerType): Promise<void> {
-	return new Promise(resolve => {
-		server.close(() => {
-			resolve();
-		});
-	});
-}
-
 function withPort(address: Address, port: number): Address {
 	return address.port === 0 ? {...address, port} : address;
 }
