Keep room from late backlogs, and take work until shortly before leaving

Ruled out: the restart itself (all agents are linked 0.5 s after the processes start), doubted executors, pauses, silent links (none logged in these seconds). Change: jobs without slack leave 30 % of an upstream free; an entry that stops takes what it can finish for 80 % of its time.

--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -22,7 +22,7 @@
 import type {MachineSettings} from './settings.js';
 import {createPlatformClient} from './store-client.js';
 import {
-	agentGraceMs, closingMs, drainNoticeMs, platformTiming, settleMs,
+	agentGraceMs, closingMs, drainNoticeShare, platformTiming, settleMs,
 } from './timing.js';
 
 /** Longest wait for an answer of the store; it answers within some milliseconds when it is well. */
@@ -53,7 +53,7 @@
 		authenticate: refuseToken,
 		host: {
 			timing: platformTiming,
-			drainNoticeMs,
+			drainNoticeMs: settings.entry.drainMs * drainNoticeShare,
 			pauses,
 			createScheduler: host => createRoomScheduler({...host, random: Math.random, settleMs}),
 			quota: {
--- a/src/platform/timing.ts
+++ b/src/platform/timing.ts
@@ -18,10 +18,10 @@
 };
 
 /**
- * Time for which an entry that stops still takes work: the balancer turns away after two missed questions, a second
- * apart, and most jobs that it sends until then are done within the rest of the grace.
+ * Part of the time until it has to be gone during which an entry that stops still takes work that it can finish. Clients
+ * whose connections stay open go on sending after the balancer has turned away.
  */
-export const drainNoticeMs: Milliseconds = 3000;
+export const drainNoticeShare = 0.8;
 
 /** Time left of the grace for closing connections and the last records. */
 export const closingMs: Milliseconds = 700;
--- a/src/request/room-pool.ts
+++ b/src/request/room-pool.ts
@@ -97,6 +97,12 @@
 	return fits(need.resources, room) && (need.label === undefined || labels.includes(need.label));
 }
 
+/** Whether enough room stays free after a task for work that arrives next. */
+export function leavesReserve(agent: RoomAgent, need: TaskNeed, reserve: number): boolean {
+	const left = subtractResources(getBelievedRoom(agent), need.resources);
+	return left.cpu >= (agent.facts.room ?? noResources).cpu * reserve;
+}
+
 /** Whether a task probably fits now. */
 export function hasRoom(agent: RoomAgent, ticket: string, need: TaskNeed): boolean {
 	const isBelowLimit = need.maxPerUpstream === undefined || (agent.running.get(ticket) ?? 0) < need.maxPerUpstream;
--- a/src/request/room-scheduler.ts
+++ b/src/request/room-scheduler.ts
@@ -12,9 +12,11 @@
 } from '../connection/types.js';
 import {limitRetryAfter, noUpstreamRetryAfter} from './admission.js';
 import {
-	createRoomAgent, getBelievedRoom, hasRoom, isEligible, isTrusted, noteEnd, noteRefusal, noteSent, setRoomCondition, type RoomAgent,
+	createRoomAgent, getBelievedRoom, hasRoom, isEligible, isTrusted, leavesReserve, noteEnd, noteRefusal, noteSent, setRoomCondition, type RoomAgent,
 } from './room-pool.js';
-import {isFeasible, orderJobs, type RoomJob} from './room-queue.js';
+import {
+	getSlack, isFeasible, orderJobs, type RoomJob,
+} from './room-queue.js';
 
 /** Effects of the scheduler. */
 export type RoomSchedulerHost = SchedulerHost & {
@@ -26,6 +28,11 @@
 
 /** Tasks that need nothing, as of jobs that state no need. */
 const noNeed: TaskNeed = {resources: noResources};
+/**
+ * Part of the room of an upstream that is kept from jobs which can no longer meet their objective. After an outage these
+ * come all at once and run for a second, and whoever arrives then would become late behind them.
+ */
+const lateReserve = 0.3;
 /** If more of the agents doubt their upstreams, the fault lies with the work, and all are used. */
 const maxSuspectPart = 0.5;
 const defaultMaxQueuedTasks = 100_000;
@@ -221,9 +228,11 @@
 	function getCandidates(state: ServiceState, job: QueuedJob, task: QueuedTask): readonly RoomAgent[] {
 		const need = job.need ?? noNeed;
 		const withRoom: RoomAgent[] = [];
+		// What is begun is worth finishing.
+		const reserve = getSlack(job, clock.now()) < 0 && !jobsInFlight.has(job.ticket) ? lateReserve : 0;
 		const isDoubtUsed = countSuspects(state) <= state.agents.size * maxSuspectPart;
 		for (const agent of state.agents.values()) {
-			if (!agent.isDraining && (!isDoubtUsed || isTrusted(agent)) && state.outliers.isUsable(agent.facts.incarnation) && isEligible(agent, need) && hasRoom(agent, job.ticket, need)) {
+			if (!agent.isDraining && (!isDoubtUsed || isTrusted(agent)) && state.outliers.isUsable(agent.facts.incarnation) && isEligible(agent, need) && hasRoom(agent, job.ticket, need) && leavesReserve(agent, need, reserve)) {
 				withRoom.push(agent);
 			}
 		}
--- a/test/request/room-scheduler.test.ts
+++ b/test/request/room-scheduler.test.ts
@@ -172,12 +172,31 @@
 			scheduler.enqueue(createJob('much-slack', 1, 800, clock.now()));
 			scheduler.enqueue(createJob('little-slack', 1, 50, clock.now()));
 			for (let i = 0; i < 4; i++) {
-				tellRoom('a', 1, starts.length);
+				tellRoom('a', i < 2 ? 1 : 4, starts.length);
 			}
 
 			t.deepEqual(starts.map(({ticket}) => ticket), ['little-slack', 'much-slack', 'short-late', 'long-late']);
 		});
 
+		it('keeps a part of each upstream from a backlog of late jobs, for those that arrive next', t => {
+			const {scheduler, starts, open, clock} = createBench();
+			open('a', 10);
+			for (let i = 0; i < 10; i++) {
+				scheduler.enqueue(createJob(`late-${i}`, 1, 400, clock.now() - 900));
+			}
+
+			t.is(starts.length, 7);
+			scheduler.enqueue(createJob('fresh', 3, 400, clock.now()));
+			t.is(starts.filter(({ticket}) => ticket === 'fresh').length, 3);
+		});
+
+		it('lets the rest of a late job follow what is begun of it', t => {
+			const {scheduler, starts, open, clock} = createBench();
+			open('a', 10);
+			scheduler.enqueue(createJob('late', 10, 400, clock.now() - 900));
+			t.is(starts.length, 10);
+		});
+
 		it('asks agents to tell free room at once while tasks wait, and no longer', t => {
 			const {scheduler, told, open, tellRoom, clock} = createBench();
 			open('a', 8);
