Judge slowness by progress only

While 4 % of the orders get no answer, agents doubted sound executors (40 changes of judgement in five seconds), because a lost answer delays the news of all ends that it would have told, which looked like slow runs; half of the agents were left out. Ruled out: the shorter lease and silence (no link went silent, nothing lapsed), stops for slow progress (29, all of them at the executor that stood still). Change: ends tell failures only; slowness shows in the progress of several runs, or of one at three looks.

--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -163,7 +163,7 @@
 
 	function run(start: TaskStart, done: (end: RunEnd) => void): void {
 		host.upstream.run(start, end => {
-			learn(end, start.expectedRunMs);
+			learn(end);
 			report(start, end);
 			done(end);
 		});
@@ -185,7 +185,7 @@
 		}
 	}
 
-	function learn(end: RunEnd, expected: Milliseconds): void {
+	function learn(end: RunEnd): void {
 		if (end.reason === RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE) {
 			void probe();
 		}
@@ -196,7 +196,7 @@
 
 		const isFailed = end.outcome !== TaskOutcome.TASK_OUTCOME_COMPLETED;
 		if (end.outcome !== TaskOutcome.TASK_OUTCOME_ABORTED) {
-			soundness.recordEnd(isFailed, expected > 0 ? end.run / expected : undefined);
+			soundness.recordEnd(isFailed);
 			noteSoundness();
 		}
 
--- a/src/process/soundness.ts
+++ b/src/process/soundness.ts
@@ -8,20 +8,25 @@
 
 /** Judges one upstream. */
 export type Soundness = {
-	/** A run ended; `ratio` is its run time over the declared one, undefined if none was declared. */
-	recordEnd(isFailed: boolean, ratio: number | undefined): void;
-	/** Run times over the declared ones that the present runs are heading for. */
+	/** A run ended by itself. */
+	recordEnd(isFailed: boolean): void;
+	/**
+	 * The upstream told its progress: the run times over the declared ones that its runs are heading for. Ends are no
+	 * sign of slowness, as an answer that is lost delays the news of all ends that it would have told.
+	 */
 	observe(projections: readonly number[]): void;
 	getState(): SoundnessState;
 };
 
 /** Failures in a row that make an upstream suspect; a sound one fails a few tasks in a thousand. */
 const maxFailures = 3;
-/** The middle one of some ratios beyond this makes an upstream suspect; of sound runs one in a thousand is beyond it. */
+/** Of sound runs one in a thousand takes more than this many times its declared run time. */
 const slowRatio = 4;
-/** Ratios that are needed for a judgement, and how many of the newest ends count. */
-const minRatios = 3;
-const keptRatios = 4;
+/** Slow runs that make an upstream suspect at once, and the times in a row that fewer have to be seen. */
+const manyRuns = 3;
+const slowLooks = 3;
+/** Least time between two looks that count each. */
+const lookMs: Milliseconds = 60;
 /** Length of the first quarantine; each further one in a row is twice as long, up to the maximum. */
 const firstQuarantineMs: Milliseconds = 400;
 const maxQuarantineMs: Milliseconds = 3000;
@@ -29,23 +34,42 @@
 /** Creates the judgement of an upstream that is taken for sound. */
 export function createSoundness(clock: Clock): Soundness {
 	let failures = 0;
-	let ratios: number[] = [];
+	let slow = 0;
+	let lookedAt = -Infinity;
 	let quarantines = 0;
 	let quarantinedUntil = -Infinity;
 
 	return {
-		recordEnd(isFailed, ratio) {
+		recordEnd(isFailed) {
 			failures = isFailed ? failures + 1 : 0;
-			if (!isFailed && ratio !== undefined) {
-				ratios = [...ratios, ratio].slice(-keptRatios);
-				if (getState() === SoundnessState.SOUNDNESS_PROBED && ratio < slowRatio) {
-					quarantines = 0;
-				}
+			const state = getState();
+			if (state === SoundnessState.SOUNDNESS_PROBED && !isFailed) {
+				quarantines = 0;
+			} else if (failures >= (state === SoundnessState.SOUNDNESS_PROBED ? 1 : maxFailures)) {
+				doubt();
+			}
+		},
+		observe(projections) {
+			if (projections.length === 0) {
+				return;
+			}
+
+			const isSlow = projections.toSorted((a, b) => a - b)[Math.floor(projections.length / 2)]! > slowRatio;
+			if (!isSlow) {
+				slow = 0;
+				return;
 			}
 
-			review([]);
+			if (clock.now() - lookedAt >= lookMs) {
+				slow++;
+				lookedAt = clock.now();
+			}
+
+			// A probed upstream has shown its fault before, so the first sign counts.
+			if (projections.length >= manyRuns || slow >= slowLooks || getState() === SoundnessState.SOUNDNESS_PROBED) {
+				doubt();
+			}
 		},
-		observe: review,
 		getState,
 	};
 
@@ -57,22 +81,14 @@
 		return quarantines > 0 ? SoundnessState.SOUNDNESS_PROBED : SoundnessState.SOUNDNESS_SOUND;
 	}
 
-	function review(projections: readonly number[]): void {
-		const state = getState();
-		if (state === SoundnessState.SOUNDNESS_SUSPECT) {
+	function doubt(): void {
+		if (getState() === SoundnessState.SOUNDNESS_SUSPECT) {
 			return;
 		}
 
-		// A probed upstream has shown its fault before, so the first sign counts.
-		const isFailing = failures >= (state === SoundnessState.SOUNDNESS_PROBED ? 1 : maxFailures);
-		const seen = [...ratios, ...projections].toSorted((a, b) => a - b);
-		const isSlow = seen.length >= minRatios && seen[Math.floor(seen.length / 2)]! > slowRatio;
-		const isStillSlow = state === SoundnessState.SOUNDNESS_PROBED && projections.some(ratio => ratio > slowRatio);
-		if (isFailing || isSlow || isStillSlow) {
-			quarantinedUntil = clock.now() + Math.min(maxQuarantineMs, firstQuarantineMs * (2 ** quarantines));
-			quarantines++;
-			failures = 0;
-			ratios = [];
-		}
+		quarantinedUntil = clock.now() + Math.min(maxQuarantineMs, firstQuarantineMs * (2 ** quarantines));
+		quarantines++;
+		failures = 0;
+		slow = 0;
 	}
 }
--- a/test/process/soundness.test.ts
+++ b/test/process/soundness.test.ts
@@ -10,18 +10,20 @@
 
 function fail(soundness: Judgement, times: number): void {
 	for (let i = 0; i < times; i++) {
-		soundness.recordEnd(true, undefined);
+		soundness.recordEnd(true);
 	}
 }
 
 describe('soundness of an upstream', () => {
 	it('is not doubted for single failures or single long runs', t => {
-		const {soundness} = createBench();
+		const {clock, soundness} = createBench();
 		for (let i = 0; i < 50; i++) {
 			fail(soundness, 2);
-			soundness.recordEnd(false, 1.2);
-			soundness.recordEnd(false, i % 5 === 0 ? 12 : 0.9);
+			soundness.recordEnd(false);
 			soundness.observe([1, 9, 1.5]);
+			soundness.observe([12]);
+			clock.advance(40);
+			soundness.observe([1]);
 		}
 
 		t.is(soundness.getState(), Soundness.SOUNDNESS_SOUND);
@@ -42,12 +44,25 @@
 		t.is(other.getState(), Soundness.SOUNDNESS_SUSPECT);
 	});
 
+	it('is doubted when a single run crawls each time that it is looked at', t => {
+		const {clock, soundness} = createBench();
+		for (let i = 0; i < 2; i++) {
+			soundness.observe([6]);
+			soundness.observe([6]);
+			clock.advance(100);
+		}
+
+		t.is(soundness.getState(), Soundness.SOUNDNESS_SOUND);
+		soundness.observe([6]);
+		t.is(soundness.getState(), Soundness.SOUNDNESS_SUSPECT);
+	});
+
 	it('is regained by one good run after the quarantine', t => {
 		const {clock, soundness} = createBench();
 		fail(soundness, 3);
 		clock.advance(400);
 		t.is(soundness.getState(), Soundness.SOUNDNESS_PROBED);
-		soundness.recordEnd(false, 1.1);
+		soundness.recordEnd(false);
 		t.is(soundness.getState(), Soundness.SOUNDNESS_SOUND);
 	});
 
