Run the platform's process tests one at a time

Traced with a run of nine such systems at once (72 processes on 8 busy cores): processes stood still for 200 to 500 ms, all links of an entry went silent, and jobs met their deadline of 1.5 s or were refused with 503. Change: one system at a time; no bound or check is changed.

--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -1,7 +1,7 @@
 import type {ExecutionContext} from 'ava';
 import {startPlatformSystem, type PlatformEvent, type PlatformSystem} from '../../dev/platform-system.js';
 import type {Milliseconds} from '../../src/process/clock.js';
-import {describe, it} from '../describe.js';
+import {describe, itAlone} from '../describe.js';
 
 let nextNet = 20;
 
@@ -41,7 +41,7 @@
 }
 
 describe('processes on the platform', () => {
-	it('serve jobs over all executors, each task started once', async t => {
+	itAlone('serve jobs over all executors, each task started once', async t => {
 		const system = await open(t, 2, 3);
 		const replies = await Promise.all(Array.from({length: 40}, async (_, i) => system.submit(i % 2, {name: name(i), tasks: 4, ms: 60})));
 		t.true(replies.every(reply => reply?.status === 200 && reply.body === '{"state":"completed"}'));
@@ -50,7 +50,7 @@
 		t.is(new Set(events.map(({executor}) => executor)).size, 3);
 	});
 
-	it('tell a job whose runs fail as failed, after the attempts of its route', async t => {
+	itAlone('tell a job whose runs fail as failed, after the attempts of its route', async t => {
 		const system = await open(t, 1, 2);
 		const reply = await system.submit(0, {
 			name: name(1), tasks: 1, ms: 50, fails: true,
@@ -59,7 +59,7 @@
 		t.is(countStarts(await system.getEvents(), name(1)), 2);
 	});
 
-	it('refuse at once, with a time to come back, what cannot run', async t => {
+	itAlone('refuse at once, with a time to come back, what cannot run', async t => {
 		const system = await open(t, 1, 1);
 		const reply = await system.submit(0, {
 			name: name(1), tasks: 1, ms: 50, cpu: 64_000,
@@ -69,7 +69,7 @@
 		t.is(countStarts(await system.getEvents(), name(1)), 0);
 	});
 
-	it('stop the runs of a client that hung up', async t => {
+	itAlone('stop the runs of a client that hung up', async t => {
 		const system = await open(t, 1, 1);
 		const abort = new AbortController();
 		const reply = system.submit(0, {
@@ -83,7 +83,7 @@
 		t.is(events.filter(({what}) => what === 'stopped').length, 2);
 	});
 
-	it('end the runs of a killed entry before its client may send the job again', async t => {
+	itAlone('end the runs of a killed entry before its client may send the job again', async t => {
 		const system = await open(t, 2, 2);
 		const job = {
 			name: name(1), tasks: 4, ms: 3000, deadline: 6000,
@@ -101,7 +101,7 @@
 		t.is(reply?.status, 200);
 	});
 
-	it('start tasks of a frozen agent elsewhere only once its lease has run out', async t => {
+	itAlone('start tasks of a frozen agent elsewhere only once its lease has run out', async t => {
 		const system = await open(t, 1, 2);
 		const reply = system.submit(0, {
 			name: name(1), tasks: 6, ms: 1200, deadline: 6000,
@@ -117,7 +117,7 @@
 		t.true(events.some(({what}) => what === 'lapsed'));
 	});
 
-	it('answer everything when entry and agent are stopped in turn under load', async t => {
+	itAlone('answer everything when entry and agent are stopped in turn under load', async t => {
 		const system = await open(t, 2, 2);
 		const replies: Array<ReturnType<typeof system.submit>> = [];
 		const load = (async () => {
@@ -141,7 +141,7 @@
 		t.deepEqual(findOverlaps(await system.getEvents()), []);
 	});
 
-	it('take a new configuration within a second', async t => {
+	itAlone('take a new configuration within a second', async t => {
 		const system = await open(t, 2, 1);
 		await system.publish(2, ['/other/']);
 		await pass(1000);
@@ -149,7 +149,7 @@
 		t.deepEqual(replies.map(reply => reply?.status), [404, 404]);
 	});
 
-	it('serve through an outage of the store, and again after all processes were killed', async t => {
+	itAlone('serve through an outage of the store, and again after all processes were killed', async t => {
 		const system = await open(t, 2, 2);
 		await system.setStoreFaults({down: true});
 		const reply = await system.submit(0, {name: name(1), tasks: 2, ms: 50});
