--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -237,6 +237,20 @@
 	});
 
 	describe('taking over', () => {
+		it('leaves the executor ready for orders at once', async t => {
+			const bench = await open(t);
+			t.true(await bench.upstream.isReachable());
+			const second = createLeasedUpstream({
+				clock: bench.clock, executor: bench.executor, firstToken: 20, maxLeaseMs: 1000, log: noLog, lifeChanged: () => undefined, observe: () => undefined, unreachable: () => undefined, takePause: () => 0,
+			});
+			t.teardown(async () => second.close());
+			const taken = second.takeOver();
+			await bench.upstream.close();
+			await bench.pass(3);
+			await taken;
+			t.true(await second.isReachable());
+		});
+
 		it('stops what an earlier agent left and uses a higher token than it', async t => {
 			const bench = await open(t, 5000);
 			bench.start('a');
