--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -11,7 +11,8 @@
 } from '../../src/generated/kingcuplane.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {createSystemClock} from '../../src/process/clock.js';
-import {createHome, type Home} from '../../src/request/home.js';
+import {createHome} from '../../src/request/home.js';
+import type {Home} from '../../src/request/home-types.js';
 import {createTicketIssuer, type TicketIssuer} from '../../src/request/ticket.js';
 import type {FateRecorder} from '../../src/request/types.js';
 import {encodeSnapshot, decodeSnapshot} from '../../src/version/snapshot-codec.js';
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -9,7 +9,7 @@
 import {z} from 'zod';
 import type {Milliseconds} from '../process/clock.js';
 import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
-import type {Entry} from '../process/entry.js';
+import type {Entry} from '../process/entry-types.js';
 import {readJson} from '../process/json.js';
 import type {Log} from '../process/log.js';
 import type {JobHandle} from '../request/job-record.js';
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -3,7 +3,8 @@
  * gets an agent of its own, so that what was told of an earlier life never counts for a later one.
  */
 import {Hono} from 'hono';
-import {createAgent, type Agent} from '../process/agent.js';
+import {createAgent} from '../process/agent.js';
+import type {Agent} from '../process/agent-types.js';
 import {createSystemClock, type Milliseconds} from '../process/clock.js';
 import {readEntryAddresses} from '../process/entry-directory.js';
 import {createIncarnation} from '../process/incarnation.js';
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -4,71 +4,17 @@
  */
 import {createCreditGranter} from '../connection/credit-granter.js';
 import {createEntrySessions, type RunEnd} from '../connection/entry-sessions.js';
-import {createAgentLink, type AgentLink, type LinkConnection} from '../connection/link-client.js';
-import {relaxedTiming, type LinkTiming} from '../connection/link-timing.js';
+import {createAgentLink, type AgentLink} from '../connection/link-client.js';
+import {relaxedTiming} from '../connection/link-timing.js';
 import {createRoomKeeper} from '../connection/room-keeper.js';
 import type {AgentFacts, CreditGranter} from '../connection/types.js';
 import {
-	RefusalReason, Soundness as SoundnessState, TaskOutcome, type AgentState, type ConfigUpdate, type EntryAddress, type Resources, type TaskStart,
+	RefusalReason, Soundness as SoundnessState, TaskOutcome, type AgentState, type ConfigUpdate, type EntryAddress, type TaskStart,
 } from '../generated/kingcuplane.js';
-import type {UpstreamCaller} from '../request/upstream-call.js';
 import {formatAddress} from './address.js';
-import {
-	every, sleep, type Clock, type Milliseconds,
-} from './clock.js';
-import type {Log} from './log.js';
-import type {Metrics} from './metrics.js';
-import type {PauseWatch} from './pause-watch.js';
-import type {AgentSettings} from './settings.js';
+import {every, sleep, type Milliseconds} from './clock.js';
 import {createSoundness} from './soundness.js';
-
-/** Effects of the agent. */
-export type AgentHost = {
-	readonly clock: Clock;
-	readonly settings: AgentSettings;
-	/** Unique over all processes and restarts. */
-	readonly incarnation: string;
-	readonly upstream: UpstreamCaller;
-	readonly log: Log;
-	readonly metrics: Metrics;
-	readonly timing?: LinkTiming;
-	/** Notices that this process stood still; undefined if nothing is to follow from that. */
-	readonly pauses?: PauseWatch;
-	/** Bounds the upstream by its room instead of its slots. */
-	readonly room?: Resources;
-	readonly labels?: readonly string[];
-	/** A number in [0, 1), for jitter. */
-	random(): number;
-	/** Addresses ("IP:port") of the entries in the platform's directory; undefined if it cannot be read. */
-	readDirectory(): Promise<readonly string[] | undefined>;
-	/** Runs an action at the end of this turn of the event loop. */
-	defer(action: () => void): void;
-	/** Prepares streams to "IP:port"; over gRPC if undefined. */
-	connect?(address: string): LinkConnection;
-};
-
-/** A running agent. */
-export type Agent = {
-	/** Refuses new work, waits for the running tasks and for the acknowledgement of their results. */
-	drain(): Promise<DrainReport>;
-	/** Whether the upstream itself leaves: while it does, starts are refused. */
-	setLeaving(isLeaving: boolean): void;
-	/** Run times over the declared ones that the present runs are heading for. */
-	observe(projections: readonly number[]): void;
-	/** Stops every run, as after a pause in which entries may have given this agent up. */
-	stopRuns(): void;
-	/** The upstream may be unreachable: nothing is started there until it answers. */
-	checkUpstream(): void;
-	stop(): void;
-};
-
-/** What a drain left behind; all zero after a whole one. */
-export type DrainReport = {
-	readonly running: number;
-	readonly unacknowledged: number;
-	/** Credits with which entries may still have sent starts. */
-	readonly outstanding: number;
-};
+import type {AgentHost, Agent, DrainReport} from './agent-types.js';
 
 /** Weight of the newest run time in the mean. */
 const meanWeight = 0.1;
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -2,108 +2,34 @@
  * The entry: the process that callers and operators reach over HTTP. It issues tickets, is the home of the
  * submissions sent under them, and leads every other request to its home.
  */
-import type {Hono} from 'hono';
-import type {Result} from 'neverthrow';
 import {createHeldQueries, recoverAnswer} from '../connection/held-queries.js';
 import {createLinkHub} from '../connection/link-server.js';
-import {relaxedTiming, type LinkTiming} from '../connection/link-timing.js';
+import {relaxedTiming} from '../connection/link-timing.js';
 import {createPeerHub} from '../connection/peer-hub.js';
 import {createQuotaShares, shareIntervalMs} from '../connection/quota-shares.js';
+import type {AgentFacts} from '../connection/types.js';
 import type {
-	AgentFacts, Scheduler, SchedulerHost, TeamQuota,
-} from '../connection/types.js';
-import type {
-	ConfigUpdate, EntryAddress, LinkServer, PeerServer, PeerState, RelayReply,
+	ConfigUpdate, EntryAddress, PeerState, RelayReply,
 } from '../generated/kingcuplane.js';
 import {toFateReportJson} from '../request/fate-json.js';
 import {createFateLookup} from '../request/fate-lookup.js';
-import {createHome, type Decision, type Home} from '../request/home.js';
+import {createHome} from '../request/home.js';
+import type {Decision} from '../request/home-types.js';
 import type {JobHandle} from '../request/job-record.js';
-import {createRouter, type FoundFate, type Principal} from '../request/router.js';
+import {createRouter, type FoundFate} from '../request/router.js';
 import {createSettlements} from '../request/settlement.js';
 import {createTicketIssuer} from '../request/ticket.js';
-import type {Answer, FateRecorder, Ticket} from '../request/types.js';
-import type {VersionFollower} from '../version/follower.js';
+import type {Answer, Ticket} from '../request/types.js';
 import type {Snapshot} from '../version/types.js';
 import {formatAddress} from './address.js';
 import {
-	every, sleep, type Clock, type Milliseconds, type Timer,
+	every, sleep, type Milliseconds, type Timer,
 } from './clock.js';
-import type {Diagnostic} from './diagnostics.js';
 import {createEntryDirectory} from './entry-directory.js';
 import {createHttpApi} from './http-api.js';
-import type {Log} from './log.js';
-import type {Metrics} from './metrics.js';
-import type {PauseWatch} from './pause-watch.js';
-import type {Platform} from './platform/types.js';
-import type {EntrySettings} from './settings.js';
-
-/** Effects and parts of an entry. */
-export type EntryHost = {
-	readonly clock: Clock;
-	readonly settings: EntrySettings;
-	/** Unique over all processes and restarts. */
-	readonly incarnation: string;
-	readonly platform: Platform;
-	readonly follower: VersionFollower;
-	readonly fates: FateRecorder;
-	/** Key of the hash in tickets. */
-	readonly ticketKey: Uint8Array;
-	readonly log: Log;
-	readonly metrics: Metrics;
-	readonly timing?: LinkTiming;
-	/** Notices that this process stood still; undefined if nothing is to follow from that. */
-	readonly pauses?: PauseWatch;
-	/** Time after a request to stop during which work is still taken, until the balancer has turned away. */
-	readonly drainNoticeMs?: Milliseconds;
-	/** Bounds the tasks of each team; by shares that entries settle among themselves if undefined. */
-	readonly quota?: TeamQuota;
-	authenticate(token: string): Result<Principal, Diagnostic>;
-	/** Whether tokens can be checked. */
-	areTokensKnown(): boolean;
-	/** Another entry has declared this one dead. */
-	declaredDead(): void;
-	/** Runs an action at the end of this turn of the event loop. */
-	defer(action: () => void): void;
-	/** Chooses where tasks run; by credits if undefined. */
-	createScheduler?(host: SchedulerHost): Scheduler;
-};
-
-/** A running entry. */
-export type Entry = {
-	/** The home of what this entry takes itself. */
-	readonly home: Home;
-	readonly http: Hono<{Variables: {principal: Principal}}>;
-	readonly links: LinkServer;
-	readonly peers: PeerServer;
-	/** A ticket for a submission that arrives over another interface. */
-	issueTicket(owner: string): Ticket;
-	/** Whether it was asked to stop, so that callers had better turn to others. */
-	isLeaving(): boolean;
-	/** Time until open jobs are given up because this process stops; infinite while it was not asked to. */
-	getTimeLeft(): Milliseconds;
-	/** Links to agents and other entries that are open. */
-	getLinked(): number;
-	/** Refuses new work and waits until every job has its answer. */
-	drain(): Promise<DrainReport>;
-	/** Gives up the lease and closes all streams. */
-	stop(): Promise<void>;
-};
-
-/** What a drain left behind; zero after a whole one. */
-export type DrainReport = {
-	readonly openJobs: number;
-};
-
-/** One process in the status report. */
-export type ProcessStatus = {
-	readonly role: 'entry' | 'agent';
-	readonly name: string;
-	readonly incarnation: string;
-	/** Configuration version in force there, as last told. */
-	readonly version: number;
-	readonly isReady: boolean;
-};
+import type {
+	EntryHost, Entry, DrainReport, ProcessStatus,
+} from './entry-types.js';
 
 /** Operation of a request between entries for the configuration in force. */
 const snapshotOperation = 'snapshot';
--- a/src/process/run-entry.ts
+++ b/src/process/run-entry.ts
@@ -15,7 +15,8 @@
 } from './clock.js';
 import {assertNever} from './debug.js';
 import {formatDiagnostic} from './diagnostics.js';
-import {createEntry, type Entry, type EntryHost} from './entry.js';
+import {createEntry} from './entry.js';
+import type {Entry, EntryHost} from './entry-types.js';
 import {closeHttp, listenHttp} from './http-listen.js';
 import {createLog, type Log} from './log.js';
 import {createLogStream} from './log-stream.js';
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -3,133 +3,26 @@
  * It accepts or refuses them, starts their tasks through the scheduler, assembles their answers and
  * records what became of them. No I/O: messages leave through the host.
  */
-import {
-	createAgentSessions, type AgentSessions, type SentEnd, type SentStart,
-} from '../connection/agent-sessions.js';
-import type {
-	QueuedJob, QueuedTask, Scheduler, SchedulerHost, TeamQuota,
-} from '../connection/types.js';
-import type {TaskResult, TaskStart, TaskStop} from '../generated/kingcuplane.js';
-import type {Clock, Milliseconds, Timer} from '../process/clock.js';
+import {createAgentSessions, type SentEnd, type SentStart} from '../connection/agent-sessions.js';
+import type {QueuedJob, QueuedTask} from '../connection/types.js';
+import type {TaskResult, TaskStop} from '../generated/kingcuplane.js';
+import type {Milliseconds, Timer} from '../process/clock.js';
 import {checkDefined} from '../process/debug.js';
-import {createDiagnostic, type Diagnostic, Diagnostics} from '../process/diagnostics.js';
-import type {Snapshot} from '../version/types.js';
+import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
 import {describeEnd, toAttemptEnd, toOutcome} from './attempt-end.js';
 import type {JobFailure} from './job.js';
 import {createJobRecord, type JobHandle, type JobRecord} from './job-record.js';
 import {createRetryBudget, type RetryBudget} from './retry-budget.js';
 import {isFeasible} from './room-queue.js';
+import {getRunKey, type OpenJob} from './open-job.js';
 import {createScheduler} from './scheduler.js';
 import {
 	applyRules, findRules, toFailure, toQueuedJob, type Caller, type JobRules, type SubmissionRequest,
 } from './submission-rules.js';
-import type {TicketIssuer} from './ticket.js';
-import type {Answer, FateRecorder} from './types.js';
-
-/** Effects and surroundings of the home. */
-export type HomeHost = {
-	readonly clock: Clock;
-	/** Name of the entry. */
-	readonly entry: string;
-	readonly issuer: TicketIssuer;
-	readonly fates: FateRecorder;
-	readonly quota: TeamQuota;
-	/** Whether an agent that comes back as another incarnation vouches that its earlier runs are over. */
-	readonly endsEarlierLives?: boolean;
-	/** How long an agent may stay away after its link was closed before its starts are given up. */
-	readonly agentGraceMs: Milliseconds;
-	/** The same after its link went silent; as `agentGraceMs` if undefined. */
-	readonly silentGraceMs?: Milliseconds;
-	/** How long the payloads of an answer are kept. */
-	readonly answerKeepMs: Milliseconds;
-	readonly maxTasks: number;
-	/** Chooses where tasks run; by credits if undefined. */
-	createScheduler?(host: SchedulerHost): Scheduler;
-	/** The configuration in force. */
-	tryGetSnapshot(): Snapshot | undefined;
-	isDraining(): boolean;
-	/** Puts a start on the link of an agent. */
-	send(agent: string, start: TaskStart): void;
-	/** Asks an agent to end a run whose answer nobody waits for. */
-	stop(agent: string, stop: TaskStop): void;
-	/** Wanted or returned credits are to be told to this agent. */
-	changed(agent: string): void;
-	/** A result of this agent was handled. */
-	acknowledge(agent: string): void;
-	/** A decision about a submission, for the log. */
-	decided?(decision: Decision): void;
-	/** A submission has its final answer, `elapsed` after it was taken. */
-	answered(job: JobHandle, answer: Answer, elapsed: Milliseconds): void;
-};
-
-/** A decision about a submission and what it was based on. Source: the home. */
-export type Decision = {
-	readonly ticket: string;
-	/** The caller's own name for the submission. */
-	readonly reference: string;
-	readonly fact:
-		| {readonly kind: 'taken'; readonly submission: string; readonly tasks: number; readonly expectedRun: Milliseconds; readonly timeLeft: Milliseconds; readonly configVersion: number}
-		| {
-			readonly kind: 'started'; readonly index: number; readonly attempt: number; readonly agent: string; readonly upstream: string;
-			/** Time since the submission was taken. */
-			readonly waited: Milliseconds;
-			/** Age of the news of free room that led to this agent; undefined if a credit did. */
-			readonly newsAge: Milliseconds | undefined;
-		}
-		| {
-			readonly kind: 'ended'; readonly index: number; readonly attempt: number; readonly agent: string; readonly upstream: string;
-			readonly outcome: string; readonly detail: string;
-			/** What follows for the task. */
-			readonly next: string;
-		};
-};
-
-/** How the home takes a request. */
-export type SubmitOutcome =
-	/** The answer follows, or stands already for a repeated request. */
-	| {readonly kind: 'taken'; readonly job: JobHandle}
-	/** The ticket was used before and its answer is no longer in memory; the record tells. */
-	| {readonly kind: 'forgotten'}
-	/** The ticket's lifetime is over: it starts nothing any more. If it was used, there is a record. */
-	| {readonly kind: 'expired'}
-	/** The request cannot be served under this ticket; nothing was started or changed. */
-	| {readonly kind: 'invalid'; readonly diagnostic: Diagnostic};
-
-/** The home of one entry incarnation. */
-export type Home = {
-	readonly sessions: AgentSessions;
-	readonly scheduler: Scheduler;
-	submit(caller: Caller, req: SubmissionRequest): SubmitOutcome;
-	tryGetJob(ticket: string): JobHandle | undefined;
-	/** Ends a job that has no answer yet; waiting tasks are never started. */
-	cancel(ticket: string, by: string): void;
-	/** Applies the rules of a version to the scheduler. */
-	applySnapshot(snapshot: Snapshot): void;
-	/** Jobs without an answer. */
-	getOpenJobs(): number;
-};
-
-/** What an accepted job needs until its answer stands. */
-type OpenJob = {
-	readonly record: JobRecord;
-	readonly queued: QueuedJob;
-	readonly request: SubmissionRequest;
-	readonly rules: JobRules;
-	readonly configVersion: number;
-	hasQuota: boolean;
-	timer?: Timer;
-	/** Starts whose end is awaited, by number of the start at its agent. */
-	readonly sent: Map<string, SentRun>;
-	/** Runs that have failed, by index of the task. */
-	readonly failures: Map<number, number>;
-	/** Agents on which a run failed or was ended early, by index of the task. */
-	readonly avoided: Map<number, string[]>;
-};
-
-type SentRun = {
-	readonly agent: string;
-	readonly stop: TaskStop;
-};
+import type {Answer} from './types.js';
+import type {
+	HomeHost, Decision, SubmitOutcome, Home,
+} from './home-types.js';
 
 const fateRetryMs = 5000;
 const drainRetryMs = 100;
@@ -488,7 +381,3 @@
 		return budget;
 	}
 }
-
-function getRunKey({index, attempt}: {readonly index: number; readonly attempt: number}): string {
-	return `${index}.${attempt}`;
-}
--- /dev/null
+++ b/src/request/open-job.ts
@@ -0,0 +1,36 @@
+/**
+ * What a home keeps of an accepted job until its answer stands.
+ */
+import type {QueuedJob} from '../connection/types.js';
+import type {TaskStop} from '../generated/kingcuplane.js';
+import type {Timer} from '../process/clock.js';
+import type {JobRecord} from './job-record.js';
+import type {JobRules, SubmissionRequest} from './submission-rules.js';
+
+/** What an accepted job needs until its answer stands. */
+export type OpenJob = {
+	readonly record: JobRecord;
+	readonly queued: QueuedJob;
+	readonly request: SubmissionRequest;
+	readonly rules: JobRules;
+	readonly configVersion: number;
+	hasQuota: boolean;
+	timer?: Timer;
+	/** Starts whose end is awaited, by number of the start at its agent. */
+	readonly sent: Map<string, SentRun>;
+	/** Runs that have failed, by index of the task. */
+	readonly failures: Map<number, number>;
+	/** Agents on which a run failed or was ended early, by index of the task. */
+	readonly avoided: Map<number, string[]>;
+};
+
+/** A start whose end is awaited, and the order that stops it. */
+export type SentRun = {
+	readonly agent: string;
+	readonly stop: TaskStop;
+};
+
+/** Names one attempt at one task of a job. */
+export function getRunKey({index, attempt}: {readonly index: number; readonly attempt: number}): string {
+	return `${index}.${attempt}`;
+}
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -12,7 +12,7 @@
 import {assertNever} from '../process/debug.js';
 import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
 import type {EntryDirectory, EntryStatus} from '../process/entry-directory.js';
-import type {Home} from './home.js';
+import type {Home} from './home-types.js';
 import type {JobHandle} from './job-record.js';
 import {
 	fromRelayReply, homeUnreachable, toAnswerReply, toFateReply, toRelayReply, toReply, toSettledReply, type AnswerBody, type Reply,
--- a/test/failure/agent.ts
+++ b/test/failure/agent.ts
@@ -3,7 +3,8 @@
  */
 import Logger from 'bunyan';
 import {z} from 'zod';
-import {createAgent, type Agent} from '../../src/process/agent.js';
+import {createAgent} from '../../src/process/agent.js';
+import type {Agent} from '../../src/process/agent-types.js';
 import {readAgentSettings} from '../../src/process/settings.js';
 import {noMetrics} from '../../src/process/metrics.js';
 import {slotsPerUpstream} from './config.js';
--- a/test/process/agent.test.ts
+++ b/test/process/agent.test.ts
@@ -1,6 +1,7 @@
 import {relaxedTiming} from '../../src/connection/link-timing.js';
 import type {AgentBatch, EntryBatch} from '../../src/generated/kingcuplane.js';
-import {createAgent, type Agent} from '../../src/process/agent.js';
+import {createAgent} from '../../src/process/agent.js';
+import type {Agent} from '../../src/process/agent-types.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {noMetrics} from '../../src/process/metrics.js';
 import {describe, it} from '../describe.js';
