--- a/src/platform/executor-client.ts
+++ b/src/platform/executor-client.ts
@@ -2,6 +2,7 @@
  * Orders to one life of an executor over the platform's HTTP interface.
  */
 import {Pool} from 'undici';
+import VError from 'verror';
 import {z} from 'zod';
 import type {Milliseconds} from '../process/clock.js';
 import {readJson} from '../process/json.js';
@@ -69,7 +70,7 @@
 			});
 			return {status: res.statusCode, text: await res.body.text()};
 		} catch (err) {
-			return err instanceof Error ? err : new Error(String(err));
+			return new VError(err instanceof Error ? err : new Error(String(err)), 'POST %s to executor %s', path, id);
 		}
 	}
 }
