--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -53,8 +53,6 @@
 	open(entry: string): AgentHello;
 	/** The link was cut. Running tasks go on, or are stopped if the entry stays away for the host's `abandonMs`. */
 	close(entry: string): void;
-	/** Stops every run, as after a pause in which entries may have given this agent up. */
-	stopAll(): void;
 	receive(entry: string, batch: EntryBatch): void;
 	/** What has not been sent on the open link yet; counts as sent from now on. */
 	takeDue(entry: string): DueForEntry;
@@ -126,11 +124,6 @@
 				planAbandon(record);
 			}
 		},
-		stopAll() {
-			for (const record of records.values()) {
-				stopRuns(record);
-			}
-		},
 		receive,
 		takeDue(entry) {
 			const record = records.get(entry);
--- a/src/process/agent-types.ts
+++ b/src/process/agent-types.ts
@@ -44,8 +44,6 @@
 	setLeaving(isLeaving: boolean): void;
 	/** Run times over the declared ones that the present runs are heading for. */
 	observe(projections: readonly number[]): void;
-	/** Stops every run, as after a pause in which entries may have given this agent up. */
-	stopRuns(): void;
 	/** The upstream may be unreachable: nothing is started there until it answers. */
 	checkUpstream(): void;
 	stop(): void;
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -84,7 +84,6 @@
 			soundness.observe(projections);
 			noteSoundness();
 		},
-		stopRuns: sessions.stopAll,
 		checkUpstream() {
 			void probe();
 		},
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -44,7 +44,6 @@
 	takeOver(): Promise<void>;
 	/** The executor's life is over: all its runs are, too. */
 	endAll(detail: string): void;
-	isIdle(): boolean;
 };
 
 type Run = {
@@ -133,7 +132,6 @@
 				end(run, TaskOutcome.TASK_OUTCOME_ABORTED, detail);
 			}
 		},
-		isIdle: () => runs.size === 0,
 		isReachable: async () => watch.isReachable() && clock.now() >= unavailableUntil,
 		async close() {
 			watch.close();
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -10,7 +10,7 @@
 import {checkDefined} from '../process/debug.js';
 import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
 import {describeEnd, toAttemptEnd, toOutcome} from './attempt-end.js';
-import type {JobFailure} from './job.js';
+import type {AttemptEnd, JobFailure} from './job.js';
 import {createJobRecord, type JobHandle, type JobRecord} from './job-record.js';
 import {createRetryBudget, type RetryBudget} from './retry-budget.js';
 import {isFeasible} from './room-queue.js';
@@ -45,7 +45,7 @@
 		hopeless(ticket) {
 			const entry = open.get(ticket);
 			if (entry !== undefined) {
-				failJob(entry, {diagnostic: createDiagnostic(Diagnostics.Deadline_has_become_out_of_reach, entry.queued.deadlineAt - entry.queued.arrivedAt), retryAfter: overloadRetryMs});
+				failJob(entry, createHopelessFailure(entry));
 			}
 		},
 	});
@@ -273,11 +273,7 @@
 		}
 
 		entry.sent.delete(getRunKey(start));
-		const attemptEnd = toAttemptEnd(start, end, {
-			tryRetryUnknown: () => canRestart(entry) || tryRetry(entry),
-			tryRetryAborted: () => canRestart(entry),
-			tryRetryFailed: () => canRestart(entry) && noteFailure(entry, start),
-		});
+		const attemptEnd = judgeEnd(entry, start, end);
 		entry.record.job.markEnded(start.index, start.attempt, attemptEnd);
 		if (attemptEnd.kind !== 'completed') {
 			decide(entry, {
@@ -298,6 +294,20 @@
 		}
 	}
 
+	function judgeEnd(entry: OpenJob, start: SentStart, end: SentEnd): AttemptEnd {
+		let isLastFailure = true;
+		const judged = toAttemptEnd(start, end, {
+			tryRetryUnknown: () => canRestart(entry) || tryRetry(entry),
+			tryRetryAborted: () => canRestart(entry),
+			tryRetryFailed() {
+				isLastFailure = entry.request.attempts === undefined || !noteFailure(entry, start);
+				return !isLastFailure && canRestart(entry);
+			},
+		});
+		// Further runs were allowed, so its failure says nothing about the job: there is no time for them.
+		return judged.kind === 'failed' && !isLastFailure ? {kind: 'failed', failure: createHopelessFailure(entry)} : judged;
+	}
+
 	// The last run is over for certain by then: its end was listed, or its lease has run out.
 	function canRestart(entry: OpenJob): boolean {
 		return entry.request.attempts !== undefined && isFeasible(entry.queued, host.clock.now());
@@ -381,3 +391,7 @@
 		return budget;
 	}
 }
+
+function createHopelessFailure({queued}: OpenJob): JobFailure {
+	return {diagnostic: createDiagnostic(Diagnostics.Deadline_has_become_out_of_reach, queued.deadlineAt - queued.arrivedAt), retryAfter: overloadRetryMs};
+}
--- /dev/null
+++ b/test/request/home.test.ts
@@ -0,0 +1,155 @@
+import {createSnapshot} from '../../src/version/snapshot.js';
+import {RefusalReason, TaskOutcome, type TaskStart} from '../../src/generated/kingcuplane.js';
+import type {Milliseconds} from '../../src/process/clock.js';
+import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
+import {createMemoryPlatform} from '../../src/process/platform/memory.js';
+import {createHome} from '../../src/request/home.js';
+import type {Home} from '../../src/request/home-types.js';
+import type {JobHandle} from '../../src/request/job-record.js';
+import {createRoomScheduler} from '../../src/request/room-scheduler.js';
+import {createTicketIssuer} from '../../src/request/ticket.js';
+import type {ConfigObject} from '../../src/version/types.js';
+import {describe, it} from '../describe.js';
+import {createFates} from '../failure/fates.js';
+
+const objects: readonly ConfigObject[] = [
+	{
+		kind: 'team', name: 't', maxTasks: 100, weight: 1,
+	},
+	{
+		kind: 'policy', name: 'p', placement: 'response', maxQueuedTasks: 100, taskTimeout: 1000, deadline: 60_000, retryPercent: 0, recordBeforeStart: false,
+	},
+	{
+		kind: 'service', name: 's', policy: 'p', maxTasksPerJob: 10, maxPayload: 10,
+	},
+	{
+		kind: 'submission', name: 'check', service: 's', team: 't', idempotent: false, deadline: 60_000, expectedRun: 1,
+	},
+];
+
+type Bench = {
+	readonly clock: FakeClock;
+	readonly home: Home;
+	readonly starts: TaskStart[];
+	readonly stops: number[];
+	submit(tasks: number, expectedRun: Milliseconds, attempts: number): JobHandle;
+	end(start: TaskStart, outcome: TaskOutcome): void;
+};
+
+function createBench(): Bench {
+	const clock = createFakeClock(1000);
+	const incarnation = 'e1';
+	const issuer = createTicketIssuer({
+		clock, incarnation, key: new Uint8Array(32), blockMs: 1000, lifetimeMs: 60_000,
+	});
+	const starts: TaskStart[] = [];
+	const stops: number[] = [];
+	const snapshot = createSnapshot(1, objects);
+	let results = 0;
+	const home = createHome({
+		clock,
+		entry: 'e',
+		issuer,
+		fates: createFates(clock, incarnation, createMemoryPlatform({clock}).objects).recorder,
+		quota: {
+			take(_team, _tasks, done) {
+				done(true);
+			},
+			release: () => undefined,
+		},
+		createScheduler: host => createRoomScheduler({...host, random: () => 0, settleMs: 0}),
+		agentGraceMs: 600,
+		answerKeepMs: 1000,
+		maxTasks: 100,
+		tryGetSnapshot: () => snapshot,
+		isDraining: () => false,
+		send(_agent, start) {
+			starts.push(start);
+		},
+		stop(_agent, {startSeq}) {
+			stops.push(startSeq);
+		},
+		changed: () => undefined,
+		acknowledge: () => undefined,
+		answered: () => undefined,
+	});
+	home.applySnapshot(snapshot);
+	const room = {cpu: 8000, memory: 1000, accelerators: 0};
+	const session = home.sessions.open({
+		agent: 'a', incarnation: 'a1', upstream: 'u', service: 's', dataCentre: 'd', rack: '', slots: 1, entryIncarnation: incarnation, lastStartSeq: 0, lastResultSeq: 0, room, labels: [],
+	});
+	session.receiveState({
+		draining: false, running: 0, slots: 1, meanRunMs: 0, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: room, receivedStarts: 0, soundness: 0,
+	});
+	return {
+		clock,
+		home,
+		starts,
+		stops,
+		submit(tasks, expectedRun, attempts) {
+			const [ticket] = issuer.issue('c', 1);
+			const outcome = home.submit({name: 'c', team: 't'}, {
+				ticket: ticket!,
+				submission: 'check',
+				reference: 'r',
+				deadlineMs: 1000,
+				payloads: Array.from({length: tasks}, () => new Uint8Array()),
+				isRequest: false,
+				digest: 'd',
+				expectedRun,
+				need: {resources: {cpu: 1000, memory: 1, accelerators: 0}},
+				objective: {stretch: 1.6, margin: 60},
+				attempts,
+			});
+			if (outcome.kind !== 'taken') {
+				throw new Error(outcome.kind);
+			}
+
+			return outcome.job;
+		},
+		end(start, outcome) {
+			results++;
+			session.receiveResult({
+				task: start.task, seq: results, attempt: start.attempt, outcome, reason: RefusalReason.REFUSAL_REASON_UNSPECIFIED, payload: new Uint8Array(), runMs: 1, detail: 'x', startSeq: start.seq,
+			});
+		},
+	};
+}
+
+describe('home of jobs that may be started again', () => {
+	it('fails a job only after as many failed runs of one task as it allows', t => {
+		const {starts, submit, end} = createBench();
+		const job = submit(2, 100, 3);
+		end(starts[0]!, TaskOutcome.TASK_OUTCOME_FAILED);
+		end(starts[1]!, TaskOutcome.TASK_OUTCOME_FAILED);
+		end(starts[2]!, TaskOutcome.TASK_OUTCOME_FAILED);
+		t.is(job.tryGetAnswer(), undefined);
+		end(starts[4]!, TaskOutcome.TASK_OUTCOME_FAILED);
+		t.is(job.tryGetAnswer()?.diagnostic?.kind, 'TaskFailed');
+	});
+
+	it('does not tell a job as failed by its runs when only its time has run out', t => {
+		const {clock, starts, submit, end} = createBench();
+		const job = submit(1, 500, 3);
+		clock.advance(800);
+		end(starts[0]!, TaskOutcome.TASK_OUTCOME_FAILED);
+		t.is(job.tryGetAnswer()?.diagnostic?.kind, 'DeadlineOutOfReach');
+		t.is(job.tryGetAnswer()?.ran, 'ran');
+	});
+
+	it('starts a task again whose run was ended early, without counting it', t => {
+		const {starts, submit, end} = createBench();
+		const job = submit(1, 100, 1);
+		end(starts[0]!, TaskOutcome.TASK_OUTCOME_ABORTED);
+		t.is(starts.length, 2);
+		end(starts[1]!, TaskOutcome.TASK_OUTCOME_COMPLETED);
+		t.is(job.tryGetAnswer()?.state, 'complete');
+	});
+
+	it('stops what still runs of a job that is cancelled', t => {
+		const {home, starts, stops, submit} = createBench();
+		const job = submit(3, 100, 1);
+		home.cancel(job.ticket.text, 'its client');
+		t.deepEqual(stops, starts.map(({seq}) => seq));
+	});
+});
