--- a/src/platform/timing.ts
+++ b/src/platform/timing.ts
@@ -21,7 +21,7 @@
  * Part of the time until it has to be gone during which an entry that stops still takes work that it can finish. Clients
  * whose connections stay open go on sending after the balancer has turned away.
  */
-export const drainNoticeShare = 0.8;
+export const drainNoticeShare = 0.95;
 
 /** Time left of the grace for closing connections and the last records. */
 export const closingMs: Milliseconds = 700;
