Let an ended agent hear of no more pauses

Cause, found by reading: each life of an executor has an agent of its own, and each left its listener behind, which opened a client for every link of the dead agent at each pause. After: the new test of the pause watch passes; the agent leaves when it is stopped.

--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -70,7 +70,7 @@
 			void discover();
 		}),
 	];
-	host.pauses?.onPause(resetLinks);
+	const forgetPauses = host.pauses?.onPause(resetLinks);
 	void discover();
 	void probe();
 
@@ -88,6 +88,7 @@
 			void probe();
 		},
 		stop() {
+			forgetPauses?.();
 			for (const timer of timers) {
 				timer.cancel();
 			}
--- a/src/process/pause-watch.ts
+++ b/src/process/pause-watch.ts
@@ -8,8 +8,8 @@
 export type PauseWatch = {
 	/** Looks now, as before news is read that may have waited through a pause. */
 	check(): void;
-	/** Calls `action` with the length of each pause, as soon as it is noticed. */
-	onPause(action: (pause: Milliseconds) => void): void;
+	/** Calls `action` with the length of each pause, as soon as it is noticed; gives a function that ends this. */
+	onPause(action: (pause: Milliseconds) => void): () => void;
 	stop(): void;
 };
 
@@ -19,7 +19,7 @@
 
 /** Creates a watch; it also looks by itself, so that a pause is noticed although nobody asks. */
 export function createPauseWatch(clock: Clock): PauseWatch {
-	const listeners: Array<(pause: Milliseconds) => void> = [];
+	const listeners = new Set<(pause: Milliseconds) => void>();
 	let seenAt = clock.now();
 	let drift = clock.wall() - seenAt;
 	const timer = every(clock, tickMs, check);
@@ -27,7 +27,10 @@
 	return {
 		check,
 		onPause(action) {
-			listeners.push(action);
+			listeners.add(action);
+			return () => {
+				listeners.delete(action);
+			};
 		},
 		stop() {
 			timer.cancel();
--- a/test/process/pause-watch.test.ts
+++ b/test/process/pause-watch.test.ts
@@ -44,6 +44,20 @@
 		t.true(pauses[0]! >= 3900 && pauses[0]! <= 4000);
 	});
 
+	it('tells nothing to who has left', t => {
+		const clock = createFakeClock();
+		let frozen: Milliseconds = 0;
+		const watch = createPauseWatch({now: () => clock.now() + frozen, wall: () => clock.now() + frozen, after: clock.after});
+		let told = 0;
+		const leave = watch.onPause(() => {
+			told++;
+		});
+		leave();
+		frozen = 1000;
+		watch.check();
+		t.is(told, 0);
+	});
+
 	it('tells a pause that the steady clock did not count, but no step backwards', t => {
 		const {clock, pauses, step} = createBench();
 		clock.advance(1000);
