--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -62,7 +62,7 @@
 	isLeaving(): boolean;
 	/** Time until open jobs are given up because this process stops; infinite while it was not asked to. */
 	getTimeLeft(): Milliseconds;
-	/** Links to agents and other entries that are open. */
+	/** Links to agents that are open. */
 	getLinked(): number;
 	/** Refuses new work and waits until every job has its answer. */
 	drain(): Promise<DrainReport>;
