Finish begun jobs first under overload, and refuse early what cannot follow

Cause: entries started the job with the least slack. Under overload every job then ends just after its objective, and wide jobs are begun everywhere and finished nowhere. Agents told all waiting entries of free room, so up to two thirds of the starts were refused.

Change: begun jobs first, then the newest that can meet its objective. A job that is not begun is refused once its answer is of no use, or, behind a queue that stands for half a second, once its objective is out of reach. Agents tell one waiting entry in turn; entries ask 12 agents.

Also: reports of an entry in a module of their own, a log line for an unreadable job, no hash of each body.

--- a/dev/bench/bench.ts
+++ b/dev/bench/bench.ts
@@ -5,8 +5,12 @@
 import path from 'node:path';
 import process from 'node:process';
 import sade from 'sade';
+import {checkDefined} from '../../src/process/debug.js';
 import {formatReport} from './report.js';
 import {runScenario} from './run.js';
+import {formatSiteReport} from './site-report.js';
+import {runSite} from './site-run.js';
+import {createSiteScenarios, sites} from './sites.js';
 import {createMixedScenarios, createShapeScenarios, createSteadyScenarios} from './scenarios.js';
 import {placementNames, type Figures, type Scenario} from './types.js';
 
@@ -14,9 +18,14 @@
 	readonly seed: number;
 	readonly jobs: number;
 	readonly suite: string;
+	readonly site?: string;
+	readonly seconds: number;
 	readonly out: string;
 };
 
+/** Sites whose replay takes seconds. */
+const smallSites = ['baonhan', 'canopy'];
+
 const suites = {
 	steady: createSteadyScenarios,
 	mixed: createMixedScenarios,
@@ -27,12 +36,31 @@
 	.describe('Measure placement and order on a fake clock')
 	.option('--seed', 'Seed of the workload', 1)
 	.option('--jobs', 'Jobs in a scenario of single tasks', 30_000)
-	.option('--suite', 'steady, mixed, shapes or all', 'all')
+	.option('--suite', 'steady, mixed, shapes, sites or all', 'all')
+	.option('--site', 'Site of the suite sites; all small ones if left out')
+	.option('--seconds', 'Length of each run of the suite sites', 20)
 	.option('--out', 'Directory of the report', 'dist/bench')
 	.action(run)
 	.parse(process.argv);
 
 function run(options: Options): void {
+	if (options.suite === 'sites') {
+		runSites(options);
+	} else {
+		runPlacements(options);
+	}
+}
+
+function runSites({
+	seed, site, seconds, out,
+}: Options): void {
+	const names = site === undefined ? smallSites : [site];
+	const scenarios = names.flatMap(name => createSiteScenarios(checkDefined(sites[name], `${name} is a site`), seed, seconds * 1000));
+	const command = `npm run bench -- --suite sites${site === undefined ? '' : ` --site ${site}`} --seed ${seed} --seconds ${seconds}`;
+	write(out, 'sites', formatSiteReport(scenarios.map(scenario => runSite(scenario)), command));
+}
+
+function runPlacements(options: Options): void {
 	const figures: Figures[] = [];
 	for (const scenario of createScenarios(options)) {
 		for (const placement of placementNames) {
@@ -42,9 +70,13 @@
 
 	const command = `npm run bench -- --suite ${options.suite} --seed ${options.seed} --jobs ${options.jobs}`;
 	const report = formatReport(figures, command);
-	fs.mkdirSync(options.out, {recursive: true});
-	fs.writeFileSync(path.join(options.out, `${options.suite}.md`), report);
+	write(options.out, options.suite, report);
 	fs.writeFileSync(path.join(options.out, `${options.suite}.json`), `${JSON.stringify(figures, undefined, '\t')}\n`);
+}
+
+function write(folder: string, name: string, report: string): void {
+	fs.mkdirSync(folder, {recursive: true});
+	fs.writeFileSync(path.join(folder, `${name}.md`), report);
 	console.log(report);
 }
 
--- a/dev/bench/link.ts
+++ b/dev/bench/link.ts
@@ -16,6 +16,8 @@
 export type PipeHost<Batch> = {
 	readonly clock: Clock;
 	readonly latency: Milliseconds;
+	/** Time by which the next batch is later than that; batches stay in order. */
+	drawDelay?(): Milliseconds;
 	/** Everything that is due now. */
 	takeDue(): Batch;
 	receive(batch: Batch): void;
@@ -25,6 +27,7 @@
 export function createPipe<Batch>(host: PipeHost<Batch>): Pipe {
 	let isPlanned = false;
 	let isClosed = false;
+	let lastArrival = 0;
 
 	return {
 		touch() {
@@ -45,7 +48,9 @@
 		}
 
 		const batch = host.takeDue();
-		host.clock.after(host.latency, () => {
+		const now = host.clock.now();
+		lastArrival = Math.max(lastArrival, now + host.latency + (host.drawDelay?.() ?? 0));
+		host.clock.after(lastArrival - now, () => {
 			if (!isClosed) {
 				host.receive(batch);
 			}
--- a/src/connection/room-keeper.ts
+++ b/src/connection/room-keeper.ts
@@ -1,10 +1,13 @@
 /**
- * Bounds the runs of one upstream by its processors, memory and accelerators. Nothing is set aside for an entry
- * beforehand: the first start that fits takes its part, and entries with waiting tasks hear at once when room
- * becomes free. Answers the pattern of many entries with tasks of different size, where reserved parts of one
- * upstream would each be too small for a large task.
+ * Bounds the runs of one upstream by its processors, memory and accelerators. Nothing is set aside for an entry: the
+ * first start that fits takes its room. Answers the pattern of many entries with tasks of different size, where reserved
+ * parts of one upstream would each be too small for a large task.
+ *
+ * Room that becomes free while tasks wait is told to one entry at a time, in turn, and to the next one if nothing came
+ * of it. If all heard of it at once, all would send a start and all but one would be refused.
  */
 import type {Resources} from '../generated/kingcuplane.js';
+import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import {assert} from '../process/debug.js';
 import {
 	addResources, fits, noResources, subtractResources,
@@ -13,7 +16,8 @@
 
 /** Effects of the keeper. */
 export type RoomKeeperHost = {
-	/** This entry has waiting tasks, and room has become free. */
+	readonly clock: Clock;
+	/** This entry has waiting tasks and is to be told of free room. */
 	changed(entry: string): void;
 };
 
@@ -23,10 +27,24 @@
 	getFreeRoom(): Resources;
 };
 
+/** An entry with an open link. */
+type Waiter = {
+	readonly entry: string;
+	/** Waiting tasks, as last told. */
+	queued: number;
+	/** Runs while it was told of room and has not answered. */
+	answerTimer: Timer | undefined;
+	/** It was told and sent no start, so the room probably fits none of its tasks. */
+	hasDeclined: boolean;
+};
+
+/** Time in which a start follows: a few round trips between data centres (2 ms each) and a busy entry. */
+const answerMs: Milliseconds = 15;
+
 /** Creates the keeper of an upstream that has `room` in all. */
 export function createRoomKeeper(host: RoomKeeperHost, room: Resources): RoomKeeper {
-	/** Waiting tasks by entry, as last told. */
-	const waiting = new Map<string, number>();
+	/** In the order of their turns. */
+	const waiters = new Map<string, Waiter>();
 	let used = noResources;
 	let isUsable = true;
 	let isDraining = false;
@@ -34,35 +52,57 @@
 	return {
 		setSlots(slots) {
 			isUsable = slots > 0;
-			tellWaiting();
+			tellAnew();
 		},
 		setDraining(draining) {
 			isDraining = draining;
+			tellAnew();
 		},
 		open(entry) {
-			waiting.set(entry, 0);
+			waiters.set(entry, {
+				entry, queued: 0, answerTimer: undefined, hasDeclined: false,
+			});
 		},
 		close(entry) {
-			waiting.delete(entry);
+			const waiter = waiters.get(entry);
+			if (waiter !== undefined) {
+				endTurn(waiter);
+				waiters.delete(entry);
+				tellNext();
+			}
 		},
 		setQueued(entry, queued) {
-			if (waiting.has(entry)) {
-				waiting.set(entry, queued);
+			const waiter = waiters.get(entry);
+			if (waiter === undefined) {
+				return;
+			}
+
+			waiter.hasDeclined &&= waiter.queued > 0;
+			waiter.queued = queued;
+			if (queued === 0) {
+				endTurn(waiter);
 			}
+
+			tellNext();
 		},
 		setReturned: () => undefined,
-		tryUse(_entry, need = noResources) {
+		tryUse(entry, need = noResources) {
 			if (!fits(need, getFreeRoom())) {
 				return false;
 			}
 
 			used = addResources(used, need);
+			const waiter = waiters.get(entry);
+			if (waiter !== undefined) {
+				endTurn(waiter);
+			}
+
 			return true;
 		},
 		release(_entry, need = noResources) {
 			assert(fits(need, used), 'room is released once for each run');
 			used = subtractResources(used, need);
-			tellWaiting();
+			tellAnew();
 		},
 		getGranted: () => 0,
 		getOutstanding: () => 0,
@@ -74,11 +114,45 @@
 		return isUsable && !isDraining ? subtractResources(room, used) : noResources;
 	}
 
-	function tellWaiting(): void {
-		for (const [entry, queued] of waiting) {
-			if (queued > 0) {
-				host.changed(entry);
-			}
+	/** There is more room than before, so an entry that had no use for it may have one now. */
+	function tellAnew(): void {
+		for (const waiter of waiters.values()) {
+			waiter.hasDeclined = false;
 		}
+
+		tell(tryGetNext() ?? [...waiters.values()].find(waiter => isWaiting(waiter)));
 	}
+
+	function tellNext(): void {
+		tell(tryGetNext());
+	}
+
+	function tell(waiter: Waiter | undefined): void {
+		if (waiter === undefined || getFreeRoom().cpu <= 0) {
+			return;
+		}
+
+		waiter.answerTimer ??= host.clock.after(answerMs, () => {
+			waiter.hasDeclined = true;
+			endTurn(waiter);
+			tellNext();
+		});
+		waiters.delete(waiter.entry);
+		waiters.set(waiter.entry, waiter);
+		host.changed(waiter.entry);
+	}
+
+	/** The next entry in turn that is not to answer yet. */
+	function tryGetNext(): Waiter | undefined {
+		return [...waiters.values()].find(waiter => isWaiting(waiter) && waiter.answerTimer === undefined);
+	}
+
+	function endTurn(waiter: Waiter): void {
+		waiter.answerTimer?.cancel();
+		waiter.answerTimer = undefined;
+	}
+}
+
+function isWaiting(waiter: Waiter): boolean {
+	return waiter.queued > 0 && !waiter.hasDeclined;
 }
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -101,6 +101,9 @@
 	readonly size: Milliseconds;
 };
 
+/** Why a job is given up: it cannot be done by its deadline, or its objective has passed and none of it was begun. */
+export type HopelessReason = 'deadline' | 'objective';
+
 /** Effects of the scheduler. */
 export type SchedulerHost = {
 	readonly clock: Clock;
@@ -109,8 +112,8 @@
 	 * choice was based on, where it was based on news.
 	 */
 	start(agent: string, task: QueuedTask, newsAge?: Milliseconds): void;
-	/** A job with waiting tasks can no longer be done by its deadline. */
-	hopeless?(ticket: string): void;
+	/** It makes no sense to wait any longer for room for this job. */
+	hopeless?(ticket: string, reason: HopelessReason): void;
 	/** The queue length or the returned credits to be told to this agent have changed. */
 	changed(agent: string): void;
 };
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -3,7 +3,6 @@
  * a ticket of this entry, whose answer is the response.
  */
 import {Buffer} from 'node:buffer';
-import {createHash} from 'node:crypto';
 import {Hono, type Context} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
 import {z} from 'zod';
@@ -69,7 +68,6 @@
 	/** The client's name for the job. */
 	readonly name: string;
 	readonly body: WireJob;
-	readonly text: string;
 };
 
 /** Why a job is refused before it has run. */
@@ -164,9 +162,9 @@
 	}
 
 	async function submit(c: Context, route: Route, name: string): Promise<Response> {
-		const text = await c.req.text();
-		const body = readJson(wireJob, text);
+		const body = readJson(wireJob, await c.req.text());
 		if (body.isErr()) {
+			log.info({request: name, status: 400, reason: body.error}, 'unreadable job; it has not run');
 			return c.json({error: body.error}, 400);
 		}
 
@@ -179,9 +177,7 @@
 			return refuse(c, name, {status: 503, retryAfter: drainRetryMs, reason: 'this entry stops before the job could be done'});
 		}
 
-		return answer(c, name, open.get(name) ?? take(c, {
-			route, name, body: body.value, text,
-		}));
+		return answer(c, name, open.get(name) ?? take(c, {route, name, body: body.value}));
 	}
 
 	/** Whether this process stops before the job can be done. */
@@ -189,11 +185,11 @@
 		return body.steps[0]!['est-runtime-ms'] * estimateMargin > timeLeft;
 	}
 
-	function take(c: Context, {route, name, body, text}: ClientJob): OpenJob {
+	function take(c: Context, {route, name, body}: ClientJob): OpenJob {
 		const ticket = entry.issueTicket(caller.name);
 		const req = toRequest(body, route, name, Number(c.req.header('request-deadline')));
-		const digest = createHash('sha256').update(text).digest('base64');
-		const outcome = entry.home.submit(caller, {...req, ticket, digest});
+		// No second request can come under a ticket that its client never sees.
+		const outcome = entry.home.submit(caller, {...req, ticket, digest: ''});
 		if (outcome.kind !== 'taken') {
 			throw new Error(`a fresh ticket was not taken: ${outcome.kind}`);
 		}
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -42,7 +42,7 @@
 	let toldSoundness: SoundnessState = SoundnessState.SOUNDNESS_SOUND;
 	const soundness = createSoundness(clock);
 
-	const roomKeeper = host.room === undefined ? undefined : createRoomKeeper({changed: tellState}, host.room);
+	const roomKeeper = host.room === undefined ? undefined : createRoomKeeper({clock, changed: tellState}, host.room);
 	const granter: CreditGranter = roomKeeper ?? createCreditGranter({
 		clock,
 		changed(entry) {
--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -50,6 +50,7 @@
 	Fate_memory_is_full: row(1036, 'FateMemoryFull', 'The platform is unreachable and the memory for unsaved records is full.', 'Come back after the stated time; nothing was started.'),
 	Deadline_has_passed: row(1040, 'DeadlinePassed', 'The deadline of {0} ms passed.', 'See which tasks had started in the trail of this ticket.'),
 	Deadline_has_become_out_of_reach: row(1049, 'DeadlineOutOfReach', 'The job has waited for so long that its deadline of {0} ms cannot be met any more.', 'Come back after the stated time.'),
+	Objective_has_passed_while_waiting: row(1051, 'ObjectivePassedWaiting', 'The job has waited for room for so long that it cannot meet its objective any more, and none of it was begun.', 'Come back after the stated time.'),
 	Job_was_cancelled: row(1041, 'JobCancelled', 'The job was cancelled by {0}.', 'Submit again under a new ticket if it is still wanted.'),
 	Task_failed: row(1042, 'TaskFailed', 'Task {0} failed at {1}: {2}.', 'See the trail of this ticket.'),
 	Task_may_have_run: row(1043, 'TaskMayHaveRun', 'Task {0} was sent to {1}, and its end is not known: {2}.', 'Check with the back end before submitting again under a new ticket.'),
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -14,12 +14,10 @@
 import {toFateReportJson} from '../request/fate-json.js';
 import {createFateLookup} from '../request/fate-lookup.js';
 import {createHome} from '../request/home.js';
-import type {Decision} from '../request/home-types.js';
-import type {JobHandle} from '../request/job-record.js';
 import {createRouter, type FoundFate} from '../request/router.js';
 import {createSettlements} from '../request/settlement.js';
 import {createTicketIssuer} from '../request/ticket.js';
-import type {Answer, Ticket} from '../request/types.js';
+import type {Ticket} from '../request/types.js';
 import type {Snapshot} from '../version/types.js';
 import {formatAddress} from './address.js';
 import {
@@ -27,6 +25,7 @@
 } from './clock.js';
 import {createEntryDirectory} from './entry-directory.js';
 import {createHttpApi} from './http-api.js';
+import {createJobReport} from './job-report.js';
 import type {
 	EntryHost, Entry, DrainReport, ProcessStatus,
 } from './entry-types.js';
@@ -96,8 +95,7 @@
 		},
 		createScheduler: host.createScheduler,
 		endsEarlierLives: host.createScheduler !== undefined,
-		decided: reportDecision,
-		answered: reportAnswer,
+		...createJobReport(host),
 	});
 	const directory = createEntryDirectory({
 		clock,
@@ -297,20 +295,6 @@
 		return {processes};
 	}
 
-	function reportDecision({ticket, reference, fact}: Decision): void {
-		const {kind, ...inputs} = fact;
-		host.log.info({ticket, request: reference, ...inputs}, kind === 'taken' ? 'job taken' : `task ${kind}`);
-	}
-
-	function reportAnswer(job: JobHandle, answer: Answer, elapsed: Milliseconds): void {
-		const kind = answer.diagnostic?.kind ?? 'Complete';
-		host.metrics.count('job.answered', 1, {state: answer.state, ran: answer.ran, kind});
-		host.metrics.time('job.response', elapsed, {state: answer.state});
-		host.log.info({
-			ticket: job.ticket.text, request: job.reference, tasks: job.taskCount, elapsed: Math.round(elapsed), ran: answer.ran, retryAfter: answer.retryAfter, diagnostic: answer.diagnostic,
-		}, `job ${answer.state}`);
-	}
-
 	function stateGauges(): void {
 		forgetGone();
 		host.metrics.gauge('jobs.open', home.getOpenJobs());
--- /dev/null
+++ b/src/process/job-report.ts
@@ -0,0 +1,33 @@
+/**
+ * Writes what an entry decides about its jobs to the log and the metrics.
+ */
+import type {Decision, HomeHost} from '../request/home-types.js';
+import type {JobHandle} from '../request/job-record.js';
+import type {Answer} from '../request/types.js';
+import type {Milliseconds} from './clock.js';
+import type {Log} from './log.js';
+import type {Metrics} from './metrics.js';
+
+/** Where the report goes. */
+export type JobReportHost = {
+	readonly log: Log;
+	readonly metrics: Metrics;
+};
+
+/** Creates the parts of a home's host that tell what it decided. */
+export function createJobReport({log, metrics}: JobReportHost): Pick<HomeHost, 'decided' | 'answered'> {
+	return {
+		decided({ticket, reference, fact}: Decision) {
+			const {kind, ...inputs} = fact;
+			log.info({ticket, request: reference, ...inputs}, kind === 'taken' ? 'job taken' : `task ${kind}`);
+		},
+		answered(job: JobHandle, answer: Answer, elapsed: Milliseconds) {
+			const kind = answer.diagnostic?.kind ?? 'Complete';
+			metrics.count('job.answered', 1, {state: answer.state, ran: answer.ran, kind});
+			metrics.time('job.response', elapsed, {state: answer.state});
+			log.info({
+				ticket: job.ticket.text, request: job.reference, tasks: job.taskCount, elapsed: Math.round(elapsed), ran: answer.ran, retryAfter: answer.retryAfter, diagnostic: answer.diagnostic,
+			}, `job ${answer.state}`);
+		},
+	};
+}
--- a/src/request/home.ts
+++ b/src/request/home.ts
@@ -14,7 +14,7 @@
 import {createJobRecord, type JobHandle, type JobRecord} from './job-record.js';
 import {createRetryBudget, type RetryBudget} from './retry-budget.js';
 import {isFeasible} from './room-queue.js';
-import {getRunKey, type OpenJob} from './open-job.js';
+import {createHopelessFailure, getRunKey, type OpenJob} from './open-job.js';
 import {createScheduler} from './scheduler.js';
 import {
 	applyRules, findRules, toFailure, toQueuedJob, type Caller, type JobRules, type SubmissionRequest,
@@ -27,8 +27,6 @@
 const fateRetryMs = 5000;
 const drainRetryMs = 100;
 const quotaRetryMs = 1000;
-/** Time for which a shortage that made a job wait past its chance is likely to last. */
-const overloadRetryMs = 1000;
 
 /** Creates a home without jobs or agents. */
 export function createHome(host: HomeHost): Home {
@@ -42,10 +40,10 @@
 		clock: host.clock,
 		start: startTask,
 		changed: host.changed,
-		hopeless(ticket) {
+		hopeless(ticket, reason) {
 			const entry = open.get(ticket);
 			if (entry !== undefined) {
-				failJob(entry, createHopelessFailure(entry));
+				failJob(entry, createHopelessFailure(entry, reason));
 			}
 		},
 	});
@@ -310,7 +308,7 @@
 			},
 		});
 		// Further runs were allowed, so its failure says nothing about the job: there is no time for them.
-		return judged.kind === 'failed' && !isLastFailure ? {kind: 'failed', failure: createHopelessFailure(entry)} : judged;
+		return judged.kind === 'failed' && !isLastFailure ? {kind: 'failed', failure: createHopelessFailure(entry, 'deadline')} : judged;
 	}
 
 	// The last run is over for certain by then: its end was listed, or its lease has run out.
@@ -396,7 +394,3 @@
 		return budget;
 	}
 }
-
-function createHopelessFailure({queued}: OpenJob): JobFailure {
-	return {diagnostic: createDiagnostic(Diagnostics.Deadline_has_become_out_of_reach, queued.deadlineAt - queued.arrivedAt), retryAfter: overloadRetryMs};
-}
--- a/src/request/open-job.ts
+++ b/src/request/open-job.ts
@@ -1,9 +1,11 @@
 /**
  * What a home keeps of an accepted job until its answer stands.
  */
-import type {QueuedJob} from '../connection/types.js';
+import type {HopelessReason, QueuedJob} from '../connection/types.js';
 import type {TaskStop} from '../generated/kingcuplane.js';
-import type {Timer} from '../process/clock.js';
+import type {Milliseconds, Timer} from '../process/clock.js';
+import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
+import type {JobFailure} from './job.js';
 import type {JobRecord} from './job-record.js';
 import type {JobRules, SubmissionRequest} from './submission-rules.js';
 
@@ -30,7 +32,18 @@
 	readonly stop: TaskStop;
 };
 
+/** Time for which a shortage that made a job wait past its chance is likely to last. */
+const overloadRetryMs: Milliseconds = 1000;
+
 /** Names one attempt at one task of a job. */
 export function getRunKey({index, attempt}: {readonly index: number; readonly attempt: number}): string {
 	return `${index}.${attempt}`;
 }
+
+/** What the caller of a job is told that waited for room past its chance. */
+export function createHopelessFailure({queued}: OpenJob, reason: HopelessReason): JobFailure {
+	const diagnostic = reason === 'deadline'
+		? createDiagnostic(Diagnostics.Deadline_has_become_out_of_reach, queued.deadlineAt - queued.arrivedAt)
+		: createDiagnostic(Diagnostics.Objective_has_passed_while_waiting);
+	return {diagnostic, retryAfter: overloadRetryMs};
+}
--- a/src/request/room-queue.ts
+++ b/src/request/room-queue.ts
@@ -1,7 +1,7 @@
 /**
- * The order among waiting jobs where the worth of an answer falls once its objective has passed. Answers the
- * pattern of a short overload: jobs that can still meet their objective go first, the one with least slack ahead;
- * the rest follow, shortest first, so that a backlog costs as few late answers as possible.
+ * The order among waiting jobs where the worth of an answer falls once its objective has passed. Answers the pattern of
+ * an overload, in which not all jobs can meet their objectives: what is begun goes first, as a job of many tasks ends
+ * with its last one; of the others the newest, so that those served are served in time instead of all being late.
  */
 import type {QueuedJob, QueuedTask} from '../connection/types.js';
 import type {Milliseconds} from '../process/clock.js';
@@ -33,17 +33,44 @@
 /** Declared run times are off by up to 40 %, so a job is given up only if even a run that much shorter would be late. */
 const leastRunShare = 0.6;
 
+/** Whether a task of this job runs or has run. */
+export function isBegun({job, tasks}: RoomJob): boolean {
+	return tasks.length < job.taskCount || tasks.some(task => task.failedOn !== undefined);
+}
+
+/**
+ * Whether it makes no sense to wait any longer for the first task: the answer could not come before it is of no use, or,
+ * behind a standing queue, not by the objective. Whoever meets its objective is served first, so under a lasting
+ * overload nothing is left for the others, and they had better hear of it at once.
+ */
+export function isOverdue(waiting: RoomJob, now: Milliseconds, isStanding: boolean): boolean {
+	const {job} = waiting;
+	const allowed = (getObjectiveAt(job) - job.arrivedAt) * (isStanding ? 1 : lateFactor);
+	return job.objective !== undefined && !isBegun(waiting) && now + job.expectedRun > job.arrivedAt + allowed;
+}
+
+/** An answer that takes up to three times its objective is late but of use, by the users' rules. */
+const lateFactor = 3;
+
 /** Sorts jobs by who starts first. */
 export function orderJobs(jobs: Iterable<RoomJob>, now: Milliseconds): RoomJob[] {
-	return [...jobs].toSorted((a, b) => compareJobs(a.job, b.job, now));
+	return [...jobs].toSorted((a, b) => compareJobs(a, b, now));
 }
 
-function compareJobs(a: QueuedJob, b: QueuedJob, now: Milliseconds): number {
-	const slackOfA = getSlack(a, now);
-	const slackOfB = getSlack(b, now);
+function compareJobs(a: RoomJob, b: RoomJob, now: Milliseconds): number {
+	const slackOfA = getSlack(a.job, now);
+	const slackOfB = getSlack(b.job, now);
 	if ((slackOfA >= 0) !== (slackOfB >= 0)) {
 		return slackOfA >= 0 ? -1 : 1;
 	}
 
-	return slackOfA >= 0 ? slackOfA - slackOfB : a.expectedRun - b.expectedRun;
+	if (slackOfA < 0) {
+		return a.job.expectedRun - b.job.expectedRun;
+	}
+
+	if (isBegun(a) !== isBegun(b)) {
+		return isBegun(a) ? -1 : 1;
+	}
+
+	return isBegun(a) ? slackOfA - slackOfB : b.job.arrivedAt - a.job.arrivedAt;
 }
--- a/src/request/room-scheduler.ts
+++ b/src/request/room-scheduler.ts
@@ -6,7 +6,7 @@
 import {createOutlierDetector, type OutlierDetector} from '../connection/outlier.js';
 import {noResources} from '../connection/resources.js';
 import {Soundness} from '../generated/kingcuplane.js';
-import type {Milliseconds} from '../process/clock.js';
+import type {Milliseconds, Timer} from '../process/clock.js';
 import type {
 	Admission, QueuedJob, QueuedTask, Scheduler, SchedulerHost, SchedulingRules, TaskNeed,
 } from '../connection/types.js';
@@ -15,7 +15,7 @@
 	createRoomAgent, getBelievedRoom, hasRoom, isEligible, isTrusted, leavesReserve, noteEnd, noteRefusal, noteSent, setRoomCondition, type RoomAgent,
 } from './room-pool.js';
 import {
-	getSlack, isFeasible, orderJobs, type RoomJob,
+	getSlack, isBegun, isFeasible, isOverdue, orderJobs, type RoomJob,
 } from './room-queue.js';
 
 /** Effects of the scheduler. */
@@ -36,6 +36,15 @@
 /** If more of the agents doubt their upstreams, the fault lies with the work, and all are used. */
 const maxSuspectPart = 0.5;
 const defaultMaxQueuedTasks = 100_000;
+/** A queue that has not been empty for this long is no short burst: the longest objectives are about as long. */
+const standingMs: Milliseconds = 500;
+/**
+ * Agents that are asked to tell of free room. One of so many has some within a few milliseconds, as each runs several
+ * tasks at a time; more would only cost messages.
+ */
+const maxAsked = 12;
+/** Agents are told that no task waits any more only after this time, as at high load the next one soon does. */
+const quietMs: Milliseconds = 50;
 
 type ServiceState = {
 	rules: SchedulingRules | undefined;
@@ -43,8 +52,12 @@
 	readonly agents: Map<string, RoomAgent>;
 	readonly outliers: OutlierDetector;
 	waitingTasks: number;
-	/** Whether agents were told that tasks wait. */
-	isDemanding: boolean;
+	/** Since when tasks have been waiting without a break. */
+	waitingSince: Milliseconds | undefined;
+	/** Incarnations of the agents that were told that tasks wait. */
+	readonly asked: Set<string>;
+	/** Runs while no task waits and these agents still believe that some do. */
+	quietTimer: Timer | undefined;
 };
 
 /** Creates the scheduler of one entry. */
@@ -71,6 +84,7 @@
 		closeAgent(incarnation) {
 			const state = serviceOfAgent.get(incarnation);
 			state?.agents.delete(incarnation);
+			state?.asked.delete(incarnation);
 			state?.outliers.close(incarnation);
 			serviceOfAgent.delete(incarnation);
 		},
@@ -116,7 +130,10 @@
 
 			dispatch(state);
 		},
-		getQueued: incarnation => serviceOfAgent.get(incarnation)?.waitingTasks ?? 0,
+		getQueued(incarnation) {
+			const state = serviceOfAgent.get(incarnation);
+			return state?.asked.has(incarnation) ? state.waitingTasks : 0;
+		},
 		tryGetHead: () => undefined,
 		getReturned: () => 0,
 		setHeld(value) {
@@ -175,21 +192,26 @@
 	function dispatch(state: ServiceState): void {
 		if (state.waitingTasks > 0 && !isHeld) {
 			for (const waiting of orderJobs(state.jobs.values(), clock.now())) {
-				if (isFeasible(waiting.job, clock.now())) {
-					startTasks(state, waiting);
-				} else {
-					host.hopeless?.(waiting.job.ticket);
+				if (!isFeasible(waiting.job, clock.now())) {
+					host.hopeless?.(waiting.job.ticket, 'deadline');
+					continue;
+				}
+
+				startTasks(state, waiting);
+				if (isOverdue(waiting, clock.now(), isStanding(state))) {
+					host.hopeless?.(waiting.job.ticket, 'objective');
 				}
 			}
 		}
 
+		state.waitingSince = state.waitingTasks > 0 ? state.waitingSince ?? clock.now() : undefined;
 		tellDemand(state);
 	}
 
 	function startTasks(state: ServiceState, waiting: RoomJob): void {
 		const {job, tasks} = waiting;
 		while (tasks.length > 0) {
-			const agent = chooseAgent(state, job, tasks[0]!);
+			const agent = chooseAgent(state, waiting, tasks[0]!);
 			if (agent === undefined) {
 				return;
 			}
@@ -214,8 +236,8 @@
 	 * Of two agents drawn at random among those with room, the one with more: entries that all chose the one with
 	 * most room would meet there.
 	 */
-	function chooseAgent(state: ServiceState, job: QueuedJob, task: QueuedTask): RoomAgent | undefined {
-		const candidates = getCandidates(state, job, task);
+	function chooseAgent(state: ServiceState, waiting: RoomJob, task: QueuedTask): RoomAgent | undefined {
+		const candidates = getCandidates(state, waiting, task);
 		if (candidates.length <= 1) {
 			return candidates[0];
 		}
@@ -225,11 +247,12 @@
 		return getBelievedRoom(first).cpu >= getBelievedRoom(second).cpu ? first : second;
 	}
 
-	function getCandidates(state: ServiceState, job: QueuedJob, task: QueuedTask): readonly RoomAgent[] {
+	function getCandidates(state: ServiceState, waiting: RoomJob, task: QueuedTask): readonly RoomAgent[] {
+		const {job} = waiting;
 		const need = job.need ?? noNeed;
 		const withRoom: RoomAgent[] = [];
 		// What is begun is worth finishing.
-		const reserve = getSlack(job, clock.now()) < 0 && !jobsInFlight.has(job.ticket) ? lateReserve : 0;
+		const reserve = getSlack(job, clock.now()) < 0 && !isBegun(waiting) ? lateReserve : 0;
 		const isDoubtUsed = countSuspects(state) <= state.agents.size * maxSuspectPart;
 		for (const agent of state.agents.values()) {
 			if (!agent.isDraining && (!isDoubtUsed || isTrusted(agent)) && state.outliers.isUsable(agent.facts.incarnation) && isEligible(agent, need) && hasRoom(agent, job.ticket, need) && leavesReserve(agent, need, reserve)) {
@@ -241,15 +264,40 @@
 		return need.rack === undefined ? fresh : prefer(fresh, agent => agent.facts.rack === need.rack);
 	}
 
+	function isStanding({waitingSince}: ServiceState): boolean {
+		return waitingSince !== undefined && clock.now() - waitingSince >= standingMs;
+	}
+
 	/** Agents that hear of waiting tasks tell at once when room becomes free. */
 	function tellDemand(state: ServiceState): void {
-		const isDemanding = state.waitingTasks > 0;
-		if (isDemanding === state.isDemanding) {
-			return;
+		if (state.waitingTasks > 0) {
+			state.quietTimer?.cancel();
+			state.quietTimer = undefined;
+			if (state.asked.size === 0) {
+				ask(state);
+			}
+		} else if (state.asked.size > 0) {
+			state.quietTimer ??= clock.after(quietMs, () => {
+				state.quietTimer = undefined;
+				const asked = [...state.asked];
+				state.asked.clear();
+				tellAll(asked);
+			});
 		}
+	}
+
+	function ask(state: ServiceState): void {
+		const agents = [...state.agents].filter(([, agent]) => !agent.isDraining).map(([incarnation]) => incarnation);
+		const first = Math.floor(host.random() * agents.length);
+		for (let i = 0; i < Math.min(maxAsked, agents.length); i++) {
+			state.asked.add(agents[(first + i) % agents.length]!);
+		}
+
+		tellAll(state.asked);
+	}
 
-		state.isDemanding = isDemanding;
-		for (const incarnation of state.agents.keys()) {
+	function tellAll(incarnations: Iterable<string>): void {
+		for (const incarnation of incarnations) {
 			host.changed(incarnation);
 		}
 	}
@@ -261,7 +309,7 @@
 		}
 
 		const created: ServiceState = {
-			rules: undefined, jobs: new Map(), agents: new Map(), outliers: createOutlierDetector(clock), waitingTasks: 0, isDemanding: false,
+			rules: undefined, jobs: new Map(), agents: new Map(), outliers: createOutlierDetector(clock), waitingTasks: 0, waitingSince: undefined, asked: new Set(), quietTimer: undefined,
 		};
 		services.set(service, created);
 		return created;
