Do not wait at the end of a process for a read that waits at the store

Traced by the entry's log: of the 5.08 to 5.69 s until its end up to 0.6 s went by after the drain, until the follower's read, which the store holds for 0.7 s, had come back.

Ruled out: closing of the HTTP servers and leaving the directory (10 ms).

Change: the platform client gives up calls in progress when it closes.

--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -39,7 +39,7 @@
 	readOperatorRow(name: string): ResultAsync<OperatorRow, PlatformError>;
 	/** Waits up to `waitMs` for a change after `after` to a row that only the operator writes. */
 	waitForOperatorRow(name: string, after: number, waitMs: Milliseconds): ResultAsync<RowChange, PlatformError>;
-	/** Waits for calls in progress, then closes all connections. */
+	/** Gives up calls in progress and closes all connections: a read that waits for a change would hold up the end of the process. */
 	close(): Promise<void>;
 };
 
@@ -80,7 +80,7 @@
 			.map(({rows, revision}) => ({text: rows.find(row => row.key === `${operatorTable}/${name}`)?.value, revision})),
 		waitForOperatorRow,
 		async close() {
-			await pool.close();
+			await pool.destroy();
 		},
 	};
 
--- a/src/version/watched-follower.ts
+++ b/src/version/watched-follower.ts
@@ -35,6 +35,7 @@
 	const holder = createVersionHolder(host.codec, host.onFault);
 	let failures = 0;
 	let isRunning = false;
+	let isStopped = false;
 
 	return {
 		start() {
@@ -43,6 +44,7 @@
 		},
 		stop() {
 			isRunning = false;
+			isStopped = true;
 		},
 		poll,
 		offer: holder.offer,
@@ -70,7 +72,11 @@
 		const read = await host.source.next();
 		if (read.isErr()) {
 			failures++;
-			host.onFault(read.error.diagnostic);
+			// The end of this process ends a read that waits.
+			if (!isStopped) {
+				host.onFault(read.error.diagnostic);
+			}
+
 			return;
 		}
 
--- a/test/process/platform/client.test.ts
+++ b/test/process/platform/client.test.ts
@@ -55,6 +55,15 @@
 		t.true(error.diagnostic.message.includes('1000 ms'));
 	});
 
+	it('closes at once although a read waits for a change', async t => {
+		const server = http.createServer();
+		const client = createPlatformClient({clock: createFakeClock(), url: await open(t, server), timeoutMs: 1000});
+		const pending = client.waitForOperatorRow('config', 1, 700);
+		await once(server, 'request');
+		await client.close();
+		t.true((await pending).isErr());
+	});
+
 	it('takes an answer of another form as invalid', async t => {
 		const server = http.createServer((req, res) => {
 			res.statusCode = req.method === 'GET' ? 200 : 404;
