--- a/dev/failures.ts
+++ b/dev/failures.ts
@@ -1,19 +1,21 @@
 /**
  * Random failure runs over the decision parts with a fake clock. For each seed whose run breaks a promise it
  * prints the fewest faults found that still break it, and the log about the first broken promise.
- * Usage: npm run failures -- --seed N --runs M
+ * Usage: npm run failures -- --seed N --runs M [--leased]
  */
 import process from 'node:process';
 import sade from 'sade';
 import {countLostAnswers, type Violation} from '../test/failure/checker.js';
 import type {PlannedFault} from '../test/failure/faults.js';
 import {formatEntry, type JournalEntry} from '../test/failure/journal.js';
+import {runLeased} from '../test/failure/leased/run.js';
 import {getFaults, runFailures, type RunReport} from '../test/failure/run.js';
 
 type Options = {
 	readonly seed: number;
 	readonly runs: number;
 	readonly whole: boolean;
+	readonly leased: boolean;
 };
 
 const broken = new Map<string, number>();
@@ -23,10 +25,29 @@
 	.option('--seed', 'Seed of the first run', 1)
 	.option('--runs', 'Number of runs, each with the next seed', 100)
 	.option('--whole', 'Explain a broken promise with all faults of its run', false)
+	.option('--leased', 'Run the parts as on the users\' platform, with executors under leases', false)
 	.action(run)
 	.parse(process.argv);
 
-async function run({seed: firstSeed, runs, whole}: Options): Promise<void> {
+async function run(options: Options): Promise<void> {
+	await (options.leased ? runLeasedSeeds(options) : runSeeds(options));
+}
+
+async function runLeasedSeeds({seed: firstSeed, runs}: Options): Promise<void> {
+	let failed = 0;
+	for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
+		const {violations, faults} = await runLeased(seed);
+		if (violations.length > 0) {
+			failed++;
+			console.log([`seed ${seed}`, ...violations.map(({rule, subject, detail}) => `  ${rule}: ${subject}: ${detail}`), ...faults.map(fault => `  ${fault}`)].join('\n'));
+		}
+	}
+
+	console.log(`${runs} runs from seed ${firstSeed}, ${failed} with broken promises`);
+	process.exitCode = failed === 0 ? 0 : 1;
+}
+
+async function runSeeds({seed: firstSeed, runs, whole}: Options): Promise<void> {
 	let failed = 0;
 	let settled = 0;
 	let lost = 0;
