Keep asked agents telling while an entry's queue is empty for a moment

Cause: reading the diff: an agent that was asked for free room heard "0 waiting" with any batch of the 50 ms in which an empty queue is not told, and was not asked again when the next task waited in that time. Agents that linked while tasks waited were not asked at all.

Ruled out: nothing; found by reading, shown by two tests that failed.

--- a/src/request/room-scheduler.ts
+++ b/src/request/room-scheduler.ts
@@ -79,6 +79,10 @@
 			state.agents.set(facts.incarnation, createRoomAgent(facts));
 			state.outliers.open(facts.incarnation);
 			serviceOfAgent.set(facts.incarnation, state);
+			if (state.waitingTasks > 0 && state.asked.size < maxAsked) {
+				state.asked.add(facts.incarnation);
+			}
+
 			host.changed(facts.incarnation);
 		},
 		closeAgent(incarnation) {
@@ -132,7 +136,8 @@
 		},
 		getQueued(incarnation) {
 			const state = serviceOfAgent.get(incarnation);
-			return state?.asked.has(incarnation) ? state.waitingTasks : 0;
+			// Whoever was asked goes on telling for a while, as the next task may wait soon.
+			return state?.asked.has(incarnation) ? Math.max(1, state.waitingTasks) : 0;
 		},
 		tryGetHead: () => undefined,
 		getReturned: () => 0,
--- a/test/request/room-scheduler.test.ts
+++ b/test/request/room-scheduler.test.ts
@@ -261,14 +261,24 @@
 			t.deepEqual(told, ['a']);
 			t.is(scheduler.getQueued('a'), 1);
 			tellRoom('a', 1, 0);
-			t.is(scheduler.getQueued('a'), 0);
+			t.is(scheduler.getQueued('a'), 1);
 			t.deepEqual(told, ['a']);
 			clock.advance(50);
 			t.deepEqual(told, ['a', 'a']);
+			t.is(scheduler.getQueued('a'), 0);
 			clock.advance(1000);
 			t.deepEqual(told, ['a', 'a']);
 		});
 
+		it('asks an agent that comes while tasks wait', t => {
+			const {scheduler, open, tellRoom, clock} = createBench();
+			open('a', 8);
+			tellRoom('a', 0, 0);
+			scheduler.enqueue(createJob('j', 20, 100, clock.now()));
+			open('b', 4);
+			t.is(scheduler.getQueued('b'), 16);
+		});
+
 		it('tells nobody that none waits if the next one does soon', t => {
 			const {
 				scheduler, told, open, tellRoom, clock,
