Log each link that an agent gains or loses

Change: "link opened", "link closed" and "link silent" with the entry's address and incarnation. No decision changes.

--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -22,6 +22,8 @@
 	receiveEntries(entries: readonly EntryAddress[]): void;
 	/** A link to this entry incarnation has its welcome; the earlier link to it, if any, must stop reading. */
 	claimEntry(incarnation: string, link: AgentLink): void;
+	/** The link has its welcome, or has lost the entry that gave it. */
+	linkChanged?(change: AgentLinkChange): void;
 	/** A batch has arrived and is about to be read; it is dropped if this resets the link. */
 	arrived?(): void;
 	/** A number in [0, 1), for jitter. */
@@ -32,6 +34,15 @@
 	connect?(address: string): LinkConnection;
 };
 
+/** What became of a link to an entry. */
+export type AgentLinkChange = {
+	readonly kind: 'opened' | 'closed' | 'silent';
+	/** "IP:port" of the entry. */
+	readonly address: string;
+	/** The entry's incarnation. */
+	readonly entry: string;
+};
+
 /** Opens streams to one entry. */
 export type LinkConnection = {
 	open(): Stream;
@@ -74,6 +85,8 @@
 	let timer: Timer | undefined;
 	let isStopped = false;
 	let silence: Timer | undefined;
+	/** How the link is being lost. */
+	let loss: 'closed' | 'silent' = 'closed';
 	let isFlushPlanned = false;
 	let hasNewState = false;
 	let sentGranted = 0;
@@ -146,6 +159,7 @@
 			? undefined
 			: host.clock.after(host.timing.silenceMs, () => {
 				if (stream === current) {
+					loss = 'silent';
 					reset();
 				}
 			});
@@ -167,10 +181,12 @@
 		silence?.cancel();
 		closed.cancel();
 		if (entry !== undefined) {
+			tellChange(loss);
 			host.sessions.close(entry);
 			entry = undefined;
 		}
 
+		loss = 'closed';
 		if (!isStopped) {
 			timer = host.clock.after(delay * (0.5 + host.random()), dial);
 			delay = Math.min(host.timing.maxRedialMs, delay * 2);
@@ -202,6 +218,7 @@
 	function open(incarnation: string): void {
 		host.claimEntry(incarnation, link);
 		entry = incarnation;
+		tellChange('opened');
 		delay = firstDelayMs;
 		sentGranted = 0;
 		const hello = host.sessions.open(incarnation);
@@ -209,6 +226,12 @@
 		planFlush();
 	}
 
+	function tellChange(kind: AgentLinkChange['kind']): void {
+		if (entry !== undefined) {
+			host.linkChanged?.({kind, address, entry});
+		}
+	}
+
 	function planFlush(): void {
 		if (!isFlushPlanned) {
 			isFlushPlanned = true;
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -299,6 +299,9 @@
 			connect: host.connect,
 			timing,
 			arrived: host.pauses?.check,
+			linkChanged({kind, ...facts}) {
+				host.log.info(facts, `link ${kind}`);
+			},
 		}, address));
 	}
 
--- a/test/process/agent.test.ts
+++ b/test/process/agent.test.ts
@@ -1,3 +1,5 @@
+import Logger from 'bunyan';
+import {z} from 'zod';
 import {relaxedTiming} from '../../src/connection/link-timing.js';
 import type {AgentBatch, EntryBatch} from '../../src/generated/kingcuplane.js';
 import {createAgent} from '../../src/process/agent.js';
@@ -5,16 +7,21 @@
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {noMetrics} from '../../src/process/metrics.js';
 import {describe, it} from '../describe.js';
-import {noLog} from '../no-log.js';
 
 type Bench = {
 	readonly clock: FakeClock;
 	readonly agent: Agent;
 	/** What the agent wrote, the newest last. */
 	readonly written: AgentBatch[];
+	/** Messages that it logged. */
+	readonly logged: string[];
 	send(batch: Partial<EntryBatch>): Promise<void>;
+	/** The entry ends the stream. */
+	end(): void;
 };
 
+const lineSchema = z.object({msg: z.string()});
+
 async function turn(): Promise<void> {
 	return new Promise(resolve => {
 		setImmediate(resolve);
@@ -24,10 +31,22 @@
 async function open(): Promise<Bench> {
 	const clock = createFakeClock();
 	const written: AgentBatch[] = [];
-	const listeners = new Map<string, (batch: EntryBatch) => void>();
+	const logged: string[] = [];
+	const log = Logger.createLogger({
+		name: 'a', streams: [{
+			type: 'raw', stream: {
+				write(line: unknown) {
+					logged.push(lineSchema.parse(line).msg);
+				},
+			},
+		}],
+	});
+	const listeners = new Map<string, (batch?: EntryBatch) => void>();
 	const stream = {
 		on(event: string, listener: (batch: EntryBatch) => void) {
-			listeners.set(event, listener);
+			listeners.set(event, batch => {
+				listener(batch!);
+			});
 		},
 		write(batch: AgentBatch) {
 			written.push(batch);
@@ -56,7 +75,7 @@
 		upstream: {
 			run: () => undefined, isReachable: async () => true, close: async () => undefined,
 		},
-		log: noLog,
+		log,
 		metrics: noMetrics,
 		timing: relaxedTiming,
 		room: {cpu: 4000, memory: 100, accelerators: 0},
@@ -69,6 +88,10 @@
 		clock,
 		agent,
 		written,
+		logged,
+		end() {
+			listeners.get('end')!();
+		},
 		async send(batch) {
 			listeners.get('data')!({
 				welcome: undefined, config: undefined, head: undefined, starts: [], stops: [], queries: [], fenced: [], entries: [], resultsAcked: 0, queued: 0, returned: 0, draining: false, ...batch,
@@ -82,6 +105,17 @@
 }
 
 describe('agent', () => {
+	it('logs each link that it gains or loses', async t => {
+		const {agent, logged, end, clock, send} = await open();
+		t.deepEqual(logged, ['link opened']);
+		end();
+		t.deepEqual(logged, ['link opened', 'link closed']);
+		clock.advance(1000);
+		await send({welcome: {entry: 'e', incarnation: 'e2'}});
+		t.deepEqual(logged, ['link opened', 'link closed', 'link opened']);
+		agent.stop();
+	});
+
 	it('goes on leaving when a configuration comes that does not drain its upstream', async t => {
 		const {agent, written, send} = await open();
 		agent.setLeaving(true);
