Let one piece of code serve where the change had written it twice

Cause: read again as a whole, the change since the platform's adapter held twins: the wiring of a scheduler to the link hub (three times), a quota that takes everything (four), the hold of starts after a pause and the sum of pauses (program and simulation each), the members of a version holder, the metrics server, the store's time-out, a parser of JSON beside readJson, one ratio under two names; and a variable in the agent's link that an argument replaces.

Ruled out: merging soundness.ts with outlier.ts (ends against progress, other time scales), and the two checks of late heartbeats (one compares lives of one identifier, one the life known from the store's row).

Change: each stands once; the simulation under leases now runs the product's own hold. Behaviour is the same.

--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -6,6 +6,7 @@
 import {createCreditGranter} from '../../src/connection/credit-granter.js';
 import {createEntrySessions, type EntrySessions} from '../../src/connection/entry-sessions.js';
 import type {AgentFacts, CreditGranter} from '../../src/connection/types.js';
+import {unboundedQuota} from '../../src/connection/unbounded-quota.js';
 import {
 	AgentBatch, EntryBatch, RefusalReason, TaskOutcome, type TaskStart,
 } from '../../src/generated/kingcuplane.js';
@@ -118,12 +119,7 @@
 		entry: 'bench',
 		issuer,
 		fates: noFates,
-		quota: {
-			take(_team, _tasks, done) {
-				done(true);
-			},
-			release: () => undefined,
-		},
+		quota: unboundedQuota,
 		agentGraceMs: 3000,
 		answerKeepMs: 1,
 		maxTasks: 1100,
--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -34,9 +34,12 @@
 	connect?(address: string): LinkConnection;
 };
 
+/** How a link was lost. */
+type Loss = 'closed' | 'silent';
+
 /** What became of a link to an entry. */
 export type AgentLinkChange = {
-	readonly kind: 'opened' | 'closed' | 'silent';
+	readonly kind: 'opened' | Loss;
 	/** "IP:port" of the entry. */
 	readonly address: string;
 	/** The entry's incarnation. */
@@ -85,8 +88,6 @@
 	let timer: Timer | undefined;
 	let isStopped = false;
 	let silence: Timer | undefined;
-	/** How the link is being lost. */
-	let loss: 'closed' | 'silent' = 'closed';
 	let isFlushPlanned = false;
 	let hasNewState = false;
 	let sentGranted = 0;
@@ -122,10 +123,10 @@
 	}
 
 	// A connection that went silent may never show an error, and new streams on it would be as silent.
-	function reset(): void {
+	function reset(loss: Loss = 'closed'): void {
 		const old = client;
 		client = connect();
-		closeStream();
+		closeStream(loss);
 		old.close();
 	}
 
@@ -159,8 +160,7 @@
 			? undefined
 			: host.clock.after(host.timing.silenceMs, () => {
 				if (stream === current) {
-					loss = 'silent';
-					reset();
+					reset('silent');
 				}
 			});
 	}
@@ -171,7 +171,7 @@
 		}
 	}
 
-	function closeStream(): void {
+	function closeStream(loss: Loss = 'closed'): void {
 		const closed = stream;
 		if (closed === undefined) {
 			return;
@@ -186,7 +186,6 @@
 			entry = undefined;
 		}
 
-		loss = 'closed';
 		if (!isStopped) {
 			timer = host.clock.after(delay * (0.5 + host.random()), dial);
 			delay = Math.min(host.timing.maxRedialMs, delay * 2);
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -7,23 +7,19 @@
 } from '../generated/kingcuplane.js';
 import type {Milliseconds, Timer} from '../process/clock.js';
 import type {AgentSession, AgentSessions} from './agent-sessions.js';
-import type {AgentFacts, WaitingHead} from './types.js';
+import type {AgentFacts, Scheduler} from './types.js';
 
 /** What the link server needs from its entry. */
 export type LinkServerHost = {
 	readonly entry: string;
 	readonly incarnation: string;
 	readonly sessions: AgentSessions;
+	/** What it wants from each agent, read when a batch is made up. */
+	readonly scheduler: Pick<Scheduler, 'getQueued' | 'tryGetHead' | 'getReturned'>;
 	/** Time between two batches on a link that has nothing else to carry. */
 	readonly heartbeatMs: Milliseconds;
 	/** A link on which nothing arrives for this time is closed. */
 	readonly silenceMs?: Milliseconds;
-	/** Credits wanted from this agent; what was read counts as told. */
-	getQueued(agent: string): number;
-	/** The job that would start next on this agent. */
-	tryGetHead(agent: string): WaitingHead | undefined;
-	/** Credits handed back to this agent since the link opened. */
-	getReturned(agent: string): number;
 	/** The part of the configuration in force that concerns this agent. */
 	tryGetConfig(agent: AgentFacts): ConfigUpdate | undefined;
 	getEntries(): readonly EntryAddress[];
@@ -278,9 +274,9 @@
 			stops: link.stops,
 			queries: link.queries,
 			resultsAcked: acked,
-			queued: host.getQueued(agent),
-			head: host.tryGetHead(agent),
-			returned: host.getReturned(agent),
+			queued: host.scheduler.getQueued(agent),
+			head: host.scheduler.tryGetHead(agent),
+			returned: host.scheduler.getReturned(agent),
 			config: isNewConfig ? config : undefined,
 			entries: link.hasNewsForAll ? [...host.getEntries()] : [],
 			fenced: link.hasNewsForAll ? [...host.getFenced()] : [],
--- a/src/platform/http.ts
+++ b/src/platform/http.ts
@@ -2,10 +2,11 @@
  * HTTP servers of the adapter's programs.
  */
 import {createAdaptorServer, type ServerType} from '@hono/node-server';
-import type {Hono} from 'hono';
+import {Hono} from 'hono';
 import type {Address} from '../process/address.js';
 import type {Milliseconds} from '../process/clock.js';
 import {listenHttp} from '../process/http-listen.js';
+import type {ScrapedMetrics} from '../process/scraped-metrics.js';
 
 /** Idle connections stay open for longer than clients keep them, so that no request meets a connection that is being closed. */
 const keepAliveMs: Milliseconds = 60_000;
@@ -16,3 +17,8 @@
 	await listenHttp(server, address);
 	return server;
 }
+
+/** Serves the metrics of this process. */
+export async function serveMetrics(metrics: Pick<ScrapedMetrics, 'getText'>, address: Address): Promise<ServerType> {
+	return serveHttp(new Hono().get('/metrics', async c => c.text(await metrics.getText())), address);
+}
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -2,7 +2,6 @@
  * Runs an agent on the platform, beside one executor. The executor announces itself by heartbeats; each life of it
  * gets an agent of its own, so that what was told of an earlier life never counts for a later one.
  */
-import {Hono} from 'hono';
 import {createAgent} from '../process/agent.js';
 import type {Agent} from '../process/agent-types.js';
 import {createSystemClock, type Milliseconds} from '../process/clock.js';
@@ -11,16 +10,16 @@
 import {createLeasedUpstream, type LeasedUpstream} from '../process/leased-upstream.js';
 import {closeHttp} from '../process/http-listen.js';
 import type {Log} from '../process/log.js';
-import {createPauseWatch} from '../process/pause-watch.js';
+import {createPauseMeter, createPauseWatch} from '../process/pause-watch.js';
 import {createScrapedMetrics} from '../process/scraped-metrics.js';
 import type {AgentSettings} from '../process/settings.js';
 import {createExecutorClient} from './executor-client.js';
 import {createExecutorRow} from './executor-row.js';
 import {createHeartbeatApp, type ExecutorFacts, type Heartbeat} from './heartbeats.js';
-import {serveHttp} from './http.js';
+import {serveHttp, serveMetrics} from './http.js';
 import type {MachineSettings} from './settings.js';
 import {createPlatformClient} from './store-client.js';
-import {closingMs, platformTiming} from './timing.js';
+import {closingMs, platformTiming, storeTimeoutMs} from './timing.js';
 
 /** One life of the executor and its agent. */
 type Life = {
@@ -31,7 +30,6 @@
 	isOver: boolean;
 };
 
-const storeTimeoutMs: Milliseconds = 800;
 const discoverMs: Milliseconds = 300;
 const resultMemoryBytes = 8_000_000;
 
@@ -42,16 +40,13 @@
 	const store = createPlatformClient({clock, url: `http://${machine.store}`, timeoutMs: storeTimeoutMs});
 	const pauses = createPauseWatch(clock);
 	let life: Life | undefined;
-	let pause: Milliseconds = 0;
-	pauses.onPause(length => {
-		pause += length;
-	});
+	const takePause = createPauseMeter(pauses);
 	let isStopping = false;
 	const row = createExecutorRow({
 		clock, table: store.table, log, machine: machine.name,
 	});
 	const server = await serveHttp(createHeartbeatApp({log, receive, left}), machine.control!);
-	const scrape = await serveHttp(new Hono().get('/metrics', async c => c.text(await metrics.getText())), {host: machine.ip, port: machine.metricsPort});
+	const scrape = await serveMetrics(metrics, {host: machine.ip, port: machine.metricsPort});
 
 	void resume();
 
@@ -75,13 +70,6 @@
 		}
 	}
 
-	function takePause(): Milliseconds {
-		pauses.check();
-		const taken = pause;
-		pause = 0;
-		return taken;
-	}
-
 	function receive({facts, isLeaving}: Heartbeat): void {
 		if (isStopping) {
 			return;
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -3,6 +3,7 @@
  */
 import {Hono} from 'hono';
 import {err, type Result} from 'neverthrow';
+import {unboundedQuota} from '../connection/unbounded-quota.js';
 import {
 	createDiagnostic, Diagnostics, formatDiagnostic, type Diagnostic,
 } from '../process/diagnostics.js';
@@ -17,17 +18,14 @@
 import type {Principal} from '../request/router.js';
 import {createWatchedFollower} from '../version/watched-follower.js';
 import {createDesiredStateCodec, createDesiredStateSource} from './desired-state.js';
-import {serveHttp} from './http.js';
+import {serveHttp, serveMetrics} from './http.js';
 import {createIngress} from './ingress.js';
 import type {MachineSettings} from './settings.js';
 import {createPlatformClient} from './store-client.js';
 import {
-	agentGraceMs, closingMs, drainNoticeShare, platformTiming, settleMs,
+	agentGraceMs, closingMs, drainNoticeShare, platformTiming, settleMs, storeTimeoutMs,
 } from './timing.js';
 
-/** Longest wait for an answer of the store; it answers within some milliseconds when it is well. */
-const storeTimeoutMs = 800;
-
 /** Starts an entry; resolves once it serves. */
 export async function runPlatformEntry(machine: MachineSettings, incarnation: string, log: Log, declaredDead: () => void): Promise<Pick<RunningEntry, 'stop'>> {
 	const clock = createSystemClock();
@@ -56,12 +54,7 @@
 			drainNoticeMs: settings.entry.drainMs * drainNoticeShare,
 			pauses,
 			createScheduler: host => createRoomScheduler({...host, random: Math.random, settleMs}),
-			quota: {
-				take(_team, _tasks, done) {
-					done(true);
-				},
-				release: () => undefined,
-			},
+			quota: unboundedQuota,
 		},
 	});
 	const {entry} = running;
@@ -69,7 +62,7 @@
 		entry, log, checkPause: pauses.check, tryGetSnapshot: follower.tryGet,
 	}), machine.clients!);
 	const ready = await serveHttp(new Hono().get('/v1/readyz', c => isReady() ? c.text('ready') : c.text('not ready', 503)), machine.ready!);
-	const scrape = await serveHttp(new Hono().get('/metrics', async c => c.text(await metrics.getText())), {host: machine.ip, port: machine.metricsPort});
+	const scrape = await serveMetrics(metrics, {host: machine.ip, port: machine.metricsPort});
 
 	return {
 		async stop() {
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -10,6 +10,7 @@
 import {Pool} from 'undici';
 import {z} from 'zod';
 import type {Clock, Milliseconds} from '../process/clock.js';
+import {readJson} from '../process/json.js';
 import {createCircuit} from '../process/platform/circuit.js';
 import {
 	createInvalidAnswerError, createRateLimitError, createTimeoutError, createUnreachableError,
@@ -294,14 +295,7 @@
 }
 
 function jsonReader<T>(schema: z.ZodType<T>): AnswerReader<T> {
-	return ({bytes}) => {
-		try {
-			const parsed = schema.safeParse(JSON.parse(Buffer.from(bytes).toString()));
-			return parsed.success ? {value: parsed.data} : undefined;
-		} catch {
-			return undefined;
-		}
-	};
+	return ({bytes}) => readJson(schema, Buffer.from(bytes).toString()).match(value => ({value}), () => undefined);
 }
 
 function readBytes({status, bytes}: PlatformAnswer): {readonly value: Uint8Array | undefined} {
--- a/src/platform/timing.ts
+++ b/src/platform/timing.ts
@@ -23,6 +23,9 @@
  */
 export const drainNoticeShare = 0.95;
 
+/** Longest wait for an answer of the store; it answers within some milliseconds when it is well. */
+export const storeTimeoutMs: Milliseconds = 800;
+
 /** Time left of the grace for closing connections and the last records. */
 export const closingMs: Milliseconds = 700;
 
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -26,6 +26,7 @@
 import {createEntryDirectory} from './entry-directory.js';
 import {createHttpApi} from './http-api.js';
 import {createJobReport} from './job-report.js';
+import {holdStartsAfterPauses} from './start-hold.js';
 import type {
 	EntryHost, Entry, DrainReport, ProcessStatus,
 } from './entry-types.js';
@@ -40,8 +41,6 @@
 /** Time for which a draining entry still answers before it closes its port, so that the balancer turns away. */
 const refusalNoticeMs: Milliseconds = 500;
 const maxTickets = 1000;
-/** Time for reading what came during a pause; some turns of the event loop on a slow machine. */
-const pauseHoldMs: Milliseconds = 60;
 
 /** Composes an entry. */
 export function createEntry(host: EntryHost): Entry {
@@ -55,7 +54,6 @@
 	let isLeaving = false;
 	let leavesAt = Infinity;
 	let isTakingVersion = false;
-	let pauseTimer: Timer | undefined;
 
 	const issuer = createTicketIssuer({
 		clock, incarnation, key: host.ticketKey, blockMs: limits.blockMs, lifetimeMs: limits.ticketLifetimeMs,
@@ -110,9 +108,7 @@
 		entry: settings.name,
 		incarnation,
 		sessions: home.sessions,
-		getQueued: home.scheduler.getQueued,
-		tryGetHead: home.scheduler.tryGetHead,
-		getReturned: home.scheduler.getReturned,
+		scheduler: home.scheduler,
 		tryGetConfig: agent => tryGetConfig(follower.tryGet(), agent),
 		getEntries: directory.getLive,
 		getFenced: directory.getDead,
@@ -202,7 +198,12 @@
 		every(clock, timing.heartbeatMs, links.sendHeartbeats),
 		every(clock, gaugeMs, stateGauges),
 	];
-	host.pauses?.onPause(holdStarts);
+	if (host.pauses !== undefined) {
+		holdStartsAfterPauses({
+			clock, scheduler: home.scheduler, pauses: host.pauses, log: host.log,
+		});
+	}
+
 	follower.onChange(applySnapshot);
 	const present = follower.tryGet();
 	if (present !== undefined) {
@@ -320,17 +321,6 @@
 		}
 	}
 
-	// While this process stood still callers may have hung up and sent their work elsewhere, and agents may have
-	// given it up. All that is in the sockets is read before anything is started again.
-	function holdStarts(pause: Milliseconds): void {
-		host.log.warn({pause, heldFor: pauseHoldMs}, 'this process may have stood still; starts are held');
-		home.scheduler.setHeld?.(true);
-		pauseTimer?.cancel();
-		pauseTimer = clock.after(pauseHoldMs, () => {
-			home.scheduler.setHeld?.(false);
-		});
-	}
-
 	async function drain(): Promise<DrainReport> {
 		isLeaving = true;
 		const end = clock.now() + limits.drainMs;
--- a/src/process/pause-watch.ts
+++ b/src/process/pause-watch.ts
@@ -50,3 +50,17 @@
 		}
 	}
 }
+
+/** Adds pauses up; the returned function looks for one and takes the sum, so that each pause counts once. */
+export function createPauseMeter(pauses: PauseWatch): () => Milliseconds {
+	let sum: Milliseconds = 0;
+	pauses.onPause(pause => {
+		sum += pause;
+	});
+	return () => {
+		pauses.check();
+		const taken = sum;
+		sum = 0;
+		return taken;
+	};
+}
--- a/src/process/soundness.ts
+++ b/src/process/soundness.ts
@@ -4,6 +4,7 @@
  * to nobody for a while, then probed with single tasks until one of them succeeds in good time.
  */
 import {Soundness as SoundnessState} from '../generated/kingcuplane.js';
+import {soundRatio} from '../request/progress.js';
 import type {Clock, Milliseconds} from './clock.js';
 
 /** Judges one upstream. */
@@ -20,8 +21,6 @@
 
 /** Failures in a row that make an upstream suspect; a sound one fails a few tasks in a thousand. */
 const maxFailures = 3;
-/** Of sound runs one in a thousand takes more than this many times its declared run time. */
-const slowRatio = 4;
 /** Slow runs that make an upstream suspect at once, and the times in a row that fewer have to be seen. */
 const manyRuns = 3;
 const slowLooks = 3;
@@ -54,7 +53,7 @@
 				return;
 			}
 
-			const isSlow = projections.toSorted((a, b) => a - b)[Math.floor(projections.length / 2)]! > slowRatio;
+			const isSlow = projections.toSorted((a, b) => a - b)[Math.floor(projections.length / 2)]! > soundRatio;
 			if (!isSlow) {
 				slow = 0;
 				return;
--- a/src/request/progress.ts
+++ b/src/request/progress.ts
@@ -17,7 +17,7 @@
 const judgedShare = 0.4;
 const minElapsed: Milliseconds = 60;
 /** Of sound runs one in a thousand takes more than this many times its declared run time. */
-const soundRatio = 4;
+export const soundRatio = 4;
 
 /** The run time over the declared one that a run is heading for; empty while that cannot be told. */
 export function project({elapsed, percent, expected}: RunProgress): readonly number[] {
--- a/src/version/follower.ts
+++ b/src/version/follower.ts
@@ -43,7 +43,7 @@
 /** Creates a follower that has no version yet. */
 export function createVersionFollower(host: VersionFollowerHost): VersionFollower {
 	const {platform, clock, pollMs = defaultPoll, maxPollMs = defaultMaxPoll} = host;
-	const holder = createVersionHolder({encode: encodeSnapshot, decode: decodeSnapshot}, host.onFault);
+	const {take, ...inForce} = createVersionHolder({encode: encodeSnapshot, decode: decodeSnapshot}, host.onFault);
 	let failures = 0;
 	let timer: Timer | undefined;
 	let isRunning = false;
@@ -58,11 +58,7 @@
 			timer?.cancel();
 		},
 		poll,
-		offer: holder.offer,
-		get: holder.get,
-		tryGet: holder.tryGet,
-		tryGetBytes: holder.tryGetBytes,
-		onChange: holder.onChange,
+		...inForce,
 	};
 
 	async function run(): Promise<void> {
@@ -101,12 +97,12 @@
 			return err(snapshot.error);
 		}
 
-		holder.take(snapshot.value);
+		take(snapshot.value);
 		return ok();
 	}
 
 	function getVersion(): number {
-		return holder.tryGet()?.version ?? 0;
+		return inForce.tryGet()?.version ?? 0;
 	}
 
 	function reportOldRead(served: number, current: number): void {
--- a/src/version/watched-follower.ts
+++ b/src/version/watched-follower.ts
@@ -32,7 +32,7 @@
 
 /** Creates a follower that has no version yet. */
 export function createWatchedFollower(host: WatchedFollowerHost): VersionFollower {
-	const holder = createVersionHolder(host.codec, host.onFault);
+	const {take, ...inForce} = createVersionHolder(host.codec, host.onFault);
 	let failures = 0;
 	let isRunning = false;
 	let isStopped = false;
@@ -47,11 +47,7 @@
 			isStopped = true;
 		},
 		poll,
-		offer: holder.offer,
-		get: holder.get,
-		tryGet: holder.tryGet,
-		tryGetBytes: holder.tryGetBytes,
-		onChange: holder.onChange,
+		...inForce,
 	};
 
 	function isStarted(): boolean {
@@ -82,7 +78,7 @@
 
 		failures = 0;
 		if (read.value !== undefined) {
-			host.codec.decode(read.value, 'the store').map(snapshot => holder.take(snapshot)).orTee(host.onFault);
+			host.codec.decode(read.value, 'the store').map(snapshot => take(snapshot)).orTee(host.onFault);
 		}
 	}
 }
--- a/test/failure/leased/world.ts
+++ b/test/failure/leased/world.ts
@@ -2,6 +2,7 @@
  * A simulated deployment as on the users' platform: entries that place tasks by room, and agents that order executors
  * under leases.
  */
+import {unboundedQuota} from '../../../src/connection/unbounded-quota.js';
 import {createLinkHub, type LinkHub} from '../../../src/connection/link-server.js';
 import type {EntryAddress} from '../../../src/generated/kingcuplane.js';
 import {platformTiming, settleMs} from '../../../src/platform/timing.js';
@@ -11,7 +12,8 @@
 import {createLeasedUpstream} from '../../../src/process/leased-upstream.js';
 import type {Executor} from '../../../src/process/leased-run.js';
 import {noMetrics} from '../../../src/process/metrics.js';
-import {createPauseWatch, type PauseWatch} from '../../../src/process/pause-watch.js';
+import {createPauseMeter, createPauseWatch, type PauseWatch} from '../../../src/process/pause-watch.js';
+import {holdStartsAfterPauses} from '../../../src/process/start-hold.js';
 import {createMemoryPlatform} from '../../../src/process/platform/memory.js';
 import {createHome} from '../../../src/request/home.js';
 import type {Home} from '../../../src/request/home-types.js';
@@ -74,8 +76,6 @@
 export type Died = (entry: LeasedEntry) => void;
 
 const snapshot = createSnapshot(1, createObjects());
-/** As at an entry: what came while it stood still is read before anything starts. */
-const pauseHoldMs: Milliseconds = 60;
 
 /** Starts a deployment and runs it until all links are up. */
 export async function createLeasedWorld(seed: number, died: Died, plants: Plants = {}): Promise<LeasedWorld> {
@@ -167,12 +167,7 @@
 			entry: name,
 			issuer,
 			fates: createFates(process.clock, incarnation, objects.objects).recorder,
-			quota: {
-				take(_team, _tasks, done) {
-					done(true);
-				},
-				release: () => undefined,
-			},
+			quota: unboundedQuota,
 			agentGraceMs: timing.closedGraceMs!,
 			silentGraceMs: timing.silentGraceMs,
 			endsEarlierLives: true,
@@ -199,9 +194,7 @@
 			entry: name,
 			incarnation,
 			sessions: home.sessions,
-			getQueued: home.scheduler.getQueued,
-			tryGetHead: home.scheduler.tryGetHead,
-			getReturned: home.scheduler.getReturned,
+			scheduler: home.scheduler,
 			tryGetConfig: () => undefined,
 			getEntries: () => entryNames.map((entry): EntryAddress => ({name: entry, incarnation: entry, links: entry})),
 			getFenced: () => [],
@@ -217,11 +210,8 @@
 			silenceMs: timing.silenceMs,
 			arrived: pauses.check,
 		});
-		pauses.onPause(() => {
-			home.scheduler.setHeld?.(true);
-			process.clock.after(pauseHoldMs, () => {
-				home.scheduler.setHeld?.(false);
-			});
+		holdStartsAfterPauses({
+			clock: process.clock, scheduler: home.scheduler, pauses, log: noLog,
 		});
 
 		home.applySnapshot(snapshot);
@@ -234,10 +224,6 @@
 
 	function startAgent(name: string, process: SimulatedProcess): void {
 		const pauses = createPauseWatch(process.clock);
-		let pause: Milliseconds = 0;
-		pauses.onPause(length => {
-			pause += length;
-		});
 		const life: {readonly process: SimulatedProcess; agent?: Agent} = {process};
 		agents.set(name, life);
 		const executor = carry(process, executors.get(name)!);
@@ -255,12 +241,7 @@
 			unreachable() {
 				life.agent?.checkUpstream();
 			},
-			takePause() {
-				pauses.check();
-				const taken = pause;
-				pause = 0;
-				return taken;
-			},
+			takePause: createPauseMeter(pauses),
 		});
 		void upstream.takeOver().then(() => {
 			life.agent = createAgent({
--- a/test/request/home.test.ts
+++ b/test/request/home.test.ts
@@ -1,3 +1,4 @@
+import {unboundedQuota} from '../../src/connection/unbounded-quota.js';
 import {createSnapshot} from '../../src/version/snapshot.js';
 import {RefusalReason, TaskOutcome, type TaskStart} from '../../src/generated/kingcuplane.js';
 import type {Milliseconds} from '../../src/process/clock.js';
@@ -51,12 +52,7 @@
 		entry: 'e',
 		issuer,
 		fates: createFates(clock, incarnation, createMemoryPlatform({clock}).objects).recorder,
-		quota: {
-			take(_team, _tasks, done) {
-				done(true);
-			},
-			release: () => undefined,
-		},
+		quota: unboundedQuota,
 		createScheduler: host => createRoomScheduler({...host, random: () => 0, settleMs: 0}),
 		agentGraceMs: 600,
 		answerKeepMs: 1000,
