Use one simulated process, one grouping and one table row in tests and bench

Cause: read again, the change held a second simulated process (a copy of the first one with a steady clock that a freeze stops), a second grouping of items, a second row of a Markdown table, and the same switch on and off three times.

Change: createProcess takes the skew and whether its clock stops; group and formatRow stand once.

--- a/dev/bench/report.ts
+++ b/dev/bench/report.ts
@@ -69,6 +69,7 @@
 	return value.toFixed(value < 10 ? 3 : 1);
 }
 
-function formatRow(cells: readonly string[]): string {
+/** One row of a Markdown table. */
+export function formatRow(cells: readonly string[]): string {
 	return `| ${cells.join(' | ')} |`;
 }
--- a/dev/bench/site-report.ts
+++ b/dev/bench/site-report.ts
@@ -1,6 +1,7 @@
 /**
  * Writes the figures of replayed sites as Markdown.
  */
+import {formatRow} from './report.js';
 import type {SiteFigures} from './site-types.js';
 
 const columns = [
@@ -64,7 +65,3 @@
 function formatShare(value: number | undefined): string {
 	return value === undefined ? '' : value.toFixed(3);
 }
-
-function formatRow(cells: readonly string[]): string {
-	return `| ${cells.join(' | ')} |`;
-}
--- a/dev/bench/worth.ts
+++ b/dev/bench/worth.ts
@@ -2,6 +2,7 @@
  * What answers are worth to the users: all by the objective, a fifth up to three times the objective, nothing later.
  */
 import type {Milliseconds} from '../../src/process/clock.js';
+import {group} from '../group.js';
 import type {Served, SiteFigures, SiteJob} from './site-types.js';
 
 /** What became of one job. */
@@ -34,20 +35,6 @@
 	};
 }
 
-function group<Key>(records: readonly SiteRecord[], getKey: (record: SiteRecord) => Key): ReadonlyMap<Key, readonly SiteRecord[]> {
-	const groups = new Map<Key, SiteRecord[]>();
-	for (const record of records) {
-		const members = groups.get(getKey(record));
-		if (members === undefined) {
-			groups.set(getKey(record), [record]);
-		} else {
-			members.push(record);
-		}
-	}
-
-	return groups;
-}
-
 function getServed(records: readonly SiteRecord[]): Served {
 	const count = (isCounted: (record: SiteRecord) => boolean) => records.filter(record => isCounted(record)).length;
 	let owed = 0;
--- a/test/failure/leased/checker.ts
+++ b/test/failure/leased/checker.ts
@@ -1,6 +1,7 @@
 /**
  * Judges a run on the users' platform by what clients and executors saw, and by nothing else.
  */
+import {group} from '../../../dev/group.js';
 import type {Milliseconds} from '../../../src/process/clock.js';
 import type {SeenRun} from '../../process/fake-executor.js';
 import type {Violation} from '../checker.js';
@@ -110,12 +111,3 @@
 function getJobName(task: string): string {
 	return task.split('.')[0]!;
 }
-
-function group<T>(items: readonly T[], getKey: (item: T) => string): ReadonlyMap<string, readonly T[]> {
-	const groups = new Map<string, T[]>();
-	for (const item of items) {
-		groups.set(getKey(item), [...groups.get(getKey(item)) ?? [], item]);
-	}
-
-	return groups;
-}
--- a/test/failure/leased/run.ts
+++ b/test/failure/leased/run.ts
@@ -22,6 +22,8 @@
 const faultsMs: Milliseconds = 10_000;
 const longestFaultMs: Milliseconds = 4000;
 const faultCount = 8;
+/** Time that slow orders wait on their way; their time-out is 150 ms. */
+const slowOrderMs: Milliseconds = 100;
 const arrivalMs: Milliseconds = 100;
 const probeMs: Milliseconds = 8000;
 /** Time limit of the last job, the longest late order, and some. */
@@ -158,10 +160,8 @@
 		}
 
 		case 'dark': {
-			const executor = world.executors.get(fault.agent)!;
-			executor.isDark = true;
-			clock.after(fault.duration, () => {
-				executor.isDark = false;
+			switchFor(fault.duration, isOn => {
+				world.executors.get(fault.agent)!.isDark = isOn;
 			});
 			break;
 		}
@@ -174,19 +174,15 @@
 		}
 
 		case 'slow-orders': {
-			const executor = world.executors.get(fault.agent)!;
-			executor.orderDelay = 100;
-			clock.after(fault.duration, () => {
-				executor.orderDelay = 0;
+			switchFor(fault.duration, isOn => {
+				world.executors.get(fault.agent)!.orderDelay = isOn ? slowOrderMs : 0;
 			});
 			break;
 		}
 
 		case 'standing-still': {
-			const executor = world.executors.get(fault.agent)!;
-			executor.isStandingStill = true;
-			clock.after(fault.duration, () => {
-				executor.isStandingStill = false;
+			switchFor(fault.duration, isOn => {
+				world.executors.get(fault.agent)!.isStandingStill = isOn;
 			});
 			break;
 		}
@@ -204,4 +200,11 @@
 			break;
 		}
 	}
+
+	function switchFor(duration: Milliseconds, set: (isOn: boolean) => void): void {
+		set(true);
+		clock.after(duration, () => {
+			set(false);
+		});
+	}
 }
--- a/test/failure/leased/world.ts
+++ b/test/failure/leased/world.ts
@@ -26,9 +26,8 @@
 import {createFates} from '../fates.js';
 import {createNetwork, type Network} from '../network.js';
 import {
-	createSimulation, run, type SimulatedProcess, type Simulation,
+	createProcess, createSimulation, run, type SimulatedProcess, type Simulation,
 } from '../simulation.js';
-import {createPausableProcess} from './pausable.js';
 
 /** Names of the entries and of the agents, which outlive restarts. */
 export const entryNames = ['e1', 'e2', 'e3'] as const;
@@ -127,7 +126,7 @@
 
 	function start(name: string): void {
 		lives.set(name, (lives.get(name) ?? 0) + 1);
-		const process = createPausableProcess(sim, `${name}-${lives.get(name)}`);
+		const process = createProcess(sim, `${name}-${lives.get(name)}`, {skewMs: 2000, isClockFrozen: true});
 		if (executors.has(name)) {
 			startAgent(name, process);
 		} else {
--- a/test/failure/simulation.ts
+++ b/test/failure/simulation.ts
@@ -61,16 +61,31 @@
 	};
 }
 
+/** How the clocks of a process behave. */
+export type ProcessOptions = {
+	/** Most by which the time of day is off, both ways. */
+	readonly skewMs?: Milliseconds;
+	/** Whether the steady clock stands still while the process is frozen, as on the users' machines. */
+	readonly isClockFrozen?: boolean;
+};
+
+/** Real timers take whole milliseconds; one of a rounding error would never let time pass. */
+const leastTimerMs: Milliseconds = 0.1;
+const roundingMs: Milliseconds = 0.001;
+
 /** Creates a process whose clock runs up to 1 % too fast or too slow. */
-export function createProcess({clock, dice}: Simulation, name: string): SimulatedProcess {
+export function createProcess({clock, dice}: Simulation, name: string, {skewMs = 5000, isClockFrozen = false}: ProcessOptions = {}): SimulatedProcess {
 	const rate = 1 + (dice.between(-10, 10) / 1000);
-	const skew = dice.between(-5000, 5000);
+	const skew = dice.between(-skewMs, skewMs);
 	let state: 'running' | 'frozen' | 'dead' = 'running';
+	let frozenAt: Milliseconds = 0;
+	/** Time that the steady clock has left out. */
+	let frozenFor: Milliseconds = 0;
 	let backlog: Array<() => void> = [];
 
 	return {
 		name,
-		clock: {now: () => clock.now() * rate, wall: () => wallStart + clock.now() + skew, after},
+		clock: {now, wall: () => wallStart + clock.now() + skew, after},
 		isAlive: () => state !== 'dead',
 		isFrozen: () => state === 'frozen',
 		perform,
@@ -87,10 +102,17 @@
 			backlog = [];
 		},
 		freeze() {
-			state = state === 'running' ? 'frozen' : state;
+			if (state === 'running') {
+				state = 'frozen';
+				frozenAt = clock.now();
+			}
 		},
 		thaw() {
-			state = state === 'frozen' ? 'running' : state;
+			if (state === 'frozen') {
+				state = 'running';
+				frozenFor += isClockFrozen ? clock.now() - frozenAt : 0;
+			}
+
 			const waiting = backlog;
 			backlog = [];
 			for (const action of waiting) {
@@ -99,6 +121,11 @@
 		},
 	};
 
+	function now(): Milliseconds {
+		const isStandingStill = isClockFrozen && state === 'frozen';
+		return ((isStandingStill ? frozenAt : clock.now()) - frozenFor) * rate;
+	}
+
 	function perform(action: () => void): void {
 		if (state === 'running') {
 			action();
@@ -108,20 +135,35 @@
 	}
 
 	function after(delay: Milliseconds, action: () => void): Timer {
+		const dueAt = now() + delay;
 		let isCancelled = false;
-		const timer = clock.after(delay / rate, () => {
-			perform(() => {
-				if (!isCancelled) {
-					action();
-				}
-			});
-		});
+		let timer = arm(delay);
 		return {
 			cancel() {
 				isCancelled = true;
 				timer.cancel();
 			},
 		};
+
+		function arm(rest: Milliseconds): Timer {
+			return clock.after(rest > 0 ? Math.max(rest, leastTimerMs) / rate : 0, () => {
+				perform(fire);
+			});
+		}
+
+		// A timer that was overtaken by a freeze has the rest of its time before it.
+		function fire(): void {
+			const rest = dueAt - now();
+			if (isCancelled) {
+				return;
+			}
+
+			if (rest > roundingMs) {
+				timer = arm(rest);
+			} else {
+				action();
+			}
+		}
 	}
 }
 
