Forget that a queue stood once it is empty, also when its last job is taken out

Cause: read again: since when tasks have been waiting was noted at the end of a dispatch only. A queue emptied by a cancel or an answer kept the old time until the next dispatch, and the next job that waited was taken for one behind a standing queue: refused at its objective instead of at three times it.

Ruled out: a second place that clears it; both ways already end in the one function that tells agents of the demand.

Change: that function notes it.

--- a/src/request/room-scheduler.ts
+++ b/src/request/room-scheduler.ts
@@ -186,7 +186,7 @@
 			if (waiting !== undefined) {
 				state.jobs.delete(ticket);
 				state.waitingTasks -= waiting.tasks.length;
-				tellDemand(state);
+				noteDemand(state);
 				return waiting.tasks.map(task => task.index).toSorted((a, b) => a - b);
 			}
 		}
@@ -209,8 +209,7 @@
 			}
 		}
 
-		state.waitingSince = state.waitingTasks > 0 ? state.waitingSince ?? clock.now() : undefined;
-		tellDemand(state);
+		noteDemand(state);
 	}
 
 	function startTasks(state: ServiceState, waiting: RoomJob): void {
@@ -274,14 +273,20 @@
 	}
 
 	/** Agents that hear of waiting tasks tell at once when room becomes free. */
-	function tellDemand(state: ServiceState): void {
+	function noteDemand(state: ServiceState): void {
 		if (state.waitingTasks > 0) {
+			state.waitingSince ??= clock.now();
 			state.quietTimer?.cancel();
 			state.quietTimer = undefined;
 			if (state.asked.size === 0) {
 				ask(state);
 			}
-		} else if (state.asked.size > 0) {
+
+			return;
+		}
+
+		state.waitingSince = undefined;
+		if (state.asked.size > 0) {
 			state.quietTimer ??= clock.after(quietMs, () => {
 				state.quietTimer = undefined;
 				const asked = [...state.asked];
--- a/test/request/room-scheduler.test.ts
+++ b/test/request/room-scheduler.test.ts
@@ -221,6 +221,22 @@
 			t.deepEqual(starts.map(({ticket}) => ticket), ['begun']);
 		});
 
+		it('takes no queue for standing that was empty in between', t => {
+			const {
+				scheduler, hopeless, open, tellRoom, clock,
+			} = createBench();
+			open('a', 8);
+			tellRoom('a', 0, 0);
+			scheduler.enqueue(createJob('gone', 1, 60, clock.now()));
+			scheduler.remove('gone');
+			clock.advance(600);
+			scheduler.enqueue(createJob('waiting', 1, 60, clock.now()));
+			// Its objective of 156 ms is out of reach, and its answer is of use for 468 ms.
+			clock.advance(200);
+			tellRoom('a', 0, 0);
+			t.deepEqual(hopeless, []);
+		});
+
 		it('starts what is late if there is room for it', t => {
 			const {
 				scheduler, starts, hopeless, open, clock,
