End what was started of a test system that cannot start, at addresses of its own

The second run of the same commit alone failed as well: four processes of the first one were still there, as a system whose start fails was never stopped. Brought about again by occupying the address: an entry was left over.

Ruled out: the product; ava ends its workers without their exit handlers.

Change: startTogether, for both kinds of test systems, kills what runs when a start fails; the second number of the addresses comes from the process.

--- a/dev/platform-system.ts
+++ b/dev/platform-system.ts
@@ -7,9 +7,12 @@
 import http from 'node:http';
 import os from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
 import {z} from 'zod';
 import type {Milliseconds} from '../src/process/clock.js';
-import {startProgram, waitForUrl, type Program} from './processes.js';
+import {
+	startProgram, startTogether, waitForUrl, type Program,
+} from './processes.js';
 
 /** What to start. */
 export type PlatformSystemOptions = {
@@ -68,6 +71,8 @@
 
 const host = 'jobs.example';
 const prefix = '/jobs/';
+/** Second numbers of loopback addresses, of which each process that starts systems takes one. */
+const networks = 254;
 const ports = {
 	clients: 18_161, control: 18_166, ready: 18_167, links: 17_720,
 };
@@ -77,8 +82,13 @@
 
 /** Starts a system and waits until every entry is ready. */
 export async function startPlatformSystem(options: PlatformSystemOptions): Promise<PlatformSystem> {
+	return startTogether(async programs => startMachines(options, programs));
+}
+
+async function startMachines(options: PlatformSystemOptions, programs: Program[]): Promise<PlatformSystem> {
+	// Another test run on this machine must not meet this one at an address.
+	const network = `127.${1 + (process.pid % networks)}.${options.net}`;
 	const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kingcuplane-'));
-	const programs: Program[] = [];
 	const standin = start('dev/platform-standin.js');
 	const store = await waitForUrl(standin);
 	const connections = new http.Agent({keepAlive: true});
@@ -104,7 +114,7 @@
 	function createMachines(role: 'entry' | 'agent', count: number, first: number): PlatformMachine[] {
 		return Array.from({length: count}, (_, i) => {
 			const name = `${role}-${i + 1}`;
-			const address = `127.0.${options.net}.${first + i}`;
+			const address = `${network}.${first + i}`;
 			const file = path.join(folder, name);
 			fs.writeFileSync(file, toSettings(role, name, address));
 			const run = () => start('src/platform/bin/kingcuplane-platform.js', [role], {KINGCUPLANE_CONFIG: file});
@@ -123,7 +133,7 @@
 	function toSettings(role: 'entry' | 'agent', name: string, address: string): string {
 		const listen = role === 'entry' ? `listen.front=${address}:${ports.clients}\nlisten.ready=${address}:${ports.ready}\n` : '';
 		return `node=${name}\nzone=z\nip=${address}\n${listen}listen.control=${address}:${ports.control}\nport-range=${ports.links},${ports.links + 15}\n`
-			+ `seeds=127.0.${options.net}.1:${ports.control}\nplatform.addr=${new URL(store).host}\n`;
+			+ `seeds=${network}.1:${ports.control}\nplatform.addr=${new URL(store).host}\n`;
 	}
 
 	async function publish(version: number, prefixes: readonly string[] = [prefix]): Promise<void> {
--- a/dev/processes.ts
+++ b/dev/processes.ts
@@ -143,6 +143,17 @@
 	}
 }
 
+/** Starts programs that belong together; kills those that are running if one of them cannot be started. */
+export async function startTogether<T>(start: (programs: Program[]) => Promise<T>): Promise<T> {
+	const programs: Program[] = [];
+	try {
+		return await start(programs);
+	} catch (err) {
+		await Promise.all(programs.map(async program => program.kill()));
+		throw err;
+	}
+}
+
 /** Waits for the line that development programs print when ready, and gives the address in it. */
 export async function waitForUrl(program: Program): Promise<string> {
 	const match = await program.waitForLine(/ listening on (?<url>http:\S+)/v);
--- a/dev/system.ts
+++ b/dev/system.ts
@@ -11,7 +11,9 @@
 import {createPlatformClient, type PlatformClient} from '../src/platform/store-client.js';
 import {parseFiles} from '../src/version/parse.js';
 import {publish} from '../src/version/publish.js';
-import {startProgram, waitForUrl, type Program} from './processes.js';
+import {
+	startProgram, startTogether, waitForUrl, type Program,
+} from './processes.js';
 
 /** What to start. */
 export type SystemOptions = {
@@ -73,12 +75,16 @@
 
 /** Starts a system and waits until every agent is linked and the objects are in force at every entry. */
 export async function startSystem(options: SystemOptions): Promise<System> {
+	return startTogether(async programs => startParts(options, programs));
+}
+
+async function startParts(options: SystemOptions, programs: Program[]): Promise<System> {
 	const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'kingcuplane-'));
 	const clock = createSystemClock();
 	const standin = startProgram('dev/platform-standin.js');
+	programs.push(standin);
 	const platformUrl = await waitForUrl(standin);
 	const platform = createPlatformClient({url: platformUrl, timeoutMs: 2000, clock});
-	const programs: Program[] = [standin];
 	const entries: SystemEntry[] = [];
 	const agents: SystemAgent[] = [];
 	await writeTokens(platform, options.team ?? defaultTeam);
