--- a/dev/bench/processes.ts
+++ b/dev/bench/processes.ts
@@ -3,19 +3,16 @@
  * open-loop load at several rates. Prints the response time over the ideal, processor time and memory by role, and the
  * calls to the platform.
  */
-import fs from 'node:fs';
 import process from 'node:process';
 import sade from 'sade';
 import {z} from 'zod';
 import {checkDefined} from '../../src/process/debug.js';
 import {startProgram, type Program} from '../processes.js';
 import {startSystem, type System} from '../system.js';
+import {readProcessUsage, type ProcessUsage} from './process-usage.js';
 
 const slots = 88;
 const meanRunMs = 450;
-/** Unit of processor time in the process statistics (`USER_HZ`). */
-const ticksPerSecond = 100;
-const pageBytes = 4096;
 
 const objects = `
 [[policy]]
@@ -40,11 +37,6 @@
 	jobs: z.number(), tasks: z.number(), states: z.record(z.string(), z.number()), slowdown: percentilesSchema,
 });
 
-type Usage = {
-	readonly cpuSeconds: number;
-	readonly residentBytes: number;
-};
-
 sade('bench-processes', true)
 	.option('--loads', 'Loads in percent of the slots, separated by commas', '50,80,95,120')
 	.option('--seconds', 'Duration of each run', 10)
@@ -116,24 +108,14 @@
 	return resultSchema.parse(JSON.parse(line));
 }
 
-function readTotalUsage(programs: readonly Program[]): Usage {
-	const usages = programs.map(program => readUsage(program.pid));
+function readTotalUsage(programs: readonly Program[]): ProcessUsage {
+	const usages = programs.map(program => readProcessUsage(program.pid));
 	return {
 		cpuSeconds: usages.reduce((total, usage) => total + usage.cpuSeconds, 0),
 		residentBytes: usages.reduce((total, usage) => total + usage.residentBytes, 0),
 	};
 }
 
-/** Reads the statistics of a process. Field indices count from the field after the parenthesized program name. */
-function readUsage(pid: number): Usage {
-	const stat = fs.readFileSync(`/proc/${pid}/stat`, 'utf8');
-	const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
-	return {
-		cpuSeconds: (Number(fields[11]) + Number(fields[12])) / ticksPerSecond,
-		residentBytes: Number(fields[21]) * pageBytes,
-	};
-}
-
 const statsSchema = z.looseObject({
 	tableReads: z.number(), tableWrites: z.number(), objectReads: z.number(), objectWrites: z.number(),
 });
--- a/dev/platform-system.ts
+++ b/dev/platform-system.ts
@@ -20,6 +20,12 @@
 	readonly agents: number;
 	/** Third byte of all addresses; systems that run at the same time need different values. */
 	readonly subnet: number;
+	/** Script of entries and agents, relative to the compiled project; the compiled program if undefined. */
+	readonly program?: string;
+	/** Options of Node.js for entries and agents. */
+	readonly nodeOptions?: readonly string[];
+	/** Processors of an executor, in thousandths; the default of the stand-in if undefined. */
+	readonly executorCpu?: number;
 };
 
 /** A job to submit. */
@@ -69,6 +75,7 @@
 	stop(): Promise<void>;
 };
 
+const compiledProgram = 'src/platform/bin/kingcuplane-platform.js';
 const host = 'jobs.example';
 const prefix = '/jobs/';
 /** Number of loopback networks `127.1` to `127.254`; each process that starts systems uses one of them. */
@@ -92,11 +99,12 @@
 	const standin = start('dev/platform-standin.js');
 	const storeUrl = await waitForUrl(standin);
 	const connections = new http.Agent({keepAlive: true});
+	const executorOptions = options.executorCpu === undefined ? [] : ['--cpu', String(options.executorCpu)];
 	await publish(1);
 	const entries = createInstances('entry', options.entries, 1);
 	const agents = createInstances('agent', options.agents, 100);
 	const executors = await Promise.all(agents.map(async (agent, i) => {
-		const program = start('dev/executor-standin.js', ['--agent', `${agent.address}:${ports.control}`, '--id', `i-${i + 1}`]);
+		const program = start('dev/executor-standin.js', ['--agent', `${agent.address}:${ports.control}`, '--id', `i-${i + 1}`, ...executorOptions]);
 		return {program, url: await waitForUrl(program)};
 	}));
 	const system: PlatformSystem = {
@@ -105,8 +113,8 @@
 	await waitUntilReady(system);
 	return system;
 
-	function start(script: string, args: readonly string[] = [], env: Readonly<Record<string, string>> = {}): Program {
-		const program = startProgram(script, args, env);
+	function start(script: string, args: readonly string[] = [], env: Readonly<Record<string, string>> = {}, nodeOptions: readonly string[] = []): Program {
+		const program = startProgram(script, args, env, nodeOptions);
 		programs.push(program);
 		return program;
 	}
@@ -117,7 +125,7 @@
 			const address = `${network}.${first + i}`;
 			const file = path.join(folder, name);
 			fs.writeFileSync(file, toSettings(role, name, address));
-			const launch = () => start('src/platform/bin/kingcuplane-platform.js', [role], {KINGCUPLANE_CONFIG: file});
+			const launch = () => start(options.program ?? compiledProgram, [role], {KINGCUPLANE_CONFIG: file}, options.nodeOptions);
 			const instance: PlatformInstance = {
 				name,
 				address,
--- a/dev/processes.ts
+++ b/dev/processes.ts
@@ -58,8 +58,8 @@
  * Starts a compiled program of this project, for instance `dev/platform-standin.js`. The program is killed when this
  * process exits.
  */
-export function startProgram(script: string, args: readonly string[] = [], env: Readonly<Record<string, string>> = {}): Program {
-	const child = spawn(process.execPath, [fileURLToPath(new URL(script, compiledRoot)), ...args], {stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...env}});
+export function startProgram(script: string, args: readonly string[] = [], env: Readonly<Record<string, string>> = {}, nodeOptions: readonly string[] = []): Program {
+	const child = spawn(process.execPath, [...nodeOptions, fileURLToPath(new URL(script, compiledRoot)), ...args], {stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...env}});
 	const {pid} = child;
 	if (pid === undefined) {
 		throw new Error(`${script} could not be started`);
