Check links by what depends on them, and let held-up starts expire

And a start that a cut had held up ran when the cut ended, although its entry may have started the task elsewhere: nothing bounded its age. Change: links with pending outcomes are checked every 220 ms (silent after 700 ms), others every 2 s (5 s); one lazily extended timer a link. Agents report their clock, and a start is valid for 600 ms on it. Results of a job whose other tasks still run at the same upstream wait up to 50 ms for each other.

--- a/src/connection/agent-sessions.ts
+++ b/src/connection/agent-sessions.ts
@@ -37,6 +37,8 @@
 	 * than the entry. Equals `graceMs` if undefined.
 	 */
 	readonly silentGraceMs?: Milliseconds;
+	/** Time for which a start remains valid after it was sent; unlimited if undefined. It must have ended when a start is abandoned. */
+	readonly startValidityMs?: Milliseconds;
 	/** Whether an agent that returns as another incarnation guarantees that all runs of its earlier incarnations have ended. */
 	readonly endsEarlierIncarnations?: boolean;
 	onAgentConnected(agent: AgentInfo): void;
@@ -49,8 +51,8 @@
 	onLateResult(agent: AgentInfo, result: TaskResult): void;
 };
 
-/** A start without its sequence number, which the session assigns. */
-export type UnsequencedStart = Omit<TaskStart, 'seq'>;
+/** A start without its sequence number and the end of its validity, which the session assigns. */
+export type UnsequencedStart = Omit<TaskStart, 'seq' | 'validUntilMs'>;
 
 /** The sessions of one entry incarnation with all agents. */
 export type AgentSessions = {
@@ -71,6 +73,8 @@
 	receiveResult(result: TaskResult): void;
 	receiveState(state: AgentState): void;
 	receiveGrantedCredits(granted: number): void;
+	/** Whether the outcome of a start is pending. */
+	hasOutstandingStarts(): boolean;
 	/** Returns the highest sequence number up to which all results were handled. */
 	getAckedResultSeq(): number;
 	/** Closes the session of this link; `isSilent` if the silence timeout ended it. */
@@ -85,6 +89,8 @@
 	/** Number of the newest link; identifies calls from links that were replaced. */
 	linkNumber: number;
 	isOpen: boolean;
+	/** The agent's clock minus this process's clock, at most; undefined until the agent has reported its clock. */
+	clockOffset?: Milliseconds;
 	graceTimer?: Timer;
 	session?: AgentSession;
 };
@@ -170,7 +176,7 @@
 				record.sentStarts.set(seq, {
 					ticket: unsequenced.task!.ticket, index: unsequenced.task!.index, attempt: unsequenced.attempt, agent: record.agent,
 				});
-				return {...unsequenced, seq};
+				return {...unsequenced, seq, validUntilMs: getValidityEnd(record)};
 			},
 			receiveResult(result) {
 				if (isCurrent()) {
@@ -179,6 +185,8 @@
 			},
 			receiveState(state) {
 				if (isCurrent()) {
+					// The report was under way for a while, so the difference is a lower bound, and starts expire rather early.
+					record.clockOffset = state.clockMs === 0 ? undefined : state.clockMs - host.clock.now();
 					host.onAgentState(record.agent, state);
 				}
 			},
@@ -187,6 +195,7 @@
 					host.onCreditsGranted(record.agent, granted);
 				}
 			},
+			hasOutstandingStarts: () => record.sentStarts.size > 0,
 			getAckedResultSeq: () => record.lastResultSeq,
 			close(isSilent = false) {
 				if (isCurrent()) {
@@ -196,6 +205,11 @@
 		};
 	}
 
+	/** Returns the end of validity of a start that is sent now, on the agent's clock; 0 if it is unlimited. */
+	function getValidityEnd({clockOffset}: SessionRecord): Milliseconds {
+		return host.startValidityMs === undefined || clockOffset === undefined ? 0 : host.clock.now() + clockOffset + host.startValidityMs;
+	}
+
 	function handleResult(record: SessionRecord, result: TaskResult): void {
 		if (result.seq <= record.lastResultSeq) {
 			return;
--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -67,6 +67,8 @@
 	/** Sets whether the agent is draining; every start is refused while it is. */
 	setDraining(draining: boolean): void;
 	getRunningTasks(): number;
+	/** Whether a task of this entry runs. */
+	hasRunningTasks(entry: string): boolean;
 	/** Returns the number of unacknowledged results for entries that are linked or were linked until a few seconds ago. */
 	getUnacknowledgedResults(): number;
 };
@@ -84,6 +86,8 @@
 	readonly running: Map<number, TaskStart>;
 	orphanTimer?: Timer;
 	held: HeldReply[];
+	/** Pending while results of jobs that are still in progress here wait for more results. */
+	partialResultTimer?: Timer;
 	isOpen: boolean;
 	closedAt: Milliseconds;
 };
@@ -95,6 +99,8 @@
 };
 
 const noPayload = new Uint8Array();
+/** Maximum time for which the result of a task waits for those of other tasks of its job. */
+const partialResultDelayMs: Milliseconds = 50;
 /** An entry that has been disconnected for longer has abandoned its starts on this agent, or has died. */
 const reconnectGraceMs: Milliseconds = 3000;
 
@@ -154,6 +160,7 @@
 			granter.setDraining(draining);
 		},
 		getRunningTasks: () => running,
+		hasRunningTasks: entry => (records.get(entry)?.running.size ?? 0) > 0,
 		getUnacknowledgedResults() {
 			const oldest = host.clock.now() - reconnectGraceMs;
 			let count = 0;
@@ -241,6 +248,11 @@
 			return RefusalReason.REFUSAL_REASON_FENCED;
 		}
 
+		// The start was held up on the way. Its entry may have given it up and started the task elsewhere.
+		if (start.validUntilMs > 0 && host.clock.now() > start.validUntilMs) {
+			return RefusalReason.REFUSAL_REASON_EXPIRED;
+		}
+
 		if (granter.tryAcquire(entry, start.need)) {
 			return undefined;
 		}
@@ -263,11 +275,40 @@
 		};
 		record.results.set(result.seq, result);
 		dropUndeliverablePayloads();
+		if (isPartialResult(record, start, result)) {
+			record.partialResultTimer ??= host.clock.after(partialResultDelayMs, () => {
+				record.partialResultTimer = undefined;
+				notifyOutput(entry, record);
+			});
+		} else {
+			notifyOutput(entry, record);
+		}
+
+		return result;
+	}
+
+	function notifyOutput(entry: string, record: SessionRecord): void {
 		if (record.isOpen) {
 			host.onOutputPending(entry);
 		}
+	}
 
-		return result;
+	/**
+	 * Whether the job cannot end with this result, since other tasks of it still run here. Such results travel together.
+	 * Where slots limit the upstream, a result also tells its entry of a free slot and is sent at once.
+	 */
+	function isPartialResult(record: SessionRecord, {task, need}: TaskStart, {outcome}: TaskResult): boolean {
+		if (need === undefined || outcome !== TaskOutcome.TASK_OUTCOME_COMPLETED) {
+			return false;
+		}
+
+		for (const running of record.running.values()) {
+			if (running.task!.ticket === task!.ticket) {
+				return true;
+			}
+		}
+
+		return false;
 	}
 
 	// Only the payloads are dropped. The sequence numbers of an entry incarnation are retained forever: without them, an
--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -10,7 +10,8 @@
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import type {EntrySessions} from './entry-sessions.js';
 import {channelOptions} from './channel-options.js';
-import type {LinkTiming} from './link-timing.js';
+import {getHeartbeatInterval, type LinkTiming} from './link-timing.js';
+import {createSilenceMonitor, type SilenceMonitor} from './silence-monitor.js';
 
 /** Dependencies of one link. */
 export type LinkClientHost = {
@@ -71,7 +72,7 @@
 	scheduleFlush(): void;
 	/** Reports the agent's state, which has changed, to the entry. */
 	reportState(): void;
-	/** Reports the state unless a batch was sent less than half a heartbeat interval ago. */
+	/** Reports the state unless a batch was sent recently; see {@link getHeartbeatInterval}. */
 	sendHeartbeat(): void;
 	/** Drops the connection with everything that is buffered in it, and reconnects. */
 	reset(): void;
@@ -90,7 +91,7 @@
 	let reconnectDelay = initialReconnectDelayMs;
 	let reconnectTimer: Timer | undefined;
 	let isStopped = false;
-	let silenceTimer: Timer | undefined;
+	let silence: SilenceMonitor | undefined;
 	let isFlushDeferred = false;
 	let hasNewState = false;
 	let sentGranted = 0;
@@ -104,7 +105,7 @@
 			deferFlush();
 		},
 		sendHeartbeat() {
-			if (host.clock.now() - sentAt >= host.timing.heartbeatMs / 2) {
+			if (host.clock.now() - sentAt >= getHeartbeatInterval(host.timing, hasRunningTasks())) {
 				hasNewState = true;
 				deferFlush();
 			}
@@ -140,12 +141,13 @@
 
 		const current = client.open();
 		stream = current;
-		restartSilenceTimer(current);
+		monitorSilence(current);
 		current.on('data', (batch: EntryBatch) => {
 			host.onBatchReceived?.();
 			if (stream === current) {
-				restartSilenceTimer(current);
+				silence?.recordMessage();
 				receive(batch);
+				silence?.setActive(hasRunningTasks());
 			}
 		});
 		// An error also ends the stream; only the first of the two events closes it here.
@@ -157,15 +159,24 @@
 		});
 	}
 
-	function restartSilenceTimer(current: Stream): void {
-		silenceTimer?.cancel();
-		silenceTimer = host.timing.silenceTimeoutMs === undefined
-			? undefined
-			: host.clock.after(host.timing.silenceTimeoutMs, () => {
+	function monitorSilence(current: Stream): void {
+		const timeouts = host.timing.silence;
+		silence = timeouts && createSilenceMonitor({
+			clock: host.clock,
+			timeoutMs: timeouts.activeMs,
+			idleTimeoutMs: timeouts.idleMs,
+			onSilent() {
 				if (stream === current) {
 					reset('silent');
 				}
-			});
+			},
+		});
+		// A connection attempt that takes longer is given up, because another one may succeed sooner.
+		silence?.setActive(true);
+	}
+
+	function hasRunningTasks(): boolean {
+		return entry !== undefined && host.sessions.hasRunningTasks(entry);
 	}
 
 	function closeIfCurrent(closed: Stream): void {
@@ -181,7 +192,7 @@
 		}
 
 		stream = undefined;
-		silenceTimer?.cancel();
+		silence?.stop();
 		closed.cancel();
 		if (entry !== undefined) {
 			reportChange(reason);
@@ -261,6 +272,7 @@
 		});
 		hasNewState = false;
 		sentGranted = pending.granted;
+		silence?.setActive(hasRunningTasks());
 	}
 
 	function write(fields: Partial<AgentBatch>): void {
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -3,10 +3,12 @@
  * in one batch.
  */
 import type {
-	AgentBatch, ConfigUpdate, EntryAddress, EntryBatch, HeldReply, LinkServer, TaskStart, TaskStop,
+	AgentBatch, AgentHello, ConfigUpdate, EntryAddress, EntryBatch, HeldReply, LinkServer, TaskStart, TaskStop,
 } from '../generated/kingcuplane.js';
-import type {Milliseconds, Timer} from '../process/clock.js';
+import type {Clock, Milliseconds} from '../process/clock.js';
 import type {AgentSession, AgentSessions} from './agent-sessions.js';
+import {getHeartbeatInterval, type LinkTiming} from './link-timing.js';
+import {createSilenceMonitor, type SilenceMonitor} from './silence-monitor.js';
 import type {AgentInfo, Scheduler} from './types.js';
 
 /** Dependencies of the link server. */
@@ -16,10 +18,8 @@
 	readonly sessions: AgentSessions;
 	/** Source of the demand that each batch reports to its agent; read when the batch is assembled. */
 	readonly scheduler: Pick<Scheduler, 'getDemand' | 'tryGetHead' | 'getReturnedCredits'>;
-	/** Interval between batches on an otherwise idle link. */
-	readonly heartbeatMs: Milliseconds;
-	/** Time without an incoming batch after which a link is closed; undefined leaves this to gRPC's keepalive. */
-	readonly silenceTimeoutMs?: Milliseconds;
+	readonly timing: LinkTiming;
+	readonly clock: Clock;
 	/** Returns the part of the active configuration that concerns this agent. */
 	tryGetConfig(agent: AgentInfo): ConfigUpdate | undefined;
 	/** Returns the live entries, to which agents keep links. */
@@ -27,15 +27,11 @@
 	/** Returns the incarnations of entries that were declared dead. */
 	getFencedIncarnations(): readonly string[];
 	isDraining(): boolean;
-	/** Returns the time on the monotonic clock. */
-	now(): Milliseconds;
 	/** Called with the configuration version that an agent reports as active. */
 	onConfigVersion(agent: AgentInfo, version: number): void;
 	onHeldReply(agent: AgentInfo, reply: HeldReply): void;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
-	/** Runs an action after a delay. */
-	after(delay: Milliseconds, action: () => void): Timer;
 	/** Called when a link has opened or was lost. */
 	onLinkChanged?(agent: AgentInfo, change: LinkChange): void;
 	/** Called before a received batch is processed. */
@@ -61,7 +57,10 @@
 	scheduleReport(agent: string): void;
 	/** Acknowledges the handled results of this agent with the next batch, or in a batch of its own after a short delay. */
 	scheduleAck(agent: string): void;
-	/** Sends a batch on every link that was idle for half a heartbeat interval. To be called every `heartbeatMs`. */
+	/**
+	 * Sends a batch on every link with pending outcomes that was idle for half a heartbeat interval, and on every other link
+	 * that was idle for the interval of idle links. To be called every `heartbeatMs`.
+	 */
 	sendHeartbeats(): void;
 	/** Sends a changed configuration, the entries, the fenced incarnations and the draining flag to all agents. */
 	scheduleBroadcast(): void;
@@ -71,9 +70,6 @@
 	getLinkCount(): number;
 };
 
-/** Maximum time that an acknowledgement waits for another batch to carry it. */
-const ackDelayMs: Milliseconds = 200;
-
 /** The part of a gRPC stream that the entry uses. */
 export type LinkStream = {
 	on(event: 'data', listener: (batch: AgentBatch) => void): unknown;
@@ -93,7 +89,7 @@
 	isFlushDeferred: boolean;
 	isReportPending: boolean;
 	isAckScheduled: boolean;
-	silenceTimer: Timer | undefined;
+	readonly silence: SilenceMonitor | undefined;
 	sentAt: Milliseconds;
 	isBroadcastPending: boolean;
 	sentAckedSeq: number;
@@ -102,6 +98,7 @@
 
 /** Creates a hub without links. */
 export function createLinkHub(host: LinkServerHost): LinkHub {
+	const {timing} = host;
 	const links = new Map<string, Link>();
 
 	return {
@@ -111,6 +108,7 @@
 			const link = links.get(agent);
 			if (link !== undefined) {
 				link.starts.push(start);
+				link.silence?.setActive(true);
 				deferFlush(link);
 			}
 		},
@@ -132,15 +130,15 @@
 			const link = links.get(agent);
 			if (link !== undefined && !link.isAckScheduled) {
 				link.isAckScheduled = true;
-				host.after(ackDelayMs, () => {
+				host.clock.after(timing.ackDelayMs, () => {
 					flushAck(link);
 				});
 			}
 		},
 		sendHeartbeats() {
-			const cutoff = host.now() - (host.heartbeatMs / 2);
+			const now = host.clock.now();
 			for (const link of links.values()) {
-				if (link.sentAt < cutoff) {
+				if (now - link.sentAt > getHeartbeatInterval(timing, link.session.hasOutstandingStarts())) {
 					link.isReportPending = true;
 					deferFlush(link);
 				}
@@ -170,15 +168,16 @@
 		stream.on('data', (batch: AgentBatch) => {
 			host.onBatchReceived?.();
 			if (batch.hello !== undefined && link === undefined) {
-				link = createLink(host.sessions.open(batch.hello), stream);
+				link = openLink(batch.hello, stream);
 				links.set(link.session.agent.incarnation, link);
 				host.onLinkChanged?.(link.session.agent, {kind: 'opened', linked: links.size});
 				deferFlush(link);
 			}
 
 			if (link !== undefined) {
-				restartSilenceTimer(link);
+				link.silence?.recordMessage();
 				receive(link, batch);
+				link.silence?.setActive(link.session.hasOutstandingStarts());
 			}
 		});
 		stream.on('end', () => {
@@ -205,21 +204,26 @@
 			host.onLinkChanged?.(link.session.agent, {kind, linked: links.size});
 		}
 
-		link.silenceTimer?.cancel();
+		link.silence?.stop();
 		link.session.close(kind === 'silent');
 	}
 
-	// The keepalive of gRPC takes seconds, and a stream whose data is delayed on the way reports no error.
-	function restartSilenceTimer(link: Link): void {
-		if (host.silenceTimeoutMs === undefined) {
-			return;
-		}
+	function openLink(hello: AgentHello, stream: LinkStream): Link {
+		const link = createLink(host.sessions.open(hello), stream, createMonitor());
+		return link;
 
-		link.silenceTimer?.cancel();
-		link.silenceTimer = host.after(host.silenceTimeoutMs, () => {
-			close(link, 'silent');
-			link.stream.destroy?.();
-		});
+		// The keepalive of gRPC takes seconds, and a stream whose data is delayed on the way reports no error.
+		function createMonitor(): SilenceMonitor | undefined {
+			return timing.silence && createSilenceMonitor({
+				clock: host.clock,
+				timeoutMs: timing.silence.activeMs,
+				idleTimeoutMs: timing.silence.idleMs,
+				onSilent() {
+					close(link, 'silent');
+					stream.destroy?.();
+				},
+			});
+		}
 	}
 
 	function receive(link: Link, batch: AgentBatch): void {
@@ -270,7 +274,7 @@
 		}
 
 		const ackedSeq = link.session.getAckedResultSeq();
-		link.sentAt = host.now();
+		link.sentAt = host.clock.now();
 		link.stream.write(createBatch({
 			starts: link.starts,
 			stops: link.stops,
@@ -294,13 +298,13 @@
 	}
 }
 
-function createLink(session: AgentSession, stream: LinkStream): Link {
+function createLink(session: AgentSession, stream: LinkStream, silence: SilenceMonitor | undefined): Link {
 	return {
 		session,
 		stream,
 		starts: [],
 		stops: [],
-		silenceTimer: undefined,
+		silence,
 		sentAt: -Infinity,
 		queries: [],
 		isFlushDeferred: false,
--- a/src/connection/link-timing.ts
+++ b/src/connection/link-timing.ts
@@ -5,19 +5,37 @@
 
 /** Timing of one link; both ends must use the same values. */
 export type LinkTiming = {
-	/** Interval between batches on an otherwise idle link. */
+	/** Interval between batches on a link while an outcome of a start is pending on it. */
 	readonly heartbeatMs: Milliseconds;
-	/** Time without an incoming batch after which a link is closed and reopened; undefined leaves this to gRPC's keepalive. */
-	readonly silenceTimeoutMs?: Milliseconds;
+	/** Interval between batches on any other link; equal to `heartbeatMs` if undefined. */
+	readonly idleHeartbeatMs?: Milliseconds;
+	/** When a link without an incoming batch is closed and reopened; undefined leaves this to gRPC's keepalive. */
+	readonly silence?: SilenceTimeouts;
+	/** Maximum time that the acknowledgement of a result waits for another batch to carry it. */
+	readonly ackDelayMs: Milliseconds;
 	/** Time after a lost link for which an agent lets the runs of that entry continue; undefined lets them run to their end. */
 	readonly orphanGraceMs?: Milliseconds;
 	/** Time after a closed link for which an entry waits for the agent to return; undefined leaves this to the settings. */
 	readonly closedGraceMs?: Milliseconds;
 	/** The same time for a link that was closed because of the silence timeout. */
 	readonly silentGraceMs?: Milliseconds;
+	/** Time for which a start remains valid after it was sent; unlimited if undefined. */
+	readonly startValidityMs?: Milliseconds;
 	/** Maximum delay between two connection attempts. */
 	readonly maxReconnectDelayMs: Milliseconds;
 };
 
+/** Time without an incoming batch after which a link counts as lost. */
+export type SilenceTimeouts = {
+	/** While an outcome of a start is pending on the link. */
+	readonly activeMs: Milliseconds;
+	readonly idleMs: Milliseconds;
+};
+
 /** Timing for upstreams whose runs end by themselves, so that a lost link costs only time. */
-export const relaxedTiming: LinkTiming = {heartbeatMs: 500, maxReconnectDelayMs: 2000};
+export const relaxedTiming: LinkTiming = {heartbeatMs: 500, ackDelayMs: 200, maxReconnectDelayMs: 2000};
+
+/** Returns after which time without an outgoing batch a heartbeat is due. */
+export function getHeartbeatInterval(timing: LinkTiming, hasPendingOutcomes: boolean): Milliseconds {
+	return hasPendingOutcomes ? timing.heartbeatMs / 2 : timing.idleHeartbeatMs ?? timing.heartbeatMs / 2;
+}
--- a/src/platform/timing.ts
+++ b/src/platform/timing.ts
@@ -5,19 +5,33 @@
 import type {LinkTiming} from '../connection/link-timing.js';
 import type {Milliseconds} from '../process/clock.js';
 
-/** How long an entry waits for an agent whose link timed out before it starts that agent's tasks elsewhere; see {@link platformTiming}. */
-export const agentGraceMs: Milliseconds = 1050;
-
 /**
- * An agent stops the runs of an entry that no longer responds at most 0.75 s after the last message from it. An entry
+ * An agent stops the runs of an entry that no longer responds at most 0.82 s after the last message from it. An entry
  * starts the tasks of a lost agent elsewhere only after the agent has stopped them, even if two stop calls had to be
  * repeated, or after the executor's lease of 0.5 s has expired. If the entry sees a link close, the agent may still notice
  * the loss only by its silence timeout; the wait then allows for one repeated stop call.
+ *
+ * A start that was held up on the way is refused 0.6 s after it was sent: a run that began later could still be stopping
+ * when its entry starts the task elsewhere.
+ *
+ * Links on which no outcome is pending are checked seldom. Their state is then up to two seconds old, which costs a few
+ * refused starts, while their heartbeats would cost most of the processor time at a few hundred machines.
  */
 export const platformTiming: LinkTiming = {
-	heartbeatMs: 150, silenceTimeoutMs: 550, orphanGraceMs: 150, closedGraceMs: 900, silentGraceMs: agentGraceMs, maxReconnectDelayMs: 300,
+	heartbeatMs: 220,
+	idleHeartbeatMs: 2000,
+	silence: {activeMs: 700, idleMs: 5000},
+	ackDelayMs: 1000,
+	orphanGraceMs: 120,
+	closedGraceMs: 1120,
+	silentGraceMs: 1170,
+	startValidityMs: 600,
+	maxReconnectDelayMs: 300,
 };
 
+/** Wait for an agent whose link is lost if the timing of the links sets no other. */
+export const agentGraceMs: Milliseconds = 1170;
+
 /**
  * Share of its drain time during which an entry still accepts jobs that it can finish. Clients with open connections keep
  * sending requests after the balancer has stopped routing to the entry.
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -224,6 +224,7 @@
 			freeRoom: resourceLimiter?.getFreeResources(),
 			receivedStarts: 0,
 			soundness: health.getState(),
+			clockMs: clock.now(),
 		};
 	}
 
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -79,6 +79,7 @@
 		quota: host.quota ?? shares,
 		agentGraceMs: timing.closedGraceMs ?? limits.agentGraceMs,
 		silentGraceMs: timing.silentGraceMs,
+		startValidityMs: timing.startValidityMs,
 		answerKeepMs: limits.answerKeepMs,
 		maxTasks: limits.maxTasks,
 		tryGetSnapshot: follower.tryGet,
@@ -124,10 +125,8 @@
 			heldTaskQueries.receive(reply);
 		},
 		defer: host.defer,
-		after: clock.after,
-		silenceTimeoutMs: timing.silenceTimeoutMs,
-		heartbeatMs: timing.heartbeatMs,
-		now: clock.now,
+		clock,
+		timing,
 		onBatchReceived: host.pauseDetector?.check,
 		onLinkChanged(agent, change) {
 			host.log.info({
--- a/src/request/attempt-end.ts
+++ b/src/request/attempt-end.ts
@@ -15,6 +15,7 @@
 	[RefusalReason.REFUSAL_REASON_CANCELLED]: 'cancelled',
 	[RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE]: 'the upstream cannot be reached',
 	[RefusalReason.REFUSAL_REASON_FENCED]: 'this entry was declared dead',
+	[RefusalReason.REFUSAL_REASON_EXPIRED]: 'the start arrived too late',
 	[RefusalReason.UNRECOGNIZED]: 'unknown reason',
 };
 
--- a/src/request/coordinator-types.ts
+++ b/src/request/coordinator-types.ts
@@ -29,6 +29,8 @@
 	readonly agentGraceMs: Milliseconds;
 	/** The same after a silence timeout of its link; `agentGraceMs` if undefined. */
 	readonly silentGraceMs?: Milliseconds;
+	/** Time for which a start remains valid after it was sent; unlimited if undefined. */
+	readonly startValidityMs?: Milliseconds;
 	/** How long an answer with its payloads is retained. */
 	readonly answerKeepMs: Milliseconds;
 	readonly maxTasks: number;
--- a/src/request/coordinator.ts
+++ b/src/request/coordinator.ts
@@ -51,6 +51,7 @@
 		clock: host.clock,
 		graceMs: host.agentGraceMs,
 		silentGraceMs: host.silentGraceMs,
+		startValidityMs: host.startValidityMs,
 		endsEarlierIncarnations: host.endsEarlierIncarnations,
 		onAgentConnected: scheduler.addAgent,
 		onAgentDisconnected(agent) {
--- /dev/null
+++ b/test/connection/entry-sessions.test.ts
@@ -0,0 +1,104 @@
+import {createEntrySessions, type EntrySessions, type RunResult} from '../../src/connection/entry-sessions.js';
+import {createResourceLimiter} from '../../src/connection/resource-limiter.js';
+import {
+	EntryBatch, RefusalReason, TaskOutcome, TaskStart,
+} from '../../src/generated/kingcuplane.js';
+import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
+import {describe, it} from '../describe.js';
+
+const need = {cpu: 1000, memory: 1, accelerators: 0};
+const completed: RunResult = {
+	outcome: TaskOutcome.TASK_OUTCOME_COMPLETED, reason: RefusalReason.REFUSAL_REASON_UNSPECIFIED, payload: new Uint8Array(), duration: 10, detail: '',
+};
+
+type Fixture = {
+	readonly clock: FakeClock;
+	readonly sessions: EntrySessions;
+	/** Callbacks that end the runs, in order of their starts. */
+	readonly runs: Array<(result: RunResult) => void>;
+	/** Times at which output became pending. */
+	readonly outputs: number[];
+};
+
+function createFixture(): Fixture {
+	const clock = createFakeClock(10_000);
+	const runs: Fixture['runs'] = [];
+	const outputs: number[] = [];
+	const sessions = createEntrySessions({
+		clock,
+		agent: {
+			incarnation: 'a-1', name: 'a', upstream: 'u', service: 's', dataCentre: 'd', rack: 'r', slots: 1, capacity: {cpu: 8000, memory: 100, accelerators: 0},
+		},
+		retentionMs: 1000,
+		maxRetainedBytes: 1000,
+		run(_start, done) {
+			runs.push(done);
+		},
+		stop: () => undefined,
+		onOutputPending() {
+			outputs.push(clock.now());
+		},
+	}, createResourceLimiter({clock, notifyEntry: () => undefined}, {cpu: 8000, memory: 100, accelerators: 0}));
+	sessions.open('e');
+	return {
+		clock, sessions, runs, outputs,
+	};
+}
+
+function createStarts(ticket: string, count: number, validUntilMs = 0): EntryBatch {
+	return EntryBatch.fromPartial({
+		starts: Array.from({length: count}, (_, index) => TaskStart.fromPartial({
+			task: {ticket, index}, seq: index + 1, attempt: 1, taskCount: count, need, validUntilMs,
+		})),
+	});
+}
+
+describe('sessions of an agent with its entries', () => {
+	it('refuse a start that was held up until after its validity, and run one that was not', t => {
+		const {clock, sessions, runs} = createFixture();
+		sessions.receive('e', createStarts('j', 1, clock.now() - 1));
+		t.is(runs.length, 0);
+		const {results: [result]} = sessions.takePendingOutput('e');
+		t.is(result?.outcome, TaskOutcome.TASK_OUTCOME_REFUSED);
+		t.is(result?.reason, RefusalReason.REFUSAL_REASON_EXPIRED);
+		sessions.receive('e', EntryBatch.fromPartial({starts: [{...createStarts('k', 1, clock.now() + 1).starts[0]!, seq: 2}]}));
+		t.is(runs.length, 1);
+	});
+
+	it('tell whether tasks of an entry run', t => {
+		const {sessions, runs} = createFixture();
+		t.false(sessions.hasRunningTasks('e'));
+		sessions.receive('e', createStarts('j', 1));
+		t.true(sessions.hasRunningTasks('e'));
+		runs[0]!(completed);
+		t.false(sessions.hasRunningTasks('e'));
+	});
+
+	describe('results of one job', () => {
+		it('travel together with the last of them, which is sent at once', t => {
+			const {clock, sessions, runs, outputs} = createFixture();
+			sessions.receive('e', createStarts('j', 2));
+			runs[0]!(completed);
+			t.deepEqual(outputs, []);
+			clock.advance(5);
+			runs[1]!(completed);
+			t.deepEqual(outputs, [10_005]);
+			t.is(sessions.takePendingOutput('e').results.length, 2);
+		});
+
+		it('do not wait long for each other', t => {
+			const {clock, sessions, runs, outputs} = createFixture();
+			sessions.receive('e', createStarts('j', 2));
+			runs[0]!(completed);
+			clock.advance(50);
+			t.deepEqual(outputs, [10_050]);
+		});
+
+		it('do not wait if a task failed', t => {
+			const {sessions, runs, outputs} = createFixture();
+			sessions.receive('e', createStarts('j', 2));
+			runs[0]!({...completed, outcome: TaskOutcome.TASK_OUTCOME_FAILED});
+			t.is(outputs.length, 1);
+		});
+	});
+});
--- a/test/failure/entry.ts
+++ b/test/failure/entry.ts
@@ -138,9 +138,8 @@
 		defer(action) {
 			clock.after(0, action);
 		},
-		after: clock.after,
-		now: clock.now,
-		heartbeatMs: relaxedTiming.heartbeatMs,
+		clock,
+		timing: relaxedTiming,
 	});
 	const agreedAnswers = createAgreedAnswerStore(platform.table);
 	const heldTaskQueries = createHeldTaskQueries({clock, timeoutMs: 500, broadcastQuery: links.broadcastQuery});
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -170,6 +170,7 @@
 			quota: unboundedQuota,
 			agentGraceMs: timing.closedGraceMs!,
 			silentGraceMs: timing.silentGraceMs,
+			startValidityMs: timing.startValidityMs,
 			endsEarlierIncarnations: true,
 			answerKeepMs: 10_000,
 			maxTasks: 100,
@@ -204,10 +205,8 @@
 			defer(action) {
 				process.clock.after(0, action);
 			},
-			after: process.clock.after,
-			now: process.clock.now,
-			heartbeatMs: timing.heartbeatMs,
-			silenceTimeoutMs: timing.silenceTimeoutMs,
+			clock: process.clock,
+			timing,
 			onBatchReceived: detector.check,
 		});
 		holdStartsAfterPauses({
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -85,6 +85,7 @@
 		reference,
 		need: undefined,
 		expectedRunMs,
+		validUntilMs: 0,
 	};
 }
 
