Place the tasks of a job together

Cause: a job of eight tasks was eight messages to eight agents, and one failing upstream touched every job. Change: the agent chosen for a task gets more tasks of the job, but for a quarter of its free processors; agents with a report of the last 100 ms are preferred. Ruled out: filling an agent whole or by half (more refused starts, or more messages).

--- a/dev/bench/bench.ts
+++ b/dev/bench/bench.ts
@@ -21,6 +21,9 @@
 	readonly suite: string;
 	readonly site?: string;
 	readonly seconds: number;
+	readonly links: number;
+	readonly heartbeat: number;
+	readonly idle: number;
 	readonly out: string;
 };
 
@@ -40,6 +43,9 @@
 	.option('--suite', 'steady, mixed, shapes, sites or all', 'all')
 	.option('--site', 'Name of the site to replay in the suite "sites"; all small sites if omitted')
 	.option('--seconds', 'Duration of each run of the suite "sites"', 20)
+	.option('--links', 'Entries that each agent of the suite "sites" is linked to; 0 for all', 0)
+	.option('--heartbeat', 'Milliseconds between reports of an agent to an entry whose tasks it runs', 220)
+	.option('--idle', 'Milliseconds between reports of an agent to other entries', 2000)
 	.option('--out', 'Directory of the report', 'dist/bench')
 	.action(run)
 	.parse(process.argv);
@@ -53,11 +59,12 @@
 }
 
 function runSites({
-	seed, site, seconds, out,
+	seed, site, seconds, out, links, heartbeat, idle,
 }: Options): void {
+	const plan = {perAgent: links === 0 ? undefined : links, heartbeatMs: heartbeat, idleHeartbeatMs: idle};
 	const names = site === undefined ? smallSites : [site];
-	const scenarios = names.flatMap(name => createSiteScenarios(checkDefined(sites[name], `${name} is a site`), seed, seconds * 1000));
-	const command = `npm run bench -- --suite sites${site === undefined ? '' : ` --site ${site}`} --seed ${seed} --seconds ${seconds}`;
+	const scenarios = names.flatMap(name => createSiteScenarios(checkDefined(sites[name], `${name} is a site`), seed, seconds * 1000, plan));
+	const command = `npm run bench -- --suite sites${site === undefined ? '' : ` --site ${site}`} --seed ${seed} --seconds ${seconds} --links ${links} --heartbeat ${heartbeat} --idle ${idle}`;
 	write(out, 'sites', formatSiteReport(scenarios.map(scenario => replaySite(scenario)), command));
 }
 
--- a/dev/bench/site-replay.ts
+++ b/dev/bench/site-replay.ts
@@ -5,6 +5,7 @@
 import {createResourceLimiter, type ResourceLimiter} from '../../src/connection/resource-limiter.js';
 import type {QueuedJob, QueuedTask, Scheduler} from '../../src/connection/types.js';
 import {every, type Milliseconds} from '../../src/process/clock.js';
+import {rankByRendezvousHash} from '../../src/connection/rendezvous.js';
 import {checkDefined} from '../../src/process/debug.js';
 import {createFakeClock} from '../../src/process/fake-clock.js';
 import {createResourceScheduler} from '../../src/request/resource-scheduler.js';
@@ -16,8 +17,6 @@
 } from './sites.js';
 import {summarizeSite, type SiteJobRecord} from './utility.js';
 
-/** Heartbeat interval on the users' platform. */
-const heartbeatMs: Milliseconds = 150;
 /** Time from the loss of an upstream until its tasks may start at another one. */
 const lossRecoveryMs: Milliseconds = 620;
 const service = 'service';
@@ -33,6 +32,10 @@
 	starts: Start[];
 	results: Result[];
 	receivedStarts: number;
+	/** Number of tasks that the agent runs for the entry. */
+	running: number;
+	/** Time of the last batch of the agent. */
+	sentAt: Milliseconds;
 };
 
 type Entry = {
@@ -61,7 +64,7 @@
 	const agents = Array.from({length: site.agents}, (_, index) => createAgent(index));
 	const entries = Array.from({length: site.entries}, (_, index) => createEntry(index));
 	for (const entry of entries) {
-		for (const agent of agents) {
+		for (const agent of agents.filter(({name}) => isLinked(entry, name))) {
 			connect(entry, agent);
 		}
 	}
@@ -74,6 +77,11 @@
 
 	return summarizeSite(records, {scenario: scenario.name, load: getNominalLoad(site) * scenario.rateFactor, ...counts});
 
+	function isLinked(entry: Entry, agent: string): boolean {
+		const {perAgent = site.entries} = scenario.links;
+		return rankByRendezvousHash(agent, entries.map(({name}) => name)).slice(0, perAgent).includes(entry.name);
+	}
+
 	function scheduleEvents(): void {
 		for (const job of jobs) {
 			clock.after(job.arrivedAt, () => {
@@ -110,7 +118,7 @@
 	function setUnavailable(agent: Agent, isUnavailable: boolean): void {
 		agent.isUnavailable = isUnavailable;
 		agent.limiter.setSlots(isUnavailable ? 0 : 1);
-		for (const link of agent.links) {
+		for (const link of agent.links.filter(Boolean)) {
 			link.toEntry.scheduleSend();
 		}
 	}
@@ -147,7 +155,7 @@
 		const limiter = createResourceLimiter({
 			clock,
 			notifyEntry(entry) {
-				links[Number(entry)]!.toEntry.scheduleSend();
+				links[Number(entry)]?.toEntry.scheduleSend();
 			},
 		}, {cpu: getUpstreamCpu(site, index), memory: Infinity, accelerators: 0});
 		return {
@@ -194,6 +202,8 @@
 			starts: [],
 			results: [],
 			receivedStarts: 0,
+			running: 0,
+			sentAt: 0,
 		};
 		entry.links[Number(agent.name)] = link;
 		agent.links[Number(entry.name)] = link;
@@ -201,11 +211,16 @@
 			incarnation: agent.name, name: agent.name, upstream: agent.name, service, dataCentre: '', rack: '', slots: 1, capacity: agent.limiter.getFreeResources(),
 		});
 		agent.limiter.addEntry(entry.name);
+		const {heartbeatMs, idleHeartbeatMs} = scenario.links;
 		clock.after(random.float() * heartbeatMs, () => {
 			every(clock, heartbeatMs, () => {
-				link.toEntry.scheduleSend();
+				const interval = link.running > 0 ? heartbeatMs / 2 : idleHeartbeatMs;
+				if (clock.now() - link.sentAt >= interval) {
+					link.toEntry.scheduleSend();
+				}
 			});
 		});
+		link.toEntry.scheduleSend();
 
 		function takeEntryBatch(): EntryBatch {
 			counts.messages++;
@@ -230,9 +245,11 @@
 				return;
 			}
 
+			link.running++;
 			const duration = job.runTimes[task.index]! * agent.slowdownFactor;
 			const timeToLoss = tryGetTimeToLoss(agent, duration);
 			clock.after(timeToLoss === undefined ? duration : timeToLoss + lossRecoveryMs, () => {
+				link.running--;
 				agent.limiter.release(entry.name, job.need);
 				sendResult({task, outcome: timeToLoss === undefined ? 'completed' : 'failed'});
 			});
@@ -245,6 +262,7 @@
 
 		function takeAgentBatch(): AgentBatch {
 			counts.messages++;
+			link.sentAt = clock.now();
 			const {results} = link;
 			link.results = [];
 			return {results, freeRoom: agent.limiter.getFreeResources(), receivedStarts: link.receivedStarts};
--- a/dev/bench/site-types.ts
+++ b/dev/bench/site-types.ts
@@ -68,6 +68,17 @@
 	/** Arrival rate over that of the site's data sheet. */
 	readonly rateFactor: number;
 	readonly disturbances: readonly SiteDisturbance[];
+	readonly links: LinkPlan;
+};
+
+/** Which links are open and how often agents report on them. */
+export type LinkPlan = {
+	/** Number of entries that each agent is linked to, chosen by rendezvous hashing; all if undefined. */
+	readonly perAgent?: number;
+	/** Interval between reports while the agent runs tasks of the entry. */
+	readonly heartbeatMs: Milliseconds;
+	/** Interval between reports while it runs none. */
+	readonly idleHeartbeatMs: Milliseconds;
 };
 
 /** The result of a group of jobs. */
--- a/dev/bench/sites.ts
+++ b/dev/bench/sites.ts
@@ -4,7 +4,7 @@
 import type {Milliseconds} from '../../src/process/clock.js';
 import {createRandom, type Random} from './random.js';
 import type {
-	RequestKind, Site, SiteJob, SiteScenario, SiteDisturbance,
+	LinkPlan, RequestKind, Site, SiteJob, SiteScenario, SiteDisturbance,
 } from './site-types.js';
 
 /** Deadline of a job; clients specify 1,497 to 2,998 ms. */
@@ -31,14 +31,18 @@
 	},
 ];
 
-const grownMix = (cpu: number): readonly RequestKind[] => {
-	const rates: Readonly<Record<string, {readonly perSecond: number; readonly utility: number}>> = {
-		check: {perSecond: 156, utility: 0.004_85}, confirm: {perSecond: 35.5, utility: 0.0267}, ping: {perSecond: 454, utility: 0.001_67},
-	};
-	return smallMix(cpu).map(kind => ({...kind, ...rates[kind.name]}));
+type Rates = Readonly<Record<string, {readonly perSecond: number; readonly utility: number}>>;
+
+const grownRates: Rates = {
+	check: {perSecond: 156, utility: 0.004_85}, confirm: {perSecond: 35.5, utility: 0.0267}, ping: {perSecond: 454, utility: 0.001_67},
 };
+const largeRates: Rates = {
+	check: {perSecond: 234, utility: 0.003_23}, confirm: {perSecond: 53.1, utility: 0.0178}, ping: {perSecond: 681, utility: 0.001_11},
+};
+
+const grownMix = (cpu: number, rates: Rates = grownRates): readonly RequestKind[] => smallMix(cpu).map(kind => ({...kind, ...rates[kind.name]}));
 
-/** The sites by name. The `-grown` sites are the same deployments with more entries, agents and requests. */
+/** The sites by name. The `-grown` and `-large` sites have more entries, agents and requests. */
 export const sites: Readonly<Record<string, Site>> = {
 	baonhan: {
 		name: 'baonhan', entries: 4, agents: 11, cpu: 16_000, latency: 0.9, kinds: smallMix(1600),
@@ -52,6 +56,12 @@
 	'canopy-grown': {
 		name: 'canopy-grown', entries: 14, agents: 75, cpu: 32_000, latency: 0.9, kinds: grownMix(3500),
 	},
+	'sawt-grown': {
+		name: 'sawt-grown', entries: 11, agents: 64, cpu: 32_000, latency: 0.9, kinds: grownMix(3100),
+	},
+	'baonhan-large': {
+		name: 'baonhan-large', entries: 35, agents: 160, cpu: 16_000, latency: 1.4, kinds: grownMix(2500, largeRates),
+	},
 };
 
 /** Returns the processors of one upstream, in thousandths. */
@@ -70,8 +80,10 @@
 }
 
 /** Creates the scenarios of a site: loads relative to its capacity, and disturbances typical of the users' operation. */
-export function createSiteScenarios(site: Site, seed: number, duration: Milliseconds): readonly SiteScenario[] {
-	const base = {site, seed, duration};
+export function createSiteScenarios(site: Site, seed: number, duration: Milliseconds, links: LinkPlan): readonly SiteScenario[] {
+	const base = {
+		site, seed, duration, links,
+	};
 	const getRateFactor = (load: number) => load / getNominalLoad(site);
 	const createDisturbedScenario = (name: string, ...disturbances: readonly SiteDisturbance[]): SiteScenario => ({
 		...base, name: `${site.name}, ${name}`, rateFactor: 1, disturbances,
@@ -96,7 +108,9 @@
 }
 
 /** Generates the jobs of a scenario in order of arrival. */
-export function createSiteJobs({site, seed, duration, rateFactor, disturbances}: SiteScenario): readonly SiteJob[] {
+export function createSiteJobs({
+	site, seed, duration, rateFactor, disturbances,
+}: Omit<SiteScenario, 'name' | 'links'>): readonly SiteJob[] {
 	const random = createRandom(seed);
 	const jobs: SiteJob[] = [];
 	for (const kind of site.kinds) {
--- a/src/request/resource-scheduler.ts
+++ b/src/request/resource-scheduler.ts
@@ -53,6 +53,13 @@
  * tasks at a time, one has free resources within a few milliseconds. Requests to more agents would only cost messages.
  */
 const maxReportingAgents = 12;
+/**
+ * Share of an upstream's free processors that one job leaves to the other entries, which may have started tasks there
+ * since its last report.
+ */
+const packingReserve = 0.25;
+/** Age up to which a report is preferred to older ones: fewer starts are then refused, and fewer links are in use. */
+const freshReportMs: Milliseconds = 100;
 /** Delay before agents are notified that no task waits any more. At high load the next task usually arrives sooner. */
 const demandClearDelayMs: Milliseconds = 50;
 
@@ -225,18 +232,37 @@
 
 	function startTasks(state: ServiceState, pending: PendingJob): void {
 		const {job, tasks} = pending;
+		const packedAgents = new Set<AgentView>();
 		while (tasks.length > 0) {
-			const agent = chooseAgent(state, pending, tasks[0]!);
+			const agent = chooseAgent(state, pending, tasks[0]!, packedAgents);
 			if (agent === undefined) {
 				return;
 			}
 
+			packedAgents.add(agent);
 			startTask(state, agent, job, tasks.shift()!);
+			startMoreTasks(state, pending, agent);
 		}
 
 		state.jobs.delete(job.ticket);
 	}
 
+	/**
+	 * Starts further tasks of a job on the agent that was just chosen for one of them. All these starts travel in one
+	 * message, and an upstream that fails affects fewer jobs.
+	 */
+	function startMoreTasks(state: ServiceState, pending: PendingJob, agent: AgentView): void {
+		const {job, tasks} = pending;
+		const requirements = job.need ?? noRequirements;
+		const minRemaining = estimateFreeResources(agent).cpu * packingReserve;
+		while (
+			tasks[0] !== undefined && tasks[0].failedOn === undefined && agent.health === Soundness.SOUNDNESS_SOUND
+			&& hasFreeResources(agent, job.ticket, requirements) && estimateFreeResources(agent).cpu - requirements.resources.cpu >= minRemaining
+		) {
+			startTask(state, agent, job, tasks.shift()!);
+		}
+	}
+
 	function startTask(state: ServiceState, agent: AgentView, job: QueuedJob, task: QueuedTask): void {
 		const inFlight = jobsInFlight.get(job.ticket) ?? {state, running: 0};
 		inFlight.running++;
@@ -251,8 +277,9 @@
 	 * Returns the one with more free processors of two candidates that are sampled at random. If all entries chose the
 	 * agent with the most free resources, their starts would collide there.
 	 */
-	function chooseAgent(state: ServiceState, pending: PendingJob, task: QueuedTask): AgentView | undefined {
-		const candidates = getCandidates(state, pending, task);
+	function chooseAgent(state: ServiceState, pending: PendingJob, task: QueuedTask, packedAgents: ReadonlySet<AgentView>): AgentView | undefined {
+		const others = prefer(getCandidates(state, pending, task), agent => !packedAgents.has(agent));
+		const candidates = prefer(others, agent => clock.now() - agent.reportedAt < freshReportMs);
 		if (candidates.length <= 1) {
 			return candidates[0];
 		}
--- a/test/bench/site.test.ts
+++ b/test/bench/site.test.ts
@@ -1,6 +1,7 @@
 import {replaySite} from '../../dev/bench/site-replay.js';
 import type {SiteResult, SiteDisturbance} from '../../dev/bench/site-types.js';
 import {getNominalLoad, sites} from '../../dev/bench/sites.js';
+import {platformTiming} from '../../src/platform/timing.js';
 import {describe, it} from '../describe.js';
 
 /** Utility goals of the users for days with disturbances. */
@@ -40,6 +41,6 @@
 
 function replay(name: string, rateFactor: number, ...disturbances: readonly SiteDisturbance[]): SiteResult {
 	return replaySite({
-		name, site: sites[name]!, seed: 1, duration: durationMs, rateFactor, disturbances,
+		name, site: sites[name]!, seed: 1, duration: durationMs, rateFactor, disturbances, links: {heartbeatMs: platformTiming.heartbeatMs, idleHeartbeatMs: platformTiming.idleHeartbeatMs!},
 	});
 }
--- a/test/request/resource-scheduler.test.ts
+++ b/test/request/resource-scheduler.test.ts
@@ -103,6 +103,24 @@
 			t.is(starts.length, 3);
 		});
 
+		it('places the tasks of a job together, but leaves a quarter of the upstream to other entries while there are more upstreams', t => {
+			const {scheduler, starts, connectAgent, clock} = createFixture();
+			connectAgent('a', 8);
+			connectAgent('b', 8);
+			scheduler.enqueue(createJob('j', 10, 100, clock.now()));
+			t.deepEqual(starts.map(({agent}) => agent), [...Array.from({length: 6}, () => 'a'), ...Array.from({length: 4}, () => 'b')]);
+		});
+
+		it('prefers upstreams with a fresh report to those whose free resources are known from a while ago', t => {
+			const {scheduler, starts, connectAgent, reportFreeCores, clock} = createFixture();
+			connectAgent('old', 16);
+			connectAgent('fresh', 8);
+			clock.advance(1000);
+			reportFreeCores('fresh', 8, 0);
+			scheduler.enqueue(createJob('j', 1, 100, clock.now()));
+			t.is(starts[0]?.agent, 'fresh');
+		});
+
 		it('counts starts that the agent had not received when it reported its free resources', t => {
 			const {scheduler, starts, connectAgent, reportFreeCores, clock} = createFixture();
 			connectAgent('a', 2);
