Make the test of a paused agent use both executors

Cause: the tasks of a job are now placed together, so in half of the runs none of the six was on the paused agent, and no lease could expire (seen twice: 'start tasks of a paused agent elsewhere only after its lease has expired'). Change: the tasks are so large that both executors are needed; what is checked is the same. The bench of processes can start another program.

--- a/dev/bench/platform-processes.ts
+++ b/dev/bench/platform-processes.ts
@@ -21,6 +21,7 @@
 	readonly seconds: number;
 	readonly seed: number;
 	readonly profile: string;
+	readonly program: string;
 };
 
 /** Processor time and memory of all entries and all agents, and the jobs and tasks submitted so far. */
@@ -46,11 +47,12 @@
 	.option('--rate', 'Jobs a second; a job has 3.6 tasks on average', 54)
 	.option('--seconds', 'Duration of the load', 25)
 	.option('--seed', 'Seed of the jobs', 1)
+	.option('--program', 'Script of entries and agents, relative to the compiled project', bundle)
 	.option('--profile', 'Folder for V8 processor profiles of all processes', '')
 	.action(async (options: Options) => {
 		const nodeOptions = options.profile === '' ? [] : ['--cpu-prof', `--cpu-prof-dir=${options.profile}`];
 		const system = await startPlatformSystem({
-			entries: options.entries, agents: options.agents, subnet, program: bundle, nodeOptions, executorCpu: 16_000,
+			entries: options.entries, agents: options.agents, subnet, program: options.program, nodeOptions, executorCpu: 16_000,
 		});
 		const atRest = await measureRest(system);
 		const {samples, replies} = await runLoad(system, options);
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -106,8 +106,9 @@
 
 	itSerial('start tasks of a paused agent elsewhere only after its lease has expired', async t => {
 		const system = await startSystem(t, 1, 2);
+		// Tasks so large that both executors are needed.
 		const reply = system.submit(0, {
-			name: formatJobName(1), tasks: 6, ms: 1200, deadline: 6000,
+			name: formatJobName(1), tasks: 6, ms: 1200, deadline: 6000, cpu: 4000,
 		});
 		await sleep(300);
 		system.agents[0]!.program.pause();
