Check what clients send before anything is done with it

Cause: one request with a billion tasks ended the entry (out of memory while its list of tasks was made), and one with a negative or fractional amount made a message to an agent that could not be written, which closes the link with all runs on it. A deadline beyond 24 days overflowed its timer and failed the job at once. Ruled out: checks behind the ingress: the list of tasks is made before the coordinator counts them. Change: amounts are unsigned integers of 32 bits, jobs have at most 1,100 tasks, times at most an hour. An answered job is removed only if no other one has taken its name.

--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -37,6 +37,10 @@
 /** Largest request body, according to the operator's limits on this platform. */
 const maxBodyBytes = 262_144;
 const notReadyRetryMs: Milliseconds = 1000;
+/** Largest number of tasks of a job. */
+const maxTasks = 1100;
+/** Bound on declared run times and deadlines; timers of the runtime overflow at 24 days. */
+const maxRunMs: Milliseconds = 3_600_000;
 /** Long, since these kinds of jobs are not supported on this platform and an early retry is useless. */
 const unsupportedRetryMs: Milliseconds = 60_000;
 
@@ -45,15 +49,17 @@
 /** Short, since other entries accept the job at once. */
 const drainRetryMs: Milliseconds = 100;
 
+/** Amounts travel as unsigned integers of 32 bits; a message with any other value could not be written. */
+const amountSchema = z.int().min(0).max(0xFF_FF_FF_FF).default(0);
 const stepSchema = z.object({
 	count: z.int().min(1).default(1),
-	cpu: z.number().default(0),
-	'mem-mb': z.number().default(0),
-	gpu: z.number().default(0),
-	'est-runtime-ms': z.number().default(0),
+	cpu: amountSchema,
+	'mem-mb': amountSchema,
+	gpu: amountSchema,
+	'est-runtime-ms': z.number().min(0).max(maxRunMs).default(0),
 	requires: z.string().optional(),
 	'data-rack': z.string().optional(),
-	'max-per-server': z.number().default(0),
+	'max-per-server': z.number().min(0).default(0),
 	gang: z.boolean().default(false),
 	'long-running': z.boolean().default(false),
 	fills: z.boolean().default(false),
@@ -233,17 +239,24 @@
 		if (answer === undefined) {
 			if (openJob.waiters === 0) {
 				entry.coordinator.cancel(openJob.job.ticket.text, 'its client, who hung up');
-				openJobs.delete(name);
+				forget(name, openJob);
 			}
 
 			// The client has disconnected, so nobody reads this response.
 			return c.body(null, 504);
 		}
 
-		openJobs.delete(name);
+		forget(name, openJob);
 		return toResponse(c, name, answer);
 	}
 
+	/** Removes an open job, unless another one under the same name has taken its place. */
+	function forget(name: string, openJob: OpenJob): void {
+		if (openJobs.get(name) === openJob) {
+			openJobs.delete(name);
+		}
+	}
+
 	function toResponse(c: Context, name: string, answer: Answer): Response {
 		if (answer.state === 'complete') {
 			return c.json({state: 'completed'});
@@ -300,6 +313,10 @@
 		return 'jobs of several steps or occurrences are not served';
 	}
 
+	if (step!.count > maxTasks) {
+		return `jobs of more than ${maxTasks} tasks are not served`;
+	}
+
 	return step!.gang || step!['long-running'] || step!.fills ? 'gangs, tasks that last and tasks that fill are not served' : undefined;
 }
 
@@ -309,7 +326,7 @@
 	return {
 		submission: route.submission,
 		reference: name,
-		deadlineMs: Number.isFinite(deadlineMs) && deadlineMs > 0 ? deadlineMs : route.deadline,
+		deadlineMs: Number.isFinite(deadlineMs) && deadlineMs > 0 ? Math.min(deadlineMs, maxRunMs) : route.deadline,
 		payloads: Array.from({length: step.count}, () => payload),
 		isSingleRequest: false,
 		expectedRun: step['est-runtime-ms'],
--- /dev/null
+++ b/test/platform/ingress.test.ts
@@ -0,0 +1,161 @@
+import {once} from 'node:events';
+import http from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ExecutionContext} from 'ava';
+import {createIngress} from '../../src/platform/ingress.js';
+import {serveHttp} from '../../src/platform/http-server.js';
+import type {Entry} from '../../src/process/entry-types.js';
+import type {SubmissionRequest} from '../../src/request/submission-rules.js';
+import type {Answer} from '../../src/request/types.js';
+import type {Snapshot} from '../../src/version/types.js';
+import {describe, it} from '../describe.js';
+import {silentLog} from '../silent-log.js';
+
+const path = '/jobs/0123456789abcdef';
+
+type Fixture = {
+	/** Requests that reached the coordinator. */
+	readonly submitted: SubmissionRequest[];
+	readonly cancelled: string[];
+	/** Answers the newest submission, to all who wait for it. */
+	answer(value: Answer): void;
+	post(body: string, headers?: Readonly<Record<string, string>>): Promise<{readonly status: number; readonly text: string}>;
+	/** Sends a request and closes its connection without reading the response. */
+	postAndLeave(body: string): Promise<void>;
+};
+
+async function createFixture(t: ExecutionContext): Promise<Fixture> {
+	const submitted: SubmissionRequest[] = [];
+	const cancelled: string[] = [];
+	let listeners: Array<(answer: Answer) => void> = [];
+	const entry = {
+		issueTicket: () => ({text: `ticket-${submitted.length}`}),
+		isShuttingDown: () => false,
+		getRemainingDrainTime: () => Infinity,
+		coordinator: {
+			submit(_caller: unknown, req: SubmissionRequest) {
+				submitted.push(req);
+				listeners = [];
+				return {
+					kind: 'accepted', job: {
+						ticket: req.ticket, submission: req.submission, tryGetAnswer: () => undefined, getExecutionStatus: () => 'not-run', whenAnswered(action: (answer: Answer) => void) {
+							listeners.push(action);
+						},
+					},
+				};
+			},
+			cancel(ticket: string) {
+				cancelled.push(ticket);
+			},
+		},
+	} as unknown as Entry;
+	const snapshot = {
+		version: 1, routes: [{
+			name: 'r', host: 'h.example', pathPrefix: '/jobs/', submission: 's', deadline: 1500, stretch: 1.6, margin: 60, attempts: 3,
+		}],
+	} as unknown as Snapshot;
+	const server = await serveHttp(createIngress({
+		entry, log: silentLog, tryGetSnapshot: () => snapshot, checkPause: () => undefined,
+	}), {host: '127.0.0.1', port: 0});
+	t.teardown(() => server.close());
+	const address = server.address();
+	const port = typeof address === 'object' ? address?.port : undefined;
+
+	return {
+		submitted,
+		cancelled,
+		answer(value) {
+			for (const listener of listeners) {
+				listener(value);
+			}
+		},
+		async post(body, headers = {}) {
+			const req = send(body, headers);
+			const [res] = await once(req, 'response') as [http.IncomingMessage];
+			let text = '';
+			for await (const chunk of res) {
+				text += String(chunk);
+			}
+
+			return {status: res.statusCode ?? 0, text};
+		},
+		async postAndLeave(body) {
+			const req = send(body, {});
+			req.on('error', () => undefined);
+			await sleep(50);
+			req.destroy();
+			await sleep(50);
+		},
+	};
+
+	function send(body: string, headers: Readonly<Record<string, string>>): http.ClientRequest {
+		const req = http.request({
+			port, path, method: 'POST', headers: {host: 'h.example', 'content-type': 'application/json', ...headers},
+		});
+		req.end(body);
+		return req;
+	}
+}
+
+function createBody(step: Readonly<Record<string, unknown>>): string {
+	return JSON.stringify({spec: 'x', 'best-effort': true, steps: [{count: 1, cpu: 100, ...step}]});
+}
+
+describe('ingress', () => {
+	describe('refuses before anything is started', () => {
+		for (const [what, body] of Object.entries({
+			'a body that is not JSON': '{"spec":',
+			'another type of a field': createBody({cpu: 'many'}),
+			'a negative number of processors': createBody({cpu: -1}),
+			'a fraction of a thousandth of a processor': createBody({cpu: 0.5}),
+			'more processors than a message can carry': createBody({cpu: 2 ** 32}),
+			'a negative amount of memory': createBody({'mem-mb': -1}),
+			'a run time that is not finite': createBody({}).replace('"cpu":100', '"cpu":100,"est-runtime-ms":1e999'),
+			'no task': createBody({count: 0}),
+		})) {
+			it(what, async t => {
+				const {post, submitted} = await createFixture(t);
+				t.is((await post(body)).status, 400);
+				t.is(submitted.length, 0);
+			});
+		}
+
+		it('so many tasks that their list would fill the memory', async t => {
+			const {post, submitted} = await createFixture(t);
+			t.is((await post(createBody({count: 1_000_000_000}))).status, 503);
+			t.is(submitted.length, 0);
+		});
+
+		it('a body that is too long', async t => {
+			const {post, submitted} = await createFixture(t);
+			t.is((await post(`{"spec":"${'x'.repeat(300_000)}"}`)).status, 413);
+			t.is(submitted.length, 0);
+		});
+	});
+
+	it('bounds the deadline of a client, since a longer timer would fire at once', async t => {
+		const {submitted, postAndLeave, post, answer} = await createFixture(t);
+		await postAndLeave(createBody({}));
+		t.is(submitted[0]?.deadlineMs, 1500);
+		const reply = post(createBody({}), {'request-deadline': '1e12'});
+		await sleep(50);
+		t.is(submitted[1]?.deadlineMs, 3_600_000);
+		answer({state: 'complete', ran: 'ran'} as unknown as Answer);
+		t.deepEqual(await reply, {status: 200, text: '{"state":"completed"}'});
+	});
+
+	it('cancels a job whose client has left', async t => {
+		const {postAndLeave, cancelled} = await createFixture(t);
+		await postAndLeave(createBody({}));
+		t.deepEqual(cancelled, ['ticket-0']);
+	});
+
+	it('joins a repeated request to the open job', async t => {
+		const {post, submitted, answer} = await createFixture(t);
+		const replies = [post(createBody({})), post(createBody({}))];
+		await sleep(50);
+		t.is(submitted.length, 1);
+		answer({state: 'complete', ran: 'ran'} as unknown as Answer);
+		t.deepEqual((await Promise.all(replies)).map(({status}) => status), [200, 200]);
+	});
+});
