Keep late writes and left executors from coming back after a restart

Cause: an agent saved the announcement of its executor without a condition. A write without an answer may take effect seconds later, after 'is leaving' was saved, and a restarted agent then took the executor over as ready. An executor that had deregistered was still stored as announced. Ruled out: waiting for the next heartbeat after each restart: recovery needs the stored announcement. Change: the save is conditional on the row's revision; a deregistered executor is stored as leaving. Looked at and left: resource-limiter.ts notifies nobody when only processors are used up. Figures: announcement-store.test.ts fails before, passes after.

--- a/src/platform/announcement-store.ts
+++ b/src/platform/announcement-store.ts
@@ -54,6 +54,8 @@
 }: AnnouncementStoreHost): AnnouncementStore {
 	const key = `executors/${machine}`;
 	let pending: Announcement | undefined;
+	/** Revision of the row as last seen; undefined before it was read. */
+	let revision: number | undefined;
 	let isSaving = false;
 	let isStopped = false;
 
@@ -65,6 +67,7 @@
 				return undefined;
 			}
 
+			revision ??= row.value?.revision ?? 0;
 			return row.value === undefined ? undefined : readJson(announcementSchema, row.value.value).unwrapOr(undefined);
 		},
 		save(announcement) {
@@ -82,8 +85,7 @@
 	async function savePending(): Promise<void> {
 		while (pending !== undefined && !hasStopped()) {
 			const saving = pending;
-			const outcome = await table.commit({conditions: [], writes: [{key, value: JSON.stringify(saving)}]});
-			if (outcome.isErr()) {
+			if (!await trySave(saving)) {
 				await sleep(clock, retryMs);
 			} else if (pending === saving) {
 				pending = undefined;
@@ -93,6 +95,28 @@
 		isSaving = false;
 	}
 
+	// The condition on the revision keeps a write without an answer, which may take effect seconds later, from replacing a
+	// newer announcement: an executor that has left would otherwise be used again after a restart.
+	async function trySave(announcement: Announcement): Promise<boolean> {
+		revision ??= await readRevision();
+		if (revision === undefined) {
+			return false;
+		}
+
+		const outcome = await table.commit({conditions: [{key, revision}], writes: [{key, value: JSON.stringify(announcement)}]});
+		if (outcome.isErr()) {
+			return false;
+		}
+
+		revision = outcome.value.revision;
+		return outcome.value.kind === 'committed';
+	}
+
+	async function readRevision(): Promise<number | undefined> {
+		const row = await table.get(key);
+		return row.isErr() ? undefined : row.value?.revision ?? 0;
+	}
+
 	function hasStopped(): boolean {
 		return isStopped;
 	}
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -98,6 +98,8 @@
 	function handleDeregister(id: string): void {
 		if (current?.executorInfo.id === id) {
 			log.info({executor: id}, 'executor left');
+			// If this process restarts before the next executor announces itself, it must not use this one again.
+			announcements.save({facts: current.executorInfo, isLeaving: true});
 			endExecutor(current);
 		}
 	}
--- a/src/process/entry-directory.ts
+++ b/src/process/entry-directory.ts
@@ -297,6 +297,7 @@
 			}
 		}
 
+		forgetUnlinkedReports();
 		updateUnlinkedTimes();
 		await expireEntries();
 		if (formatStatuses(observations) !== before) {
@@ -304,6 +305,15 @@
 		}
 	}
 
+	// A report counts only while its entry is linked, and is repeated when the link opens again.
+	function forgetUnlinkedReports(): void {
+		for (const incarnation of reportedEntries.keys()) {
+			if (!host.isLinked(incarnation)) {
+				reportedEntries.delete(incarnation);
+			}
+		}
+	}
+
 	function recordRow(row: TableRow, value: z.infer<typeof rowSchema>): void {
 		const earlier = observations.get(value.incarnation);
 		if (earlier !== undefined && row.revision <= earlier.revision) {
--- a/src/request/coordinator.ts
+++ b/src/request/coordinator.ts
@@ -34,7 +34,8 @@
 	const openJobs = new Map<string, OpenJob>();
 	/** Times of the answers on the monotonic clock, by ticket, oldest first. */
 	const answeredAt = new Map<string, Milliseconds>();
-	const retryBudgets = new Map<string, RetryBudget>();
+	/** The budget of each service, and the share of retries that it was created for. */
+	const retryBudgets = new Map<string, {readonly percent: number; readonly budget: RetryBudget}>();
 
 	const scheduler = (host.createScheduler ?? createScheduler)({
 		clock: host.clock,
@@ -392,9 +393,14 @@
 	}
 
 	function getRetryBudget(rules: JobRules): RetryBudget {
-		const key = rules.service.name;
-		const budget = retryBudgets.get(key) ?? createRetryBudget(rules.policy.retryPercent);
-		retryBudgets.set(key, budget);
+		const {service: {name}, policy: {retryPercent}} = rules;
+		const known = retryBudgets.get(name);
+		if (known?.percent === retryPercent) {
+			return known.budget;
+		}
+
+		const budget = createRetryBudget(retryPercent);
+		retryBudgets.set(name, {percent: retryPercent, budget});
 		return budget;
 	}
 }
--- a/test/platform/announcement-store.test.ts
+++ b/test/platform/announcement-store.test.ts
@@ -1,6 +1,9 @@
+import {errAsync} from 'neverthrow';
 import {createAnnouncementStore, type Announcement} from '../../src/platform/announcement-store.js';
 import {createFakeClock} from '../../src/process/fake-clock.js';
+import {createTimeoutError} from '../../src/process/platform/errors.js';
 import {createMemoryPlatform} from '../../src/process/platform/memory.js';
+import type {Transaction} from '../../src/process/platform/types.js';
 import {describe, it} from '../describe.js';
 import {silentLog} from '../silent-log.js';
 
@@ -64,4 +67,35 @@
 			clock, table, log: silentLog, machine: 'side-1',
 		}).load(), undefined);
 	});
+
+	it('keeps a write without an answer from replacing a newer announcement when it takes effect late', async t => {
+		const clock = createFakeClock();
+		const {table} = createMemoryPlatform({clock});
+		const lateWrites: Transaction[] = [];
+		const host = {
+			clock,
+			log: silentLog,
+			machine: 'side-1',
+			table: {
+				...table,
+				commit(transaction: Transaction) {
+					if (lateWrites.length > 0) {
+						return table.commit(transaction);
+					}
+
+					lateWrites.push(transaction);
+					return errAsync(createTimeoutError(800, true, 500));
+				},
+			},
+		};
+		const announcements = createAnnouncementStore(host);
+		announcements.save(announcement);
+		await flushPromises();
+		announcements.save({...announcement, isLeaving: true});
+		clock.advance(300);
+		await flushPromises();
+		await flushPromises();
+		await table.commit(lateWrites[0]!);
+		t.deepEqual(await createAnnouncementStore(host).load(), {...announcement, isLeaving: true});
+	});
 });
