Keep runs and links through a short pause of an agent

Cause: an agent that stood still for 0.2 s reopened all its links, and one that stood still for 0.3 s stopped all its runs. A small share of a core stands still that long under load, and reopening twelve links costs more of it. Nobody else can have started the tasks by then. Ruled out: longer pauses: the executor's lease ends after 0.5 s. Change: up to 0.5 s links and runs are kept. An entry waits 1.5 s instead of 1.1 s after a closed link, so that a start that was held up and begun late has ended. Tasks that an agent retains and retry budgets have modules of their own. The injected defect 'leases outlast ...' was limited by the executor's longest lease, which is now shorter than the wait; the defect raises that limit, too.

--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -6,8 +6,9 @@
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import {
 	RefusalReason, TaskOutcome,
-	type AgentHello, type EntryBatch, type HeldReply, type HeldTask, type TaskResult, type TaskStart,
+	type AgentHello, type EntryBatch, type HeldReply, type TaskResult, type TaskStart,
 } from '../generated/kingcuplane.js';
+import {createStartedTasks} from './started-tasks.js';
 import type {AgentInfo, CreditGranter} from './types.js';
 
 /** Result of one run at the upstream. */
@@ -92,12 +93,6 @@
 	closedAt: Milliseconds;
 };
 
-/** A task that was started by this agent, retained to answer queries about its ticket. */
-type StartedTask = {
-	readonly task: HeldTask;
-	endedAt?: Milliseconds;
-};
-
 const noPayload = new Uint8Array();
 /** Maximum time for which the result of a task waits for those of other tasks of its job. */
 const partialResultDelayMs: Milliseconds = 50;
@@ -107,10 +102,8 @@
 /** Creates an empty set of sessions. */
 export function createEntrySessions(host: EntrySessionsHost, granter: CreditGranter): EntrySessions {
 	const records = new Map<string, SessionRecord>();
-	const startedTasks = new Map<string, StartedTask[]>();
-	const endedTasks: Array<{readonly ticket: string; readonly startedTask: StartedTask}> = [];
+	const startedTasks = createStartedTasks(host);
 	const fencedIncarnations = new Set<string>();
-	let endedPayloadBytes = 0;
 	let running = 0;
 	let isDraining = false;
 
@@ -197,7 +190,7 @@
 
 		granter.setQueued(entry, batch.queued, batch.head);
 		for (const query of batch.queries) {
-			record.held.push({id: query.id, tasks: getHeldTasks(query.ticket)});
+			record.held.push({id: query.id, tasks: startedTasks.getHeldTasks(query.ticket)});
 			host.onOutputPending(entry);
 		}
 	}
@@ -217,13 +210,13 @@
 
 		running++;
 		record.running.set(start.seq, start);
-		const startedTask = recordStart(start);
+		const startedTask = startedTasks.recordStart(start);
 		host.run(start, runResult => {
 			running--;
 			record.running.delete(start.seq);
 			granter.release(entry, start.need);
 			const result = addResult(entry, record, start, runResult);
-			recordEnd(start, startedTask, result);
+			startedTasks.recordEnd(startedTask, result);
 		});
 	}
 
@@ -322,50 +315,6 @@
 			}
 		}
 	}
-
-	function recordStart(start: TaskStart): StartedTask {
-		const startedTask: StartedTask = {
-			task: {
-				task: start.task, taskCount: start.taskCount, running: true, result: undefined, startedAt: Math.round(host.clock.wall()), caller: start.caller,
-			},
-		};
-		const {ticket} = (start.task!);
-		const list = startedTasks.get(ticket);
-		if (list === undefined) {
-			startedTasks.set(ticket, [startedTask]);
-		} else {
-			list.push(startedTask);
-		}
-
-		return startedTask;
-	}
-
-	function recordEnd(start: TaskStart, startedTask: StartedTask, result: TaskResult): void {
-		startedTask.task.running = false;
-		startedTask.task.result = result;
-		startedTask.endedAt = host.clock.now();
-		endedTasks.push({ticket: start.task!.ticket, startedTask});
-		endedPayloadBytes += result.payload.length;
-		evictEndedTasks();
-	}
-
-	function evictEndedTasks(): void {
-		const oldest = host.clock.now() - host.retentionMs;
-		while (endedTasks[0] !== undefined && (endedTasks[0].startedTask.endedAt! < oldest || endedPayloadBytes > host.maxRetainedBytes)) {
-			const {ticket, startedTask} = endedTasks.shift()!;
-			endedPayloadBytes -= startedTask.task.result?.payload.length ?? 0;
-			const rest = startedTasks.get(ticket)?.filter(other => other !== startedTask) ?? [];
-			if (rest.length === 0) {
-				startedTasks.delete(ticket);
-			} else {
-				startedTasks.set(ticket, rest);
-			}
-		}
-	}
-
-	function getHeldTasks(ticket: string): HeldTask[] {
-		return (startedTasks.get(ticket) ?? []).map(startedTask => startedTask.task);
-	}
 }
 
 function createRecord(): SessionRecord {
--- a/src/connection/link-timing.ts
+++ b/src/connection/link-timing.ts
@@ -21,6 +21,11 @@
 	readonly silentGraceMs?: Milliseconds;
 	/** Time for which a start remains valid after it was sent; unlimited if undefined. */
 	readonly startValidityMs?: Milliseconds;
+	/**
+	 * Pause of an agent's process up to which it keeps its links and runs: no entry can have started their tasks elsewhere.
+	 * 0 if undefined.
+	 */
+	readonly harmlessPauseMs?: Milliseconds;
 	/** Number of entries that each agent is linked to; all if undefined. */
 	readonly maxLinksPerAgent?: number;
 	/** Maximum delay between two connection attempts. */
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -132,6 +132,7 @@
 					next.agent?.probeUpstream();
 				},
 				takePauseTime: takeAccumulatedPause,
+				harmlessPauseMs: platformTiming.harmlessPauseMs!,
 			}),
 		};
 		current = next;
--- a/src/platform/timing.ts
+++ b/src/platform/timing.ts
@@ -14,6 +14,9 @@
  * A start that was held up on the way is refused 0.6 s after it was sent: a run that began later could still be stopping
  * when its entry starts the task elsewhere.
  *
+ * An agent that stood still for up to 0.5 s keeps its links and runs; small shares of a core stand still that long under
+ * load. A start that was held up may then begin 1.1 s after it was sent, and ends before its entry gives it up.
+ *
  * Links on which no outcome is pending are checked seldom. Their state is then up to two seconds old, which costs a few
  * refused starts, while their heartbeats would cost most of the processor time at a few hundred machines.
  *
@@ -26,9 +29,10 @@
 	silence: {activeMs: 700, idleMs: 5000},
 	ackDelayMs: 1000,
 	orphanGraceMs: 120,
-	closedGraceMs: 1120,
+	closedGraceMs: 1520,
 	silentGraceMs: 1170,
 	startValidityMs: 600,
+	harmlessPauseMs: 500,
 	maxReconnectDelayMs: 300,
 	maxLinksPerAgent: 12,
 };
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -120,6 +120,10 @@
 	// During the pause entries may have abandoned starts that are still in the sockets. On a new link the agent reports to
 	// each entry which starts it has received.
 	function resetLinks(pause: Milliseconds): void {
+		if (pause <= (timing.harmlessPauseMs ?? 0)) {
+			return;
+		}
+
 		host.log.warn({pause}, 'this process may have stood still; reopening all links');
 		links.reset();
 	}
--- a/src/process/executor-poller.ts
+++ b/src/process/executor-poller.ts
@@ -17,6 +17,8 @@
 	readonly log: Log;
 	/** Identifies the expected incarnation of the executor; if undefined, the first one that responds is accepted. */
 	readonly executorStartedAt?: number;
+	/** Pause up to which no entry can have abandoned a run. */
+	readonly harmlessPauseMs: Milliseconds;
 	/** Whether there are runs, requested or running, that have not ended. */
 	hasActiveRuns(): boolean;
 	/** Called with the status that answers a poll sent at `polledAt`. */
@@ -68,8 +70,6 @@
 const unansweredPollLimit = 2;
 /** Delay after a poll that failed. */
 const retryDelayMs: Milliseconds = 40;
-/** A pause shorter than this cannot have let a lease expire or an entry abandon a run. */
-const harmlessPauseMs: Milliseconds = 300;
 
 /** Creates a poller that does not poll yet. */
 export function createExecutorPoller(host: ExecutorPollerHost): ExecutorPoller {
@@ -168,7 +168,7 @@
 	// Polls without renewing the lease, since entries may have abandoned the runs during the pause.
 	async function checkPause(): Promise<void> {
 		const pause = host.takePauseTime();
-		if (pause < harmlessPauseMs) {
+		if (pause <= host.harmlessPauseMs) {
 			return;
 		}
 
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -26,6 +26,8 @@
 	readonly firstFencingToken: number;
 	/** Longest lease that the executor grants. */
 	readonly maxLeaseMs: Milliseconds;
+	/** Pause of this process up to which no entry can have abandoned a run. */
+	readonly harmlessPauseMs: Milliseconds;
 	readonly log: Log;
 	/** Called when the executor turns out to be another incarnation than the expected one. */
 	onIncarnationChanged(): void;
@@ -101,6 +103,7 @@
 		onIncarnationChanged: host.onIncarnationChanged,
 		onUnreachable: host.onUnreachable,
 		takePauseTime: host.takePauseTime,
+		harmlessPauseMs: host.harmlessPauseMs,
 	});
 	let unavailableUntil = -Infinity;
 
--- a/src/request/coordinator.ts
+++ b/src/request/coordinator.ts
@@ -12,7 +12,7 @@
 import {describeAttemptEnd, toAttemptEnd, toAttemptOutcome} from './attempt-end.js';
 import type {AttemptEnd, JobFailure} from './job.js';
 import {createTrackedJob, type JobHandle, type TrackedJob} from './tracked-job.js';
-import {createRetryBudget, type RetryBudget} from './retry-budget.js';
+import {createRetryBudgets} from './retry-budget.js';
 import {isFeasible} from './resource-queue.js';
 import {createInfeasibleFailure, getAttemptKey, type OpenJob} from './open-job.js';
 import {createScheduler} from './scheduler.js';
@@ -34,8 +34,7 @@
 	const openJobs = new Map<string, OpenJob>();
 	/** Times of the answers on the monotonic clock, by ticket, oldest first. */
 	const answeredAt = new Map<string, Milliseconds>();
-	/** The budget of each service, and the share of retries that it was created for. */
-	const retryBudgets = new Map<string, {readonly percent: number; readonly budget: RetryBudget}>();
+	const retryBudgets = createRetryBudgets();
 
 	const scheduler = (host.createScheduler ?? createScheduler)({
 		clock: host.clock,
@@ -228,7 +227,7 @@
 		const session = checkDefined(sessions.tryGet(agent), 'the scheduler chooses only agents with an open session');
 		openJob.tracked.job.markSent(task.index, task.attempt);
 		if (task.attempt === 1) {
-			getRetryBudget(openJob.rules).recordFirstAttempt();
+			retryBudgets.get(openJob.rules.service.name, openJob.rules.policy.retryPercent).recordFirstAttempt();
 		}
 
 		host.recorder.recordSent(task.ticket, task.index, {
@@ -333,7 +332,7 @@
 
 	// Only a single request that is idempotent may run again after an unknown outcome.
 	function tryRetry(openJob: OpenJob): boolean {
-		return openJob.request.isSingleRequest && openJob.rules.submission.idempotent && getRetryBudget(openJob.rules).trySpend();
+		return openJob.request.isSingleRequest && openJob.rules.submission.idempotent && retryBudgets.get(openJob.rules.service.name, openJob.rules.policy.retryPercent).trySpend();
 	}
 
 	function recordLateResult(agent: {readonly incarnation: string}, result: TaskResult): void {
@@ -391,16 +390,4 @@
 			trackedJobs.delete(ticket);
 		}
 	}
-
-	function getRetryBudget(rules: JobRules): RetryBudget {
-		const {service: {name}, policy: {retryPercent}} = rules;
-		const known = retryBudgets.get(name);
-		if (known?.percent === retryPercent) {
-			return known.budget;
-		}
-
-		const budget = createRetryBudget(retryPercent);
-		retryBudgets.set(name, {percent: retryPercent, budget});
-		return budget;
-	}
 }
--- a/src/request/retry-budget.ts
+++ b/src/request/retry-budget.ts
@@ -11,6 +11,30 @@
 	trySpend(): boolean;
 };
 
+/** The retry budgets of all services. */
+export type RetryBudgets = {
+	/** Returns the budget of a service; a new one if its share of retries has changed. */
+	get(service: string, percent: number): RetryBudget;
+};
+
+/** Creates an empty set of budgets. */
+export function createRetryBudgets(): RetryBudgets {
+	const budgets = new Map<string, {readonly percent: number; readonly budget: RetryBudget}>();
+
+	return {
+		get(service, percent) {
+			const known = budgets.get(service);
+			if (known?.percent === percent) {
+				return known.budget;
+			}
+
+			const budget = createRetryBudget(percent);
+			budgets.set(service, {percent, budget});
+			return budget;
+		},
+	};
+}
+
 /** Creates a budget of `percent` retries for each hundred first attempts. It accumulates at most `burst` retries. */
 export function createRetryBudget(percent: number, burst = 10): RetryBudget {
 	let balance = burst;
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -53,6 +53,8 @@
 	readonly isLeavingIgnored?: boolean;
 	/** Processors that agents announce instead of those of their executor, in thousandths of a processor. */
 	readonly announcedCpu?: number;
+	/** Longest lease that executors grant. */
+	readonly maxLeaseMs?: Milliseconds;
 	/** Wraps the executor to change the commands of its agent. */
 	changeExecutor?(executor: Executor): Executor;
 };
@@ -91,6 +93,7 @@
 	const leavingStartedAt = new Map<string, Milliseconds>();
 	for (const executor of executors.values()) {
 		executor.isLongPolling = true;
+		executor.maxLeaseMs = defects.maxLeaseMs ?? executor.maxLeaseMs;
 		executor.sampleRun = () => ({length: random.chance(0.2) ? random.integer(500, 3000) : random.integer(20, 300), fails: random.chance(0.03)});
 	}
 
@@ -240,6 +243,7 @@
 			onUnreachable() {
 				agentIncarnation.agent?.probeUpstream();
 			},
+			harmlessPauseMs: timing.harmlessPauseMs!,
 			takePauseTime: createPauseAccumulator(detector),
 		});
 		void upstream.takeOver().then(() => {
