--- a/dev/bench/platform-processes.ts
+++ b/dev/bench/platform-processes.ts
@@ -34,6 +34,8 @@
 };
 
 const bundle = '../target/kingcuplane-platform.mjs';
+/** Options of Node.js in deploy/system.toml; the code cache fits only processes with the same. */
+const deployedOptions = {entry: ['--max-old-space-size=160'], agent: ['--max-old-space-size=96']};
 /** Third byte of the loopback addresses; tests use lower ones. */
 const subnet = 250;
 /** Length of the first part of the load, in which the programs compile most of their code. */
@@ -50,7 +52,8 @@
 	.option('--program', 'Script of entries and agents, relative to the compiled project', bundle)
 	.option('--profile', 'Folder for V8 processor profiles of all processes', '')
 	.action(async (options: Options) => {
-		const nodeOptions = options.profile === '' ? [] : ['--cpu-prof', `--cpu-prof-dir=${options.profile}`];
+		const profiling = options.profile === '' ? [] : ['--cpu-prof', `--cpu-prof-dir=${options.profile}`];
+		const nodeOptions = {entry: [...deployedOptions.entry, ...profiling], agent: [...deployedOptions.agent, ...profiling]};
 		const system = await startPlatformSystem({
 			entries: options.entries, agents: options.agents, subnet, program: options.program, nodeOptions, executorCpu: 16_000,
 		});
--- a/dev/platform-system.ts
+++ b/dev/platform-system.ts
@@ -22,8 +22,8 @@
 	readonly subnet: number;
 	/** Script of entries and agents, relative to the compiled project; the compiled program if undefined. */
 	readonly program?: string;
-	/** Options of Node.js for entries and agents. */
-	readonly nodeOptions?: readonly string[];
+	/** Options of Node.js by role. */
+	readonly nodeOptions?: Readonly<Record<'entry' | 'agent', readonly string[]>>;
 	/** Processors of an executor, in thousandths; the default of the stand-in if undefined. */
 	readonly executorCpu?: number;
 };
@@ -125,7 +125,7 @@
 			const address = `${network}.${first + i}`;
 			const file = path.join(folder, name);
 			fs.writeFileSync(file, toSettings(role, name, address));
-			const launch = () => start(options.program ?? compiledProgram, [role], {KINGCUPLANE_CONFIG: file}, options.nodeOptions);
+			const launch = () => start(options.program ?? compiledProgram, [role], {KINGCUPLANE_CONFIG: file}, options.nodeOptions?.[role]);
 			const instance: PlatformInstance = {
 				name,
 				address,
--- a/src/platform/bin/kingcuplane-platform.ts
+++ b/src/platform/bin/kingcuplane-platform.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /**
  * The program on the platform: `kingcuplane-platform entry` or `kingcuplane-platform agent`. The environment variable
  * KINGCUPLANE_CONFIG holds the path of the settings file.
@@ -27,15 +26,25 @@
 	// Seeds and bounds are read only at start; a running process keeps the entries that it has found since.
 	log.info({file}, 'settings changed; they are read at the next start');
 });
-const running = await start();
-log.info({incarnation, role}, 'started');
+// The bundle is a CommonJS module, for which V8's code cache can be used, so there is no top-level await.
+// eslint-disable-next-line unicorn/prefer-top-level-await
+main().catch((err: unknown) => {
+	log.error({err}, 'the program failed');
+	stream.flushNow();
+	process.exit(1);
+});
+
+async function main(): Promise<void> {
+	const running = await start();
+	log.info({incarnation, role}, 'started');
 
-await waitForStopSignal();
-log.info({incarnation}, 'stop signal received');
-await running.stop();
-log.info({incarnation}, 'stopped');
-stream.flushNow();
-process.exit(0);
+	await waitForStopSignal();
+	log.info({incarnation}, 'stop signal received');
+	await running.stop();
+	log.info({incarnation}, 'stopped');
+	stream.flushNow();
+	process.exit(0);
+}
 
 function loadMachine(): MachineSettings {
 	const result = readMachineSettings(fs.existsSync(file) ? fs.readFileSync(file, 'utf8') : '');
