Report entries to agents and peers only when they have changed

Ruled out: heartbeats (idle links send 0.5 messages a second). Change: agents get the list when a live or dead entry has changed, peers the entries that were linked since; a configuration goes without the list.

--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -64,7 +64,9 @@
 	 * that was idle for the interval of idle links. To be called every `heartbeatMs`.
 	 */
 	sendHeartbeats(): void;
-	/** Sends a changed configuration, the entries, the fenced incarnations and the draining flag to all agents. */
+	/** Sends a changed configuration to all agents. */
+	scheduleConfig(): void;
+	/** Sends the entries, the fenced incarnations and the draining flag to all agents, besides a changed configuration. */
 	scheduleBroadcast(): void;
 	/** Queries every linked agent for its records of the tasks of a ticket, and returns the number of these agents. */
 	broadcastQuery(id: number, ticket: string): number;
@@ -146,6 +148,11 @@
 				}
 			}
 		},
+		scheduleConfig() {
+			for (const link of links.values()) {
+				deferFlush(link);
+			}
+		},
 		scheduleBroadcast() {
 			for (const link of links.values()) {
 				link.isBroadcastPending = true;
--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -18,8 +18,8 @@
 	onUnexpectedError(error: unknown): void;
 	/** Serves a request that another entry has relayed. */
 	serveRequest(req: RelayRequest): Promise<Omit<RelayReply, 'id'>>;
-	/** Returns the state to send; it contains all known entries if `isFull`, as on a new stream. */
-	getState(isFull: boolean): PeerState;
+	/** Returns the state to send, which reports these entries. */
+	getState(entries: readonly EntryAddress[]): PeerState;
 	receiveState(peer: EntryAddress, state: PeerState): void;
 	receiveShares(peer: EntryAddress, message: ShareNews): void;
 	/** Called when a stream to this entry has opened. */
@@ -43,8 +43,8 @@
 	sendShares(incarnation: string, message: ShareNews): void;
 	isLinked(incarnation: string): boolean;
 	getLinkedPeers(): readonly EntryAddress[];
-	/** Sends the state to every linked peer; `isFull` if the known entries have changed, to send all of them. */
-	broadcastState(isFull: boolean): void;
+	/** Sends the state to every linked peer, with entries that it may not know yet. A new stream begins with all of them. */
+	broadcastState(entries: readonly EntryAddress[]): void;
 	/** Closes all streams permanently. */
 	stop(): void;
 };
@@ -94,9 +94,9 @@
 			tryGetConnection(incarnation)?.stream?.write(createBatch({shares: message}));
 		},
 		isLinked: incarnation => tryGetConnection(incarnation) !== undefined,
-		getLinkedPeers: () => [...connections.values()].flatMap(connection => connection.peer ?? []),
-		broadcastState(isFull) {
-			const state = host.getState(isFull);
+		getLinkedPeers,
+		broadcastState(entries) {
+			const state = host.getState(entries);
 			for (const connection of connections.values()) {
 				connection.stream?.write(createBatch({state}));
 			}
@@ -113,6 +113,10 @@
 		},
 	};
 
+	function getLinkedPeers(): readonly EntryAddress[] {
+		return [...connections.values()].flatMap(connection => connection.peer ?? []);
+	}
+
 	async function request(incarnation: string, req: PeerRequest): Promise<RelayReply | undefined> {
 		const connection = tryGetConnection(incarnation);
 		if (connection?.stream === undefined) {
@@ -177,7 +181,7 @@
 		stream.on('end', () => {
 			disconnectIfCurrent(connection, stream);
 		});
-		stream.write(createBatch({hello: {address: host.self}, state: host.getState(true)}));
+		stream.write(createBatch({hello: {address: host.self}, state: host.getState(getLinkedPeers())}));
 	}
 
 	function receiveOnOutgoing(connection: PeerConnection, batch: PeerBatch): void {
@@ -237,7 +241,7 @@
 		stream.on('error', () => {
 			acceptedStreams.delete(stream);
 		});
-		stream.write(createBatch({hello: {address: host.self}, state: host.getState(true)}));
+		stream.write(createBatch({hello: {address: host.self}, state: host.getState(getLinkedPeers())}));
 
 		function receiveOnAccepted(batch: PeerBatch): void {
 			peer = batch.hello?.address ?? peer;
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -21,9 +21,10 @@
 import type {Snapshot} from '../version/types.js';
 import {formatAddress} from './address.js';
 import {
-	every, sleep, type Milliseconds, type Timer,
+	every, sleep, type Milliseconds,
 } from './clock.js';
 import {createEntryDirectory} from './entry-directory.js';
+import {createEntryReports} from './entry-reports.js';
 import {createHttpApi} from './http-api.js';
 import {createJobTelemetry} from './job-telemetry.js';
 import {holdStartsAfterPauses} from './start-hold.js';
@@ -35,11 +36,6 @@
 const snapshotOperation = 'snapshot';
 const snapshotTimeoutMs: Milliseconds = 2000;
 const stateBroadcastIntervalMs: Milliseconds = 1000;
-/**
- * Delay after a change of the known entries before it is sent. While many entries start, each sees one change for each
- * other entry, and sending them one by one costs messages with the cube of the number of entries.
- */
-const addressBroadcastDelayMs: Milliseconds = 100;
 const gaugeIntervalMs: Milliseconds = 1000;
 const heldTaskQueryTimeoutMs: Milliseconds = 500;
 const drainCheckIntervalMs: Milliseconds = 10;
@@ -63,8 +59,6 @@
 	let isShuttingDown = false;
 	let drainEndsAt = Infinity;
 	let isFetchingSnapshot = false;
-	/** Pending while a change of the entries has not been sent to agents and peers. */
-	let addressBroadcast: Timer | undefined;
 
 	const issuer = createTicketIssuer({
 		clock, incarnation, key: host.ticketKey, blockMs: limits.blockMs, lifetimeMs: limits.ticketLifetimeMs,
@@ -162,6 +156,14 @@
 		},
 		onLinksChanged: updateAddresses,
 	});
+	const reports = createEntryReports({
+		clock,
+		getLive: directory.getLive,
+		getDead: directory.getDead,
+		getLinkedPeers: peers.getLinkedPeers,
+		reportToAgents: links.scheduleBroadcast,
+		reportToPeers: peers.broadcastState,
+	});
 	const lookup = createRecordLookup({
 		incarnation,
 		recorder: host.recorder,
@@ -204,7 +206,7 @@
 
 	const timers = [
 		every(clock, stateBroadcastIntervalMs, () => {
-			peers.broadcastState(false);
+			peers.broadcastState([]);
 		}),
 		every(clock, shareReportIntervalMs, shares.tick),
 		every(clock, timing.heartbeatMs, links.sendHeartbeats),
@@ -269,26 +271,22 @@
 
 	function applySnapshot(snapshot: Snapshot): void {
 		coordinator.applySnapshot(snapshot);
-		links.scheduleBroadcast();
-		peers.broadcastState(false);
+		links.scheduleConfig();
+		peers.broadcastState([]);
 		host.log.info({configVersion: snapshot.version}, 'configuration in force');
 	}
 
 	function updateAddresses(): void {
 		const addresses = [...directory.getLive().map(entry => entry.links), ...settings.entry.seeds.map(seed => formatAddress(seed))];
 		peers.setAddresses(addresses);
-		addressBroadcast ??= clock.after(addressBroadcastDelayMs, () => {
-			addressBroadcast = undefined;
-			links.scheduleBroadcast();
-			peers.broadcastState(true);
-		});
+		reports.schedule();
 	}
 
-	function getState(isFull: boolean): PeerState {
+	function getState(entries: readonly EntryAddress[]): PeerState {
 		return {
 			configVersion: follower.tryGet()?.version ?? 0,
 			draining: isDraining,
-			entries: isFull ? [...peers.getLinkedPeers()] : [],
+			entries: [...entries],
 		};
 	}
 
@@ -349,7 +347,7 @@
 		}
 
 		isDraining = true;
-		peers.broadcastState(false);
+		peers.broadcastState([]);
 		links.scheduleBroadcast();
 		if (host.drainNoticeMs === undefined) {
 			await sleep(clock, refusalNoticeMs);
@@ -377,7 +375,7 @@
 			timer.cancel();
 		}
 
-		addressBroadcast?.cancel();
+		reports.stop();
 		peers.stop();
 		await directory.deregister();
 	}
