--- /dev/null
+++ b/test/connection/entry-links.test.ts
@@ -0,0 +1,122 @@
+import {createEntryLinks, type EntryLinks} from '../../src/connection/entry-links.js';
+import {createEntrySessions} from '../../src/connection/entry-sessions.js';
+import {relaxedTiming} from '../../src/connection/link-timing.js';
+import {createResourceLimiter} from '../../src/connection/resource-limiter.js';
+import {AgentState, EntryBatch} from '../../src/generated/kingcuplane.js';
+import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
+import {describe, it} from '../describe.js';
+
+const capacity = {cpu: 1000, memory: 1, accelerators: 0};
+
+type Fixture = {
+	readonly clock: FakeClock;
+	readonly links: EntryLinks;
+	/** Addresses to which a stream was opened, in order. */
+	readonly opened: string[];
+	readonly isOpen: ReadonlyMap<string, boolean>;
+	/** Delivers the welcome of an entry and the list of entries that it knows. */
+	welcome(address: string, incarnation: string, known: readonly string[]): void;
+};
+
+async function createFixture(seeds: readonly string[], maxLinks = Infinity): Promise<Fixture> {
+	const clock = createFakeClock();
+	const opened: string[] = [];
+	const isOpen = new Map<string, boolean>();
+	const receivers = new Map<string, (batch: EntryBatch) => void>();
+	const sessions = createEntrySessions({
+		clock,
+		agent: {
+			incarnation: 'a-1', name: 'a', upstream: 'u', service: 's', dataCentre: 'd', rack: 'r', slots: 1, capacity,
+		},
+		retentionMs: 1000,
+		maxRetainedBytes: 1000,
+		run: () => undefined,
+		stop: () => undefined,
+		onOutputPending: () => undefined,
+	}, createResourceLimiter({clock, notifyEntry: () => undefined}, capacity));
+	const links = createEntryLinks({
+		clock,
+		sessions,
+		agent: 'a',
+		seeds,
+		maxLinks,
+		discoverMs: 100,
+		timing: relaxedTiming,
+		getState: () => AgentState.fromPartial({}),
+		receiveConfig: () => undefined,
+		readEntryDirectory: async () => [],
+		random: () => 0,
+		defer(action) {
+			action();
+		},
+		connect: address => ({
+			open() {
+				opened.push(address);
+				isOpen.set(address, true);
+				return {
+					on(event: string, listener: (batch: EntryBatch) => void) {
+						if (event === 'data') {
+							receivers.set(address, listener);
+						}
+					},
+					write: () => undefined,
+					cancel() {
+						isOpen.set(address, false);
+					},
+				};
+			},
+			close: () => undefined,
+		}),
+	});
+	await Promise.resolve();
+	return {
+		clock,
+		links,
+		opened,
+		isOpen,
+		welcome(address, incarnation, known) {
+			receivers.get(address)?.(EntryBatch.fromPartial({welcome: {entry: incarnation, incarnation}}));
+			receivers.get(address)?.(EntryBatch.fromPartial({entries: known.map(links_ => ({name: links_, incarnation: links_, links: links_}))}));
+		},
+	};
+}
+
+describe('links of an agent', () => {
+	it('are opened to the seeds and to the entries that these report', async t => {
+		const {opened, welcome} = await createFixture(['e1']);
+		t.deepEqual(opened, ['e1']);
+		welcome('e1', 'e1-1', ['e1', 'e2']);
+		t.deepEqual(opened, ['e1', 'e2']);
+	});
+
+	it('do not alternate between two addresses of one entry', async t => {
+		const {clock, opened, isOpen, welcome} = await createFixture(['seed']);
+		welcome('seed', 'e-1', ['advertised']);
+		welcome('advertised', 'e-1', ['advertised']);
+		for (let i = 0; i < 20; i++) {
+			clock.advance(100);
+			await Promise.resolve();
+		}
+
+		t.deepEqual(opened, ['seed', 'advertised']);
+		t.deepEqual([...isOpen], [['seed', false], ['advertised', true]]);
+	});
+
+	it('are kept when an entry reports fewer entries than another one', async t => {
+		const {clock, isOpen, welcome} = await createFixture(['e1']);
+		welcome('e1', 'e1-1', ['e1', 'e2']);
+		welcome('e2', 'e2-1', ['e2']);
+		for (let i = 0; i < 100; i++) {
+			clock.advance(100);
+			await Promise.resolve();
+		}
+
+		t.deepEqual([...isOpen], [['e1', true], ['e2', true]]);
+	});
+
+	it('are limited in number', async t => {
+		const {opened, welcome} = await createFixture(['e1'], 2);
+		welcome('e1', 'e1-1', ['e1', 'e2', 'e3', 'e4']);
+		t.true(new Set(opened).size <= 3);
+	});
+});
