--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -11,12 +11,15 @@
 import {silentLog} from '../silent-log.js';
 
 const path = '/jobs/0123456789abcdef';
+const pollMs = 5;
 const complete: Answer = {state: 'complete', ran: 'ran', payloads: []};
 
 type Fixture = {
 	/** Requests that reached the coordinator. */
 	readonly submitted: SubmissionRequest[];
 	readonly cancelled: string[];
+	/** Number of requests that wait for the newest submission. */
+	countWaiting(): number;
 	/** Answers the newest submission, to all who wait for it. */
 	answer(value: Answer): void;
 	post(body: string, headers?: Readonly<Record<string, string>>): Promise<{readonly status: number; readonly text: string}>;
@@ -68,6 +71,7 @@
 	return {
 		submitted,
 		cancelled,
+		countWaiting: () => listeners.length,
 		answer(value) {
 			for (const listener of listeners) {
 				listener(value);
@@ -88,9 +92,9 @@
 		async postAndLeave(body) {
 			const req = send(body, {});
 			req.on('error', () => undefined);
-			await sleep(50);
+			await waitUntil(() => submitted.length > 0);
 			req.destroy();
-			await sleep(50);
+			await waitUntil(() => cancelled.length > 0);
 		},
 	};
 
@@ -103,6 +107,13 @@
 	}
 }
 
+/** Waits for a condition that other processes of this machine may delay. */
+async function waitUntil(isMet: () => boolean): Promise<void> {
+	while (!isMet()) {
+		await sleep(pollMs);
+	}
+}
+
 function createBody(step: Readonly<Record<string, unknown>>): string {
 	return JSON.stringify({spec: 'x', 'best-effort': true, steps: [{count: 1, cpu: 100, ...step}]});
 }
@@ -143,11 +154,13 @@
 	});
 
 	it('bounds the deadline of a client, since a longer timer would fire at once', async t => {
-		const {submitted, postAndLeave, post, answer} = await createFixture(t);
+		const {
+			submitted, postAndLeave, post, answer, countWaiting,
+		} = await createFixture(t);
 		await postAndLeave(createBody({}));
 		t.is(submitted[0]?.deadlineMs, 1500);
 		const reply = post(createBody({}), {'request-deadline': '1e12'});
-		await sleep(50);
+		await waitUntil(() => submitted.length === 2 && countWaiting() === 1);
 		t.is(submitted[1]?.deadlineMs, 3_600_000);
 		answer(complete);
 		t.deepEqual(await reply, {status: 200, text: '{"state":"completed"}'});
@@ -160,9 +173,11 @@
 	});
 
 	it('joins a repeated request to the open job', async t => {
-		const {post, submitted, answer} = await createFixture(t);
+		const {
+			post, submitted, answer, countWaiting,
+		} = await createFixture(t);
 		const replies = [post(createBody({})), post(createBody({}))];
-		await sleep(50);
+		await waitUntil(() => countWaiting() === 2);
 		t.is(submitted.length, 1);
 		answer(complete);
 		const received = await Promise.all(replies);
