--- a/dev/bench/platform-processes.ts
+++ b/dev/bench/platform-processes.ts
@@ -3,7 +3,6 @@
  * a load and after them: `npm run bench:platform`. Starts the bundled program as real processes on loopback, with
  * stand-ins for the store and the executors, and replays jobs of the users' sites in an open loop.
  */
-import fs from 'node:fs';
 import process from 'node:process';
 import sade from 'sade';
 import type {Milliseconds} from '../../src/process/clock.js';
--- a/src/connection/entry-links.ts
+++ b/src/connection/entry-links.ts
@@ -2,16 +2,13 @@
  * The links of one agent to the entries: finds the entries, opens and closes links as planned, and keeps one link to each
  * entry incarnation.
  */
-import type {ConfigUpdate} from '../generated/kingcuplane.js';
 import {every, type Milliseconds} from '../process/clock.js';
-import type {EntrySessions} from './entry-sessions.js';
 import {createAgentLink, type AgentLink, type LinkClientHost} from './link-client.js';
 import {planLinks, type LinkStatus} from './link-planner.js';
 import {rankByRendezvousHash} from './rendezvous.js';
 
 /** Dependencies of the links. */
 export type EntryLinksHost = Omit<LinkClientHost, 'receiveEntries' | 'replaceEarlierLink'> & {
-	readonly sessions: EntrySessions;
 	/** Name of the agent, the same after a restart. */
 	readonly agent: string;
 	/** Addresses ("IP:port") that are tried while no link is open, in addition to those of the directory. */
@@ -20,7 +17,6 @@
 	readonly maxLinks: number;
 	/** Interval at which entries are searched for while no link is open. */
 	readonly discoverMs: Milliseconds;
-	receiveConfig(config: ConfigUpdate): void;
 	/** Reads the addresses of all live entries from the platform's directory; undefined if it cannot be read. */
 	readEntryDirectory(): Promise<readonly string[] | undefined>;
 };
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -38,7 +38,7 @@
 const maxBodyBytes = 262_144;
 const notReadyRetryMs: Milliseconds = 1000;
 /** Largest number of tasks of a job. */
-const maxTasks = 1100;
+export const maxTasks = 1100;
 /** Bound on declared run times and deadlines; timers of the runtime overflow at 24 days. */
 const maxRunMs: Milliseconds = 3_600_000;
 /** Long, since these kinds of jobs are not supported on this platform and an early retry is useless. */
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -19,7 +19,7 @@
 import {createLongPollFollower} from '../version/long-poll-follower.js';
 import {createDesiredStateCodec, createDesiredStateSource} from './desired-state.js';
 import {serveHttp, serveMetrics} from './http-server.js';
-import {createIngress} from './ingress.js';
+import {createIngress, maxTasks} from './ingress.js';
 import type {MachineSettings} from './settings.js';
 import {createPlatformClient} from './platform-client.js';
 import {
@@ -101,7 +101,7 @@
 			fateWritesPerSecond: 2,
 			answerKeepMs: 10_000,
 			maxBodyBytes: 262_144,
-			maxTasks: 1100,
+			maxTasks,
 			maxHeaderBytes: 16_384,
 			maxWaitMs: 10_000,
 			agentGraceMs,
--- a/src/platform/timing.ts
+++ b/src/platform/timing.ts
@@ -5,6 +5,9 @@
 import type {LinkTiming} from '../connection/link-timing.js';
 import type {Milliseconds} from '../process/clock.js';
 
+/** How long an entry waits for an agent whose link timed out before it starts that agent's tasks elsewhere; see {@link platformTiming}. */
+export const agentGraceMs: Milliseconds = 1170;
+
 /**
  * An agent stops the runs of an entry that no longer responds at most 0.82 s after the last message from it. An entry
  * starts the tasks of a lost agent elsewhere only after the agent has stopped them, even if two stop calls had to be
@@ -30,16 +33,13 @@
 	ackDelayMs: 1000,
 	orphanGraceMs: 120,
 	closedGraceMs: 1520,
-	silentGraceMs: 1170,
+	silentGraceMs: agentGraceMs,
 	startValidityMs: 600,
 	harmlessPauseMs: 500,
 	maxReconnectDelayMs: 300,
 	maxLinksPerAgent: 12,
 };
 
-/** Wait for an agent whose link is lost if the timing of the links sets no other. */
-export const agentGraceMs: Milliseconds = 1170;
-
 /**
  * Share of its drain time during which an entry still accepts jobs that it can finish. Clients with open connections keep
  * sending requests after the balancer has stopped routing to the entry.
