Move the replacement of executors out of the platform's adapter

Which incarnation of an executor is served, and what ends with it, is a decision of the product, and the failure runs need it for executors that crash. No change of behaviour.

--- a/src/platform/announcement-store.ts
+++ b/src/platform/announcement-store.ts
@@ -4,10 +4,10 @@
  */
 import {z} from 'zod';
 import {sleep, type Clock, type Milliseconds} from '../process/clock.js';
+import type {ExecutorInfo} from '../process/executor-types.js';
 import {readJson} from '../process/json.js';
 import type {Log} from '../process/log.js';
 import type {TableStore} from '../process/platform/types.js';
-import type {ExecutorInfo} from './heartbeats.js';
 
 /** An announcement as it is stored. */
 export type Announcement = {
--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -3,22 +3,10 @@
  */
 import {Hono} from 'hono';
 import {z} from 'zod';
-import type {Resources} from '../generated/kingcuplane.js';
+import type {ExecutorInfo} from '../process/executor-types.js';
 import {readJson} from '../process/json.js';
 import type {Log} from '../process/log.js';
 
-/** One incarnation of an executor, as it announces itself. */
-export type ExecutorInfo = {
-	readonly id: string;
-	/** Wall time at which this incarnation started; distinguishes it from others with the same identifier. */
-	readonly bornAt: number;
-	/** "IP:port" for start, stop and poll calls. */
-	readonly address: string;
-	readonly service: string;
-	readonly room: Resources;
-	readonly labels: readonly string[];
-};
-
 /** One heartbeat of an executor. */
 export type Heartbeat = {
 	readonly executorInfo: ExecutorInfo;
--- /dev/null
+++ b/src/process/executor-manager.ts
@@ -0,0 +1,164 @@
+/**
+ * Serves the executor beside this process. Each incarnation of the executor gets an agent of its own, so that a report
+ * about one incarnation never counts for a later one.
+ */
+import type {Agent} from './agent-types.js';
+import type {ExecutorInfo} from './executor-types.js';
+import type {LeasedUpstream, LeasedUpstreamHost} from './leased-upstream.js';
+import type {Log} from './log.js';
+
+/** What the executor last announced about itself. */
+export type ExecutorAnnouncement = {
+	readonly executorInfo: ExecutorInfo;
+	readonly isLeaving: boolean;
+};
+
+/** The events of an upstream that the manager handles. */
+export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProjectedSlowdowns' | 'onUnreachable'>;
+
+/** Dependencies of the manager. */
+export type ExecutorManagerHost = {
+	readonly log: Log;
+	createUpstream(executorInfo: ExecutorInfo, events: UpstreamEvents): LeasedUpstream;
+	/** Creates the agent of an executor that has been taken over. */
+	createAgent(executorInfo: ExecutorInfo, upstream: LeasedUpstream): Agent;
+	/** Runs an action after the results of this turn of the event loop were sent. */
+	afterFlush(action: () => void): void;
+	/** Stores an announcement for the next process beside this executor. */
+	saveAnnouncement(announcement: ExecutorAnnouncement): void;
+};
+
+/** Serves one executor at a time. */
+export type ExecutorManager = {
+	/** Uses the announcement that an earlier process has stored, unless the executor has announced itself since. */
+	restore(announcement: ExecutorAnnouncement): void;
+	/** Handles an announcement that the executor has just made. */
+	receive(announcement: ExecutorAnnouncement): void;
+	/** Handles the announcement of an executor that it has shut down. */
+	receiveDeparture(id: string): void;
+	tryGetAgent(): Agent | undefined;
+	/** Refuses further announcements; the current agent keeps running. */
+	stopReceiving(): void;
+	/** Stops the agent and closes the upstream. */
+	close(): Promise<void>;
+};
+
+/** One incarnation of the executor and the agent that serves it. */
+type ManagedExecutor = {
+	readonly executorInfo: ExecutorInfo;
+	readonly upstream: LeasedUpstream;
+	/** Undefined until the executor has been taken over. */
+	agent?: Agent;
+	isLeaving: boolean;
+	hasEnded: boolean;
+};
+
+/** Creates a manager that knows no executor. */
+export function createExecutorManager(host: ExecutorManagerHost): ExecutorManager {
+	const {log} = host;
+	let current: ManagedExecutor | undefined;
+	let isStopping = false;
+
+	return {
+		// The executor may have restarted since; it then refuses calls that are meant for the earlier incarnation.
+		restore({executorInfo, isLeaving}) {
+			if (current === undefined && !isStopping) {
+				replaceExecutor(executorInfo, isLeaving);
+			}
+		},
+		receive,
+		receiveDeparture(id) {
+			if (current?.executorInfo.id === id) {
+				log.info({executor: id}, 'executor left');
+				// If this process restarts before the next executor announces itself, it must not use this one again.
+				host.saveAnnouncement({executorInfo: current.executorInfo, isLeaving: true});
+				endExecutor(current);
+			}
+		},
+		tryGetAgent: () => current?.agent,
+		stopReceiving() {
+			isStopping = true;
+		},
+		async close() {
+			current?.agent?.stop();
+			await current?.upstream.close();
+		},
+	};
+
+	function receive({executorInfo, isLeaving}: ExecutorAnnouncement): void {
+		if (isStopping) {
+			return;
+		}
+
+		if (current === undefined || current.hasEnded || current.executorInfo.id !== executorInfo.id || current.executorInfo.bornAt !== executorInfo.bornAt) {
+			if (current !== undefined && !current.hasEnded && executorInfo.bornAt < current.executorInfo.bornAt) {
+				log.info({executor: executorInfo.id, bornAt: executorInfo.bornAt}, 'heartbeat of an earlier incarnation ignored');
+				return;
+			}
+
+			host.saveAnnouncement({executorInfo, isLeaving});
+			replaceExecutor(executorInfo, isLeaving);
+			return;
+		}
+
+		if (current.isLeaving !== isLeaving) {
+			current.isLeaving = isLeaving;
+			host.saveAnnouncement({executorInfo, isLeaving});
+			log.info({executor: executorInfo.id, isLeaving}, 'executor state changed');
+			current.agent?.setUpstreamLeaving(isLeaving);
+		}
+	}
+
+	function replaceExecutor(executorInfo: ExecutorInfo, isLeaving: boolean): void {
+		if (current !== undefined) {
+			endExecutor(current);
+		}
+
+		log.info({executor: executorInfo}, 'executor announced');
+		const next: ManagedExecutor = {
+			executorInfo,
+			isLeaving,
+			hasEnded: false,
+			upstream: host.createUpstream(executorInfo, {
+				onIncarnationChanged() {
+					log.warn({executor: executorInfo.id}, 'another incarnation of the executor has answered');
+					endExecutor(next);
+				},
+				onProjectedSlowdowns(projections) {
+					next.agent?.recordProjectedSlowdowns(projections);
+				},
+				onUnreachable() {
+					next.agent?.probeUpstream();
+				},
+			}),
+		};
+		current = next;
+		void startAgent(next);
+	}
+
+	// The agent reports the executor to entries only after all runs that an earlier agent started there have ended.
+	async function startAgent(managed: ManagedExecutor): Promise<void> {
+		await managed.upstream.takeOver();
+		if (managed.hasEnded || isStopping) {
+			return;
+		}
+
+		managed.agent = host.createAgent(managed.executorInfo, managed.upstream);
+		managed.agent.setUpstreamLeaving(managed.isLeaving);
+		log.info({executor: managed.executorInfo.id}, 'executor taken over');
+	}
+
+	function endExecutor(ended: ManagedExecutor): void {
+		if (ended.hasEnded) {
+			return;
+		}
+
+		ended.hasEnded = true;
+		ended.upstream.abortAll('the executor ended');
+		// Leaves the links open until they have carried the results of the aborted runs.
+		host.afterFlush(() => {
+			ended.agent?.stop();
+			void ended.upstream.close();
+		});
+	}
+}
--- a/src/process/executor-types.ts
+++ b/src/process/executor-types.ts
@@ -2,8 +2,21 @@
  * Executors: upstreams that run tasks under leases. Exactly one agent controls an executor and renews its lease; when the
  * lease expires, the executor ends all its runs.
  */
+import type {Resources} from '../generated/kingcuplane.js';
 import type {Milliseconds} from './clock.js';
 
+/** One incarnation of an executor, as it announces itself. */
+export type ExecutorInfo = {
+	readonly id: string;
+	/** Wall time at which this incarnation started; distinguishes it from others with the same identifier. */
+	readonly bornAt: number;
+	/** "IP:port" for start, stop and poll calls. */
+	readonly address: string;
+	readonly service: string;
+	readonly room: Resources;
+	readonly labels: readonly string[];
+};
+
 /** Identifies one run of one task at an executor. */
 export type RunId = {
 	readonly task: string;
