--- a/test/failure/leased/checker.ts
+++ b/test/failure/leased/checker.ts
@@ -4,7 +4,7 @@
  */
 import {groupBy} from '../../../dev/group-by.js';
 import type {Milliseconds} from '../../../src/process/clock.js';
-import type {RecordedRun} from '../../process/fake-executor.js';
+import {crashedDetail, type RecordedRun} from '../../process/fake-executor.js';
 import type {Violation} from '../checker.js';
 import type {ClientJob} from './clients.js';
 import {executorCpu, taskCpu, type LeasedCluster} from './cluster.js';
@@ -17,6 +17,11 @@
 /** Time within which all runs of a job must end after its client has stopped waiting. */
 const abandonedGraceMs: Milliseconds = 3000;
 
+/** The rule of the users' platform on tasks that crash the executors that start them. */
+const crashLimit = 3;
+const maxStartsAfterCrashes = 3;
+const crashRule = 'no task is started three more times after three executors have crashed under it';
+
 /** Returns the violations in a run whose recovery time has passed; `isCalm` if no faults were injected into it. */
 export function findLeasedViolations(cluster: LeasedCluster, jobs: readonly ClientJob[], leavingPeriods: readonly LeavingPeriod[], isCalm: boolean): readonly Violation[] {
 	const runs = [...cluster.executors].flatMap(([executor, {runs: seen}]) => seen.map(run => ({...run, executor})));
@@ -46,6 +51,12 @@
 		}
 	}
 
+	const crashTimes = sorted.flatMap(({endedAt, endDetail}) => endDetail === crashedDetail ? [endedAt!] : []).toSorted((a, b) => a - b);
+	const startsAfter = sorted.filter(({startedAt}) => startedAt > (crashTimes[crashLimit - 1] ?? Infinity)).length;
+	if (startsAfter >= maxStartsAfterCrashes) {
+		violations.push({rule: crashRule, subject: task, detail: `${crashTimes.length} crashes, ${startsAfter} starts after the third`});
+	}
+
 	return violations;
 }
 
--- a/test/failure/leased/clients.ts
+++ b/test/failure/leased/clients.ts
@@ -18,11 +18,20 @@
 	endedAt: Milliseconds | undefined;
 };
 
+/** Unusual behaviour of a client or its job. */
+export type SubmitOptions = {
+	/** Time after which the client disconnects, if any. */
+	readonly disconnectAfter?: Milliseconds;
+	/** Total time that the client allows. */
+	readonly timeLimit?: Milliseconds;
+	/** Whether the first task of the job crashes each executor that starts it. */
+	readonly isCrashing?: boolean;
+};
+
 /** All clients of a run. */
 export type Clients = {
 	readonly jobs: readonly ClientJob[];
-	/** Submits a job; its client disconnects after the given time, if any. */
-	submit(tasks: number, disconnectAfter?: Milliseconds): ClientJob;
+	submit(tasks: number, options?: SubmitOptions): ClientJob;
 	/** Breaks all connections to an entry. */
 	breakConnections(entry: LeasedEntry): void;
 };
@@ -40,6 +49,7 @@
 /** Interval at which a client checks whether its entry responds. */
 const checkIntervalMs: Milliseconds = 20;
 const failedRunLimit = 2;
+const crashingJobPrefix = 'crashing-';
 const caller = {name: 'client', team: 'office'};
 
 /** Creates the clients of a simulated cluster. */
@@ -49,12 +59,12 @@
 
 	return {
 		jobs,
-		submit(tasks, disconnectAfter) {
+		submit(tasks, {disconnectAfter, timeLimit = timeLimitMs, isCrashing = false} = {}) {
 			const job: ClientJob = {
-				name: `job-${jobs.length}`, tasks, replies: [], endedAt: undefined,
+				name: `${isCrashing ? crashingJobPrefix : 'job-'}${jobs.length}`, tasks, replies: [], endedAt: undefined,
 			};
 			jobs.push(job);
-			send(job, getCluster().sim.clock.now() + timeLimitMs, disconnectAfter);
+			send(job, getCluster().sim.clock.now() + timeLimit, disconnectAfter);
 			return job;
 		},
 		breakConnections(entry) {
@@ -163,6 +173,11 @@
 	}
 }
 
+/** Whether a task crashes each executor that starts it. */
+export function isCrashingTask(task: string): boolean {
+	return task.startsWith(crashingJobPrefix) && task.endsWith('.0');
+}
+
 function submitJob({coordinator, issuer}: LeasedEntry, job: ClientJob, deadlineMs: Milliseconds): {cancel(): void; whenAnswered(action: (answer: Answer) => void): void} {
 	const [ticket] = issuer.issue(caller.name, 1);
 	const outcome = coordinator.submit(caller, {
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -7,10 +7,10 @@
 import type {EntryAddress} from '../../../src/generated/kingcuplane.js';
 import {platformTiming, startupGraceMs} from '../../../src/platform/timing.js';
 import {createAgent} from '../../../src/process/agent.js';
-import type {Agent} from '../../../src/process/agent-types.js';
 import {every, type Milliseconds} from '../../../src/process/clock.js';
 import {createLeasedUpstream} from '../../../src/process/leased-upstream.js';
-import type {Executor} from '../../../src/process/executor-types.js';
+import {createExecutorManager, type ExecutorAnnouncement, type ExecutorManager} from '../../../src/process/executor-manager.js';
+import type {Executor, WithExecutorTime} from '../../../src/process/executor-types.js';
 import {noMetrics} from '../../../src/process/metrics.js';
 import {createPauseAccumulator, createPauseDetector, type PauseDetector} from '../../../src/process/pause-detector.js';
 import {holdStartsAfterPauses} from '../../../src/process/start-hold.js';
@@ -28,6 +28,7 @@
 import {
 	createProcess, createSimulation, advanceSimulation, type SimulatedProcess, type Simulation,
 } from '../simulation.js';
+import {isCrashingTask} from './clients.js';
 
 /** Names of the entries and of the agents, which stay the same after a restart. */
 export const entryNames = ['e1', 'e2', 'e3'] as const;
@@ -77,6 +78,8 @@
 /** Called when an entry has died, so that its clients see broken connections. */
 export type OnEntryDeath = (entry: LeasedEntry) => void;
 
+/** Longest time from the start of an executor to its first announcement. */
+const maxAnnouncementDelayMs: Milliseconds = 300;
 const snapshot = createSnapshot(1, createObjects());
 
 /** Starts a cluster and runs it until all links are open. */
@@ -88,13 +91,24 @@
 	const objects = createMemoryPlatform({clock, timeout: 1000});
 	const executors = new Map(agentNames.map(name => [name as string, createFakeExecutor(clock, 0)]));
 	const entries = new Map<string, LeasedEntry>();
-	const agents = new Map<string, {readonly process: SimulatedProcess; agent?: Agent}>();
+	const agents = new Map<string, {readonly process: SimulatedProcess; readonly manager: ExecutorManager}>();
 	const incarnationCounts = new Map<string, number>();
 	const leavingStartedAt = new Map<string, Milliseconds>();
 	for (const executor of executors.values()) {
 		executor.isLongPolling = true;
 		executor.maxLeaseMs = defects.maxLeaseMs ?? executor.maxLeaseMs;
-		executor.sampleRun = () => ({length: random.chance(0.2) ? random.integer(500, 3000) : random.integer(20, 300), fails: random.chance(0.03)});
+		executor.sampleRun = task => isCrashingTask(task)
+			? {length: random.integer(5, 100), fails: false, crashes: true}
+			: {length: random.chance(0.2) ? random.integer(500, 3000) : random.integer(20, 300), fails: random.chance(0.03)};
+	}
+
+	for (const name of agentNames) {
+		executors.get(name)!.onRestarted = () => {
+			// The first heartbeat of an executor follows its start.
+			clock.after(random.integer(1, maxAnnouncementDelayMs), () => {
+				announce(name);
+			});
+		};
 	}
 
 	for (const name of [...entryNames, ...agentNames]) {
@@ -118,10 +132,7 @@
 				leavingStartedAt.delete(name);
 			}
 
-			const {process, agent} = agents.get(name)!;
-			process.perform(() => {
-				agent?.setUpstreamLeaving(isLeaving && !defects.isLeavingIgnored);
-			});
+			announce(name);
 		},
 		advance: async duration => advanceSimulation(sim, duration),
 	};
@@ -224,30 +235,44 @@
 		network.listen({address: name, process, links});
 	}
 
+	/** Delivers what the executor says of itself to the agent beside it. */
+	function announce(name: string): void {
+		const {process, manager} = agents.get(name)!;
+		const announcement = createAnnouncement(name);
+		process.perform(() => {
+			manager.receive(announcement);
+		});
+	}
+
+	function createAnnouncement(name: string): ExecutorAnnouncement {
+		return {
+			executorInfo: {
+				id: name, bornAt: executors.get(name)!.startedAt, address: name, service: 'meals', room: {cpu: defects.announcedCpu ?? executorCpu, memory: 1000, accelerators: 0}, labels: [],
+			},
+			isLeaving: leavingStartedAt.has(name) && !defects.isLeavingIgnored,
+		};
+	}
+
 	function startAgent(name: string, process: SimulatedProcess): void {
 		const detector = createPauseDetector(process.clock);
-		const agentIncarnation: {readonly process: SimulatedProcess; agent?: Agent} = {process};
-		agents.set(name, agentIncarnation);
-		const executor = createExecutorClient(process, executors.get(name)!);
-		const upstream = createLeasedUpstream({
-			clock: process.clock,
-			executor: defects.changeExecutor?.(executor) ?? executor,
-			executorStartedAt: 1,
-			firstFencingToken: Math.floor(process.clock.wall()),
-			maxLeaseMs: 1000,
+		let executorCount = 0;
+		const manager = createExecutorManager({
 			log: silentLog,
-			onIncarnationChanged: () => undefined,
-			onProjectedSlowdowns(projections) {
-				agentIncarnation.agent?.recordProjectedSlowdowns(projections);
+			createUpstream(executorInfo, events) {
+				const executor = createExecutorClient(process, executors.get(name)!, executorInfo.bornAt);
+				return createLeasedUpstream({
+					clock: process.clock,
+					executor: defects.changeExecutor?.(executor) ?? executor,
+					executorStartedAt: executorInfo.bornAt,
+					firstFencingToken: Math.floor(process.clock.wall()),
+					maxLeaseMs: 1000,
+					log: silentLog,
+					harmlessPauseMs: timing.harmlessPauseMs!,
+					takePauseTime: createPauseAccumulator(detector),
+					...events,
+				});
 			},
-			onUnreachable() {
-				agentIncarnation.agent?.probeUpstream();
-			},
-			harmlessPauseMs: timing.harmlessPauseMs!,
-			takePauseTime: createPauseAccumulator(detector),
-		});
-		void upstream.takeOver().then(() => {
-			agentIncarnation.agent = createAgent({
+			createAgent: (executorInfo, upstream) => createAgent({
 				clock: process.clock,
 				settings: {
 					name,
@@ -265,32 +290,49 @@
 					log: {level: 'info'},
 					metrics: {address: undefined, prefix: ''},
 				},
-				incarnation: process.name,
+				incarnation: `${process.name}-${++executorCount}`,
 				upstream,
 				log: silentLog,
 				metrics: noMetrics,
 				timing,
 				pauseDetector: detector,
-				capacity: {cpu: defects.announcedCpu ?? executorCpu, memory: 1000, accelerators: 0},
+				capacity: executorInfo.room,
 				random: random.fraction,
 				readEntryDirectory: async () => entryNames,
 				defer(action) {
 					process.clock.after(0, action);
 				},
 				connect: address => network.connect(process, address),
-			});
-			agentIncarnation.agent.setUpstreamLeaving(leavingStartedAt.has(name) && !defects.isLeavingIgnored);
+			}),
+			afterFlush(action) {
+				process.clock.after(0, action);
+			},
+			saveAnnouncement: () => undefined,
 		});
+		agents.set(name, {process, manager});
+		manager.restore(createAnnouncement(name));
 	}
 }
 
-/** Creates the executor client of one agent process. Replies that arrive while the process is frozen wait until it resumes. */
-function createExecutorClient(process: SimulatedProcess, executor: FakeExecutor): Executor {
+/**
+ * Creates the client of one agent process for one incarnation of an executor. Responses that arrive while the process is
+ * frozen wait until it resumes.
+ */
+function createExecutorClient(process: SimulatedProcess, executor: FakeExecutor, bornAt: number): Executor {
 	return {
-		start: async command => process.deliver(executor.start(command)),
-		stop: async (name, fencingToken) => process.deliver(executor.stop(name, fencingToken)),
-		poll: async req => process.deliver(executor.poll(req)),
+		start: async command => call(async () => executor.start(command)),
+		stop: async (name, fencingToken) => call(async () => executor.stop(name, fencingToken)),
+		poll: async req => call(async () => executor.poll(req)),
 		close: async () => undefined,
 	};
+
+	async function call<T>(send: () => Promise<WithExecutorTime<T>>): Promise<WithExecutorTime<T | OtherIncarnation>> {
+		return process.deliver<WithExecutorTime<T | OtherIncarnation>>(executor.startedAt === bornAt ? send() : refuseCall());
+	}
 }
 
+type OtherIncarnation = {readonly kind: 'other-incarnation'};
+
+async function refuseCall(): Promise<WithExecutorTime<OtherIncarnation>> {
+	return {outcome: {kind: 'other-incarnation'}, executorTime: undefined};
+}
--- a/test/failure/leased/run.ts
+++ b/test/failure/leased/run.ts
@@ -42,7 +42,7 @@
 		const tasks = randomSource.pick([1, 1, 2, 4, 8]);
 		const disconnectAfter = randomSource.chance(0.1) ? randomSource.integer(1, 600) : undefined;
 		clock.after(at, () => {
-			clients.submit(tasks, disconnectAfter);
+			clients.submit(tasks, {disconnectAfter});
 		});
 	}
 
--- a/test/process/fake-executor.ts
+++ b/test/process/fake-executor.ts
@@ -37,12 +37,29 @@
 	maxLeaseMs: Milliseconds;
 	/** Identifies this incarnation of the executor. */
 	startedAt: number;
+	/** Time for which the executor is down after a crash that a run has caused. */
+	downTimeMs: Milliseconds;
 	/** Chooses the duration and outcome of each run. If undefined, all runs take the default duration and complete. */
-	sampleRun?(): {readonly length: Milliseconds; readonly fails: boolean};
+	sampleRun?(task: string): RunSample;
+	/** Called when another incarnation has started after a crash. */
+	onRestarted?(): void;
+	/** Ends this incarnation with all its runs; another one starts after `downTime`. */
+	crash(downTime: Milliseconds): void;
 	getFencingToken(): number;
 	getRunning(): readonly RecordedRun[];
 };
 
+/** How a run ends at the latest `length` after its start. */
+export type RunSample = {
+	readonly length: Milliseconds;
+	readonly fails: boolean;
+	/** Whether the run crashes the executor at its end. */
+	readonly crashes?: boolean;
+};
+
+/** Detail of the end of a run that was lost in a crash. */
+export const crashedDetail = 'crashed';
+
 type NoAnswer = {readonly kind: 'no-answer'; readonly detail: string};
 
 const responseTimeMs: Milliseconds = 1;
@@ -51,6 +68,7 @@
 /** Interval at which a stalled run checks whether it may end. */
 const stallCheckIntervalMs: Milliseconds = 50;
 const initialClockOffsetMs = 5000;
+const defaultDownTimeMs: Milliseconds = 3000;
 /** Rate of the executor's clock relative to the test's clock: as slow as the platform documents it may be. */
 const clockRate = 0.98;
 
@@ -60,7 +78,8 @@
 	let leaseExpiresAt = 0;
 	let nextSequenceNumber = 1;
 	let acknowledgedSequenceNumber = 0;
-	const ended: EndedRun[] = [];
+	let isDown = false;
+	let ended: EndedRun[] = [];
 	const highestRuns = new Map<string, number>();
 	const waiters: Array<() => void> = [];
 	const executor: FakeExecutor = {
@@ -75,6 +94,8 @@
 		clockOffsetMs: initialClockOffsetMs,
 		maxLeaseMs: defaultMaxLeaseMs,
 		startedAt: 1,
+		downTimeMs: defaultDownTimeMs,
+		crash,
 		getFencingToken: () => highestToken,
 		getRunning,
 		start: async command => call('start', (): CommandOutcome => {
@@ -175,13 +196,41 @@
 	}
 
 	function startRun({task, run}: RunId): void {
-		const sample = executor.sampleRun?.() ?? {length: defaultDuration, fails: false};
+		const sample: RunSample = executor.sampleRun?.(task) ?? {length: defaultDuration, fails: false};
 		const recorded: RecordedRun = {
 			task, run, startedAt: clock.now(), duration: sample.length,
 		};
 		executor.runs.push(recorded);
 		clock.after(sample.length, () => {
-			complete(recorded, sample.fails);
+			if (sample.crashes && recorded.endedAt === undefined) {
+				crash(executor.downTimeMs);
+			} else {
+				complete(recorded, sample.fails);
+			}
+		});
+	}
+
+	function crash(downTime: Milliseconds): void {
+		if (isDown) {
+			return;
+		}
+
+		isDown = true;
+		for (const run of getRunning()) {
+			run.endedAt = clock.now();
+			run.endDetail = crashedDetail;
+		}
+
+		highestToken = 0;
+		leaseExpiresAt = 0;
+		nextSequenceNumber = 1;
+		acknowledgedSequenceNumber = 0;
+		ended = [];
+		highestRuns.clear();
+		clock.after(downTime, () => {
+			isDown = false;
+			executor.startedAt++;
+			executor.onRestarted?.();
 		});
 	}
 
@@ -222,13 +271,22 @@
 	}
 
 	async function call<T>(kind: 'start' | 'stop' | 'hold', action: () => T | Promise<T>): Promise<WithExecutorTime<T | NoAnswer>> {
+		const {startedAt} = executor;
+		const isSameIncarnation = () => !isDown && executor.startedAt === startedAt;
+		if (isDown) {
+			await wait(responseTimeMs);
+			return {outcome: {kind: 'no-answer', detail: 'connection refused'}, executorTime: undefined};
+		}
+
 		const isUnanswered = executor.unansweredCalls[kind] > 0;
 		if (executor.isUnreachable || isUnanswered) {
 			if (isUnanswered) {
 				executor.unansweredCalls[kind]--;
 				if (executor.unansweredCalls.delay !== undefined) {
 					clock.after(executor.unansweredCalls.delay, () => {
-						void action();
+						if (isSameIncarnation()) {
+							void action();
+						}
 					});
 				}
 			}
@@ -238,10 +296,12 @@
 		}
 
 		await wait((responseTimeMs / 2) + (kind === 'start' ? executor.startCallDelay : 0));
-		const outcome = await action();
+		const outcome = isSameIncarnation() ? await action() : undefined;
 		const executorTime = getTime();
 		await wait(responseTimeMs / 2);
-		return {outcome, executorTime};
+		return outcome === undefined || !isSameIncarnation()
+			? {outcome: {kind: 'no-answer', detail: 'connection reset'}, executorTime: undefined}
+			: {outcome, executorTime};
 	}
 
 	async function wait(delay: Milliseconds): Promise<void> {
