--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -173,7 +173,7 @@
 			lastStartSeq: 0,
 			lastResultSeq: 0,
 			room: undefined,
-			labels: [],
+			labels: [], upstreamIncarnation: '',
 		});
 		session.receiveState({
 			draining: false, running: 0, slots, meanRunMs: 100, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: undefined, receivedStarts: 0, soundness: 0, clockMs: 0,
@@ -322,7 +322,7 @@
 
 function createStart(seq: number): TaskStart {
 	return {
-		task: {ticket: `kc1.bench.0.${seq}`, index: 0}, seq, attempt: 1, taskCount: 1, service: 'ordering', payload: taskPayload, timeoutMs: 0, configVersion: 1, idempotent: false, caller: 'caller', reference: '', need: undefined, expectedRunMs: 0, validUntilMs: 0,
+		task: {ticket: `kc1.bench.0.${seq}`, index: 0}, seq, attempt: 1, taskCount: 1, service: 'ordering', payload: taskPayload, timeoutMs: 0, configVersion: 1, idempotent: false, caller: 'caller', reference: '', need: undefined, expectedRunMs: 0, validUntilMs: 0, submission: '', isolated: false,
 	};
 }
 
@@ -373,7 +373,7 @@
 	},
 	granted: 100_000,
 	results: [],
-	held: [],
+	held: [], losses: [],
 }).finish().length;
 console.log(`\nBytes of one start with ${taskPayload.length} bytes of payload: ${batchBytes}; of a batch with a report only: ${reportBytes}; of an agent's full state: ${stateBytes}.`);
 const {rss, heapUsed} = process.memoryUsage();
--- a/src/connection/agent-sessions.ts
+++ b/src/connection/agent-sessions.ts
@@ -268,5 +268,6 @@
 		slots: hello.slots,
 		capacity: hello.room,
 		labels: hello.labels,
+		upstreamIncarnation: hello.upstreamIncarnation === '' ? undefined : hello.upstreamIncarnation,
 	};
 }
--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -8,6 +8,7 @@
 	RefusalReason, TaskOutcome,
 	type AgentHello, type EntryBatch, type HeldReply, type TaskResult, type TaskStart,
 } from '../generated/kingcuplane.js';
+import {createIsolationGuard} from './isolation-guard.js';
 import {createStartedTasks} from './started-tasks.js';
 import type {AgentInfo, CreditGranter} from './types.js';
 
@@ -68,6 +69,8 @@
 	/** Sets whether the agent is draining; every start is refused while it is. */
 	setDraining(draining: boolean): void;
 	getRunningTasks(): number;
+	/** Whether an isolated task runs, beside which tasks of other jobs are refused. */
+	isIsolating(): boolean;
 	/** Whether a task of this entry runs. */
 	hasRunningTasks(entry: string): boolean;
 	/** Returns the number of unacknowledged results for entries that are linked or were linked until a few seconds ago. */
@@ -104,6 +107,7 @@
 	const records = new Map<string, SessionRecord>();
 	const startedTasks = createStartedTasks(host);
 	const fencedIncarnations = new Set<string>();
+	const isolation = createIsolationGuard();
 	let running = 0;
 	let isDraining = false;
 
@@ -153,6 +157,7 @@
 			granter.setDraining(draining);
 		},
 		getRunningTasks: () => running,
+		isIsolating: isolation.isActive,
 		hasRunningTasks: entry => (records.get(entry)?.running.size ?? 0) > 0,
 		getUnacknowledgedResults() {
 			const oldest = host.clock.now() - reconnectGraceMs;
@@ -210,10 +215,12 @@
 
 		running++;
 		record.running.set(start.seq, start);
+		isolation.recordStart(start);
 		const startedTask = startedTasks.recordStart(start);
 		host.run(start, runResult => {
 			running--;
 			record.running.delete(start.seq);
+			isolation.recordEnd(start);
 			granter.release(entry, start.need);
 			const result = addResult(entry, record, start, runResult);
 			startedTasks.recordEnd(startedTask, result);
@@ -246,6 +253,10 @@
 			return RefusalReason.REFUSAL_REASON_EXPIRED;
 		}
 
+		if (!isolation.allows(start)) {
+			return RefusalReason.REFUSAL_REASON_FULL;
+		}
+
 		if (granter.tryAcquire(entry, start.need)) {
 			return undefined;
 		}
@@ -368,6 +379,7 @@
 		slots: agent.slots,
 		room: agent.capacity,
 		labels: [...agent.labels ?? []],
+		upstreamIncarnation: agent.upstreamIncarnation ?? '',
 		entryIncarnation: entry,
 		lastStartSeq: record.lastStartSeq,
 		lastResultSeq: record.lastResultSeq,
--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -5,10 +5,11 @@
 import {credentials} from '@grpc/grpc-js';
 import {
 	LinkClient,
-	type AgentBatch, type AgentState, type ConfigUpdate, type EntryAddress, type EntryBatch,
+	type AgentBatch, type AgentState, type ConfigUpdate, type EntryAddress, type EntryBatch, type LossReport,
 } from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import type {EntrySessions} from './entry-sessions.js';
+import type {LossLog} from './loss-log.js';
 import {channelOptions} from './channel-options.js';
 import {getHeartbeatInterval, type LinkTiming} from './link-timing.js';
 import {createSilenceMonitor, type SilenceMonitor} from './silence-monitor.js';
@@ -18,6 +19,8 @@
 	readonly clock: Clock;
 	readonly sessions: EntrySessions;
 	readonly timing: LinkTiming;
+	/** Losses of the upstream, which are reported to the entry; none are reported if undefined. */
+	readonly lossLog?: Pick<LossLog, 'getReportsSince'>;
 	getState(): AgentState;
 	receiveConfig(config: ConfigUpdate): void;
 	receiveEntries(entries: readonly EntryAddress[]): void;
@@ -101,6 +104,7 @@
 	let isFlushDeferred = false;
 	let hasNewState = false;
 	let sentGranted = 0;
+	let sentLossPosition = 0;
 	let sentAt = -Infinity;
 	let retiredAt: Milliseconds | undefined;
 
@@ -257,6 +261,7 @@
 		reportChange('opened');
 		reconnectDelay = initialReconnectDelayMs;
 		sentGranted = 0;
+		sentLossPosition = 0;
 		const hello = host.sessions.open(incarnation);
 		write({hello, state: getState()});
 		deferFlush();
@@ -282,7 +287,8 @@
 		}
 
 		const pending = host.sessions.takePendingOutput(entry);
-		const hasOutput = hasNewState || pending.granted !== sentGranted || pending.results.length > 0 || pending.held.length > 0;
+		const losses = takeUnsentLosses();
+		const hasOutput = hasNewState || pending.granted !== sentGranted || pending.results.length > 0 || pending.held.length > 0 || losses.length > 0;
 		if (!hasOutput) {
 			return;
 		}
@@ -292,12 +298,23 @@
 			granted: pending.granted,
 			results: [...pending.results],
 			held: [...pending.held],
+			losses: [...losses],
 		});
 		hasNewState = false;
 		sentGranted = pending.granted;
 		silence?.setActive(hasRunningTasks());
 	}
 
+	function takeUnsentLosses(): readonly LossReport[] {
+		if (host.lossLog === undefined) {
+			return [];
+		}
+
+		const {reports, position} = host.lossLog.getReportsSince(sentLossPosition);
+		sentLossPosition = position;
+		return reports;
+	}
+
 	function getState(): AgentState {
 		const state = host.getState();
 		return retiredAt === undefined ? state : {...state, draining: true};
@@ -306,7 +323,7 @@
 	function write(fields: Partial<AgentBatch>): void {
 		sentAt = host.clock.now();
 		stream?.write({
-			hello: undefined, state: undefined, granted: 0, results: [], held: [], ...fields,
+			hello: undefined, state: undefined, granted: 0, results: [], held: [], losses: [], ...fields,
 		});
 	}
 }
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -3,7 +3,7 @@
  * in one batch.
  */
 import type {
-	AgentBatch, AgentHello, ConfigUpdate, EntryAddress, EntryBatch, HeldReply, LinkServer, TaskStart, TaskStop,
+	AgentBatch, AgentHello, ConfigUpdate, EntryAddress, EntryBatch, HeldReply, LinkServer, LossReport, TaskStart, TaskStop,
 } from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {AgentSession, AgentSessions} from './agent-sessions.js';
@@ -30,6 +30,8 @@
 	/** Called with the configuration version that an agent reports as active. */
 	onConfigVersion(agent: AgentInfo, version: number): void;
 	onHeldReply(agent: AgentInfo, reply: HeldReply): void;
+	/** Called with each report of a lost upstream, before the results of the lost runs are handled. */
+	onLossReport?(report: LossReport): void;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
 	/** Called when a link has opened or was lost. */
@@ -253,6 +255,10 @@
 			host.onConfigVersion(session.agent, batch.state.configVersion);
 		}
 
+		for (const report of batch.losses) {
+			host.onLossReport?.(report);
+		}
+
 		for (const result of batch.results) {
 			session.receiveResult(result);
 		}
--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -5,7 +5,7 @@
 import {credentials, type ClientDuplexStream, type ServerDuplexStream} from '@grpc/grpc-js';
 import {
 	PeerClient,
-	type EntryAddress, type PeerBatch, type PeerServer, type PeerState, type RelayReply, type RelayRequest, type ShareNews,
+	type EntryAddress, type LossReport, type PeerBatch, type PeerServer, type PeerState, type RelayReply, type RelayRequest, type ShareNews,
 } from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import {channelOptions} from './channel-options.js';
@@ -22,6 +22,9 @@
 	getState(entries: readonly EntryAddress[]): PeerState;
 	receiveState(peer: EntryAddress, state: PeerState): void;
 	receiveShares(peer: EntryAddress, message: ShareNews): void;
+	/** Returns the reports of lost upstreams with which a new stream begins. */
+	getLosses(): readonly LossReport[];
+	receiveLoss(report: LossReport): void;
 	/** Called when a stream to this entry has opened. */
 	onPeerConnected(peer: EntryAddress): void;
 	/** Called when a stream to another entry has opened or closed. */
@@ -45,6 +48,8 @@
 	getLinkedPeers(): readonly EntryAddress[];
 	/** Sends the state to every linked peer, with entries that it may not know yet. A new stream begins with all of them. */
 	broadcastState(entries: readonly EntryAddress[]): void;
+	/** Sends a report of a lost upstream to every linked peer. */
+	broadcastLoss(report: LossReport): void;
 	/** Closes all streams permanently. */
 	stop(): void;
 };
@@ -101,6 +106,11 @@
 				connection.stream?.write(createBatch({state}));
 			}
 		},
+		broadcastLoss(report) {
+			for (const connection of connections.values()) {
+				connection.stream?.write(createBatch({losses: [report]}));
+			}
+		},
 		stop() {
 			for (const connection of connections.values()) {
 				stopConnection(connection);
@@ -181,7 +191,7 @@
 		stream.on('end', () => {
 			disconnectIfCurrent(connection, stream);
 		});
-		stream.write(createBatch({hello: {address: host.self}, state: host.getState(getLinkedPeers())}));
+		stream.write(createBatch({hello: {address: host.self}, state: host.getState(getLinkedPeers()), losses: [...host.getLosses()]}));
 	}
 
 	function receiveOnOutgoing(connection: PeerConnection, batch: PeerBatch): void {
@@ -253,6 +263,10 @@
 				host.receiveShares(peer, batch.shares);
 			}
 
+			for (const report of batch.losses) {
+				host.receiveLoss(report);
+			}
+
 			for (const req of batch.requests) {
 				void serve(stream, req);
 			}
@@ -287,6 +301,6 @@
 
 function createBatch(fields: Partial<PeerBatch>): PeerBatch {
 	return {
-		hello: undefined, state: undefined, requests: [], replies: [], shares: undefined, ...fields,
+		hello: undefined, state: undefined, requests: [], replies: [], shares: undefined, losses: [], ...fields,
 	};
 }
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -23,6 +23,8 @@
 	readonly capacity?: Resources;
 	/** Properties that a task may require. */
 	readonly labels?: readonly string[];
+	/** Identifies the incarnation of the upstream; that of the agent if undefined. */
+	readonly upstreamIncarnation?: string;
 };
 
 /** Requirements of one task on an upstream that is limited by its resources. */
@@ -108,16 +110,28 @@
 /** Why a job is infeasible: it cannot finish by its deadline, or its objective has passed before any task started. */
 export type InfeasibleReason = 'deadline' | 'objective';
 
+/** What the choice of an agent was based on, where its free resources are reported. */
+export type PlacementBasis = {
+	/** Age of the agent's report of free resources. */
+	readonly reportAge: Milliseconds;
+	/** Whether the agent was chosen to run no tasks of other jobs beside the task. */
+	readonly isolated: boolean;
+};
+
 /** Dependencies of the scheduler. */
 export type SchedulerHost = {
 	readonly clock: Clock;
 	/**
-	 * Sends the start of a task to an agent and uses one of its credits. `reportAge` is the age of the agent's report
-	 * on which the choice was based; undefined if it was not based on a report.
+	 * Sends the start of a task to an agent and uses one of its credits. `basis` is undefined if the choice was based on a
+	 * credit.
 	 */
-	start(agent: string, task: QueuedTask, reportAge?: Milliseconds): void;
+	start(agent: string, task: QueuedTask, basis?: PlacementBasis): void;
 	/** Called when waiting longer for resources for this job is pointless. */
 	onInfeasible?(ticket: string, reason: InfeasibleReason): void;
+	/** Returns the share of the agents that is reserved for tasks which must be isolated; none if it is 0. */
+	getIsolatedShare?(): number;
+	/** Whether a task must not run beside tasks of other jobs, because it may crash its upstream. */
+	mustIsolate?(task: QueuedTask): boolean;
 	/** Called when the queue length or the returned credits to report to this agent have changed. */
 	onReportChanged(agent: string): void;
 };
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -262,16 +262,19 @@
 			return c.json({state: 'completed'});
 		}
 
+		// The diagnostics of a task that failed in all allowed attempts. With any other one the job's outcome is unknown, and the
+		// client may send it again.
+		if (answer.diagnostic?.kind === 'TaskFailed' || answer.diagnostic?.kind === 'TaskCrashedUpstreams') {
+			return c.json({state: 'failed'});
+		}
+
 		if (answer.ran === 'not-run') {
 			return refuse(c, name, {
 				status: answer.diagnostic?.kind === 'QueueFull' ? 429 : 503, retryAfter: answer.retryAfter ?? notReadyRetryMs, reason: answer.diagnostic?.message ?? '',
 			});
 		}
 
-		// A task failed in all allowed attempts. With any other diagnostic the job's outcome is unknown, and the client may send it again.
-		return answer.diagnostic?.kind === 'TaskFailed'
-			? c.json({state: 'failed'})
-			: c.json({error: answer.diagnostic?.message}, 504);
+		return c.json({error: answer.diagnostic?.message}, 504);
 	}
 
 	function refuse(c: Context, name: string | undefined, {status, retryAfter, reason}: Refusal): Response {
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -1,6 +1,7 @@
 /**
  * Runs an agent on the platform, beside one executor, which announces itself by heartbeats.
  */
+import {createLossLog} from '../connection/loss-log.js';
 import {createAgent} from '../process/agent.js';
 import {createSystemClock, type Milliseconds} from '../process/clock.js';
 import {readEntryAddresses} from '../process/entry-directory.js';
@@ -34,8 +35,10 @@
 	const announcements = createAnnouncementStore({
 		clock, table: store.table, log, machine: machine.name,
 	});
+	const lossLog = createLossLog(clock);
 	const manager = createExecutorManager({
 		log,
+		lossLog,
 		createUpstream: (executorInfo, events) => createLeasedUpstream({
 			clock,
 			executor: createExecutorClient({clock, address: executorInfo.address, id: executorInfo.id}),
@@ -47,7 +50,7 @@
 			harmlessPauseMs: platformTiming.harmlessPauseMs!,
 			...events,
 		}),
-		createAgent: (executorInfo, upstream) => createAgent({
+		createAgent: (executorInfo, upstream, upstreamIncarnation) => createAgent({
 			clock,
 			settings: toAgentSettings(machine, executorInfo),
 			incarnation: createIncarnation(),
@@ -61,6 +64,8 @@
 			pauseDetector,
 			capacity: executorInfo.room,
 			labels: executorInfo.labels,
+			upstreamIncarnation,
+			lossLog,
 		}),
 		afterFlush: setImmediate,
 		saveAnnouncement({executorInfo, isLeaving}) {
--- a/src/process/agent-types.ts
+++ b/src/process/agent-types.ts
@@ -3,6 +3,7 @@
  */
 import type {LinkConnection} from '../connection/link-client.js';
 import type {LinkTiming} from '../connection/link-timing.js';
+import type {LossLog} from '../connection/loss-log.js';
 import type {Resources} from '../generated/kingcuplane.js';
 import type {UpstreamClient} from '../request/upstream-client.js';
 import type {every, Clock} from './clock.js';
@@ -27,6 +28,10 @@
 	readonly capacity?: Resources;
 	/** Properties of the upstream that a task may require. */
 	readonly labels?: readonly string[];
+	/** Identifies the incarnation of the upstream; that of the agent if undefined. */
+	readonly upstreamIncarnation?: string;
+	/** Losses of the upstream, which the agent reports to the entries; none are reported if undefined. */
+	readonly lossLog?: LossLog;
 	/** Returns a number in [0, 1), for jitter. */
 	random(): number;
 	/** Reads the addresses ("IP:port") of all live entries from the platform's directory; undefined if it cannot be read. */
@@ -45,6 +50,8 @@
 	setUpstreamLeaving(isLeaving: boolean): void;
 	/** Records the projected slowdowns of the current runs: projected divided by declared run time. */
 	recordProjectedSlowdowns(projections: readonly number[]): void;
+	/** Reports new losses of the upstream to the entries. */
+	reportLosses(): void;
 	/** Called when the upstream may be unreachable. Offers no slots until the upstream answers a probe. */
 	probeUpstream(): void;
 	stop(): void;
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -7,6 +7,7 @@
 import {createEntrySessions, type RunResult} from '../connection/entry-sessions.js';
 import {relaxedTiming} from '../connection/link-timing.js';
 import {createResourceLimiter} from '../connection/resource-limiter.js';
+import {noResources} from '../connection/resources.js';
 import type {AgentInfo, CreditGranter} from '../connection/types.js';
 import {
 	RefusalReason, Soundness as HealthState, TaskOutcome, type AgentState, type ConfigUpdate, type TaskStart,
@@ -76,6 +77,7 @@
 		maxLinks: timing.maxLinksPerAgent ?? Infinity,
 		discoverMs: settings.agent.discoverMs,
 		timing,
+		lossLog: host.lossLog,
 		getState,
 		receiveConfig,
 		readEntryDirectory: host.readEntryDirectory,
@@ -107,6 +109,7 @@
 			health.recordProjectedSlowdowns(projections);
 			reportHealthChange();
 		},
+		reportLosses: broadcastState,
 		probeUpstream() {
 			void probe();
 		},
@@ -226,7 +229,7 @@
 			failedPerMille: Math.round(failedShare * 1000),
 			configVersion,
 			free: granter.getFreeSlots(),
-			freeRoom: resourceLimiter?.getFreeResources(),
+			freeRoom: sessions.isIsolating() ? noResources : resourceLimiter?.getFreeResources(),
 			receivedStarts: 0,
 			soundness: health.getState(),
 			clockMs: clock.now(),
@@ -290,7 +293,7 @@
 }
 
 function toAgentInfo({
-	settings, incarnation, capacity, labels,
+	settings, incarnation, capacity, labels, upstreamIncarnation,
 }: AgentHost): AgentInfo {
 	return {
 		incarnation,
@@ -302,6 +305,7 @@
 		slots: settings.upstreamServer.slots,
 		capacity,
 		labels,
+		upstreamIncarnation,
 	};
 }
 
--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -53,6 +53,8 @@
 	Objective_has_passed_while_waiting: row(1051, 'ObjectivePassedWaiting', 'The job has waited for room for so long that it cannot meet its objective any more, and none of it was begun.', 'Come back after the stated time.'),
 	Job_was_cancelled: row(1041, 'JobCancelled', 'The job was cancelled by {0}.', 'Submit again under a new ticket if it is still wanted.'),
 	Task_failed: row(1042, 'TaskFailed', 'Task {0} failed at {1}: {2}.', 'See the trail of this ticket.'),
+	Task_crashed_its_upstreams: row(1052, 'TaskCrashedUpstreams', 'Task {0} was running on {1} upstreams when they crashed, and is not started again.', 'Check its payload; see the trail of this ticket for the upstreams.'),
+	Task_was_lost_repeatedly: row(1053, 'TaskLostRepeatedly', 'Task {0} was running on {1} upstreams when they were lost, and is not started again.', 'Check with the back end before submitting again under a new ticket.'),
 	Task_may_have_run: row(1043, 'TaskMayHaveRun', 'Task {0} was sent to {1}, and its end is not known: {2}.', 'Check with the back end before submitting again under a new ticket.'),
 	Home_is_lost: row(1044, 'HomeLost', 'The entry {0} that accepted this ticket is gone.', 'Check with the back end before submitting again under a new ticket.'),
 	Home_is_unreachable: row(1045, 'HomeUnreachable', 'The entry {0} that answers for this ticket cannot be reached at present.', 'Ask again with the same ticket after the stated time.'),
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -7,10 +7,7 @@
 import {relaxedTiming} from '../connection/link-timing.js';
 import {createPeerHub} from '../connection/peer-hub.js';
 import {createQuotaShares, shareReportIntervalMs} from '../connection/quota-shares.js';
-import type {AgentInfo} from '../connection/types.js';
-import type {
-	ConfigUpdate, EntryAddress, PeerState, RelayReply,
-} from '../generated/kingcuplane.js';
+import type {EntryAddress, PeerState, RelayReply} from '../generated/kingcuplane.js';
 import {toRecordReportJson} from '../request/record-json.js';
 import {createRecordLookup} from '../request/record-lookup.js';
 import {createCoordinator} from '../request/coordinator.js';
@@ -18,6 +15,7 @@
 import {createAgreedAnswerStore} from '../request/agreed-answers.js';
 import {createTicketIssuer} from '../request/ticket.js';
 import type {Ticket} from '../request/types.js';
+import {tryGetAgentConfig} from '../version/agent-config.js';
 import type {Snapshot} from '../version/types.js';
 import {formatAddress} from './address.js';
 import {
@@ -97,6 +95,9 @@
 		acknowledge(agent) {
 			links.scheduleAck(agent);
 		},
+		onLossSuspected(report) {
+			peers.broadcastLoss(report);
+		},
 		createScheduler: host.createScheduler,
 		endsEarlierIncarnations: host.createScheduler !== undefined,
 		...createJobTelemetry(host),
@@ -115,7 +116,7 @@
 		incarnation,
 		sessions: coordinator.sessions,
 		scheduler: coordinator.scheduler,
-		tryGetConfig: agent => tryGetConfig(follower.tryGet(), agent),
+		tryGetConfig: agent => tryGetAgentConfig(follower.tryGet(), agent),
 		getEntries: directory.getLive,
 		getFencedIncarnations: directory.getDead,
 		isDraining: () => isDraining,
@@ -125,6 +126,11 @@
 		onHeldReply(_agent, reply) {
 			heldTaskQueries.receive(reply);
 		},
+		onLossReport(report) {
+			if (coordinator.receiveLossReport(report)) {
+				peers.broadcastLoss(report);
+			}
+		},
 		defer: host.defer,
 		clock,
 		timing,
@@ -151,6 +157,8 @@
 		receiveShares(peer, message) {
 			shares.receive(peer.incarnation, message);
 		},
+		getLosses: () => coordinator.lossLog.getReportsSince(0).reports,
+		receiveLoss: coordinator.receiveLossReport,
 		onPeerConnected(peer) {
 			shares.resynchronize(peer.incarnation);
 		},
@@ -380,19 +388,3 @@
 		await directory.deregister();
 	}
 }
-
-function tryGetConfig(snapshot: Snapshot | undefined, agent: AgentInfo): ConfigUpdate | undefined {
-	if (snapshot === undefined) {
-		return undefined;
-	}
-
-	const upstream = snapshot.upstreams.get(agent.upstream);
-	const service = snapshot.services.get(agent.service);
-	const policy = service === undefined ? undefined : snapshot.policies.get(service.policy);
-	return {
-		version: snapshot.version,
-		slots: upstream?.slots ?? 0,
-		taskTimeoutMs: policy?.taskTimeout ?? 0,
-		drain: upstream?.drain ?? false,
-	};
-}
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -2,6 +2,8 @@
  * Serves the executor beside this process. Each incarnation of the executor gets an agent of its own, so that a report
  * about one incarnation never counts for a later one.
  */
+import {toLostTask, type LossLog} from '../connection/loss-log.js';
+import {LossState, type TaskStart} from '../generated/kingcuplane.js';
 import type {Agent} from './agent-types.js';
 import type {ExecutorInfo} from './executor-types.js';
 import type {LeasedUpstream, LeasedUpstreamHost} from './leased-upstream.js';
@@ -14,14 +16,16 @@
 };
 
 /** The events of an upstream that the manager handles. */
-export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProjectedSlowdowns' | 'onUnreachable'>;
+export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onRunsLost' | 'onRecovered'>;
 
 /** Dependencies of the manager. */
 export type ExecutorManagerHost = {
 	readonly log: Log;
+	/** Losses of all incarnations of the executor. */
+	readonly lossLog: LossLog;
 	createUpstream(executorInfo: ExecutorInfo, events: UpstreamEvents): LeasedUpstream;
 	/** Creates the agent of an executor that has been taken over. */
-	createAgent(executorInfo: ExecutorInfo, upstream: LeasedUpstream): Agent;
+	createAgent(executorInfo: ExecutorInfo, upstream: LeasedUpstream, upstreamIncarnation: string): Agent;
 	/** Runs an action after the results of this turn of the event loop were sent. */
 	afterFlush(action: () => void): void;
 	/** Stores an announcement for the next process beside this executor. */
@@ -72,7 +76,7 @@
 				log.info({executor: id}, 'executor left');
 				// If this process restarts before the next executor announces itself, it must not use this one again.
 				host.saveAnnouncement({executorInfo: current.executorInfo, isLeaving: true});
-				endExecutor(current);
+				endExecutor(current, false);
 			}
 		},
 		tryGetAgent: () => current?.agent,
@@ -111,7 +115,7 @@
 
 	function replaceExecutor(executorInfo: ExecutorInfo, isLeaving: boolean): void {
 		if (current !== undefined) {
-			endExecutor(current);
+			endExecutor(current, true);
 		}
 
 		log.info({executor: executorInfo}, 'executor announced');
@@ -122,7 +126,7 @@
 			upstream: host.createUpstream(executorInfo, {
 				onIncarnationChanged() {
 					log.warn({executor: executorInfo.id}, 'another incarnation of the executor has answered');
-					endExecutor(next);
+					endExecutor(next, true);
 				},
 				onProjectedSlowdowns(projections) {
 					next.agent?.recordProjectedSlowdowns(projections);
@@ -130,6 +134,14 @@
 				onUnreachable() {
 					next.agent?.probeUpstream();
 				},
+				onRunsLost(starts) {
+					log.warn({executor: executorInfo.id, runs: starts.length}, 'runs lost; the executor may have crashed');
+					reportLoss(next, LossState.LOSS_STATE_SUSPECTED, starts);
+				},
+				onRecovered() {
+					log.info({executor: executorInfo.id}, 'the executor answers again; it had not crashed');
+					reportLoss(next, LossState.LOSS_STATE_ALIVE, []);
+				},
 			}),
 		};
 		current = next;
@@ -143,17 +155,29 @@
 			return;
 		}
 
-		managed.agent = host.createAgent(managed.executorInfo, managed.upstream);
+		managed.agent = host.createAgent(managed.executorInfo, managed.upstream, getIncarnation(managed));
 		managed.agent.setUpstreamLeaving(managed.isLeaving);
 		log.info({executor: managed.executorInfo.id}, 'executor taken over');
 	}
 
-	function endExecutor(ended: ManagedExecutor): void {
+	function reportLoss(managed: ManagedExecutor, state: LossState, starts: readonly TaskStart[]): void {
+		host.lossLog.report(getIncarnation(managed), state, starts.map(start => toLostTask(start)));
+		managed.agent?.reportLosses();
+	}
+
+	/** Ends the service of an incarnation of the executor, which has crashed unless it announced that it leaves. */
+	function endExecutor(ended: ManagedExecutor, hasCrashed: boolean): void {
 		if (ended.hasEnded) {
 			return;
 		}
 
 		ended.hasEnded = true;
+		if (hasCrashed) {
+			const starts = ended.upstream.getActiveStarts();
+			log.warn({executor: ended.executorInfo.id, runs: starts.length}, 'executor crashed');
+			reportLoss(ended, LossState.LOSS_STATE_CRASHED, starts);
+		}
+
 		ended.upstream.abortAll('the executor ended');
 		// Leaves the links open until they have carried the results of the aborted runs.
 		host.afterFlush(() => {
@@ -162,3 +186,7 @@
 		});
 	}
 }
+
+function getIncarnation({executorInfo}: ManagedExecutor): string {
+	return `${executorInfo.id}@${executorInfo.bornAt}`;
+}
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -35,6 +35,10 @@
 	onProjectedSlowdowns(projections: readonly number[]): void;
 	/** Called when the executor has stopped responding. */
 	onUnreachable(): void;
+	/** Called with the starts whose runs count as lost, because the executor has not responded until its lease expired. */
+	onRunsLost(starts: readonly TaskStart[]): void;
+	/** Called when the executor responds again after runs were lost. */
+	onRecovered(): void;
 	/** Returns the total time for which this process was paused since the last call, and resets it to 0. */
 	takePauseTime(): Milliseconds;
 };
@@ -44,6 +48,8 @@
 	stop(start: TaskStart): void;
 	/** Stops the runs of an earlier agent. Resolves once the executor has reported that it runs nothing. */
 	takeOver(): Promise<void>;
+	/** Returns the starts whose runs have not ended. */
+	getActiveStarts(): readonly TaskStart[];
 	/** Ends all runs as aborted, for use when this incarnation of the executor has ended. */
 	abortAll(detail: string): void;
 };
@@ -90,6 +96,8 @@
 		hasActiveRuns: () => runs.size > 0,
 		onStatus: receiveStatus,
 		onLeaseExpired() {
+			hasLostRuns = true;
+			host.onRunsLost(getActiveStarts());
 			for (const run of runs.values()) {
 				endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, 'the executor does not answer; its lease has run out', RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE);
 			}
@@ -106,6 +114,7 @@
 		harmlessPauseMs: host.harmlessPauseMs,
 	});
 	let unavailableUntil = -Infinity;
+	let hasLostRuns = false;
 
 	return {
 		run(start, done) {
@@ -134,6 +143,7 @@
 			}
 		},
 		takeOver,
+		getActiveStarts,
 		abortAll(detail) {
 			for (const run of runs.values()) {
 				endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, detail);
@@ -146,6 +156,10 @@
 		},
 	};
 
+	function getActiveStarts(): readonly TaskStart[] {
+		return [...runs.values()].map(run => run.start);
+	}
+
 	async function takeOver(): Promise<void> {
 		while (poller.isOpen()) {
 			const status = await poller.poll();
@@ -248,6 +262,11 @@
 	}
 
 	function receiveStatus(status: ExecutorStatus, polledAt: Milliseconds): void {
+		if (hasLostRuns) {
+			hasLostRuns = false;
+			host.onRecovered();
+		}
+
 		const projections: number[] = [];
 		for (const listedRun of status.running) {
 			const run = runs.get(listedRun.task);
--- a/src/request/coordinator-types.ts
+++ b/src/request/coordinator-types.ts
@@ -3,7 +3,8 @@
  */
 import type {AgentSessions} from '../connection/agent-sessions.js';
 import type {Scheduler, SchedulerHost, TeamQuota} from '../connection/types.js';
-import type {TaskStart, TaskStop} from '../generated/kingcuplane.js';
+import type {LossLog} from '../connection/loss-log.js';
+import type {LossReport, TaskStart, TaskStop} from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {Diagnostic} from '../process/diagnostics.js';
 import type {Snapshot} from '../version/types.js';
@@ -47,6 +48,8 @@
 	onDemandChanged(agent: string): void;
 	/** Called when a result of an agent was handled, so that it can be acknowledged. */
 	acknowledge(agent: string): void;
+	/** Called when a run was lost together with the agent of its upstream, so that other entries can be told. */
+	onLossSuspected?(report: LossReport): void;
 	/** Called with each decision about a submission, for the log. */
 	onDecision?(decision: Decision): void;
 	/** Called when a submission has its final answer, `elapsed` after its request was received. */
@@ -69,12 +72,16 @@
 			 * credit.
 			 */
 			readonly newsAge: Milliseconds | undefined;
+			/** Whether the task must not run beside tasks of other jobs, because it may crash its upstream. */
+			readonly isolated: boolean;
 		}
 		| {
 			readonly kind: 'ended'; readonly index: number; readonly attempt: number; readonly agent: string; readonly upstream: string;
 			readonly outcome: string; readonly detail: string;
 			/** What follows for the task: the kind of an `AttemptEnd`. */
 			readonly next: string;
+			/** Number of upstreams that have crashed, or may have crashed, while the task ran on them. */
+			readonly losses: number;
 		};
 };
 
@@ -93,6 +100,10 @@
 export type Coordinator = {
 	readonly sessions: AgentSessions;
 	readonly scheduler: Scheduler;
+	/** What is known about runs that were lost together with their upstream. */
+	readonly lossLog: Pick<LossLog, 'getReportsSince'>;
+	/** Applies the report of an agent or of another entry. Returns whether it contained anything new. */
+	receiveLossReport(report: LossReport): boolean;
 	submit(caller: Caller, req: SubmissionRequest): SubmitOutcome;
 	tryGetJob(ticket: string): JobHandle | undefined;
 	/** Fails a job that has no answer yet, on behalf of `by`. Its waiting tasks are never started. */
--- a/src/request/coordinator.ts
+++ b/src/request/coordinator.ts
@@ -4,17 +4,19 @@
  * submission record. Performs no I/O: messages are sent through the host.
  */
 import {createAgentSessions, type SentStartOutcome, type SentStart} from '../connection/agent-sessions.js';
-import type {QueuedJob, QueuedTask} from '../connection/types.js';
-import type {TaskResult, TaskStop} from '../generated/kingcuplane.js';
+import type {PlacementBasis, QueuedJob, QueuedTask} from '../connection/types.js';
+import type {LossReport, TaskResult, TaskStop} from '../generated/kingcuplane.js';
 import type {Milliseconds, Timer} from '../process/clock.js';
 import {checkDefined} from '../process/debug.js';
 import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
-import {describeAttemptEnd, toAttemptEnd, toAttemptOutcome} from './attempt-end.js';
-import type {AttemptEnd, JobFailure} from './job.js';
+import {describeAttemptEnd, toAttemptOutcome} from './attempt-end.js';
+import type {JobFailure} from './job.js';
 import {createTrackedJob, type JobHandle, type TrackedJob} from './tracked-job.js';
-import {createRetryBudgets} from './retry-budget.js';
-import {isFeasible} from './resource-queue.js';
-import {createInfeasibleFailure, getAttemptKey, type OpenJob} from './open-job.js';
+import {createLostTasks, getUpstreamIncarnation} from './lost-tasks.js';
+import {
+	createInfeasibleFailure, createOpenJob, getAttemptKey, toUnsequencedStart, type OpenJob,
+} from './open-job.js';
+import {createRetryRules} from './retry-rules.js';
 import {createScheduler} from './scheduler.js';
 import {
 	applyRules, resolveRules, toAdmissionFailure, toQueuedJob, type Caller, type JobRules, type SubmissionRequest,
@@ -34,12 +36,15 @@
 	const openJobs = new Map<string, OpenJob>();
 	/** Times of the answers on the monotonic clock, by ticket, oldest first. */
 	const answeredAt = new Map<string, Milliseconds>();
-	const retryBudgets = createRetryBudgets();
+	const lostTasks = createLostTasks(host.clock);
+	const retryRules = createRetryRules({clock: host.clock, lostTasks});
 
 	const scheduler = (host.createScheduler ?? createScheduler)({
 		clock: host.clock,
 		start: startTask,
 		onReportChanged: host.onDemandChanged,
+		getIsolatedShare: lostTasks.getIsolatedShare,
+		mustIsolate,
 		onInfeasible(ticket, reason) {
 			const openJob = openJobs.get(ticket);
 			if (openJob !== undefined) {
@@ -58,6 +63,10 @@
 			scheduler.removeAgent(agent.incarnation);
 		},
 		onAgentState(agent, state) {
+			if (state.slots > 0) {
+				lostTasks.log.recordAnswer(getUpstreamIncarnation(agent));
+			}
+
 			scheduler.setAgentStatus(agent.incarnation, {...state, meanRun: state.meanRunMs});
 		},
 		onCreditsGranted(agent, granted) {
@@ -70,6 +79,8 @@
 	return {
 		sessions,
 		scheduler,
+		lossLog: lostTasks.log,
+		receiveLossReport,
 		submit,
 		tryGetJob: ticket => trackedJobs.get(ticket),
 		cancel(ticket, by) {
@@ -156,19 +167,29 @@
 
 	function admit(trackedJob: TrackedJob, req: SubmissionRequest, rules: JobRules, configVersion: number): void {
 		const queued = toQueuedJob(req, rules, host.clock.now());
-		const refusal = tryGetRefusal(queued);
+		const openJob = createOpenJob({
+			tracked: trackedJob, queued, request: req, rules, configVersion,
+		});
+		const lossFailure = lostTasks.tryGetFailure(openJob);
+		const refusal = lossFailure === undefined ? tryGetRefusal(queued) : undefined;
 		if (refusal !== undefined) {
 			refuse(trackedJob, refusal);
 			return;
 		}
 
-		const openJob: OpenJob = {
-			tracked: trackedJob, queued, request: req, rules, configVersion, hasQuota: false, sentRuns: new Map(), failureCounts: new Map(), avoidedAgents: new Map(),
-		};
 		openJobs.set(req.ticket.text, openJob);
 		emitDecision(openJob, {
 			kind: 'accepted', submission: req.submission, tasks: queued.taskCount, expectedRun: queued.expectedRun, timeLeft: queued.deadlineAt - queued.arrivedAt, configVersion,
 		});
+		if (lostTasks.log.hasJob(openJob.repeatableName)) {
+			trackedJob.job.markRunBefore();
+		}
+
+		if (lossFailure !== undefined) {
+			failJob(openJob, lossFailure);
+			return;
+		}
+
 		openJob.timer = host.clock.after(queued.deadlineAt - host.clock.now(), () => {
 			failJob(openJob, {diagnostic: createDiagnostic(Diagnostics.Deadline_has_passed, queued.deadlineAt - queued.arrivedAt)});
 		});
@@ -222,12 +243,28 @@
 		return toAdmissionFailure(scheduler.checkAdmission(queued), queued, host.clock.now());
 	}
 
-	function startTask(agent: string, task: QueuedTask, reportAge?: Milliseconds): void {
+	function receiveLossReport(report: LossReport): boolean {
+		const isNew = lostTasks.log.record(report);
+		for (const openJob of isNew ? openJobs.values() : []) {
+			const failure = lostTasks.tryGetFailure(openJob);
+			if (failure !== undefined) {
+				failJob(openJob, failure);
+			}
+		}
+
+		return isNew;
+	}
+
+	function mustIsolate({ticket, index}: QueuedTask): boolean {
+		return lostTasks.mustIsolate(checkDefined(openJobs.get(ticket), 'only open jobs have waiting tasks'), index);
+	}
+
+	function startTask(agent: string, task: QueuedTask, basis?: PlacementBasis): void {
 		const openJob = checkDefined(openJobs.get(task.ticket), 'only open jobs have waiting tasks');
 		const session = checkDefined(sessions.tryGet(agent), 'the scheduler chooses only agents with an open session');
 		openJob.tracked.job.markSent(task.index, task.attempt);
 		if (task.attempt === 1) {
-			retryBudgets.get(openJob.rules.service.name, openJob.rules.policy.retryPercent).recordFirstAttempt();
+			retryRules.recordFirstAttempt(openJob);
 		}
 
 		host.recorder.recordSent(task.ticket, task.index, {
@@ -236,21 +273,7 @@
 			upstream: session.agent.upstream,
 			sentAt: host.clock.wall(),
 		});
-		const start = session.prepareStart({
-			task: {ticket: task.ticket, index: task.index},
-			attempt: task.attempt,
-			taskCount: openJob.queued.taskCount,
-			service: openJob.queued.service,
-			payload: openJob.request.payloads[task.index]!,
-			timeoutMs: openJob.rules.policy.taskTimeout,
-			configVersion: openJob.configVersion,
-			idempotent: openJob.rules.submission.idempotent,
-			caller: openJob.tracked.owner,
-			reference: openJob.request.reference,
-			need: openJob.queued.need?.resources,
-			// A run stopped as stalled may only be longer than declared, so the next run is not checked for stalling.
-			expectedRunMs: openJob.avoidedAgents.has(task.index) ? 0 : Math.round(openJob.queued.expectedRun),
-		});
+		const start = session.prepareStart(toUnsequencedStart(openJob, task, basis?.isolated ?? false));
 		emitDecision(openJob, {
 			kind: 'started',
 			index: task.index,
@@ -258,7 +281,8 @@
 			agent: session.agent.name,
 			upstream: session.agent.upstream,
 			waited: Math.round(host.clock.now() - openJob.queued.arrivedAt),
-			newsAge: reportAge === undefined ? undefined : Math.round(reportAge),
+			newsAge: basis === undefined ? undefined : Math.round(basis.reportAge),
+			isolated: basis?.isolated ?? false,
 		});
 		openJob.sentRuns.set(getAttemptKey(task), {agent, stop: {task: start.task, startSeq: start.seq}});
 		host.sendStart(agent, start);
@@ -283,11 +307,15 @@
 		}
 
 		openJob.sentRuns.delete(getAttemptKey(start));
-		const attemptEnd = classifyEnd(openJob, start, end);
+		if (end.kind === 'agent-gone') {
+			host.onLossSuspected?.(lostTasks.recordAgentGone(openJob, start));
+		}
+
+		const attemptEnd = retryRules.classifyEnd(openJob, start, end);
 		openJob.tracked.job.markEnded(start.index, start.attempt, attemptEnd);
 		if (attemptEnd.kind !== 'completed') {
 			emitDecision(openJob, {
-				kind: 'ended', index: start.index, attempt: start.attempt, agent: start.agent.name, upstream: start.agent.upstream, outcome, detail: describeAttemptEnd(end), next: attemptEnd.kind,
+				kind: 'ended', index: start.index, attempt: start.attempt, agent: start.agent.name, upstream: start.agent.upstream, outcome, detail: describeAttemptEnd(end), next: attemptEnd.kind, losses: lostTasks.log.count(openJob.repeatableName, start.index).possible,
 			});
 		}
 
@@ -304,37 +332,6 @@
 		}
 	}
 
-	function classifyEnd(openJob: OpenJob, start: SentStart, end: SentStartOutcome): AttemptEnd {
-		let isLastFailure = true;
-		const classified = toAttemptEnd(start, end, {
-			tryRetryUnknown: () => canRestart(openJob) || tryRetry(openJob),
-			tryRetryAborted: () => canRestart(openJob),
-			tryRetryFailed() {
-				isLastFailure = openJob.request.maxFailedRuns === undefined || !countFailedRun(openJob, start);
-				return !isLastFailure && canRestart(openJob);
-			},
-		});
-		// More failed runs were allowed, but there is no time for another run: the job fails because of its deadline.
-		return classified.kind === 'failed' && !isLastFailure ? {kind: 'failed', failure: createInfeasibleFailure(openJob, 'deadline')} : classified;
-	}
-
-	// At this point the last run has certainly ended: the executor listed its end, or its lease has expired.
-	function canRestart(openJob: OpenJob): boolean {
-		return openJob.request.maxFailedRuns !== undefined && isFeasible(openJob.queued, host.clock.now());
-	}
-
-	/** Counts a failed run. Returns false if it was the last one allowed. */
-	function countFailedRun(openJob: OpenJob, start: SentStart): boolean {
-		const failures = (openJob.failureCounts.get(start.index) ?? 0) + 1;
-		openJob.failureCounts.set(start.index, failures);
-		return failures < openJob.request.maxFailedRuns!;
-	}
-
-	// Only a single request that is idempotent may run again after an unknown outcome.
-	function tryRetry(openJob: OpenJob): boolean {
-		return openJob.request.isSingleRequest && openJob.rules.submission.idempotent && retryBudgets.get(openJob.rules.service.name, openJob.rules.policy.retryPercent).trySpend();
-	}
-
 	function recordLateResult(agent: {readonly incarnation: string}, result: TaskResult): void {
 		host.recorder.recordEnded(result.task!.ticket, result.task!.index, result.attempt, {
 			endedAt: host.clock.wall(), outcome: toAttemptOutcome({kind: 'result', result}), detail: `late: ${result.detail}`, runMs: result.runMs,
--- a/src/request/job.ts
+++ b/src/request/job.ts
@@ -28,10 +28,14 @@
 /** Assembles the answer of one job. */
 export type Job = {
 	readonly taskCount: number;
+	/** Whether a task has not ended and is not running. */
+	isWaiting(index: number): boolean;
 	/** Records that an attempt was sent. */
 	markSent(index: number, attempt: number): void;
 	/** Records the end of an attempt. Returns false if this is not the task's current attempt. */
 	markEnded(index: number, attempt: number, end: AttemptEnd): boolean;
+	/** Records that a task of the job may have run under another ticket. */
+	markRunBefore(): void;
 	/** Fails the job unless it already has an answer. */
 	fail(failure: JobFailure): void;
 	/** Returns the final answer, or undefined if there is none yet. It never changes. */
@@ -57,6 +61,7 @@
 
 	return {
 		taskCount,
+		isWaiting: index => tasks[index]?.kind === 'waiting',
 		markSent(index, attempt) {
 			assert(tasks[index]?.kind === 'waiting', `task ${index} is sent only while it waits`);
 			tasks[index] = {kind: 'sent', attempt};
@@ -70,6 +75,9 @@
 			apply(index, end);
 			return true;
 		},
+		markRunBefore() {
+			mayHaveRun = true;
+		},
 		fail,
 		tryGetAnswer: () => answer,
 		getExecutionStatus: computeExecutionStatus,
--- a/src/request/open-job.ts
+++ b/src/request/open-job.ts
@@ -1,7 +1,9 @@
 /**
  * State that a coordinator retains for an accepted job until the job has its answer.
  */
-import type {InfeasibleReason, QueuedJob} from '../connection/types.js';
+import type {UnsequencedStart} from '../connection/agent-sessions.js';
+import {getRepeatableJobName} from '../connection/loss-log.js';
+import type {InfeasibleReason, QueuedJob, QueuedTask} from '../connection/types.js';
 import type {TaskStop} from '../generated/kingcuplane.js';
 import type {Milliseconds, Timer} from '../process/clock.js';
 import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
@@ -12,6 +14,8 @@
 /** An accepted job without an answer. */
 export type OpenJob = {
 	readonly tracked: TrackedJob;
+	/** Name that stays the same if the caller submits the job again. */
+	readonly repeatableName: string;
 	readonly queued: QueuedJob;
 	readonly request: SubmissionRequest;
 	readonly rules: JobRules;
@@ -32,6 +36,43 @@
 	readonly stop: TaskStop;
 };
 
+/** Creates the state of a job that has just been accepted. */
+export function createOpenJob(accepted: Pick<OpenJob, 'tracked' | 'queued' | 'request' | 'rules' | 'configVersion'>): OpenJob {
+	const {tracked: {owner}, request: {ticket, reference}} = accepted;
+	return {
+		...accepted,
+		repeatableName: getRepeatableJobName({ticket: ticket.text, caller: owner, reference}),
+		hasQuota: false,
+		sentRuns: new Map(),
+		failureCounts: new Map(),
+		avoidedAgents: new Map(),
+	};
+}
+
+/** Creates the start of one task of a job. */
+export function toUnsequencedStart(openJob: OpenJob, task: QueuedTask, isolated: boolean): UnsequencedStart {
+	const {
+		queued, request, rules, tracked, configVersion, avoidedAgents,
+	} = openJob;
+	return {
+		task: {ticket: task.ticket, index: task.index},
+		attempt: task.attempt,
+		taskCount: queued.taskCount,
+		service: queued.service,
+		payload: request.payloads[task.index]!,
+		timeoutMs: rules.policy.taskTimeout,
+		configVersion,
+		idempotent: rules.submission.idempotent,
+		caller: tracked.owner,
+		reference: request.reference,
+		submission: request.submission,
+		isolated,
+		need: queued.need?.resources,
+		// A run stopped as stalled may only be longer than declared, so the next run is not checked for stalling.
+		expectedRunMs: avoidedAgents.has(task.index) ? 0 : Math.round(queued.expectedRun),
+	};
+}
+
 /** How long an overload that made a job infeasible is likely to last. */
 const overloadRetryMs: Milliseconds = 1000;
 
--- a/src/request/resource-pool.ts
+++ b/src/request/resource-pool.ts
@@ -122,3 +122,19 @@
 	const isBelowLimit = requirements.maxPerUpstream === undefined || (agent.runningByTicket.get(ticket) ?? 0) < requirements.maxPerUpstream;
 	return isBelowLimit && fits(requirements.resources, estimateFreeResources(agent));
 }
+
+/** Returns the number of agents whose upstream is not classified as healthy. */
+export function countSuspects(agents: Iterable<AgentView>): number {
+	let suspects = 0;
+	for (const agent of agents) {
+		suspects += agent.health === Soundness.SOUNDNESS_SOUND ? 0 : 1;
+	}
+
+	return suspects;
+}
+
+/** Returns the preferred members, or all members if none is preferred. */
+export function prefer<T>(members: readonly T[], isPreferred: (member: T) => boolean): readonly T[] {
+	const preferred = members.filter(member => isPreferred(member));
+	return preferred.length > 0 ? preferred : members;
+}
--- a/src/request/resource-scheduler.ts
+++ b/src/request/resource-scheduler.ts
@@ -11,8 +11,9 @@
 	Admission, QueuedJob, QueuedTask, Scheduler, SchedulerHost, SchedulingRules, TaskRequirements,
 } from '../connection/types.js';
 import {clampRetryAfter, noUpstreamRetryAfter} from './admission.js';
+import {createIsolationPool, type IsolationPool} from './isolation-pool.js';
 import {
-	createAgentView, estimateFreeResources, hasFreeResources, isEligible, isStartAllowed, leavesReserve, recordRunEnd, recordRefusal, recordSentStart, applyStatus, type AgentView,
+	createAgentView, estimateFreeResources, hasFreeResources, isEligible, isStartAllowed, leavesReserve, prefer, countSuspects, recordRunEnd, recordRefusal, recordSentStart, applyStatus, type AgentView,
 } from './resource-pool.js';
 import {
 	getSlack, hasStarted, isFeasible, isObjectiveInfeasible, sortByPriority, type PendingJob,
@@ -67,6 +68,7 @@
 	rules: SchedulingRules | undefined;
 	readonly jobs: Map<string, PendingJob>;
 	readonly agents: Map<string, AgentView>;
+	readonly isolationPool: IsolationPool;
 	readonly outliers: OutlierDetector;
 	waitingTasks: number;
 	/** Time since which the queue has not been empty; undefined while it is empty. */
@@ -95,6 +97,7 @@
 			const state = getService(agentInfo.service);
 			state.agents.set(agentInfo.incarnation, createAgentView(agentInfo));
 			state.outliers.addAgent(agentInfo.incarnation);
+			state.isolationPool.invalidate();
 			serviceOfAgent.set(agentInfo.incarnation, state);
 			if (state.waitingTasks > 0 && state.reportingAgents.size < maxReportingAgents) {
 				state.reportingAgents.add(agentInfo.incarnation);
@@ -107,6 +110,7 @@
 			state?.agents.delete(incarnation);
 			state?.reportingAgents.delete(incarnation);
 			state?.outliers.removeAgent(incarnation);
+			state?.isolationPool.invalidate();
 			serviceOfAgent.delete(incarnation);
 		},
 		setAgentStatus(incarnation, status) {
@@ -240,8 +244,9 @@
 			}
 
 			packedAgents.add(agent);
-			startTask(state, agent, job, tasks.shift()!);
-			startMoreTasks(state, pending, agent);
+			const task = tasks.shift()!;
+			startTask(state, agent, job, task);
+			startMoreTasks(state, pending, agent, task);
 		}
 
 		state.jobs.delete(job.ticket);
@@ -251,12 +256,13 @@
 	 * Starts further tasks of a job on the agent that was just chosen for one of them. All these starts travel in one
 	 * message, and an upstream that fails affects fewer jobs.
 	 */
-	function startMoreTasks(state: ServiceState, pending: PendingJob, agent: AgentView): void {
+	function startMoreTasks(state: ServiceState, pending: PendingJob, agent: AgentView, task: QueuedTask): void {
 		const {job, tasks} = pending;
 		const requirements = job.need ?? noRequirements;
+		const isIsolated = state.isolationPool.mustIsolate(task);
 		const minRemaining = estimateFreeResources(agent).cpu * packingReserve;
 		while (
-			tasks[0] !== undefined && tasks[0].failedOn === undefined && agent.health === Soundness.SOUNDNESS_SOUND
+			tasks[0] !== undefined && tasks[0].failedOn === undefined && state.isolationPool.mustIsolate(tasks[0]) === isIsolated && agent.health === Soundness.SOUNDNESS_SOUND
 			&& hasFreeResources(agent, job.ticket, requirements) && estimateFreeResources(agent).cpu - requirements.resources.cpu >= minRemaining
 		) {
 			startTask(state, agent, job, tasks.shift()!);
@@ -270,7 +276,7 @@
 		state.waitingTasks--;
 		recordSentStart(agent, job.ticket, job.need ?? noRequirements);
 		state.outliers.recordStart(agent.info.incarnation);
-		host.start(agent.info.incarnation, task, clock.now() - agent.reportedAt);
+		host.start(agent.info.incarnation, task, {reportAge: clock.now() - agent.reportedAt, isolated: state.isolationPool.mustIsolate(task)});
 	}
 
 	/**
@@ -295,10 +301,11 @@
 		const fitting: AgentView[] = [];
 		// A job that has started may use the reserve: its runs so far are of no use unless the rest of it finishes.
 		const reserve = getSlack(job, clock.now()) < 0 && !hasStarted(pending) ? lateJobReserve : 0;
-		const isHealthUsed = countSuspects(state) <= state.agents.size * maxSuspectShare;
+		const isAllowed = state.isolationPool.createFilter(requirements, task);
+		const isHealthUsed = countSuspects(state.agents.values()) <= state.agents.size * maxSuspectShare;
 		for (const agent of state.agents.values()) {
 			if (
-				!agent.isDraining && (!isHealthUsed || isStartAllowed(agent)) && state.outliers.isUsable(agent.info.incarnation)
+				!agent.isDraining && isAllowed(agent) && (!isHealthUsed || isStartAllowed(agent)) && state.outliers.isUsable(agent.info.incarnation)
 				&& isEligible(agent, requirements) && hasFreeResources(agent, job.ticket, requirements) && leavesReserve(agent, requirements, reserve)
 			) {
 				fitting.push(agent);
@@ -362,10 +369,12 @@
 			return found;
 		}
 
+		const agents = new Map<string, AgentView>();
 		const created: ServiceState = {
 			rules: undefined,
 			jobs: new Map(),
-			agents: new Map(),
+			agents,
+			isolationPool: createIsolationPool(host, service, agents),
 			outliers: createOutlierDetector(clock),
 			waitingTasks: 0,
 			waitingSince: undefined,
@@ -376,18 +385,3 @@
 		return created;
 	}
 }
-
-function countSuspects({agents}: ServiceState): number {
-	let suspects = 0;
-	for (const agent of agents.values()) {
-		suspects += agent.health === Soundness.SOUNDNESS_SOUND ? 0 : 1;
-	}
-
-	return suspects;
-}
-
-/** Returns the preferred members, or all members if none is preferred. */
-function prefer<T>(members: readonly T[], isPreferred: (member: T) => boolean): readonly T[] {
-	const preferred = members.filter(member => isPreferred(member));
-	return preferred.length > 0 ? preferred : members;
-}
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -4,7 +4,8 @@
  */
 import {unboundedQuota} from '../../../src/connection/unbounded-quota.js';
 import {createLinkHub, type LinkHub} from '../../../src/connection/link-server.js';
-import type {EntryAddress} from '../../../src/generated/kingcuplane.js';
+import {createLossLog} from '../../../src/connection/loss-log.js';
+import type {EntryAddress, LossReport} from '../../../src/generated/kingcuplane.js';
 import {platformTiming, startupGraceMs} from '../../../src/platform/timing.js';
 import {createAgent} from '../../../src/process/agent.js';
 import {every, type Milliseconds} from '../../../src/process/clock.js';
@@ -204,6 +205,9 @@
 				links.scheduleAck(agent);
 			},
 			onAnswered: () => undefined,
+			onLossSuspected(report) {
+				sendToPeers(incarnation, report);
+			},
 		});
 		const links: LinkHub = createLinkHub({
 			entry: name,
@@ -216,6 +220,11 @@
 			isDraining: () => false,
 			onConfigVersion: () => undefined,
 			onHeldReply: () => undefined,
+			onLossReport(report) {
+				if (coordinator.receiveLossReport(report)) {
+					sendToPeers(incarnation, report);
+				}
+			},
 			defer(action) {
 				process.clock.after(0, action);
 			},
@@ -235,6 +244,19 @@
 		network.listen({address: name, process, links});
 	}
 
+	/** Sends a report of a lost upstream to the other entries. */
+	function sendToPeers(sender: string, report: LossReport): void {
+		for (const {process, coordinator} of entries.values()) {
+			if (process.name !== sender) {
+				clock.after(random.integer(1, 3), () => {
+					process.perform(() => {
+						coordinator.receiveLossReport(report);
+					});
+				});
+			}
+		}
+	}
+
 	/** Delivers what the executor says of itself to the agent beside it. */
 	function announce(name: string): void {
 		const {process, manager} = agents.get(name)!;
@@ -256,8 +278,10 @@
 	function startAgent(name: string, process: SimulatedProcess): void {
 		const detector = createPauseDetector(process.clock);
 		let executorCount = 0;
+		const lossLog = createLossLog(process.clock);
 		const manager = createExecutorManager({
 			log: silentLog,
+			lossLog,
 			createUpstream(executorInfo, events) {
 				const executor = createExecutorClient(process, executors.get(name)!, executorInfo.bornAt);
 				return createLeasedUpstream({
@@ -272,7 +296,7 @@
 					...events,
 				});
 			},
-			createAgent: (executorInfo, upstream) => createAgent({
+			createAgent: (executorInfo, upstream, upstreamIncarnation) => createAgent({
 				clock: process.clock,
 				settings: {
 					name,
@@ -297,6 +321,8 @@
 				timing,
 				pauseDetector: detector,
 				capacity: executorInfo.room,
+				upstreamIncarnation,
+				lossLog,
 				random: random.fraction,
 				readEntryDirectory: async () => entryNames,
 				defer(action) {
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -48,6 +48,8 @@
 			},
 			onProjectedSlowdowns: () => undefined,
 			onUnreachable: () => undefined,
+			onRunsLost: () => undefined,
+			onRecovered: () => undefined,
 			harmlessPauseMs,
 			takePauseTime() {
 				const pause = fixture.pendingPause;
@@ -93,7 +95,7 @@
 		reference,
 		need: undefined,
 		expectedRunMs,
-		validUntilMs: 0,
+		validUntilMs: 0, submission: '', isolated: false,
 	};
 }
 
@@ -258,6 +260,8 @@
 				onIncarnationChanged: () => undefined,
 				onProjectedSlowdowns: () => undefined,
 				onUnreachable: () => undefined,
+				onRunsLost: () => undefined,
+				onRecovered: () => undefined,
 				harmlessPauseMs,
 				takePauseTime: () => 0,
 			});
@@ -282,6 +286,8 @@
 				onIncarnationChanged: () => undefined,
 				onProjectedSlowdowns: () => undefined,
 				onUnreachable: () => undefined,
+				onRunsLost: () => undefined,
+				onRecovered: () => undefined,
 				harmlessPauseMs,
 				takePauseTime: () => 0,
 			});
@@ -339,6 +345,8 @@
 			},
 			onProjectedSlowdowns: () => undefined,
 			onUnreachable: () => undefined,
+			onRunsLost: () => undefined,
+			onRecovered: () => undefined,
 			harmlessPauseMs: 500,
 			takePauseTime: () => 0,
 		});
--- a/test/request/coordinator.test.ts
+++ b/test/request/coordinator.test.ts
@@ -72,7 +72,7 @@
 	coordinator.applySnapshot(snapshot);
 	const capacity = {cpu: 8000, memory: 1000, accelerators: 0};
 	const session = coordinator.sessions.open({
-		agent: 'a', incarnation: 'a1', upstream: 'u', service: 's', dataCentre: 'd', rack: '', slots: 1, entryIncarnation: incarnation, lastStartSeq: 0, lastResultSeq: 0, room: capacity, labels: [],
+		agent: 'a', incarnation: 'a1', upstream: 'u', service: 's', dataCentre: 'd', rack: '', slots: 1, entryIncarnation: incarnation, lastStartSeq: 0, lastResultSeq: 0, room: capacity, labels: [], upstreamIncarnation: '',
 	});
 	session.receiveState({
 		draining: false, running: 0, slots: 1, meanRunMs: 0, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: capacity, receivedStarts: 0, soundness: 0, clockMs: 0,
