--- a/src/request/open-job.ts
+++ b/src/request/open-job.ts
@@ -26,6 +26,8 @@
 	readonly sentRuns: Map<string, SentRun>;
 	/** Number of failed runs, by task index. */
 	readonly failureCounts: Map<number, number>;
+	/** Number of attempts that ended with an unknown outcome. */
+	unknownEnds: number;
 	/** Names of the agents on which a run failed or was ended early, by task index. */
 	readonly avoidedAgents: Map<number, string[]>;
 };
@@ -45,6 +47,7 @@
 		hasQuota: false,
 		sentRuns: new Map(),
 		failureCounts: new Map(),
+		unknownEnds: 0,
 		avoidedAgents: new Map(),
 	};
 }
--- a/src/request/retry-rules.ts
+++ b/src/request/retry-rules.ts
@@ -24,6 +24,9 @@
 	classifyEnd(openJob: OpenJob, start: SentStart, end: SentStartOutcome): AttemptEnd;
 };
 
+/** Number of unknown outcomes after which a single request is not sent to another upstream. */
+const maxUnknownEnds = 3;
+
 /** Creates rules with full budgets. */
 export function createRetryRules({clock, lostTasks}: RetryRulesHost): RetryRules {
 	const retryBudgets = createRetryBudgets();
@@ -57,9 +60,11 @@
 		return openJob.request.maxFailedRuns !== undefined && isFeasible(openJob.queued, clock.now());
 	}
 
-	// Only a single request that is idempotent may run again after an unknown outcome.
+	// Only a single request that is idempotent may run again after an unknown outcome. The request itself may be the cause, so
+	// the budget that all requests of a service share does not suffice as a limit.
 	function tryRetry(openJob: OpenJob): boolean {
-		return openJob.request.isSingleRequest && openJob.rules.submission.idempotent && getBudget(openJob).trySpend();
+		openJob.unknownEnds++;
+		return openJob.request.isSingleRequest && openJob.rules.submission.idempotent && openJob.unknownEnds < maxUnknownEnds && getBudget(openJob).trySpend();
 	}
 
 	function getBudget({rules}: OpenJob): RetryBudget {
--- a/test/request/coordinator.test.ts
+++ b/test/request/coordinator.test.ts
@@ -6,6 +6,7 @@
 import {createMemoryPlatform} from '../../src/process/platform/memory.js';
 import {createCoordinator} from '../../src/request/coordinator.js';
 import type {Coordinator} from '../../src/request/coordinator-types.js';
+import type {SubmissionRequest} from '../../src/request/submission-rules.js';
 import type {JobHandle} from '../../src/request/tracked-job.js';
 import {createResourceScheduler} from '../../src/request/resource-scheduler.js';
 import {createTicketIssuer} from '../../src/request/ticket.js';
@@ -18,7 +19,7 @@
 		kind: 'team', name: 't', maxTasks: 100, weight: 1,
 	},
 	{
-		kind: 'policy', name: 'p', placement: 'response', maxQueuedTasks: 100, taskTimeout: 1000, deadline: 60_000, retryPercent: 0, recordBeforeStart: false,
+		kind: 'policy', name: 'p', placement: 'response', maxQueuedTasks: 100, taskTimeout: 1000, deadline: 60_000, retryPercent: 100, recordBeforeStart: false,
 	},
 	{
 		kind: 'service', name: 's', policy: 'p', maxTasksPerJob: 10, maxPayload: 10,
@@ -26,6 +27,9 @@
 	{
 		kind: 'submission', name: 'check', service: 's', team: 't', idempotent: false, deadline: 60_000, expectedRun: 1,
 	},
+	{
+		kind: 'submission', name: 'look-up', service: 's', team: 't', idempotent: true, deadline: 60_000, expectedRun: 1,
+	},
 ];
 
 type Fixture = {
@@ -34,6 +38,8 @@
 	readonly starts: TaskStart[];
 	readonly stops: number[];
 	submit(tasks: number, expectedRun: Milliseconds, maxFailures: number): JobHandle;
+	/** Submits a single idempotent request. */
+	submitLookUp(): JobHandle;
 	end(start: TaskStart, outcome: TaskOutcome): void;
 };
 
@@ -77,32 +83,32 @@
 	session.receiveState({
 		draining: false, running: 0, slots: 1, meanRunMs: 0, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: capacity, receivedStarts: 0, soundness: 0, clockMs: 0,
 	});
+	const submitRequest = (req: Pick<SubmissionRequest, 'submission' | 'payloads' | 'isSingleRequest'> & Partial<SubmissionRequest>): JobHandle => {
+		const [ticket] = issuer.issue('c', 1);
+		const outcome = coordinator.submit({name: 'c', team: 't'}, {
+			ticket: ticket!, reference: 'r', deadlineMs: 1000, digest: 'd', need: {resources: {cpu: 1000, memory: 1, accelerators: 0}}, ...req,
+		});
+		if (outcome.kind !== 'accepted') {
+			throw new Error(outcome.kind);
+		}
+
+		return outcome.job;
+	};
+
 	return {
 		clock,
 		coordinator,
 		starts,
 		stops,
-		submit(tasks, expectedRun, maxFailures) {
-			const [ticket] = issuer.issue('c', 1);
-			const outcome = coordinator.submit({name: 'c', team: 't'}, {
-				ticket: ticket!,
-				submission: 'check',
-				reference: 'r',
-				deadlineMs: 1000,
-				payloads: Array.from({length: tasks}, () => new Uint8Array()),
-				isSingleRequest: false,
-				digest: 'd',
-				expectedRun,
-				need: {resources: {cpu: 1000, memory: 1, accelerators: 0}},
-				objective: {stretch: 1.6, margin: 60},
-				maxFailedRuns: maxFailures,
-			});
-			if (outcome.kind !== 'accepted') {
-				throw new Error(outcome.kind);
-			}
-
-			return outcome.job;
-		},
+		submit: (tasks, expectedRun, maxFailures) => submitRequest({
+			submission: 'check',
+			payloads: Array.from({length: tasks}, () => new Uint8Array()),
+			isSingleRequest: false,
+			expectedRun,
+			objective: {stretch: 1.6, margin: 60},
+			maxFailedRuns: maxFailures,
+		}),
+		submitLookUp: () => submitRequest({submission: 'look-up', payloads: [new Uint8Array()], isSingleRequest: true}),
 		end(start, outcome) {
 			results++;
 			session.receiveResult({
@@ -149,3 +155,25 @@
 		t.deepEqual(stops, starts.map(({seq}) => seq));
 	});
 });
+
+// Issue 24: a request that crashes each upstream must not go through all of them while the retry budget lasts.
+describe('coordinator of single idempotent requests', () => {
+	it('sends a request to at most three upstreams while its outcome stays unknown', t => {
+		const {starts, submitLookUp, end} = createFixture();
+		const job = submitLookUp();
+		for (const start of starts) {
+			end(start, TaskOutcome.TASK_OUTCOME_UNKNOWN);
+		}
+
+		t.is(starts.length, 3);
+		t.is(job.tryGetAnswer()?.diagnostic?.kind, 'TaskMayHaveRun');
+	});
+
+	it('sends a request again after a single unknown outcome', t => {
+		const {starts, submitLookUp, end} = createFixture();
+		const job = submitLookUp();
+		end(starts[0]!, TaskOutcome.TASK_OUTCOME_UNKNOWN);
+		end(starts[1]!, TaskOutcome.TASK_OUTCOME_COMPLETED);
+		t.is(job.tryGetAnswer()?.state, 'complete');
+	});
+});
