Treat a start whose connection was refused as not sent

Such a client must not send an unsafe request again.

Cause: each failed call to an executor counted as a call that may have arrived. The agent waited half a second for the lease to expire and then reported the task as aborted, which counts as a run. A refused connection never carried a request.

Change: the client of the executor tells the two apart, and the agent reports the task as refused at once, so it is placed elsewhere without delay and does not count as a loss.

Evidence: the new test of leased upstreams failed before.

--- a/src/platform/executor-client.ts
+++ b/src/platform/executor-client.ts
@@ -68,13 +68,18 @@
 
 function readCommandOutcome(answer: HttpResponse | Error): WithExecutorTime<CommandOutcome> {
 	if (answer instanceof Error) {
-		return {outcome: {kind: 'no-answer', detail: answer.message}, executorTime: undefined};
+		return {outcome: {kind: isConnectionRefused(answer) ? 'not-sent' : 'no-answer', detail: answer.message}, executorTime: undefined};
 	}
 
 	const body = readJson(replySchema, answer.text).unwrapOr<z.infer<typeof replySchema>>({});
 	return {outcome: toOutcome(answer, body.reason), executorTime: body['clock-ms']};
 }
 
+function isConnectionRefused(err: Error): boolean {
+	const cause: unknown = VError.cause(err);
+	return cause instanceof Error && 'code' in cause && cause.code === 'ECONNREFUSED';
+}
+
 function toOutcome({status, text}: HttpResponse, reason: string | undefined): CommandOutcome {
 	switch (status) {
 		case 200: {
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -241,6 +241,12 @@
 				return true;
 			}
 
+			case 'not-sent': {
+				unavailableUntil = clock.now() + unavailableBackoffMs;
+				endRun(run, TaskOutcome.TASK_OUTCOME_REFUSED, `the order was not sent: ${outcome.detail}`, RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE);
+				return true;
+			}
+
 			case 'no-answer': {
 				log.info({task: run.task, run: run.run, detail: outcome.detail}, 'order to start without an answer');
 				await resolveUnansweredStart(run, usedFencingToken);
--- a/test/process/fake-executor.ts
+++ b/test/process/fake-executor.ts
@@ -60,7 +60,7 @@
 /** Detail of the end of a run that was lost in a crash. */
 export const crashedDetail = 'crashed';
 
-type NoAnswer = {readonly kind: 'no-answer'; readonly detail: string};
+type NoAnswer = {readonly kind: 'no-answer' | 'not-sent'; readonly detail: string};
 
 const responseTimeMs: Milliseconds = 1;
 const timeoutMs: Milliseconds = 150;
@@ -275,7 +275,7 @@
 		const isSameIncarnation = () => !isDown && executor.startedAt === startedAt;
 		if (isDown) {
 			await wait(responseTimeMs);
-			return {outcome: {kind: 'no-answer', detail: 'connection refused'}, executorTime: undefined};
+			return {outcome: {kind: 'not-sent', detail: 'connection refused'}, executorTime: undefined};
 		}
 
 		const isUnanswered = executor.unansweredCalls[kind] > 0;
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -178,6 +178,18 @@
 		});
 	});
 
+	// Issue 24: jobs whose start calls met a crashed executor were answered with an unknown outcome, half a second later.
+	describe('a start call whose connection was refused', () => {
+		it('is reported as refused at once, since it was never sent', async t => {
+			const fixture = await createFixture(t);
+			fixture.executor.crash(3000);
+			fixture.start('a');
+			await fixture.runFor(20);
+			t.is(fixture.results[0]?.outcome, TaskOutcome.TASK_OUTCOME_REFUSED);
+			t.is(fixture.executor.runs.length, 0);
+		});
+	});
+
 	describe('a start call without a response', () => {
 		it('is reported as refused if it had no effect, and never takes effect later', async t => {
 			const fixture = await createFixture(t);
