Follow the resources that an executor announces while it runs

What callers would see: an executor that has shrunk is sent the work of its first announcement. One that does not guard its resources is overloaded; one that does refuses start after start, and the jobs go round in circles until their deadline.

Cause: an announcement was used only if it named another incarnation; the resources of later ones were ignored. The class of fault: a fact that can change was read once, at the start of a life. Looked for elsewhere: the labels and the address of an incarnation cannot change, its state was followed already, and slots and drain come with the configuration.

Change: the agent's limiter takes each change, stores it for the next agent process, and reports the capacity with its state, so entries check requirements against the present one. If an executor refuses a start for lack of resources before its next heartbeat, the agent uses no more than it does then until a heartbeat says how much there is, or for two seconds.

--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -176,7 +176,7 @@
 			labels: [], upstreamIncarnation: '',
 		});
 		session.receiveState({
-			draining: false, running: 0, slots, meanRunMs: 100, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: undefined, receivedStarts: 0, soundness: 0, clockMs: 0,
+			draining: false, running: 0, slots, meanRunMs: 100, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: undefined, capacity: undefined, receivedStarts: 0, soundness: 0, clockMs: 0,
 		});
 		session.receiveGrantedCredits(slots);
 	}
@@ -369,7 +369,7 @@
 const stateBytes = AgentBatch.encode({
 	hello: undefined,
 	state: {
-		draining: false, running: 8, slots: 8, meanRunMs: 100, failedPerMille: 0, configVersion: 100, free: 1, freeRoom: undefined, receivedStarts: 0, soundness: 0, clockMs: 0,
+		draining: false, running: 8, slots: 8, meanRunMs: 100, failedPerMille: 0, configVersion: 100, free: 1, freeRoom: undefined, capacity: undefined, receivedStarts: 0, soundness: 0, clockMs: 0,
 	},
 	granted: 100_000,
 	results: [],
--- a/src/connection/resource-limiter.ts
+++ b/src/connection/resource-limiter.ts
@@ -25,6 +25,14 @@
 export type ResourceLimiter = CreditGranter & {
 	/** Returns the resources that no run uses; none while draining or while the upstream is not usable. */
 	getFreeResources(): Resources;
+	/** Sets the resources of the upstream, which have changed. Runs that exceed them continue. */
+	setCapacity(capacity: Resources): void;
+	/**
+	 * Records that the upstream has refused a start for lack of resources, so it has less than it has announced. Until the
+	 * capacity is set again, no more is used than is used now.
+	 */
+	recordShortage(): void;
+	getCapacity(): Resources;
 };
 
 /** An entry with an open link, which may be notified of free resources. */
@@ -45,9 +53,10 @@
 const answerTimeoutMs: Milliseconds = 15;
 
 /** Creates the limiter of an upstream with the given total `capacity`. */
-export function createResourceLimiter(host: ResourceLimiterHost, capacity: Resources): ResourceLimiter {
+export function createResourceLimiter(host: ResourceLimiterHost, initialCapacity: Resources): ResourceLimiter {
 	/** In the order in which they are notified. */
 	const candidates = new Map<string, Candidate>();
+	let capacity = initialCapacity;
 	let usedResources = noResources;
 	let isUsable = true;
 	let isDraining = false;
@@ -111,6 +120,14 @@
 		getOutstandingCredits: () => 0,
 		getFreeSlots: () => 0,
 		getFreeResources: computeFreeResources,
+		setCapacity(newCapacity) {
+			capacity = newCapacity;
+			notifyAgain();
+		},
+		recordShortage() {
+			capacity = usedResources;
+		},
+		getCapacity: () => capacity,
 	};
 
 	function computeFreeResources(): Resources {
--- a/src/connection/resources.ts
+++ b/src/connection/resources.ts
@@ -23,3 +23,8 @@
 export function fits(need: Resources, available: Resources): boolean {
 	return need.cpu <= available.cpu && need.memory <= available.memory && need.accelerators <= available.accelerators;
 }
+
+/** Whether two amounts are the same. */
+export function areEqualResources(a: Resources, b: Resources): boolean {
+	return a.cpu === b.cpu && a.memory === b.memory && a.accelerators === b.accelerators;
+}
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -19,7 +19,7 @@
 	readonly rack: string;
 	/** Number of tasks that the upstream can run concurrently. */
 	readonly slots: number;
-	/** Total resources of the upstream; undefined if slots limit it instead. */
+	/** Total resources of the upstream when its link opened; undefined if slots limit it instead. */
 	readonly capacity?: Resources;
 	/** Properties that a task may require. */
 	readonly labels?: readonly string[];
@@ -59,6 +59,8 @@
 	readonly free?: number;
 	/** Resources that no run uses; undefined if slots limit the upstream. */
 	readonly freeRoom?: Resources;
+	/** Total resources of the upstream, which may change; undefined if slots limit it. */
+	readonly capacity?: Resources;
 	/** Number of starts that the agent had received from this entry on the open link when it sent this status. */
 	readonly receivedStarts?: number;
 	/** The agent's classification of its upstream; healthy if undefined. */
--- a/src/process/agent-types.ts
+++ b/src/process/agent-types.ts
@@ -24,7 +24,7 @@
 	readonly timing?: LinkTiming;
 	/** Detects pauses of this process, after which the agent reopens its links; undefined disables this. */
 	readonly pauseDetector?: PauseDetector;
-	/** Resources of the upstream. If given, they bound the runs on it instead of its slots. */
+	/** Resources of the upstream at first. If given, they bound the runs on it instead of its slots. */
 	readonly capacity?: Resources;
 	/** Properties of the upstream that a task may require. */
 	readonly labels?: readonly string[];
@@ -50,6 +50,10 @@
 	setUpstreamLeaving(isLeaving: boolean): void;
 	/** Records the projected slowdowns of the current runs: projected divided by declared run time. */
 	recordProjectedSlowdowns(projections: readonly number[]): void;
+	/** Sets the resources of the upstream, which have changed. */
+	setCapacity(capacity: Resources): void;
+	/** Records that the upstream has refused a start for lack of resources, so it has less than it has announced. */
+	recordShortage(): void;
 	/** Reports new losses of the upstream to the entries. */
 	reportLosses(): void;
 	/** Called when the upstream may be unreachable. Offers no slots until the upstream answers a probe. */
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -7,13 +7,15 @@
 import {createEntrySessions, type RunResult} from '../connection/entry-sessions.js';
 import {relaxedTiming} from '../connection/link-timing.js';
 import {createResourceLimiter} from '../connection/resource-limiter.js';
-import {noResources} from '../connection/resources.js';
+import {areEqualResources, noResources} from '../connection/resources.js';
 import type {AgentInfo, CreditGranter} from '../connection/types.js';
 import {
 	RefusalReason, Soundness as HealthState, TaskOutcome, type AgentState, type ConfigUpdate, type TaskStart,
 } from '../generated/kingcuplane.js';
 import {formatAddress} from './address.js';
-import {every, sleep, type Milliseconds} from './clock.js';
+import {
+	every, sleep, type Milliseconds, type Timer,
+} from './clock.js';
 import {createUpstreamHealth} from './upstream-health.js';
 import type {AgentHost, Agent, DrainReport} from './agent-types.js';
 
@@ -22,6 +24,8 @@
 const resultRetentionMs: Milliseconds = 60_000;
 const probeIntervalMs: Milliseconds = 200;
 const drainCheckIntervalMs: Milliseconds = 10;
+/** Time after a start that was refused for lack of resources for which no more than was used then is used. */
+const shortageMs: Milliseconds = 2000;
 
 /** Starts an agent. It offers the slots of the upstream once the upstream is reachable. */
 export function createAgent(host: AgentHost): Agent {
@@ -40,6 +44,8 @@
 	let failedShare = 0;
 	let reportedHealth: HealthState = HealthState.SOUNDNESS_SOUND;
 	const health = createUpstreamHealth(clock);
+	let announcedCapacity = host.capacity;
+	let shortageTimer: Timer | undefined;
 
 	const resourceLimiter = host.capacity === undefined
 		? undefined
@@ -109,11 +115,17 @@
 			health.recordProjectedSlowdowns(projections);
 			reportHealthChange();
 		},
+		setCapacity(newCapacity) {
+			announcedCapacity = newCapacity;
+			restoreCapacity();
+		},
+		recordShortage,
 		reportLosses: broadcastState,
 		probeUpstream() {
 			void probe();
 		},
 		stop() {
+			shortageTimer?.cancel();
 			unsubscribeFromPauses?.();
 			heartbeatTimer.cancel();
 			links.stop();
@@ -176,6 +188,24 @@
 		}
 	}
 
+	function restoreCapacity(): void {
+		shortageTimer?.cancel();
+		shortageTimer = undefined;
+		if (resourceLimiter !== undefined && announcedCapacity !== undefined && !areEqualResources(resourceLimiter.getCapacity(), announcedCapacity)) {
+			resourceLimiter.setCapacity(announcedCapacity);
+			broadcastState();
+		}
+	}
+
+	// The next announcement says how much the upstream has. Without one, the start is tried again after a while.
+	function recordShortage(): void {
+		resourceLimiter?.recordShortage();
+		host.log.info({announced: announcedCapacity, used: resourceLimiter?.getCapacity()}, 'the upstream has less capacity than announced');
+		shortageTimer?.cancel();
+		shortageTimer = clock.after(shortageMs, restoreCapacity);
+		broadcastState();
+	}
+
 	function reportHealthChange(): void {
 		const state = health.getState();
 		if (state !== reportedHealth) {
@@ -233,6 +263,7 @@
 			receivedStarts: 0,
 			soundness: health.getState(),
 			clockMs: clock.now(),
+			capacity: resourceLimiter?.getCapacity(),
 		};
 	}
 
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -3,6 +3,7 @@
  * about one incarnation never counts for a later one.
  */
 import {toLostTask, type LossLog} from '../connection/loss-log.js';
+import {areEqualResources} from '../connection/resources.js';
 import {LossState, type TaskStart} from '../generated/kingcuplane.js';
 import type {Agent} from './agent-types.js';
 import type {ExecutorInfo} from './executor-types.js';
@@ -16,7 +17,7 @@
 };
 
 /** The events of an upstream that the manager handles. */
-export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onRunsLost' | 'onRecovered'>;
+export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onShortage' | 'onRunsLost' | 'onRecovered'>;
 
 /** Dependencies of the manager. */
 export type ExecutorManagerHost = {
@@ -49,7 +50,7 @@
 
 /** One incarnation of the executor and the agent that serves it. */
 type ManagedExecutor = {
-	readonly executorInfo: ExecutorInfo;
+	executorInfo: ExecutorInfo;
 	readonly upstream: LeasedUpstream;
 	/** Undefined until the executor has been taken over. */
 	agent?: Agent;
@@ -105,6 +106,13 @@
 			return;
 		}
 
+		if (!areEqualResources(current.executorInfo.room, executorInfo.room)) {
+			log.info({executor: executorInfo.id, room: executorInfo.room, roomBefore: current.executorInfo.room}, 'executor capacity changed');
+			current.executorInfo = executorInfo;
+			host.saveAnnouncement({executorInfo, isLeaving});
+		}
+
+		current.agent?.setCapacity(executorInfo.room);
 		if (current.isLeaving !== isLeaving) {
 			current.isLeaving = isLeaving;
 			host.saveAnnouncement({executorInfo, isLeaving});
@@ -134,6 +142,9 @@
 				onUnreachable() {
 					next.agent?.probeUpstream();
 				},
+				onShortage() {
+					next.agent?.recordShortage();
+				},
 				onRunsLost(starts) {
 					log.warn({executor: executorInfo.id, runs: starts.length}, 'runs lost; the executor may have crashed');
 					reportLoss(next, LossState.LOSS_STATE_SUSPECTED, starts);
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -35,6 +35,8 @@
 	onProjectedSlowdowns(projections: readonly number[]): void;
 	/** Called when the executor has stopped responding. */
 	onUnreachable(): void;
+	/** Called when the executor has refused a start for lack of resources. */
+	onShortage(): void;
 	/** Called with the starts whose runs count as lost, because the executor has not responded until its lease expired. */
 	onRunsLost(starts: readonly TaskStart[]): void;
 	/** Called when the executor responds again after runs were lost. */
@@ -222,6 +224,7 @@
 
 			case 'no-room': {
 				endRun(run, TaskOutcome.TASK_OUTCOME_REFUSED, 'the executor has no room', RefusalReason.REFUSAL_REASON_FULL);
+				host.onShortage();
 				return true;
 			}
 
--- a/src/request/isolation-pool.ts
+++ b/src/request/isolation-pool.ts
@@ -62,5 +62,5 @@
 		return agent.runningByTicket.size === 1 && agent.runningByTicket.has(ticket);
 	}
 
-	return estimateFreeResources(agent).cpu >= (agent.info.capacity?.cpu ?? 0);
+	return estimateFreeResources(agent).cpu >= agent.capacity.cpu;
 }
--- a/src/request/resource-pool.ts
+++ b/src/request/resource-pool.ts
@@ -12,6 +12,8 @@
 	readonly info: AgentInfo;
 	isDraining: boolean;
 	health: Soundness;
+	/** Total resources in the agent's last report. */
+	capacity: Resources;
 	/** Free resources in the agent's last report. */
 	reportedFreeResources: Resources;
 	/** Time of the agent's last report, on the monotonic clock. */
@@ -30,6 +32,7 @@
 		info: agentInfo,
 		isDraining: false,
 		health: Soundness.SOUNDNESS_SOUND,
+		capacity: agentInfo.capacity ?? noResources,
 		reportedFreeResources: noResources,
 		reportedAt: -Infinity,
 		sentStarts: 0,
@@ -43,6 +46,7 @@
 	agent.reportedAt = now;
 	agent.isDraining = status.draining;
 	agent.health = status.soundness ?? Soundness.SOUNDNESS_SOUND;
+	agent.capacity = status.capacity ?? agent.capacity;
 	agent.reportedFreeResources = status.freeRoom ?? noResources;
 	const received = status.receivedStarts ?? 0;
 	while (agent.unreceivedStarts[0] !== undefined && agent.unreceivedStarts[0].number <= received) {
@@ -104,8 +108,8 @@
 
 /** Whether a task may run on the agent's upstream at all, by its total capacity and labels. */
 export function isEligible(agent: AgentView, requirements: TaskRequirements): boolean {
-	const {capacity: total = noResources, labels = []} = agent.info;
-	return fits(requirements.resources, total) && (requirements.label === undefined || labels.includes(requirements.label));
+	const {labels = []} = agent.info;
+	return fits(requirements.resources, agent.capacity) && (requirements.label === undefined || labels.includes(requirements.label));
 }
 
 /**
@@ -114,7 +118,7 @@
  */
 export function leavesReserve(agent: AgentView, requirements: TaskRequirements, reserve: number): boolean {
 	const remaining = subtractResources(estimateFreeResources(agent), requirements.resources);
-	return remaining.cpu >= (agent.info.capacity ?? noResources).cpu * reserve;
+	return remaining.cpu >= agent.capacity.cpu * reserve;
 }
 
 /** Whether a task probably fits on the agent's upstream now. */
--- a/test/connection/resource-limiter.test.ts
+++ b/test/connection/resource-limiter.test.ts
@@ -27,7 +27,36 @@
 		t.true(limiter.tryAcquire('e', task));
 	});
 
+	it('offers nothing while its runs exceed a capacity that has shrunk, and the rest when it has grown again', t => {
+		const limiter = createResourceLimiter({clock: createFakeClock(), notifyEntry: () => undefined}, capacity);
+		limiter.tryAcquire('e', task);
+		limiter.tryAcquire('e', task);
+		limiter.setCapacity({...capacity, cpu: 2000});
+		t.is(limiter.getFreeResources().cpu, 0);
+		limiter.release('e', task);
+		t.is(limiter.getFreeResources().cpu, 500);
+		limiter.setCapacity(capacity);
+		t.is(limiter.getFreeResources().cpu, 2500);
+	});
+
+	it('uses no more than now after the upstream has refused a start, until its capacity is set again', t => {
+		const limiter = createResourceLimiter({clock: createFakeClock(), notifyEntry: () => undefined}, capacity);
+		limiter.tryAcquire('e', task);
+		limiter.recordShortage();
+		t.false(limiter.tryAcquire('e', {cpu: 1, memory: 0, accelerators: 0}));
+		limiter.release('e', task);
+		t.true(limiter.tryAcquire('e', task));
+		limiter.setCapacity(capacity);
+		t.true(limiter.tryAcquire('e', task));
+	});
+
 	describe('notifies of free resources', () => {
+		it('when the capacity has grown', t => {
+			const {limiter, notified} = createFullUpstream(['a']);
+			limiter.setCapacity({...capacity, cpu: 9000});
+			t.deepEqual(notified, ['a']);
+		});
+
 		it('only entries with waiting tasks', t => {
 			const {limiter, notified} = createFullUpstream(['waiting', 'idle', 'gone']);
 			limiter.setQueued('idle', 0);
--- a/test/process/fake-executor.ts
+++ b/test/process/fake-executor.ts
@@ -37,6 +37,10 @@
 	maxLeaseMs: Milliseconds;
 	/** Identifies this incarnation of the executor. */
 	startedAt: number;
+	/** Number of runs above which the executor refuses starts; undefined if it accepts all. */
+	guardedRuns?: number;
+	/** Number of starts that were refused for that reason. */
+	refusedStarts: number;
 	/** Time for which the executor is down after a crash that a run has caused. */
 	downTimeMs: Milliseconds;
 	/** Chooses the duration and outcome of each run. If undefined, all runs take the default duration and complete. */
@@ -94,6 +98,7 @@
 		clockOffsetMs: initialClockOffsetMs,
 		maxLeaseMs: defaultMaxLeaseMs,
 		startedAt: 1,
+		refusedStarts: 0,
 		downTimeMs: defaultDownTimeMs,
 		crash,
 		getFencingToken: () => highestToken,
@@ -114,6 +119,11 @@
 			}
 
 			if (!getRunning().some(run => run.task === command.task && run.run === command.run)) {
+				if (getRunning().length >= (executor.guardedRuns ?? Infinity)) {
+					executor.refusedStarts++;
+					return {kind: 'no-room'};
+				}
+
 				startRun(command);
 			}
 
