Let the stand-in of an executor crash and change its resources

Two tests over real processes: a task that crashes its executors is started twice, and another entry that is handed the job again gives the same answer without a start; an executor is used as it announces itself at present.

--- a/dev/executor-standin.ts
+++ b/dev/executor-standin.ts
@@ -1,7 +1,8 @@
 /**
  * Stand-in for one executor of the platform: accepts start and stop calls and polls over HTTP and sends heartbeats to
- * its agent. A task's spec is JSON with `ms`, the run time in milliseconds, and `fails`. `GET /events` returns all
- * starts and ends of runs.
+ * its agent. A task's spec is JSON with `ms`, the run time in milliseconds, `fails`, and `crashes` if it ends the executor,
+ * which is back after a while as another incarnation. `GET /events` returns all starts and ends of runs. `PUT /room` sets the
+ * processors.
  */
 import process from 'node:process';
 import {Hono} from 'hono';
@@ -9,7 +10,9 @@
 import {z} from 'zod';
 import {createSystemClock} from '../src/process/clock.js';
 import {readJson} from '../src/process/json.js';
-import {createMemoryExecutor, type ExecutorReply} from './executor.js';
+import {
+	createMemoryExecutor, type ExecutorEvent, type ExecutorReply, type MemoryExecutor,
+} from './executor.js';
 import {runHttpServer, type HttpEnv} from './http-server.js';
 
 type Options = {
@@ -19,9 +22,11 @@
 	readonly service: string;
 	readonly cpu: number;
 	readonly beat: number;
+	readonly down: number;
 };
 
-const specSchema = z.object({ms: z.number(), fails: z.boolean().default(false)});
+const specSchema = z.object({ms: z.number(), fails: z.boolean().default(false), crashes: z.boolean().default(false)});
+const roomSchema = z.object({cpu: z.number()});
 const commandSchema = z.object({
 	task: z.string(), run: z.number(), spec: z.string().optional(), 'expires-at-ms': z.number().optional(), 'fence-token': z.number().optional(),
 });
@@ -35,15 +40,23 @@
 	.option('--service', 'Service whose tasks the executor runs', 'work')
 	.option('--cpu', 'Processors in thousandths of a core', 16_000)
 	.option('--beat', 'Milliseconds between heartbeats', 300)
+	.option('--down', 'Milliseconds from a crash to the next start', 500)
 	.action(async (options: Options) => {
 		const clock = createSystemClock();
-		const startedAt = Math.floor(clock.wall());
-		const executor = createMemoryExecutor(clock, startedAt, spec => readJson(specSchema, spec).unwrapOr({ms: 100, fails: false}));
+		let {cpu} = options;
+		let isDown = false;
+		let startedAt = Math.floor(clock.wall());
+		let executor = launch();
+		const endedEvents: ExecutorEvent[] = [];
 		const app = new Hono<HttpEnv>();
 		app.post('/v1/run-start', async c => toResponse(executor.start(commandSchema.parse(await c.req.json()))));
 		app.post('/v1/run-stop', async c => toResponse(executor.stop(commandSchema.parse(await c.req.json()))));
 		app.post('/v1/hold', async c => toResponse(await executor.poll(pollSchema.parse(await c.req.json()))));
-		app.get('/events', c => c.json(executor.events));
+		app.get('/events', c => c.json([...endedEvents, ...executor.events]));
+		app.put('/room', async c => {
+			({cpu} = roomSchema.parse(await c.req.json()));
+			return c.json({});
+		});
 		const server = await runHttpServer('executor-standin', app, options.listen);
 		let sequence = 0;
 		let state = 'ready';
@@ -55,7 +68,33 @@
 		}, options.beat);
 		await sendHeartbeat();
 
+		function launch(): MemoryExecutor {
+			return createMemoryExecutor({
+				clock,
+				startedAt,
+				readSpec: spec => readJson(specSchema, spec).unwrapOr({ms: 100, fails: false, crashes: false}),
+				onCrash: restart,
+			});
+		}
+
+		function restart(): void {
+			isDown = true;
+			endedEvents.push(...executor.events);
+			server.goDownFor(options.down);
+			clock.after(options.down, () => {
+				isDown = false;
+				sequence = 0;
+				startedAt = Math.floor(clock.wall());
+				executor = launch();
+				void sendHeartbeat();
+			});
+		}
+
 		async function sendHeartbeat(): Promise<void> {
+			if (isDown) {
+				return;
+			}
+
 			sequence++;
 			const body = {
 				upstream: options.service,
@@ -67,7 +106,7 @@
 				'cold-left-ms': 0,
 				seq: sequence,
 				born: startedAt,
-				room: {cpu: options.cpu, 'mem-mb': 65_536, gpu: 0},
+				room: {cpu, 'mem-mb': 65_536, gpu: 0},
 				labels: ['a', 'r1'],
 			};
 			try {
--- a/dev/executor.ts
+++ b/dev/executor.ts
@@ -17,6 +17,18 @@
 export type TaskSpec = {
 	readonly ms: Milliseconds;
 	readonly fails: boolean;
+	/** Whether the task crashes the executor when it ends. */
+	readonly crashes: boolean;
+};
+
+/** Dependencies of an executor. */
+export type MemoryExecutorHost = {
+	readonly clock: Clock;
+	/** When this incarnation started, which identifies it. */
+	readonly startedAt: Milliseconds;
+	readSpec(spec: string): TaskSpec;
+	/** Called when a task crashes the executor; all its runs have ended. */
+	onCrash(): void;
 };
 
 /** The start or the end of one run, for checkers. */
@@ -47,14 +59,14 @@
 	start(command: WireCommand): ExecutorReply;
 	stop(command: WireCommand): ExecutorReply;
 	poll(req: {readonly 'expires-at-ms'?: number; readonly 'fence-token'?: number; readonly 'seen-upto'?: number; readonly 'wait-ms'?: number}): Promise<ExecutorReply>;
-	/** Ends all runs with `lapsed`, as in a crash. */
-	crash(): void;
 };
 
 const maxLeaseMs: Milliseconds = 1000;
 
 /** Creates an executor without runs. */
-export function createMemoryExecutor(clock: Clock, executorStartedAt: Milliseconds, readSpec: (spec: string) => TaskSpec): MemoryExecutor {
+export function createMemoryExecutor({
+	clock, startedAt: executorStartedAt, readSpec, onCrash,
+}: MemoryExecutorHost): MemoryExecutor {
 	const events: ExecutorEvent[] = [];
 	const runs = new Map<string, Run>();
 	const highestEndedRuns = new Map<string, number>();
@@ -115,13 +127,16 @@
 				ended: unacknowledgedEnds,
 			});
 		},
-		crash() {
-			for (const run of runs.values()) {
-				run.end('lapsed');
-			}
-		},
 	};
 
+	function crash(): void {
+		for (const run of runs.values()) {
+			run.end('lapsed');
+		}
+
+		onCrash();
+	}
+
 	function checkFencingToken(commandToken: number | undefined, execute: () => ExecutorReply): ExecutorReply {
 		if ((commandToken ?? 0) < fencingToken) {
 			return refuse('fence');
@@ -152,14 +167,18 @@
 	}
 
 	function startRun({task, run, spec = ''}: WireCommand): void {
-		const {ms, fails} = readSpec(spec);
+		const {ms, fails, crashes} = readSpec(spec);
 		const started: Run = {
 			task, run, startedAt: clock.now(), ms, end,
 		};
 		runs.set(task, started);
 		recordEvent('start');
 		clock.after(ms, () => {
-			end(fails ? 'failed' : 'done');
+			if (crashes && runs.get(task) === started) {
+				crash();
+			} else {
+				end(fails ? 'failed' : 'done');
+			}
 		});
 
 		function end(outcome: ExecutorEvent['what']): void {
--- a/dev/http-server.ts
+++ b/dev/http-server.ts
@@ -19,6 +19,8 @@
 	readonly url: string;
 	/** Refuses new connections for `duration`. A connection with a request in progress stays open until it is answered. */
 	refuseConnectionsFor(duration: Milliseconds): void;
+	/** Closes all connections and refuses new ones for `duration`, as a process that has crashed and starts again. */
+	goDownFor(duration: Milliseconds): void;
 	/** Stops listening and closes all connections. */
 	close(): Promise<void>;
 };
@@ -39,17 +41,25 @@
 	const url = `http://${formatAddress({host: listen.host, port})}`;
 	logLine(`listening on ${url}`);
 
+	function stopListeningFor(duration: Milliseconds): void {
+		server.close();
+		// A native timer, because it keeps the process alive; timers of the clock do not.
+		setTimeout(() => {
+			server.listen(port, listen.host, () => {
+				logLine(`listening again on ${url}`);
+			});
+		}, duration);
+	}
+
 	return {
 		url,
 		refuseConnectionsFor(duration) {
-			server.close();
+			stopListeningFor(duration);
 			server.closeIdleConnections();
-			// A native timer, because it keeps the process alive; timers of the clock do not.
-			setTimeout(() => {
-				server.listen(port, listen.host, () => {
-					logLine(`listening again on ${url}`);
-				});
-			}, duration);
+		},
+		goDownFor(duration) {
+			stopListeningFor(duration);
+			server.closeAllConnections();
 		},
 		async close() {
 			server.closeAllConnections();
--- a/dev/platform-system.ts
+++ b/dev/platform-system.ts
@@ -36,6 +36,8 @@
 	/** Declared run time; equal to `ms` if undefined. */
 	readonly declaredMs?: Milliseconds;
 	readonly fails?: boolean;
+	/** Whether each task crashes its executor. */
+	readonly crashes?: boolean;
 	readonly deadline?: Milliseconds;
 	readonly cpu?: number;
 };
@@ -71,6 +73,8 @@
 	isReady(entry: number): Promise<boolean>;
 	/** Returns all starts and ends so far in order of time. */
 	getEvents(): Promise<PlatformEvent[]>;
+	/** Sets the processors of an executor, in thousandths, which its next heartbeat announces. */
+	setRoom(executor: number, cpu: number): Promise<void>;
 	setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void>;
 	stop(): Promise<void>;
 };
@@ -108,7 +112,7 @@
 		return {program, url: await waitForUrl(program)};
 	}));
 	const system: PlatformSystem = {
-		storeUrl, entries, agents, executors, publish, submit, isReady, getEvents, setStoreFaults, stop,
+		storeUrl, entries, agents, executors, publish, submit, isReady, getEvents, setRoom, setStoreFaults, stop,
 	};
 	await waitUntilReady(system);
 	return system;
@@ -163,7 +167,7 @@
 
 	async function submit(entry: number, job: PlatformJob, signal?: AbortSignal): Promise<PlatformReply> {
 		const body = JSON.stringify({
-			spec: JSON.stringify({ms: job.ms, fails: job.fails ?? false}),
+			spec: JSON.stringify({ms: job.ms, fails: job.fails ?? false, crashes: job.crashes ?? false}),
 			steps: [{
 				count: job.tasks, cpu: job.cpu ?? 1000, 'mem-mb': 64, 'est-runtime-ms': job.declaredMs ?? job.ms,
 			}],
@@ -212,6 +216,10 @@
 		return lists.flat().toSorted((a, b) => a.at - b.at);
 	}
 
+	async function setRoom(executor: number, cpu: number): Promise<void> {
+		await fetch(`${executors[executor]!.url}/room`, {method: 'PUT', body: JSON.stringify({cpu})});
+	}
+
 	async function setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
 		await fetch(`${storeUrl}/faults`, {method: 'POST', body: JSON.stringify(faults)});
 	}
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -62,6 +62,38 @@
 		t.is(countStarts(await system.getEvents(), formatJobName(1)), 2);
 	});
 
+	// Issue 24: such a task took executor after executor until the deadline of its job.
+	itSerial('report a job as failed after its task has crashed two executors, and serve others', async t => {
+		const system = await startSystem(t, 2, 3);
+		const reply = await system.submit(0, {
+			name: formatJobName(1), tasks: 1, ms: 50, crashes: true, deadline: 12_000,
+		});
+		t.is(reply?.body, '{"state":"failed"}');
+		// The other entry knows of the crashes.
+		const repeated = await system.submit(1, {
+			name: formatJobName(1), tasks: 1, ms: 50, crashes: true, deadline: 12_000,
+		});
+		t.is(repeated?.body, '{"state":"failed"}');
+		t.is(countStarts(await system.getEvents(), formatJobName(1)), 2);
+		const other = await system.submit(0, {
+			name: formatJobName(2), tasks: 2, ms: 50, deadline: 5000,
+		});
+		t.is(other?.status, 200);
+	});
+
+	itSerial('use as much of an executor as it announces at present', async t => {
+		const system = await startSystem(t, 1, 1);
+		const job = {tasks: 1, ms: 50, cpu: 8000};
+		const before = await system.submit(0, {name: formatJobName(1), ...job});
+		await system.setRoom(0, 4000);
+		await sleep(1000);
+		const reduced = await system.submit(0, {name: formatJobName(2), ...job});
+		await system.setRoom(0, 16_000);
+		await sleep(1000);
+		const after = await system.submit(0, {name: formatJobName(3), ...job});
+		t.deepEqual([before?.status, reduced?.status, after?.status], [200, 503, 200]);
+	});
+
 	itSerial('refuse a job that cannot run at once, with a time to retry', async t => {
 		const system = await startSystem(t, 1, 1);
 		const reply = await system.submit(0, {
