--- a/dev/failures.ts
+++ b/dev/failures.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the coordination logic under random faults on a fake clock. For each seed whose run violates a rule, it prints
  * the smallest set of faults found that still violates the rule, and the events that concern the first violation.
- * Usage: npm run failures -- --seed N --runs M [--leased]
+ * Usage: npm run failures -- --seed N --runs M [--leased [--executors]]
  */
 import process from 'node:process';
 import sade from 'sade';
@@ -16,6 +16,7 @@
 	readonly runs: number;
 	readonly whole: boolean;
 	readonly leased: boolean;
+	readonly executors: boolean;
 };
 
 const violatedRuleCounts = new Map<string, number>();
@@ -26,6 +27,7 @@
 	.option('--runs', 'Number of runs, each with the next seed', 100)
 	.option('--whole', 'Explain a violated rule with all faults of its run instead of the smallest set', false)
 	.option('--leased', 'Run the logic as on the users\' platform, with executors under leases', false)
+	.option('--executors', 'With --leased: executors also crash and change their resources', false)
 	.action(run)
 	.parse(process.argv);
 
@@ -33,10 +35,10 @@
 	await (options.leased ? runLeasedSeeds(options) : runSeeds(options));
 }
 
-async function runLeasedSeeds({seed: firstSeed, runs}: Options): Promise<void> {
+async function runLeasedSeeds({seed: firstSeed, runs, executors: hasExecutorFaults}: Options): Promise<void> {
 	let failed = 0;
 	for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
-		const {violations, faults} = await runLeasedFailures(seed);
+		const {violations, faults} = await runLeasedFailures(seed, {hasExecutorFaults});
 		if (violations.length > 0) {
 			failed++;
 			console.log([`seed ${seed}`, ...violations.map(({rule, subject, detail}) => `  ${rule}: ${subject}: ${detail}`), ...faults.map(fault => `  ${fault}`)].join('\n'));
--- a/test/failure/leased.test.ts
+++ b/test/failure/leased.test.ts
@@ -37,7 +37,7 @@
 
 describe('random failure runs under leases', () => {
 	it('violate no guarantee without faults', async t => {
-		const {violations} = await runLeasedFailures(1, true);
+		const {violations} = await runLeasedFailures(1, {isCalm: true});
 		t.deepEqual(violations, []);
 	});
 
@@ -48,6 +48,14 @@
 		}
 	});
 
+	// Issue 24: tasks that crash their executors and changing processors, beside all other faults.
+	it(`violate no guarantee while executors crash and change, seeds 1 to ${seeds}`, async t => {
+		for (let seed = 1; seed <= seeds; seed++) {
+			const {violations, faults} = await runLeasedFailures(seed, {hasExecutorFaults: true});
+			t.deepEqual(violations, [], `seed ${seed}; its faults:\n${faults.join('\n')}`);
+		}
+	});
+
 	for (const seed of failedOnce) {
 		it(`violate no guarantee, seed ${seed}, which failed once`, async t => {
 			const {violations} = await runLeasedFailures(seed);
@@ -60,7 +68,7 @@
 			it(name, async t => {
 				let isDetected = false;
 				for (let seed = 1; seed <= defectSeeds && !isDetected; seed++) {
-					const {violations} = await runLeasedFailures(seed, false, defects);
+					const {violations} = await runLeasedFailures(seed, {defects});
 					isDetected = violations.some(({rule}) => rule === brokenRule);
 				}
 
--- a/test/failure/leased/run.ts
+++ b/test/failure/leased/run.ts
@@ -8,7 +8,7 @@
 import {findLeasedViolations, type LeavingPeriod} from './checker.js';
 import {createClients, type Clients} from './clients.js';
 import {
-	agentNames, createLeasedCluster, entryNames, type LeasedCluster, type InjectedDefects,
+	agentNames, createLeasedCluster, entryNames, executorCpu, taskCpu, type LeasedCluster, type InjectedDefects,
 } from './cluster.js';
 
 /** Result of a run. */
@@ -23,6 +23,7 @@
 const faultWindowMs: Milliseconds = 10_000;
 const maxFaultMs: Milliseconds = 4000;
 const faultCount = 8;
+const executorFaultCount = 8;
 /** Delay of slow start calls to an executor, whose timeout is 150 ms. */
 const slowCallMs: Milliseconds = 100;
 const arrivalMs: Milliseconds = 100;
@@ -30,8 +31,17 @@
 /** Long enough for the time limit of the last job and for the longest delay of a late command, with a margin. */
 const recoverMs: Milliseconds = 14_000;
 
-/** Runs the load and, unless `isCalm`, injects the faults of a seed. */
-export async function runLeasedFailures(seed: number, isCalm = false, defects: InjectedDefects = {}): Promise<LeasedReport> {
+/** Which faults a run injects. */
+export type FailureOptions = {
+	/** Whether no faults are injected. */
+	readonly isCalm?: boolean;
+	readonly defects?: InjectedDefects;
+	/** Whether executors also crash, by themselves and under tasks, and change their processors. */
+	readonly hasExecutorFaults?: boolean;
+};
+
+/** Runs the load and injects the faults of a seed. */
+export async function runLeasedFailures(seed: number, {isCalm = false, defects = {}, hasExecutorFaults = false}: FailureOptions = {}): Promise<LeasedReport> {
 	const clients: Clients = createClients(() => cluster);
 	const cluster = await createLeasedCluster(seed, clients.breakConnections, defects);
 	const randomSource = createRandomSource(seed);
@@ -54,11 +64,21 @@
 		});
 	}
 
+	if (hasExecutorFaults) {
+		scheduleExecutorFaults(cluster, clients, createRandomSource(seed), faults);
+	}
+
 	await cluster.advance(faultWindowMs + recoverMs);
 	for (const executor of cluster.executors.values()) {
 		executor.sampleRun = () => ({length: 100, fails: false});
 	}
 
+	for (const name of agentNames) {
+		if (cluster.rooms.get(name)!.length > 1) {
+			cluster.setRoom(name, executorCpu);
+		}
+	}
+
 	const probes = Array.from({length: 3}, () => clients.submit(agentNames.length));
 	await cluster.advance(probeTimeMs);
 	const violations = [...findLeasedViolations(cluster, clients.jobs, leavingPeriods, isCalm), ...checkLeftovers(cluster)];
@@ -76,6 +96,40 @@
 	};
 }
 
+/** Executors that crash, by themselves or under the tasks of some jobs, and that change their processors. */
+function scheduleExecutorFaults(cluster: LeasedCluster, clients: Clients, randomSource: RandomSource, faults: string[]): void {
+	const {clock} = cluster.sim;
+	for (let i = 0; i < executorFaultCount; i++) {
+		const agent = randomSource.pick(agentNames);
+		const executor = cluster.executors.get(agent)!;
+		const cpu = randomSource.pick([taskCpu, 2 * taskCpu, executorCpu]);
+		const downTime = randomSource.integer(200, maxFaultMs);
+		const tasks = randomSource.integer(1, 8);
+		const kind = randomSource.pick(['crash', 'room', 'crashing-job'] as const);
+		clock.after(randomSource.integer(0, faultWindowMs), () => {
+			faults.push(`${Math.round(clock.now())} ${kind} ${JSON.stringify({
+				agent, cpu, downTime, tasks,
+			})}`);
+			switch (kind) {
+				case 'crash': {
+					executor.crash(downTime);
+					break;
+				}
+
+				case 'room': {
+					cluster.setRoom(agent, cpu);
+					break;
+				}
+
+				case 'crashing-job': {
+					clients.submit(tasks, {isCrashing: true});
+					break;
+				}
+			}
+		});
+	}
+}
+
 function checkLeftovers(cluster: LeasedCluster): Violation[] {
 	const violations: Violation[] = [];
 	for (const [name, executor] of cluster.executors) {
