Say that a job handed in again may have run, and log when tasks are isolated

A job whose runs were lost under another ticket was refused with "not run" if it could not be admitted again; two new tests of three failed or would have without the change ("does not say that it has not run": not-run instead of may-have-run). Entries log when they begin and cease to isolate tasks and which submission object they suspect; agents count lost, crashed and recovered executors.

--- a/src/connection/loss-log.ts
+++ b/src/connection/loss-log.ts
@@ -106,10 +106,14 @@
 			}
 		},
 		getReportsSince(position) {
-			const reports = [...losses.values()].filter(loss => loss.position > position).map(loss => toReport(loss));
-			return {reports, position: lastPosition};
+			// Called with each batch of a link; mostly nothing has changed.
+			const changed = position === lastPosition ? [] : [...losses.values()].filter(loss => loss.position > position);
+			return {reports: changed.map(loss => toReport(loss)), position: lastPosition};
+		},
+		hasJob(job) {
+			deleteExpired();
+			return lossesByJob.has(job);
 		},
-		hasJob: job => lossesByJob.has(job),
 		count,
 		hasRepeatedLosses: suspects.hasRepeatedLosses,
 		tryGetSuspectSubmission: suspects.tryGet,
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -38,6 +38,7 @@
 	const lossLog = createLossLog(clock);
 	const manager = createExecutorManager({
 		log,
+		metrics,
 		lossLog,
 		createUpstream: (executorInfo, events) => createLeasedUpstream({
 			clock,
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -24,7 +24,7 @@
 import {createEntryDirectory} from './entry-directory.js';
 import {createEntryReports} from './entry-reports.js';
 import {createHttpApi} from './http-api.js';
-import {createJobTelemetry} from './job-telemetry.js';
+import {createIsolationTelemetry, createJobTelemetry} from './job-telemetry.js';
 import {holdStartsAfterPauses} from './start-hold.js';
 import type {
 	EntryHost, Entry, DrainReport, ProcessStatus,
@@ -53,6 +53,7 @@
 	const self: EntryAddress = {name: settings.name, incarnation, links: formatAddress(settings.advertise.links)};
 	const agentVersions = new Map<string, number>();
 	const peerStates = new Map<string, PeerState>();
+	const reportIsolation = createIsolationTelemetry(host);
 	let isDraining = false;
 	let isShuttingDown = false;
 	let drainEndsAt = Infinity;
@@ -129,6 +130,7 @@
 		onLossReport(report) {
 			if (coordinator.receiveLossReport(report)) {
 				peers.broadcastLoss(report);
+				reportIsolation(coordinator.getIsolation());
 			}
 		},
 		defer: host.defer,
@@ -323,6 +325,7 @@
 
 	function updateGauges(): void {
 		removeDisconnected();
+		reportIsolation(coordinator.getIsolation());
 		host.metrics.gauge('jobs.open', coordinator.getOpenJobs());
 		host.metrics.gauge('tasks.outstanding', coordinator.sessions.getOutstandingStarts());
 		host.metrics.gauge('links.open', links.getLinkCount());
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -9,6 +9,7 @@
 import type {ExecutorInfo} from './executor-types.js';
 import type {LeasedUpstream, LeasedUpstreamHost} from './leased-upstream.js';
 import type {Log} from './log.js';
+import type {Metrics} from './metrics.js';
 
 /** What the executor last announced about itself. */
 export type ExecutorAnnouncement = {
@@ -22,6 +23,7 @@
 /** Dependencies of the manager. */
 export type ExecutorManagerHost = {
 	readonly log: Log;
+	readonly metrics: Metrics;
 	/** Losses of all incarnations of the executor. */
 	readonly lossLog: LossLog;
 	createUpstream(executorInfo: ExecutorInfo, events: UpstreamEvents): LeasedUpstream;
@@ -48,6 +50,13 @@
 	close(): Promise<void>;
 };
 
+const lossStateNames: Readonly<Record<LossState, string>> = {
+	[LossState.LOSS_STATE_SUSPECTED]: 'suspected',
+	[LossState.LOSS_STATE_CRASHED]: 'crashed',
+	[LossState.LOSS_STATE_ALIVE]: 'alive',
+	[LossState.UNRECOGNIZED]: 'unknown',
+};
+
 /** One incarnation of the executor and the agent that serves it. */
 type ManagedExecutor = {
 	executorInfo: ExecutorInfo;
@@ -173,6 +182,7 @@
 
 	function reportLoss(managed: ManagedExecutor, state: LossState, starts: readonly TaskStart[]): void {
 		host.lossLog.report(getIncarnation(managed), state, starts.map(start => toLostTask(start)));
+		host.metrics.count('executor.lost', 1, {state: lossStateNames[state]});
 		managed.agent?.reportLosses();
 	}
 
--- a/src/process/job-telemetry.ts
+++ b/src/process/job-telemetry.ts
@@ -2,6 +2,7 @@
  * Writes what an entry decides about its jobs to the log and the metrics.
  */
 import type {Decision, CoordinatorHost} from '../request/coordinator-types.js';
+import type {Isolation} from '../request/lost-tasks.js';
 import type {JobHandle} from '../request/tracked-job.js';
 import type {Answer} from '../request/types.js';
 import type {Milliseconds} from './clock.js';
@@ -31,3 +32,16 @@
 		},
 	};
 }
+
+/** Creates a callback that logs and measures changes of the isolation of tasks. */
+export function createIsolationTelemetry({log, metrics}: JobTelemetryHost): (isolation: Isolation) => void {
+	let last: Isolation = {share: 0, suspectSubmission: undefined};
+
+	return isolation => {
+		metrics.gauge('isolated.share', isolation.share);
+		if (isolation.share !== last.share || isolation.suspectSubmission !== last.suspectSubmission) {
+			log.warn({...isolation}, isolation.share === 0 ? 'tasks are no longer isolated' : 'tasks that were lost repeatedly are isolated');
+			last = isolation;
+		}
+	};
+}
--- a/src/request/coordinator-types.ts
+++ b/src/request/coordinator-types.ts
@@ -8,6 +8,7 @@
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {Diagnostic} from '../process/diagnostics.js';
 import type {Snapshot} from '../version/types.js';
+import type {Isolation} from './lost-tasks.js';
 import type {JobHandle} from './tracked-job.js';
 import type {createScheduler} from './scheduler.js';
 import type {Caller, SubmissionRequest} from './submission-rules.js';
@@ -114,4 +115,6 @@
 	applySnapshot(snapshot: Snapshot): void;
 	/** Returns the number of accepted jobs without an answer. */
 	getOpenJobs(): number;
+	/** Returns which tasks are kept apart from those of other jobs at present. */
+	getIsolation(): Isolation;
 };
--- a/src/request/coordinator.ts
+++ b/src/request/coordinator.ts
@@ -43,7 +43,7 @@
 		clock: host.clock,
 		start: startTask,
 		onReportChanged: host.onDemandChanged,
-		getIsolatedShare: lostTasks.getIsolatedShare,
+		getIsolatedShare: () => lostTasks.getIsolation().share,
 		mustIsolate,
 		onInfeasible(ticket, reason) {
 			const openJob = openJobs.get(ticket);
@@ -101,6 +101,7 @@
 			applyRules(scheduler, snapshot);
 		},
 		getOpenJobs: () => openJobs.size,
+		getIsolation: lostTasks.getIsolation,
 	};
 
 	function submit(caller: Caller, req: SubmissionRequest): SubmitOutcome {
@@ -170,9 +171,9 @@
 		const openJob = createOpenJob({
 			tracked: trackedJob, queued, request: req, rules, configVersion,
 		});
-		const lossFailure = lostTasks.tryGetFailure(openJob);
-		const refusal = lossFailure === undefined ? tryGetRefusal(queued) : undefined;
-		if (refusal !== undefined) {
+		const hasRunBefore = lostTasks.log.hasJob(openJob.repeatableName);
+		const refusal = tryGetRefusal(queued);
+		if (refusal !== undefined && !hasRunBefore) {
 			refuse(trackedJob, refusal);
 			return;
 		}
@@ -181,12 +182,13 @@
 		emitDecision(openJob, {
 			kind: 'accepted', submission: req.submission, tasks: queued.taskCount, expectedRun: queued.expectedRun, timeLeft: queued.deadlineAt - queued.arrivedAt, configVersion,
 		});
-		if (lostTasks.log.hasJob(openJob.repeatableName)) {
+		if (hasRunBefore) {
 			trackedJob.job.markRunBefore();
 		}
 
-		if (lossFailure !== undefined) {
-			failJob(openJob, lossFailure);
+		const failure = lostTasks.tryGetFailure(openJob) ?? refusal;
+		if (failure !== undefined) {
+			failJob(openJob, failure);
 			return;
 		}
 
--- a/src/request/lost-tasks.ts
+++ b/src/request/lost-tasks.ts
@@ -13,6 +13,14 @@
 import type {JobFailure} from './job.js';
 import type {OpenJob} from './open-job.js';
 
+/** Which tasks run without tasks of other jobs beside them. */
+export type Isolation = {
+	/** Share of the agents that is reserved for such tasks; none if it is 0. */
+	readonly share: number;
+	/** The submission object all of whose tasks are isolated; undefined if only single tasks are. */
+	readonly suspectSubmission: string | undefined;
+};
+
 /** The lost tasks of the open jobs of one entry. */
 export type LostTasks = {
 	readonly log: LossLog;
@@ -22,12 +30,12 @@
 	tryGetTaskFailure(openJob: OpenJob, index: number): JobFailure | undefined;
 	/** The same for the first such task of a job, among those that are waiting. */
 	tryGetFailure(openJob: OpenJob): JobFailure | undefined;
-	/** Returns the share of the agents that is reserved for tasks which must be isolated; none if it is 0. */
-	getIsolatedShare(): number;
+	getIsolation(): Isolation;
 	/** Whether a task must not run beside tasks of other jobs. */
 	mustIsolate(openJob: OpenJob, index: number): boolean;
 };
 
+const noIsolation: Isolation = {share: 0, suspectSubmission: undefined};
 /** Share of the agents that is reserved while single tasks are isolated, rounded up to whole agents. */
 const singleTasksShare = 0.05;
 /** Share of the agents that is reserved while all tasks of a submission object are isolated, rounded up. */
@@ -60,12 +68,13 @@
 
 			return undefined;
 		},
-		getIsolatedShare() {
+		getIsolation() {
 			if (!log.hasRepeatedLosses()) {
-				return 0;
+				return noIsolation;
 			}
 
-			return log.tryGetSuspectSubmission() === undefined ? singleTasksShare : submissionShare;
+			const suspectSubmission = log.tryGetSuspectSubmission();
+			return {suspectSubmission, share: suspectSubmission === undefined ? singleTasksShare : submissionShare};
 		},
 		mustIsolate({repeatableName, request}, index) {
 			return log.hasRepeatedLosses() && (log.tryGetSuspectSubmission() === request.submission || log.count(repeatableName, index).possible > 1);
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -309,6 +309,7 @@
 		const lossLog = createLossLog(process.clock);
 		const manager = createExecutorManager({
 			log: silentLog,
+			metrics: noMetrics,
 			lossLog,
 			createUpstream(executorInfo, events) {
 				const executor = createExecutorClient(process, executors.get(name)!, executorInfo.bornAt);
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -7,6 +7,7 @@
 import type {ExecutorInfo} from '../../src/process/executor-types.js';
 import {createFakeClock} from '../../src/process/fake-clock.js';
 import type {LeasedUpstream} from '../../src/process/leased-upstream.js';
+import {noMetrics} from '../../src/process/metrics.js';
 import {describe, it} from '../describe.js';
 import {silentLog} from '../silent-log.js';
 
@@ -34,6 +35,7 @@
 		activeStarts: [start],
 		manager: createExecutorManager({
 			log: silentLog,
+			metrics: noMetrics,
 			lossLog,
 			createUpstream(_executorInfo, events) {
 				fixture.events.push(events);
--- a/test/request/coordinator.test.ts
+++ b/test/request/coordinator.test.ts
@@ -1,6 +1,8 @@
 import {unboundedQuota} from '../../src/connection/unbounded-quota.js';
 import {createSnapshot} from '../../src/version/snapshot.js';
-import {RefusalReason, TaskOutcome, type TaskStart} from '../../src/generated/kingcuplane.js';
+import {
+	LossState, RefusalReason, TaskOutcome, type TaskStart,
+} from '../../src/generated/kingcuplane.js';
 import type {Milliseconds} from '../../src/process/clock.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {createMemoryPlatform} from '../../src/process/platform/memory.js';
@@ -156,6 +158,48 @@
 	});
 });
 
+// Issue 24: an entry that is handed a job again must neither start its task once more nor say that it has not run.
+describe('coordinator of a job whose runs were lost under another ticket', () => {
+	function reportLoss(coordinator: Coordinator, upstreamIncarnation: string): void {
+		coordinator.receiveLossReport({
+			upstreamIncarnation,
+			revision: 1,
+			state: LossState.LOSS_STATE_CRASHED,
+			tasks: [{
+				job: 'c/r', index: 0, submission: 'check', expectedRunMs: 100,
+			}],
+		});
+	}
+
+	it('reports it as failed at once if it has crashed enough upstreams', t => {
+		const {coordinator, starts, submit} = createFixture();
+		reportLoss(coordinator, 'u1');
+		reportLoss(coordinator, 'u2');
+		const job = submit(1, 100, 1);
+		t.is(job.tryGetAnswer()?.diagnostic?.kind, 'TaskCrashedUpstreams');
+		t.is(starts.length, 0);
+	});
+
+	it('starts it, and fails it as soon as it is known to have crashed enough upstreams', t => {
+		const {coordinator, starts, submit, end} = createFixture();
+		reportLoss(coordinator, 'u1');
+		const job = submit(1, 100, 1);
+		reportLoss(coordinator, 'u2');
+		t.is(job.tryGetAnswer(), undefined, 'its run may still complete');
+		end(starts[0]!, TaskOutcome.TASK_OUTCOME_ABORTED);
+		t.is(job.tryGetAnswer()?.diagnostic?.kind, 'TaskCrashedUpstreams');
+		t.is(starts.length, 1);
+	});
+
+	it('does not say that it has not run if it cannot be started again', t => {
+		const {coordinator, submit} = createFixture();
+		reportLoss(coordinator, 'u1');
+		const job = submit(1, 10_000, 1);
+		t.is(job.tryGetAnswer()?.diagnostic?.kind, 'DeadlineCannotBeMet');
+		t.is(job.tryGetAnswer()?.ran, 'may-have-run');
+	});
+});
+
 // Issue 24: a request that crashes each upstream must not go through all of them while the retry budget lasts.
 describe('coordinator of single idempotent requests', () => {
 	it('sends a request to at most three upstreams while its outcome stays unknown', t => {
