Suspect a submission object only if chance does not explain its losses

Cause: the object with the highest rate of repeated losses was suspect as soon as two of its jobs were lost twice. Evidence also lapsed while isolation worked: no executor was lost from second 8.8 to 12.2, then a second cascade began.

Agents report runs as possibly lost as soon as connections are refused, half a second earlier; the runs are still restarted only once the lease has expired.

--- a/src/connection/agent-sessions.ts
+++ b/src/connection/agent-sessions.ts
@@ -61,6 +61,8 @@
 	/** Calls `action` for each session whose link is open. */
 	forEachOpen(action: (session: AgentSession) => void): void;
 	tryGet(incarnation: string): AgentSession | undefined;
+	/** Returns the number of agents whose link is open. */
+	getOpenCount(): number;
 	/** Returns the number of starts without an outcome, over all agents. */
 	getOutstandingStarts(): number;
 };
@@ -112,6 +114,7 @@
 			const record = records.get(incarnation);
 			return record?.isOpen ? record.session : undefined;
 		},
+		getOpenCount: () => [...records.values()].filter(record => record.isOpen).length,
 		getOutstandingStarts() {
 			let count = 0;
 			for (const record of records.values()) {
--- a/src/connection/loss-log.ts
+++ b/src/connection/loss-log.ts
@@ -9,7 +9,6 @@
 	LossState, type LossReport, type LostTask, type TaskStart,
 } from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
-import {createSuspectSubmissions} from './suspect-submissions.js';
 
 /** The upstreams that were lost while a task ran on them. */
 export type LossCount = {
@@ -36,13 +35,19 @@
 	/** Whether a run of this job was lost. */
 	hasJob(job: string): boolean;
 	count(job: string, index: number): LossCount;
-	/**
-	 * Whether tasks were lost repeatedly a short while ago. A task that crashes its upstreams is then likely to be among
-	 * them.
-	 */
-	hasRepeatedLosses(): boolean;
-	/** Returns the submission object whose tasks probably crash their upstreams; undefined if there is no such evidence. */
-	tryGetSuspectSubmission(): string | undefined;
+};
+
+/** A lost task, and how often it was lost. */
+export type CountedTask = {
+	readonly task: LostTask;
+	readonly losses: LossCount;
+};
+
+/** Dependencies of the log. */
+export type LossLogHost = {
+	readonly clock: Clock;
+	/** Called with the tasks that were newly lost with an upstream. */
+	onLoss?(upstreamIncarnation: string, tasks: readonly CountedTask[]): void;
 };
 
 type UpstreamLoss = {
@@ -75,10 +80,9 @@
 }
 
 /** Creates an empty log. */
-export function createLossLog(clock: Clock): LossLog {
+export function createLossLog({clock, onLoss}: LossLogHost): LossLog {
 	const losses = new Map<string, UpstreamLoss>();
 	const lossesByJob = new Map<string, Set<UpstreamLoss>>();
-	const suspects = createSuspectSubmissions(clock);
 	let lastPosition = 0;
 
 	return {
@@ -115,8 +119,6 @@
 			return lossesByJob.has(job);
 		},
 		count,
-		hasRepeatedLosses: suspects.hasRepeatedLosses,
-		tryGetSuspectSubmission: suspects.tryGet,
 	};
 
 	function record(report: LossReport): boolean {
@@ -168,8 +170,8 @@
 		}
 
 		loss.jobCount = new Set([...loss.tasks.values()].map(task => task.job)).size;
-		for (const task of newTasks) {
-			suspects.recordLoss(task, count(task.job, task.index).possible > 1);
+		if (newTasks.length > 0) {
+			onLoss?.(loss.upstreamIncarnation, newTasks.map(task => ({task, losses: count(task.job, task.index)})));
 		}
 
 		return isChanged;
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -35,7 +35,7 @@
 	const announcements = createAnnouncementStore({
 		clock, table: store.table, log, machine: machine.name,
 	});
-	const lossLog = createLossLog(clock);
+	const lossLog = createLossLog({clock});
 	const manager = createExecutorManager({
 		log,
 		metrics,
--- a/src/process/executor-poller.ts
+++ b/src/process/executor-poller.ts
@@ -23,6 +23,8 @@
 	hasActiveRuns(): boolean;
 	/** Called with the status that answers a poll sent at `polledAt`. */
 	onStatus(status: ExecutorStatus, polledAt: Milliseconds): void;
+	/** Called when the executor has refused a connection, so it has probably ended. */
+	onConnectionRefused(): void;
 	/** Called when the lease has expired while the executor did not respond. */
 	onLeaseExpired(): void;
 	/** Called after this process was paused for so long that entries may have abandoned its runs. */
@@ -245,6 +247,11 @@
 				return undefined;
 			}
 
+			case 'not-sent': {
+				host.onConnectionRefused();
+				return undefined;
+			}
+
 			default: {
 				log.debug({outcome}, 'the executor did not return its status');
 				return undefined;
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -37,7 +37,7 @@
 	onUnreachable(): void;
 	/** Called when the executor has refused a start for lack of resources. */
 	onShortage(): void;
-	/** Called with the starts whose runs count as lost, because the executor has not responded until its lease expired. */
+	/** Called with the starts whose runs count as lost: connections are refused, or there was no response until the lease expired. */
 	onRunsLost(starts: readonly TaskStart[]): void;
 	/** Called when the executor responds again after runs were lost. */
 	onRecovered(): void;
@@ -97,9 +97,14 @@
 		executorStartedAt: host.executorStartedAt,
 		hasActiveRuns: () => runs.size > 0,
 		onStatus: receiveStatus,
+		onConnectionRefused() {
+			// Tells the entries early. The runs are restarted only once the lease has expired: a cut may look the same.
+			if (!hasLostRuns && runs.size > 0) {
+				reportLostRuns();
+			}
+		},
 		onLeaseExpired() {
-			hasLostRuns = true;
-			host.onRunsLost(getActiveStarts());
+			reportLostRuns();
 			for (const run of runs.values()) {
 				endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, 'the executor does not answer; its lease has run out', RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE);
 			}
@@ -158,6 +163,11 @@
 		},
 	};
 
+	function reportLostRuns(): void {
+		hasLostRuns = true;
+		host.onRunsLost(getActiveStarts());
+	}
+
 	function getActiveStarts(): readonly TaskStart[] {
 		return [...runs.values()].map(run => run.start);
 	}
--- a/src/request/coordinator.ts
+++ b/src/request/coordinator.ts
@@ -36,7 +36,7 @@
 	const openJobs = new Map<string, OpenJob>();
 	/** Times of the answers on the monotonic clock, by ticket, oldest first. */
 	const answeredAt = new Map<string, Milliseconds>();
-	const lostTasks = createLostTasks(host.clock);
+	const lostTasks = createLostTasks({clock: host.clock, getUpstreamCount: () => sessions.getOpenCount()});
 	const retryRules = createRetryRules({clock: host.clock, lostTasks});
 
 	const scheduler = (host.createScheduler ?? createScheduler)({
--- a/src/request/lost-tasks.ts
+++ b/src/request/lost-tasks.ts
@@ -6,6 +6,7 @@
 import {
 	createLossLog, isCrashProven, isLossLimitReached, type LossLog,
 } from '../connection/loss-log.js';
+import {createSuspectSubmissions} from '../connection/suspect-submissions.js';
 import type {AgentInfo} from '../connection/types.js';
 import type {LossReport} from '../generated/kingcuplane.js';
 import type {Clock} from '../process/clock.js';
@@ -21,6 +22,13 @@
 	readonly suspectSubmission: string | undefined;
 };
 
+/** Dependencies of the lost tasks. */
+export type LostTasksHost = {
+	readonly clock: Clock;
+	/** Returns the number of linked upstreams. */
+	getUpstreamCount(): number;
+};
+
 /** The lost tasks of the open jobs of one entry. */
 export type LostTasks = {
 	readonly log: LossLog;
@@ -42,8 +50,9 @@
 const submissionShare = 0.25;
 
 /** Creates the state of an entry that knows of no lost runs. */
-export function createLostTasks(clock: Clock): LostTasks {
-	const log = createLossLog(clock);
+export function createLostTasks(host: LostTasksHost): LostTasks {
+	const suspects = createSuspectSubmissions(host);
+	const log = createLossLog({clock: host.clock, onLoss: suspects.recordLoss});
 
 	return {
 		log,
@@ -69,15 +78,15 @@
 			return undefined;
 		},
 		getIsolation() {
-			if (!log.hasRepeatedLosses()) {
+			if (!suspects.hasSuspects()) {
 				return noIsolation;
 			}
 
-			const suspectSubmission = log.tryGetSuspectSubmission();
+			const suspectSubmission = suspects.tryGet();
 			return {suspectSubmission, share: suspectSubmission === undefined ? singleTasksShare : submissionShare};
 		},
 		mustIsolate({repeatableName, request}, index) {
-			return log.hasRepeatedLosses() && (log.tryGetSuspectSubmission() === request.submission || log.count(repeatableName, index).possible > 1);
+			return suspects.hasSuspects() && (suspects.tryGet() === request.submission || log.count(repeatableName, index).possible > 1);
 		},
 	};
 
