Keep the announced capacity apart from the limit after a refused start

A start that an executor refused lowered what its agent reported as the capacity, so entries would have refused jobs of that size at once, as if no upstream could ever hold them. Only what may be used is limited now. The test of the limiter states both; the tests with changing rooms pass.

--- a/src/connection/resource-limiter.ts
+++ b/src/connection/resource-limiter.ts
@@ -10,7 +10,7 @@
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import {assert} from '../process/debug.js';
 import {
-	addResources, fits, noResources, subtractResources,
+	addResources, areEqualResources, fits, noResources, subtractResources,
 } from './resources.js';
 import type {CreditGranter} from './types.js';
 
@@ -25,8 +25,8 @@
 export type ResourceLimiter = CreditGranter & {
 	/** Returns the resources that no run uses; none while draining or while the upstream is not usable. */
 	getFreeResources(): Resources;
-	/** Sets the resources of the upstream, which have changed. Runs that exceed them continue. */
-	setCapacity(capacity: Resources): void;
+	/** Sets the resources of the upstream. Runs that exceed them continue. Returns whether anything has changed. */
+	setCapacity(capacity: Resources): boolean;
 	/**
 	 * Records that the upstream has refused a start for lack of resources, so it has less than it has announced. Until the
 	 * capacity is set again, no more is used than is used now.
@@ -57,6 +57,8 @@
 	/** In the order in which they are notified. */
 	const candidates = new Map<string, Candidate>();
 	let capacity = initialCapacity;
+	/** What was in use when the upstream refused a start; undefined once its capacity was set again. */
+	let shortageLimit: Resources | undefined;
 	let usedResources = noResources;
 	let isUsable = true;
 	let isDraining = false;
@@ -121,17 +123,23 @@
 		getFreeSlots: () => 0,
 		getFreeResources: computeFreeResources,
 		setCapacity(newCapacity) {
+			if (shortageLimit === undefined && areEqualResources(capacity, newCapacity)) {
+				return false;
+			}
+
 			capacity = newCapacity;
+			shortageLimit = undefined;
 			notifyAgain();
+			return true;
 		},
 		recordShortage() {
-			capacity = usedResources;
+			shortageLimit = usedResources;
 		},
 		getCapacity: () => capacity,
 	};
 
 	function computeFreeResources(): Resources {
-		return isUsable && !isDraining ? subtractResources(capacity, usedResources) : noResources;
+		return isUsable && !isDraining ? subtractResources(shortageLimit ?? capacity, usedResources) : noResources;
 	}
 
 	/** Notifies an entry of more free resources, which may now also fit tasks of entries that sent no start before. */
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -7,7 +7,7 @@
 import {createEntrySessions, type RunResult} from '../connection/entry-sessions.js';
 import {relaxedTiming} from '../connection/link-timing.js';
 import {createResourceLimiter} from '../connection/resource-limiter.js';
-import {areEqualResources, noResources} from '../connection/resources.js';
+import {noResources} from '../connection/resources.js';
 import type {AgentInfo, CreditGranter} from '../connection/types.js';
 import {
 	RefusalReason, Soundness as HealthState, TaskOutcome, type AgentState, type ConfigUpdate, type TaskStart,
@@ -191,8 +191,7 @@
 	function restoreCapacity(): void {
 		shortageTimer?.cancel();
 		shortageTimer = undefined;
-		if (resourceLimiter !== undefined && announcedCapacity !== undefined && !areEqualResources(resourceLimiter.getCapacity(), announcedCapacity)) {
-			resourceLimiter.setCapacity(announcedCapacity);
+		if (announcedCapacity !== undefined && resourceLimiter?.setCapacity(announcedCapacity)) {
 			broadcastState();
 		}
 	}
@@ -200,7 +199,7 @@
 	// The next announcement says how much the upstream has. Without one, the start is tried again after a while.
 	function recordShortage(): void {
 		resourceLimiter?.recordShortage();
-		host.log.info({announced: announcedCapacity, used: resourceLimiter?.getCapacity()}, 'the upstream has less capacity than announced');
+		host.log.info({announced: announcedCapacity, free: resourceLimiter?.getFreeResources()}, 'the upstream has less capacity than announced');
 		shortageTimer?.cancel();
 		shortageTimer = clock.after(shortageMs, restoreCapacity);
 		broadcastState();
--- a/test/connection/resource-limiter.test.ts
+++ b/test/connection/resource-limiter.test.ts
@@ -44,10 +44,12 @@
 		limiter.tryAcquire('e', task);
 		limiter.recordShortage();
 		t.false(limiter.tryAcquire('e', {cpu: 1, memory: 0, accelerators: 0}));
+		t.deepEqual(limiter.getCapacity(), capacity, 'tasks of that size may still be accepted');
 		limiter.release('e', task);
 		t.true(limiter.tryAcquire('e', task));
-		limiter.setCapacity(capacity);
+		t.true(limiter.setCapacity(capacity));
 		t.true(limiter.tryAcquire('e', task));
+		t.false(limiter.setCapacity(capacity), 'repeated announcements change nothing');
 	});
 
 	describe('notifies of free resources', () => {
