Count a task as alone only by what its agent has listed

An entry that loses an agent knows only its own runs there. Its report made a task look like the only one on its upstream, so a second loss, by two killed agents, would have ended it as if it had been proven to crash upstreams. Two new tests of the loss log failed before and pass; the coordinator's tests and the failure runs with crashing tasks pass.

--- a/src/connection/loss-log.ts
+++ b/src/connection/loss-log.ts
@@ -26,7 +26,10 @@
 	record(report: LossReport): boolean;
 	/** Applies and returns a report of this process, which replaces or extends its earlier ones on this incarnation. */
 	report(upstreamIncarnation: string, state: LossState, tasks: readonly LostTask[]): LossReport;
-	/** Records that a run was lost together with the agent of its upstream, and returns the report. */
+	/**
+	 * Records that a run was lost together with the agent of its upstream, and returns the report, which other entries may
+	 * record.
+	 */
 	suspect(upstreamIncarnation: string, task: LostTask): LossReport;
 	/** Records that an upstream answers its agent, so that it has not crashed. */
 	recordAnswer(upstreamIncarnation: string): void;
@@ -57,6 +60,8 @@
 	readonly tasks: Map<string, LostTask>;
 	/** Number of jobs among the tasks. */
 	jobCount: number;
+	/** Whether the agent of the upstream has listed all its tasks; an entry knows only its own. */
+	isComplete: boolean;
 	changedAt: Milliseconds;
 	/** Position of the last change in the sequence of all changes. */
 	position: number;
@@ -64,6 +69,8 @@
 
 /** Retention time of a report; longer than clients keep submitting a job again. */
 const retentionMs: Milliseconds = 120_000;
+/** Revision of the reports of entries, which are not ordered with those of the agent. */
+const entryRevision = 0;
 /** Number of possible crashes after which a task is not started again. */
 const maxPossibleCrashes = 3;
 /** The same number if one of the upstreams was running no other job. */
@@ -97,7 +104,7 @@
 		},
 		suspect(upstreamIncarnation, task) {
 			const report: LossReport = {
-				upstreamIncarnation, revision: losses.get(upstreamIncarnation)?.revision ?? 0, state: LossState.LOSS_STATE_SUSPECTED, tasks: [task],
+				upstreamIncarnation, revision: entryRevision, state: LossState.LOSS_STATE_SUSPECTED, tasks: [task],
 			};
 			record(report);
 			return report;
@@ -136,7 +143,7 @@
 
 	function addLoss(upstreamIncarnation: string): UpstreamLoss {
 		const loss: UpstreamLoss = {
-			upstreamIncarnation, revision: 0, state: LossState.LOSS_STATE_SUSPECTED, tasks: new Map(), jobCount: 0, changedAt: clock.now(), position: 0,
+			upstreamIncarnation, revision: 0, state: LossState.LOSS_STATE_SUSPECTED, tasks: new Map(), jobCount: 0, isComplete: false, changedAt: clock.now(), position: 0,
 		};
 		losses.set(upstreamIncarnation, loss);
 		return loss;
@@ -154,7 +161,7 @@
 	}
 
 	function recordLost(loss: UpstreamLoss, {revision, state, tasks}: LossReport): boolean {
-		if (loss.state === LossState.LOSS_STATE_ALIVE && revision < loss.revision) {
+		if (loss.state === LossState.LOSS_STATE_ALIVE && revision !== entryRevision && revision < loss.revision) {
 			return false;
 		}
 
@@ -164,6 +171,7 @@
 		const isChanged = newTasks.length > 0 || newState !== loss.state || revision > loss.revision;
 		loss.revision = Math.max(loss.revision, revision);
 		loss.state = newState;
+		loss.isComplete ||= revision !== entryRevision;
 		for (const task of newTasks) {
 			loss.tasks.set(getTaskKey(task), task);
 			addToJob(task.job, loss);
@@ -186,7 +194,7 @@
 			if (loss.tasks.has(key)) {
 				possible++;
 				crashed += loss.state === LossState.LOSS_STATE_CRASHED ? 1 : 0;
-				alone += loss.jobCount === 1 ? 1 : 0;
+				alone += loss.isComplete && loss.jobCount === 1 ? 1 : 0;
 			}
 		}
 
@@ -210,6 +218,7 @@
 
 		loss.tasks.clear();
 		loss.jobCount = 0;
+		loss.isComplete = false;
 	}
 
 	function deleteExpired(): void {
--- a/test/connection/loss-log.test.ts
+++ b/test/connection/loss-log.test.ts
@@ -53,6 +53,25 @@
 		t.is(log.count('j', 0).possible, 0);
 	});
 
+	// An entry knows only its own runs there. Only the agent can say that nothing else ran beside a task.
+	it('do not count as alone while only an entry has reported them', t => {
+		const {log} = createFixture();
+		log.suspect('u', createTask('j'));
+		t.deepEqual(log.count('j', 0), {possible: 1, crashed: 0, alone: 0});
+		log.record(createReport('u', crashed, [createTask('j'), createTask('other')]));
+		t.is(log.count('j', 0).alone, 0);
+		log.record(createReport('u2', crashed, [createTask('j')]));
+		t.is(log.count('j', 0).alone, 1);
+	});
+
+	it('count again when the agent is gone after the upstream had answered', t => {
+		const {log} = createFixture();
+		log.record(createReport('u', suspected, [createTask('j')], 5));
+		log.record(createReport('u', alive, [], 6));
+		log.suspect('u', createTask('j'));
+		t.deepEqual(log.count('j', 0), {possible: 1, crashed: 0, alone: 0});
+	});
+
 	it('stay counted when an upstream that has certainly crashed seems to answer', t => {
 		const {log} = createFixture();
 		log.record(createReport('u', crashed, [createTask('j')]));
