Round the resources of an announcement to what a message can carry

A heartbeat with a fraction of a processor, or with more than 32 bits hold, was taken as it was. The agent's state could then not be encoded, which closes each of its links, now with every heartbeat, as resources are followed while the executor runs. Fractions are rounded down, huge amounts are capped, and negative ones make the heartbeat invalid. The new test failed before.

--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -24,13 +24,16 @@
 	onDeregister(id: string): void;
 };
 
+/** Amounts travel as unsigned integers of 32 bits; a message with any other value could not be written. */
+const maxAmount = 0xFF_FF_FF_FF;
+const amountSchema = z.number().min(0).transform(amount => Math.min(Math.floor(amount), maxAmount));
 const heartbeatSchema = z.object({
 	upstream: z.string(),
 	addr: z.string(),
 	state: z.enum(['ready', 'draining']),
 	seq: z.number(),
 	born: z.number().default(0),
-	room: z.object({cpu: z.number(), 'mem-mb': z.number(), gpu: z.number().default(0)}),
+	room: z.object({cpu: amountSchema, 'mem-mb': amountSchema, gpu: amountSchema.default(0)}),
 	labels: z.array(z.string()).default([]),
 });
 
--- a/test/platform/heartbeats.test.ts
+++ b/test/platform/heartbeats.test.ts
@@ -55,6 +55,14 @@
 		t.deepEqual(received.map(({executorInfo}) => executorInfo.id), ['i-2']);
 	});
 
+	// Messages carry resources as unsigned integers of 32 bits; one with any other value could not be written to any entry.
+	it('round resources down to what a message can carry, and reject negative ones', async t => {
+		const {received, send} = createFixture();
+		t.is(await send('i-1', {...sampleHeartbeat, room: {cpu: 5920.5, 'mem-mb': 1e12, gpu: 0}}), 200);
+		t.deepEqual(received[0]?.executorInfo.room, {cpu: 5920, memory: 0xFF_FF_FF_FF, accelerators: 0});
+		t.is(await send('i-1', {...sampleHeartbeat, seq: 2, room: {cpu: -1, 'mem-mb': 64, gpu: 0}}), 400);
+	});
+
 	it('ignore outdated heartbeats, compared first by incarnation and then by sequence number', async t => {
 		const {received, send} = createFixture();
 		await send('i-1', {...sampleHeartbeat, born: 200, seq: 1});
