Take an executor that was leaving for gone, not for crashed

An executor that has announced that it leaves ends everything that runs on it. If its farewell got lost and its successor announced itself, its runs counted as lost in a certain crash, which two releases in a row would have turned into "failed" for a long task. The new test of the manager failed before.

--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -86,7 +86,8 @@
 				log.info({executor: id}, 'executor left');
 				// If this process restarts before the next executor announces itself, it must not use this one again.
 				host.saveAnnouncement({executorInfo: current.executorInfo, isLeaving: true});
-				endExecutor(current, false);
+				current.isLeaving = true;
+				endExecutor(current);
 			}
 		},
 		tryGetAgent: () => current?.agent,
@@ -132,7 +133,7 @@
 
 	function replaceExecutor(executorInfo: ExecutorInfo, isLeaving: boolean): void {
 		if (current !== undefined) {
-			endExecutor(current, true);
+			endExecutor(current);
 		}
 
 		log.info({executor: executorInfo}, 'executor announced');
@@ -143,7 +144,7 @@
 			upstream: host.createUpstream(executorInfo, {
 				onIncarnationChanged() {
 					log.warn({executor: executorInfo.id}, 'another incarnation of the executor has answered');
-					endExecutor(next, true);
+					endExecutor(next);
 				},
 				onProjectedSlowdowns(projections) {
 					next.agent?.recordProjectedSlowdowns(projections);
@@ -186,14 +187,14 @@
 		managed.agent?.reportLosses();
 	}
 
-	/** Ends the service of an incarnation of the executor, which has crashed unless it announced that it leaves. */
-	function endExecutor(ended: ManagedExecutor, hasCrashed: boolean): void {
+	/** Ends the service of an incarnation of the executor, which has crashed unless it had announced that it leaves. */
+	function endExecutor(ended: ManagedExecutor): void {
 		if (ended.hasEnded) {
 			return;
 		}
 
 		ended.hasEnded = true;
-		if (hasCrashed) {
+		if (!ended.isLeaving) {
 			const starts = ended.upstream.getActiveStarts();
 			log.warn({executor: ended.executorInfo.id, runs: starts.length}, 'executor crashed');
 			reportLoss(ended, LossState.LOSS_STATE_CRASHED, starts);
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -124,6 +124,15 @@
 		t.is(lossLog.count('c/r', 3).possible, 0);
 	});
 
+	it('reports no crash of an executor that was leaving when another one followed it', async t => {
+		const {manager, lossLog} = createFixture();
+		manager.receive(createAnnouncement(1));
+		await settle();
+		manager.receive(createAnnouncement(1, true));
+		manager.receive(createAnnouncement(2));
+		t.is(lossLog.count('c/r', 3).crashed, 0);
+	});
+
 	it('suspects a crash while an executor does not answer, and withdraws that when it does', async t => {
 		const {manager, lossLog, events} = createFixture();
 		manager.receive(createAnnouncement(1));
