--- a/test/failure/random.test.ts
+++ b/test/failure/random.test.ts
@@ -5,9 +5,10 @@
 const seeds = 24;
 /**
  * Seeds that failed once. 90251 left three slots unused at the end of the run: outcomes of tasks whose job was already
- * answered were counted against their upstream, which was therefore still being probed.
+ * answered were counted against their upstream, which was therefore still being probed. 7008 leaves one start without an end
+ * at an entry; the cause is not known (KNOWN-RED.txt).
  */
-const failedOnce = [90_251];
+const failedOnce = [90_251, 7008];
 
 describe('random failure runs', () => {
 	it(`violate no guarantee without faults, seeds 1 to ${calmSeeds}`, async t => {
