Share the largest amount of a message, and store a changed announcement once

Read over once more: the adapter had the bound on amounts twice, with the same comment, in the routes of clients and of executors; it stands beside the arithmetic on resources now. A heartbeat that changed both the executor's resources and its state was handed to the store twice.

--- a/src/connection/resources.ts
+++ b/src/connection/resources.ts
@@ -3,6 +3,9 @@
  */
 import type {Resources} from '../generated/kingcuplane.js';
 
+/** Amounts travel as unsigned integers of 32 bits; a message with any other value could not be written. */
+export const maxAmount = 0xFF_FF_FF_FF;
+
 export const noResources: Resources = {cpu: 0, memory: 0, accelerators: 0};
 
 /** Returns the sum of two amounts. */
--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -3,6 +3,7 @@
  */
 import {Hono} from 'hono';
 import {z} from 'zod';
+import {maxAmount} from '../connection/resources.js';
 import type {ExecutorInfo} from '../process/executor-types.js';
 import {readJson} from '../process/json.js';
 import type {Log} from '../process/log.js';
@@ -24,8 +25,7 @@
 	onDeregister(id: string): void;
 };
 
-/** Amounts travel as unsigned integers of 32 bits; a message with any other value could not be written. */
-const maxAmount = 0xFF_FF_FF_FF;
+/** Rounds down to what a message can carry. */
 const amountSchema = z.number().min(0).transform(amount => Math.min(Math.floor(amount), maxAmount));
 const heartbeatSchema = z.object({
 	upstream: z.string(),
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -7,6 +7,7 @@
 import type {HttpBindings} from '@hono/node-server';
 import {Hono, type Context as HonoContext} from 'hono';
 import {z} from 'zod';
+import {maxAmount} from '../connection/resources.js';
 import type {Milliseconds} from '../process/clock.js';
 import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
 import type {Entry} from '../process/entry-types.js';
@@ -49,8 +50,7 @@
 /** Short, since other entries accept the job at once. */
 const drainRetryMs: Milliseconds = 100;
 
-/** Amounts travel as unsigned integers of 32 bits; a message with any other value could not be written. */
-const amountSchema = z.int().min(0).max(0xFF_FF_FF_FF).default(0);
+const amountSchema = z.int().min(0).max(maxAmount).default(0);
 const stepSchema = z.object({
 	count: z.int().min(1).default(1),
 	cpu: amountSchema,
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -116,16 +116,20 @@
 			return;
 		}
 
-		if (!areEqualResources(current.executorInfo.room, executorInfo.room)) {
+		const hasNewCapacity = !areEqualResources(current.executorInfo.room, executorInfo.room);
+		const hasNewState = current.isLeaving !== isLeaving;
+		if (hasNewCapacity || hasNewState) {
+			host.saveAnnouncement({executorInfo, isLeaving});
+		}
+
+		if (hasNewCapacity) {
 			log.info({executor: executorInfo.id, room: executorInfo.room, roomBefore: current.executorInfo.room}, 'executor capacity changed');
 			current.executorInfo = executorInfo;
-			host.saveAnnouncement({executorInfo, isLeaving});
 		}
 
 		current.agent?.setCapacity(executorInfo.room);
-		if (current.isLeaving !== isLeaving) {
+		if (hasNewState) {
 			current.isLeaving = isLeaving;
-			host.saveAnnouncement({executorInfo, isLeaving});
 			log.info({executor: executorInfo.id, isLeaving}, 'executor state changed');
 			current.agent?.setUpstreamLeaving(isLeaving);
 		}
