Add a soak that runs the real programs under random faults from outside

Cause: the failure runs work on fakes; nothing checked the real processes behind proxies that delay, cut, silence and reset their connections.

Ruled out: proxies inside the programs, which would test other code.

--- a/dev/executor-standin.ts
+++ b/dev/executor-standin.ts
@@ -23,6 +23,7 @@
 	readonly cpu: number;
 	readonly beat: number;
 	readonly down: number;
+	readonly announce: string;
 };
 
 const specSchema = z.object({ms: z.number(), fails: z.boolean().default(false), crashes: z.boolean().default(false)});
@@ -41,6 +42,7 @@
 	.option('--cpu', 'Processors in thousandths of a core', 16_000)
 	.option('--beat', 'Milliseconds between heartbeats', 300)
 	.option('--down', 'Milliseconds from a crash to the next start', 500)
+	.option('--announce', 'Address and port to announce instead of the own ones', '')
 	.action(async (options: Options) => {
 		const clock = createSystemClock();
 		let {cpu} = options;
@@ -52,7 +54,7 @@
 		app.post('/v1/run-start', async c => toResponse(executor.start(commandSchema.parse(await c.req.json()))));
 		app.post('/v1/run-stop', async c => toResponse(executor.stop(commandSchema.parse(await c.req.json()))));
 		app.post('/v1/hold', async c => toResponse(await executor.poll(pollSchema.parse(await c.req.json()))));
-		app.get('/events', c => c.json([...endedEvents, ...executor.events]));
+		app.get('/events', c => c.json([...endedEvents, ...executor.events].slice(Number(c.req.query('from') ?? 0))));
 		app.put('/room', async c => {
 			({cpu} = roomSchema.parse(await c.req.json()));
 			return c.json({});
@@ -98,7 +100,7 @@
 			sequence++;
 			const body = {
 				upstream: options.service,
-				addr: new URL(server.url).host,
+				addr: options.announce === '' ? new URL(server.url).host : options.announce,
 				zone: 'z',
 				version: 'v1',
 				slots: 8,
--- a/dev/platform-system.ts
+++ b/dev/platform-system.ts
@@ -9,10 +9,12 @@
 import path from 'node:path';
 import process from 'node:process';
 import {z} from 'zod';
+import {formatAddress, type Address} from '../src/process/address.js';
 import type {Milliseconds} from '../src/process/clock.js';
 import {
 	startProgram, startProgramGroup, waitForUrl, type Program,
 } from './processes.js';
+import {startFaultProxy, type FaultProxy} from './soak/fault-proxy.js';
 
 /** What to start. */
 export type PlatformSystemOptions = {
@@ -22,10 +24,14 @@
 	readonly subnet: number;
 	/** Script of entries and agents, relative to the compiled project; the compiled program if undefined. */
 	readonly program?: string;
+	/** Script of entries; that of `program` if undefined. */
+	readonly entryProgram?: string;
 	/** Options of Node.js by role. */
 	readonly nodeOptions?: Readonly<Record<'entry' | 'agent', readonly string[]>>;
 	/** Processors of an executor, in thousandths; the default of the stand-in if undefined. */
 	readonly executorCpu?: number;
+	/** Whether proxies stand before the links of each entry, before each executor, and between each process and the store. */
+	readonly hasProxies?: boolean;
 };
 
 /** A job to submit. */
@@ -61,24 +67,39 @@
 	restart(): void;
 };
 
+/** The proxies of a system. */
+export type SystemProxies = {
+	/** Before the links of each entry. */
+	readonly links: readonly FaultProxy[];
+	/** Before each executor. */
+	readonly executors: readonly FaultProxy[];
+	/** Between each entry and agent, in this order, and the store. */
+	readonly stores: readonly FaultProxy[];
+};
+
 /** A running system. */
 export type PlatformSystem = {
 	readonly storeUrl: string;
 	readonly entries: readonly PlatformInstance[];
 	readonly agents: readonly PlatformInstance[];
 	readonly executors: ReadonlyArray<{readonly program: Program; readonly url: string}>;
+	/** Proxies by what stands behind them; none unless they were asked for. */
+	readonly proxies: SystemProxies;
 	publish(version: number, prefixes?: readonly string[]): Promise<void>;
 	/** Submits a job to one entry; aborting `signal` closes the connection. */
 	submit(entry: number, job: PlatformJob, signal?: AbortSignal): Promise<PlatformReply>;
 	isReady(entry: number): Promise<boolean>;
-	/** Returns all starts and ends so far in order of time. */
-	getEvents(): Promise<PlatformEvent[]>;
+	/** Returns all starts and ends so far in order of time, without the first `from` ones of each executor. */
+	getEvents(from?: readonly number[]): Promise<PlatformEvent[]>;
 	/** Sets the processors of an executor, in thousandths, which its next heartbeat announces. */
 	setRoom(executor: number, cpu: number): Promise<void>;
 	setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void>;
 	stop(): Promise<void>;
 };
 
+const noProxies: SystemProxies = {links: [], executors: [], stores: []};
+/** Last byte of the address of the first proxy before the links of an entry. */
+const firstProxyNumber = 50;
 const compiledProgram = 'src/platform/bin/kingcuplane-platform.js';
 const host = 'jobs.example';
 const prefix = '/jobs/';
@@ -105,14 +126,19 @@
 	const connections = new http.Agent({keepAlive: true});
 	const executorOptions = options.executorCpu === undefined ? [] : ['--cpu', String(options.executorCpu)];
 	await publish(1);
+	const proxies = options.hasProxies ? await startProxies() : noProxies;
 	const entries = createInstances('entry', options.entries, 1);
 	const agents = createInstances('agent', options.agents, 100);
 	const executors = await Promise.all(agents.map(async (agent, i) => {
-		const program = start('dev/executor-standin.js', ['--agent', `${agent.address}:${ports.control}`, '--id', `i-${i + 1}`, ...executorOptions]);
-		return {program, url: await waitForUrl(program)};
+		const proxy = proxies.executors[i];
+		const announceOptions = proxy === undefined ? [] : ['--announce', formatAddress(proxy.address)];
+		const program = start('dev/executor-standin.js', ['--agent', `${agent.address}:${ports.control}`, '--id', `i-${i + 1}`, ...executorOptions, ...announceOptions]);
+		const url = await waitForUrl(program);
+		proxy?.setTarget(toAddress(url));
+		return {program, url};
 	}));
 	const system: PlatformSystem = {
-		storeUrl, entries, agents, executors, publish, submit, isReady, getEvents, setRoom, setStoreFaults, stop,
+		storeUrl, entries, agents, executors, proxies, publish, submit, isReady, getEvents, setRoom, setStoreFaults, stop,
 	};
 	await waitUntilReady(system);
 	return system;
@@ -123,13 +149,29 @@
 		return program;
 	}
 
+	async function startProxies(): Promise<SystemProxies> {
+		const links = await Promise.all(Array.from({length: options.entries}, async (_, i) => {
+			const proxy = await startFaultProxy({host: `${network}.${firstProxyNumber + i}`, port: ports.links});
+			proxy.setTarget({host: `${network}.${1 + i}`, port: ports.links});
+			return proxy;
+		}));
+		const startMany = async (count: number) => Promise.all(Array.from({length: count}, async () => startFaultProxy({host: '127.0.0.1', port: 0})));
+		const stores = await startMany(options.entries + options.agents);
+		for (const proxy of stores) {
+			proxy.setTarget(toAddress(storeUrl));
+		}
+
+		return {links, stores, executors: await startMany(options.agents)};
+	}
+
 	function createInstances(role: 'entry' | 'agent', count: number, first: number): PlatformInstance[] {
 		return Array.from({length: count}, (_, i) => {
 			const name = `${role}-${i + 1}`;
 			const address = `${network}.${first + i}`;
 			const file = path.join(folder, name);
-			fs.writeFileSync(file, toSettings(role, name, address));
-			const launch = () => start(options.program ?? compiledProgram, [role], {KINGCUPLANE_CONFIG: file}, options.nodeOptions?.[role]);
+			fs.writeFileSync(file, toSettings(role, name, address, i));
+			const program = (role === 'entry' ? options.entryProgram : undefined) ?? options.program ?? compiledProgram;
+			const launch = () => start(program, [role], {KINGCUPLANE_CONFIG: file}, options.nodeOptions?.[role]);
 			const instance: PlatformInstance = {
 				name,
 				address,
@@ -142,10 +184,15 @@
 		});
 	}
 
-	function toSettings(role: 'entry' | 'agent', name: string, address: string): string {
-		const listen = role === 'entry' ? `listen.front=${address}:${ports.clients}\nlisten.ready=${address}:${ports.ready}\n` : '';
+	function toSettings(role: 'entry' | 'agent', name: string, address: string, i: number): string {
+		const linksProxy = role === 'entry' ? proxies.links[i] : undefined;
+		const advertise = linksProxy === undefined ? '' : `advertise.links=${formatAddress(linksProxy.address)}\n`;
+		const listen = role === 'entry' ? `listen.front=${address}:${ports.clients}\nlisten.ready=${address}:${ports.ready}\n${advertise}` : '';
+		const seed = proxies.links[0]?.address.host ?? `${network}.1`;
+		const storeProxy = proxies.stores[role === 'entry' ? i : options.entries + i];
+		const store = storeProxy === undefined ? new URL(storeUrl).host : formatAddress(storeProxy.address);
 		return `node=${name}\nzone=z\nip=${address}\n${listen}listen.control=${address}:${ports.control}\nport-range=${ports.links},${ports.links + 15}\n`
-			+ `seeds=${network}.1:${ports.control}\nplatform.addr=${new URL(storeUrl).host}\n`;
+			+ `seeds=${seed}:${ports.control}\nplatform.addr=${store}\n`;
 	}
 
 	async function publish(version: number, prefixes: readonly string[] = [prefix]): Promise<void> {
@@ -208,9 +255,9 @@
 		}
 	}
 
-	async function getEvents(): Promise<PlatformEvent[]> {
-		const lists = await Promise.all(executors.map(async ({url}) => {
-			const res = await fetch(`${url}/events`);
+	async function getEvents(from: readonly number[] = []): Promise<PlatformEvent[]> {
+		const lists = await Promise.all(executors.map(async ({url}, i) => {
+			const res = await fetch(`${url}/events?from=${from[i] ?? 0}`);
 			return eventSchema.parse(await res.json()).map(event => ({...event, executor: url}));
 		}));
 		return lists.flat().toSorted((a, b) => a.at - b.at);
@@ -227,10 +274,16 @@
 	async function stop(): Promise<void> {
 		connections.destroy();
 		await Promise.all(programs.map(async program => program.kill()));
+		await Promise.all([...proxies.links, ...proxies.executors, ...proxies.stores].map(async proxy => proxy.close()));
 		fs.rmSync(folder, {recursive: true});
 	}
 }
 
+function toAddress(url: string): Address {
+	const {hostname, port} = new URL(url);
+	return {host: hostname, port: Number(port)};
+}
+
 const readyTimeoutMs: Milliseconds = 20_000;
 const pollMs: Milliseconds = 50;
 
--- a/dev/processes.ts
+++ b/dev/processes.ts
@@ -25,6 +25,7 @@
 	pause(): void;
 	/** Resumes a paused program with SIGCONT. */
 	resume(): void;
+	signal(signal: NodeJS.Signals): void;
 	/** Requests a shutdown with SIGTERM and waits for the exit. */
 	stop(): Promise<ExitStatus>;
 	/** Ends the program immediately with SIGKILL and waits for the exit. */
@@ -98,6 +99,9 @@
 		resume() {
 			child.kill('SIGCONT');
 		},
+		signal(signal) {
+			child.kill(signal);
+		},
 		async stop() {
 			child.kill('SIGTERM');
 			return exited;
--- /dev/null
+++ b/dev/soak/fault-proxy.ts
@@ -0,0 +1,165 @@
+/**
+ * A loopback proxy that disturbs the connections through it: delays, resets, and directions that deliver nothing.
+ */
+import net from 'node:net';
+import type {Address} from '../../src/process/address.js';
+import type {Milliseconds} from '../../src/process/clock.js';
+
+/** A direction of a connection: from the side that opened it, or to it. */
+export type Direction = 'forward' | 'backward';
+
+/** A proxy whose faults can be changed while it runs. */
+export type FaultProxy = {
+	/** Where the proxy listens. */
+	readonly address: Address;
+	/** Sets to where connections lead; before that they are accepted and lead nowhere. */
+	setTarget(target: Address): void;
+	/** Delays everything that is sent from now on. */
+	setDelay(delay: Milliseconds): void;
+	/** Holds back what is sent in these directions, on open and new connections, until it is called without any. */
+	setHeld(directions: readonly Direction[]): void;
+	/** Lets the connections that are open now deliver nothing any more; new ones work. */
+	silence(directions: readonly Direction[]): void;
+	/** Resets a share of the open connections. */
+	reset(share: number, random: () => number): void;
+	close(): Promise<void>;
+};
+
+type ProxiedConnection = {
+	readonly sockets: readonly [net.Socket, net.Socket];
+	readonly silenced: Set<Direction>;
+	/** Bytes that are held back, by direction. */
+	readonly held: Readonly<Record<Direction, Uint8Array[]>>;
+	/** When the last delayed bytes are delivered, by direction. */
+	readonly deliveredAt: Record<Direction, Milliseconds>;
+};
+
+const directions: readonly Direction[] = ['forward', 'backward'];
+
+/** Starts a proxy; port 0 lets the system choose. */
+export async function startFaultProxy(listen: Address): Promise<FaultProxy> {
+	const connections = new Set<ProxiedConnection>();
+	let target: Address | undefined;
+	let delay: Milliseconds = 0;
+	let heldDirections: readonly Direction[] = [];
+	const server = net.createServer(accept);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(listen.port, listen.host, resolve);
+	});
+	const bound = server.address();
+
+	return {
+		address: {host: listen.host, port: typeof bound === 'object' && bound !== null ? bound.port : listen.port},
+		setTarget(newTarget) {
+			target = newTarget;
+		},
+		setDelay(newDelay) {
+			delay = newDelay;
+		},
+		setHeld(newDirections) {
+			heldDirections = newDirections;
+			for (const connection of connections) {
+				releaseHeld(connection);
+			}
+		},
+		silence(silenced) {
+			for (const connection of connections) {
+				for (const direction of silenced) {
+					connection.silenced.add(direction);
+				}
+			}
+		},
+		reset(share, random) {
+			for (const {sockets} of connections) {
+				if (random() < share) {
+					sockets[0].resetAndDestroy();
+					sockets[1].resetAndDestroy();
+				}
+			}
+		},
+		async close() {
+			for (const {sockets} of connections) {
+				sockets[0].destroy();
+				sockets[1].destroy();
+			}
+
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+
+	function accept(client: net.Socket): void {
+		const upstream = target === undefined ? new net.Socket() : net.connect(target.port, target.host);
+		const connection: ProxiedConnection = {
+			sockets: [client, upstream], silenced: new Set(), held: {forward: [], backward: []}, deliveredAt: {forward: 0, backward: 0},
+		};
+		connections.add(connection);
+		pump(connection, 'forward', client, upstream);
+		pump(connection, 'backward', upstream, client);
+	}
+
+	function pump(connection: ProxiedConnection, direction: Direction, from: net.Socket, to: net.Socket): void {
+		from.setNoDelay(true);
+		from.on('data', chunk => {
+			if (isHeld(connection, direction)) {
+				connection.held[direction].push(chunk);
+			} else {
+				deliver(connection, direction, chunk, to);
+			}
+		});
+		from.on('error', () => undefined);
+		from.on('close', () => {
+			if (connection.sockets.every(socket => socket.destroyed)) {
+				connections.delete(connection);
+			}
+
+			// A partition also holds back that a connection was closed.
+			if (!isHeld(connection, direction)) {
+				setTimeout(() => {
+					to.destroy();
+				}, getRemainingDelay(connection, direction));
+			}
+		});
+	}
+
+	function deliver({deliveredAt}: ProxiedConnection, direction: Direction, chunk: Uint8Array, to: net.Socket): void {
+		const at = Math.max(deliveredAt[direction], performance.now() + delay);
+		deliveredAt[direction] = at;
+		if (at <= performance.now()) {
+			to.write(chunk);
+			return;
+		}
+
+		setTimeout(() => {
+			to.write(chunk);
+		}, at - performance.now());
+	}
+
+	function getRemainingDelay({deliveredAt}: ProxiedConnection, direction: Direction): Milliseconds {
+		return Math.max(0, deliveredAt[direction] - performance.now()) + 1;
+	}
+
+	function releaseHeld(connection: ProxiedConnection): void {
+		for (const direction of directions) {
+			if (!isHeld(connection, direction)) {
+				const to = connection.sockets[direction === 'forward' ? 1 : 0];
+				const from = connection.sockets[direction === 'forward' ? 0 : 1];
+				for (const chunk of connection.held[direction].splice(0)) {
+					deliver(connection, direction, chunk, to);
+				}
+
+				if (from.destroyed) {
+					to.destroy();
+				}
+			}
+		}
+	}
+
+	function isHeld({silenced}: ProxiedConnection, direction: Direction): boolean {
+		return silenced.has(direction) || heldDirections.includes(direction);
+	}
+}
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -10,7 +10,7 @@
 import {createSystemClock} from '../process/clock.js';
 import {closeHttp} from '../process/http-listen.js';
 import {declinedResult} from '../process/job-forwarding.js';
-import {createEventLoopMonitor} from '../process/load-monitor.js';
+import {createEventLoopMonitor, type LoadMonitor} from '../process/load-monitor.js';
 import type {Log} from '../process/log.js';
 import {createPauseDetector} from '../process/pause-detector.js';
 import {runEntry, type RunningEntry} from '../process/run-entry.js';
@@ -31,14 +31,19 @@
 	agentGraceMs, shutdownReserveMs, drainNoticeShare, platformTiming, startupGraceMs, storeTimeoutMs,
 } from './timing.js';
 
+/** Replacements for parts that the entry otherwise creates itself. */
+export type PlatformEntryOverrides = {
+	readonly loadMonitor?: LoadMonitor;
+};
+
 /** Starts an entry; resolves once it serves requests. `onDeclaredDead` is called when another entry has declared this one dead. */
-export async function runPlatformEntry(machine: MachineSettings, incarnation: string, log: Log, onDeclaredDead: () => void): Promise<Pick<RunningEntry, 'stop'>> {
+export async function runPlatformEntry(machine: MachineSettings, incarnation: string, log: Log, onDeclaredDead: () => void, overrides: PlatformEntryOverrides = {}): Promise<Pick<RunningEntry, 'stop'>> {
 	const clock = createSystemClock();
 	const settings = toEntrySettings(machine);
 	const metrics = createPrometheusMetrics({role: 'entry', process: machine.name});
 	const platform = createPlatformClient({...settings.platform, clock});
 	const pauseDetector = createPauseDetector(clock);
-	const loadMonitor = createEventLoopMonitor(clock);
+	const loadMonitor = overrides.loadMonitor ?? createEventLoopMonitor(clock);
 	const follower = createLongPollFollower({
 		clock,
 		source: createDesiredStateSource(platform),
@@ -105,10 +110,10 @@
 		dataCentre: machine.dataCentre,
 		rack: '',
 		listen: {http, links},
-		advertise: {http, links},
+		advertise: {http, links: machine.advertisedLinks},
 		platform: {url: `http://${machine.store}`, timeoutMs: storeTimeoutMs},
 		entry: {
-			seeds: machine.seeds.filter(host => host !== machine.ip).map(host => ({host, port: machine.linksPort})),
+			seeds: machine.seeds.filter(host => host !== machine.ip && host !== machine.advertisedLinks.host).map(host => ({host, port: machine.linksPort})),
 			leaseMs: 9000,
 			ticketLifetimeMs: 10_000,
 			blockMs: 2000,
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -21,6 +21,8 @@
 	readonly ready: Address | undefined;
 	/** Address for heartbeats of the executor beside an agent; at an entry, address for operators. */
 	readonly control: Address | undefined;
+	/** Address at which other machines reach the links of this one. */
+	readonly advertisedLinks: Address;
 	/** Ports for links and metrics, the same on all machines. */
 	readonly linksPort: number;
 	readonly metricsPort: number;
@@ -56,6 +58,8 @@
 	'listen.front': address.optional(),
 	'listen.ready': address.optional(),
 	'listen.control': address.optional(),
+	// Not set by the platform: for machines whose links are reached through another address.
+	'advertise.links': address.optional(),
 	'port-range': portRange,
 	seeds: commaSeparatedList,
 	'platform.addr': z.string(),
@@ -79,6 +83,7 @@
 		clients: fields['listen.front'],
 		ready: fields['listen.ready'],
 		control: fields['listen.control'],
+		advertisedLinks: fields['advertise.links'] ?? {host: fields.ip, port: linksPort},
 		linksPort,
 		metricsPort,
 		seeds: fields.seeds.flatMap(seed => tryParseAddress(seed)?.host ?? []),
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -25,6 +25,7 @@
 			clients: {host: '10.1.0.13', port: 8161},
 			ready: {host: '10.1.0.13', port: 8167},
 			control: {host: '10.1.0.13', port: 8166},
+			advertisedLinks: {host: '10.1.0.13', port: 7720},
 			linksPort: 7720,
 			metricsPort: 7721,
 			seeds: ['10.1.0.13', '10.2.0.30'],
@@ -40,6 +41,11 @@
 		t.is(settings.clients, undefined);
 	});
 
+	it('may state another address of the links', t => {
+		const settings = readMachineSettings([...lines, 'advertise.links=10.9.0.1:99'].join('\n'))._unsafeUnwrap();
+		t.deepEqual(settings.advertisedLinks, {host: '10.9.0.1', port: 99});
+	});
+
 	it('report all invalid ones together', t => {
 		const diagnostics = readMachineSettings('zone=makati\nip=10.1.0.13\nport-range=9,5\nlisten.front=x\n')._unsafeUnwrapErr();
 		const names = diagnostics.map(({message}) => /setting (\S+)/v.exec(message)?.[1] ?? '');
