Agree on the messages and modules of evacuations, links, speed and look-ahead

Cause: several parts are built side by side and change the same messages and the same scheduler.

Change: messages for evacuated data centres, shared payloads, use of the network link, run time ratios and expected releases; the priority of a route reaches the scheduler. The choice of an agent, the admission and the look-ahead are modules of their own. Nothing fills the new fields yet, and behaviour stays the same.

Conclusion: each part now has its own files.

--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -176,7 +176,7 @@
 			labels: [], upstreamIncarnation: '',
 		});
 		session.receiveState({
-			draining: false, running: 0, slots, meanRunMs: 100, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: undefined, capacity: undefined, receivedStarts: 0, soundness: 0, clockMs: 0,
+			draining: false, running: 0, slots, meanRunMs: 100, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: undefined, capacity: undefined, receivedStarts: 0, soundness: 0, clockMs: 0, runTimeRatioPerMille: 0, releases: [],
 		});
 		session.receiveGrantedCredits(slots);
 	}
@@ -322,13 +322,13 @@
 
 function createStart(seq: number): TaskStart {
 	return {
-		task: {ticket: `kc1.bench.0.${seq}`, index: 0}, seq, attempt: 1, taskCount: 1, service: 'ordering', payload: taskPayload, timeoutMs: 0, configVersion: 1, idempotent: false, caller: 'caller', reference: '', need: undefined, expectedRunMs: 0, validUntilMs: 0, submission: '', isolated: false,
+		task: {ticket: `kc1.bench.0.${seq}`, index: 0}, seq, attempt: 1, taskCount: 1, service: 'ordering', payload: taskPayload, timeoutMs: 0, configVersion: 1, idempotent: false, caller: 'caller', reference: '', need: undefined, expectedRunMs: 0, validUntilMs: 0, submission: '', isolated: false, payloadOf: 0,
 	};
 }
 
 function createEntryBatch(starts: TaskStart[], acked: number): EntryBatch {
 	return {
-		welcome: undefined, starts, resultsAcked: acked, queued: 1, returned: 0, config: undefined, queries: [], fenced: [], draining: false, entries: [], head: undefined, stops: [],
+		welcome: undefined, starts, resultsAcked: acked, queued: 1, returned: 0, config: undefined, queries: [], fenced: [], draining: false, entries: [], head: undefined, stops: [], evacuations: undefined,
 	};
 }
 
@@ -369,7 +369,7 @@
 const stateBytes = AgentBatch.encode({
 	hello: undefined,
 	state: {
-		draining: false, running: 8, slots: 8, meanRunMs: 100, failedPerMille: 0, configVersion: 100, free: 1, freeRoom: undefined, capacity: undefined, receivedStarts: 0, soundness: 0, clockMs: 0,
+		draining: false, running: 8, slots: 8, meanRunMs: 100, failedPerMille: 0, configVersion: 100, free: 1, freeRoom: undefined, capacity: undefined, receivedStarts: 0, soundness: 0, clockMs: 0, runTimeRatioPerMille: 0, releases: [],
 	},
 	granted: 100_000,
 	results: [],
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -363,6 +363,7 @@
 		entries: [],
 		head: undefined,
 		stops: [],
+		evacuations: undefined,
 		...fields,
 	};
 }
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -2,7 +2,7 @@
  * Types shared by the connection code: what entries and agents report to each other, and the interfaces of the
  * scheduler, the credit granter and the team quota.
  */
-import type {Resources, Soundness} from '../generated/kingcuplane.js';
+import type {ExpectedRelease, Resources, Soundness} from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {PlacementMode} from '../version/types.js';
 
@@ -65,6 +65,10 @@
 	readonly receivedStarts?: number;
 	/** The agent's classification of its upstream; healthy if undefined. */
 	readonly soundness?: Soundness;
+	/** Robust mean of measured divided by declared run time on the upstream, in thousandths; 0 or undefined if it is not known yet. */
+	readonly runTimeRatioPerMille?: number;
+	/** Resources that running tasks are expected to release soon, in order of time. */
+	readonly releases?: readonly ExpectedRelease[];
 };
 
 /** A job whose tasks wait for slots or resources. */
@@ -86,6 +90,8 @@
 	/** Undefined if slots limit the upstreams. */
 	readonly need?: TaskRequirements;
 	readonly objective?: LatencyObjective;
+	/** Jobs with a lower number go first where not all can be served; 0 if undefined. */
+	readonly priority?: number;
 };
 
 /** One task that waits for a slot or is about to start. */
--- a/src/platform/desired-state.ts
+++ b/src/platform/desired-state.ts
@@ -43,6 +43,7 @@
 	'slo-ms': z.number().default(0),
 	attempts: z.number().default(1),
 	stretch: z.number().default(1),
+	priority: z.number().default(0),
 });
 const stateSchema = z.object({
 	version: z.number(),
@@ -145,5 +146,6 @@
 		attempts: route.attempts,
 		stretch: route.stretch,
 		margin: route['slo-ms'],
+		priority: route.priority,
 	};
 }
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -267,6 +267,8 @@
 			soundness: health.getState(),
 			clockMs: clock.now(),
 			capacity: resourceLimiter?.getCapacity(),
+			runTimeRatioPerMille: 0,
+			releases: [],
 		};
 	}
 
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -337,6 +337,7 @@
 			configVersion: follower.tryGet()?.version ?? 0,
 			draining: isDraining,
 			entries: [...entries],
+			evacuations: undefined,
 		};
 	}
 
--- a/src/process/job-forwarding.ts
+++ b/src/process/job-forwarding.ts
@@ -67,6 +67,7 @@
 		tryGetLoad: () => loadMonitor && {
 			utilizationPerMille: Math.round(loadMonitor.getLoad().utilization * 1000),
 			acceptsJobs: acceptsJobs(),
+			linkUtilizationPerMille: 0,
 		},
 	};
 
--- a/src/request/resource-scheduler.ts
+++ b/src/request/resource-scheduler.ts
@@ -4,14 +4,15 @@
  * last report, and the agent refuses a start that does not fit, which costs one round trip and no run.
  */
 import {createOutlierDetector, type OutlierDetector} from '../connection/outlier-detector.js';
-import {noResources} from '../connection/resources.js';
 import {Soundness} from '../generated/kingcuplane.js';
 import type {Milliseconds, Timer} from '../process/clock.js';
 import type {
-	Admission, QueuedJob, QueuedTask, Scheduler, SchedulerHost, SchedulingRules, TaskRequirements,
+	QueuedJob, QueuedTask, Scheduler, SchedulerHost, SchedulingRules,
 } from '../connection/types.js';
-import {clampRetryAfter, noUpstreamRetryAfter} from './admission.js';
+import {createAgentChoice} from './agent-choice.js';
 import {createIsolationPool, type IsolationPool} from './isolation-pool.js';
+import {createLookAhead, type LookAhead} from './look-ahead.js';
+import {checkResourceAdmission, noRequirements} from './resource-admission.js';
 import {
 	createAgentView, estimateFreeResources, hasFreeResources, isEligible, isStartAllowed, leavesReserve, prefer, countSuspects, recordRunEnd, recordRefusal, recordSentStart, applyStatus, type AgentView,
 } from './resource-pool.js';
@@ -30,8 +31,6 @@
 	random(): number;
 };
 
-/** Requirements of the tasks of a job that states none. */
-const noRequirements: TaskRequirements = {resources: noResources};
 /**
  * Share of an upstream's processors that jobs which can no longer meet their objective must leave free. After an outage
  * many such jobs start at the same time and run for about a second. Without the reserve, jobs that arrive during that
@@ -43,7 +42,6 @@
  * larger, the cause is probably the work itself, and all upstreams are used.
  */
 const maxSuspectShare = 0.5;
-const defaultMaxQueuedTasks = 100_000;
 /**
  * Time after which a queue that has not been empty counts as persistent, not as a short burst. The longest objectives
  * are about as long.
@@ -59,8 +57,6 @@
  * since its last report.
  */
 const packingReserve = 0.25;
-/** Age up to which a report is preferred to older ones: fewer starts are then refused, and fewer links are in use. */
-const freshReportMs: Milliseconds = 100;
 /** Delay before agents are notified that no task waits any more. At high load the next task usually arrives sooner. */
 const demandClearDelayMs: Milliseconds = 50;
 
@@ -70,6 +66,7 @@
 	readonly agents: Map<string, AgentView>;
 	readonly isolationPool: IsolationPool;
 	readonly outliers: OutlierDetector;
+	readonly lookAhead: LookAhead;
 	waitingTasks: number;
 	/** Time since which the queue has not been empty; undefined while it is empty. */
 	waitingSince: Milliseconds | undefined;
@@ -85,6 +82,7 @@
 	const services = new Map<string, ServiceState>();
 	const serviceOfAgent = new Map<string, ServiceState>();
 	const startupGraceEndsAt = clock.now() + host.startupGraceMs;
+	const agentChoice = createAgentChoice(host);
 	let isHeld = false;
 	const jobsInFlight = new Map<string, {readonly state: ServiceState; running: number}>();
 
@@ -122,7 +120,7 @@
 			}
 		},
 		setGrantedCredits: () => undefined,
-		checkAdmission: assess,
+		checkAdmission: job => checkResourceAdmission(getService(job.service), job, clock.now(), startupGraceEndsAt),
 		enqueue(job) {
 			const tasks = Array.from({length: job.taskCount}, (_, index): QueuedTask => ({ticket: job.ticket, index, attempt: 1}));
 			addTasks(job, tasks);
@@ -173,26 +171,6 @@
 		},
 	};
 
-	function assess(job: QueuedJob): Admission {
-		const state = getService(job.service);
-		const requirements = job.need ?? noRequirements;
-		const eligible = [...state.agents.values()].filter(agent => !agent.isDraining && isEligible(agent, requirements));
-		const areAgentsExpected = state.agents.size === 0 && clock.now() < startupGraceEndsAt;
-		if (eligible.length === 0 && !areAgentsExpected) {
-			return {kind: 'no-upstream', retryAfter: noUpstreamRetryAfter};
-		}
-
-		if (state.waitingTasks + job.taskCount > (state.rules?.maxQueuedTasks ?? defaultMaxQueuedTasks)) {
-			return {kind: 'queue-full', queued: state.waitingTasks, retryAfter: clampRetryAfter(job.expectedRun)};
-		}
-
-		if (!isFeasible(job, clock.now())) {
-			return {kind: 'too-late', wait: 0, retryAfter: clampRetryAfter(0)};
-		}
-
-		return {kind: 'admitted', wait: 0};
-	}
-
 	function addTasks(job: QueuedJob, tasks: readonly QueuedTask[]): void {
 		const state = getService(job.service);
 		const pending = state.jobs.get(job.ticket) ?? {job, tasks: []};
@@ -218,6 +196,7 @@
 
 	function dispatch(state: ServiceState): void {
 		if (state.waitingTasks > 0 && !isHeld) {
+			state.lookAhead.beginPass();
 			for (const pending of sortByPriority(state.jobs.values(), clock.now())) {
 				if (!isFeasible(pending.job, clock.now())) {
 					host.onInfeasible?.(pending.job.ticket, 'deadline');
@@ -238,8 +217,9 @@
 		const {job, tasks} = pending;
 		const packedAgents = new Set<AgentView>();
 		while (tasks.length > 0) {
-			const agent = chooseAgent(state, pending, tasks[0]!, packedAgents);
+			const agent = agentChoice.choose(getCandidates(state, pending, tasks[0]!), {job, packedAgents});
 			if (agent === undefined) {
+				state.lookAhead.reserve(pending);
 				return;
 			}
 
@@ -263,7 +243,7 @@
 		const minRemaining = estimateFreeResources(agent).cpu * packingReserve;
 		while (
 			tasks[0] !== undefined && tasks[0].failedOn === undefined && state.isolationPool.mustIsolate(tasks[0]) === isIsolated && agent.health === Soundness.SOUNDNESS_SOUND
-			&& hasFreeResources(agent, job.ticket, requirements) && estimateFreeResources(agent).cpu - requirements.resources.cpu >= minRemaining
+			&& hasFreeResources(agent, job.ticket, requirements) && estimateFreeResources(agent).cpu - requirements.resources.cpu >= minRemaining && state.lookAhead.mayStart(pending, agent)
 		) {
 			startTask(state, agent, job, tasks.shift()!);
 		}
@@ -279,22 +259,6 @@
 		host.start(agent.info.incarnation, task, {reportAge: clock.now() - agent.reportedAt, isolated: state.isolationPool.mustIsolate(task)});
 	}
 
-	/**
-	 * Returns the one with more free processors of two candidates that are sampled at random. If all entries chose the
-	 * agent with the most free resources, their starts would collide there.
-	 */
-	function chooseAgent(state: ServiceState, pending: PendingJob, task: QueuedTask, packedAgents: ReadonlySet<AgentView>): AgentView | undefined {
-		const others = prefer(getCandidates(state, pending, task), agent => !packedAgents.has(agent));
-		const candidates = prefer(others, agent => clock.now() - agent.reportedAt < freshReportMs);
-		if (candidates.length <= 1) {
-			return candidates[0];
-		}
-
-		const first = candidates[Math.floor(host.random() * candidates.length)]!;
-		const second = candidates[Math.floor(host.random() * candidates.length)]!;
-		return estimateFreeResources(first).cpu >= estimateFreeResources(second).cpu ? first : second;
-	}
-
 	function getCandidates(state: ServiceState, pending: PendingJob, task: QueuedTask): readonly AgentView[] {
 		const {job} = pending;
 		const requirements = job.need ?? noRequirements;
@@ -307,6 +271,7 @@
 			if (
 				!agent.isDraining && isAllowed(agent) && (!isHealthUsed || isStartAllowed(agent)) && state.outliers.isUsable(agent.info.incarnation)
 				&& isEligible(agent, requirements) && hasFreeResources(agent, job.ticket, requirements) && leavesReserve(agent, requirements, reserve)
+				&& state.lookAhead.mayStart(pending, agent)
 			) {
 				fitting.push(agent);
 			}
@@ -376,6 +341,7 @@
 			agents,
 			isolationPool: createIsolationPool(host, service, agents),
 			outliers: createOutlierDetector(clock),
+			lookAhead: createLookAhead({clock, agents}),
 			waitingTasks: 0,
 			waitingSince: undefined,
 			reportingAgents: new Set(),
--- a/src/version/types.ts
+++ b/src/version/types.ts
@@ -90,6 +90,8 @@
 	/** An answer has its full utility within this multiple of the run time plus `margin`. */
 	readonly stretch: number;
 	readonly margin: Milliseconds;
+	/** Jobs of a route with a lower number go first where not all can be served. */
+	readonly priority: number;
 };
 
 /** A group of callers that shares a quota. */
--- a/test/connection/peer-hub.test.ts
+++ b/test/connection/peer-hub.test.ts
@@ -81,8 +81,10 @@
 			throw err;
 		},
 		serveRequest,
-		getState: () => ({configVersion: 1, draining: false, entries: []}),
-		tryGetLoad: () => ({utilizationPerMille: 250, acceptsJobs: true}),
+		getState: () => ({
+			configVersion: 1, draining: false, entries: [], evacuations: undefined,
+		}),
+		tryGetLoad: () => ({utilizationPerMille: 250, acceptsJobs: true, linkUtilizationPerMille: 0}),
 		receiveState: () => undefined,
 		receiveShares: () => undefined,
 		getLosses: () => [],
@@ -121,7 +123,9 @@
 		b.served[0]!.reply({...done, status: 201});
 		await advance(50);
 		t.is(sent.outcome?.reply?.status, 201);
-		t.deepEqual(a.hub.getLoadReports(), [{incarnation: 'b-1', utilization: 0.25, acceptsJobs: true}]);
+		t.deepEqual(a.hub.getLoadReports(), [{
+			incarnation: 'b-1', utilization: 0.25, acceptsJobs: true, linkUtilizationPerMille: 0,
+		}]);
 	});
 
 	it('cancel a request, also in the turn in which it was sent', async t => {
--- a/test/failure/leased/entry.ts
+++ b/test/failure/leased/entry.ts
@@ -214,7 +214,9 @@
 				throw err;
 			},
 			serveRequest: forwarding.serve,
-			getState: entries => ({configVersion: 1, draining: false, entries: [...entries]}),
+			getState: entries => ({
+				configVersion: 1, draining: false, entries: [...entries], evacuations: undefined,
+			}),
 			tryGetLoad: forwarding.tryGetLoad,
 			receiveState: () => undefined,
 			receiveShares: () => undefined,
--- a/test/platform/job-intake.test.ts
+++ b/test/platform/job-intake.test.ts
@@ -13,7 +13,7 @@
 const target = {host: 'h', path: '/jobs/0123456789abcdef'};
 const name = '0123456789abcdef';
 const route = {
-	name: 'r', host: 'h', pathPrefix: '/jobs/', submission: 's', deadline: 1500, stretch: 1.6, margin: 60, attempts: 2,
+	name: 'r', host: 'h', pathPrefix: '/jobs/', submission: 's', deadline: 1500, stretch: 1.6, margin: 60, priority: 0, attempts: 2,
 };
 const peer = {incarnation: 'p-1', utilization: 0.1, acceptsJobs: true};
 const forwardToPeer: LoadDecision = {kind: 'forward', peer};
--- a/test/request/coordinator.test.ts
+++ b/test/request/coordinator.test.ts
@@ -86,7 +86,7 @@
 	};
 	const session = coordinator.sessions.open(hello);
 	session.receiveState({
-		draining: false, running: 0, slots: 1, meanRunMs: 0, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: capacity, capacity, receivedStarts: 0, soundness: 0, clockMs: 0,
+		draining: false, running: 0, slots: 1, meanRunMs: 0, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: capacity, capacity, receivedStarts: 0, soundness: 0, clockMs: 0, runTimeRatioPerMille: 0, releases: [],
 	});
 	const submitRequest = (req: Pick<SubmissionRequest, 'submission' | 'payloads' | 'isSingleRequest'> & Partial<SubmissionRequest>): JobHandle => {
 		const [ticket] = issuer.issue('c', 1);
--- a/test/version/route-table.test.ts
+++ b/test/version/route-table.test.ts
@@ -4,7 +4,7 @@
 
 function createRoute(host: string, pathPrefix: string): Route {
 	return {
-		host, pathPrefix, submission: `${host}${pathPrefix}`, deadline: 1500, attempts: 1, stretch: 1, margin: 0,
+		host, pathPrefix, submission: `${host}${pathPrefix}`, deadline: 1500, attempts: 1, stretch: 1, margin: 0, priority: 0,
 	};
 }
 
