--- a/test/platform/desired-state.test.ts
+++ b/test/platform/desired-state.test.ts
@@ -9,7 +9,7 @@
 const state = {
 	version: 7,
 	routes: [{
-		name: 'r-1', host: 'nony24.example', 'path-prefix': '/lohu930/', type: 'non_idempotent', 'timeout-ms': 1500, 'slo-ms': 60, priority: 0, upstream: 'huvo11a', attempts: 3, stretch: 1.6,
+		name: 'r-1', host: 'nony24.example', 'path-prefix': '/lohu930/', type: 'non_idempotent', 'timeout-ms': 1500, 'slo-ms': 60, priority: 2, upstream: 'huvo11a', attempts: 3, stretch: 1.6,
 	}],
 	upstreams: [{name: 'huvo11a', 'health-path': '/healthz', 'max-conns': 64}],
 	limits: {'max-header-bytes': 16_384},
