--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -5,7 +5,7 @@
 import {credentials} from '@grpc/grpc-js';
 import {
 	LinkClient,
-	type AgentBatch, type AgentState, type ConfigUpdate, type EntryAddress, type EntryBatch, type LossReport,
+	type AgentBatch, type AgentState, type ConfigUpdate, type EntryAddress, type EntryBatch, type Evacuations, type LossReport,
 } from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import type {EntrySessions} from './entry-sessions.js';
@@ -23,6 +23,8 @@
 	readonly lossLog?: Pick<LossLog, 'getReportsSince'>;
 	getState(): AgentState;
 	receiveConfig(config: ConfigUpdate): void;
+	/** Called with the evacuated data centres before the starts of the same batch are handled. */
+	receiveEvacuations?(evacuations: Evacuations): void;
 	receiveEntries(entries: readonly EntryAddress[]): void;
 	/**
 	 * Called when a link has received the welcome of this entry incarnation. The earlier link to the incarnation, if any,
@@ -251,6 +253,10 @@
 			host.receiveConfig(batch.config);
 		}
 
+		if (batch.evacuations !== undefined) {
+			host.receiveEvacuations?.(batch.evacuations);
+		}
+
 		if (batch.entries.length > 0) {
 			host.receiveEntries(batch.entries);
 		}
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -6,6 +6,7 @@
 	AgentBatch, AgentHello, ConfigUpdate, EntryAddress, EntryBatch, HeldReply, LinkServer, LossReport, TaskStart, TaskStop,
 } from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
+import type {EvacuationList} from '../version/evacuations.js';
 import type {AgentSession, AgentSessions} from './agent-sessions.js';
 import {getHeartbeatInterval, type BatchCounts, type LinkTiming} from './link-timing.js';
 import {createSilenceMonitor, type SilenceMonitor} from './silence-monitor.js';
@@ -22,6 +23,8 @@
 	readonly clock: Clock;
 	/** Returns the part of the active configuration that concerns this agent. */
 	tryGetConfig(agent: AgentInfo): ConfigUpdate | undefined;
+	/** Returns the evacuated data centres; undefined while they are not known. */
+	tryGetEvacuations?(): EvacuationList | undefined;
 	/** Returns the live entries, to which agents keep links. */
 	getEntries(): readonly EntryAddress[];
 	/** Returns the incarnations of entries that were declared dead. */
@@ -66,7 +69,7 @@
 	 * that was idle for the interval of idle links. To be called every `heartbeatMs`.
 	 */
 	sendHeartbeats(): void;
-	/** Sends a changed configuration to all agents. */
+	/** Sends a changed configuration or changed evacuations to all agents. */
 	scheduleConfig(): void;
 	/** Sends the entries, the fenced incarnations and the draining flag to all agents, besides a changed configuration. */
 	scheduleBroadcast(): void;
@@ -101,6 +104,7 @@
 	isBroadcastPending: boolean;
 	sentAckedSeq: number;
 	sentConfigVersion: number;
+	sentEvacuationRevision: number;
 };
 
 /** Creates a hub without links. */
@@ -301,7 +305,9 @@
 
 		const config = host.tryGetConfig(link.session.agent);
 		const isNewConfig = config !== undefined && config.version > link.sentConfigVersion;
-		if (link.starts.length === 0 && link.stops.length === 0 && link.queries.length === 0 && !link.isBroadcastPending && !isNewConfig && !link.isReportPending) {
+		const evacuations = host.tryGetEvacuations?.();
+		const areNewEvacuations = evacuations !== undefined && evacuations.revision > link.sentEvacuationRevision;
+		if (link.starts.length === 0 && link.stops.length === 0 && link.queries.length === 0 && !link.isBroadcastPending && !isNewConfig && !areNewEvacuations && !link.isReportPending) {
 			return;
 		}
 
@@ -320,6 +326,7 @@
 			entries: link.isBroadcastPending ? [...host.getEntries()] : [],
 			fenced: link.isBroadcastPending ? [...host.getFencedIncarnations()] : [],
 			draining: host.isDraining(),
+			evacuations: areNewEvacuations ? {...evacuations, dataCentres: [...evacuations.dataCentres]} : undefined,
 		}));
 		link.starts = [];
 		link.stops = [];
@@ -328,6 +335,7 @@
 		link.isReportPending = false;
 		link.sentAckedSeq = ackedSeq;
 		link.sentConfigVersion = isNewConfig ? config.version : link.sentConfigVersion;
+		link.sentEvacuationRevision = areNewEvacuations ? evacuations.revision : link.sentEvacuationRevision;
 	}
 }
 
@@ -346,6 +354,7 @@
 		isBroadcastPending: true,
 		sentAckedSeq: 0,
 		sentConfigVersion: 0,
+		sentEvacuationRevision: -1,
 	};
 }
 
--- a/src/connection/resource-limiter.ts
+++ b/src/connection/resource-limiter.ts
@@ -101,7 +101,8 @@
 		},
 		setReturnedCredits: () => undefined,
 		tryAcquire(entry, need = noResources) {
-			if (!fits(need, computeFreeResources())) {
+			// A task that needs no resources would fit, too.
+			if (isDraining || !fits(need, computeFreeResources())) {
 				return false;
 			}
 
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -179,6 +179,8 @@
 	/** Removes an agent whose link was lost; its credits become void. */
 	removeAgent(incarnation: string): void;
 	setAgentStatus(incarnation: string, status: AgentStatus): void;
+	/** Sets the data centres in which nothing is started, whatever their agents report. */
+	setEvacuatedDataCentres(dataCentres: readonly string[]): void;
 	/** Sets the total number of credits granted by the agent since the link opened; a lower one than before is ignored. */
 	setGrantedCredits(incarnation: string, granted: number): void;
 	/** Checks whether a job may be accepted now; has no side effects. */
--- a/src/platform/desired-state.ts
+++ b/src/platform/desired-state.ts
@@ -1,6 +1,7 @@
 /**
  * Converts the operator's configuration to a snapshot of this project's objects. The platform's store holds the whole
- * active configuration as one row of JSON. Each route becomes a submission; all services share one policy.
+ * active configuration as one row of JSON. Each route becomes a submission; all services share one policy. A row for each
+ * evacuated data centre lies beside it.
  */
 import {Buffer} from 'node:buffer';
 import {
@@ -17,7 +18,8 @@
 } from '../version/types.js';
 import type {SnapshotCodec} from '../version/snapshot-holder.js';
 import type {EncodedSnapshotSource} from '../version/long-poll-follower.js';
-import type {PlatformClient} from './platform-client.js';
+import type {EvacuationList} from '../version/evacuations.js';
+import type {OperatorRow, PlatformClient} from './platform-client.js';
 
 /** Name of the team to whose quota all requests of the platform's clients count. */
 export const clientTeam = 'clients';
@@ -32,6 +34,9 @@
 const maxDeadlineMs: Milliseconds = 60_000;
 const unlimited = 1_000_000_000;
 const configRowName = 'config';
+const evacuationRowPrefix = 'evacuate/';
+/** All names with the prefix of evacuations are less than this one. */
+const evacuationRowsEnd = `${evacuationRowPrefix}\u{10FFFF}`;
 
 const routeSchema = z.object({
 	name: z.string(),
@@ -66,42 +71,88 @@
 	};
 }
 
-/** Creates a source that waits for changes of the operator's row. */
-export function createDesiredStateSource(client: Pick<PlatformClient, 'readOperatorRow' | 'waitForOperatorRow'>): EncodedSnapshotSource {
-	/** Revision up to which changes of the row have been read; undefined if the whole row has to be read. */
+/** Dependencies of the source. */
+export type DesiredStateSourceHost = {
+	readonly client: Pick<PlatformClient, 'readOperatorRows' | 'waitForOperatorRows'>;
+	/** Called with the evacuated data centres whenever they were read, before the configuration that was read with them is delivered. */
+	onEvacuations(list: EvacuationList): void;
+};
+
+/** Creates a source that waits for changes of the operator's rows: the configuration and the evacuations. */
+export function createDesiredStateSource({client, onEvacuations}: DesiredStateSourceHost): EncodedSnapshotSource {
+	/** Revision up to which changes of the rows have been read; undefined if the rows have to be read whole. */
 	let revision: number | undefined;
+	/** The evacuated data centres as of `revision`. */
+	const evacuated = new Set<string>();
 
 	return {next};
 
 	function next(): ResultAsync<Uint8Array | undefined, PlatformError> {
-		return revision === undefined ? readRow() : waitForChange(revision);
+		return revision === undefined ? readRows() : waitForChanges(revision);
 	}
 
-	function readRow(): ResultAsync<Uint8Array | undefined, PlatformError> {
-		return client.readOperatorRow(configRowName).map(row => {
-			({revision} = row);
-			return encode(row.text);
+	function readRows(): ResultAsync<Uint8Array | undefined, PlatformError> {
+		return client.readOperatorRows(configRowName, evacuationRowsEnd).map(found => {
+			({revision} = found);
+			evacuated.clear();
+			applyEvacuations(found.rows);
+			reportEvacuations(found.revision);
+			return tryEncodeConfig(found.rows);
 		});
 	}
 
-	function waitForChange(after: number): ResultAsync<Uint8Array | undefined, PlatformError> {
-		return client.waitForOperatorRow(configRowName, after, longPollMs).andThen(change => {
-			if (change.kind === 'history-lost') {
+	function waitForChanges(after: number): ResultAsync<Uint8Array | undefined, PlatformError> {
+		return client.waitForOperatorRows(after, longPollMs).andThen(changes => {
+			if (changes.kind === 'history-lost') {
 				revision = undefined;
-				return readRow();
+				return readRows();
+			}
+
+			revision = Math.max(after, changes.revision);
+			if (applyEvacuations(changes.rows)) {
+				reportEvacuations(revision);
 			}
 
-			revision = Math.max(after, change.revision);
-			return okAsync(encode(change.text));
+			return okAsync(tryEncodeConfig(changes.rows));
 		}).orTee(() => {
-			// The next answer of the store might skip a change, so the whole row is read again.
+			// The next answer of the store might skip a change, so the rows are read whole again.
 			revision = undefined;
 		});
 	}
+
+	/** Applies rows in their order; returns whether any of them is about an evacuation. */
+	function applyEvacuations(rows: readonly OperatorRow[]): boolean {
+		let isAny = false;
+		for (const {name, text} of rows) {
+			const dataCentre = tryGetEvacuatedDataCentre(name);
+			if (dataCentre === undefined) {
+				continue;
+			}
+
+			isAny = true;
+			if (text === undefined) {
+				evacuated.delete(dataCentre);
+			} else {
+				evacuated.add(dataCentre);
+			}
+		}
+
+		return isAny;
+	}
+
+	function reportEvacuations(asOf: number): void {
+		onEvacuations({revision: asOf, dataCentres: [...evacuated]});
+	}
+}
+
+/** An evacuation is a row without content: its name ends in that of the data centre. */
+function tryGetEvacuatedDataCentre(rowName: string): string | undefined {
+	return rowName.startsWith(evacuationRowPrefix) && rowName !== evacuationRowPrefix ? rowName.slice(evacuationRowPrefix.length) : undefined;
 }
 
-function encode(text: string | undefined): Uint8Array | undefined {
-	return text === undefined ? undefined : Buffer.from(text);
+function tryEncodeConfig(rows: readonly OperatorRow[]): Uint8Array | undefined {
+	const text = rows.findLast(({name}) => name === configRowName)?.text;
+	return text === undefined || text === '' ? undefined : Buffer.from(text);
 }
 
 function toSnapshot(state: z.infer<typeof stateSchema>, source: string): Result<Snapshot, Diagnostic> {
--- a/src/platform/platform-client.ts
+++ b/src/platform/platform-client.ts
@@ -36,27 +36,32 @@
 
 /** Client of the store, which also reads rows of the operator and can be closed. */
 export type PlatformClient = Platform & {
-	/** Reads a row that only the operator writes. */
-	readOperatorRow(name: string): ResultAsync<OperatorRow, PlatformError>;
-	/** Waits up to `waitMs` for a change after revision `after` of a row that only the operator writes. */
-	waitForOperatorRow(name: string, after: number, waitMs: Milliseconds): ResultAsync<RowChange, PlatformError>;
+	/** Reads the operator's rows whose names are at least `from` and less than `to`. */
+	readOperatorRows(from: string, to: string): ResultAsync<OperatorRows, PlatformError>;
+	/** Waits up to `waitMs` for changes of the operator's rows after revision `after`. */
+	waitForOperatorRows(after: number, waitMs: Milliseconds): ResultAsync<RowChanges, PlatformError>;
 	/** Aborts calls in progress and closes all connections. A read that waits for a change would otherwise delay the exit of the process. */
 	close(): Promise<void>;
 };
 
 /** A row that only the operator writes. */
 export type OperatorRow = {
-	/** Undefined if there is none. */
+	readonly name: string;
+	/** Undefined if the row was deleted. */
 	readonly text: string | undefined;
-	/** Revision of the newest transaction of the whole store. */
+};
+
+/** The operator's rows as of one revision of the whole store. */
+export type OperatorRows = {
+	readonly rows: readonly OperatorRow[];
 	readonly revision: number;
 };
 
-/** Result of waiting for a change of a row. */
-export type RowChange =
-	/** `text` is undefined if the row did not change. The next wait continues after `revision`. */
-	| {readonly kind: 'changes'; readonly text: string | undefined; readonly revision: number}
-	/** The store no longer retains the requested changes; the row has to be read again. */
+/** Result of waiting for changes of the operator's rows. */
+export type RowChanges =
+	/** The changes up to `revision` in their order, after which the next wait continues; there may be none. */
+	| {readonly kind: 'changes'} & OperatorRows
+	/** The store no longer retains the requested changes; the rows have to be read again. */
 	| {readonly kind: 'history-lost'};
 
 /** Creates a client; it connects with the first call. */
@@ -77,9 +82,8 @@
 			delete: key => call({method: 'DELETE', path: `/v1/blob-drop/${encodeURIComponent(key)}`}, readEmpty),
 			list: (prefix, limit) => call({method: 'GET', path: `/v1/blob-list?${formatQuery({'path-prefix': prefix})}`}, createJsonReader(namesSchema)).map(({names}) => names.slice(0, limit)),
 		},
-		readOperatorRow: name => readRows({table: operatorTable, key: name, limit: 1})
-			.map(({rows, revision}) => ({text: rows.find(row => row.key === `${operatorTable}/${name}`)?.value, revision})),
-		waitForOperatorRow,
+		readOperatorRows,
+		waitForOperatorRows,
 		async close() {
 			await pool.destroy();
 		},
@@ -108,8 +112,21 @@
 		}));
 	}
 
-	function waitForOperatorRow(name: string, after: number, waitMs: Milliseconds): ResultAsync<RowChange, PlatformError> {
-		return call<RowChange>({
+	function readOperatorRows(from: string, to: string): ResultAsync<OperatorRows, PlatformError> {
+		return readRows({
+			table: operatorTable, key: from, end: to, limit: maxRowsPerRead,
+		}).andThen(page => {
+			const rows = page.rows.map(({key, value}): OperatorRow => ({name: splitKey(key).key, text: value}));
+			const last = rows.at(-1);
+			// Later pages may contain later changes. These follow once more after the revision of the first page.
+			return page.hasMore && last !== undefined
+				? readOperatorRows(`${last.name}\0`, to).map(rest => ({rows: [...rows, ...rest.rows], revision: page.revision}))
+				: okAsync({rows, revision: page.revision});
+		});
+	}
+
+	function waitForOperatorRows(after: number, waitMs: Milliseconds): ResultAsync<RowChanges, PlatformError> {
+		return call<RowChanges>({
 			method: 'GET', path: `/v1/rows-feed?${formatQuery({table: operatorTable, after, 'wait-ms': waitMs})}`, waitMs,
 		}, answer => {
 			if (answer.status === 410) {
@@ -117,12 +134,13 @@
 			}
 
 			const feed = createJsonReader(rowsSchema)(answer);
-			if (feed === undefined) {
-				return undefined;
-			}
-
-			const row = feed.value.rows.findLast(({key}) => key === name);
-			return {value: {kind: 'changes', text: row?.value === undefined ? undefined : decodeValue(row.value), revision: feed.value.ver}};
+			return feed && {
+				value: {
+					kind: 'changes',
+					rows: feed.value.rows.map(({key, value = '', deleted}) => ({name: key, text: deleted ? undefined : decodeValue(value)})),
+					revision: feed.value.ver,
+				},
+			};
 		});
 	}
 
@@ -215,7 +233,7 @@
 const maxRowsPerRead = 500;
 
 const rowSchema = z.object({
-	table: z.string(), key: z.string(), value: z.string().optional(), ver: z.number(),
+	table: z.string(), key: z.string(), value: z.string().optional(), ver: z.number(), deleted: z.coerce.boolean().default(false),
 });
 const rowsSchema = z.object({rows: z.array(rowSchema), 'has-more': z.boolean().default(false), ver: z.number().default(0)});
 const commitSchema = z.object({ver: z.number()});
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -16,6 +16,7 @@
 import {createPauseAccumulator, createPauseDetector} from '../process/pause-detector.js';
 import {createPrometheusMetrics} from '../process/prometheus-metrics.js';
 import type {AgentSettings} from '../process/settings.js';
+import {createEvacuationHolder} from '../version/evacuations.js';
 import {createExecutorClient} from './executor-client.js';
 import {createAnnouncementStore} from './announcement-store.js';
 import {createHeartbeatApp} from './heartbeats.js';
@@ -40,6 +41,7 @@
 		clock, table: store.table, log, machine: machine.name,
 	});
 	const lossLog = createLossLog({clock});
+	const evacuations = createEvacuationHolder();
 	const manager = createExecutorManager({
 		log,
 		metrics,
@@ -71,6 +73,7 @@
 			labels: executorInfo.labels,
 			upstreamIncarnation,
 			lossLog,
+			evacuations,
 		}),
 		afterFlush: setImmediate,
 		saveAnnouncement({executorInfo, isLeaving}) {
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -18,6 +18,7 @@
 import type {EntrySettings} from '../process/settings.js';
 import {createResourceScheduler} from '../request/resource-scheduler.js';
 import type {Principal} from '../request/router.js';
+import {createEvacuationHolder} from '../version/evacuations.js';
 import {createLongPollFollower} from '../version/long-poll-follower.js';
 import {createDesiredStateCodec, createDesiredStateSource} from './desired-state.js';
 import {serveHttp, serveMetrics} from './http-server.js';
@@ -44,9 +45,10 @@
 	const platform = createPlatformClient({...settings.platform, clock});
 	const pauseDetector = createPauseDetector(clock);
 	const loadMonitor = overrides.loadMonitor ?? createEventLoopMonitor(clock);
+	const evacuations = createEvacuationHolder();
 	const follower = createLongPollFollower({
 		clock,
-		source: createDesiredStateSource(platform),
+		source: createDesiredStateSource({client: platform, onEvacuations: evacuations.offer}),
 		codec: createDesiredStateCodec(),
 		random: Math.random,
 		onDiagnostic(diagnostic) {
@@ -64,6 +66,7 @@
 		authenticate: refuseToken,
 		host: {
 			timing: platformTiming,
+			evacuations,
 			drainNoticeMs: settings.entry.drainMs * drainNoticeShare,
 			pauseDetector,
 			loadMonitor,
--- a/src/process/agent-types.ts
+++ b/src/process/agent-types.ts
@@ -6,6 +6,7 @@
 import type {LossLog} from '../connection/loss-log.js';
 import type {Resources} from '../generated/kingcuplane.js';
 import type {UpstreamClient} from '../request/upstream-client.js';
+import type {EvacuationHolder} from '../version/evacuations.js';
 import type {every, Clock} from './clock.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
@@ -32,6 +33,8 @@
 	readonly upstreamIncarnation?: string;
 	/** Losses of the upstream, which the agent reports to the entries; none are reported if undefined. */
 	readonly lossLog?: LossLog;
+	/** The evacuated data centres that this process knows of, kept over several agents; a list of its own if undefined. */
+	readonly evacuations?: EvacuationHolder;
 	/** Returns a number in [0, 1), for jitter. */
 	random(): number;
 	/** Reads the addresses ("IP:port") of all live entries from the platform's directory; undefined if it cannot be read. */
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -12,10 +12,12 @@
 import {
 	RefusalReason, Soundness as HealthState, TaskOutcome, type AgentState, type ConfigUpdate, type TaskStart,
 } from '../generated/kingcuplane.js';
+import {createEvacuationHolder} from '../version/evacuations.js';
 import {formatAddress} from './address.js';
 import {
 	every, sleep, type Milliseconds, type Timer,
 } from './clock.js';
+import {createEvacuationWatch} from './evacuation-watch.js';
 import {createUpstreamHealth} from './upstream-health.js';
 import type {AgentHost, Agent, DrainReport} from './agent-types.js';
 
@@ -32,7 +34,7 @@
 export function createAgent(host: AgentHost): Agent {
 	const {settings, clock} = host;
 	const agentInfo = toAgentInfo(host);
-	const {timing = relaxedTiming} = host;
+	const {timing = relaxedTiming, evacuations = createEvacuationHolder()} = host;
 	let slots = 0;
 	let configuredSlots = agentInfo.slots;
 	let configVersion = 0;
@@ -77,6 +79,14 @@
 		},
 	}, granter);
 
+	const evacuation = createEvacuationWatch({
+		evacuations,
+		dataCentre: settings.dataCentre,
+		log: host.log,
+		metrics: host.metrics,
+		getRunningTasks: sessions.getRunningTasks,
+		onChanged: updateDraining,
+	});
 	const links = createEntryLinks({
 		clock,
 		sessions,
@@ -88,6 +98,7 @@
 		lossLog: host.lossLog,
 		getState,
 		receiveConfig,
+		receiveEvacuations: evacuations.offer,
 		readEntryDirectory: host.readEntryDirectory,
 		random: host.random,
 		defer: host.defer,
@@ -105,6 +116,7 @@
 	});
 	const gaugeTimer = every(clock, gaugeIntervalMs, updateGauges);
 	const unsubscribeFromPauses = host.pauseDetector?.onPause(resetLinks);
+	updateDraining();
 	void probe();
 
 	return {
@@ -132,6 +144,7 @@
 			unsubscribeFromPauses?.();
 			heartbeatTimer.cancel();
 			gaugeTimer.cancel();
+			evacuation.stop();
 			links.stop();
 		},
 	};
@@ -153,6 +166,7 @@
 			recordRunResult(result);
 			logRunResult(start, result);
 			done(result);
+			evacuation.recordRunEnd();
 		});
 	}
 
@@ -251,6 +265,7 @@
 		host.metrics.gauge('tasks.running', sessions.getRunningTasks());
 		host.metrics.gauge('slots', slots);
 		host.metrics.gauge('config.version', configVersion);
+		evacuation.updateGauge();
 	}
 
 	function getState(): AgentState {
@@ -290,7 +305,7 @@
 	}
 
 	function updateDraining(): void {
-		const draining = isStopping || isDrainedByConfig || isUpstreamLeaving;
+		const draining = isStopping || isDrainedByConfig || isUpstreamLeaving || evacuation.isEvacuated();
 		if (isDraining === draining) {
 			return;
 		}
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -11,6 +11,7 @@
 import type {LoadDecision} from '../request/load-sharing.js';
 import type {Principal} from '../request/router.js';
 import type {SubmissionRecorder, Ticket} from '../request/types.js';
+import type {EvacuationHolder} from '../version/evacuations.js';
 import type {ConfigFollower} from '../version/polling-follower.js';
 import type {Clock, Milliseconds} from './clock.js';
 import type {Diagnostic} from './diagnostics.js';
@@ -29,6 +30,8 @@
 	readonly incarnation: string;
 	readonly platform: Platform;
 	readonly follower: ConfigFollower;
+	/** The evacuated data centres; known before the first configuration is. Only peers report some if undefined. */
+	readonly evacuations?: EvacuationHolder;
 	readonly recorder: SubmissionRecorder;
 	/** Key of the hash that authenticates tickets. */
 	readonly ticketKey: Uint8Array;
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -8,7 +8,7 @@
 import {createPeerHub} from '../connection/peer-hub.js';
 import type {RelayResult} from '../connection/peer-types.js';
 import {createQuotaShares, shareReportIntervalMs} from '../connection/quota-shares.js';
-import type {EntryAddress, PeerState} from '../generated/kingcuplane.js';
+import type {EntryAddress, Evacuations, PeerState} from '../generated/kingcuplane.js';
 import {toRecordReportJson} from '../request/record-json.js';
 import {createRecordLookup} from '../request/record-lookup.js';
 import {createCoordinator} from '../request/coordinator.js';
@@ -17,6 +17,7 @@
 import {createTicketIssuer} from '../request/ticket.js';
 import type {Ticket} from '../request/types.js';
 import {tryGetAgentConfig} from '../version/agent-config.js';
+import {createEvacuationHolder, type EvacuationList} from '../version/evacuations.js';
 import type {Snapshot} from '../version/types.js';
 import {formatAddress} from './address.js';
 import {
@@ -24,6 +25,7 @@
 } from './clock.js';
 import {createEntryDirectory} from './entry-directory.js';
 import {createEntryReports} from './entry-reports.js';
+import {createEvacuationTelemetry} from './evacuation-telemetry.js';
 import {createJobForwarding, jobOperation} from './job-forwarding.js';
 import {createHttpApi} from './http-api.js';
 import {createIsolationTelemetry, createJobTelemetry} from './job-telemetry.js';
@@ -52,11 +54,12 @@
 export function createEntry(host: EntryHost): Entry {
 	const {clock, settings, incarnation, follower} = host;
 	const limits = settings.entry;
-	const {timing = relaxedTiming} = host;
+	const {timing = relaxedTiming, evacuations = createEvacuationHolder()} = host;
 	const self: EntryAddress = {name: settings.name, incarnation, links: formatAddress(settings.advertise.links)};
 	const agentVersions = new Map<string, number>();
 	const peerStates = new Map<string, PeerState>();
 	const reportIsolation = createIsolationTelemetry(host);
+	const evacuationTelemetry = createEvacuationTelemetry(host);
 	let isDraining = false;
 	let isShuttingDown = false;
 	let drainEndsAt = Infinity;
@@ -121,6 +124,7 @@
 		sessions: coordinator.sessions,
 		scheduler: coordinator.scheduler,
 		tryGetConfig: agent => tryGetAgentConfig(follower.tryGet(), agent),
+		tryGetEvacuations: evacuations.tryGet,
 		getEntries: directory.getLive,
 		getFencedIncarnations: directory.getDead,
 		isDraining: () => isDraining,
@@ -185,6 +189,11 @@
 		receiveState(peer, state) {
 			peerStates.set(peer.incarnation, state);
 			directory.addReported([peer, ...state.entries]);
+			// Before the configuration of this peer, with which this entry may start to serve.
+			if (state.evacuations !== undefined) {
+				evacuations.offer(state.evacuations);
+			}
+
 			void fetchNewerSnapshot(peer, state.configVersion);
 		},
 		receiveShares(peer, message) {
@@ -266,6 +275,16 @@
 		}));
 	}
 
+	evacuations.onChange((list, change) => {
+		applyEvacuations(list);
+		evacuationTelemetry.recordChange(list, change);
+	});
+	const currentEvacuations = evacuations.tryGet();
+	if (currentEvacuations !== undefined) {
+		applyEvacuations(currentEvacuations);
+		evacuationTelemetry.recordChange(currentEvacuations, {evacuated: currentEvacuations.dataCentres, restored: []});
+	}
+
 	follower.onChange(applySnapshot);
 	const currentSnapshot = follower.tryGet();
 	if (currentSnapshot !== undefined) {
@@ -326,6 +345,12 @@
 		host.log.info({configVersion: snapshot.version}, 'configuration in force');
 	}
 
+	function applyEvacuations({dataCentres}: EvacuationList): void {
+		coordinator.scheduler.setEvacuatedDataCentres(dataCentres);
+		links.scheduleConfig();
+		peers.broadcastState([]);
+	}
+
 	function updateAddresses(): void {
 		const addresses = [...directory.getLive().map(entry => entry.links), ...settings.entry.seeds.map(seed => formatAddress(seed))];
 		peers.setAddresses(addresses);
@@ -337,7 +362,7 @@
 			configVersion: follower.tryGet()?.version ?? 0,
 			draining: isDraining,
 			entries: [...entries],
-			evacuations: undefined,
+			evacuations: toMessage(evacuations.tryGet()),
 		};
 	}
 
@@ -372,6 +397,7 @@
 		host.metrics.gauge('links.open', links.getLinkCount());
 		host.metrics.gauge('peers.open', peers.getLinkedPeers().length);
 		host.metrics.gauge('fates.unsaved', host.recorder.getUnsavedCount());
+		evacuationTelemetry.updateGauges();
 		host.metrics.gauge('config.version', follower.tryGet()?.version ?? 0);
 	}
 
@@ -432,3 +458,7 @@
 		await directory.deregister();
 	}
 }
+
+function toMessage(list: EvacuationList | undefined): Evacuations | undefined {
+	return list && {...list, dataCentres: [...list.dataCentres]};
+}
--- a/src/request/credit-pool.ts
+++ b/src/request/credit-pool.ts
@@ -10,7 +10,10 @@
 	readonly info: AgentInfo;
 	/** Maximum number of tasks that the upstream runs at the same time, as last reported. */
 	slots: number;
+	/** Whether nothing may be started on the agent's upstream: its agent reports that it drains, or its data centre is evacuated. */
 	isDraining: boolean;
+	isReportedDraining: boolean;
+	isEvacuated: boolean;
 	granted: number;
 	started: number;
 	returned: number;
@@ -35,7 +38,7 @@
 	tryGet(incarnation: string): PooledAgent | undefined;
 	/** Returns the agents of a service, in the order in which their links were opened. */
 	getAgents(service: string): ReadonlySet<PooledAgent>;
-	/** Returns the slots of all agents of a service. */
+	/** Returns the slots of all agents of a service outside of evacuated data centres. */
 	getSlots(service: string): number;
 };
 
@@ -64,7 +67,7 @@
 		getSlots(service) {
 			let sum = 0;
 			for (const agent of byService.get(service) ?? noAgents) {
-				sum += agent.slots;
+				sum += agent.isEvacuated ? 0 : agent.slots;
 			}
 
 			return sum;
@@ -93,6 +96,8 @@
 		info: agentInfo,
 		slots: agentInfo.slots,
 		isDraining: false,
+		isReportedDraining: false,
+		isEvacuated: false,
 		granted: 0,
 		started: 0,
 		returned: 0,
@@ -107,9 +112,21 @@
 /** Applies a status report of an agent. */
 export function applyStatus(agent: PooledAgent, status: AgentStatus, now: Milliseconds): void {
 	agent.slots = status.slots;
-	agent.isDraining = status.draining;
+	agent.isReportedDraining = status.draining;
 	agent.estimatedFreeSlots = status.draining ? 0 : status.free ?? 0;
 	agent.reportedAt = now;
+	updateDraining(agent);
+}
+
+/** Sets whether the data centre of an agent is evacuated. */
+export function setEvacuated(agent: PooledAgent, isEvacuated: boolean): void {
+	agent.isEvacuated = isEvacuated;
+	updateDraining(agent);
+}
+
+function updateDraining(agent: PooledAgent): void {
+	agent.isDraining = agent.isReportedDraining || agent.isEvacuated;
+	agent.estimatedFreeSlots = agent.isDraining ? 0 : agent.estimatedFreeSlots;
 }
 
 /** Returns the credits that allow a start now; negative while a start without a credit is in flight. */
--- a/src/request/resource-pool.ts
+++ b/src/request/resource-pool.ts
@@ -10,7 +10,10 @@
 /** An entry's state of one agent with an open link. */
 export type AgentView = {
 	readonly info: AgentInfo;
+	/** Whether nothing may be started on the agent's upstream: its agent reports that it drains, or its data centre is evacuated. */
 	isDraining: boolean;
+	isReportedDraining: boolean;
+	isEvacuated: boolean;
 	health: Soundness;
 	/** Total resources in the agent's last report. */
 	capacity: Resources;
@@ -31,6 +34,8 @@
 	return {
 		info: agentInfo,
 		isDraining: false,
+		isReportedDraining: false,
+		isEvacuated: false,
 		health: Soundness.SOUNDNESS_SOUND,
 		capacity: agentInfo.capacity ?? noResources,
 		reportedFreeResources: noResources,
@@ -44,7 +49,8 @@
 /** Applies a status report of an agent. */
 export function applyStatus(agent: AgentView, status: AgentStatus, now: Milliseconds): void {
 	agent.reportedAt = now;
-	agent.isDraining = status.draining;
+	agent.isReportedDraining = status.draining;
+	updateDraining(agent);
 	agent.health = status.soundness ?? Soundness.SOUNDNESS_SOUND;
 	agent.capacity = status.capacity ?? agent.capacity;
 	agent.reportedFreeResources = status.freeRoom ?? noResources;
@@ -54,6 +60,16 @@
 	}
 }
 
+/** Sets whether the data centre of an agent is evacuated. */
+export function setEvacuated(agent: AgentView, isEvacuated: boolean): void {
+	agent.isEvacuated = isEvacuated;
+	updateDraining(agent);
+}
+
+function updateDraining(agent: AgentView): void {
+	agent.isDraining = agent.isReportedDraining || agent.isEvacuated;
+}
+
 /** Records a start that is about to be sent. */
 export function recordSentStart(agent: AgentView, ticket: string, requirements: TaskRequirements): void {
 	agent.sentStarts++;
--- a/src/request/resource-scheduler.ts
+++ b/src/request/resource-scheduler.ts
@@ -14,7 +14,7 @@
 import {createLookAhead, type LookAhead} from './look-ahead.js';
 import {checkResourceAdmission, noRequirements} from './resource-admission.js';
 import {
-	createAgentView, estimateFreeResources, hasFreeResources, isEligible, isStartAllowed, leavesReserve, prefer, countSuspects, recordRunEnd, recordRefusal, recordSentStart, applyStatus, type AgentView,
+	createAgentView, estimateFreeResources, hasFreeResources, isEligible, isStartAllowed, leavesReserve, prefer, countSuspects, recordRunEnd, recordRefusal, recordSentStart, applyStatus, setEvacuated, type AgentView,
 } from './resource-pool.js';
 import {
 	getSlack, hasStarted, isFeasible, isObjectiveInfeasible, sortByPriority, type PendingJob,
@@ -84,6 +84,7 @@
 	const startupGraceEndsAt = clock.now() + host.startupGraceMs;
 	const agentChoice = createAgentChoice(host);
 	let isHeld = false;
+	let evacuated: ReadonlySet<string> = new Set();
 	const jobsInFlight = new Map<string, {readonly state: ServiceState; running: number}>();
 
 	return {
@@ -93,7 +94,9 @@
 		setTeamShare: () => undefined,
 		addAgent(agentInfo) {
 			const state = getService(agentInfo.service);
-			state.agents.set(agentInfo.incarnation, createAgentView(agentInfo));
+			const agent = createAgentView(agentInfo);
+			setEvacuated(agent, evacuated.has(agentInfo.dataCentre));
+			state.agents.set(agentInfo.incarnation, agent);
 			state.outliers.addAgent(agentInfo.incarnation);
 			state.isolationPool.invalidate();
 			serviceOfAgent.set(agentInfo.incarnation, state);
@@ -119,6 +122,7 @@
 				dispatch(state);
 			}
 		},
+		setEvacuatedDataCentres,
 		setGrantedCredits: () => undefined,
 		checkAdmission: job => checkResourceAdmission(getService(job.service), job, clock.now(), startupGraceEndsAt),
 		enqueue(job) {
@@ -171,6 +175,21 @@
 		},
 	};
 
+	function setEvacuatedDataCentres(dataCentres: readonly string[]): void {
+		evacuated = new Set(dataCentres);
+		for (const state of services.values()) {
+			for (const agent of state.agents.values()) {
+				setEvacuated(agent, evacuated.has(agent.info.dataCentre));
+			}
+
+			// The agents that can still serve waiting tasks are requested to report instead.
+			const formerlyReporting = [...state.reportingAgents];
+			state.reportingAgents.clear();
+			dispatch(state);
+			notifyAgents(formerlyReporting);
+		}
+	}
+
 	function addTasks(job: QueuedJob, tasks: readonly QueuedTask[]): void {
 		const state = getService(job.service);
 		const pending = state.jobs.get(job.ticket) ?? {job, tasks: []};
--- a/src/request/scheduler.ts
+++ b/src/request/scheduler.ts
@@ -9,7 +9,7 @@
 import type {PlacementMode} from '../version/types.js';
 import {assessJob} from './admission.js';
 import {
-	createCreditPool, getUnusedCredits, returnCredits, applyStatus, type PooledAgent,
+	createCreditPool, getUnusedCredits, returnCredits, applyStatus, setEvacuated, type PooledAgent,
 } from './credit-pool.js';
 import {createDemand, type Demand} from './demand.js';
 import {createJobQueue, type JobQueue, type WaitingJob} from './job-queue.js';
@@ -58,6 +58,7 @@
 	const runTimes = createRunTimes();
 	const services = new Map<string, ServiceState>();
 	const shares = new Map<string, TeamShare>();
+	let evacuated: ReadonlySet<string> = new Set();
 	const runningJobs = new Map<string, RunningJob>();
 	const runningByTeam = new Map<string, number>();
 
@@ -71,6 +72,7 @@
 		},
 		addAgent(agentInfo) {
 			pool.open(agentInfo);
+			setEvacuated(pool.tryGet(agentInfo.incarnation)!, evacuated.has(agentInfo.dataCentre));
 			const state = getService(agentInfo.service);
 			state.outliers.addAgent(agentInfo.incarnation);
 			updateDemand(state);
@@ -98,6 +100,20 @@
 				host.onReportChanged(incarnation);
 			}
 		},
+		setEvacuatedDataCentres(dataCentres) {
+			evacuated = new Set(dataCentres);
+			for (const state of services.values()) {
+				for (const agent of pool.getAgents(state.service)) {
+					setEvacuated(agent, evacuated.has(agent.info.dataCentre));
+					if (agent.isDraining && returnCredits(agent, Infinity) > 0) {
+						host.onReportChanged(agent.info.incarnation);
+					}
+				}
+
+				updateDemand(state);
+				dispatch(state);
+			}
+		},
 		setGrantedCredits(incarnation, granted) {
 			const agent = pool.tryGet(incarnation);
 			if (agent === undefined) {
--- a/test/platform/desired-state.test.ts
+++ b/test/platform/desired-state.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
 import {createDesiredStateCodec, createDesiredStateSource} from '../../src/platform/desired-state.js';
-import type {PlatformClient, RowChange} from '../../src/platform/platform-client.js';
+import type {OperatorRow, RowChanges} from '../../src/platform/platform-client.js';
 import {createUnreachableError} from '../../src/process/platform/errors.js';
 import type {PlatformError} from '../../src/process/platform/types.js';
 import {describe, it} from '../describe.js';
@@ -39,37 +39,58 @@
 	});
 
 	describe('source', () => {
-		type Reply = ResultAsync<RowChange, PlatformError>;
+		type Reply = ResultAsync<RowChanges, PlatformError>;
 
-		function createSource(changes: Reply[]): {readonly next: () => Promise<string | undefined>; readonly reads: () => number; readonly requestedRevisions: number[]} {
+		type SourceFixture = {
+			readonly next: () => Promise<string | undefined>;
+			readonly reads: () => number;
+			readonly requestedRevisions: number[];
+			/** What the source has delivered, in order. */
+			readonly delivered: unknown[];
+			/** Rows that the store has beside the configuration. */
+			rows: readonly OperatorRow[];
+		};
+
+		function createSource(changes: Reply[]): SourceFixture {
 			let reads = 0;
 			const requestedRevisions: number[] = [];
-			const client: Pick<PlatformClient, 'readOperatorRow' | 'waitForOperatorRow'> = {
-				readOperatorRow() {
-					reads++;
-					return okAsync({text: `read ${reads}`, revision: reads * 10});
+			const delivered: unknown[] = [];
+			const source = createDesiredStateSource({
+				client: {
+					readOperatorRows(from, to) {
+						reads++;
+						const rows = [{name: 'config', text: `read ${reads}`}, ...fixture.rows];
+						return okAsync({rows: rows.filter(({name}) => name >= from && name < to), revision: reads * 10});
+					},
+					waitForOperatorRows(after) {
+						requestedRevisions.push(after);
+						return changes.shift()!;
+					},
 				},
-				waitForOperatorRow(_name, after) {
-					requestedRevisions.push(after);
-					return changes.shift()!;
+				onEvacuations({revision, dataCentres}) {
+					delivered.push([revision, dataCentres]);
 				},
-			};
-			const source = createDesiredStateSource(client);
-			return {
+			});
+			const fixture: SourceFixture = {
 				async next() {
 					const found = await source.next();
-					return found.map(bytes => bytes === undefined ? undefined : Buffer.from(bytes).toString()).unwrapOr('failed');
+					const text = found.map(bytes => bytes === undefined ? undefined : Buffer.from(bytes).toString()).unwrapOr('failed');
+					delivered.push(text);
+					return text;
 				},
 				reads: () => reads,
 				requestedRevisions,
+				delivered,
+				rows: [],
 			};
+			return fixture;
 		}
 
 		it('reads the row once and then waits for changes after the newest revision', async t => {
 			const source = createSource([
-				okAsync({kind: 'changes', text: undefined, revision: 12}),
-				okAsync({kind: 'changes', text: 'changed', revision: 15}),
-				okAsync({kind: 'changes', text: undefined, revision: 15}),
+				okAsync({kind: 'changes', rows: [], revision: 12}),
+				okAsync({kind: 'changes', rows: [{name: 'config', text: 'older'}, {name: 'other', text: 'x'}, {name: 'config', text: 'changed'}], revision: 15}),
+				okAsync({kind: 'changes', rows: [{name: 'config', text: undefined}], revision: 15}),
 			]);
 			t.deepEqual([await source.next(), await source.next(), await source.next(), await source.next()], ['read 1', undefined, 'changed', undefined]);
 			t.deepEqual(source.requestedRevisions, [10, 12, 15]);
@@ -83,5 +104,35 @@
 			]);
 			t.deepEqual([await source.next(), await source.next(), await source.next(), await source.next()], ['read 1', 'read 2', 'failed', 'read 3']);
 		});
+
+		it('delivers the evacuated data centres before the configuration, and then their changes', async t => {
+			const source = createSource([
+				okAsync({kind: 'changes', rows: [{name: 'evacuate/b/2', text: ''}, {name: 'config', text: 'changed'}], revision: 12}),
+				okAsync({kind: 'changes', rows: [{name: 'config', text: 'again'}], revision: 13}),
+				okAsync({kind: 'changes', rows: [{name: 'evacuate/a', text: undefined}, {name: 'evacuate/c', text: '{'}, {name: 'evacuate/c', text: undefined}], revision: 14}),
+			]);
+			source.rows = [{name: 'evacuate/', text: 'names nothing'}, {name: 'evacuate/a', text: 'not JSON'}, {name: 'wave/1', text: '{}'}];
+			for (let i = 0; i < 4; i++) {
+				await source.next();
+			}
+
+			t.deepEqual(source.delivered, [[10, ['a']], 'read 1', [12, ['a', 'b/2']], 'changed', 'again', [14, ['b/2']], undefined]);
+		});
+
+		it('reads the evacuations whole when the store has lost its history, and after a failed wait', async t => {
+			const source = createSource([
+				okAsync({kind: 'history-lost'}),
+				errAsync(createUnreachableError('away', false, 100)),
+			]);
+			source.rows = [{name: 'evacuate/a', text: ''}];
+			await source.next();
+			source.rows = [{name: 'evacuate/b', text: ''}];
+			await source.next();
+			// Taken back while the store could not be reached.
+			await source.next();
+			source.rows = [];
+			await source.next();
+			t.deepEqual(source.delivered, [[10, ['a']], 'read 1', [20, ['b']], 'read 2', 'failed', [30, []], 'read 3']);
+		});
 	});
 });
--- a/test/process/agent.test.ts
+++ b/test/process/agent.test.ts
@@ -1,7 +1,10 @@
 import Logger from 'bunyan';
 import {z} from 'zod';
 import {relaxedTiming} from '../../src/connection/link-timing.js';
-import type {AgentBatch, EntryBatch} from '../../src/generated/kingcuplane.js';
+import {
+	RefusalReason, TaskOutcome, TaskStart, type AgentBatch, type EntryBatch,
+} from '../../src/generated/kingcuplane.js';
+import type {RunResult} from '../../src/connection/entry-sessions.js';
 import {createAgent} from '../../src/process/agent.js';
 import type {Agent} from '../../src/process/agent-types.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
@@ -15,6 +18,8 @@
 	readonly sentBatches: AgentBatch[];
 	/** Messages that the agent has logged. */
 	readonly loggedMessages: string[];
+	/** Ends each run that has not ended. */
+	endRuns(): void;
 	/** Delivers a batch from the entry to the agent. */
 	receive(batch: Partial<EntryBatch>): Promise<void>;
 	/** Ends the stream, as the entry would. */
@@ -29,10 +34,26 @@
 	});
 }
 
+const completedRun: RunResult = {
+	outcome: TaskOutcome.TASK_OUTCOME_COMPLETED, reason: RefusalReason.REFUSAL_REASON_UNSPECIFIED, payload: new Uint8Array(), duration: 5, detail: '',
+};
+
+function createStart(seq: number): TaskStart {
+	return TaskStart.fromPartial({
+		task: {ticket: `t${seq}`, index: 0}, seq, attempt: 1, need: {},
+	});
+}
+
+/** Returns the reasons for which the agent has refused starts, by the number of the start. */
+function getRefusals({sentBatches}: Fixture): ReadonlyMap<number, RefusalReason> {
+	return new Map(sentBatches.flatMap(({results}) => results).filter(({outcome}) => outcome === TaskOutcome.TASK_OUTCOME_REFUSED).map(({startSeq, reason}) => [startSeq, reason]));
+}
+
 async function createFixture(): Promise<Fixture> {
 	const clock = createFakeClock();
 	const sentBatches: AgentBatch[] = [];
 	const loggedMessages: string[] = [];
+	const runs: Array<(result: RunResult) => void> = [];
 	const log = Logger.createLogger({
 		name: 'a', streams: [{
 			type: 'raw', stream: {
@@ -74,7 +95,10 @@
 		},
 		incarnation: 'a1',
 		upstream: {
-			run: () => undefined, isReachable: async () => true, close: async () => undefined,
+			run(_start, done) {
+				runs.push(done);
+			},
+			isReachable: async () => true, close: async () => undefined,
 		},
 		log,
 		metrics: noMetrics,
@@ -90,6 +114,11 @@
 		agent,
 		sentBatches,
 		loggedMessages,
+		endRuns() {
+			for (const done of runs.splice(0)) {
+				done(completedRun);
+			}
+		},
 		endStream() {
 			listeners.get('end')!();
 		},
@@ -148,4 +177,49 @@
 		t.true(sentBatches.at(-1)?.state?.draining);
 		agent.stop();
 	});
+
+	describe('in an evacuated data centre', () => {
+		const evacuated = {revision: 10, dataCentres: ['c', 'd']};
+		const restored = {revision: 20, dataCentres: ['c']};
+
+		it('refuses every start from the batch with the list on, and lets earlier runs end', async t => {
+			const fixture = await createFixture();
+			await fixture.receive({starts: [createStart(1)]});
+			await fixture.receive({starts: [createStart(2)], evacuations: evacuated});
+			t.deepEqual([...getRefusals(fixture)], [[2, RefusalReason.REFUSAL_REASON_DRAINING]]);
+			t.like(fixture.sentBatches.at(-1)!.state, {draining: true, running: 1});
+			fixture.endRuns();
+			await waitForTurn();
+			t.is(fixture.sentBatches.at(-1)!.results[0]?.outcome, TaskOutcome.TASK_OUTCOME_COMPLETED);
+			t.deepEqual(fixture.loggedMessages.slice(1), ['data centre is evacuated; no task is started', 'last task in the evacuated data centre has ended here']);
+			fixture.agent.stop();
+		});
+
+		it('refuses a start of an entry that has resumed with an older list', async t => {
+			const fixture = await createFixture();
+			await fixture.receive({evacuations: evacuated});
+			fixture.endStream();
+			fixture.clock.advance(1000);
+			await fixture.receive({welcome: {entry: 'f', incarnation: 'f1'}});
+			t.true(fixture.sentBatches.at(-1)!.state?.draining);
+			await fixture.receive({evacuations: {revision: 9, dataCentres: []}, starts: [createStart(1)]});
+			t.deepEqual([...getRefusals(fixture)], [[1, RefusalReason.REFUSAL_REASON_DRAINING]]);
+			fixture.agent.stop();
+		});
+
+		it('accepts starts again once it is restored, unless there is another reason to drain', async t => {
+			const fixture = await createFixture();
+			await fixture.receive({evacuations: evacuated});
+			fixture.agent.setUpstreamLeaving(true);
+			await fixture.receive({evacuations: restored, starts: [createStart(1)]});
+			t.true(fixture.sentBatches.at(-1)!.state?.draining);
+			fixture.agent.setUpstreamLeaving(false);
+			await fixture.receive({starts: [createStart(2)]});
+			t.deepEqual([...getRefusals(fixture).keys()], [1]);
+			t.like(fixture.sentBatches.at(-1)!.state, {draining: false});
+			await fixture.receive({evacuations: {revision: 30, dataCentres: ['d']}, starts: [createStart(3)]});
+			t.deepEqual([...getRefusals(fixture).keys()], [1, 3]);
+			fixture.agent.stop();
+		});
+	});
 });
--- /dev/null
+++ b/test/process/entry-evacuation.test.ts
@@ -0,0 +1,184 @@
+import type {ExecutionContext} from 'ava';
+import type {LinkStream} from '../../src/connection/link-server.js';
+import type {IncomingPeerStream} from '../../src/connection/peer-types.js';
+import {
+	AgentBatch, AgentHello, AgentState, PeerBatch, type EntryBatch,
+} from '../../src/generated/kingcuplane.js';
+import {createEntry} from '../../src/process/entry.js';
+import {createFakeClock} from '../../src/process/fake-clock.js';
+import {noMetrics} from '../../src/process/metrics.js';
+import {createMemoryPlatform} from '../../src/process/platform/memory.js';
+import {createEvacuationHolder, type EvacuationList} from '../../src/version/evacuations.js';
+import {createPollingFollower} from '../../src/version/polling-follower.js';
+import {describe, it} from '../describe.js';
+import {createSubmissionRecords} from '../failure/submission-records.js';
+import {silentLog} from '../silent-log.js';
+
+type Fixture = {
+	/** Lists that the entry has sent to a linked agent. */
+	readonly sentToAgent: EvacuationList[];
+	/** Delivers a list that was read from the store. */
+	offer(list: EvacuationList): void;
+	/** Links another entry and returns the list with which the stream begins. */
+	connectPeer(): EvacuationList | undefined;
+	/** Links an agent in data centre `d`. */
+	connectAgent(): void;
+	/** Delivers the state of the peer that was linked last. */
+	receiveFromPeer(list: EvacuationList | undefined): void;
+	/** Whether a task could be placed. */
+	isAdmitting(): boolean;
+};
+
+/** Creates an entry that has no connection to the store. */
+function createFixture(t: ExecutionContext): Fixture {
+	const clock = createFakeClock();
+	const platform = createMemoryPlatform({clock});
+	const evacuations = createEvacuationHolder();
+	const deferred: Array<() => void> = [];
+	const entry = createEntry({
+		clock,
+		settings: {
+			name: 'e',
+			dataCentre: 'd',
+			rack: '',
+			listen: {http: {host: '', port: 1}, links: {host: '', port: 2}},
+			advertise: {http: {host: '', port: 1}, links: {host: '', port: 2}},
+			platform: {url: '', timeoutMs: 1000},
+			entry: {
+				seeds: [], leaseMs: 1000, ticketLifetimeMs: 1000, blockMs: 1000, fateMemoryBytes: 1000, fateWritesPerSecond: 1, answerKeepMs: 1000, maxBodyBytes: 1000, maxTasks: 10, maxHeaderBytes: 1000, maxWaitMs: 1000, agentGraceMs: 1000, drainMs: 0,
+			},
+			log: {level: 'info'},
+			metrics: {address: undefined, prefix: ''},
+		},
+		incarnation: 'e-1',
+		platform,
+		follower: createPollingFollower({
+			platform, clock, random: () => 0, onDiagnostic: () => undefined,
+		}),
+		evacuations,
+		recorder: createSubmissionRecords(clock, 'e-1', platform.objects).recorder,
+		ticketKey: new Uint8Array(32),
+		log: silentLog,
+		metrics: noMetrics,
+		authenticate() {
+			throw new Error('no caller is expected');
+		},
+		areTokensLoaded: () => true,
+		random: () => 0,
+		onDeclaredDead: () => undefined,
+		defer(action) {
+			deferred.push(action);
+		},
+	});
+	t.teardown(entry.stop);
+	const sentToAgent: EvacuationList[] = [];
+	let receivePeerBatch: (batch: PeerBatch) => void = () => undefined;
+
+	return {
+		sentToAgent,
+		connectPeer() {
+			let first: PeerBatch | undefined;
+			const stream: IncomingPeerStream = {
+				on(event: string, listener: (batch: PeerBatch) => void) {
+					if (event === 'data') {
+						receivePeerBatch = listener;
+					}
+				},
+				write(batch) {
+					first ??= batch;
+				},
+				end: () => undefined,
+			};
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- the entry uses only these members
+			entry.peers.exchange(stream as Parameters<typeof entry.peers.exchange>[0]);
+			runDeferred();
+			return first?.state?.evacuations;
+		},
+		connectAgent() {
+			let receive: (batch: AgentBatch) => void = () => undefined;
+			const stream: LinkStream = {
+				on(event: string, listener: (batch: AgentBatch) => void) {
+					if (event === 'data') {
+						receive = listener;
+					}
+				},
+				write(batch: EntryBatch) {
+					sentToAgent.push(...batch.evacuations === undefined ? [] : [batch.evacuations]);
+				},
+				end: () => undefined,
+			};
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- the entry uses only these members
+			entry.links.open(stream as Parameters<typeof entry.links.open>[0]);
+			receive(AgentBatch.fromPartial({
+				hello: AgentHello.fromPartial({
+					agent: 'a', incarnation: 'a-1', service: 's', dataCentre: 'd', slots: 1,
+				}),
+				state: AgentState.fromPartial({slots: 1}),
+			}));
+			runDeferred();
+		},
+		receiveFromPeer(list) {
+			receivePeerBatch(PeerBatch.fromPartial({
+				hello: {address: {name: 'p', incarnation: 'p-1', links: 'p:1'}},
+				state: {evacuations: list && {...list, dataCentres: [...list.dataCentres]}},
+			}));
+			runDeferred();
+		},
+		isAdmitting: () => entry.coordinator.scheduler.checkAdmission({
+			ticket: 'j', service: 's', team: 't', taskCount: 1, expectedRun: 1, arrivedAt: clock.now(), deadlineAt: clock.now() + 1000,
+		}).kind === 'admitted',
+		offer(list) {
+			evacuations.offer(list);
+			runDeferred();
+		},
+	};
+
+	function runDeferred(): void {
+		for (const action of deferred.splice(0)) {
+			action();
+		}
+	}
+}
+
+describe('evacuations at an entry', () => {
+	it('are learnt from a peer while the store turns this entry away, and passed on', t => {
+		const {connectPeer, connectAgent, receiveFromPeer, sentToAgent, isAdmitting} = createFixture(t);
+		t.is(connectPeer(), undefined);
+		connectAgent();
+		t.true(isAdmitting());
+		receiveFromPeer({revision: 10, dataCentres: ['d', 'f']});
+		t.false(isAdmitting());
+		t.deepEqual(sentToAgent, [{revision: 10, dataCentres: ['d', 'f']}]);
+		t.deepEqual(connectPeer(), {revision: 10, dataCentres: ['d', 'f']});
+	});
+
+	it('are not replaced by an older list of a peer that has resumed', t => {
+		const {offer, connectPeer, connectAgent, receiveFromPeer, sentToAgent, isAdmitting} = createFixture(t);
+		connectPeer();
+		connectAgent();
+		offer({revision: 10, dataCentres: ['d']});
+		receiveFromPeer({revision: 9, dataCentres: []});
+		receiveFromPeer(undefined);
+		t.false(isAdmitting());
+		t.deepEqual(sentToAgent, [{revision: 10, dataCentres: ['d']}]);
+	});
+
+	it('are sent to an agent with the first batch of its link', t => {
+		const {offer, connectAgent, sentToAgent, isAdmitting} = createFixture(t);
+		offer({revision: 10, dataCentres: ['d']});
+		connectAgent();
+		t.deepEqual(sentToAgent, [{revision: 10, dataCentres: ['d']}]);
+		t.false(isAdmitting());
+	});
+
+	it('end for each data centre on its own', t => {
+		const {offer, connectAgent, sentToAgent, isAdmitting} = createFixture(t);
+		connectAgent();
+		offer({revision: 10, dataCentres: ['d', 'f']});
+		offer({revision: 11, dataCentres: ['d']});
+		t.false(isAdmitting());
+		offer({revision: 12, dataCentres: []});
+		t.true(isAdmitting());
+		t.deepEqual(sentToAgent.map(({revision}) => revision), [10, 11, 12]);
+	});
+});
--- a/test/process/platform/platform-client.test.ts
+++ b/test/process/platform/platform-client.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import http from 'node:http';
 import net from 'node:net';
@@ -10,7 +11,7 @@
 import {createMemoryPlatform} from '../../../src/process/platform/memory.js';
 import type {Transaction} from '../../../src/process/platform/types.js';
 import {describe, it} from '../../describe.js';
-import {unwrapError} from '../../unwrap.js';
+import {unwrap, unwrapError} from '../../unwrap.js';
 import {describePlatformContract} from './platform-contract.js';
 
 const anyWrite: Transaction = {conditions: [], writes: [{key: 'a', value: '1'}]};
@@ -58,13 +59,40 @@
 	it('closes at once although a read waits for a change', async t => {
 		const server = http.createServer();
 		const client = createPlatformClient({clock: createFakeClock(), url: await open(t, server), timeoutMs: 1000});
-		const pending = client.waitForOperatorRow('config', 1, 700);
+		const pending = client.waitForOperatorRows(1, 700);
 		await once(server, 'request');
 		await client.close();
 		const outcome = await pending;
 		t.true(outcome.isErr());
 	});
 
+	it('reads the rows of the operator and their changes, also rows that were dropped', async t => {
+		const requested: string[] = [];
+		const value = Buffer.from('text').toString('base64');
+		const server = http.createServer((req, res) => {
+			requested.push(req.url!);
+			const isFeed = req.url!.startsWith('/v1/rows-feed');
+			const isFirstPage = !req.url!.includes('%00');
+			res.end(JSON.stringify(isFeed
+				? {
+					rows: [{
+						table: 'op', key: 'evacuate/a', value, ver: 5,
+					}, {
+						table: 'op', key: 'evacuate/a', deleted: true, ver: 6,
+					}], ver: 6,
+				}
+				: {
+					rows: [{
+						table: 'op', key: isFirstPage ? 'config' : 'evacuate/a', value, ver: 3,
+					}], 'has-more': isFirstPage, ver: isFirstPage ? 4 : 5,
+				}));
+		});
+		const client = createPlatformClient({clock: createFakeClock(), url: await open(t, server), timeoutMs: 1000});
+		t.deepEqual(await unwrap(client.readOperatorRows('config', 'f')), {rows: [{name: 'config', text: 'text'}, {name: 'evacuate/a', text: 'text'}], revision: 4});
+		t.deepEqual(await unwrap(client.waitForOperatorRows(4, 0)), {kind: 'changes', rows: [{name: 'evacuate/a', text: 'text'}, {name: 'evacuate/a', text: undefined}], revision: 6});
+		t.is(requested.length, 3);
+	});
+
 	it('reports an answer in an unexpected format as invalid', async t => {
 		const server = http.createServer((req, res) => {
 			res.statusCode = req.method === 'GET' ? 200 : 404;
--- a/test/request/resource-scheduler.test.ts
+++ b/test/request/resource-scheduler.test.ts
@@ -16,7 +16,7 @@
 	readonly notified: string[];
 	readonly infeasible: string[];
 	/** Adds an agent with `cores` cores, all free. */
-	connectAgent(name: string, cores: number, labels?: readonly string[]): void;
+	connectAgent(name: string, cores: number, labels?: readonly string[], dataCentre?: string): void;
 	/** Reports the status of an agent with `cores` free cores. */
 	reportFreeCores(name: string, cores: number, receivedStarts: number, soundness?: Soundness): void;
 };
@@ -47,13 +47,13 @@
 		starts,
 		notified,
 		infeasible,
-		connectAgent(name, cores, labels = []) {
+		connectAgent(name, cores, labels = [], dataCentre = 'd') {
 			const info: AgentInfo = {
 				incarnation: name,
 				name,
 				upstream: `u-${name}`,
 				service: 's',
-				dataCentre: 'd',
+				dataCentre,
 				rack: labels[1] ?? '',
 				slots: 1,
 				capacity: {cpu: cores * millicoresPerCore, memory: 1000, accelerators: 0},
@@ -95,6 +95,66 @@
 }
 
 describe('resource scheduler', () => {
+	describe('evacuated data centres', () => {
+		it('get no new task at once, also no task that is started again', t => {
+			const {scheduler, starts, connectAgent, clock} = createFixture();
+			const job = createJob('j', 1, 100, clock.now());
+			connectAgent('a', 4, [], 'd1');
+			scheduler.enqueue(job);
+			scheduler.setEvacuatedDataCentres(['d1']);
+			scheduler.recordTaskEnd('a', 'j', 'refused', undefined);
+			scheduler.requeue(job, {ticket: 'j', index: 0, attempt: 2});
+			connectAgent('b', 4, [], 'd1');
+			t.is(starts.length, 1);
+			connectAgent('c', 4, [], 'd2');
+			t.deepEqual(starts.map(({agent, attempt}) => [agent, attempt]), [['a', 1], ['c', 2]]);
+		});
+
+		it('do not count for admission', t => {
+			const {scheduler, connectAgent, clock} = createFixture();
+			connectAgent('a', 4, ['gpu'], 'd1');
+			connectAgent('b', 4, [], 'd2');
+			connectAgent('c', 4, [], 'd3');
+			const labelled = createJob('j', 1, 100, clock.now(), {label: 'gpu'});
+			const plain = createJob('k', 1, 100, clock.now());
+			scheduler.setEvacuatedDataCentres(['d1', 'd2']);
+			t.is(scheduler.checkAdmission(labelled).kind, 'no-upstream');
+			t.is(scheduler.checkAdmission(plain).kind, 'admitted');
+			scheduler.setEvacuatedDataCentres(['d1', 'd2', 'd3']);
+			t.is(scheduler.checkAdmission(plain).kind, 'no-upstream');
+			scheduler.setEvacuatedDataCentres(['d2']);
+			t.is(scheduler.checkAdmission(labelled).kind, 'admitted');
+		});
+
+		it('serve waiting tasks once they are restored, except on agents that drain for another reason', t => {
+			const {scheduler, starts, connectAgent, clock} = createFixture();
+			connectAgent('a', 4, [], 'd1');
+			connectAgent('b', 4, [], 'd1');
+			scheduler.setEvacuatedDataCentres(['d1']);
+			scheduler.setAgentStatus('a', {
+				draining: true, running: 0, slots: 1, meanRun: 0, failedPerMille: 0, freeRoom: {cpu: 4000, memory: 1000, accelerators: 0},
+			});
+			scheduler.enqueue(createJob('j', 2, 100, clock.now()));
+			t.is(starts.length, 0);
+			scheduler.setEvacuatedDataCentres([]);
+			t.deepEqual(starts.map(({agent}) => agent), ['b', 'b']);
+		});
+
+		it('are replaced by others that are asked to report free resources to waiting tasks', t => {
+			const {scheduler, connectAgent, reportFreeCores, clock} = createFixture();
+			for (let i = 0; i < 12; i++) {
+				connectAgent(`a${i}`, 1, [], 'd1');
+				reportFreeCores(`a${i}`, 0, 0);
+			}
+
+			scheduler.enqueue(createJob('j', 2, 100, clock.now()));
+			connectAgent('b', 1, [], 'd2');
+			reportFreeCores('b', 0, 0);
+			scheduler.setEvacuatedDataCentres(['d1']);
+			t.deepEqual(['a0', 'a11', 'b'].map(agent => scheduler.getDemand(agent) > 0), [false, false, true]);
+		});
+	});
+
 	describe('placement', () => {
 		it('starts only as many tasks as an upstream has processors for', t => {
 			const {scheduler, starts, connectAgent, clock} = createFixture();
--- a/test/request/scheduler.test.ts
+++ b/test/request/scheduler.test.ts
@@ -20,6 +20,22 @@
 		t.is(scheduler.getDemand('a1'), 1);
 	});
 
+	it('returns the credits of agents in evacuated data centres and starts nothing there until they are restored', t => {
+		const {scheduler, starts} = createTestScheduler();
+		scheduler.addAgent(createAgentInfo('a1'));
+		const {dataCentre} = createAgentInfo('a1');
+		scheduler.setGrantedCredits('a1', 2);
+		scheduler.setEvacuatedDataCentres([dataCentre]);
+		t.is(scheduler.getReturnedCredits('a1'), 2);
+		scheduler.enqueue(createJob({ticket: 'j1', taskCount: 1}));
+		scheduler.setGrantedCredits('a1', 3);
+		t.deepEqual([starts.length, scheduler.getDemand('a1')], [0, 0]);
+		scheduler.setEvacuatedDataCentres([]);
+		t.is(scheduler.getDemand('a1'), 1);
+		scheduler.setGrantedCredits('a1', 4);
+		t.is(starts.length, 1);
+	});
+
 	it('starts a small job before a large one that arrived first, and the large one afterwards', t => {
 		const {clock, scheduler, starts} = createTestScheduler();
 		scheduler.addAgent(createAgentInfo('a1'));
