--- a/dev/failures.ts
+++ b/dev/failures.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the coordination logic under random faults on a fake clock. For each seed whose run violates a rule, it prints
  * the smallest set of faults found that still violates the rule, and the events that concern the first violation.
- * Usage: npm run failures -- --seed N --runs M [--leased [--executors]]
+ * Usage: npm run failures -- --seed N --runs M [--leased [--executors] [--forwarding] [--evacuations]]
  */
 import process from 'node:process';
 import sade from 'sade';
@@ -19,6 +19,7 @@
 	readonly leased: boolean;
 	readonly executors: boolean;
 	readonly forwarding: boolean;
+	readonly evacuations: boolean;
 };
 
 const violatedRuleCounts = new Map<string, number>();
@@ -31,6 +32,7 @@
 	.option('--leased', 'Run the logic as on the users\' platform, with executors under leases', false)
 	.option('--forwarding', 'With --leased: entries forward jobs to each other at random, and the streams between them fail, too', false)
 	.option('--executors', 'With --leased: executors also crash and change their resources', false)
+	.option('--evacuations', 'With --leased: data centres are evacuated and taken back, while the store does not respond to some entries', false)
 	.action(run)
 	.parse(process.argv);
 
@@ -38,10 +40,10 @@
 	await (options.leased ? runLeasedSeeds(options) : runSeeds(options));
 }
 
-async function runLeasedSeeds({seed: firstSeed, runs, executors: hasExecutorFaults, forwarding}: Options): Promise<void> {
+async function runLeasedSeeds({seed: firstSeed, runs, executors: hasExecutorFaults, evacuations: hasEvacuations, forwarding}: Options): Promise<void> {
 	let failed = 0;
 	for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
-		const {violations, faults} = await runLeasedFailures(seed, {hasExecutorFaults, loadSharing: forwarding ? randomForwarding : undefined});
+		const {violations, faults} = await runLeasedFailures(seed, {hasExecutorFaults, hasEvacuations, loadSharing: forwarding ? randomForwarding : undefined});
 		if (violations.length > 0) {
 			failed++;
 			console.log([`seed ${seed}`, ...violations.map(({rule, subject, detail}) => `  ${rule}: ${subject}: ${detail}`), ...faults.map(fault => `  ${fault}`)].join('\n'));
--- a/test/failure/leased.test.ts
+++ b/test/failure/leased.test.ts
@@ -1,7 +1,7 @@
 import {platformTiming} from '../../src/platform/timing.js';
 import type {Executor} from '../../src/process/executor-types.js';
 import {describe, it} from '../describe.js';
-import {crashRule} from './leased/checker.js';
+import {crashRule, evacuationRule} from './leased/checker.js';
 import {randomForwarding} from './leased/entry.js';
 import {runLeasedFailures, type FailureOptions} from './leased/run.js';
 import type {InjectedDefects} from './leased/cluster.js';
@@ -22,7 +22,7 @@
 const defectSeeds = 40;
 
 /** Defects that a code change could introduce, and the rule that each violates, or one of two rules. */
-const defectCases: Readonly<Record<string, {readonly defects: InjectedDefects; readonly brokenRule: string | readonly string[]; readonly hasExecutorFaults?: boolean; readonly hasForwarding?: boolean}>> = {
+const defectCases: Readonly<Record<string, {readonly defects: InjectedDefects; readonly brokenRule: string | readonly string[]; readonly hasExecutorFaults?: boolean; readonly hasForwarding?: boolean; readonly hasEvacuations?: boolean}>> = {
 	'agents do not stop the runs of a lost entry': {
 		defects: {timing: {...platformTiming, orphanGraceMs: undefined}}, brokenRule: 'no task runs twice at the same time',
 	},
@@ -47,6 +47,9 @@
 	'entries keep serving forwarded jobs whose sender is lost': {
 		defects: {areForwardedJobsKept: true}, brokenRule: ['no task runs twice at the same time', 'nothing runs for a job that nobody waits for'], hasForwarding: true,
 	},
+	'entries do not read which data centres are evacuated': {
+		defects: {areEvacuationsIgnored: true}, brokenRule: evacuationRule, hasEvacuations: true,
+	},
 	'entries ignore which tasks were lost with an executor': {
 		defects: {areLossesIgnored: true}, brokenRule: crashRule, hasExecutorFaults: true,
 	},
@@ -81,6 +84,13 @@
 		}
 	});
 
+	it(`violate no guarantee while data centres are evacuated, seeds 1 to ${seeds}`, async t => {
+		for (let seed = 1; seed <= seeds; seed++) {
+			const {violations, faults} = await runLeasedFailures(seed, {hasEvacuations: true, hasExecutorFaults: seed % 2 === 0, loadSharing: seed % 3 === 0 ? randomForwarding : undefined});
+			t.deepEqual(violations, [], `seed ${seed}; its faults:\n${faults.join('\n')}`);
+		}
+	});
+
 	for (const [seed, options] of failedOnceWithForwarding) {
 		it(`violate no guarantee while entries forward jobs, seed ${seed}, which failed once`, async t => {
 			const {violations} = await runLeasedFailures(seed, {...options, loadSharing: randomForwarding});
@@ -96,11 +106,13 @@
 	}
 
 	describe('detect that', () => {
-		for (const [name, {defects, brokenRule, hasExecutorFaults, hasForwarding}] of Object.entries(defectCases)) {
+		for (const [name, {defects, brokenRule, hasExecutorFaults, hasForwarding, hasEvacuations}] of Object.entries(defectCases)) {
 			it(name, async t => {
 				let isDetected = false;
 				for (let seed = 1; seed <= defectSeeds && !isDetected; seed++) {
-					const {violations} = await runLeasedFailures(seed, {defects, hasExecutorFaults, loadSharing: hasForwarding ? randomForwarding : undefined});
+					const {violations} = await runLeasedFailures(seed, {
+						defects, hasExecutorFaults, hasEvacuations, loadSharing: hasForwarding ? randomForwarding : undefined,
+					});
 					isDetected = violations.some(({rule}) => [brokenRule].flat().includes(rule));
 				}
 
--- a/test/failure/leased/checker.ts
+++ b/test/failure/leased/checker.ts
@@ -16,6 +16,8 @@
 
 /** Time after which a leaving executor must not get new runs. */
 const leavingGraceMs: Milliseconds = 2000;
+/** Time after which nothing may be started in an evacuated data centre. */
+const evacuationGraceMs: Milliseconds = 5000;
 /** Time after which withdrawn processors must not be used: the platform's time for contact, and a heartbeat. */
 const shrinkNoticeMs: Milliseconds = 3000 + heartbeatIntervalMs;
 /** Time within which all runs of a job must end after its client has stopped waiting. */
@@ -24,7 +26,9 @@
 /** The rule of the users' platform on tasks that crash the executors that start them. */
 const crashLimit = 3;
 const maxStartsAfterCrashes = 3;
-/** Name of that rule. */
+/** Name of the rule on evacuated data centres. */
+export const evacuationRule = 'nothing starts in an evacuated data centre';
+/** Name of the rule on crashes. */
 export const crashRule = 'no task is started three more times after three executors have crashed under it';
 
 /** Returns the violations in a run whose recovery time has passed; `isCalm` if no faults were injected into it. */
@@ -39,8 +43,9 @@
 	];
 }
 
-/** A period in which an executor was leaving, without faults at its agent. */
+/** A period in which an executor was leaving or its data centre was evacuated. */
 export type LeavingPeriod = {
+	readonly kind: 'leaving' | 'evacuated';
 	readonly executor: string;
 	readonly from: Milliseconds;
 	readonly to: Milliseconds;
@@ -123,10 +128,11 @@
 	return Math.max(...inForce.map(({cpu}) => cpu));
 }
 
-function checkLeavingPeriod({executor, from, to}: LeavingPeriod, runs: readonly PlacedRun[]): Violation[] {
+function checkLeavingPeriod({kind, executor, from, to}: LeavingPeriod, runs: readonly PlacedRun[]): Violation[] {
+	const graceMs = kind === 'leaving' ? leavingGraceMs : evacuationGraceMs;
 	return runs
-		.filter(run => run.executor === executor && run.startedAt > from + leavingGraceMs && run.startedAt < to)
-		.map(run => ({rule: 'a leaving executor gets no new work', subject: executor, detail: `${describe(run)}, leaving since ${from}`}));
+		.filter(run => run.executor === executor && run.startedAt > from + graceMs && run.startedAt < to)
+		.map(run => ({rule: kind === 'leaving' ? 'a leaving executor gets no new work' : evacuationRule, subject: executor, detail: `${describe(run)}, ${kind} since ${from}`}));
 }
 
 function describe({startedAt, endedAt, endDetail}: RecordedRun): string {
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -13,6 +13,7 @@
 import {noMetrics} from '../../../src/process/metrics.js';
 import {createPauseAccumulator, createPauseDetector} from '../../../src/process/pause-detector.js';
 import {createMemoryPlatform} from '../../../src/process/platform/memory.js';
+import {createEvacuationHolder, type EvacuationList} from '../../../src/version/evacuations.js';
 import {createSnapshot} from '../../../src/version/snapshot.js';
 import {silentLog} from '../../silent-log.js';
 import {createFakeExecutor, type FakeExecutor} from '../../process/fake-executor.js';
@@ -52,6 +53,8 @@
 	readonly isGuarding?: boolean;
 	/** Whether agents keep using the processors that their executor announced first. */
 	readonly areRoomChangesIgnored?: boolean;
+	/** Whether entries do not read which data centres are evacuated. */
+	readonly areEvacuationsIgnored?: boolean;
 	/** Whether entries ignore the losses that agents report. */
 	readonly areLossesIgnored?: boolean;
 	/** Whether entries keep serving forwarded jobs after their stream was lost or cancelled them. */
@@ -85,6 +88,10 @@
 	kill(name: string, backAfter: Milliseconds): void;
 	freeze(name: string, duration: Milliseconds): void;
 	setLeaving(agent: string, isLeaving: boolean): void;
+	/** Evacuates the data centre of an agent, or takes that back. Each agent has a data centre of its own. */
+	setEvacuated(agent: string, isEvacuated: boolean): void;
+	/** Keeps an entry from reading evacuations for a time. */
+	cutStore(entry: string, duration: Milliseconds): void;
 	/** Changes the processors of an executor, in thousandths of a processor. Its next heartbeat announces them. */
 	setRoom(agent: string, cpu: number): void;
 	advance(duration: Milliseconds): Promise<void>;
@@ -110,6 +117,9 @@
 	const entries = new Map<string, LeasedEntry>();
 	const agents = new Map<string, {readonly process: SimulatedProcess; readonly manager: ExecutorManager}>();
 	const incarnationCounts = new Map<string, number>();
+	/** Time from which each entry that was cut off from the store can read it again. */
+	const storeReachableFrom = new Map<string, Milliseconds>();
+	let evacuations: EvacuationList = {revision: 1, dataCentres: []};
 	const leavingStartedAt = new Map<string, Milliseconds>();
 	const rooms = new Map(agentNames.map(name => [name as string, [{at: 0, cpu: executorCpu}]]));
 	for (const executor of executors.values()) {
@@ -153,6 +163,13 @@
 
 			announce(name);
 		},
+		setEvacuated(name, isEvacuated) {
+			const others = evacuations.dataCentres.filter(other => other !== name);
+			evacuations = {revision: evacuations.revision + 1, dataCentres: isEvacuated ? [...others, name] : others};
+		},
+		cutStore(name, duration) {
+			storeReachableFrom.set(name, Math.max(storeReachableFrom.get(name) ?? 0, clock.now() + duration));
+		},
 		setRoom(name, cpu) {
 			rooms.get(name)!.push({at: clock.now(), cpu});
 			executors.get(name)!.guardedRuns = defects.isGuarding ? Math.floor(cpu / taskCpu) : undefined;
@@ -208,6 +225,7 @@
 			objects: objects.objects,
 			timing,
 			snapshot: loadSharing === undefined ? snapshot : routeSnapshot,
+			tryReadEvacuations: () => canReadEvacuations(name) ? evacuations : undefined,
 			areLossesIgnored: defects.areLossesIgnored ?? false,
 			areForwardedJobsKept: defects.areForwardedJobsKept ?? false,
 			loadSharing,
@@ -217,6 +235,10 @@
 		}));
 	}
 
+	function canReadEvacuations(entry: string): boolean {
+		return !defects.areEvacuationsIgnored && clock.now() >= (storeReachableFrom.get(entry) ?? 0);
+	}
+
 	/** Sends a report of a lost upstream to the other entries. */
 	function sendToPeers(sender: string, report: LossReport): void {
 		for (const {process, coordinator} of entries.values()) {
@@ -257,6 +279,7 @@
 		const detector = createPauseDetector(process.clock);
 		let executorCount = 0;
 		const lossLog = createLossLog({clock: process.clock});
+		const agentEvacuations = createEvacuationHolder();
 		const manager = createExecutorManager({
 			log: silentLog,
 			metrics: noMetrics,
@@ -281,7 +304,7 @@
 					name,
 					upstream: name,
 					service: 'meals',
-					dataCentre: '',
+					dataCentre: name,
 					rack: '',
 					upstreamServer: {
 						url: '', slots: 1, connections: 1, taskTimeoutMs: 0,
@@ -302,6 +325,7 @@
 				capacity: executorInfo.room,
 				upstreamIncarnation,
 				lossLog,
+				evacuations: agentEvacuations,
 				random: random.fraction,
 				readEntryDirectory: async () => entryNames,
 				defer(action) {
--- a/test/failure/leased/entry.ts
+++ b/test/failure/leased/entry.ts
@@ -5,7 +5,7 @@
 import {createLinkHub, type LinkHub} from '../../../src/connection/link-server.js';
 import type {LinkTiming} from '../../../src/connection/link-timing.js';
 import {createPeerHub, type PeerHub} from '../../../src/connection/peer-hub.js';
-import type {EntryAddress, LossReport} from '../../../src/generated/kingcuplane.js';
+import type {EntryAddress, Evacuations, LossReport} from '../../../src/generated/kingcuplane.js';
 import {createDesiredStateCodec} from '../../../src/platform/desired-state.js';
 import {createJobDesk, type JobDesk} from '../../../src/platform/job-desk.js';
 import {createJobIntake, type JobIntake} from '../../../src/platform/job-intake.js';
@@ -21,6 +21,7 @@
 import type {Coordinator} from '../../../src/request/coordinator-types.js';
 import {createResourceScheduler} from '../../../src/request/resource-scheduler.js';
 import {createTicketIssuer, type TicketIssuer} from '../../../src/request/ticket.js';
+import {createEvacuationHolder, type EvacuationList} from '../../../src/version/evacuations.js';
 import type {Snapshot} from '../../../src/version/types.js';
 import {silentLog} from '../../silent-log.js';
 import type {Network} from '../network.js';
@@ -44,6 +45,8 @@
 	readonly areForwardedJobsKept: boolean;
 	/** How the entries share their load; if undefined, each serves its own clients and there are no streams between them. */
 	readonly loadSharing: LoadSharingOptions | undefined;
+	/** Reads the evacuated data centres from the store; undefined if it does not respond to this entry. */
+	tryReadEvacuations(): EvacuationList | undefined;
 	/** Sends a report of a lost upstream to the other entries where there are no streams between them. */
 	sendLoss(report: LossReport): void;
 };
@@ -100,6 +103,7 @@
 		clock.after(0, action);
 	};
 
+	const evacuations = createEvacuationHolder();
 	const issuer = createTicketIssuer({
 		clock, incarnation, key: new Uint8Array(32), blockMs: 2000, lifetimeMs: 20_000,
 	});
@@ -139,6 +143,7 @@
 		sessions: coordinator.sessions,
 		scheduler: coordinator.scheduler,
 		tryGetConfig: () => undefined,
+		tryGetEvacuations: evacuations.tryGet,
 		getEntries: () => host.entryNames.map((entry): EntryAddress => ({name: entry, incarnation: entry, links: entry})),
 		getFencedIncarnations: () => [],
 		isDraining: () => false,
@@ -165,6 +170,17 @@
 	});
 	const sharing = loadSharing && startSharing(loadSharing);
 
+	evacuations.onChange(({dataCentres}) => {
+		coordinator.scheduler.setEvacuatedDataCentres(dataCentres);
+		links.scheduleConfig();
+		sharing?.peers.broadcastState([]);
+	});
+	every(clock, storeReadIntervalMs, () => {
+		const list = host.tryReadEvacuations();
+		if (list !== undefined) {
+			evacuations.offer(list);
+		}
+	});
 	coordinator.applySnapshot(snapshot);
 	every(clock, timing.heartbeatMs, links.sendHeartbeats);
 	network.listen({
@@ -215,10 +231,14 @@
 			},
 			serveRequest: forwarding.serve,
 			getState: entries => ({
-				configVersion: 1, draining: false, entries: [...entries], evacuations: undefined,
+				configVersion: 1, draining: false, entries: [...entries], evacuations: toMessage(evacuations.tryGet()),
 			}),
 			tryGetLoad: forwarding.tryGetLoad,
-			receiveState: () => undefined,
+			receiveState(_peer, state) {
+				if (state.evacuations !== undefined) {
+					evacuations.offer(state.evacuations);
+				}
+			},
 			receiveShares: () => undefined,
 			getLosses: () => coordinator.lossLog.getReportsSince(0).reports,
 			receiveLoss: coordinator.receiveLossReport,
@@ -240,5 +260,11 @@
 	}
 }
 
+/** Interval at which an entry reads the evacuations. */
+const storeReadIntervalMs = 200;
 /** Interval at which entries report their state to each other. */
 const stateIntervalMs = 1000;
+
+function toMessage(list: EvacuationList | undefined): Evacuations | undefined {
+	return list && {...list, dataCentres: [...list.dataCentres]};
+}
--- a/test/failure/leased/run.ts
+++ b/test/failure/leased/run.ts
@@ -27,6 +27,12 @@
 const faultCount = 8;
 const executorFaultCount = 8;
 const peerFaultCount = 8;
+const evacuationCount = 3;
+/** Longer than the time after which nothing may be started in an evacuated data centre. */
+const minEvacuationMs: Milliseconds = 6000;
+const maxEvacuationMs: Milliseconds = 14_000;
+/** Shorter than that time: an entry that is cut off from the store for longer need not know of an evacuation unless others tell it. */
+const maxStoreCutMs: Milliseconds = 3000;
 /** Time that clients of crashing jobs allow: enough for an executor to crash, return and crash again. */
 const crashingTimeLimitMs: Milliseconds = 12_000;
 /** Delay of slow start calls to an executor, whose timeout is 150 ms. */
@@ -43,12 +49,14 @@
 	readonly defects?: InjectedDefects;
 	/** Whether executors also crash, by themselves and under tasks, and change their processors. */
 	readonly hasExecutorFaults?: boolean;
+	/** Whether data centres are evacuated and taken back, while entries are cut off from the store in turn. */
+	readonly hasEvacuations?: boolean;
 	/** How entries share their load; if undefined, each serves its own clients. Streams between entries then fail, too. */
 	readonly loadSharing?: LoadSharingOptions;
 };
 
 /** Runs the load and injects the faults of a seed. */
-export async function runLeasedFailures(seed: number, {isCalm = false, defects = {}, hasExecutorFaults = false, loadSharing}: FailureOptions = {}): Promise<LeasedReport> {
+export async function runLeasedFailures(seed: number, {isCalm = false, defects = {}, hasExecutorFaults = false, hasEvacuations = false, loadSharing}: FailureOptions = {}): Promise<LeasedReport> {
 	const clients: Clients = createClients(() => cluster);
 	const cluster = await createLeasedCluster(seed, clients.breakConnections, {defects, loadSharing});
 	const randomSource = createRandomSource(seed);
@@ -75,6 +83,10 @@
 		scheduleExecutorFaults(cluster, clients, createRandomSource(seed), faults);
 	}
 
+	if (hasEvacuations) {
+		scheduleEvacuations(cluster, createRandomSource(seed), {periods: leavingPeriods, faults});
+	}
+
 	if (loadSharing !== undefined) {
 		schedulePeerFaults(cluster, createRandomSource(seed), faults);
 	}
@@ -141,6 +153,39 @@
 	}
 }
 
+/** Data centres that are evacuated and taken back, and entries that cannot read that for a while. */
+function scheduleEvacuations(cluster: LeasedCluster, randomSource: RandomSource, {periods, faults}: {readonly periods: LeavingPeriod[]; readonly faults: string[]}): void {
+	const {clock} = cluster.sim;
+	const evacuated = new Set<string>();
+	for (let i = 0; i < evacuationCount; i++) {
+		const agent = randomSource.pick(agentNames);
+		const entry = randomSource.pick(entryNames);
+		const duration = randomSource.integer(minEvacuationMs, maxEvacuationMs);
+		const storeCut = randomSource.integer(0, maxStoreCutMs);
+		clock.after(randomSource.integer(0, faultWindowMs), () => {
+			if (evacuated.has(agent)) {
+				return;
+			}
+
+			faults.push(`${Math.round(clock.now())} evacuation ${JSON.stringify({
+				agent, entry, duration, storeCut,
+			})}`);
+			const from = clock.now();
+			evacuated.add(agent);
+			cluster.setEvacuated(agent, true);
+			cluster.cutStore(entry, storeCut);
+			clock.after(duration, () => {
+				periods.push({
+					kind: 'evacuated', executor: agent, from, to: clock.now(),
+				});
+				evacuated.delete(agent);
+				cluster.setEvacuated(agent, false);
+				cluster.cutStore(entry, storeCut);
+			});
+		});
+	}
+}
+
 /** Streams between entries that are cut or become silent. */
 function schedulePeerFaults({sim: {clock}, network}: LeasedCluster, randomSource: RandomSource, faults: string[]): void {
 	for (let i = 0; i < peerFaultCount; i++) {
@@ -292,7 +337,9 @@
 				const from = clock.now();
 				cluster.setLeaving(fault.agent, true);
 				clock.after(fault.duration, () => {
-					leavingPeriods.push({executor: fault.agent, from, to: clock.now()});
+					leavingPeriods.push({
+						kind: 'leaving', executor: fault.agent, from, to: clock.now(),
+					});
 					cluster.setLeaving(fault.agent, false);
 				});
 			}
