Send a payload that several starts of a batch share only once

Cause: each start carried its payload, so a job of eight tasks sent it up to eight times. On thin links of entries these bytes delayed everything else, and links were closed as silent.

Ruled out: a cache of payloads at the agent across batches, which would need an agreement on what it still has after a lost link.

Change: the entry replaces repeated payloads of a batch by the number of the first start that has them, and the agent resolves this before it handles anything of the batch. A reference that leads nowhere resets the link.

--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -9,6 +9,7 @@
 	type AgentHello, type EntryBatch, type HeldReply, type TaskResult, type TaskStart,
 } from '../generated/kingcuplane.js';
 import {createIsolationGuard} from './isolation-guard.js';
+import {resolvePayloads} from './shared-payloads.js';
 import {createStartedTasks} from './started-tasks.js';
 import type {AgentInfo, CreditGranter} from './types.js';
 
@@ -178,13 +179,15 @@
 			return;
 		}
 
+		// First, as it throws if the batch is faulty, which then must not be handled in part.
+		const starts = resolvePayloads(batch.starts);
 		for (const incarnation of batch.fenced) {
 			fencedIncarnations.add(incarnation);
 		}
 
 		acknowledge(record, batch.resultsAcked);
 		granter.setReturnedCredits(entry, batch.returned);
-		for (const start of batch.starts) {
+		for (const start of starts) {
 			receiveStart(entry, record, start);
 		}
 
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -8,6 +8,7 @@
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {AgentSession, AgentSessions} from './agent-sessions.js';
 import {getHeartbeatInterval, type BatchCounts, type LinkTiming} from './link-timing.js';
+import {sharePayloads} from './shared-payloads.js';
 import {createSilenceMonitor, type SilenceMonitor} from './silence-monitor.js';
 import type {AgentInfo, Scheduler} from './types.js';
 
@@ -309,7 +310,7 @@
 		link.sentAt = host.clock.now();
 		batchesSent++;
 		link.stream.write(createBatch({
-			starts: link.starts,
+			starts: sharePayloads(link.starts),
 			stops: link.stops,
 			queries: link.queries,
 			resultsAcked: ackedSeq,
--- a/test/connection/entry-sessions.test.ts
+++ b/test/connection/entry-sessions.test.ts
@@ -65,6 +65,18 @@
 		t.is(runs.length, 1);
 	});
 
+	it('run nothing of a batch in which a start refers to a missing payload', t => {
+		const {sessions, runs} = createFixture();
+		const {starts} = createStarts('j', 2);
+		const [first, second] = [starts[0]!, starts[1]!];
+		t.throws(() => {
+			sessions.receive('e', EntryBatch.fromPartial({starts: [first, {...second, payloadOf: 7}]}));
+		});
+		t.is(runs.length, 0);
+		sessions.receive('e', EntryBatch.fromPartial({starts: [first, {...second, payloadOf: first.seq}]}));
+		t.is(runs.length, 2);
+	});
+
 	it('tell whether tasks of an entry run', t => {
 		const {sessions, runs} = createFixture();
 		t.false(sessions.hasRunningTasks('e'));
