Pace starts and admit jobs by the bandwidth of an entry's link

Cause: an entry did not know its network link. In a burst the starts of all accepted jobs queued in it, before heartbeats, results, answers, probes and the configuration: links were closed as silent, runs were lost and started again, which sent still more.

Ruled out: streams of different priority, as all of them share one link; a queue of starts at each link, where a start counts as sent already.

Change: the bytes of all connections are counted by purpose at the sockets and shown in the line "load" and in the metrics. A budget derives the utilization of the link and its backlog from them and from the bandwidth in the settings. New jobs are forwarded to entries with bandwidth to spare, or refused before any start, as the outgoing link fills.

--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -35,6 +35,8 @@
 	onLossReport?(report: LossReport): void;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
+	/** Called with the approximate size of a start that is sent at the end of this turn. */
+	onStartQueued?(bytes: number): void;
 	/** Called when a link has opened or was lost. */
 	onLinkChanged?(agent: AgentInfo, change: LinkChange): void;
 	/** Called with an unexpected error while a batch was processed; its link has been closed. */
@@ -104,6 +106,9 @@
 	sentConfigVersion: number;
 };
 
+/** Size of a start without its payload, with the share of its batch. */
+const startOverheadBytes = 150;
+
 /** Creates a hub without links. */
 export function createLinkHub(host: LinkServerHost): LinkHub {
 	const {timing} = host;
@@ -117,7 +122,9 @@
 		sendStart(agent, start) {
 			const link = links.get(agent);
 			if (link !== undefined) {
+				const isShared = link.starts.some(({payload}) => payload === start.payload);
 				link.starts.push(start);
+				host.onStartQueued?.(startOverheadBytes + (isShared ? 0 : start.payload.length));
 				link.silence?.setActive(true);
 				deferFlush(link);
 			}
--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -131,8 +131,10 @@
 		return [...links.values()].flatMap(link => link.peer ?? []);
 	}
 
-	function receiveLoad({incarnation}: EntryAddress, {utilizationPerMille, acceptsJobs}: PeerLoad): void {
-		loads.set(incarnation, {incarnation, utilization: utilizationPerMille / 1000, acceptsJobs});
+	function receiveLoad({incarnation}: EntryAddress, {utilizationPerMille, acceptsJobs, linkUtilizationPerMille}: PeerLoad): void {
+		loads.set(incarnation, {
+			incarnation, utilization: utilizationPerMille / 1000, acceptsJobs, linkUtilization: linkUtilizationPerMille / 1000,
+		});
 	}
 
 	function createHello(): Partial<PeerBatch> {
--- a/src/connection/peer-types.ts
+++ b/src/connection/peer-types.ts
@@ -61,6 +61,8 @@
 	/** Share of the time in which its event loop does not wait for input, from 0 to 1. */
 	readonly utilization: number;
 	readonly acceptsJobs: boolean;
+	/** Share of its network link that is in use, from 0 to 1; 0 if it is not known. */
+	readonly linkUtilization: number;
 };
 
 /** Opens streams to one entry. */
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -10,12 +10,14 @@
 import {createSystemClock} from '../process/clock.js';
 import {closeHttp} from '../process/http-listen.js';
 import {declinedResult} from '../process/job-forwarding.js';
+import {tryCreateLinkBudget} from '../process/link-budget.js';
 import {createEventLoopMonitor, type LoadMonitor} from '../process/load-monitor.js';
 import type {Log} from '../process/log.js';
 import {createPauseDetector} from '../process/pause-detector.js';
 import {runEntry, type RunningEntry} from '../process/run-entry.js';
 import {createPrometheusMetrics} from '../process/prometheus-metrics.js';
 import type {EntrySettings} from '../process/settings.js';
+import {createSocketTraffic, type CountedSocket} from '../process/socket-traffic.js';
 import {createResourceScheduler} from '../request/resource-scheduler.js';
 import type {Principal} from '../request/router.js';
 import {createLongPollFollower} from '../version/long-poll-follower.js';
@@ -31,6 +33,12 @@
 	agentGraceMs, shutdownReserveMs, drainNoticeShare, platformTiming, startupGraceMs, storeTimeoutMs,
 } from './timing.js';
 
+/**
+ * Purposes of an entry's connections. Streams that other entries have opened are among those of the agents, with which they
+ * share a port.
+ */
+type TrafficPurpose = 'clients' | 'agents' | 'entries' | 'store' | 'other';
+
 /** Replacements for parts that the entry otherwise creates itself. */
 export type PlatformEntryOverrides = {
 	readonly loadMonitor?: LoadMonitor;
@@ -54,6 +62,9 @@
 		},
 	});
 	follower.start();
+	const traffic = createSocketTraffic((socket, isAccepted) => getTrafficPurpose(machine, socket, isAccepted));
+	const linkBudget = tryCreateLinkBudget({clock, traffic, linkMbps: machine.linkMbps});
+	log.info({linkMbps: machine.linkMbps, isWatched: linkBudget !== undefined}, 'network link');
 	// Other entries may forward jobs as soon as this one listens, and are declined until the desk exists.
 	const serving: {desk?: JobDesk} = {};
 	const running = await runEntry(settings, incarnation, onDeclaredDead, {
@@ -67,6 +78,8 @@
 			drainNoticeMs: settings.entry.drainMs * drainNoticeShare,
 			pauseDetector,
 			loadMonitor,
+			traffic,
+			linkBudget,
 			serveForwardedJob: async (job, cancellation) => serving.desk?.submitForwarded(job, cancellation) ?? declinedResult,
 			createScheduler: host => createResourceScheduler({...host, random: Math.random, startupGraceMs}),
 			quota: unboundedQuota,
@@ -88,6 +101,8 @@
 			await running.stop();
 			pauseDetector.stop();
 			loadMonitor.stop();
+			linkBudget?.stop();
+			traffic.stop();
 			await Promise.all([closeHttp(ingressServer), closeHttp(readinessServer), closeHttp(metricsServer)]);
 		},
 	};
@@ -97,6 +112,15 @@
 	}
 }
 
+/** Returns what a connection of an entry is for, by its ports. */
+function getTrafficPurpose({clients, linksPort, store}: MachineSettings, {localPort, remotePort}: CountedSocket, isAccepted: boolean): TrafficPurpose {
+	if (isAccepted) {
+		return localPort === clients?.port ? 'clients' : (localPort === linksPort ? 'agents' : 'other');
+	}
+
+	return remotePort === linksPort ? 'entries' : (store.endsWith(`:${remotePort}`) ? 'store' : 'other');
+}
+
 // The platform issues no tokens. Operators and support engineers use the logs and the HTTP routes that need no token.
 function refuseToken(): Result<Principal, Diagnostic> {
 	return err(createDiagnostic(Diagnostics.Token_is_unknown));
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -32,6 +32,8 @@
 	readonly store: string;
 	/** Longest lease that an executor grants. */
 	readonly maxLeaseMs: Milliseconds;
+	/** Bandwidth of the machine's network link in megabits per second; undefined if it is not limited. */
+	readonly linkMbps: number | undefined;
 	/** Time from the signal to stop until the process is killed. */
 	readonly graceMs: Milliseconds;
 };
@@ -63,6 +65,7 @@
 	'port-range': portRange,
 	seeds: commaSeparatedList,
 	'platform.addr': z.string(),
+	'limits.link-mbps': z.coerce.number().positive().optional(),
 	'bounds.hold-max-ms': z.coerce.number().positive().default(1000),
 	'bounds.grace-s': z.coerce.number().positive().default(6),
 });
@@ -89,6 +92,7 @@
 		seeds: fields.seeds.flatMap(seed => tryParseAddress(seed)?.host ?? []),
 		store: fields['platform.addr'],
 		maxLeaseMs: fields['bounds.hold-max-ms'],
+		linkMbps: fields['limits.link-mbps'],
 		graceMs: fields['bounds.grace-s'] * secondMs,
 	});
 }
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -14,12 +14,14 @@
 import type {ConfigFollower} from '../version/polling-follower.js';
 import type {Clock, Milliseconds} from './clock.js';
 import type {Diagnostic} from './diagnostics.js';
+import type {LinkBudget} from './link-budget.js';
 import type {LoadMonitor} from './load-monitor.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
 import type {PauseDetector} from './pause-detector.js';
 import type {Platform} from './platform/types.js';
 import type {EntrySettings} from './settings.js';
+import type {SocketTraffic} from './socket-traffic.js';
 
 /** Dependencies of an entry. */
 export type EntryHost = {
@@ -44,6 +46,10 @@
 	readonly drainNoticeMs?: Milliseconds;
 	/** Measures how busy this process is; not reported if undefined. */
 	readonly loadMonitor?: LoadMonitor;
+	/** Counts the bytes of this process's connections; not reported if undefined. */
+	readonly traffic?: Pick<SocketTraffic, 'getCounts'>;
+	/** Use of this process's network link; not limited if undefined. */
+	readonly linkBudget?: LinkBudget;
 	/** Bounds the tasks of each team. If undefined, the entries divide each quota into shares among themselves. */
 	readonly quota?: TeamQuota;
 	/** Serves a job that another entry has forwarded; if undefined, such jobs are declined. */
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -28,7 +28,8 @@
 import {createHttpApi} from './http-api.js';
 import {createIsolationTelemetry, createJobTelemetry} from './job-telemetry.js';
 import {startLoadTelemetry} from './load-telemetry.js';
-import {holdStartsAfterPauses} from './start-hold.js';
+import {createHoldSwitches, holdStartsAfterPauses} from './start-hold.js';
+import {createStartPacing} from './start-pacing.js';
 import type {
 	EntryHost, Entry, DrainReport, ProcessStatus,
 } from './entry-types.js';
@@ -141,6 +142,9 @@
 		timing,
 		onBatchReceived: host.pauseDetector?.check,
 		onUnexpectedError: logUnexpectedError,
+		onStartQueued(bytes) {
+			startPacing?.recordStart(bytes);
+		},
 		onLinkChanged(agent, change) {
 			host.log.info({
 				agent: agent.name, incarnation: agent.incarnation, upstream: agent.upstream, ...change,
@@ -148,11 +152,13 @@
 		},
 	});
 	const heldTaskQueries = createHeldTaskQueries({clock, timeoutMs: heldTaskQueryTimeoutMs, broadcastQuery: links.broadcastQuery});
+	const createHoldSwitch = createHoldSwitches(coordinator.scheduler);
 	const areStartsHeld = host.pauseDetector === undefined
 		? () => false
 		: holdStartsAfterPauses({
-			clock, scheduler: coordinator.scheduler, pauseDetector: host.pauseDetector, log: host.log,
+			clock, setHeld: createHoldSwitch(), pauseDetector: host.pauseDetector, log: host.log,
 		});
+	const startPacing = host.linkBudget && createStartPacing({clock, budget: host.linkBudget, setHeld: createHoldSwitch()});
 	const forwarding = createJobForwarding({
 		...host,
 		peers: {tryStartRequest: (peer, req) => peers.tryStartRequest(peer, req), getLoadReports: () => peers.getLoadReports()},
@@ -262,7 +268,7 @@
 	];
 	if (host.loadMonitor !== undefined) {
 		timers.push(startLoadTelemetry({
-			clock, log: host.log, metrics: host.metrics, monitor: host.loadMonitor, getCounts: () => ({...coordinator.getCounts(), ...links.getBatchCounts()}),
+			clock, log: host.log, metrics: host.metrics, monitor: host.loadMonitor, linkBudget: host.linkBudget, getCounts: () => ({...coordinator.getCounts(), ...links.getBatchCounts(), ...getTrafficCounts()}),
 		}));
 	}
 
@@ -364,8 +370,24 @@
 		return {processes};
 	}
 
+	function getTrafficCounts(): Readonly<Record<string, number>> {
+		const counts = [...host.traffic?.getCounts() ?? []];
+		return Object.fromEntries(counts.flatMap(([purpose, {received, sent}]) => [[`${purpose}BytesIn`, received], [`${purpose}BytesOut`, sent]]));
+	}
+
 	function updateGauges(): void {
 		removeDisconnected();
+		for (const [purpose, {received, sent}] of host.traffic?.getCounts() ?? []) {
+			host.metrics.gauge('traffic.received.bytes', received, {purpose});
+			host.metrics.gauge('traffic.sent.bytes', sent, {purpose});
+		}
+
+		if (host.linkBudget !== undefined) {
+			const {utilization, backlog} = host.linkBudget.getLoad();
+			host.metrics.gauge('link.utilization', utilization);
+			host.metrics.gauge('link.backlog', backlog);
+		}
+
 		reportIsolation(coordinator.getIsolation());
 		host.metrics.gauge('jobs.open', coordinator.getOpenJobs());
 		host.metrics.gauge('tasks.outstanding', coordinator.sessions.getOutstandingStarts());
--- a/src/process/job-forwarding.ts
+++ b/src/process/job-forwarding.ts
@@ -11,9 +11,10 @@
 } from '../request/load-sharing.js';
 import type {Milliseconds} from './clock.js';
 import type {EntryHost} from './entry-types.js';
+import {idleLink, type LinkLoad} from './link-budget.js';
 
 /** Dependencies of the forwarding. */
-export type JobForwardingHost = Pick<EntryHost, 'log' | 'metrics' | 'clock' | 'random' | 'loadMonitor' | 'serveForwardedJob'> & {
+export type JobForwardingHost = Pick<EntryHost, 'log' | 'metrics' | 'clock' | 'random' | 'loadMonitor' | 'linkBudget' | 'serveForwardedJob'> & {
 	readonly peers: Pick<PeerHub, 'tryStartRequest' | 'getLoadReports'>;
 	/** Whether this entry has a configuration and agents, and was not asked to stop. */
 	isServing(): boolean;
@@ -55,8 +56,8 @@
 				return {kind: 'serve'};
 			}
 
-			const load = loadMonitor.getLoad();
-			return decideByLoad(load, peers.getLoadReports(), refusals.getShare(load), host.random);
+			const process = loadMonitor.getLoad();
+			return decideByLoad({process, link: getLinkLoad(), refusedShare: refusals.getShare(process)}, peers.getLoadReports(), host.random);
 		},
 		tryForward,
 		async serve(req, cancellation) {
@@ -67,12 +68,16 @@
 		tryGetLoad: () => loadMonitor && {
 			utilizationPerMille: Math.round(loadMonitor.getLoad().utilization * 1000),
 			acceptsJobs: acceptsJobs(),
-			linkUtilizationPerMille: 0,
+			linkUtilizationPerMille: Math.round(getLinkLoad().utilization * 1000),
 		},
 	};
 
 	function acceptsJobs(): boolean {
-		return loadMonitor !== undefined && host.serveForwardedJob !== undefined && host.isServing() && acceptsForwardedJob(loadMonitor.getLoad());
+		return loadMonitor !== undefined && host.serveForwardedJob !== undefined && host.isServing() && acceptsForwardedJob({process: loadMonitor.getLoad(), link: getLinkLoad()});
+	}
+
+	function getLinkLoad(): LinkLoad {
+		return host.linkBudget?.getLoad() ?? idleLink;
 	}
 
 	function tryForward(peer: string, name: string, job: ForwardedJob): PendingRequest | undefined {
@@ -86,7 +91,9 @@
 		}
 
 		const forwardedAt = clock.now();
-		log.info({request: name, peer, ...loadMonitor?.getLoad()}, 'job forwarded');
+		log.info({
+			request: name, peer, ...loadMonitor?.getLoad(), link: getLinkLoad().sendUtilization,
+		}, 'job forwarded');
 		return {
 			...pending,
 			reply: pending.reply.then(reply => {
--- a/src/process/load-telemetry.ts
+++ b/src/process/load-telemetry.ts
@@ -4,6 +4,7 @@
 import {
 	every, type Clock, type Milliseconds, type Timer,
 } from './clock.js';
+import type {LinkBudget} from './link-budget.js';
 import type {LoadMonitor} from './load-monitor.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
@@ -14,6 +15,7 @@
 	readonly log: Log;
 	readonly metrics: Metrics;
 	readonly monitor: Pick<LoadMonitor, 'getLoad' | 'takeMaxDelay'>;
+	readonly linkBudget?: Pick<LinkBudget, 'getLoad'>;
 	/** Returns counts since the start of the process, for instance of messages. The log has their increases. */
 	getCounts(): Readonly<Record<string, number>>;
 };
@@ -21,7 +23,7 @@
 const reportIntervalMs: Milliseconds = 2000;
 
 /** Starts to report until the returned timer is cancelled. */
-export function startLoadTelemetry({clock, log, metrics, monitor, getCounts}: LoadTelemetryHost): Timer {
+export function startLoadTelemetry({clock, log, metrics, monitor, linkBudget, getCounts}: LoadTelemetryHost): Timer {
 	let lastCounts = getCounts();
 
 	return every(clock, reportIntervalMs, () => {
@@ -32,7 +34,9 @@
 		lastCounts = counts;
 		metrics.gauge('process.utilization', utilization);
 		metrics.gauge('process.max.delay', maxDelay);
-		log.info({utilization: Math.round(utilization * 100) / 100, maxDelay: Math.round(maxDelay), ...Object.fromEntries(increases)}, 'load');
+		log.info({
+			utilization: round(utilization), maxDelay: Math.round(maxDelay), ...describeLink(linkBudget), ...Object.fromEntries(increases),
+		}, 'load');
 	});
 }
 
@@ -40,3 +44,16 @@
 function getIncrease(last: number, count: number): number {
 	return count < last ? count : count - last;
 }
+
+function describeLink(linkBudget: LoadTelemetryHost['linkBudget']): Readonly<Record<string, number>> {
+	if (linkBudget === undefined) {
+		return {};
+	}
+
+	const {utilization, backlog} = linkBudget.getLoad();
+	return {linkUtilization: round(utilization), linkBacklog: Math.round(backlog)};
+}
+
+function round(share: number): number {
+	return Math.round(share * 100) / 100;
+}
--- a/src/process/start-hold.ts
+++ b/src/process/start-hold.ts
@@ -11,9 +11,10 @@
 /** Dependencies of the start hold. */
 export type StartHoldHost = {
 	readonly clock: Clock;
-	readonly scheduler: Pick<Scheduler, 'setStartsHeld'>;
 	readonly pauseDetector: PauseDetector;
 	readonly log: Log;
+	/** Holds all starts back, or lets them go. */
+	setHeld(isHeld: boolean): void;
 };
 
 /** Time to read the input that arrived during a pause: some turns of the event loop on a slow machine. */
@@ -21,16 +22,16 @@
 
 /** Holds starts back for a moment after each pause. Returns a function that tells whether they are held now. */
 export function holdStartsAfterPauses({
-	clock, scheduler, pauseDetector, log,
+	clock, setHeld, pauseDetector, log,
 }: StartHoldHost): () => boolean {
 	let timer: Timer | undefined;
 	pauseDetector.onPause(pause => {
 		log.warn({pause, heldFor: holdMs}, 'this process may have stood still; starts are held');
-		scheduler.setStartsHeld?.(true);
+		setHeld(true);
 		timer?.cancel();
 		timer = clock.after(holdMs, () => {
 			timer = undefined;
-			scheduler.setStartsHeld?.(false);
+			setHeld(false);
 		});
 	});
 	return () => {
@@ -38,3 +39,19 @@
 		return timer !== undefined;
 	};
 }
+
+/** Returns the switch of one of several causes that hold starts back: they are held while at least one of them lasts. */
+export function createHoldSwitches(scheduler: Pick<Scheduler, 'setStartsHeld'>): () => StartHoldHost['setHeld'] {
+	const lastingCauses = new Set<symbol>();
+	return () => {
+		const cause = Symbol('cause');
+		return isHeld => {
+			if (isHeld) {
+				lastingCauses.add(cause);
+				scheduler.setStartsHeld?.(true);
+			} else if (lastingCauses.delete(cause) && lastingCauses.size === 0) {
+				scheduler.setStartsHeld?.(false);
+			}
+		};
+	};
+}
--- a/src/request/load-sharing.ts
+++ b/src/request/load-sharing.ts
@@ -5,6 +5,7 @@
  */
 import type {PeerLoadReport} from '../connection/peer-types.js';
 import type {Milliseconds} from '../process/clock.js';
+import type {LinkLoad} from '../process/link-budget.js';
 import type {ProcessLoad} from '../process/load-monitor.js';
 
 /** Where a new job goes. */
@@ -13,6 +14,14 @@
 	| {readonly kind: 'forward'; readonly peer: PeerLoadReport}
 	| {readonly kind: 'refuse'; readonly retryAfter: Milliseconds};
 
+/** How busy an entry is that decides about a job. */
+export type OwnLoad = {
+	readonly process: ProcessLoad;
+	readonly link: LinkLoad;
+	/** Share of the jobs to refuse, because the event loop is late, if no other entry can take them. */
+	readonly refusedShare: number;
+};
+
 /** Utilization from which a part of the jobs is forwarded, and from which all are. */
 const forwardFrom = 0.6;
 const forwardAllFrom = 0.9;
@@ -20,6 +29,20 @@
 const spareLimit = 0.65;
 /** Utilization from which an entry declines the jobs of others. Above {@link spareLimit}, as reports are up to a second old. */
 const declineFrom = 0.8;
+/**
+ * Utilization of the outgoing link from which a part of the jobs is forwarded, and from which all are. A forwarded job crosses the link
+ * too, though only once, so a link is filled further than a processor before others are asked.
+ */
+const forwardByLinkFrom = 0.75;
+const forwardAllByLinkFrom = 0.95;
+/**
+ * Utilization of the outgoing link from which jobs are refused that no other entry can take. The refused share grows in proportion, so
+ * that the link settles where it carries what was accepted.
+ */
+const refuseByLinkFrom = 0.88;
+/** Utilization of its link up to which an entry is expected to have bandwidth to spare for jobs of others, and from which it declines them. */
+const linkSpareLimit = 0.6;
+const linkDeclineFrom = 0.75;
 /**
  * Delay of the event loop from which it counts as late. A job waits for it about four times: with its request, its starts, its
  * results and its response. The shortest objectives leave some hundred milliseconds for all of them.
@@ -61,8 +84,11 @@
 }
 
 /** Decides where a new job of a client goes; `random` returns a number in [0, 1). */
-export function decideByLoad(own: ProcessLoad, peers: readonly PeerLoadReport[], refusedShare: number, random: () => number): LoadDecision {
-	if (random() >= getForwardedShare(own)) {
+export function decideByLoad({process, link, refusedShare}: OwnLoad, peers: readonly PeerLoadReport[], random: () => number): LoadDecision {
+	const linkShare = clampShare((link.sendUtilization - forwardByLinkFrom) / (forwardAllByLinkFrom - forwardByLinkFrom));
+	const processShare = getForwardedShare(process);
+	const position = random();
+	if (position >= Math.max(processShare, linkShare)) {
 		return {kind: 'serve'};
 	}
 
@@ -71,12 +97,14 @@
 		return {kind: 'forward', peer};
 	}
 
-	return random() < refusedShare ? {kind: 'refuse', retryAfter: overloadRetryMs} : {kind: 'serve'};
+	const refusedByProcess = position < processShare ? refusedShare : 0;
+	const refusedByLink = Math.min(maxRefusedShare, (link.sendUtilization - refuseByLinkFrom) / (1 - refuseByLinkFrom));
+	return random() < Math.max(refusedByProcess, refusedByLink) ? {kind: 'refuse', retryAfter: overloadRetryMs} : {kind: 'serve'};
 }
 
 /** Whether an entry serves a job that another entry has forwarded. */
-export function acceptsForwardedJob(own: ProcessLoad): boolean {
-	return own.utilization < declineFrom && own.delay < lateDelayMs;
+export function acceptsForwardedJob({process, link}: Omit<OwnLoad, 'refusedShare'>): boolean {
+	return process.utilization < declineFrom && process.delay < lateDelayMs && link.utilization < linkDeclineFrom;
 }
 
 function getForwardedShare({utilization, delay}: ProcessLoad): number {
@@ -85,7 +113,7 @@
 
 /** Chooses a peer at random, by its processor time to spare, so that entries that choose at the same time choose different ones. */
 function choosePeer(peers: readonly PeerLoadReport[], random: () => number): PeerLoadReport | undefined {
-	const usable = peers.filter(({acceptsJobs, utilization}) => acceptsJobs && utilization < spareLimit);
+	const usable = peers.filter(({acceptsJobs, utilization, linkUtilization}) => acceptsJobs && utilization < spareLimit && linkUtilization < linkSpareLimit);
 	const total = usable.reduce((sum, {utilization}) => sum + (spareLimit - utilization), 0);
 	let position = random() * total;
 	return usable.find(({utilization}) => {
--- a/src/request/resource-scheduler.ts
+++ b/src/request/resource-scheduler.ts
@@ -203,7 +203,11 @@
 					continue;
 				}
 
-				startTasks(state, pending);
+				// Starts may be held as a consequence of those that were just sent.
+				if (!isHeld) {
+					startTasks(state, pending);
+				}
+
 				if (isObjectiveInfeasible(pending, clock.now(), isQueuePersistent(state))) {
 					host.onInfeasible?.(pending.job.ticket, 'objective');
 				}
--- a/test/failure/leased/entry.ts
+++ b/test/failure/leased/entry.ts
@@ -15,7 +15,7 @@
 import {createLoadMonitor, type LoadMonitor} from '../../../src/process/load-monitor.js';
 import {noMetrics} from '../../../src/process/metrics.js';
 import {createPauseDetector, type PauseDetector} from '../../../src/process/pause-detector.js';
-import {holdStartsAfterPauses} from '../../../src/process/start-hold.js';
+import {createHoldSwitches, holdStartsAfterPauses} from '../../../src/process/start-hold.js';
 import type {MemoryPlatform} from '../../../src/process/platform/memory.js';
 import {createCoordinator} from '../../../src/request/coordinator.js';
 import type {Coordinator} from '../../../src/request/coordinator-types.js';
@@ -161,7 +161,7 @@
 		checkPause: pauseDetector.check,
 	});
 	const areStartsHeld = holdStartsAfterPauses({
-		clock, scheduler: coordinator.scheduler, pauseDetector, log: silentLog,
+		clock, setHeld: createHoldSwitches(coordinator.scheduler)(), pauseDetector, log: silentLog,
 	});
 	const sharing = loadSharing && startSharing(loadSharing);
 
--- a/test/platform/job-intake.test.ts
+++ b/test/platform/job-intake.test.ts
@@ -15,7 +15,9 @@
 const route = {
 	name: 'r', host: 'h', pathPrefix: '/jobs/', submission: 's', deadline: 1500, stretch: 1.6, margin: 60, priority: 0, attempts: 2,
 };
-const peer = {incarnation: 'p-1', utilization: 0.1, acceptsJobs: true};
+const peer = {
+	incarnation: 'p-1', utilization: 0.1, acceptsJobs: true, linkUtilization: 0,
+};
 const forwardToPeer: LoadDecision = {kind: 'forward', peer};
 const servedHere: JobReply = {status: 200, body: '{"state":"completed"}'};
 const never: Cancellation = {onCancelled: () => undefined};
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -31,6 +31,7 @@
 			seeds: ['10.1.0.13', '10.2.0.30'],
 			store: '10.200.1.7:8169',
 			maxLeaseMs: 1000,
+			linkMbps: undefined,
 			graceMs: 6000,
 		});
 	});
--- a/test/request/load-sharing.test.ts
+++ b/test/request/load-sharing.test.ts
@@ -2,6 +2,7 @@
 import {
 	acceptsForwardedJob, createRefusalControl, decideByLoad, type LoadDecision,
 } from '../../src/request/load-sharing.js';
+import {idleLink, type LinkLoad} from '../../src/process/link-budget.js';
 import type {ProcessLoad} from '../../src/process/load-monitor.js';
 import {describe, it} from '../describe.js';
 
@@ -20,16 +21,22 @@
 	};
 }
 
-function createPeer(incarnation: string, utilization: number, acceptsJobs = true): PeerLoadReport {
-	return {incarnation, utilization, acceptsJobs};
+function createPeer(incarnation: string, utilization: number, acceptsJobs = true, linkUtilization = 0): PeerLoadReport {
+	return {
+		incarnation, utilization, acceptsJobs, linkUtilization,
+	};
+}
+
+function toLink(utilization: number): LinkLoad {
+	return {utilization, sendUtilization: utilization, backlog: 0};
 }
 
 /** Decides many times, and returns the share of each decision; the name of a peer stands for forwarding to it. */
-function sampleDecisions(own: ProcessLoad, peers: readonly PeerLoadReport[], refusedShare = 0): ReadonlyMap<string, number> {
+function sampleDecisions(own: ProcessLoad, peers: readonly PeerLoadReport[], refusedShare = 0, link = idleLink): ReadonlyMap<string, number> {
 	const random = createRandom();
 	const shares = new Map<string, number>();
 	for (let i = 0; i < sampleCount; i++) {
-		const name = describeDecision(decideByLoad(own, peers, refusedShare, random));
+		const name = describeDecision(decideByLoad({process: own, link, refusedShare}, peers, random));
 		shares.set(name, (shares.get(name) ?? 0) + (1 / sampleCount));
 	}
 
@@ -63,14 +70,26 @@
 		t.deepEqual([...sampleDecisions(overrun, [createPeer('p', 0.1)], 0.9).keys()], ['p']);
 		const shares = sampleDecisions(overrun, [createPeer('p', 0.9)], 0.5);
 		t.true(Math.abs(shares.get('refuse')! - 0.5) < 0.1);
-		const decision = decideByLoad(overrun, [], 1, () => 0);
+		const decision = decideByLoad({process: overrun, link: idleLink, refusedShare: 1}, [], () => 0);
 		t.true(decision.kind === 'refuse' && decision.retryAfter > 0);
 	});
 
+	it('forwards jobs over a full link only to peers with bandwidth to spare, and refuses a part if there are none', t => {
+		const fullLink = toLink(0.97);
+		t.deepEqual([...sampleDecisions(idle, [createPeer('p', 0.1), createPeer('full', 0.1, true, 0.8)], 0, fullLink).keys()], ['p']);
+		const shares = sampleDecisions(idle, [createPeer('full', 0.1, true, 0.8)], 0, fullLink);
+		t.true(shares.get('refuse')! > 0.5 && shares.get('serve')! > 0);
+		t.deepEqual([...sampleDecisions(idle, [], 0, toLink(0.85)).keys()], ['serve']);
+	});
+
+	it('declines forwarded jobs while its link is nearly full', t => {
+		t.false(acceptsForwardedJob({process: idle, link: toLink(0.8)}));
+	});
+
 	it('declines forwarded jobs while it is busy or late', t => {
-		t.true(acceptsForwardedJob(idle));
-		t.false(acceptsForwardedJob({utilization: 0.85, delay: 1}));
-		t.false(acceptsForwardedJob({utilization: 0.5, delay: 60}));
+		t.true(acceptsForwardedJob({process: idle, link: idleLink}));
+		t.false(acceptsForwardedJob({process: {utilization: 0.85, delay: 1}, link: idleLink}));
+		t.false(acceptsForwardedJob({process: {utilization: 0.5, delay: 60}, link: idleLink}));
 	});
 });
 
