--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -9,6 +9,7 @@
 import type {EvacuationList} from '../version/evacuations.js';
 import type {AgentSession, AgentSessions} from './agent-sessions.js';
 import {getHeartbeatInterval, type BatchCounts, type LinkTiming} from './link-timing.js';
+import {sharePayloads} from './shared-payloads.js';
 import {createSilenceMonitor, type SilenceMonitor} from './silence-monitor.js';
 import type {AgentInfo, Scheduler} from './types.js';
 
@@ -37,6 +38,8 @@
 	onLossReport?(report: LossReport): void;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
+	/** Called with the approximate size of a start that is sent at the end of this turn. */
+	onStartQueued?(bytes: number): void;
 	/** Called when a link has opened or was lost. */
 	onLinkChanged?(agent: AgentInfo, change: LinkChange): void;
 	/** Called with an unexpected error while a batch was processed; its link has been closed. */
@@ -107,6 +110,9 @@
 	sentEvacuationRevision: number;
 };
 
+/** Size of a start without its payload, with the share of its batch. */
+const startOverheadBytes = 150;
+
 /** Creates a hub without links. */
 export function createLinkHub(host: LinkServerHost): LinkHub {
 	const {timing} = host;
@@ -120,7 +126,9 @@
 		sendStart(agent, start) {
 			const link = links.get(agent);
 			if (link !== undefined) {
+				const isShared = link.starts.some(({payload}) => payload === start.payload);
 				link.starts.push(start);
+				host.onStartQueued?.(startOverheadBytes + (isShared ? 0 : start.payload.length));
 				link.silence?.setActive(true);
 				deferFlush(link);
 			}
@@ -315,7 +323,7 @@
 		link.sentAt = host.clock.now();
 		batchesSent++;
 		link.stream.write(createBatch({
-			starts: link.starts,
+			starts: sharePayloads(link.starts),
 			stops: link.stops,
 			queries: link.queries,
 			resultsAcked: ackedSeq,
