Estimate how long runs take on each upstream, and judge sudden slowness by it

Cause: at two deployments a third of the upstreams is slow by nature (1.3 and 2.4 times the run times of the others). No process knew it, and an upstream slow by nature was closer to being suspect than others.

Ruled out: a plain mean of measured over declared run times: a job's tasks share one error of up to 40 %, and one run in some tens takes seven times as long. A fast estimate: an upstream that is slow for some seconds is a matter of its health. Holding fast upstreams to their speed: single long jobs would make them suspect.

Slowness that makes an upstream suspect is measured against its usual run time, up to 2.5 times the declared one. An upstream replaced under the same address has a new agent, which starts anew.

--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -16,6 +16,7 @@
 import {
 	every, sleep, type Milliseconds, type Timer,
 } from './clock.js';
+import {createRunTimeRatio} from './run-time-ratio.js';
 import {createUpstreamHealth} from './upstream-health.js';
 import type {AgentHost, Agent, DrainReport} from './agent-types.js';
 
@@ -28,6 +29,9 @@
 /** Time after a start that was refused for lack of resources for which no more than was used then is used. */
 const shortageMs: Milliseconds = 2000;
 
+/** Factor by which the run time ratio must differ from the last one that was logged. */
+const minLoggedChange = 1.15;
+
 /** Starts an agent. It offers the slots of the upstream once the upstream is reachable. */
 export function createAgent(host: AgentHost): Agent {
 	const {settings, clock} = host;
@@ -44,7 +48,9 @@
 	let meanRun = 0;
 	let failedShare = 0;
 	let reportedHealth: HealthState = HealthState.SOUNDNESS_SOUND;
-	const health = createUpstreamHealth(clock);
+	const runTimeRatio = createRunTimeRatio();
+	let loggedRatio = 0;
+	const health = createUpstreamHealth(clock, runTimeRatio.tryGet);
 	let announcedCapacity = host.capacity;
 	let shortageTimer: Timer | undefined;
 	let tasksStarted = 0;
@@ -150,7 +156,7 @@
 	function run(start: TaskStart, done: (result: RunResult) => void): void {
 		tasksStarted++;
 		host.upstream.run(start, result => {
-			recordRunResult(result);
+			recordRunResult(start, result);
 			logRunResult(start, result);
 			done(result);
 		});
@@ -172,7 +178,7 @@
 		}
 	}
 
-	function recordRunResult(result: RunResult): void {
+	function recordRunResult({task, expectedRunMs}: TaskStart, result: RunResult): void {
 		if (result.reason === RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE) {
 			void probe();
 		}
@@ -190,6 +196,8 @@
 		failedShare += newestRunWeight * ((isFailed ? 1 : 0) - failedShare);
 		if (!isFailed) {
 			meanRun = meanRun === 0 ? result.duration : meanRun + (newestRunWeight * (result.duration - meanRun));
+			runTimeRatio.record(task!.ticket, result.duration, expectedRunMs);
+			logRunTimeRatio();
 		}
 	}
 
@@ -250,9 +258,22 @@
 	function updateGauges(): void {
 		host.metrics.gauge('tasks.running', sessions.getRunningTasks());
 		host.metrics.gauge('slots', slots);
+		host.metrics.gauge('run.time.ratio', getRunTimeRatioPerMille() / 1000);
 		host.metrics.gauge('config.version', configVersion);
 	}
 
+	function logRunTimeRatio(): void {
+		const ratio = runTimeRatio.tryGet();
+		if (ratio !== undefined && (ratio > loggedRatio * minLoggedChange || ratio * minLoggedChange < loggedRatio)) {
+			host.log.info({before: loggedRatio, ratio}, 'run time ratio of the upstream changed');
+			loggedRatio = ratio;
+		}
+	}
+
+	function getRunTimeRatioPerMille(): number {
+		return Math.round((runTimeRatio.tryGet() ?? 0) * 1000);
+	}
+
 	function getState(): AgentState {
 		return {
 			draining: isDraining,
@@ -267,7 +288,7 @@
 			soundness: health.getState(),
 			clockMs: clock.now(),
 			capacity: resourceLimiter?.getCapacity(),
-			runTimeRatioPerMille: 0,
+			runTimeRatioPerMille: getRunTimeRatioPerMille(),
 			releases: [],
 		};
 	}
--- a/src/process/upstream-health.ts
+++ b/src/process/upstream-health.ts
@@ -32,8 +32,17 @@
 const firstQuarantineMs: Milliseconds = 400;
 const maxQuarantineMs: Milliseconds = 3000;
 
-/** Creates the health of an upstream that is assumed to be healthy. */
-export function createUpstreamHealth(clock: Clock): UpstreamHealth {
+/**
+ * Maximum run time ratio that counts as the nature of an upstream. One that is always slower than declared by more than
+ * this is judged as if it had become slow.
+ */
+const maxNaturalRatio = 2.5;
+
+/**
+ * Creates the health of an upstream that is assumed to be healthy. `tryGetRunTimeRatio` returns how long its runs usually
+ * take, relative to their declared run times: an upstream that is always slow is not suspect for it.
+ */
+export function createUpstreamHealth(clock: Clock, tryGetRunTimeRatio: () => number | undefined = () => undefined): UpstreamHealth {
 	let failures = 0;
 	let slowReports = 0;
 	let lastSlowReportAt = -Infinity;
@@ -55,7 +64,9 @@
 				return;
 			}
 
-			const isSlow = projections.toSorted((a, b) => a - b)[Math.floor(projections.length / 2)]! > maxHealthySlowdown;
+			// A fast upstream is not held to its speed: single jobs may take several times their declared run time.
+			const naturalRatio = Math.max(1, Math.min(maxNaturalRatio, tryGetRunTimeRatio() ?? 1));
+			const isSlow = projections.toSorted((a, b) => a - b)[Math.floor(projections.length / 2)]! > maxHealthySlowdown * naturalRatio;
 			if (!isSlow) {
 				slowReports = 0;
 				return;
--- a/test/process/upstream-health.test.ts
+++ b/test/process/upstream-health.test.ts
@@ -57,6 +57,26 @@
 		t.is(health.getState(), Soundness.SOUNDNESS_SUSPECT);
 	});
 
+	it('is not suspect for being slow by nature, but for becoming much slower than that', t => {
+		const health = createUpstreamHealth(createFakeClock(), () => 1.7);
+		health.recordProjectedSlowdowns([5, 6, 6.5]);
+		t.is(health.getState(), Soundness.SOUNDNESS_SOUND);
+		health.recordProjectedSlowdowns([7, 8, 9]);
+		t.is(health.getState(), Soundness.SOUNDNESS_SUSPECT);
+	});
+
+	it('is suspect if runs take many times their declared time, even if they always do', t => {
+		const health = createUpstreamHealth(createFakeClock(), () => 12);
+		health.recordProjectedSlowdowns([11, 12, 13]);
+		t.is(health.getState(), Soundness.SOUNDNESS_SUSPECT);
+	});
+
+	it('is not suspect at the usual run times if it is fast by nature', t => {
+		const health = createUpstreamHealth(createFakeClock(), () => 0.7);
+		health.recordProjectedSlowdowns([3, 3.5, 3.9]);
+		t.is(health.getState(), Soundness.SOUNDNESS_SOUND);
+	});
+
 	it('is restored by one completed run after the quarantine', t => {
 		const {clock, health} = createFixture();
 		recordFailures(health, 3);
