--- a/dev/bench/site-types.ts
+++ b/dev/bench/site-types.ts
@@ -19,6 +19,8 @@
 	readonly cpu: number;
 	/** Utility of a job of mean size that is answered within its objective. */
 	readonly utility: number;
+	/** Jobs that take far longer than the others; none if undefined. */
+	readonly tail?: {readonly share: number; readonly factor: number};
 };
 
 /** A deployment and its requests. */
@@ -30,6 +32,10 @@
 	readonly cpu: number;
 	/** One-way latency between entries and agents. */
 	readonly latency: Milliseconds;
+	/** Run times on the upstreams, in turn, over the nominal ones; all 1 if undefined. */
+	readonly speeds?: readonly number[];
+	/** Whether long jobs have deadlines as far off as a late answer is useful. */
+	readonly hasLooseDeadlines?: boolean;
 	readonly kinds: readonly RequestKind[];
 };
 
--- a/dev/bench/sites.ts
+++ b/dev/bench/sites.ts
@@ -42,6 +42,21 @@
 
 const grownMix = (cpu: number, rates: Rates = grownRates): readonly RequestKind[] => smallMix(cpu).map(kind => ({...kind, ...rates[kind.name]}));
 
+type Kind = Pick<RequestKind, 'perSecond' | 'meanRun'>;
+
+/** Requests of a site where upstreams differ in speed. */
+const unevenMix = (cpu: number, rates: {readonly check: Kind; readonly confirm: Kind; readonly ping: Kind}, tail?: RequestKind['tail']): readonly RequestKind[] => [
+	{
+		name: 'check', meanTasks: 8, maxTasks: 32, maxRun: 540, cpu, utility: 0.004_85, tail, ...rates.check,
+	},
+	{
+		name: 'confirm', meanTasks: 4, maxTasks: 16, maxRun: 8100, cpu, utility: 0.0267, tail, ...rates.confirm,
+	},
+	{
+		name: 'ping', meanTasks: 2, maxTasks: 8, maxRun: 1800, cpu, utility: 0.001_67, tail, ...rates.ping,
+	},
+];
+
 /** The sites by name. The `-grown` and `-large` sites have more entries, agents and requests. */
 export const sites: Readonly<Record<string, Site>> = {
 	baonhan: {
@@ -62,6 +77,16 @@
 	'baonhan-large': {
 		name: 'baonhan-large', entries: 35, agents: 160, cpu: 16_000, latency: 1.4, kinds: grownMix(2500, largeRates),
 	},
+	'omaruru-grown': {
+		name: 'omaruru-grown', entries: 8, agents: 52, cpu: 64_000, latency: 0.5, speeds: [0.7, 0.7, 1.7], hasLooseDeadlines: true, kinds: unevenMix(4900, {
+			check: {perSecond: 127, meanRun: 73}, confirm: {perSecond: 23.1, meanRun: 1086}, ping: {perSecond: 369, meanRun: 243},
+		}, {share: 0.03, factor: 7}),
+	},
+	'lochan-grown': {
+		name: 'lochan-grown', entries: 10, agents: 59, cpu: 32_000, latency: 1.4, speeds: [1, 1, 1.3], hasLooseDeadlines: true, kinds: unevenMix(2800, {
+			check: {perSecond: 144, meanRun: 86}, confirm: {perSecond: 26.2, meanRun: 1286}, ping: {perSecond: 420, meanRun: 286},
+		}),
+	},
 };
 
 /** Returns the processors of one upstream, in thousandths. */
@@ -69,11 +94,16 @@
 	return agent % 3 === 2 ? site.cpu * 1.5 : site.cpu;
 }
 
+/** Returns the run times on one upstream over the nominal ones. */
+export function getUpstreamSpeed({speeds = [1]}: Site, agent: number): number {
+	return speeds[agent % speeds.length]!;
+}
+
 /** Returns the work that arrives at the site's own rate over the capacity of all upstreams. */
 export function getNominalLoad(site: Site): number {
 	let capacity = 0;
 	for (let agent = 0; agent < site.agents; agent++) {
-		capacity += getUpstreamCpu(site, agent);
+		capacity += getUpstreamCpu(site, agent) / getUpstreamSpeed(site, agent);
 	}
 
 	return site.kinds.reduce((sum, kind) => sum + (kind.perSecond * kind.meanTasks * kind.meanRun * kind.cpu / 1000), 0) / capacity;
@@ -93,6 +123,10 @@
 		...[0.6, 1, 1.3, 2].map(load => ({
 			...base, name: `${site.name}, load ${load}`, rateFactor: getRateFactor(load), disturbances: [],
 		})),
+		createDisturbedScenario('as the sheet says'),
+		createDisturbedScenario('bursts of 1.3', ...[1, 4].map((sixth): SiteDisturbance => ({
+			kind: 'burst', factor: 1.3, from: duration * sixth / 6, to: duration * (sixth + 1) / 6,
+		}))),
 		createDisturbedScenario('all upstreams away for 2 s', {
 			kind: 'upstreams-away', count: site.agents, from: duration / 2, to: (duration / 2) + 2000,
 		}),
@@ -130,10 +164,12 @@
 function createJob(random: Random, site: Site, kind: RequestKind, identity: Pick<SiteJob, 'ticket' | 'arrivedAt'>): SiteJob {
 	const sampleAround = (mean: number, max: number) => Math.min(max, mean * (1 + (relativeSpread * ((2 * random.float()) - 1))));
 	const taskCount = Math.max(1, Math.round(sampleAround(kind.meanTasks, kind.maxTasks)));
-	const jobMeanRun = sampleAround(kind.meanRun, kind.maxRun);
+	const tailFactor = kind.tail !== undefined && random.float() < kind.tail.share ? kind.tail.factor : 1;
+	const jobMeanRun = Math.min(kind.maxRun, sampleAround(kind.meanRun, kind.maxRun) * tailFactor);
 	const runTimes = Array.from({length: taskCount}, () => jobMeanRun * (0.85 + (0.3 * random.float())));
 	const cpu = Math.round(sampleAround(kind.cpu, kind.cpu * 1.4));
 	const work = runTimes.reduce((sum, runTime) => sum + runTime, 0) * cpu;
+	const objective = (stretch * Math.max(...runTimes)) + marginMs;
 	return {
 		...identity,
 		kind,
@@ -141,8 +177,8 @@
 		runTimes,
 		declaredRun: jobMeanRun * (1 + (declaredError * ((2 * random.float()) - 1))),
 		need: {cpu, memory: 0, accelerators: 0},
-		deadline,
-		objective: (stretch * Math.max(...runTimes)) + marginMs,
+		deadline: site.hasLooseDeadlines ? Math.max(deadline, objective * 3) : deadline,
+		objective,
 		utility: kind.utility * Math.min(sizeWeight.maxWeight, sizeWeight.fixed + (sizeWeight.byWork * work / (kind.meanTasks * kind.meanRun * kind.cpu))),
 	};
 }
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -124,6 +124,8 @@
 	readonly reportAge: Milliseconds;
 	/** Whether the agent was chosen to run no tasks of other jobs beside the task. */
 	readonly isolated: boolean;
+	/** Run time on the agent's upstream over the declared one that was assumed; undefined if speed did not count. */
+	readonly runTimeRatio?: number;
 };
 
 /** Dependencies of the scheduler. */
--- a/src/process/run-time-ratio.ts
+++ b/src/process/run-time-ratio.ts
@@ -15,8 +15,8 @@
 
 /** Declared times below this are ignored: with them, the calls to the upstream would count as slowness. */
 const minDeclared: Milliseconds = 20;
-/** Number of jobs after which the estimate is used; its standard error is then about 5 %. */
-const minJobs = 25;
+/** Number of jobs after which the estimate is used; its standard error is then about 9 %. */
+const minJobs = 8;
 /** Number of recent jobs that determine the estimate. */
 const windowJobs = 120;
 /** Weight of a further task of a recent job: it repeats the error of the job's declared time. */
--- a/src/request/coordinator-types.ts
+++ b/src/request/coordinator-types.ts
@@ -75,6 +75,8 @@
 			readonly newsAge: Milliseconds | undefined;
 			/** Whether the task must not run beside tasks of other jobs, because it may crash its upstream. */
 			readonly isolated: boolean;
+			/** Run time on the upstream over the declared one that was assumed; undefined if speed did not count. */
+			readonly runTimeRatio?: number;
 		}
 		| {
 			readonly kind: 'ended'; readonly index: number; readonly attempt: number; readonly agent: string; readonly upstream: string;
--- a/src/request/resource-pool.ts
+++ b/src/request/resource-pool.ts
@@ -18,6 +18,8 @@
 	reportedFreeResources: Resources;
 	/** Time of the agent's last report, on the monotonic clock. */
 	reportedAt: Milliseconds;
+	/** Usual run time on the upstream over the declared one; undefined if it is not known. */
+	runTimeRatio?: number;
 	/** Number of starts sent since the link was opened. */
 	sentStarts: number;
 	/** Sent starts that the agent had not received when it made its last report, oldest first. */
--- a/src/request/resource-scheduler.ts
+++ b/src/request/resource-scheduler.ts
@@ -19,6 +19,7 @@
 import {
 	getSlack, hasStarted, isFeasible, isObjectiveInfeasible, sortByPriority, type PendingJob,
 } from './resource-queue.js';
+import {applyRunTimeRatio, createUpstreamSpeeds, type UpstreamSpeeds} from './upstream-speed.js';
 
 /** Dependencies of the scheduler. */
 export type ResourceSchedulerHost = SchedulerHost & {
@@ -67,6 +68,7 @@
 	readonly isolationPool: IsolationPool;
 	readonly outliers: OutlierDetector;
 	readonly lookAhead: LookAhead;
+	readonly speeds: UpstreamSpeeds;
 	waitingTasks: number;
 	/** Time since which the queue has not been empty; undefined while it is empty. */
 	waitingSince: Milliseconds | undefined;
@@ -109,6 +111,7 @@
 			state?.reportingAgents.delete(incarnation);
 			state?.outliers.removeAgent(incarnation);
 			state?.isolationPool.invalidate();
+			state?.speeds.invalidate();
 			serviceOfAgent.delete(incarnation);
 		},
 		setAgentStatus(incarnation, status) {
@@ -116,6 +119,10 @@
 			const agent = state?.agents.get(incarnation);
 			if (state !== undefined && agent !== undefined) {
 				applyStatus(agent, status, clock.now());
+				if (applyRunTimeRatio(agent, status.runTimeRatioPerMille ?? 0)) {
+					state.speeds.invalidate();
+				}
+
 				dispatch(state);
 			}
 		},
@@ -217,7 +224,7 @@
 		const {job, tasks} = pending;
 		const packedAgents = new Set<AgentView>();
 		while (tasks.length > 0) {
-			const agent = agentChoice.choose(getCandidates(state, pending, tasks[0]!), {job, packedAgents});
+			const agent = agentChoice.choose(getCandidates(state, pending, tasks[0]!), {job, packedAgents, speeds: state.speeds});
 			if (agent === undefined) {
 				state.lookAhead.reserve(pending);
 				return;
@@ -256,7 +263,11 @@
 		state.waitingTasks--;
 		recordSentStart(agent, job.ticket, job.need ?? noRequirements);
 		state.outliers.recordStart(agent.info.incarnation);
-		host.start(agent.info.incarnation, task, {reportAge: clock.now() - agent.reportedAt, isolated: state.isolationPool.mustIsolate(task)});
+		host.start(agent.info.incarnation, task, {
+			reportAge: clock.now() - agent.reportedAt,
+			isolated: state.isolationPool.mustIsolate(task),
+			runTimeRatio: state.speeds.isUneven() ? state.speeds.getRunTimeRatio(agent) : undefined,
+		});
 	}
 
 	function getCandidates(state: ServiceState, pending: PendingJob, task: QueuedTask): readonly AgentView[] {
@@ -342,6 +353,7 @@
 			isolationPool: createIsolationPool(host, service, agents),
 			outliers: createOutlierDetector(clock),
 			lookAhead: createLookAhead({clock, agents}),
+			speeds: createUpstreamSpeeds(agents),
 			waitingTasks: 0,
 			waitingSince: undefined,
 			reportingAgents: new Set(),
