Test that a long job waits for a fast upstream, and where it stops waiting

Cause: the choice by speed was tested by itself, not with the queue.

Conclusion: the choice and the queue agree.

--- a/test/request/resource-scheduler.test.ts
+++ b/test/request/resource-scheduler.test.ts
@@ -18,7 +18,7 @@
 	/** Adds an agent with `cores` cores, all free. */
 	connectAgent(name: string, cores: number, labels?: readonly string[]): void;
 	/** Reports the status of an agent with `cores` free cores. */
-	reportFreeCores(name: string, cores: number, receivedStarts: number, soundness?: Soundness): void;
+	reportFreeCores(name: string, cores: number, receivedStarts: number, soundness?: Soundness, runTimeRatio?: number): void;
 };
 
 function createFixture(graceMs: Milliseconds = 0): Fixture {
@@ -62,7 +62,7 @@
 			scheduler.addAgent(info);
 			fixture.reportFreeCores(name, cores, 0);
 		},
-		reportFreeCores(name, cores, receivedStarts, soundness) {
+		reportFreeCores(name, cores, receivedStarts, soundness, runTimeRatio = 0) {
 			scheduler.setAgentStatus(name, {
 				draining: false,
 				running: 0,
@@ -72,6 +72,7 @@
 				freeRoom: {cpu: cores * millicoresPerCore, memory: 1000, accelerators: 0},
 				receivedStarts,
 				soundness,
+				runTimeRatioPerMille: runTimeRatio * 1000,
 			});
 		},
 	};
@@ -121,6 +122,34 @@
 			t.is(starts[0]?.agent, 'fresh');
 		});
 
+		it('keeps a long job for a fast upstream, and lets a short one use the slow one meanwhile', t => {
+			const {scheduler, starts, connectAgent, reportFreeCores, clock} = createFixture();
+			for (const name of ['busy', 'fast', 'slow']) {
+				connectAgent(name, 4);
+				reportFreeCores(name, name === 'slow' ? 4 : 0, 0, Soundness.SOUNDNESS_SOUND, name === 'slow' ? 1.7 : 0.7);
+			}
+
+			scheduler.enqueue(createJob('long', 2, 700, clock.now()));
+			scheduler.enqueue(createJob('short', 1, 70, clock.now()));
+			t.deepEqual(starts.map(({ticket, agent}) => [ticket, agent]), [['short', 'slow']]);
+			clock.advance(100);
+			reportFreeCores('fast', 4, 0, Soundness.SOUNDNESS_SOUND, 0.7);
+			t.deepEqual(starts.slice(1).map(({ticket, agent}) => [ticket, agent]), [['long', 'fast'], ['long', 'fast']]);
+		});
+
+		it('starts a long job on a slow upstream once it would be late at nominal speed', t => {
+			const {scheduler, starts, connectAgent, reportFreeCores, clock} = createFixture();
+			for (const name of ['busy', 'fast', 'slow']) {
+				connectAgent(name, 4);
+				reportFreeCores(name, name === 'slow' ? 4 : 0, 0, Soundness.SOUNDNESS_SOUND, name === 'slow' ? 1.7 : 0.7);
+			}
+
+			scheduler.enqueue(createJob('long', 1, 700, clock.now()));
+			clock.advance(490);
+			reportFreeCores('slow', 4, 0, Soundness.SOUNDNESS_SOUND, 1.7);
+			t.deepEqual(starts.map(({agent}) => agent), ['slow']);
+		});
+
 		it('counts starts that the agent had not received when it reported its free resources', t => {
 			const {scheduler, starts, connectAgent, reportFreeCores, clock} = createFixture();
 			connectAgent('a', 2);
