Evacuate a data centre by the project's own command line, too

Cause: outside of the users' platform an operator could drain upstreams one by one only.

An entry takes its evacuations from the configuration unless the platform states them. A configuration without such objects is encoded as before, so that earlier programs can read it.

Ruled out: a field of each upstream (the command line does not know where an upstream is).

--- a/src/process/cli/program.ts
+++ b/src/process/cli/program.ts
@@ -71,7 +71,7 @@
 		usage: 'history', text: 'Show who published what, newest first', options: [...platformOptions, ['--limit', 'Most versions shown; default 20']], run: runHistory,
 	},
 	{
-		usage: 'drain <upstream>', text: 'Publish that an upstream takes no new work', options: [...publishOptions, ['--undo', 'Let it take work again']], run: runDrain,
+		usage: 'drain [upstream]', text: 'Publish that an upstream or a data centre takes no new work', options: [...publishOptions, ['--data-centre', 'Data centre whose upstreams take no new work'], ['--undo', 'Let it take work again']], run: runDrain,
 	},
 	{
 		usage: 'token <id>', text: 'Create a token and show it once', options: tokenOptions, run: runToken,
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -30,7 +30,7 @@
 	readonly incarnation: string;
 	readonly platform: Platform;
 	readonly follower: ConfigFollower;
-	/** The evacuated data centres; known before the first configuration is. Only peers report some if undefined. */
+	/** The evacuated data centres; known before the first configuration is. If undefined, the configuration states them. */
 	readonly evacuations?: EvacuationHolder;
 	readonly recorder: SubmissionRecorder;
 	/** Key of the hash that authenticates tickets. */
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -17,7 +17,7 @@
 import {createTicketIssuer} from '../request/ticket.js';
 import type {Ticket} from '../request/types.js';
 import {tryGetAgentConfig} from '../version/agent-config.js';
-import {createEvacuationHolder, type EvacuationList} from '../version/evacuations.js';
+import {createEvacuationHolder, toEvacuationList, type EvacuationList} from '../version/evacuations.js';
 import type {Snapshot} from '../version/types.js';
 import {formatAddress} from './address.js';
 import {
@@ -339,6 +339,10 @@
 	}
 
 	function applySnapshot(snapshot: Snapshot): void {
+		if (host.evacuations === undefined) {
+			evacuations.offer(toEvacuationList(snapshot));
+		}
+
 		coordinator.applySnapshot(snapshot);
 		links.scheduleConfig();
 		peers.broadcastState([]);
--- a/src/version/evacuations.ts
+++ b/src/version/evacuations.ts
@@ -2,6 +2,7 @@
  * Holds the evacuated data centres, which get no new tasks. The list's revision only increases, whatever the store, a peer
  * or an entry serves and in whatever order messages arrive.
  */
+import type {Snapshot} from './types.js';
 
 /** The evacuated data centres as of one revision of the store. */
 export type EvacuationList = {
@@ -30,6 +31,11 @@
 	onChange(listener: EvacuationListener): () => void;
 };
 
+/** Returns the data centres that a version of the configuration drains. */
+export function toEvacuationList({version, dataCentres}: Snapshot): EvacuationList {
+	return {revision: version, dataCentres: [...dataCentres.values()].filter(({drain}) => drain).map(({name}) => name)};
+}
+
 /** Creates a holder without a list. */
 export function createEvacuationHolder(): EvacuationHolder {
 	const listeners = new Set<EvacuationListener>();
--- a/src/version/fields.ts
+++ b/src/version/fields.ts
@@ -56,6 +56,9 @@
 		{name: 'maxTasks', tomlKey: 'maxTasks', range: {min: 1, max: 10_000_000}},
 		{name: 'weight', tomlKey: 'weight', range: {min: 1, max: 1000}},
 	],
+	'data-centre': [
+		{name: 'drain', tomlKey: 'drain'},
+	],
 };
 
 /** Returns the fields of one kind of object, except its name, in the order in which they are printed. */
--- a/src/version/schema.ts
+++ b/src/version/schema.ts
@@ -5,7 +5,7 @@
  */
 import {z} from 'zod';
 import {
-	objectKinds, type ConfigObject, type ObjectKind, type ObjectName, type PolicyObject, type ServiceObject, type SubmissionObject, type TeamObject, type UpstreamObject,
+	objectKinds, type ConfigObject, type DataCentreObject, type ObjectKind, type ObjectName, type PolicyObject, type ServiceObject, type SubmissionObject, type TeamObject, type UpstreamObject,
 } from './types.js';
 
 const placementModes = ['response', 'messages'] as const;
@@ -59,6 +59,13 @@
 	weight: z.number(),
 });
 
+/** Schema of a published data centre. */
+export const dataCentreSchema: z.ZodType<DataCentreObject> = z.strictObject({
+	kind: z.literal('data-centre'),
+	name: z.string(),
+	drain: z.boolean(),
+});
+
 const policyTableSchema = z.strictObject({
 	name: z.string(),
 	placement: z.enum(placementModes).default('response'),
@@ -102,6 +109,11 @@
 	weight: z.number().default(1),
 }).transform((rest): TeamObject => ({kind: 'team', ...rest}));
 
+const dataCentreTableSchema = z.strictObject({
+	name: z.string(),
+	drain: z.boolean().default(false),
+}).transform((rest): DataCentreObject => ({kind: 'data-centre', ...rest}));
+
 /** Schemas of the tables in TOML files, by the kind that the table's header names. */
 export const tableSchemas: Readonly<Record<ObjectKind, z.ZodType<ConfigObject>>> = {
 	service: serviceTableSchema,
@@ -109,6 +121,7 @@
 	policy: policyTableSchema,
 	submission: submissionTableSchema,
 	team: teamTableSchema,
+	'data-centre': dataCentreTableSchema,
 };
 
 /** Schema of a `[[delete]]` table in TOML files. */
--- a/src/version/snapshot-codec.ts
+++ b/src/version/snapshot-codec.ts
@@ -7,7 +7,7 @@
 import {readJson} from '../process/json.js';
 import {checkSnapshot} from './check.js';
 import {
-	policySchema, serviceSchema, submissionSchema, teamSchema, upstreamSchema,
+	dataCentreSchema, policySchema, serviceSchema, submissionSchema, teamSchema, upstreamSchema,
 } from './schema.js';
 import {createSnapshot} from './snapshot.js';
 import type {Snapshot} from './types.js';
@@ -20,8 +20,10 @@
 	const policies = [...snapshot.policies.values()];
 	const submissions = [...snapshot.submissions.values()];
 	const teams = [...snapshot.teams.values()];
+	// Left out where there are none, so that earlier programs can read the rest.
+	const dataCentres = snapshot.dataCentres.size === 0 ? undefined : [...snapshot.dataCentres.values()];
 	return new TextEncoder().encode(JSON.stringify({
-		format: 1, version, services, upstreams, policies, submissions, teams,
+		format: 1, version, services, upstreams, policies, submissions, teams, dataCentres,
 	}));
 }
 
@@ -30,7 +32,7 @@
 	return decodeText(bytes)
 		.andThen(text => readJson(snapshotSchema, text))
 		.map(content => createSnapshot(content.version, [
-			...content.services, ...content.upstreams, ...content.policies, ...content.submissions, ...content.teams,
+			...content.services, ...content.upstreams, ...content.policies, ...content.submissions, ...content.teams, ...content.dataCentres,
 		]))
 		.andThen(snapshot => {
 			const [diagnostic] = checkSnapshot(snapshot);
@@ -47,6 +49,7 @@
 	policies: z.array(policySchema),
 	submissions: z.array(submissionSchema),
 	teams: z.array(teamSchema),
+	dataCentres: z.array(dataCentreSchema).default([]),
 });
 
 function decodeText(bytes: Uint8Array): Result<string, string> {
--- a/src/version/snapshot.ts
+++ b/src/version/snapshot.ts
@@ -2,7 +2,7 @@
  * Creates snapshots, looks up objects in them and applies changes to them.
  */
 import {
-	objectKinds, type Change, type ConfigObject, type ObjectKind, type ObjectName, type PolicyObject, type ServiceObject, type Snapshot, type SubmissionObject, type TeamObject, type UpstreamObject,
+	objectKinds, type Change, type ConfigObject, type DataCentreObject, type ObjectKind, type ObjectName, type PolicyObject, type ServiceObject, type Snapshot, type SubmissionObject, type TeamObject, type UpstreamObject,
 } from './types.js';
 
 /** The configuration before the first publication. */
@@ -66,6 +66,10 @@
 		case 'team': {
 			return snapshot.teams;
 		}
+
+		case 'data-centre': {
+			return snapshot.dataCentres;
+		}
 	}
 }
 
@@ -86,6 +90,7 @@
 	readonly policies: Map<string, PolicyObject>;
 	readonly submissions: Map<string, SubmissionObject>;
 	readonly teams: Map<string, TeamObject>;
+	readonly dataCentres: Map<string, DataCentreObject>;
 };
 
 function createDraft(version: number): Draft {
@@ -96,6 +101,7 @@
 		policies: new Map(),
 		submissions: new Map(),
 		teams: new Map(),
+		dataCentres: new Map(),
 	};
 }
 
@@ -107,6 +113,7 @@
 		policies: new Map(snapshot.policies),
 		submissions: new Map(snapshot.submissions),
 		teams: new Map(snapshot.teams),
+		dataCentres: new Map(snapshot.dataCentres),
 	};
 }
 
@@ -136,6 +143,11 @@
 			draft.teams.set(object.name, object);
 			break;
 		}
+
+		case 'data-centre': {
+			draft.dataCentres.set(object.name, object);
+			break;
+		}
 	}
 }
 
@@ -146,6 +158,7 @@
 		policy: draft.policies,
 		submission: draft.submissions,
 		team: draft.teams,
+		'data-centre': draft.dataCentres,
 	};
 	maps[kind].delete(name);
 }
--- a/src/version/types.ts
+++ b/src/version/types.ts
@@ -4,7 +4,7 @@
 import type {Milliseconds} from '../process/clock.js';
 
 /** Kinds of objects, in the order in which they are printed. */
-export const objectKinds = ['service', 'upstream', 'policy', 'submission', 'team'] as const;
+export const objectKinds = ['service', 'upstream', 'policy', 'submission', 'team', 'data-centre'] as const;
 
 /** One kind of object. */
 export type ObjectKind = (typeof objectKinds)[number];
@@ -104,8 +104,16 @@
 	readonly weight: number;
 };
 
+/** State of the data centre in which agents announce themselves under this name. One without an object is in use. */
+export type DataCentreObject = {
+	readonly kind: 'data-centre';
+	readonly name: string;
+	/** Whether it is evacuated: its upstreams get no new tasks. */
+	readonly drain: boolean;
+};
+
 /** An object of any kind. */
-export type ConfigObject = PolicyObject | ServiceObject | UpstreamObject | SubmissionObject | TeamObject;
+export type ConfigObject = PolicyObject | ServiceObject | UpstreamObject | SubmissionObject | TeamObject | DataCentreObject;
 
 /** One published version: all objects that are active together, in maps by name. */
 export type Snapshot = {
@@ -116,6 +124,7 @@
 	readonly policies: ReadonlyMap<string, PolicyObject>;
 	readonly submissions: ReadonlyMap<string, SubmissionObject>;
 	readonly teams: ReadonlyMap<string, TeamObject>;
+	readonly dataCentres: ReadonlyMap<string, DataCentreObject>;
 	/** Undefined where requests name their submission themselves. */
 	readonly routes?: readonly Route[];
 };
--- a/test/process/cli/program.test.ts
+++ b/test/process/cli/program.test.ts
@@ -56,6 +56,16 @@
 			compareWithBaseline(t, 'cli/operators.txt', cli.lines);
 		});
 
+		it('evacuates a data centre and takes that back', async t => {
+			const cli = createCli();
+			await cli.run('drain --data-centre makati --author ana --id first');
+			await cli.run('get data-centres');
+			await cli.run('drain --data-centre makati --author ana --id second --undo');
+			await cli.run('drain --data-centre Makati --author ana --id third');
+			await cli.run('history');
+			compareWithBaseline(t, 'cli/evacuation.txt', cli.lines);
+		});
+
 		it('reports all diagnostics of a change set together and publishes none of it', async t => {
 			const cli = createCli();
 			await cli.run('apply objects.toml --author ana --reason opening --id first');
--- a/test/process/entry-evacuation.test.ts
+++ b/test/process/entry-evacuation.test.ts
@@ -10,6 +10,9 @@
 import {createMemoryPlatform} from '../../src/process/platform/memory.js';
 import {createEvacuationHolder, type EvacuationList} from '../../src/version/evacuations.js';
 import {createPollingFollower} from '../../src/version/polling-follower.js';
+import {encodeSnapshot} from '../../src/version/snapshot-codec.js';
+import {createSnapshot} from '../../src/version/snapshot.js';
+import type {ConfigObject} from '../../src/version/types.js';
 import {describe, it} from '../describe.js';
 import {createSubmissionRecords} from '../failure/submission-records.js';
 import {silentLog} from '../silent-log.js';
@@ -19,6 +22,8 @@
 	readonly sentToAgent: EvacuationList[];
 	/** Delivers a list that was read from the store. */
 	offer(list: EvacuationList): void;
+	/** Delivers a configuration. */
+	publish(version: number, objects: readonly ConfigObject[]): void;
 	/** Links another entry and returns the list with which the stream begins. */
 	connectPeer(): EvacuationList | undefined;
 	/** Links an agent in data centre `d`. */
@@ -29,12 +34,15 @@
 	isAdmitting(): boolean;
 };
 
-/** Creates an entry that has no connection to the store. */
-function createFixture(t: ExecutionContext): Fixture {
+/** Creates an entry that has no connection to the store; with `areInConfig`, the configuration states the evacuations. */
+function createFixture(t: ExecutionContext, areInConfig = false): Fixture {
 	const clock = createFakeClock();
 	const platform = createMemoryPlatform({clock});
 	const evacuations = createEvacuationHolder();
 	const deferred: Array<() => void> = [];
+	const follower = createPollingFollower({
+		platform, clock, random: () => 0, onDiagnostic: () => undefined,
+	});
 	const entry = createEntry({
 		clock,
 		settings: {
@@ -52,10 +60,8 @@
 		},
 		incarnation: 'e-1',
 		platform,
-		follower: createPollingFollower({
-			platform, clock, random: () => 0, onDiagnostic: () => undefined,
-		}),
-		evacuations,
+		follower,
+		evacuations: areInConfig ? undefined : evacuations,
 		recorder: createSubmissionRecords(clock, 'e-1', platform.objects).recorder,
 		ticketKey: new Uint8Array(32),
 		log: silentLog,
@@ -131,6 +137,10 @@
 			evacuations.offer(list);
 			runDeferred();
 		},
+		publish(version, objects) {
+			follower.offer(encodeSnapshot(createSnapshot(version, objects)))._unsafeUnwrap();
+			runDeferred();
+		},
 	};
 
 	function runDeferred(): void {
@@ -181,4 +191,22 @@
 		t.true(isAdmitting());
 		t.deepEqual(sentToAgent.map(({revision}) => revision), [10, 11, 12]);
 	});
+
+	it('are those that the configuration states, where nothing else does', t => {
+		const {publish, connectAgent, sentToAgent, isAdmitting} = createFixture(t, true);
+		connectAgent();
+		publish(1, [{kind: 'data-centre', name: 'd', drain: true}, {kind: 'data-centre', name: 'f', drain: false}]);
+		t.false(isAdmitting());
+		publish(2, []);
+		t.true(isAdmitting());
+		t.deepEqual(sentToAgent, [{revision: 1, dataCentres: ['d']}, {revision: 2, dataCentres: []}]);
+	});
+
+	it('are not those of the configuration where the store states them', t => {
+		const {publish, offer, connectAgent, isAdmitting} = createFixture(t);
+		connectAgent();
+		offer({revision: 10, dataCentres: ['d']});
+		publish(100, []);
+		t.false(isAdmitting());
+	});
 });
