Check a configuration for what never takes effect before it is published

Cause: a valid change set could hold objects that nothing refers to, routes behind an equal one and limits that contradict each other, and nobody was told before it was in force.

Ruled out: errors in place of warnings, since such a configuration works; a second parser of the platform's format.

The baseline of check has the lines of the differences in addition.

--- a/src/process/cli/change-set.ts
+++ b/src/process/cli/change-set.ts
@@ -44,10 +44,10 @@
 }
 
 /** Reads a change set from files and checks it against `snapshot`; all diagnostics are reported together. */
-export function readCheckedChangeSet(host: CliHost, files: readonly string[], snapshot: Snapshot): Result<ChangeSet, readonly Diagnostic[]> {
-	return readChangeSet(host, files, {...previewMetadata, base: snapshot.version}, snapshot).andThen(({changeSet, options}) => {
-		const errors = checkChangeSet(changeSet, snapshot, options);
-		return errors.length === 0 ? ok(changeSet) : err(errors);
+export function readCheckedChangeSet(host: CliHost, files: readonly string[], snapshot: Snapshot): Result<ParsedChangeSet, readonly Diagnostic[]> {
+	return readChangeSet(host, files, {...previewMetadata, base: snapshot.version}, snapshot).andThen(parsed => {
+		const errors = checkChangeSet(parsed.changeSet, snapshot, parsed.options);
+		return errors.length === 0 ? ok(parsed) : err(errors);
 	});
 }
 
--- a/src/process/cli/diff.ts
+++ b/src/process/cli/diff.ts
@@ -11,7 +11,7 @@
 export const runDiff: Command = async (host, {args, options}) => safeTry(async function * () {
 	const platform = yield * openPlatform(host, options);
 	const snapshot = yield * readNewestSnapshot(platform);
-	const changeSet = yield * readCheckedChangeSet(host, args, snapshot);
+	const {changeSet} = yield * readCheckedChangeSet(host, args, snapshot);
 	const lines = diffChanges(changeSet.changes, snapshot);
 	host.print(lines.length === 0 ? `Nothing differs from version ${snapshot.version}.` : `Changes to version ${snapshot.version}:`);
 	for (const line of lines) {
--- a/src/process/cli/program.ts
+++ b/src/process/cli/program.ts
@@ -56,7 +56,7 @@
 
 const commands: readonly CommandDescription[] = [
 	{
-		usage: 'check <file>', text: 'Check files of objects as a whole; several files may be given', options: platformOptions, run: runCheck,
+		usage: 'check <file>', text: 'Check files of objects as a whole; several files may be given', options: [...platformOptions, ['--json', 'Print errors, warnings and differences as JSON'], ['--strict', 'Fail on warnings too']], run: runCheck,
 	},
 	{
 		usage: 'diff <file>', text: 'Show what files of objects would change', options: platformOptions, run: runDiff,
@@ -100,7 +100,7 @@
 	},
 ];
 
-const flagOptions = new Set(['undo', 'withdraw']);
+const flagOptions = new Set(['undo', 'withdraw', 'json', 'strict']);
 
 /** Runs the command that `argv` selects. The first two items are skipped, as in `process.argv`. */
 export async function runCli(host: CliHost, argv: readonly string[]): Promise<ExitCode> {
--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -92,6 +92,14 @@
 	Snapshot_is_absent: row(2031, 'SnapshotAbsent', 'The configuration object {0} is not in the object store.', 'The version in force stays and the read is tried again. Check the platform.'),
 	Row_is_invalid: row(2032, 'RowInvalid', 'The table row {0} cannot be read: {1}.', 'Check the platform address; restore the row from the audit trail.'),
 	Version_was_overtaken: row(2033, 'VersionOvertaken', 'The store served version {0} although version {1} is in force.', 'The version in force stays; nothing needs to be done.'),
+	Object_is_unused: row(2040, 'ObjectUnused', 'The {0} is not used: no {1} refers to it.', 'Delete it, or refer to it.'),
+	Largest_jobs_are_refused: row(2041, 'LargestJobsRefused', 'The {0} allows jobs of {1} tasks, but the field {2} of the {3} is {4}, so the largest are always refused.', 'Allow fewer tasks a job, or raise {2}.'),
+	Limit_has_no_effect: row(2042, 'LimitWithoutEffect', 'The field {0} of the {1} is {2}, but the field {3} of the {4} is {5}, and the shorter time applies.', 'Shorten the one or lengthen the other.'),
+	Run_time_exceeds_timeout: row(2043, 'RunTimeExceedsTimeout', 'The {0} expects a run time of {1} ms, but the {2} ends tasks after {3} ms.', 'Raise taskTimeoutMs of the {2} or correct the run time.'),
+	Route_never_matches: row(2044, 'RouteNeverMatches', 'The route {0} never matches: requests for {1} go to the route {2}.', 'Give it another host or prefix, or remove it.'),
+	Path_prefix_never_matches: row(2045, 'PathPrefixNeverMatches', 'The route {0} never matches: its prefix "{1}" does not begin with "/".', 'Begin the prefix with "/".'),
+	Route_allows_no_attempt: row(2046, 'RouteAllowsNoAttempt', 'The route {0} allows {1} attempts, so its jobs cannot be done.', 'Allow one attempt at least.'),
+	Objective_exceeds_deadline: row(2047, 'ObjectiveExceedsDeadline', 'The objective of the route {0} has a margin of {1} ms, but its deadline is {2} ms.', 'Shorten the margin or allow a longer deadline.'),
 
 	// 3xxx: settings
 	Settings_are_not_toml: row(3001, 'SettingsNotToml', 'The settings are not valid TOML: {0}.', 'Correct the syntax at this line.'),
--- a/src/version/diff.ts
+++ b/src/version/diff.ts
@@ -3,7 +3,9 @@
  */
 import {getFields, getFieldValue, type Field} from './fields.js';
 import {formatObjectName, getChangedObjectName, tryGetObject} from './snapshot.js';
-import type {Change, ConfigObject, Snapshot} from './types.js';
+import type {
+	Change, ConfigObject, Route, Snapshot,
+} from './types.js';
 
 /** Returns one line for each object added (+), changed (~) or deleted (-), followed by one line for each field that changes. */
 export function diffChanges(changes: readonly Change[], snapshot: Snapshot): readonly string[] {
@@ -26,6 +28,33 @@
 	];
 }
 
+/** Returns one line for each route added (+), changed (~) or removed (-), followed by one line for each field that changes. */
+export function diffRoutes(before: readonly Route[], after: readonly Route[]): readonly string[] {
+	const beforeByName = new Map(before.map(route => [route.submission, route]));
+	const afterNames = new Set(after.map(({submission}) => submission));
+	return [
+		...after.flatMap(route => diffRoute(beforeByName.get(route.submission), route)),
+		...before.filter(({submission}) => !afterNames.has(submission)).map(route => `- ${formatRoute(route)}`),
+	];
+}
+
+function diffRoute(before: Route | undefined, after: Route): string[] {
+	if (before === undefined) {
+		return [`+ ${formatRoute(after)}`];
+	}
+
+	const fields = routeFields
+		.filter(field => before[field] !== after[field])
+		.map(field => `    ${field}: ${JSON.stringify(before[field])} -> ${JSON.stringify(after[field])}`);
+	return fields.length === 0 ? [] : [`~ ${formatRoute(after)}`, ...fields];
+}
+
+const routeFields = ['host', 'pathPrefix', 'deadline', 'attempts', 'stretch', 'margin', 'priority'] as const;
+
+function formatRoute({submission, host, pathPrefix}: Route): string {
+	return `route ${submission} (${host}${pathPrefix})`;
+}
+
 function diffObject(before: ConfigObject | undefined, after: ConfigObject | undefined): string[] {
 	if (before === undefined) {
 		return after === undefined ? [] : prefixFirstLine('+', describeObject(after));
--- a/test/process/cli/program.test.ts
+++ b/test/process/cli/program.test.ts
@@ -26,6 +26,7 @@
 slots = 0
 `,
 	'faster.toml': '[[policy]]\nname = "default"\ndeadlineMs = 20000\n[[team]]\nname = "dinner"\nmaxTasks = 5\n',
+	'contradictory.toml': '[[policy]]\nname = "default"\ntaskTimeoutMs = 300\n[[team]]\nname = "dinner"\nmaxTasks = 5\n',
 	'deletion.toml': '[[delete]]\nkind = "team"\nname = "dinner"\n',
 	'payloads.txt': 'adobo\nsinigang\n',
 };
@@ -67,6 +68,16 @@
 			compareWithBaseline(t, 'cli/faults.txt', cli.lines);
 		});
 
+		it('checks files for what they change and what never takes effect, for people and programs', async t => {
+			const cli = createCli();
+			await cli.run('apply objects.toml --author ana --reason opening --id first');
+			t.is(await cli.run('check contradictory.toml'), 0);
+			t.is(await cli.run('check contradictory.toml --strict'), 1);
+			t.is(await cli.run('check contradictory.toml --json'), 0);
+			t.is(await cli.run('check faulty.toml --json'), 1);
+			compareWithBaseline(t, 'cli/check.txt', cli.lines);
+		});
+
 		it('creates and withdraws tokens', async t => {
 			const cli = createCli();
 			t.is(await cli.run('token app1 --role caller --team lunch'), 0);
