Show routes that move to another upstream when a configuration is checked

Ruled out: the differences of all objects, which repeat each route.

The title of the test of these limits said the same as the message and follows it; what it checks is unchanged.

Conclusion: the upstreams that exist are compared through their routes only.

--- a/src/platform/bin/check-state.ts
+++ b/src/platform/bin/check-state.ts
@@ -1,3 +1,4 @@
+#!/usr/bin/env node
 /**
  * `kingcuplane-platform-check NEXT [CURRENT]`: checks a file with the configuration that an operator is about to write to the
  * store, and shows what differs from a file with the one in force. The exit code is 1 if processes would not apply it.
--- a/src/platform/state-check.ts
+++ b/src/platform/state-check.ts
@@ -42,14 +42,14 @@
 		return {isValid: false, lines: [formatDiagnostic(inForce.error)]};
 	}
 
-	const {version, routes = []} = inForce.value;
+	const {version} = inForce.value;
 	return {
 		isValid: snapshot.version > version,
 		lines: [
 			snapshot.version > version
 				? `Version ${snapshot.version} is valid and can follow version ${version}.`
 				: `Version ${snapshot.version} cannot follow version ${version}: processes ignore versions that are not higher.`,
-			...diffRoutes(routes, snapshot.routes ?? []),
+			...diffRoutes(inForce.value, snapshot),
 			...warnings,
 		],
 	};
--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -98,7 +98,7 @@
 	Run_time_exceeds_timeout: row(2043, 'RunTimeExceedsTimeout', 'The {0} expects a run time of {1} ms, but the {2} ends tasks after {3} ms.', 'Raise taskTimeoutMs of the {2} or correct the run time.'),
 	Route_never_matches: row(2044, 'RouteNeverMatches', 'The route {0} never matches: requests for {1} go to the route {2}.', 'Give it another host or prefix, or remove it.'),
 	Path_prefix_never_matches: row(2045, 'PathPrefixNeverMatches', 'The route {0} never matches: its prefix "{1}" does not begin with "/".', 'Begin the prefix with "/".'),
-	Route_allows_no_attempt: row(2046, 'RouteAllowsNoAttempt', 'The route {0} allows {1} attempts, so its jobs cannot be done.', 'Allow one attempt at least.'),
+	Route_allows_no_attempt: row(2046, 'RouteAllowsNoAttempt', 'The route {0} allows {1} attempts, but each task is run once at least.', 'Allow one attempt at least.'),
 	Objective_exceeds_deadline: row(2047, 'ObjectiveExceedsDeadline', 'The objective of the route {0} has a margin of {1} ms, but its deadline is {2} ms.', 'Shorten the margin or allow a longer deadline.'),
 
 	// 3xxx: settings
--- a/src/version/diff.ts
+++ b/src/version/diff.ts
@@ -29,16 +29,25 @@
 }
 
 /** Returns one line for each route added (+), changed (~) or removed (-), followed by one line for each field that changes. */
-export function diffRoutes(before: readonly Route[], after: readonly Route[]): readonly string[] {
-	const beforeByName = new Map(before.map(route => [route.submission, route]));
-	const afterNames = new Set(after.map(({submission}) => submission));
+export function diffRoutes(before: Snapshot, after: Snapshot): readonly string[] {
+	const routesBefore = getServedRoutes(before);
+	const routesAfter = getServedRoutes(after);
+	const beforeByName = new Map(routesBefore.map(route => [route.submission, route]));
+	const afterNames = new Set(routesAfter.map(({submission}) => submission));
 	return [
-		...after.flatMap(route => diffRoute(beforeByName.get(route.submission), route)),
-		...before.filter(({submission}) => !afterNames.has(submission)).map(route => `- ${formatRoute(route)}`),
+		...routesAfter.flatMap(route => diffRoute(beforeByName.get(route.submission), route)),
+		...routesBefore.filter(({submission}) => !afterNames.has(submission)).map(route => `- ${formatRoute(route)}`),
 	];
 }
 
-function diffRoute(before: Route | undefined, after: Route): string[] {
+/** A route with the service that runs its jobs. */
+type ServedRoute = Route & {readonly service: string | undefined};
+
+function getServedRoutes({routes = [], submissions}: Snapshot): readonly ServedRoute[] {
+	return routes.map(route => ({...route, service: submissions.get(route.submission)?.service}));
+}
+
+function diffRoute(before: ServedRoute | undefined, after: ServedRoute): string[] {
 	if (before === undefined) {
 		return [`+ ${formatRoute(after)}`];
 	}
@@ -49,7 +58,7 @@
 	return fields.length === 0 ? [] : [`~ ${formatRoute(after)}`, ...fields];
 }
 
-const routeFields = ['host', 'pathPrefix', 'deadline', 'attempts', 'stretch', 'margin', 'priority'] as const;
+const routeFields = ['host', 'pathPrefix', 'service', 'deadline', 'attempts', 'stretch', 'margin', 'priority'] as const;
 
 function formatRoute({submission, host, pathPrefix}: Route): string {
 	return `route ${submission} (${host}${pathPrefix})`;
--- a/test/platform/state-check.test.ts
+++ b/test/platform/state-check.test.ts
@@ -34,6 +34,13 @@
 		]);
 	});
 
+	it('shows a route whose jobs another upstream runs from now on', t => {
+		const createMoved = (version: number, upstream: string) => ({
+			name: 'x', text: JSON.stringify({version, routes: [{...route, upstream}], upstreams: [{name: 's'}, {name: 'other'}]}),
+		});
+		t.true(checkState(createMoved(3, 'other'), createMoved(2, 's')).lines.includes('    service: "s" -> "other"'));
+	});
+
 	it('rejects a version that is not higher than the one in force', t => {
 		t.false(checkState(createFile(2, [route]), createFile(2, [route])).isValid);
 	});
--- a/test/version/findings.test.ts
+++ b/test/version/findings.test.ts
@@ -55,7 +55,7 @@
 			t.deepEqual(findKinds(createSample('', [{...route, pathPrefix: 'a/'}])), ['PathPrefixNeverMatches']);
 		});
 
-		it('can have limits under which no job succeeds', t => {
+		it('can have limits that have no effect', t => {
 			t.deepEqual(findKinds(createSample('', [{...route, attempts: 0, margin: 2000}])), ['RouteAllowsNoAttempt', 'ObjectiveExceedsDeadline']);
 		});
 	});
