Refuse jobs at once that the waiting work keeps from their objective

Cause: a job that waits behind more work than can start in the time that its objective leaves was refused only when the objective had passed, and every refused caller was told to return after the same second.

Ruled out: a bound on the queue's length, which says nothing about time; refusing on arrival, since the newest feasible job goes first.

Change: the drain rate of a lasting queue and the backlog before a job decide; the return time follows the backlog and is spread.

--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -115,8 +115,11 @@
 	readonly size: Milliseconds;
 };
 
-/** Why a job is infeasible: it cannot finish by its deadline, or its objective has passed before any task started. */
-export type InfeasibleReason = 'deadline' | 'objective';
+/**
+ * Why a job is infeasible: it cannot finish by its deadline, its objective has passed before any task started, or the work that
+ * starts before it takes longer than it can wait.
+ */
+export type InfeasibleReason = 'deadline' | 'objective' | 'backlog';
 
 /** What the choice of an agent was based on, where its free resources are reported. */
 export type PlacementBasis = {
@@ -134,8 +137,8 @@
 	 * credit.
 	 */
 	start(agent: string, task: QueuedTask, basis?: PlacementBasis): void;
-	/** Called when waiting longer for resources for this job is pointless. */
-	onInfeasible?(ticket: string, reason: InfeasibleReason): void;
+	/** Called when waiting longer for resources for this job is pointless. `retryAfter` is the time after which its caller may return. */
+	onInfeasible?(ticket: string, reason: InfeasibleReason, retryAfter: Milliseconds): void;
 	/** Returns the share of the agents that is reserved for tasks which must be isolated; none if it is 0. */
 	getIsolatedShare?(): number;
 	/** Whether a task must not run beside tasks of other jobs, because it may crash its upstream. */
--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -51,6 +51,7 @@
 	Deadline_has_passed: row(1040, 'DeadlinePassed', 'The deadline of {0} ms passed.', 'See which tasks had started in the trail of this ticket.'),
 	Deadline_has_become_out_of_reach: row(1049, 'DeadlineOutOfReach', 'The job has waited for so long that its deadline of {0} ms cannot be met any more.', 'Come back after the stated time.'),
 	Objective_has_passed_while_waiting: row(1051, 'ObjectivePassedWaiting', 'The job has waited for room for so long that it cannot meet its objective any more, and none of it was begun.', 'Come back after the stated time.'),
+	Objective_is_out_of_reach: row(1054, 'ObjectiveOutOfReach', 'More work waits before the job than can be started in the time that its objective leaves, and none of it was begun.', 'Come back after the stated time.'),
 	Job_was_cancelled: row(1041, 'JobCancelled', 'The job was cancelled by {0}.', 'Submit again under a new ticket if it is still wanted.'),
 	Task_failed: row(1042, 'TaskFailed', 'Task {0} failed at {1}: {2}.', 'See the trail of this ticket.'),
 	Task_crashed_its_upstreams: row(1052, 'TaskCrashedUpstreams', 'Task {0} was running on {1} upstreams when they crashed, and is not started again.', 'Check its payload; see the trail of this ticket for the upstreams.'),
--- a/src/request/coordinator.ts
+++ b/src/request/coordinator.ts
@@ -51,10 +51,10 @@
 		onReportChanged: host.onDemandChanged,
 		getIsolatedShare: () => lostTasks.getIsolation().share,
 		mustIsolate,
-		onInfeasible(ticket, reason) {
+		onInfeasible(ticket, reason, retryAfter) {
 			const openJob = openJobs.get(ticket);
 			if (openJob !== undefined) {
-				failJob(openJob, createInfeasibleFailure(openJob, reason));
+				failJob(openJob, createInfeasibleFailure(openJob, reason, retryAfter));
 			}
 		},
 	});
--- a/src/request/open-job.ts
+++ b/src/request/open-job.ts
@@ -6,6 +6,7 @@
 import type {InfeasibleReason, QueuedJob, QueuedTask} from '../connection/types.js';
 import type {TaskStop} from '../generated/kingcuplane.js';
 import type {Milliseconds, Timer} from '../process/clock.js';
+import {assertNever} from '../process/debug.js';
 import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
 import type {JobFailure} from './job.js';
 import type {TrackedJob} from './tracked-job.js';
@@ -77,18 +78,28 @@
 	};
 }
 
-/** How long an overload that made a job infeasible is likely to last. */
-const overloadRetryMs: Milliseconds = 1000;
-
 /** Returns a key that identifies one attempt at one task within its job. */
 export function getAttemptKey({index, attempt}: {readonly index: number; readonly attempt: number}): string {
 	return `${index}.${attempt}`;
 }
 
 /** Creates the failure of a job that has become infeasible while it waited for resources. */
-export function createInfeasibleFailure({queued}: OpenJob, reason: InfeasibleReason): JobFailure {
-	const diagnostic = reason === 'deadline'
-		? createDiagnostic(Diagnostics.Deadline_has_become_out_of_reach, queued.deadlineAt - queued.arrivedAt)
-		: createDiagnostic(Diagnostics.Objective_has_passed_while_waiting);
-	return {diagnostic, retryAfter: overloadRetryMs};
+export function createInfeasibleFailure({queued}: OpenJob, reason: InfeasibleReason, retryAfter: Milliseconds): JobFailure {
+	switch (reason) {
+		case 'deadline': {
+			return {diagnostic: createDiagnostic(Diagnostics.Deadline_has_become_out_of_reach, queued.deadlineAt - queued.arrivedAt), retryAfter};
+		}
+
+		case 'objective': {
+			return {diagnostic: createDiagnostic(Diagnostics.Objective_has_passed_while_waiting), retryAfter};
+		}
+
+		case 'backlog': {
+			return {diagnostic: createDiagnostic(Diagnostics.Objective_is_out_of_reach), retryAfter};
+		}
+
+		default: {
+			return assertNever(reason);
+		}
+	}
 }
--- a/src/request/reply.ts
+++ b/src/request/reply.ts
@@ -129,6 +129,7 @@
 	DeadlinePassed: 504,
 	DeadlineOutOfReach: 504,
 	ObjectivePassedWaiting: 503,
+	ObjectiveOutOfReach: 503,
 	JobCancelled: 409,
 	TaskFailed: 502,
 	TaskMayHaveRun: 502,
--- a/src/request/resource-scheduler.ts
+++ b/src/request/resource-scheduler.ts
@@ -7,9 +7,11 @@
 import {Soundness} from '../generated/kingcuplane.js';
 import type {Milliseconds, Timer} from '../process/clock.js';
 import type {
-	QueuedJob, QueuedTask, Scheduler, SchedulerHost, SchedulingRules,
+	InfeasibleReason, QueuedJob, QueuedTask, Scheduler, SchedulerHost, SchedulingRules,
 } from '../connection/types.js';
 import {createAgentChoice} from './agent-choice.js';
+import {createBacklog, getTaskWork, type Backlog} from './backlog.js';
+import {createDrainRate, type DrainRate} from './drain-rate.js';
 import {createIsolationPool, type IsolationPool} from './isolation-pool.js';
 import {createLookAhead, type LookAhead} from './look-ahead.js';
 import {checkResourceAdmission, noRequirements} from './resource-admission.js';
@@ -19,6 +21,7 @@
 import {
 	getSlack, hasStarted, isFeasible, isObjectiveInfeasible, sortByPriority, type PendingJob,
 } from './resource-queue.js';
+import {getReturnTime} from './return-time.js';
 
 /** Dependencies of the scheduler. */
 export type ResourceSchedulerHost = SchedulerHost & {
@@ -67,6 +70,7 @@
 	readonly isolationPool: IsolationPool;
 	readonly outliers: OutlierDetector;
 	readonly lookAhead: LookAhead;
+	readonly drainRate: DrainRate;
 	waitingTasks: number;
 	/** Time since which the queue has not been empty; undefined while it is empty. */
 	waitingSince: Milliseconds | undefined;
@@ -197,22 +201,42 @@
 	function dispatch(state: ServiceState): void {
 		if (state.waitingTasks > 0 && !isHeld) {
 			state.lookAhead.beginPass();
+			const backlog = createBacklog(isQueuePersistent(state) ? state.drainRate.tryGet() : undefined);
+			const refused: Array<{readonly ticket: string; readonly reason: InfeasibleReason}> = [];
 			for (const pending of sortByPriority(state.jobs.values(), clock.now())) {
-				if (!isFeasible(pending.job, clock.now())) {
-					host.onInfeasible?.(pending.job.ticket, 'deadline');
-					continue;
+				const reason = startOrRefuse(state, pending, backlog);
+				if (reason !== undefined) {
+					refused.push({ticket: pending.job.ticket, reason});
 				}
+			}
 
-				startTasks(state, pending);
-				if (isObjectiveInfeasible(pending, clock.now(), isQueuePersistent(state))) {
-					host.onInfeasible?.(pending.job.ticket, 'objective');
-				}
+			for (const {ticket, reason} of refused) {
+				host.onInfeasible?.(ticket, reason, getReturnTime(backlog.getWait(), host.random()));
 			}
 		}
 
 		updateDemand(state);
 	}
 
+	/** Starts what fits now. Returns why waiting longer is pointless for the rest of the job; undefined if it is not. */
+	function startOrRefuse(state: ServiceState, pending: PendingJob, backlog: Backlog): InfeasibleReason | undefined {
+		const now = clock.now();
+		if (!isFeasible(pending.job, now)) {
+			return 'deadline';
+		}
+
+		startTasks(state, pending);
+		if (pending.tasks.length === 0) {
+			return undefined;
+		}
+
+		if (isObjectiveInfeasible(pending, now, isQueuePersistent(state))) {
+			return 'objective';
+		}
+
+		return backlog.add(pending, now) ? 'backlog' : undefined;
+	}
+
 	function startTasks(state: ServiceState, pending: PendingJob): void {
 		const {job, tasks} = pending;
 		const packedAgents = new Set<AgentView>();
@@ -254,6 +278,7 @@
 		inFlight.running++;
 		jobsInFlight.set(job.ticket, inFlight);
 		state.waitingTasks--;
+		state.drainRate.recordStart(getTaskWork({job}));
 		recordSentStart(agent, job.ticket, job.need ?? noRequirements);
 		state.outliers.recordStart(agent.info.incarnation);
 		host.start(agent.info.incarnation, task, {reportAge: clock.now() - agent.reportedAt, isolated: state.isolationPool.mustIsolate(task)});
@@ -302,6 +327,7 @@
 		}
 
 		state.waitingSince = undefined;
+		state.drainRate.recordEmpty();
 		if (state.reportingAgents.size > 0) {
 			state.demandClearTimer ??= clock.after(demandClearDelayMs, () => {
 				state.demandClearTimer = undefined;
@@ -342,6 +368,7 @@
 			isolationPool: createIsolationPool(host, service, agents),
 			outliers: createOutlierDetector(clock),
 			lookAhead: createLookAhead({clock, agents}),
+			drainRate: createDrainRate(clock),
 			waitingTasks: 0,
 			waitingSince: undefined,
 			reportingAgents: new Set(),
--- a/src/request/retry-rules.ts
+++ b/src/request/retry-rules.ts
@@ -2,7 +2,7 @@
  * Decides what follows for a task whose attempt has ended: whether it is started again or its job fails.
  */
 import type {SentStart, SentStartOutcome} from '../connection/agent-sessions.js';
-import type {Clock} from '../process/clock.js';
+import type {Clock, Milliseconds} from '../process/clock.js';
 import {toAttemptEnd} from './attempt-end.js';
 import type {AttemptEnd} from './job.js';
 import type {LostTasks} from './lost-tasks.js';
@@ -26,6 +26,8 @@
 
 /** Number of unknown outcomes after which a single request is not sent to another upstream. */
 const maxUnknownEnds = 3;
+/** Time after which the caller of a job may return that had no time left for another run of a failed task. */
+const retryAfterFailuresMs: Milliseconds = 1000;
 
 /** Creates rules with full budgets. */
 export function createRetryRules({clock, lostTasks}: RetryRulesHost): RetryRules {
@@ -51,7 +53,7 @@
 			}
 
 			// More failed runs were allowed, but there is no time for another run: the job fails because of its deadline.
-			return classified.kind === 'failed' && !isLastFailure ? {kind: 'failed', failure: createInfeasibleFailure(openJob, 'deadline')} : classified;
+			return classified.kind === 'failed' && !isLastFailure ? {kind: 'failed', failure: createInfeasibleFailure(openJob, 'deadline', retryAfterFailuresMs)} : classified;
 		},
 	};
 
--- a/test/request/reply.test.ts
+++ b/test/request/reply.test.ts
@@ -11,7 +11,8 @@
 			Diagnostics.Task_was_lost_repeatedly,
 			Diagnostics.Deadline_has_become_out_of_reach,
 			Diagnostics.Objective_has_passed_while_waiting,
+			Diagnostics.Objective_is_out_of_reach,
 		].map(row => toAnswerReply('ticket', {state: 'failed', ran: 'ran', diagnostic: createDiagnostic(row)}).status);
-		t.deepEqual(statuses, [502, 502, 502, 502, 504, 503]);
+		t.deepEqual(statuses, [502, 502, 502, 502, 504, 503, 503]);
 	});
 });
