Keep the refusals for a backlog from using a rate that a pause made too low

Ruled out: a shorter window, which would be noisy with long tasks.

Change: the measurement starts anew after a hold and after half a second without starts; a refusal is sent only if the job still waits and has not started; a long wait is shortened so that the spread remains.

Conclusion: after agents return in part the rate is still low for up to half a second, and Retry-After has whole seconds.

--- a/src/request/drain-rate.ts
+++ b/src/request/drain-rate.ts
@@ -7,8 +7,8 @@
 export type DrainRate = {
 	/** Records that a task was started. `work` is the processors that it needs, in thousandths, times its expected run time. */
 	recordStart(work: number): void;
-	/** Records that nothing waits, so that later starts are limited by arrivals and not by the upstreams. */
-	recordEmpty(): void;
+	/** Starts the measurement anew, because something else than the upstreams limited the starts: nothing waited, or starts were held. */
+	restart(): void;
 	/** Returns the work that is started in a millisecond; undefined while the queue has not lasted long enough to tell. */
 	tryGet(): number | undefined;
 };
@@ -27,8 +27,13 @@
 	return {
 		recordStart(work) {
 			const now = clock.now();
-			waitingSince ??= now;
 			const newest = buckets.at(-1);
+			if (newest !== undefined && now - newest.startsAt > windowMs) {
+				// No upstream took work for a while, and the first starts after that say little about those to come.
+				restart();
+			}
+
+			waitingSince ??= now;
 			if (newest !== undefined && now - newest.startsAt < bucketMs) {
 				newest.work += work;
 			} else {
@@ -36,10 +41,7 @@
 				buckets = buckets.filter(({startsAt}) => now - startsAt <= windowMs);
 			}
 		},
-		recordEmpty() {
-			buckets = [];
-			waitingSince = undefined;
-		},
+		restart,
 		tryGet() {
 			const now = clock.now();
 			if (waitingSince === undefined || now - waitingSince < windowMs) {
@@ -50,4 +52,9 @@
 			return started / windowMs;
 		},
 	};
+
+	function restart(): void {
+		buckets = [];
+		waitingSince = undefined;
+	}
 }
--- a/src/request/resource-scheduler.ts
+++ b/src/request/resource-scheduler.ts
@@ -169,6 +169,7 @@
 			isHeld = value;
 			if (!isHeld) {
 				for (const state of services.values()) {
+					state.drainRate.restart();
 					dispatch(state);
 				}
 			}
@@ -202,16 +203,19 @@
 		if (state.waitingTasks > 0 && !isHeld) {
 			state.lookAhead.beginPass();
 			const backlog = createBacklog(isQueuePersistent(state) ? state.drainRate.tryGet() : undefined);
-			const refused: Array<{readonly ticket: string; readonly reason: InfeasibleReason}> = [];
+			const refused: Array<{readonly pending: PendingJob; readonly reason: InfeasibleReason}> = [];
 			for (const pending of sortByPriority(state.jobs.values(), clock.now())) {
 				const reason = startOrRefuse(state, pending, backlog);
 				if (reason !== undefined) {
-					refused.push({ticket: pending.job.ticket, reason});
+					refused.push({pending, reason});
 				}
 			}
 
-			for (const {ticket, reason} of refused) {
-				host.onInfeasible?.(ticket, reason, getReturnTime(backlog.getWait(), host.random()));
+			for (const {pending, reason} of refused) {
+				// A refusal can cause another pass, which may have started or refused this job.
+				if (state.jobs.get(pending.job.ticket) === pending && (reason === 'deadline' || !hasStarted(pending))) {
+					host.onInfeasible?.(pending.job.ticket, reason, getReturnTime(backlog.getWait(), host.random()));
+				}
 			}
 		}
 
@@ -327,7 +331,7 @@
 		}
 
 		state.waitingSince = undefined;
-		state.drainRate.recordEmpty();
+		state.drainRate.restart();
 		if (state.reportingAgents.size > 0) {
 			state.demandClearTimer ??= clock.after(demandClearDelayMs, () => {
 				state.demandClearTimer = undefined;
--- a/src/request/return-time.ts
+++ b/src/request/return-time.ts
@@ -11,6 +11,6 @@
 
 /** Returns the time after which one caller may return. `random` is a number in [0, 1). */
 export function getReturnTime(expectedWait: Milliseconds, random: number): Milliseconds {
-	const spread = Math.max(minSpreadMs, expectedWait);
-	return Math.ceil(Math.min(maxReturnMs, expectedWait + minSpreadMs + (random * spread)));
+	const wait = Math.min(expectedWait, (maxReturnMs - minSpreadMs) / 2);
+	return Math.ceil(wait + minSpreadMs + (random * Math.max(minSpreadMs, wait)));
 }
