Show the evacuated data centres in the status

Cause: an operator saw them in logs and metrics only.

Change: GET /v1/status and kingcuplane status name them. An agent in an evacuated data centre that connects while tasks wait is not asked to report.

--- a/src/process/cli/status.ts
+++ b/src/process/cli/status.ts
@@ -1,5 +1,6 @@
 /**
- * `kingcuplane status`: lists the processes that an entry knows, with the active configuration version of each.
+ * `kingcuplane status`: lists the processes that an entry knows, with the active configuration version of each, and the
+ * evacuated data centres.
  */
 import {ok, safeTry} from 'neverthrow';
 import {z} from 'zod';
@@ -15,6 +16,8 @@
 		version: z.number(),
 		isReady: z.boolean(),
 	})),
+	// Entries of earlier versions do not report it.
+	evacuatedDataCentres: z.array(z.string()).default([]),
 });
 
 type ProcessStatus = z.infer<typeof statusSchema>['processes'][number];
@@ -24,7 +27,7 @@
 /** Runs the command. */
 export const runStatus: Command = async (host, {options}) => safeTry(async function * () {
 	const client = yield * openEntry(host, options);
-	const {processes} = yield * callEntry(client, {method: 'GET', path: '/v1/status'}, statusSchema);
+	const {processes, evacuatedDataCentres} = yield * callEntry(client, {method: 'GET', path: '/v1/status'}, statusSchema);
 	const rows = processes
 		.toSorted(compareProcesses)
 		.map(process => toRow(process));
@@ -36,6 +39,10 @@
 	host.print(versions.size === 1
 		? `Version ${processes[0]!.version} is in force in all ${processes.length} processes.`
 		: `${versions.size} versions are in force: ${[...versions].toSorted((a, b) => a - b).join(', ')}.`);
+	if (evacuatedDataCentres.length > 0) {
+		host.print(`Evacuated data centres: ${evacuatedDataCentres.join(', ')}.`);
+	}
+
 	return ok();
 });
 
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -103,3 +103,10 @@
 	readonly version: number;
 	readonly isReady: boolean;
 };
+
+/** What an entry reports of the system. */
+export type StatusReport = {
+	readonly processes: readonly ProcessStatus[];
+	/** The data centres that this entry knows as evacuated. */
+	readonly evacuatedDataCentres: readonly string[];
+};
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -32,7 +32,7 @@
 import {startLoadTelemetry} from './load-telemetry.js';
 import {holdStartsAfterPauses} from './start-hold.js';
 import type {
-	EntryHost, Entry, DrainReport, ProcessStatus,
+	EntryHost, Entry, DrainReport, ProcessStatus, StatusReport,
 } from './entry-types.js';
 
 /** Operation of a request between entries that fetches the active configuration. */
@@ -374,7 +374,7 @@
 		return !isShuttingDown && follower.tryGet() !== undefined && directory.isRegistered() && host.areTokensLoaded();
 	}
 
-	function getStatus(): {readonly processes: readonly ProcessStatus[]} {
+	function getStatus(): StatusReport {
 		const processes: ProcessStatus[] = [{
 			role: 'entry', name: settings.name, incarnation, version: follower.tryGet()?.version ?? 0, isReady: isReady(),
 		}];
@@ -390,7 +390,7 @@
 				role: 'agent', name: agent.name, incarnation: agent.incarnation, version: agentVersions.get(agent.incarnation) ?? 0, isReady: true,
 			});
 		});
-		return {processes};
+		return {processes, evacuatedDataCentres: evacuations.tryGet()?.dataCentres ?? []};
 	}
 
 	function updateGauges(): void {
--- a/src/request/resource-scheduler.ts
+++ b/src/request/resource-scheduler.ts
@@ -100,7 +100,7 @@
 			state.outliers.addAgent(agentInfo.incarnation);
 			state.isolationPool.invalidate();
 			serviceOfAgent.set(agentInfo.incarnation, state);
-			if (state.waitingTasks > 0 && state.reportingAgents.size < maxReportingAgents) {
+			if (state.waitingTasks > 0 && !agent.isDraining && state.reportingAgents.size < maxReportingAgents) {
 				state.reportingAgents.add(agentInfo.incarnation);
 			}
 
--- a/test/process/cli/program.test.ts
+++ b/test/process/cli/program.test.ts
@@ -107,7 +107,7 @@
 					role: 'entry', name: 'bgc-1', incarnation: 'b2', version: 7, isReady: false,
 				},
 			];
-			const cli = createCli({'GET /v1/status': {status: 200, body: {processes}}});
+			const cli = createCli({'GET /v1/status': {status: 200, body: {processes, evacuatedDataCentres: ['bgc', 'makati']}}});
 			await cli.run('status');
 			compareWithBaseline(t, 'cli/status.txt', cli.lines);
 		});
--- a/test/request/resource-scheduler.test.ts
+++ b/test/request/resource-scheduler.test.ts
@@ -151,7 +151,8 @@
 			connectAgent('b', 1, [], 'd2');
 			reportFreeCores('b', 0, 0);
 			scheduler.setEvacuatedDataCentres(['d1']);
-			t.deepEqual(['a0', 'a11', 'b'].map(agent => scheduler.getDemand(agent) > 0), [false, false, true]);
+			connectAgent('c', 1, [], 'd1');
+			t.deepEqual(['a0', 'a11', 'b', 'c'].map(agent => scheduler.getDemand(agent) > 0), [false, false, true, false]);
 		});
 	});
 
