Compress the payloads of starts while the network link is busy

Cause: with paced starts the link still limited what an entry could serve: more than four fifths of its output were payloads of starts.

Change: an entry compresses each payload once a job from three tenths of the bandwidth on, and the agent decompresses it with the references of the batch.

--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -322,7 +322,7 @@
 
 function createStart(seq: number): TaskStart {
 	return {
-		task: {ticket: `kc1.bench.0.${seq}`, index: 0}, seq, attempt: 1, taskCount: 1, service: 'ordering', payload: taskPayload, timeoutMs: 0, configVersion: 1, idempotent: false, caller: 'caller', reference: '', need: undefined, expectedRunMs: 0, validUntilMs: 0, submission: '', isolated: false, payloadOf: 0,
+		task: {ticket: `kc1.bench.0.${seq}`, index: 0}, seq, attempt: 1, taskCount: 1, service: 'ordering', payload: taskPayload, timeoutMs: 0, configVersion: 1, idempotent: false, caller: 'caller', reference: '', need: undefined, expectedRunMs: 0, validUntilMs: 0, submission: '', isolated: false, payloadOf: 0, payloadDeflated: false,
 	};
 }
 
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -8,6 +8,7 @@
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {AgentSession, AgentSessions} from './agent-sessions.js';
 import {getHeartbeatInterval, type BatchCounts, type LinkTiming} from './link-timing.js';
+import {createPayloadCompressor} from './payload-compressor.js';
 import {sharePayloads} from './shared-payloads.js';
 import {createSilenceMonitor, type SilenceMonitor} from './silence-monitor.js';
 import type {AgentInfo, Scheduler} from './types.js';
@@ -35,6 +36,8 @@
 	onLossReport?(report: LossReport): void;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
+	/** Whether the network link is so full that payloads are compressed; never if undefined. */
+	isNetworkBusy?(): boolean;
 	/** Called with the approximate size of a start that is sent at the end of this turn. */
 	onStartQueued?(bytes: number): void;
 	/** Called when a link has opened or was lost. */
@@ -112,6 +115,7 @@
 /** Creates a hub without links. */
 export function createLinkHub(host: LinkServerHost): LinkHub {
 	const {timing} = host;
+	const tryCompress = createPayloadCompressor(host.isNetworkBusy ?? (() => false));
 	const links = new Map<string, Link>();
 	let batchesSent = 0;
 	let batchesReceived = 0;
@@ -124,7 +128,7 @@
 			if (link !== undefined) {
 				const isShared = link.starts.some(({payload}) => payload === start.payload);
 				link.starts.push(start);
-				host.onStartQueued?.(startOverheadBytes + (isShared ? 0 : start.payload.length));
+				host.onStartQueued?.(startOverheadBytes + (isShared ? 0 : (tryCompress(start.payload) ?? start.payload).length));
 				link.silence?.setActive(true);
 				deferFlush(link);
 			}
@@ -317,7 +321,7 @@
 		link.sentAt = host.clock.now();
 		batchesSent++;
 		link.stream.write(createBatch({
-			starts: sharePayloads(link.starts),
+			starts: sharePayloads(link.starts, tryCompress),
 			stops: link.stops,
 			queries: link.queries,
 			resultsAcked: ackedSeq,
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -142,6 +142,7 @@
 		timing,
 		onBatchReceived: host.pauseDetector?.check,
 		onUnexpectedError: logUnexpectedError,
+		isNetworkBusy: () => host.linkBudget?.isBusy() ?? false,
 		onStartQueued(bytes) {
 			startPacing?.recordStart(bytes);
 		},
--- a/src/process/link-budget.ts
+++ b/src/process/link-budget.ts
@@ -26,6 +26,8 @@
 /** The use of one link. */
 export type LinkBudget = {
 	getLoad(): LinkLoad;
+	/** Whether the link is used so much that processor time should be spent to send less. */
+	isBusy(): boolean;
 	/** Counts bytes that are about to be sent, before the connections have them. */
 	plan(bytes: number): void;
 	stop(): void;
@@ -37,6 +39,8 @@
 const sampleIntervalMs: Milliseconds = 25;
 /** Time over which the utilization is averaged: a full link has to be seen before a queue of half a second has formed. */
 const averagingMs: Milliseconds = 250;
+/** Share of the bandwidth in use from which messages wait for each other noticeably. */
+const busyFrom = 0.3;
 /** Bandwidth from which a link is never full before the processor is, so that it is not watched. */
 const wideLinkMbps = 500;
 /** Headers of packets and acknowledgements that the link carries beside the bytes of the connections. */
@@ -71,6 +75,7 @@
 				backlog: Math.max(0, backlogBytes + plannedBytes - carried) / bytesPerMs,
 			};
 		},
+		isBusy: () => shares.sent > busyFrom,
 		plan(bytes) {
 			plannedBytes += bytes * overheadFactor;
 		},
--- a/src/request/open-job.ts
+++ b/src/request/open-job.ts
@@ -71,6 +71,7 @@
 		submission: request.submission,
 		isolated,
 		payloadOf: 0,
+		payloadDeflated: false,
 		need: queued.need?.resources,
 		// A run stopped as stalled may only be longer than declared, so the next run is not checked for stalling.
 		expectedRunMs: avoidedAgents.has(task.index) ? 0 : Math.round(queued.expectedRun),
--- a/test/connection/shared-payloads.test.ts
+++ b/test/connection/shared-payloads.test.ts
@@ -1,16 +1,19 @@
 import {Buffer} from 'node:buffer';
-import {resolvePayloads, sharePayloads} from '../../src/connection/shared-payloads.js';
+import {createPayloadCompressor} from '../../src/connection/payload-compressor.js';
+import {resolvePayloads, sharePayloads, type PayloadCompressor} from '../../src/connection/shared-payloads.js';
 import {EntryBatch, TaskStart} from '../../src/generated/kingcuplane.js';
 import {describe, it} from '../describe.js';
 
 const payload = Buffer.from('x'.repeat(2000));
 
+const asTheyAre: PayloadCompressor = () => undefined;
+
 function createStarts(payloads: readonly Uint8Array[]): readonly TaskStart[] {
 	return payloads.map((content, index) => TaskStart.fromPartial({seq: index + 5, task: {ticket: 't', index}, payload: content}));
 }
 
-function transfer(starts: readonly TaskStart[]): {readonly size: number; readonly received: readonly TaskStart[]} {
-	const bytes = EntryBatch.encode(EntryBatch.fromPartial({starts: sharePayloads(starts)})).finish();
+function transfer(starts: readonly TaskStart[], tryCompress = asTheyAre): {readonly size: number; readonly received: readonly TaskStart[]} {
+	const bytes = EntryBatch.encode(EntryBatch.fromPartial({starts: sharePayloads(starts, tryCompress)})).finish();
 	return {size: bytes.length, received: EntryBatch.decode(bytes).starts};
 }
 
@@ -24,9 +27,22 @@
 		t.true(starts.every(start => start.payloadOf === 0));
 	});
 
+	it('is compressed while the link is busy, if that makes it smaller', t => {
+		let isBusy = false;
+		const tryCompress = createPayloadCompressor(() => isBusy);
+		const small = Buffer.from('y');
+		const starts = createStarts([payload, small, payload]);
+		t.true(transfer(starts, tryCompress).size > payload.length);
+		isBusy = true;
+		const {size, received} = transfer(starts, tryCompress);
+		t.true(size < 300);
+		t.deepEqual(resolvePayloads(received).map(start => Buffer.from(start.payload).toString()), starts.map(start => Buffer.from(start.payload).toString()));
+		t.throws(() => resolvePayloads([{...received[0]!, payload: Buffer.from('damaged')}]));
+	});
+
 	it('leaves starts without a payload as they are', t => {
 		const empty = new Uint8Array();
-		t.true(sharePayloads(createStarts([empty, empty])).every(start => start.payloadOf === 0));
+		t.true(sharePayloads(createStarts([empty, empty]), asTheyAre).every(start => start.payloadOf === 0));
 	});
 
 	it('is an error if no earlier start of the batch has it', t => {
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -101,7 +101,7 @@
 		reference,
 		need: undefined,
 		expectedRunMs,
-		validUntilMs: 0, submission: '', isolated: false, payloadOf: 0,
+		validUntilMs: 0, submission: '', isolated: false, payloadOf: 0, payloadDeflated: false,
 	};
 }
 
--- a/test/request/upstream-client.test.ts
+++ b/test/request/upstream-client.test.ts
@@ -21,7 +21,7 @@
 	reference: '',
 	need: undefined,
 	expectedRunMs: 0,
-	validUntilMs: 0, submission: '', isolated: false, payloadOf: 0,
+	validUntilMs: 0, submission: '', isolated: false, payloadOf: 0, payloadDeflated: false,
 };
 
 /**
