--- a/src/request/agent-choice.ts
+++ b/src/request/agent-choice.ts
@@ -44,6 +44,8 @@
 const negligibleRisk = 0.05;
 /** Risk from which on a job rather waits for a faster upstream. */
 const maxRisk = 0.5;
+/** Time within which a faster upstream probably has free resources. A job that cannot wait that long does not wait at all. */
+const minWaitMs: Milliseconds = 20;
 
 /** Creates the choice. */
 export function createAgentChoice({clock, random}: AgentChoiceHost): AgentChoice {
@@ -60,7 +62,7 @@
 		const risks = new Map(fitting.map(agent => [agent, getRisk(job, timeLeft, speeds.getRunTimeRatio(agent))]));
 		const lowestRisk = Math.min(...risks.values());
 		// Once the job would be late even on an upstream of nominal speed, it starts wherever there are free resources.
-		if (lowestRisk > maxRisk && timeLeft > job.expectedRun && getRisk(job, timeLeft, speeds.getLowestRatio()) < maxRisk) {
+		if (lowestRisk > maxRisk && timeLeft > job.expectedRun && getRisk(job, timeLeft - minWaitMs, speeds.getLowestRatio()) < maxRisk) {
 			return [];
 		}
 
--- a/test/request/agent-choice.test.ts
+++ b/test/request/agent-choice.test.ts
@@ -91,6 +91,14 @@
 		it('does not let a short job wait for a fast upstream that it would probably not need', t => {
 			t.deepEqual(getChosen(all, [slow], 86, 30), ['slow']);
 		});
+
+		it('does not let a short job wait that would be late before a fast upstream has free resources', t => {
+			t.deepEqual(getChosen(all, [slow], 86, 85), ['slow']);
+		});
+
+		it('lets a long job wait that would be late on a slow upstream', t => {
+			t.deepEqual(getChosen(all, [slow], 1286, 500), ['none']);
+		});
 	});
 
 	it('takes free resources alone into account while upstreams hardly differ', t => {
