--- a/test/bench/site.test.ts
+++ b/test/bench/site.test.ts
@@ -37,6 +37,18 @@
 			});
 		});
 	}
+
+	describe('with a third of the upstreams slow by nature', () => {
+		it('answers almost all jobs in time in bursts, also where slow upstreams take 2.4 times as long', t => {
+			const bursts: SiteDisturbance = {
+				kind: 'burst', factor: 1.3, from: 4000, to: 8000,
+			};
+			t.true(replay('lochan-grown', 1, bursts).all.utility >= 0.99);
+			const {all, byKind} = replay('omaruru-grown', 1, bursts);
+			t.true(all.utility >= 0.95);
+			t.true(byKind.get('confirm')!.utility >= 0.88);
+		});
+	});
 });
 
 function replay(name: string, rateFactor: number, ...disturbances: readonly SiteDisturbance[]): SiteResult {
