--- a/dev/bench/platform-processes.ts
+++ b/dev/bench/platform-processes.ts
@@ -21,6 +21,7 @@
 	readonly seed: number;
 	readonly profile: string;
 	readonly program: string;
+	readonly node: string;
 };
 
 /** Processor time and memory of all entries and all agents, and the jobs and tasks submitted so far. */
@@ -50,10 +51,12 @@
 	.option('--seconds', 'Duration of the load', 25)
 	.option('--seed', 'Seed of the jobs', 1)
 	.option('--program', 'Script of entries and agents, relative to the compiled project', bundle)
+	.option('--node', 'Further options of Node.js for all processes, separated by spaces', '')
 	.option('--profile', 'Folder for V8 processor profiles of all processes', '')
 	.action(async (options: Options) => {
 		const profiling = options.profile === '' ? [] : ['--cpu-prof', `--cpu-prof-dir=${options.profile}`];
-		const nodeOptions = {entry: [...deployedOptions.entry, ...profiling], agent: [...deployedOptions.agent, ...profiling]};
+		const further = [...options.node.split(' ').filter(option => option !== ''), ...profiling];
+		const nodeOptions = {entry: [...deployedOptions.entry, ...further], agent: [...deployedOptions.agent, ...further]};
 		const system = await startPlatformSystem({
 			entries: options.entries, agents: options.agents, subnet, program: options.program, nodeOptions, executorCpu: 16_000,
 		});
