Reserve resources for large tasks that wait, where a policy asks for it

Cause: small tasks use each part of an upstream as soon as it is released, so a task that needs half an upstream may miss its objective while enough is released in that time.

Change: agents report what running tasks will release soon to entries with waiting tasks. An entry reserves resources for one large task at a time; tasks that will have ended by then may use them. The agent enforces one reservation at a time against the other entries (WaitingHead.need and keep_ms), for a bounded time. Gauges lookahead.*, the field backfilled of the log line of a start.

--- a/dev/bench/bench.ts
+++ b/dev/bench/bench.ts
@@ -8,6 +8,7 @@
 import sade from 'sade';
 import {checkDefined} from '../../src/process/debug.js';
 import {formatReport} from './report.js';
+import {createMixedSizesScenarios, mixedSizes, reportMixedSizes} from './mixed-sizes.js';
 import {runScenario} from './run.js';
 import {formatSiteReport} from './site-report.js';
 import {replaySite} from './site-replay.js';
@@ -62,6 +63,11 @@
 	seed, site, seconds, out, links, heartbeat, idle,
 }: Options): void {
 	const plan = {perAgent: links === 0 ? undefined : links, heartbeatMs: heartbeat, idleHeartbeatMs: idle};
+	if (site === mixedSizes.name) {
+		write(out, mixedSizes.name, reportMixedSizes(createMixedSizesScenarios(seed, seconds * 1000, plan)));
+		return;
+	}
+
 	const names = site === undefined ? smallSites : [site];
 	const scenarios = names.flatMap(name => createSiteScenarios(checkDefined(sites[name], `${name} is a site`), seed, seconds * 1000, plan));
 	const command = `npm run bench -- --suite sites${site === undefined ? '' : ` --site ${site}`} --seed ${seed} --seconds ${seconds} --links ${links} --heartbeat ${heartbeat} --idle ${idle}`;
--- a/dev/bench/site-replay.ts
+++ b/dev/bench/site-replay.ts
@@ -2,8 +2,11 @@
  * Replays the requests of a site through the product's resource scheduler and resource limiter, connected by simulated
  * links, on a fake clock.
  */
+import {createExpectedReleases, type ExpectedReleases} from '../../src/connection/expected-releases.js';
 import {createResourceLimiter, type ResourceLimiter} from '../../src/connection/resource-limiter.js';
-import type {QueuedJob, QueuedTask, Scheduler} from '../../src/connection/types.js';
+import type {
+	AgentStatus, QueuedJob, QueuedTask, Scheduler, WaitingHead,
+} from '../../src/connection/types.js';
 import {every, type Milliseconds} from '../../src/process/clock.js';
 import {rankByRendezvousHash} from '../../src/connection/rendezvous.js';
 import {checkDefined} from '../../src/process/debug.js';
@@ -23,8 +26,8 @@
 
 type Start = {readonly task: QueuedTask; readonly job: SiteJob};
 type Result = {readonly task: QueuedTask; readonly outcome: 'completed' | 'failed' | 'refused'};
-type EntryBatch = {readonly starts: readonly Start[]; readonly queued: number};
-type AgentBatch = {readonly results: readonly Result[]; readonly freeRoom: ReturnType<ResourceLimiter['getFreeResources']>; readonly receivedStarts: number};
+type EntryBatch = {readonly starts: readonly Start[]; readonly queued: number; readonly head: WaitingHead | undefined};
+type AgentBatch = Pick<AgentStatus, 'freeRoom' | 'receivedStarts' | 'releases'> & {readonly results: readonly Result[]};
 
 type Link = {
 	readonly toAgent: Pipe;
@@ -48,6 +51,7 @@
 type Agent = {
 	readonly name: string;
 	readonly limiter: ResourceLimiter;
+	readonly releases: ExpectedReleases<Start>;
 	readonly links: Link[];
 	isUnavailable: boolean;
 	slowdownFactor: number;
@@ -55,10 +59,10 @@
 
 /** Replays a scenario and returns its result. */
 export function replaySite(scenario: SiteScenario): SiteResult {
-	const {site} = scenario;
+	const site = scenario.isAllKnowing ? {...scenario.site, entries: 1, latency: 0} : scenario.site;
 	const clock = createFakeClock();
 	const random = createRandom(scenario.seed + 1);
-	const jobs = createSiteJobs(scenario);
+	const jobs = createSiteJobs({...scenario, site}).map(job => scenario.isAllKnowing ? {...job, declaredRun: Math.max(...job.runTimes)} : job);
 	const records: SiteJobRecord[] = [];
 	const counts = {starts: 0, refusedStarts: 0, messages: 0};
 	const agents = Array.from({length: site.agents}, (_, index) => createAgent(index));
@@ -159,7 +163,7 @@
 			},
 		}, {cpu: getUpstreamCpu(site, index), memory: Infinity, accelerators: 0});
 		return {
-			name: String(index), limiter, links, isUnavailable: false, slowdownFactor: 1,
+			name: String(index), limiter, releases: createExpectedReleases(clock), links, isUnavailable: false, slowdownFactor: 1,
 		};
 	}
 
@@ -185,6 +189,7 @@
 				links[Number(agent)]?.toAgent.scheduleSend();
 			},
 		});
+		scheduler.setRules(service, {placement: 'response', maxQueuedTasks: Infinity, lookAhead: scenario.lookAhead});
 		const entry: Entry = {
 			name: String(index), scheduler, links, openJobs,
 		};
@@ -226,7 +231,7 @@
 			counts.messages++;
 			const {starts} = link;
 			link.starts = [];
-			return {starts, queued: entry.scheduler.getDemand(agent.name)};
+			return {starts, queued: entry.scheduler.getDemand(agent.name), head: entry.scheduler.tryGetHead(agent.name)};
 		}
 
 		function receiveAtAgent(batch: EntryBatch): void {
@@ -235,10 +240,11 @@
 				receiveStart(start);
 			}
 
-			agent.limiter.setQueued(entry.name, batch.queued);
+			agent.limiter.setQueued(entry.name, batch.queued, batch.head);
 		}
 
-		function receiveStart({task, job}: Start): void {
+		function receiveStart(start: Start): void {
+			const {task, job} = start;
 			if (!agent.limiter.tryAcquire(entry.name, job.need)) {
 				counts.refusedStarts++;
 				sendResult({task, outcome: 'refused'});
@@ -246,10 +252,12 @@
 			}
 
 			link.running++;
+			agent.releases.recordStart(start, job.need, job.declaredRun);
 			const duration = job.runTimes[task.index]! * agent.slowdownFactor;
 			const timeToLoss = tryGetTimeToLoss(agent, duration);
 			clock.after(timeToLoss === undefined ? duration : timeToLoss + lossRecoveryMs, () => {
 				link.running--;
+				agent.releases.recordEnd(start);
 				agent.limiter.release(entry.name, job.need);
 				sendResult({task, outcome: timeToLoss === undefined ? 'completed' : 'failed'});
 			});
@@ -265,12 +273,17 @@
 			link.sentAt = clock.now();
 			const {results} = link;
 			link.results = [];
-			return {results, freeRoom: agent.limiter.getFreeResources(), receivedStarts: link.receivedStarts};
+			return {
+				results,
+				freeRoom: agent.limiter.getFreeResources(entry.name),
+				receivedStarts: link.receivedStarts,
+				releases: agent.limiter.hasWaitingTasks(entry.name) ? agent.releases.getReleases() : [],
+			};
 		}
 
-		function receiveAtEntry({results, freeRoom, receivedStarts}: AgentBatch): void {
+		function receiveAtEntry({results, ...status}: AgentBatch): void {
 			entry.scheduler.setAgentStatus(agent.name, {
-				draining: false, running: 0, slots: 1, meanRun: 0, failedPerMille: 0, freeRoom, receivedStarts,
+				draining: false, running: 0, slots: 1, meanRun: 0, failedPerMille: 0, ...status,
 			});
 			for (const {task, outcome} of results) {
 				entry.scheduler.recordTaskEnd(agent.name, task.ticket, outcome, undefined);
--- a/dev/bench/site-types.ts
+++ b/dev/bench/site-types.ts
@@ -69,6 +69,10 @@
 	readonly rateFactor: number;
 	readonly disturbances: readonly SiteDisturbance[];
 	readonly links: LinkPlan;
+	/** Whether resources are reserved for large tasks that wait; no if undefined. */
+	readonly lookAhead?: boolean;
+	/** Whether there is one entry without delays to the agents, which knows the run times; no if undefined. */
+	readonly isAllKnowing?: boolean;
 };
 
 /** Which links are open and how often agents report on them. */
@@ -89,6 +93,8 @@
 	readonly refused: number;
 	/** Earned over possible utility. */
 	readonly utility: number;
+	/** Time from the arrival to the answer of the completed jobs. */
+	readonly response: {readonly p50: Milliseconds; readonly p99: Milliseconds};
 };
 
 /** The result of one run. */
--- a/dev/bench/utility.ts
+++ b/dev/bench/utility.ts
@@ -23,7 +23,7 @@
 export function summarizeSite(records: readonly SiteJobRecord[], counts: Pick<SiteResult, 'scenario' | 'load' | 'starts' | 'refusedStarts' | 'messages'>): SiteResult {
 	const byKind = groupBy(records, record => record.job.kind.name);
 	const windows = [...groupBy(records, record => Math.floor(record.job.arrivedAt / windowMs)).values()].map(group => summarizeGroup(group).utility);
-	const startDelays = records.flatMap(({job, startedAt}) => startedAt === undefined ? [] : [startedAt - job.arrivedAt]).toSorted((a, b) => a - b);
+	const startDelays = records.flatMap(({job, startedAt}) => startedAt === undefined ? [] : [startedAt - job.arrivedAt]);
 	return {
 		...counts,
 		all: summarizeGroup(records),
@@ -31,12 +31,18 @@
 		largestTenth: summarizeGroup([...byKind.values()].flatMap(group => getLargest(group))),
 		worstWindowsUtility: windows.toSorted((a, b) => a - b).slice(0, worstWindowCount).reduce((sum, utility) => sum + (utility / worstWindowCount), 0),
 		heldUtility: getHeldUtility(records),
-		firstStartDelay: {p50: startDelays[Math.floor(startDelays.length / 2)] ?? Number.NaN, p99: startDelays[Math.floor(startDelays.length * 0.99)] ?? Number.NaN},
+		firstStartDelay: getQuantiles(startDelays),
 	};
 }
 
+function getQuantiles(values: readonly Milliseconds[]): {readonly p50: Milliseconds; readonly p99: Milliseconds} {
+	const sorted = values.toSorted((a, b) => a - b);
+	return {p50: sorted[Math.floor(sorted.length / 2)] ?? Number.NaN, p99: sorted[Math.floor(sorted.length * 0.99)] ?? Number.NaN};
+}
+
 function summarizeGroup(records: readonly SiteJobRecord[]): JobGroupResult {
 	const count = (isCounted: (record: SiteJobRecord) => boolean) => records.filter(record => isCounted(record)).length;
+	const responses = records.flatMap(({end}) => end?.kind === 'completed' ? [end.after] : []);
 	let possible = 0;
 	let earned = 0;
 	for (const record of records) {
@@ -50,6 +56,7 @@
 		late: count(record => record.end?.kind === 'completed' && getEarnedUtility(record) < record.job.utility),
 		refused: count(record => record.end?.kind === 'refused'),
 		utility: earned / possible,
+		response: getQuantiles(responses),
 	};
 }
 
--- a/src/connection/credit-granter.ts
+++ b/src/connection/credit-granter.ts
@@ -14,7 +14,9 @@
 const keeperUrgencyFactor = 4;
 const returnerUrgencyFactor = 2;
 /** Assumed as the first waiting job of an entry that reports waiting tasks but no such job. */
-const unknownHead: WaitingHead = {waited: 0, size: 1000};
+const unknownHead: WaitingHead = {
+	waited: 0, size: 1000, need: undefined, keepMs: 0,
+};
 /** Slots are initially divided into at least this many shares, so that a second entry gets some. */
 const minShares = 2;
 /** Weight of the newest credit in the moving average of the share of credits that an entry returns. */
--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -21,7 +21,8 @@
 	readonly timing: LinkTiming;
 	/** Losses of the upstream, which are reported to the entry; none are reported if undefined. */
 	readonly lossLog?: Pick<LossLog, 'getReportsSince'>;
-	getState(): AgentState;
+	/** Returns the state to report to this entry incarnation. */
+	getState(entry: string | undefined): AgentState;
 	receiveConfig(config: ConfigUpdate): void;
 	receiveEntries(entries: readonly EntryAddress[]): void;
 	/**
@@ -321,7 +322,7 @@
 	}
 
 	function getState(): AgentState {
-		const state = host.getState();
+		const state = host.getState(entry);
 		return retiredAt === undefined ? state : {...state, draining: true};
 	}
 
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -113,6 +113,10 @@
 	 * allowed for its answer.
 	 */
 	readonly size: Milliseconds;
+	/** Resources that the agent should keep free for one of its tasks; undefined if slots limit the upstream. */
+	readonly need: Resources | undefined;
+	/** Time after which they need not be kept any longer. */
+	readonly keepMs: Milliseconds;
 };
 
 /** Why a job is infeasible: it cannot finish by its deadline, or its objective has passed before any task started. */
@@ -124,6 +128,8 @@
 	readonly reportAge: Milliseconds;
 	/** Whether the agent was chosen to run no tasks of other jobs beside the task. */
 	readonly isolated: boolean;
+	/** Whether the task uses resources that are reserved for a later start of another job. */
+	readonly backfilled: boolean;
 };
 
 /** Dependencies of the scheduler. */
@@ -148,6 +154,20 @@
 export type SchedulingRules = {
 	readonly placement: PlacementMode;
 	readonly maxQueuedTasks: number;
+	/** Whether resources are reserved for large tasks that wait; no if undefined. */
+	readonly lookAhead?: boolean;
+};
+
+/** Numbers of events of the look-ahead since the start of this process. */
+export type LookAheadCounts = {
+	/** Reservations of resources for one task on one agent. */
+	readonly reserved: number;
+	/** Reservations that were used by their job. */
+	readonly kept: number;
+	/** Reservations whose job could not start there in time. */
+	readonly expired: number;
+	/** Starts of other jobs on reserved resources. */
+	readonly backfilled: number;
 };
 
 /** Weight and limit of one team at this entry. */
@@ -205,6 +225,8 @@
 	 * during the pause have been read.
 	 */
 	setStartsHeld?(isHeld: boolean): void;
+	/** Returns the numbers of reservations, summed over the services; undefined if the scheduler reserves nothing. */
+	getLookAheadCounts?(): LookAheadCounts;
 };
 
 /** Dependencies of the credit granter. */
--- a/src/process/agent-types.ts
+++ b/src/process/agent-types.ts
@@ -4,9 +4,9 @@
 import type {LinkConnection} from '../connection/link-client.js';
 import type {BatchCounts, LinkTiming} from '../connection/link-timing.js';
 import type {LossLog} from '../connection/loss-log.js';
-import type {Resources} from '../generated/kingcuplane.js';
+import type {Resources, TaskStart} from '../generated/kingcuplane.js';
 import type {UpstreamClient} from '../request/upstream-client.js';
-import type {every, Clock} from './clock.js';
+import type {every, Clock, Milliseconds} from './clock.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
 import type {PauseDetector} from './pause-detector.js';
@@ -50,6 +50,8 @@
 	setUpstreamLeaving(isLeaving: boolean): void;
 	/** Records the projected slowdowns of the current runs: projected divided by declared run time. */
 	recordProjectedSlowdowns(projections: readonly number[]): void;
+	/** Records that the run of a start is at this percentage of its work, by which the release of its resources is expected. */
+	recordProgress(start: TaskStart, elapsed: Milliseconds, percent: number): void;
 	/** Sets the resources of the upstream, which have changed. */
 	setCapacity(capacity: Resources): void;
 	/** Records that the upstream has refused a start for lack of resources, so it has less than it has announced. */
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -3,6 +3,7 @@
  * that starts work on it, and drains on shutdown.
  */
 import {createCreditGranter} from '../connection/credit-granter.js';
+import {createExpectedReleases} from '../connection/expected-releases.js';
 import {createEntryLinks} from '../connection/entry-links.js';
 import {createEntrySessions, type RunResult} from '../connection/entry-sessions.js';
 import {relaxedTiming} from '../connection/link-timing.js';
@@ -45,6 +46,7 @@
 	let failedShare = 0;
 	let reportedHealth: HealthState = HealthState.SOUNDNESS_SOUND;
 	const health = createUpstreamHealth(clock);
+	const expectedReleases = createExpectedReleases<TaskStart>(clock);
 	let announcedCapacity = host.capacity;
 	let shortageTimer: Timer | undefined;
 	let tasksStarted = 0;
@@ -121,6 +123,7 @@
 			announcedCapacity = newCapacity;
 			restoreCapacity();
 		},
+		recordProgress: expectedReleases.recordProgress,
 		recordShortage,
 		reportLosses: broadcastState,
 		probeUpstream() {
@@ -149,7 +152,9 @@
 
 	function run(start: TaskStart, done: (result: RunResult) => void): void {
 		tasksStarted++;
+		expectedReleases.recordStart(start, start.need ?? noResources, start.expectedRunMs);
 		host.upstream.run(start, result => {
+			expectedReleases.recordEnd(start);
 			recordRunResult(result);
 			logRunResult(start, result);
 			done(result);
@@ -253,7 +258,7 @@
 		host.metrics.gauge('config.version', configVersion);
 	}
 
-	function getState(): AgentState {
+	function getState(entry: string | undefined): AgentState {
 		return {
 			draining: isDraining,
 			running: sessions.getRunningTasks(),
@@ -262,13 +267,13 @@
 			failedPerMille: Math.round(failedShare * 1000),
 			configVersion,
 			free: granter.getFreeSlots(),
-			freeRoom: sessions.isIsolating() ? noResources : resourceLimiter?.getFreeResources(),
+			freeRoom: sessions.isIsolating() ? noResources : resourceLimiter?.getFreeResources(entry),
 			receivedStarts: 0,
 			soundness: health.getState(),
 			clockMs: clock.now(),
 			capacity: resourceLimiter?.getCapacity(),
 			runTimeRatioPerMille: 0,
-			releases: [],
+			releases: entry !== undefined && resourceLimiter?.hasWaitingTasks(entry) ? expectedReleases.getReleases() : [],
 		};
 	}
 
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -26,7 +26,7 @@
 import {createEntryReports} from './entry-reports.js';
 import {createJobForwarding, jobOperation} from './job-forwarding.js';
 import {createHttpApi} from './http-api.js';
-import {createIsolationTelemetry, createJobTelemetry} from './job-telemetry.js';
+import {createIsolationTelemetry, createJobTelemetry, createLookAheadTelemetry} from './job-telemetry.js';
 import {startLoadTelemetry} from './load-telemetry.js';
 import {holdStartsAfterPauses} from './start-hold.js';
 import type {
@@ -57,6 +57,7 @@
 	const agentVersions = new Map<string, number>();
 	const peerStates = new Map<string, PeerState>();
 	const reportIsolation = createIsolationTelemetry(host);
+	const reportLookAhead = createLookAheadTelemetry(host);
 	let isDraining = false;
 	let isShuttingDown = false;
 	let drainEndsAt = Infinity;
@@ -134,6 +135,7 @@
 			if (coordinator.receiveLossReport(report)) {
 				peers.broadcastLoss(report);
 				reportIsolation(coordinator.getIsolation());
+				reportLookAhead(coordinator.scheduler.getLookAheadCounts?.());
 			}
 		},
 		defer: host.defer,
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -18,7 +18,7 @@
 };
 
 /** The events of an upstream that the manager handles. */
-export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onShortage' | 'onRunsLost' | 'onRecovered'>;
+export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onShortage' | 'onRunsLost' | 'onRecovered'>;
 
 /** Dependencies of the manager. */
 export type ExecutorManagerHost = {
@@ -150,6 +150,9 @@
 					log.warn({executor: executorInfo.id}, 'another incarnation of the executor has answered');
 					endExecutor(next);
 				},
+				onProgress(start, elapsed, percent) {
+					next.agent?.recordProgress(start, elapsed, percent);
+				},
 				onProjectedSlowdowns(projections) {
 					next.agent?.recordProjectedSlowdowns(projections);
 				},
--- a/src/process/job-telemetry.ts
+++ b/src/process/job-telemetry.ts
@@ -1,6 +1,7 @@
 /**
  * Writes what an entry decides about its jobs to the log and the metrics.
  */
+import type {LookAheadCounts} from '../connection/types.js';
 import type {Decision, CoordinatorHost} from '../request/coordinator-types.js';
 import type {Isolation} from '../request/lost-tasks.js';
 import type {JobHandle} from '../request/tracked-job.js';
@@ -83,7 +84,7 @@
 }
 
 function isSameStart(a: StartedEvent, b: StartedEvent): boolean {
-	return a.agent === b.agent && a.attempt === b.attempt && a.isolated === b.isolated;
+	return a.agent === b.agent && a.attempt === b.attempt && a.isolated === b.isolated && a.backfilled === b.backfilled;
 }
 
 /** Creates a callback that logs and measures changes of the isolation of tasks. */
@@ -98,3 +99,23 @@
 		}
 	};
 }
+
+/** Creates a callback that measures the reservations of resources, and logs their numbers when they have changed. */
+export function createLookAheadTelemetry({log, metrics}: JobTelemetryHost): (counts: LookAheadCounts | undefined) => void {
+	let lastReserved = 0;
+
+	return counts => {
+		if (counts === undefined) {
+			return;
+		}
+
+		for (const [name, count] of Object.entries(counts)) {
+			metrics.gauge(`lookahead.${name}`, count);
+		}
+
+		if (counts.reserved !== lastReserved) {
+			log.info({...counts}, 'resources were reserved for large tasks');
+			lastReserved = counts.reserved;
+		}
+	};
+}
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -33,6 +33,8 @@
 	onIncarnationChanged(): void;
 	/** Called with the projected slowdowns of the current runs: projected divided by declared run time. */
 	onProjectedSlowdowns(projections: readonly number[]): void;
+	/** Called with the progress of each current run. */
+	onProgress?(start: TaskStart, elapsed: Milliseconds, percent: number): void;
 	/** Called when the executor has stopped responding. */
 	onUnreachable(): void;
 	/** Called when the executor has refused a start for lack of resources. */
@@ -293,6 +295,7 @@
 				markRunning(run);
 				const progress = {elapsed: polledAt - (run.runningSince ?? polledAt), percent: listedRun.percent, expected: run.start.expectedRunMs};
 				checkProgress(run, progress);
+				host.onProgress?.(run.start, progress.elapsed, progress.percent);
 				projections.push(...estimateSlowdown(progress));
 			} else if (run === undefined) {
 				// A start call that was abandoned has taken effect late.
--- a/src/request/coordinator-types.ts
+++ b/src/request/coordinator-types.ts
@@ -75,6 +75,8 @@
 			readonly newsAge: Milliseconds | undefined;
 			/** Whether the task must not run beside tasks of other jobs, because it may crash its upstream. */
 			readonly isolated: boolean;
+			/** Whether the task uses resources that are reserved for a later start of another job. */
+			readonly backfilled: boolean;
 		}
 		| {
 			readonly kind: 'ended'; readonly index: number; readonly attempt: number; readonly agent: string; readonly upstream: string;
--- a/src/request/coordinator.ts
+++ b/src/request/coordinator.ts
@@ -295,6 +295,7 @@
 			waited: Math.round(host.clock.now() - openJob.queued.arrivedAt),
 			newsAge: basis === undefined ? undefined : Math.round(basis.reportAge),
 			isolated: basis?.isolated ?? false,
+			backfilled: basis?.backfilled ?? false,
 		});
 		openJob.sentRuns.set(getAttemptKey(task), {agent, stop: {task: start.task, startSeq: start.seq}});
 		host.sendStart(agent, start);
--- a/src/request/resource-pool.ts
+++ b/src/request/resource-pool.ts
@@ -16,6 +16,8 @@
 	capacity: Resources;
 	/** Free resources in the agent's last report. */
 	reportedFreeResources: Resources;
+	/** What running tasks were expected to release by the agent's last report, in order of time on the monotonic clock. */
+	releases: ReadonlyArray<{readonly at: Milliseconds; readonly resources: Resources}>;
 	/** Time of the agent's last report, on the monotonic clock. */
 	reportedAt: Milliseconds;
 	/** Number of starts sent since the link was opened. */
@@ -34,6 +36,7 @@
 		health: Soundness.SOUNDNESS_SOUND,
 		capacity: agentInfo.capacity ?? noResources,
 		reportedFreeResources: noResources,
+		releases: [],
 		reportedAt: -Infinity,
 		sentStarts: 0,
 		unreceivedStarts: [],
@@ -48,6 +51,7 @@
 	agent.health = status.soundness ?? Soundness.SOUNDNESS_SOUND;
 	agent.capacity = status.capacity ?? agent.capacity;
 	agent.reportedFreeResources = status.freeRoom ?? noResources;
+	agent.releases = (status.releases ?? []).map(({inMs, resources}) => ({at: now + inMs, resources: resources ?? noResources}));
 	const received = status.receivedStarts ?? 0;
 	while (agent.unreceivedStarts[0] !== undefined && agent.unreceivedStarts[0].number <= received) {
 		agent.unreceivedStarts.shift();
--- a/src/request/resource-scheduler.ts
+++ b/src/request/resource-scheduler.ts
@@ -88,7 +88,9 @@
 
 	return {
 		setRules(service, rules) {
-			getService(service).rules = rules;
+			const state = getService(service);
+			state.rules = rules;
+			state.lookAhead.setEnabled(rules.lookAhead ?? false);
 		},
 		setTeamShare: () => undefined,
 		addAgent(agentInfo) {
@@ -159,8 +161,22 @@
 			// arrive soon.
 			return state?.reportingAgents.has(incarnation) ? Math.max(1, state.waitingTasks) : 0;
 		},
-		tryGetHead: () => undefined,
+		tryGetHead: incarnation => serviceOfAgent.get(incarnation)?.lookAhead.tryGetClaim(incarnation),
 		getReturnedCredits: () => 0,
+		getLookAheadCounts() {
+			const sum = {
+				reserved: 0, kept: 0, expired: 0, backfilled: 0,
+			};
+			for (const {lookAhead} of services.values()) {
+				const counts = lookAhead.getCounts();
+				sum.reserved += counts.reserved;
+				sum.kept += counts.kept;
+				sum.expired += counts.expired;
+				sum.backfilled += counts.backfilled;
+			}
+
+			return sum;
+		},
 		setStartsHeld(value) {
 			isHeld = value;
 			if (!isHeld) {
@@ -196,7 +212,7 @@
 
 	function dispatch(state: ServiceState): void {
 		if (state.waitingTasks > 0 && !isHeld) {
-			state.lookAhead.beginPass();
+			state.lookAhead.beginPass(state.jobs);
 			for (const pending of sortByPriority(state.jobs.values(), clock.now())) {
 				if (!isFeasible(pending.job, clock.now())) {
 					host.onInfeasible?.(pending.job.ticket, 'deadline');
@@ -219,13 +235,13 @@
 		while (tasks.length > 0) {
 			const agent = agentChoice.choose(getCandidates(state, pending, tasks[0]!), {job, packedAgents});
 			if (agent === undefined) {
-				state.lookAhead.reserve(pending);
+				state.lookAhead.reserve(pending, isQueuePersistent(state));
 				return;
 			}
 
 			packedAgents.add(agent);
 			const task = tasks.shift()!;
-			startTask(state, agent, job, task);
+			startTask(state, agent, pending, task);
 			startMoreTasks(state, pending, agent, task);
 		}
 
@@ -245,18 +261,20 @@
 			tasks[0] !== undefined && tasks[0].failedOn === undefined && state.isolationPool.mustIsolate(tasks[0]) === isIsolated && agent.health === Soundness.SOUNDNESS_SOUND
 			&& hasFreeResources(agent, job.ticket, requirements) && estimateFreeResources(agent).cpu - requirements.resources.cpu >= minRemaining && state.lookAhead.mayStart(pending, agent)
 		) {
-			startTask(state, agent, job, tasks.shift()!);
+			startTask(state, agent, pending, tasks.shift()!);
 		}
 	}
 
-	function startTask(state: ServiceState, agent: AgentView, job: QueuedJob, task: QueuedTask): void {
+	function startTask(state: ServiceState, agent: AgentView, pending: PendingJob, task: QueuedTask): void {
+		const {job} = pending;
 		const inFlight = jobsInFlight.get(job.ticket) ?? {state, running: 0};
 		inFlight.running++;
 		jobsInFlight.set(job.ticket, inFlight);
 		state.waitingTasks--;
+		const isBackfilled = state.lookAhead.recordStart(pending, agent);
 		recordSentStart(agent, job.ticket, job.need ?? noRequirements);
 		state.outliers.recordStart(agent.info.incarnation);
-		host.start(agent.info.incarnation, task, {reportAge: clock.now() - agent.reportedAt, isolated: state.isolationPool.mustIsolate(task)});
+		host.start(agent.info.incarnation, task, {reportAge: clock.now() - agent.reportedAt, isolated: state.isolationPool.mustIsolate(task), backfilled: isBackfilled});
 	}
 
 	function getCandidates(state: ServiceState, pending: PendingJob, task: QueuedTask): readonly AgentView[] {
@@ -277,7 +295,7 @@
 			}
 		}
 
-		const untried = prefer(fitting, agent => !task.failedOn?.includes(agent.info.name));
+		const untried = prefer(state.lookAhead.preferGaps(pending, fitting), agent => !task.failedOn?.includes(agent.info.name));
 		return requirements.rack === undefined ? untried : prefer(untried, agent => agent.info.rack === requirements.rack);
 	}
 
@@ -341,7 +359,7 @@
 			agents,
 			isolationPool: createIsolationPool(host, service, agents),
 			outliers: createOutlierDetector(clock),
-			lookAhead: createLookAhead({clock, agents}),
+			lookAhead: createLookAhead({clock, agents, onClaimChanged: host.onReportChanged}),
 			waitingTasks: 0,
 			waitingSince: undefined,
 			reportingAgents: new Set(),
--- a/src/request/scheduler.ts
+++ b/src/request/scheduler.ts
@@ -155,7 +155,11 @@
 
 			const now = clock.now();
 			const job = getService(agent.info.service).queue.tryGetHead(now);
-			return job === undefined ? undefined : {waited: now - job.arrivedAt, size: job.size};
+			return job === undefined
+				? undefined
+				: {
+					waited: now - job.arrivedAt, size: job.size, need: undefined, keepMs: 0,
+				};
 		},
 		getReturnedCredits: incarnation => pool.tryGet(incarnation)?.returned ?? 0,
 	};
--- a/src/request/submission-rules.ts
+++ b/src/request/submission-rules.ts
@@ -135,7 +135,7 @@
 export function applyRules(scheduler: Scheduler, snapshot: Snapshot): void {
 	for (const service of snapshot.services.values()) {
 		const policy = checkDefined(snapshot.policies.get(service.policy), 'the policy of a service exists');
-		scheduler.setRules(service.name, {placement: policy.placement, maxQueuedTasks: policy.maxQueuedTasks});
+		scheduler.setRules(service.name, {placement: policy.placement, maxQueuedTasks: policy.maxQueuedTasks, lookAhead: policy.lookAhead});
 	}
 
 	for (const team of snapshot.teams.values()) {
--- a/src/version/diff.ts
+++ b/src/version/diff.ts
@@ -22,7 +22,7 @@
 export function describeObject(object: ConfigObject): readonly string[] {
 	return [
 		formatObjectName(object),
-		...getFields(object.kind).map(field => `    ${field.tomlKey} = ${formatValue(object, field)}`),
+		...getFields(object.kind).filter(field => getFieldValue(object, field) !== undefined).map(field => `    ${field.tomlKey} = ${formatValue(object, field)}`),
 	];
 }
 
@@ -46,5 +46,5 @@
 }
 
 function formatValue(object: ConfigObject, field: Field): string {
-	return JSON.stringify(getFieldValue(object, field));
+	return JSON.stringify(getFieldValue(object, field)) ?? 'unset';
 }
--- a/src/version/fields.ts
+++ b/src/version/fields.ts
@@ -44,6 +44,7 @@
 		{name: 'deadline', tomlKey: 'deadlineMs', range: {min: 1, max: dayMs}},
 		{name: 'retryPercent', tomlKey: 'retryPercent', range: {min: 0, max: 100}},
 		{name: 'recordBeforeStart', tomlKey: 'recordBeforeStart'},
+		{name: 'lookAhead', tomlKey: 'lookAhead'},
 	],
 	submission: [
 		{name: 'service', tomlKey: 'service', referencedKind: 'service'},
--- a/src/version/schema.ts
+++ b/src/version/schema.ts
@@ -20,6 +20,7 @@
 	deadline: z.int(),
 	retryPercent: z.number(),
 	recordBeforeStart: z.boolean(),
+	lookAhead: z.boolean().optional(),
 });
 
 /** Schema of a published service. */
@@ -67,6 +68,7 @@
 	deadlineMs: z.int().default(30_000),
 	retryPercent: z.number().default(10),
 	recordBeforeStart: z.boolean().default(false),
+	lookAhead: z.boolean().optional(),
 }).transform(({taskTimeoutMs, deadlineMs, ...rest}): PolicyObject => ({
 	kind: 'policy', ...rest, taskTimeout: taskTimeoutMs, deadline: deadlineMs,
 }));
--- a/src/version/types.ts
+++ b/src/version/types.ts
@@ -37,6 +37,8 @@
 	readonly retryPercent: number;
 	/** Whether acceptance is recorded at the platform before any task starts. */
 	readonly recordBeforeStart: boolean;
+	/** Whether resources are reserved for large tasks that wait, where resources limit the upstreams; no if undefined. */
+	readonly lookAhead?: boolean;
 };
 
 /** A kind of work that upstreams offer. */
--- a/test/connection/resource-limiter.test.ts
+++ b/test/connection/resource-limiter.test.ts
@@ -52,6 +52,75 @@
 		t.false(limiter.setCapacity(capacity), 'repeated announcements change nothing');
 	});
 
+	describe('keeps claimed resources', () => {
+		const large = {cpu: 3000, memory: 50, accelerators: 0};
+		const head = {
+			waited: 0, size: 100, need: large, keepMs: 200,
+		};
+
+		it('free of the tasks of other entries, from their next report on, until the large task starts', t => {
+			const {limiter} = createFullUpstream(['a', 'b']);
+			limiter.setQueued('a', 1, head);
+			limiter.release('running', task);
+			t.is(limiter.getFreeResources('a').cpu, 1500);
+			t.true(limiter.tryAcquire('b', {...task, cpu: 500}), 'it was sent before the entry could know of the claim');
+			t.is(limiter.getFreeResources('b').cpu, 0);
+			t.false(limiter.tryAcquire('b', {...task, cpu: 500}));
+			limiter.release('b', {...task, cpu: 500});
+			limiter.release('running', task);
+			t.true(limiter.tryAcquire('a', large));
+			limiter.release('a', large);
+			t.is(limiter.getFreeResources('b').cpu, 3000);
+		});
+
+		it('until the claim ends, after which the entry may not claim again for a while', t => {
+			const {limiter, notified, clock} = createFullUpstream(['b', 'a']);
+			limiter.setQueued('a', 1, head);
+			limiter.release('running', task);
+			t.deepEqual(notified, ['a'], 'the others cannot use it');
+			clock.advance(200);
+			t.is(limiter.getFreeResources('b').cpu, 1500);
+			t.true(notified.includes('b'));
+			limiter.setQueued('a', 1, head);
+			t.is(limiter.getFreeResources('b').cpu, 1500);
+			clock.advance(300);
+			limiter.setQueued('a', 1, head);
+			t.is(limiter.getFreeResources('b').cpu, 0);
+		});
+
+		it('until the entry withdraws its claim, has no waiting tasks or is lost', t => {
+			const ends = {
+				withdrawn(limiter) {
+					limiter.setQueued('a', 1);
+				},
+				empty(limiter) {
+					limiter.setQueued('a', 0, head);
+				},
+				lost(limiter) {
+					limiter.removeEntry('a');
+				},
+			} satisfies Record<string, (limiter: ReturnType<typeof createFullUpstream>['limiter']) => void>;
+			for (const end of Object.values(ends)) {
+				const {limiter} = createFullUpstream(['a', 'b']);
+				limiter.release('running', task);
+				limiter.setQueued('a', 1, head);
+				t.is(limiter.getFreeResources('b').cpu, 0);
+				end(limiter);
+				t.is(limiter.getFreeResources('b').cpu, 1500);
+			}
+		});
+
+		it('for one entry at a time, and notifies it first once all of it is free', t => {
+			const {limiter, notified} = createFullUpstream(['b', 'a']);
+			limiter.setQueued('a', 1, head);
+			limiter.setQueued('b', 1, head);
+			limiter.release('running', task);
+			limiter.release('running', task);
+			t.is(notified.at(-1), 'a');
+			t.is(limiter.getFreeResources('b').cpu, 0);
+		});
+	});
+
 	describe('notifies of free resources', () => {
 		it('when the capacity has grown', t => {
 			const {limiter, notified} = createFullUpstream(['a']);
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -74,6 +74,7 @@
 			calls.push(`${name} leaving: ${isLeaving}`);
 		},
 		recordProjectedSlowdowns: () => undefined,
+		recordProgress: () => undefined,
 		setCapacity({cpu}) {
 			calls.push(`${name} has ${cpu}`);
 		},
--- a/test/process/job-telemetry.test.ts
+++ b/test/process/job-telemetry.test.ts
@@ -47,7 +47,7 @@
 
 function createStart(index: number, agent: string): Decision['event'] {
 	return {
-		kind: 'started', index, attempt: 1, agent, upstream: 'u', waited: 5, newsAge: 3, isolated: false,
+		kind: 'started', index, attempt: 1, agent, upstream: 'u', waited: 5, newsAge: 3, isolated: false, backfilled: false,
 	};
 }
 
