--- a/test/process/agent.test.ts
+++ b/test/process/agent.test.ts
@@ -1,7 +1,7 @@
 import Logger from 'bunyan';
 import {z} from 'zod';
 import {relaxedTiming} from '../../src/connection/link-timing.js';
-import type {AgentBatch, EntryBatch} from '../../src/generated/kingcuplane.js';
+import {TaskStart, type AgentBatch, type EntryBatch} from '../../src/generated/kingcuplane.js';
 import {createAgent} from '../../src/process/agent.js';
 import type {Agent} from '../../src/process/agent-types.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
@@ -148,4 +148,22 @@
 		t.true(sentBatches.at(-1)?.state?.draining);
 		agent.stop();
 	});
+
+	it('reports what a run will release, to entries with waiting tasks only', async t => {
+		const {agent, sentBatches, receive} = await createFixture();
+		const need = {cpu: 3000, memory: 10, accelerators: 0};
+		await receive({
+			starts: [TaskStart.fromPartial({
+				task: {ticket: 't', index: 0}, seq: 1, need, expectedRunMs: 200,
+			})],
+		});
+		agent.reportLosses();
+		await waitForTurn();
+		t.deepEqual(sentBatches.at(-1)?.state?.releases, []);
+		await receive({queued: 1});
+		agent.reportLosses();
+		await waitForTurn();
+		t.deepEqual(sentBatches.at(-1)?.state?.releases, [{inMs: 200, resources: need}]);
+		agent.stop();
+	});
 });
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -20,6 +20,8 @@
 	incarnationChanges: number;
 	/** Number of runs in the last report of lost runs. */
 	lostRuns: number;
+	/** Percentages that were reported for the current runs. */
+	readonly progress: number[];
 	/** Suspends this process for `pause`: its monotonic clock does not advance, that of the executor does. */
 	suspend(pause: Milliseconds): void;
 	start(reference: string, attempt?: number, expectedRunMs?: number): TaskStart;
@@ -40,6 +42,7 @@
 		pendingPause: 0,
 		incarnationChanges: 0,
 		lostRuns: 0,
+		progress: [],
 		upstream: createLeasedUpstream({
 			clock,
 			executor,
@@ -49,6 +52,9 @@
 			onIncarnationChanged() {
 				fixture.incarnationChanges++;
 			},
+			onProgress(_start, _elapsed, percent) {
+				fixture.progress.push(percent);
+			},
 			onProjectedSlowdowns: () => undefined,
 			onUnreachable: () => undefined,
 			onShortage: () => undefined,
@@ -160,6 +166,15 @@
 			t.is(fixture.executor.runs[0]?.endDetail, 'done');
 		});
 
+		it('passes its progress on at each poll', async t => {
+			const fixture = await createFixture(t, 400);
+			fixture.start('a', 1, 400);
+			await fixture.runFor(300);
+			t.true(fixture.progress.length > 1);
+			t.deepEqual(fixture.progress, fixture.progress.toSorted((x, y) => x - y));
+			t.true(fixture.progress.at(-1)! > 0);
+		});
+
 		it('gets a higher run number if an earlier run of the task was stopped', async t => {
 			const fixture = await createFixture(t, 5000);
 			const first = fixture.start('a');
