--- a/dev/bench/site-replay.ts
+++ b/dev/bench/site-replay.ts
@@ -2,8 +2,11 @@
  * Replays the requests of a site through the product's resource scheduler and resource limiter, connected by simulated
  * links, on a fake clock.
  */
+import {createExpectedReleases, type ExpectedReleases} from '../../src/connection/expected-releases.js';
 import {createResourceLimiter, type ResourceLimiter} from '../../src/connection/resource-limiter.js';
-import type {QueuedJob, QueuedTask, Scheduler} from '../../src/connection/types.js';
+import type {
+	AgentStatus, QueuedJob, QueuedTask, Scheduler, WaitingHead,
+} from '../../src/connection/types.js';
 import {every, type Milliseconds} from '../../src/process/clock.js';
 import {rankByRendezvousHash} from '../../src/connection/rendezvous.js';
 import {checkDefined} from '../../src/process/debug.js';
@@ -24,8 +27,8 @@
 
 type Start = {readonly task: QueuedTask; readonly job: SiteJob};
 type Result = {readonly task: QueuedTask; readonly outcome: 'completed' | 'failed' | 'refused'};
-type EntryBatch = {readonly starts: readonly Start[]; readonly queued: number};
-type AgentBatch = {readonly results: readonly Result[]; readonly freeRoom: ReturnType<ResourceLimiter['getFreeResources']>; readonly receivedStarts: number; readonly runTimeRatioPerMille: number};
+type EntryBatch = {readonly starts: readonly Start[]; readonly queued: number; readonly head: WaitingHead | undefined};
+type AgentBatch = Pick<AgentStatus, 'freeRoom' | 'receivedStarts' | 'releases' | 'runTimeRatioPerMille'> & {readonly results: readonly Result[]};
 
 type Link = {
 	readonly toAgent: Pipe;
@@ -49,6 +52,7 @@
 type Agent = {
 	readonly name: string;
 	readonly limiter: ResourceLimiter;
+	readonly releases: ExpectedReleases<Start>;
 	readonly links: Link[];
 	isUnavailable: boolean;
 	slowdownFactor: number;
@@ -57,10 +61,10 @@
 
 /** Replays a scenario and returns its result. */
 export function replaySite(scenario: SiteScenario): SiteResult {
-	const {site} = scenario;
+	const site = scenario.isAllKnowing ? {...scenario.site, entries: 1, latency: 0} : scenario.site;
 	const clock = createFakeClock();
 	const random = createRandom(scenario.seed + 1);
-	const jobs = createSiteJobs(scenario);
+	const jobs = createSiteJobs({...scenario, site}).map(job => scenario.isAllKnowing ? {...job, declaredRun: Math.max(...job.runTimes)} : job);
 	const records: SiteJobRecord[] = [];
 	const counts = {starts: 0, refusedStarts: 0, messages: 0};
 	const agents = Array.from({length: site.agents}, (_, index) => createAgent(index));
@@ -161,7 +165,7 @@
 			},
 		}, {cpu: getUpstreamCpu(site, index), memory: Infinity, accelerators: 0});
 		return {
-			name: String(index), limiter, links, isUnavailable: false, slowdownFactor: 1, runTimeRatio: createRunTimeRatio(),
+			name: String(index), limiter, releases: createExpectedReleases(clock), links, isUnavailable: false, slowdownFactor: 1, runTimeRatio: createRunTimeRatio(),
 		};
 	}
 
@@ -187,6 +191,7 @@
 				links[Number(agent)]?.toAgent.scheduleSend();
 			},
 		});
+		scheduler.setRules(service, {placement: 'response', maxQueuedTasks: Infinity, lookAhead: scenario.lookAhead});
 		const entry: Entry = {
 			name: String(index), scheduler, links, openJobs,
 		};
@@ -228,7 +233,7 @@
 			counts.messages++;
 			const {starts} = link;
 			link.starts = [];
-			return {starts, queued: entry.scheduler.getDemand(agent.name)};
+			return {starts, queued: entry.scheduler.getDemand(agent.name), head: entry.scheduler.tryGetHead(agent.name)};
 		}
 
 		function receiveAtAgent(batch: EntryBatch): void {
@@ -237,10 +242,11 @@
 				receiveStart(start);
 			}
 
-			agent.limiter.setQueued(entry.name, batch.queued);
+			agent.limiter.setQueued(entry.name, batch.queued, batch.head);
 		}
 
-		function receiveStart({task, job}: Start): void {
+		function receiveStart(start: Start): void {
+			const {task, job} = start;
 			if (!agent.limiter.tryAcquire(entry.name, job.need)) {
 				counts.refusedStarts++;
 				sendResult({task, outcome: 'refused'});
@@ -248,10 +254,12 @@
 			}
 
 			link.running++;
+			agent.releases.recordStart(start, job.need, job.declaredRun);
 			const duration = job.runTimes[task.index]! * getUpstreamSpeed(site, Number(agent.name)) * agent.slowdownFactor;
 			const timeToLoss = tryGetTimeToLoss(agent, duration);
 			clock.after(timeToLoss === undefined ? duration : timeToLoss + lossRecoveryMs, () => {
 				link.running--;
+				agent.releases.recordEnd(start);
 				if (timeToLoss === undefined) {
 					agent.runTimeRatio.record(task.ticket, duration, job.declaredRun);
 				}
@@ -272,7 +280,11 @@
 			const {results} = link;
 			link.results = [];
 			return {
-				results, freeRoom: agent.limiter.getFreeResources(), receivedStarts: link.receivedStarts, runTimeRatioPerMille: Math.round((agent.runTimeRatio.tryGet() ?? 0) * 1000),
+				results,
+				freeRoom: agent.limiter.getFreeResources(entry.name),
+				receivedStarts: link.receivedStarts,
+				releases: agent.limiter.hasWaitingTasks(entry.name) ? agent.releases.getReleases() : [],
+				runTimeRatioPerMille: Math.round((agent.runTimeRatio.tryGet() ?? 0) * 1000),
 			};
 		}
 
--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -21,7 +21,8 @@
 	readonly timing: LinkTiming;
 	/** Losses of the upstream, which are reported to the entry; none are reported if undefined. */
 	readonly lossLog?: Pick<LossLog, 'getReportsSince'>;
-	getState(): AgentState;
+	/** Returns the state to report to this entry incarnation. */
+	getState(entry: string | undefined): AgentState;
 	receiveConfig(config: ConfigUpdate): void;
 	/** Called with the evacuated data centres before the starts of the same batch are handled. */
 	receiveEvacuations?(evacuations: Evacuations): void;
@@ -327,7 +328,7 @@
 	}
 
 	function getState(): AgentState {
-		const state = host.getState();
+		const state = host.getState(entry);
 		return retiredAt === undefined ? state : {...state, draining: true};
 	}
 
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -3,6 +3,7 @@
  * that starts work on it, and drains on shutdown.
  */
 import {createCreditGranter} from '../connection/credit-granter.js';
+import {createExpectedReleases} from '../connection/expected-releases.js';
 import {createEntryLinks} from '../connection/entry-links.js';
 import {createEntrySessions, type RunResult} from '../connection/entry-sessions.js';
 import {relaxedTiming} from '../connection/link-timing.js';
@@ -53,6 +54,7 @@
 	const runTimeRatio = createRunTimeRatio();
 	let loggedRatio = 0;
 	const health = createUpstreamHealth(clock, runTimeRatio.tryGet);
+	const expectedReleases = createExpectedReleases<TaskStart>(clock);
 	let announcedCapacity = host.capacity;
 	let shortageTimer: Timer | undefined;
 	let tasksStarted = 0;
@@ -139,6 +141,7 @@
 			announcedCapacity = newCapacity;
 			restoreCapacity();
 		},
+		recordProgress: expectedReleases.recordProgress,
 		recordShortage,
 		reportLosses: broadcastState,
 		probeUpstream() {
@@ -168,7 +171,9 @@
 
 	function run(start: TaskStart, done: (result: RunResult) => void): void {
 		tasksStarted++;
+		expectedReleases.recordStart(start, start.need ?? noResources, start.expectedRunMs);
 		host.upstream.run(start, result => {
+			expectedReleases.recordEnd(start);
 			recordRunResult(start, result);
 			logRunResult(start, result);
 			done(result);
@@ -289,7 +294,7 @@
 		return Math.round((runTimeRatio.tryGet() ?? 0) * 1000);
 	}
 
-	function getState(): AgentState {
+	function getState(entry: string | undefined): AgentState {
 		return {
 			draining: isDraining,
 			running: sessions.getRunningTasks(),
@@ -298,13 +303,13 @@
 			failedPerMille: Math.round(failedShare * 1000),
 			configVersion,
 			free: granter.getFreeSlots(),
-			freeRoom: sessions.isIsolating() ? noResources : resourceLimiter?.getFreeResources(),
+			freeRoom: sessions.isIsolating() ? noResources : resourceLimiter?.getFreeResources(entry),
 			receivedStarts: 0,
 			soundness: health.getState(),
 			clockMs: clock.now(),
 			capacity: resourceLimiter?.getCapacity(),
 			runTimeRatioPerMille: getRunTimeRatioPerMille(),
-			releases: [],
+			releases: entry !== undefined && resourceLimiter?.hasWaitingTasks(entry) ? expectedReleases.getReleases() : [],
 		};
 	}
 
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -28,7 +28,7 @@
 import {createEvacuationTelemetry} from './evacuation-telemetry.js';
 import {createJobForwarding, jobOperation} from './job-forwarding.js';
 import {createHttpApi} from './http-api.js';
-import {createIsolationTelemetry, createJobTelemetry} from './job-telemetry.js';
+import {createIsolationTelemetry, createJobTelemetry, createLookAheadTelemetry} from './job-telemetry.js';
 import {startLoadTelemetry} from './load-telemetry.js';
 import {createHoldSwitches, holdStartsAfterPauses} from './start-hold.js';
 import {createStartPacing} from './start-pacing.js';
@@ -61,6 +61,7 @@
 	const peerStates = new Map<string, PeerState>();
 	const reportIsolation = createIsolationTelemetry(host);
 	const evacuationTelemetry = createEvacuationTelemetry(host);
+	const reportLookAhead = createLookAheadTelemetry(host);
 	let isDraining = false;
 	let isShuttingDown = false;
 	let drainEndsAt = Infinity;
@@ -425,6 +426,7 @@
 		host.metrics.gauge('peers.open', peers.getLinkedPeers().length);
 		host.metrics.gauge('fates.unsaved', host.recorder.getUnsavedCount());
 		evacuationTelemetry.updateGauges();
+		reportLookAhead(coordinator.scheduler.getLookAheadCounts?.());
 		host.metrics.gauge('config.version', follower.tryGet()?.version ?? 0);
 	}
 
--- a/src/request/coordinator-types.ts
+++ b/src/request/coordinator-types.ts
@@ -77,6 +77,8 @@
 			readonly isolated: boolean;
 			/** Run time on the upstream over the declared one that was assumed; undefined if speed did not count. */
 			readonly runTimeRatio?: number;
+			/** Whether the task uses resources that are reserved for a later start of another job. */
+			readonly backfilled: boolean;
 		}
 		| {
 			readonly kind: 'ended'; readonly index: number; readonly attempt: number; readonly agent: string; readonly upstream: string;
--- a/src/request/coordinator.ts
+++ b/src/request/coordinator.ts
@@ -296,6 +296,7 @@
 			newsAge: basis === undefined ? undefined : Math.round(basis.reportAge),
 			isolated: basis?.isolated ?? false,
 			runTimeRatio: basis?.runTimeRatio,
+			backfilled: basis?.backfilled ?? false,
 		});
 		openJob.sentRuns.set(getAttemptKey(task), {agent, stop: {task: start.task, startSeq: start.seq}});
 		host.sendStart(agent, start);
--- a/test/process/agent.test.ts
+++ b/test/process/agent.test.ts
@@ -222,4 +222,22 @@
 			fixture.agent.stop();
 		});
 	});
+
+	it('reports what a run will release, to entries with waiting tasks only', async t => {
+		const {agent, sentBatches, receive} = await createFixture();
+		const need = {cpu: 3000, memory: 10, accelerators: 0};
+		await receive({
+			starts: [TaskStart.fromPartial({
+				task: {ticket: 't', index: 0}, seq: 1, need, expectedRunMs: 200,
+			})],
+		});
+		agent.reportLosses();
+		await waitForTurn();
+		t.deepEqual(sentBatches.at(-1)?.state?.releases, []);
+		await receive({queued: 1});
+		agent.reportLosses();
+		await waitForTurn();
+		t.deepEqual(sentBatches.at(-1)?.state?.releases, [{inMs: 200, resources: need}]);
+		agent.stop();
+	});
 });
