--- a/src/process/bin/kingcuplane.ts
+++ b/src/process/bin/kingcuplane.ts
@@ -3,14 +3,12 @@
  * The command line's program; see `kingcuplane --help`.
  */
 import {randomUUID} from 'node:crypto';
-import fs from 'node:fs';
 import process from 'node:process';
-import {err, ok} from 'neverthrow';
 import {createEntryClient} from '../cli/entry-client.js';
 import {runCli} from '../cli/program.js';
 import {createSystemClock} from '../clock.js';
-import {createDiagnostic, Diagnostics} from '../diagnostics.js';
 import {createPlatformClient} from '../../platform/platform-client.js';
+import {readTextFile} from './read-file.js';
 
 const platformTimeoutMs = 5000;
 const keepAliveIntervalMs = 3_600_000;
@@ -21,13 +19,7 @@
 const code = await runCli({
 	clock,
 	env: process.env,
-	readFile(name) {
-		try {
-			return ok(fs.readFileSync(name, 'utf8'));
-		} catch (err_) {
-			return err(createDiagnostic(Diagnostics.File_cannot_be_read, name, err_ instanceof Error ? err_.message : String(err_)));
-		}
-	},
+	readFile: readTextFile,
 	print(line) {
 		console.log(line);
 	},
