Keep the priority of a route out of the scheduler until it is used

Cause: the field promised that jobs with a lower number go first, and nothing read it.

Change: only the route has the priority, which the check of a configuration compares; its comment says that the order does not depend on it.

--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -90,8 +90,6 @@
 	/** Undefined if slots limit the upstreams. */
 	readonly need?: TaskRequirements;
 	readonly objective?: LatencyObjective;
-	/** Jobs with a lower number go first where not all can be served; 0 if undefined. */
-	readonly priority?: number;
 };
 
 /** One task that waits for a slot or is about to start. */
--- a/src/platform/wire-job.ts
+++ b/src/platform/wire-job.ts
@@ -81,7 +81,6 @@
 			maxPerUpstream: step['max-per-server'] > 0 ? step['max-per-server'] : undefined,
 		},
 		objective: {stretch: route.stretch, margin: route.margin},
-		priority: route.priority,
 		maxFailedRuns: route.attempts,
 	};
 }
--- a/src/request/submission-rules.ts
+++ b/src/request/submission-rules.ts
@@ -39,8 +39,6 @@
 	readonly expectedRun?: Milliseconds;
 	readonly need?: TaskRequirements;
 	readonly objective?: LatencyObjective;
-	/** Jobs with a lower number go first where not all can be served; 0 if undefined. */
-	readonly priority?: number;
 	/**
 	 * Number of failed runs of one task after which the job fails. A task is started again only if its last run has
 	 * certainly ended. If undefined, the first failure is final.
@@ -99,7 +97,6 @@
 		expectedRun: req.expectedRun ?? rules.submission.expectedRun,
 		need: req.need,
 		objective: req.objective,
-		priority: req.priority,
 		arrivedAt: now,
 		deadlineAt: now + Math.min(req.deadlineMs ?? maxDeadline, maxDeadline),
 	};
--- a/src/version/types.ts
+++ b/src/version/types.ts
@@ -92,7 +92,7 @@
 	/** An answer has its full utility within this multiple of the run time plus `margin`. */
 	readonly stretch: number;
 	readonly margin: Milliseconds;
-	/** Jobs of a route with a lower number go first where not all can be served. */
+	/** The operators' order of urgency, the most urgent first. The order of jobs does not depend on it. */
 	readonly priority: number;
 };
 
