Log why and when a run is stopped, and how many calls that took

What callers saw: nothing; a reader of all logs could not tell whether a run that overlapped with another one was being stopped at the time, or for what.

Cause: stops left no line and no metric.

Change: two lines an agent writes for each stop, with the client's name for the job, and a histogram by cause.

--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -23,6 +23,9 @@
 	readonly detail: string;
 };
 
+/** Why a run is stopped: its job has an answer or no client any more, its entry was lost, the agent was paused, or the run hardly makes progress. */
+export type StopCause = 'not-needed' | 'entry-lost' | 'agent-paused' | 'no-progress';
+
 /** Dependencies of the agent's sessions. */
 export type EntrySessionsHost = {
 	readonly clock: Clock;
@@ -36,7 +39,7 @@
 	/** Runs the task at the upstream; `done` is called exactly once. */
 	run(start: TaskStart, done: (runResult: RunResult) => void): void;
 	/** Stops a run whose result is no longer needed; its `done` is still called. Has no effect if the run has ended. */
-	stop(start: TaskStart): void;
+	stop(start: TaskStart, cause: StopCause): void;
 	/** Called when there is output to send to this entry incarnation. */
 	onOutputPending(entry: string): void;
 };
@@ -194,7 +197,7 @@
 		for (const {startSeq} of batch.stops) {
 			const start = record.running.get(startSeq);
 			if (start !== undefined) {
-				host.stop(start);
+				host.stop(start, 'not-needed');
 			}
 		}
 
@@ -244,7 +247,7 @@
 
 	function stopRuns(record: SessionRecord): void {
 		for (const start of record.running.values()) {
-			host.stop(start);
+			host.stop(start, 'entry-lost');
 		}
 	}
 
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -53,6 +53,7 @@
 			firstFencingToken: Math.floor(clock.wall()),
 			maxLeaseMs: machine.maxLeaseMs,
 			log,
+			metrics,
 			takePauseTime: takeAccumulatedPause,
 			harmlessPauseMs: platformTiming.harmlessPauseMs!,
 			...events,
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -78,8 +78,8 @@
 		retentionMs: resultRetentionMs,
 		maxRetainedBytes: settings.agent.resultMemoryBytes,
 		run,
-		stop(start) {
-			host.upstream.stop?.(start);
+		stop(start, cause) {
+			host.upstream.stop?.(start, cause);
 		},
 		orphanGraceMs: timing.orphanGraceMs,
 		onOutputPending(entry) {
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -5,7 +5,7 @@
  * will never have an effect.
  */
 import {RefusalReason, TaskOutcome, type TaskStart} from '../generated/kingcuplane.js';
-import type {RunResult} from '../connection/entry-sessions.js';
+import type {RunResult, StopCause} from '../connection/entry-sessions.js';
 import {isStalled, estimateSlowdown, type RunProgress} from '../request/progress.js';
 import type {UpstreamClient} from '../request/upstream-client.js';
 import {sleep, type Clock, type Milliseconds} from './clock.js';
@@ -15,6 +15,7 @@
 	EndedRun, Executor, ExecutorStatus, CommandOutcome, RunOutcome,
 } from './executor-types.js';
 import type {Log} from './log.js';
+import type {Metrics} from './metrics.js';
 
 /** Dependencies of a leased upstream. */
 export type LeasedUpstreamHost = {
@@ -29,6 +30,7 @@
 	/** Pause of this process up to which no entry can have abandoned a run. */
 	readonly harmlessPauseMs: Milliseconds;
 	readonly log: Log;
+	readonly metrics: Pick<Metrics, 'time'>;
 	/** Called when the executor turns out to be another incarnation than the expected one. */
 	onIncarnationChanged(): void;
 	/** Called with the projected slowdowns of the current runs: projected divided by declared run time. */
@@ -49,7 +51,7 @@
 
 /** An upstream that runs its tasks on an executor under a lease. */
 export type LeasedUpstream = Omit<UpstreamClient, 'stop'> & {
-	stop(start: TaskStart): void;
+	stop(start: TaskStart, cause: StopCause): void;
 	/** Stops the runs of an earlier agent. Resolves once the executor has reported that it runs nothing. */
 	takeOver(): Promise<void>;
 	/** Returns the starts whose runs have not ended. */
@@ -68,9 +70,15 @@
 	runningSince?: Milliseconds;
 	/** `requested` while the start call is being made, `running` once the executor is known to run the task. */
 	state: 'requested' | 'running';
-	isStopRequested: boolean;
-	isStopping: boolean;
-	isStalled: boolean;
+	/** Undefined while the run may go on. */
+	stop?: RequestedStop;
+};
+
+type RequestedStop = {
+	readonly cause: StopCause;
+	readonly requestedAt: Milliseconds;
+	/** Number of stop calls, answered or not. */
+	calls: number;
 };
 
 /** Time for which an executor that refuses calls is reported as unreachable. */
@@ -113,8 +121,7 @@
 		},
 		onPaused() {
 			for (const run of runs.values()) {
-				run.isStopRequested = true;
-				void stopRun(run);
+				requestStop(run, 'agent-paused');
 			}
 		},
 		onIncarnationChanged: host.onIncarnationChanged,
@@ -129,7 +136,7 @@
 		run(start, done) {
 			const task = `${start.reference}.0.0.${start.task!.index}`;
 			const run: Run = {
-				start, task, run: start.attempt, done, requestedAt: clock.now(), state: 'requested', isStopRequested: false, isStopping: false, isStalled: false,
+				start, task, run: start.attempt, done, requestedAt: clock.now(), state: 'requested',
 			};
 			if (runs.has(task)) {
 				// An earlier run of the task, which an entry has abandoned, is still being stopped here.
@@ -143,11 +150,10 @@
 			poller.pollNow();
 			void sendStart(run);
 		},
-		stop(start) {
+		stop(start, cause) {
 			for (const run of runs.values()) {
 				if (run.start === start) {
-					run.isStopRequested = true;
-					void stopRun(run);
+					requestStop(run, cause);
 				}
 			}
 		},
@@ -313,34 +319,43 @@
 	function receiveEnd(listedRun: EndedRun): void {
 		const run = runs.get(listedRun.task);
 		if (run?.run === listedRun.run) {
-			endRun(run, taskOutcomes[listedRun.outcome], listedRun.outcome === 'completed' ? '' : `${run.isStalled ? 'stalled, ' : ''}${listedRun.detail}`);
+			endRun(run, taskOutcomes[listedRun.outcome], listedRun.outcome === 'completed' ? '' : `${run.stop?.cause === 'no-progress' ? 'stalled, ' : ''}${listedRun.detail}`);
 		}
 	}
 
 	function markRunning(run: Run): void {
 		run.state = 'running';
 		run.runningSince ??= clock.now();
-		if (run.isStopRequested) {
-			void stopRun(run);
+		if (run.stop?.calls === 0) {
+			void stopRun(run, run.stop);
 		}
 	}
 
 	function checkProgress(run: Run, progress: RunProgress): void {
-		if (!run.isStopRequested && isStalled(progress)) {
+		if (run.stop === undefined && isStalled(progress)) {
 			log.info({task: run.task, run: run.run, ...progress}, 'stopping a run that makes too little progress');
-			run.isStopRequested = true;
-			run.isStalled = true;
-			void stopRun(run);
+			requestStop(run, 'no-progress');
 		}
 	}
 
-	async function stopRun(run: Run): Promise<void> {
-		if (run.isStopping || run.state !== 'running') {
+	function requestStop(run: Run, cause: StopCause): void {
+		if (run.stop !== undefined) {
 			return;
 		}
 
-		run.isStopping = true;
+		run.stop = {cause, requestedAt: clock.now(), calls: 0};
+		log.info({
+			...toLogFields(run), cause, state: run.state, elapsed: Math.round(clock.now() - run.requestedAt),
+		}, 'run is stopped');
+		if (run.state === 'running') {
+			void stopRun(run, run.stop);
+		}
+	}
+
+	/** Repeats the stop call until the executor has listed the end of the run. */
+	async function stopRun(run: Run, stop: RequestedStop): Promise<void> {
 		while (runs.get(run.task) === run && poller.isOpen()) {
+			stop.calls++;
 			const usedFencingToken = lease.getFencingToken();
 			const {outcome} = lease.recordResponse(await executor.stop(run, usedFencingToken));
 			if (outcome.kind === 'fenced') {
@@ -351,16 +366,32 @@
 		}
 	}
 
+	function reportStopEnd(run: Run, detail: string): void {
+		if (run.stop !== undefined) {
+			const {cause, requestedAt, calls} = run.stop;
+			const took = clock.now() - requestedAt;
+			log.info({
+				...toLogFields(run), cause, calls, took: Math.round(took), detail,
+			}, 'stopped run has ended');
+			host.metrics.time('run.stop', took, {cause});
+		}
+	}
+
 	function endRun(run: Run, outcome: TaskOutcome, detail: string, reason: RefusalReason = RefusalReason.REFUSAL_REASON_UNSPECIFIED): void {
 		if (runs.get(run.task) !== run) {
 			return;
 		}
 
 		runs.delete(run.task);
+		reportStopEnd(run, detail);
 		run.done(createRunResult(outcome, reason, detail, clock.now() - run.requestedAt));
 	}
 }
 
+function toLogFields({start, task, run}: Run): {readonly request: string; readonly task: string; readonly run: number} {
+	return {request: start.reference, task, run};
+}
+
 function createRunResult(outcome: TaskOutcome, reason: RefusalReason, detail: string, duration: Milliseconds): RunResult {
 	return {
 		outcome, reason, payload: emptyPayload, duration, detail,
--- a/src/request/upstream-client.ts
+++ b/src/request/upstream-client.ts
@@ -4,7 +4,7 @@
  */
 import {Pool} from 'undici';
 import {RefusalReason, TaskOutcome, type TaskStart} from '../generated/kingcuplane.js';
-import type {RunResult} from '../connection/entry-sessions.js';
+import type {RunResult, StopCause} from '../connection/entry-sessions.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
 
 /** Address and limits of the upstream. */
@@ -23,7 +23,7 @@
 	/** Runs one task. `done` is called once, and never before this call returns. */
 	run(start: TaskStart, done: (result: RunResult) => void): void;
 	/** Stops a run early; undefined if the upstream does not support this. `done` is called afterwards. */
-	stop?(start: TaskStart): void;
+	stop?(start: TaskStart, cause: StopCause): void;
 	/** Whether the upstream answers a probe now, with any status. */
 	isReachable(): Promise<boolean>;
 	close(): Promise<void>;
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -293,6 +293,7 @@
 					firstFencingToken: Math.floor(process.clock.wall()),
 					maxLeaseMs: 1000,
 					log: silentLog,
+					metrics: noMetrics,
 					harmlessPauseMs: timing.harmlessPauseMs!,
 					takePauseTime: createPauseAccumulator(detector),
 					...events,
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -4,6 +4,7 @@
 import type {Milliseconds} from '../../src/process/clock.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {createLeasedUpstream, type LeasedUpstream} from '../../src/process/leased-upstream.js';
+import {noMetrics} from '../../src/process/metrics.js';
 import {describe, it} from '../describe.js';
 import {silentLog} from '../silent-log.js';
 import {createFakeExecutor, type FakeExecutor} from './fake-executor.js';
@@ -49,6 +50,7 @@
 			firstFencingToken,
 			maxLeaseMs: 1000,
 			log: silentLog,
+			metrics: noMetrics,
 			onIncarnationChanged() {
 				fixture.incarnationChanges++;
 			},
@@ -143,7 +145,7 @@
 			const start = fixture.start('a');
 			await fixture.runFor(50);
 			fixture.executor.unansweredCalls.stop = 2;
-			fixture.upstream.stop(start);
+			fixture.upstream.stop(start, 'not-needed');
 			await fixture.runFor(700);
 			t.is(fixture.executor.runs[0]?.endDetail, 'stopped');
 			t.is(fixture.results[0]?.outcome, TaskOutcome.TASK_OUTCOME_ABORTED);
@@ -179,7 +181,7 @@
 			const fixture = await createFixture(t, 5000);
 			const first = fixture.start('a');
 			await fixture.runFor(10);
-			fixture.upstream.stop(first);
+			fixture.upstream.stop(first, 'not-needed');
 			await fixture.runFor(300);
 			fixture.start('a');
 			await fixture.runFor(20);
@@ -191,7 +193,7 @@
 			const first = fixture.start('a');
 			await fixture.runFor(10);
 			fixture.executor.unansweredCalls.stop = 3;
-			fixture.upstream.stop(first);
+			fixture.upstream.stop(first, 'not-needed');
 			fixture.start('a');
 			await fixture.runFor(5);
 			t.is(fixture.results[0]?.outcome, TaskOutcome.TASK_OUTCOME_REFUSED);
@@ -304,6 +306,7 @@
 				firstFencingToken: 20,
 				maxLeaseMs: 1000,
 				log: silentLog,
+				metrics: noMetrics,
 				onIncarnationChanged: () => undefined,
 				onProjectedSlowdowns: () => undefined,
 				onUnreachable: () => undefined,
@@ -331,6 +334,7 @@
 				firstFencingToken: 3,
 				maxLeaseMs: 1000,
 				log: silentLog,
+				metrics: noMetrics,
 				onIncarnationChanged: () => undefined,
 				onProjectedSlowdowns: () => undefined,
 				onUnreachable: () => undefined,
@@ -388,6 +392,7 @@
 			firstFencingToken: 1,
 			maxLeaseMs: 1000,
 			log: silentLog,
+			metrics: noMetrics,
 			onIncarnationChanged() {
 				incarnationChanges++;
 				void upstream.close();
