End the runs that an agent cannot stop with the lease of their executor

What callers saw: one task had two runs at the same time. A client that loses its entry sends its job again 1.3 s later; by then all runs of the first copy must have ended.

Cause: an agent whose stop calls were not answered repeated them, one every 250 ms, and went on polling; each poll renewed the lease of all that the executor ran, the run to be stopped included. Nothing bounded how long that lasted but the run itself. The same held for a run whose entry had become silent: up to the moment of its stop the lease was renewed in full, so a stop without an answer ended with the lease at 1.32 s at the earliest.

Ruled out here: closed and silent links by themselves (0.12 and 0.82 s).

Change: the lease is renewed up to 0.5 s after a stop that is not confirmed, and up to 1.1 s after the last message of an entry whose runs go on. Start calls do not extend it further. A stop call without an answer is repeated at once instead of after another 100 ms, so that the other runs on the executor rarely pay for it. While the lease must not be renewed, the upstream counts as unreachable.

With a link that becomes silent the limit on silent entries is shown by the test of the sessions.

--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -36,6 +36,8 @@
 	readonly maxRetainedBytes: number;
 	/** Time after a lost link for which the runs of that entry continue; undefined lets them run to their end. */
 	readonly orphanGraceMs?: Milliseconds;
+	/** Time after the last message of an entry until which its runs may go on; unlimited if undefined. */
+	readonly maxSilentRunMs?: Milliseconds;
 	/** Runs the task at the upstream; `done` is called exactly once. */
 	run(start: TaskStart, done: (runResult: RunResult) => void): void;
 	/** Stops a run whose result is no longer needed; its `done` is still called. Has no effect if the run has ended. */
@@ -77,6 +79,8 @@
 	isIsolating(): boolean;
 	/** Whether a task of this entry runs. */
 	hasRunningTasks(entry: string): boolean;
+	/** Returns the time until which the tasks that run may go on if none of their entries sends anything more; Infinity if it is unlimited. */
+	getSilentRunLimit(): Milliseconds;
 	/** Returns the number of unacknowledged results for entries that are linked or were linked until a few seconds ago. */
 	getUnacknowledgedResults(): number;
 };
@@ -97,6 +101,8 @@
 	/** Pending while results of jobs that are still in progress here wait for more results. */
 	partialResultTimer?: Timer;
 	isOpen: boolean;
+	/** When the entry's last message arrived. */
+	heardAt: Milliseconds;
 	closedAt: Milliseconds;
 };
 
@@ -125,6 +131,7 @@
 
 			record.orphanTimer?.cancel();
 			record.isOpen = true;
+			record.heardAt = host.clock.now();
 			record.sentSeq = 0;
 			record.receivedStarts = 0;
 			granter.addEntry(entry);
@@ -165,6 +172,14 @@
 		getRunningTasks: () => running,
 		isIsolating: isolation.isActive,
 		hasRunningTasks: entry => (records.get(entry)?.running.size ?? 0) > 0,
+		getSilentRunLimit() {
+			let limit = Infinity;
+			for (const {running: tasks, heardAt} of host.maxSilentRunMs === undefined ? [] : records.values()) {
+				limit = tasks.size > 0 ? Math.min(limit, heardAt + host.maxSilentRunMs!) : limit;
+			}
+
+			return limit;
+		},
 		getUnacknowledgedResults() {
 			const oldest = host.clock.now() - reconnectGraceMs;
 			let count = 0;
@@ -182,6 +197,7 @@
 			return;
 		}
 
+		record.heardAt = host.clock.now();
 		// First, as it throws if the batch is faulty, which then must not be handled in part.
 		const starts = resolvePayloads(batch.starts);
 		for (const incarnation of batch.fenced) {
@@ -346,6 +362,7 @@
 		running: new Map(),
 		held: [],
 		isOpen: false,
+		heardAt: 0,
 		closedAt: 0,
 	};
 }
--- a/src/connection/link-timing.ts
+++ b/src/connection/link-timing.ts
@@ -15,6 +15,11 @@
 	readonly ackDelayMs: Milliseconds;
 	/** Time after a lost link for which an agent lets the runs of that entry continue; undefined lets them run to their end. */
 	readonly orphanGraceMs?: Milliseconds;
+	/**
+	 * Time after the last message of an entry until which its runs may go on at the upstream, even if they cannot be stopped;
+	 * unlimited if undefined. Longer than the silence timeout and `orphanGraceMs`, so that stop calls come first.
+	 */
+	readonly maxSilentRunMs?: Milliseconds;
 	/** Time after a closed link for which an entry waits for the agent to return; undefined leaves this to the settings. */
 	readonly closedGraceMs?: Milliseconds;
 	/** The same time for a link that was closed because of the silence timeout. */
--- a/src/platform/timing.ts
+++ b/src/platform/timing.ts
@@ -14,6 +14,10 @@
  * repeated, or after the executor's lease of 0.5 s has expired. If the entry sees a link close, the agent may still notice
  * the loss only by its silence timeout; the wait then allows for one repeated stop call.
  *
+ * Stop calls may stay without an answer while polls are answered. The agent renews the lease of its executor only up to
+ * 1.1 s after the last message of an entry whose runs go on there, and up to 0.5 s after a stop that is not confirmed; the
+ * executor then ends all its runs before a client that lost its entry sends its job again.
+ *
  * A start that was held up on the way is refused 0.6 s after it was sent: a run that began later could still be stopping
  * when its entry starts the task elsewhere.
  *
@@ -32,6 +36,7 @@
 	silence: {activeMs: 700, idleMs: 5000},
 	ackDelayMs: 1000,
 	orphanGraceMs: 120,
+	maxSilentRunMs: 1100,
 	closedGraceMs: 1520,
 	silentGraceMs: agentGraceMs,
 	startValidityMs: 600,
--- a/src/process/agent-types.ts
+++ b/src/process/agent-types.ts
@@ -63,6 +63,8 @@
 	reportLosses(): void;
 	/** Called when the upstream may be unreachable. Offers no slots until the upstream answers a probe. */
 	probeUpstream(): void;
+	/** Returns the time until which the tasks that run may go on if none of their entries sends anything more; Infinity if it is unlimited. */
+	getSilentRunLimit(): Milliseconds;
 	/** Returns the numbers of batches on the present links and of tasks that were started. */
 	getCounts(): BatchCounts & {readonly tasksStarted: number};
 	stop(): void;
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -82,6 +82,7 @@
 			host.upstream.stop?.(start, cause);
 		},
 		orphanGraceMs: timing.orphanGraceMs,
+		maxSilentRunMs: timing.maxSilentRunMs,
 		onOutputPending(entry) {
 			links.scheduleFlush(entry);
 		},
@@ -147,6 +148,7 @@
 		probeUpstream() {
 			void probe();
 		},
+		getSilentRunLimit: sessions.getSilentRunLimit,
 		getCounts: () => ({...links.getBatchCounts(), tasksStarted}),
 		stop() {
 			shortageTimer?.cancel();
--- a/src/process/executor-lease.ts
+++ b/src/process/executor-lease.ts
@@ -12,6 +12,8 @@
 	readonly firstFencingToken: number;
 	/** Longest lease that the executor grants. */
 	readonly maxLeaseMs: Milliseconds;
+	/** Returns the time beyond which the lease must not be renewed now; Infinity if there is no such limit. */
+	getRenewalLimit(): Milliseconds;
 };
 
 /** Fencing token and lease for one incarnation of an executor. */
@@ -22,7 +24,7 @@
 	 * if the token has been raised since.
 	 */
 	raiseFencingToken(usedToken: number): void;
-	/** Returns when a lease that starts now expires on the executor's clock; undefined until that clock was reported. */
+	/** Returns until when, on the executor's clock, the lease may be renewed now; undefined until that clock was reported, and while the lease must not be renewed. */
 	tryGetLeaseExpiry(): Milliseconds | undefined;
 	/** Called before a call that renews the lease is sent. The call may take effect even if no response arrives. */
 	recordRenewal(): void;
@@ -35,7 +37,7 @@
 };
 
 /** Duration of the lease. Three renewals in a row may fail within it, yet the tasks of a lost agent restart soon. */
-const leaseMs: Milliseconds = 500;
+export const leaseMs: Milliseconds = 500;
 /** Greatest share by which an executor's clock may run slower than this one, as the platform documents. */
 const maxClockRateError = 0.02;
 /** Bound on the error of the clock estimate, apart from the clock's rate. */
@@ -44,7 +46,7 @@
 const fencingTokenStep = 1000;
 
 /** Creates the lease for an executor incarnation that has not responded yet. */
-export function createExecutorLease({clock, firstFencingToken, maxLeaseMs}: ExecutorLeaseHost): ExecutorLease {
+export function createExecutorLease({clock, firstFencingToken, maxLeaseMs, getRenewalLimit}: ExecutorLeaseHost): ExecutorLease {
 	const leaseDuration = Math.min(leaseMs, maxLeaseMs);
 	let fencingToken = firstFencingToken;
 	let clockOffset: Milliseconds | undefined;
@@ -58,9 +60,12 @@
 				fencingToken += fencingTokenStep;
 			}
 		},
-		tryGetLeaseExpiry: () => clockOffset === undefined ? undefined : Math.floor(clock.now() + clockOffset + leaseDuration),
+		tryGetLeaseExpiry() {
+			const duration = getDuration();
+			return clockOffset === undefined || duration <= 0 ? undefined : Math.floor(clock.now() + clockOffset + duration);
+		},
 		recordRenewal() {
-			expiresAt = clock.now() + (leaseDuration * (1 + maxClockRateError)) + clockMarginMs;
+			expiresAt = Math.max(expiresAt, clock.now() + (getDuration() * (1 + maxClockRateError)) + clockMarginMs);
 		},
 		hasExpired: () => clock.now() > expiresAt,
 		recordResponse(response) {
@@ -72,4 +77,9 @@
 		},
 		tryGetClockOffset: () => clockOffset,
 	};
+
+	/** Returns the duration of a lease that starts now; not positive if there must be none. */
+	function getDuration(): Milliseconds {
+		return Math.min(leaseDuration, getRenewalLimit() - clock.now());
+	}
 }
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -18,7 +18,7 @@
 };
 
 /** The events of an upstream that the manager handles. */
-export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onShortage' | 'onRunsLost' | 'onRecovered'>;
+export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onShortage' | 'onRunsLost' | 'onRecovered' | 'getSilentRunLimit'>;
 
 /** Dependencies of the manager. */
 export type ExecutorManagerHost = {
@@ -162,6 +162,7 @@
 				onShortage() {
 					next.agent?.recordShortage();
 				},
+				getSilentRunLimit: () => next.agent?.getSilentRunLimit() ?? Infinity,
 				onRunsLost(starts) {
 					log.warn({executor: executorInfo.id, runs: starts.length}, 'runs lost; the executor may have crashed');
 					reportLoss(next, LossState.LOSS_STATE_SUSPECTED, starts);
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -10,7 +10,7 @@
 import type {UpstreamClient} from '../request/upstream-client.js';
 import {sleep, type Clock, type Milliseconds} from './clock.js';
 import {createExecutorPoller} from './executor-poller.js';
-import {createExecutorLease} from './executor-lease.js';
+import {createExecutorLease, leaseMs} from './executor-lease.js';
 import type {
 	EndedRun, Executor, ExecutorStatus, CommandOutcome, RunOutcome,
 } from './executor-types.js';
@@ -45,6 +45,8 @@
 	onRunsLost(starts: readonly TaskStart[]): void;
 	/** Called when the executor responds again after runs were lost. */
 	onRecovered(): void;
+	/** Returns the time until which runs may go on although their entries are silent; Infinity if undefined or no run depends on a silent entry. */
+	getSilentRunLimit?(): Milliseconds;
 	/** Returns the total time for which this process was paused since the last call, and resets it to 0. */
 	takePauseTime(): Milliseconds;
 };
@@ -87,6 +89,8 @@
 const takeOverRetryMs: Milliseconds = 40;
 /** Delay between two attempts to stop a run. */
 const stopRetryMs: Milliseconds = 100;
+/** The same delay after a stop call without a response, which has already waited for its timeout. */
+const unansweredStopRetryMs: Milliseconds = 5;
 /**
  * Maximum number of start calls for one run. If the executor has stopped an earlier run of the task with the same number,
  * the next call uses a higher number.
@@ -98,7 +102,7 @@
 export function createLeasedUpstream(host: LeasedUpstreamHost): LeasedUpstream {
 	const {clock, executor, log} = host;
 	const runs = new Map<string, Run>();
-	const lease = createExecutorLease(host);
+	const lease = createExecutorLease({...host, getRenewalLimit});
 	const poller = createExecutorPoller({
 		clock,
 		executor,
@@ -164,13 +168,23 @@
 				endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, detail);
 			}
 		},
-		isReachable: async () => poller.isReachable() && clock.now() >= unavailableUntil,
+		isReachable: async () => poller.isReachable() && clock.now() >= unavailableUntil && lease.tryGetLeaseExpiry() !== undefined,
 		async close() {
 			poller.close();
 			await executor.close();
 		},
 	};
 
+	/** A run whose stop is not confirmed ends with the lease, as do all others. */
+	function getRenewalLimit(): Milliseconds {
+		let limit = host.getSilentRunLimit?.() ?? Infinity;
+		for (const {stop} of runs.values()) {
+			limit = Math.min(limit, (stop?.requestedAt ?? Infinity) + leaseMs);
+		}
+
+		return limit;
+	}
+
 	function reportLostRuns(): void {
 		hasLostRuns = true;
 		host.onRunsLost(getActiveStarts());
@@ -362,7 +376,7 @@
 				lease.raiseFencingToken(usedFencingToken);
 			}
 
-			await sleep(clock, stopRetryMs);
+			await sleep(clock, outcome.kind === 'no-answer' ? unansweredStopRetryMs : stopRetryMs);
 		}
 	}
 
--- a/test/connection/entry-sessions.test.ts
+++ b/test/connection/entry-sessions.test.ts
@@ -30,6 +30,7 @@
 			incarnation: 'a-1', name: 'a', upstream: 'u', service: 's', dataCentre: 'd', rack: 'r', slots: 1, capacity: {cpu: 8000, memory: 100, accelerators: 0},
 		},
 		retentionMs: 1000,
+		maxSilentRunMs: 1100,
 		maxRetainedBytes: 1000,
 		run(_start, done) {
 			runs.push(done);
@@ -65,6 +66,23 @@
 		t.is(runs.length, 1);
 	});
 
+	// Guards against runs that go on for an entry that died, while the client sends the job again.
+	it('limit how long the runs of a silent entry may go on, and those of no other', t => {
+		const {clock, sessions, runs} = createFixture();
+		t.is(sessions.getSilentRunLimit(), Infinity);
+		sessions.receive('e', createStarts('j', 1));
+		clock.advance(500);
+		sessions.open('f');
+		t.is(sessions.getSilentRunLimit(), clock.now() + 600);
+		sessions.receive('e', EntryBatch.fromPartial({}));
+		t.is(sessions.getSilentRunLimit(), clock.now() + 1100);
+		sessions.close('e');
+		clock.advance(400);
+		t.is(sessions.getSilentRunLimit(), clock.now() + 700);
+		runs[0]!(completed);
+		t.is(sessions.getSilentRunLimit(), Infinity);
+	});
+
 	it('run nothing of a batch in which a start refers to a missing payload', t => {
 		const {sessions, runs} = createFixture();
 		const {starts} = createStarts('j', 2);
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -84,8 +84,11 @@
 	/** The processors of each executor since the start, oldest first. */
 	readonly rooms: ReadonlyMap<string, readonly RoomChange[]>;
 	getEntry(name: string): LeasedEntry;
-	/** Kills an entry or an agent, which restarts as another incarnation after `backAfter`. */
-	kill(name: string, backAfter: Milliseconds): void;
+	/**
+	 * Kills an entry or an agent, which restarts as another incarnation after `backAfter`. Its peers notice after `noticeMs`;
+	 * after a random delay, or not at all, if it is undefined.
+	 */
+	kill(name: string, backAfter: Milliseconds, noticeMs?: Milliseconds): void;
 	freeze(name: string, duration: Milliseconds): void;
 	setLeaving(agent: string, isLeaving: boolean): void;
 	/** Evacuates the data centre of an agent, or takes that back. Each agent has a data centre of its own. */
@@ -198,13 +201,13 @@
 		return (entries.get(name) ?? agents.get(name)!).process;
 	}
 
-	function kill(name: string, backAfter: Milliseconds): void {
+	function kill(name: string, backAfter: Milliseconds, noticeMs?: Milliseconds): void {
 		const process = getProcess(name);
 		if (!process.isAlive()) {
 			return;
 		}
 
-		network.kill(process, random.pick([0, 3, 60_000]));
+		network.kill(process, noticeMs ?? random.pick([0, 3, 60_000]));
 		const entry = entries.get(name);
 		if (entry !== undefined) {
 			onEntryDeath(entry);
--- /dev/null
+++ b/test/failure/lost-entry.test.ts
@@ -0,0 +1,67 @@
+/**
+ * Directed failures on the users' platform: an entry is lost together with something else that delays the end of its runs. Its
+ * clients send their jobs again 1.3 s after they have noticed.
+ */
+import type {ExecutionContext} from 'ava';
+import type {Milliseconds} from '../../src/process/clock.js';
+import {describe, it} from '../describe.js';
+import {findLeasedViolations} from './leased/checker.js';
+import {createClients, type Clients} from './leased/clients.js';
+import {createLeasedCluster, type LeasedCluster} from './leased/cluster.js';
+
+/** Longer than all delays until a repeated job has started. */
+const longRunMs: Milliseconds = 4000;
+const timeLimitMs: Milliseconds = 9000;
+const recoverMs: Milliseconds = 15_000;
+/** Enough that each of the three entries serves some. */
+const jobs = 9;
+/** When agents notice that an entry has died. */
+const noticesMs = {closes: 1, 'becomes silent': 60_000};
+
+type Fixture = {
+	readonly cluster: LeasedCluster;
+	readonly clients: Clients;
+	/** Checks that no task has run twice at the same time, and that each has run again. */
+	expectNoOverlap(t: ExecutionContext): void;
+};
+
+async function createFixture(seed: number): Promise<Fixture> {
+	const clients: Clients = createClients(() => cluster);
+	const cluster = await createLeasedCluster(seed, clients.breakConnections);
+	for (const executor of cluster.executors.values()) {
+		executor.sampleRun = () => ({length: longRunMs, fails: false});
+	}
+
+	return {
+		cluster,
+		clients,
+		expectNoOverlap(t) {
+			t.deepEqual(findLeasedViolations(cluster, clients.jobs, [], false), []);
+			const runs = [...cluster.executors.values()].flatMap(executor => executor.runs);
+			t.true(runs.length > jobs);
+		},
+	};
+}
+
+describe('failures', () => {
+	describe('of an entry with runs', () => {
+		for (const notice of ['closes', 'becomes silent'] as const) {
+			// Guards against a second run of a task beside one of a dead entry whose stop calls are lost.
+			it(`end its runs before its clients repeat their jobs, although stop calls are lost and its link ${notice}`, async t => {
+				const {cluster, clients, expectNoOverlap} = await createFixture(1);
+				for (const executor of cluster.executors.values()) {
+					executor.unansweredCalls.stop = Infinity;
+				}
+
+				for (let i = 0; i < jobs; i++) {
+					clients.submit(1, {timeLimit: timeLimitMs, expectedRun: longRunMs});
+				}
+
+				await cluster.advance(300);
+				cluster.kill('e1', 3000, noticesMs[notice]);
+				await cluster.advance(recoverMs);
+				expectNoOverlap(t);
+			});
+		}
+	});
+});
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -75,6 +75,7 @@
 		},
 		recordProjectedSlowdowns: () => undefined,
 		recordProgress: () => undefined,
+		getSilentRunLimit: () => Infinity,
 		setCapacity({cpu}) {
 			calls.push(`${name} has ${cpu}`);
 		},
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -11,6 +11,8 @@
 
 const runMs: Milliseconds = 80;
 const harmlessPauseMs: Milliseconds = 400;
+/** The duration of a lease on the slowest clock of an executor, and a poll. */
+const stoppedWithinMs: Milliseconds = 600;
 
 type Fixture = {
 	readonly clock: FakeClock;
@@ -296,6 +298,45 @@
 		});
 	});
 
+	describe('a stop that is not answered', () => {
+		// Guards against a second run of a task beside one whose stop calls are lost while polls renew the lease.
+		it('ends the run with its lease', async t => {
+			const fixture = await createFixture(t, 5000);
+			const start = fixture.start('a');
+			await fixture.runFor(200);
+			fixture.executor.unansweredCalls.stop = Infinity;
+			fixture.upstream.stop(start, 'entry-lost');
+			await fixture.runFor(stoppedWithinMs);
+			t.is(fixture.executor.runs[0]?.endDetail, 'lapsed');
+			t.is(fixture.results[0]?.outcome, TaskOutcome.TASK_OUTCOME_ABORTED);
+		});
+
+		it('is repeated soon, so that the other runs keep their lease', async t => {
+			const fixture = await createFixture(t, 2000);
+			const start = fixture.start('a');
+			fixture.start('b');
+			await fixture.runFor(200);
+			fixture.executor.unansweredCalls.stop = 2;
+			fixture.upstream.stop(start, 'entry-lost');
+			await fixture.runFor(2000);
+			t.deepEqual(fixture.executor.runs.map(({endDetail}) => endDetail), ['stopped', 'done']);
+		});
+
+		it('lets no start extend the lease', async t => {
+			const fixture = await createFixture(t, 5000);
+			const start = fixture.start('a');
+			await fixture.runFor(200);
+			fixture.executor.unansweredCalls.stop = Infinity;
+			fixture.upstream.stop(start, 'entry-lost');
+			for (let i = 0; i < 10; i++) {
+				fixture.start(`b${i}`);
+				await fixture.runFor(stoppedWithinMs / 10);
+			}
+
+			t.is(fixture.executor.runs[0]?.endDetail, 'lapsed');
+		});
+	});
+
 	describe('taking over', () => {
 		it('makes the executor reachable at once', async t => {
 			const fixture = await createFixture(t);
