Void renewals of a lease that got no answer with the next poll

Cause: a poll without an answer may be carried out seconds later, and its lease may then count from its arrival. An agent takes its runs for ended 0.53 s after its last renewal, and entries start them elsewhere; a renewal that arrives later keeps them running, behind a cut or after the agent's death. Start calls without an answer have raised the fencing token for that reason; polls did not.

Change: a poll without an answer raises the token, so the next answered poll voids it; what was sent after the last answered poll arrives at the earliest 2 s later, when the lease has long expired. The token is raised by one instead of 1000: the next agent begins at its wall time in milliseconds, which an agent that raises it often must not outrun. After a refusal it still grows by 1000.

--- a/src/process/executor-lease.ts
+++ b/src/process/executor-lease.ts
@@ -20,10 +20,12 @@
 export type ExecutorLease = {
 	getFencingToken(): number;
 	/**
-	 * Raises the fencing token, so that calls with `usedToken` that have not arrived yet will have no effect. Does nothing
-	 * if the token has been raised since.
+	 * Raises the fencing token, so that calls with `usedToken` that have not arrived yet will have no effect once a later
+	 * call has. Does nothing if the token has been raised since.
 	 */
 	raiseFencingToken(usedToken: number): void;
+	/** Raises the fencing token after a call with `usedToken` was refused because a higher one had been used. */
+	catchUpFencingToken(usedToken: number): void;
 	/** Returns until when, on the executor's clock, the lease may be renewed now; undefined until that clock was reported, and while the lease must not be renewed. */
 	tryGetLeaseExpiry(): Milliseconds | undefined;
 	/** Called before a call that renews the lease is sent. The call may take effect even if no response arrives. */
@@ -42,8 +44,13 @@
 const maxClockRateError = 0.02;
 /** Bound on the error of the clock estimate, apart from the clock's rate. */
 const clockMarginMs: Milliseconds = 20;
-/** Increment when the fencing token is raised. */
-const fencingTokenStep = 1000;
+/**
+ * Increment when the fencing token is raised. Small, because the first token of the next agent is the wall time in
+ * milliseconds, and must be higher.
+ */
+const fencingTokenStep = 1;
+/** Increment after a refusal, until the token is high enough. */
+const fencingTokenCatchUpStep = 1000;
 
 /** Creates the lease for an executor incarnation that has not responded yet. */
 export function createExecutorLease({clock, firstFencingToken, maxLeaseMs, getRenewalLimit}: ExecutorLeaseHost): ExecutorLease {
@@ -56,9 +63,10 @@
 	return {
 		getFencingToken: () => fencingToken,
 		raiseFencingToken(usedToken) {
-			if (fencingToken === usedToken) {
-				fencingToken += fencingTokenStep;
-			}
+			raise(usedToken, fencingTokenStep);
+		},
+		catchUpFencingToken(usedToken) {
+			raise(usedToken, fencingTokenCatchUpStep);
 		},
 		tryGetLeaseExpiry() {
 			const duration = getDuration();
@@ -78,6 +86,12 @@
 		tryGetClockOffset: () => clockOffset,
 	};
 
+	function raise(usedToken: number, step: number): void {
+		if (fencingToken === usedToken) {
+			fencingToken += step;
+		}
+	}
+
 	/** Returns the duration of a lease that starts now; not positive if there must be none. */
 	function getDuration(): Milliseconds {
 		return Math.min(leaseDuration, getRenewalLimit() - clock.now());
--- a/src/process/executor-poller.ts
+++ b/src/process/executor-poller.ts
@@ -251,7 +251,7 @@
 			}
 
 			case 'fenced': {
-				lease.raiseFencingToken(usedFencingToken);
+				lease.catchUpFencingToken(usedFencingToken);
 				return undefined;
 			}
 
@@ -265,6 +265,12 @@
 				return undefined;
 			}
 
+			case 'no-answer': {
+				// The poll may renew the lease seconds later, when its runs count as ended. The next poll prevents that.
+				lease.raiseFencingToken(usedFencingToken);
+				return undefined;
+			}
+
 			default: {
 				log.debug({outcome}, 'the executor did not return its status');
 				return undefined;
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -239,7 +239,7 @@
 			}
 
 			case 'fenced': {
-				lease.raiseFencingToken(usedFencingToken);
+				lease.catchUpFencingToken(usedFencingToken);
 				return false;
 			}
 
@@ -373,7 +373,7 @@
 			const usedFencingToken = lease.getFencingToken();
 			const {outcome} = lease.recordResponse(await executor.stop(run, usedFencingToken));
 			if (outcome.kind === 'fenced') {
-				lease.raiseFencingToken(usedFencingToken);
+				lease.catchUpFencingToken(usedFencingToken);
 			}
 
 			await sleep(clock, outcome.kind === 'no-answer' ? unansweredStopRetryMs : stopRetryMs);
--- a/test/process/fake-executor.ts
+++ b/test/process/fake-executor.ts
@@ -25,6 +25,8 @@
 	 * if it is undefined.
 	 */
 	readonly unansweredCalls: {start: number; stop: number; hold: number; delay: Milliseconds | undefined};
+	/** Whether a lease in a call that takes effect late counts from its arrival; otherwise it ends when its agent meant it to. */
+	areLateLeasesExtended: boolean;
 	/** Whether runs make no progress. */
 	isStalled: boolean;
 	/** Delay before a start call arrives. */
@@ -83,6 +85,8 @@
 	let nextSequenceNumber = 1;
 	let acknowledgedSequenceNumber = 0;
 	let isDown = false;
+	/** By how much the leases in the call that takes effect now are extended. */
+	let leaseExtension: Milliseconds = 0;
 	let ended: EndedRun[] = [];
 	const highestRuns = new Map<string, number>();
 	const waiters: Array<() => void> = [];
@@ -92,6 +96,7 @@
 		unansweredCalls: {
 			start: 0, stop: 0, hold: 0, delay: undefined,
 		},
+		areLateLeasesExtended: false,
 		isStalled: false,
 		startCallDelay: 0,
 		isLongPolling: false,
@@ -109,7 +114,7 @@
 				return refusal;
 			}
 
-			if (command.leaseExpiresAt <= getTime()) {
+			if (command.leaseExpiresAt + leaseExtension <= getTime()) {
 				return {kind: 'expired'};
 			}
 
@@ -190,7 +195,7 @@
 	}
 
 	function renewLease(requestedExpiry: Milliseconds): void {
-		leaseExpiresAt = Math.max(leaseExpiresAt, Math.min(requestedExpiry, getTime() + executor.maxLeaseMs));
+		leaseExpiresAt = Math.max(leaseExpiresAt, Math.min(requestedExpiry + leaseExtension, getTime() + executor.maxLeaseMs));
 		scheduleLeaseExpiry();
 	}
 
@@ -292,10 +297,13 @@
 		if (executor.isUnreachable || isUnanswered) {
 			if (isUnanswered) {
 				executor.unansweredCalls[kind]--;
-				if (executor.unansweredCalls.delay !== undefined) {
-					clock.after(executor.unansweredCalls.delay, () => {
+				const {delay} = executor.unansweredCalls;
+				if (delay !== undefined) {
+					clock.after(delay, () => {
 						if (isSameIncarnation()) {
+							leaseExtension = executor.areLateLeasesExtended ? delay : 0;
 							void action();
+							leaseExtension = 0;
 						}
 					});
 				}
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -96,6 +96,20 @@
 	return fixture;
 }
 
+/** Creates a fixture with a run, during which every other renewal takes effect late and extends the lease from then on. */
+async function createFixtureWithLateRenewals(t: ExecutionContext): Promise<Fixture> {
+	const fixture = await createFixture(t, 10_000);
+	fixture.executor.areLateLeasesExtended = true;
+	fixture.executor.unansweredCalls.delay = 2000;
+	fixture.start('a');
+	for (let i = 0; i < 20; i++) {
+		fixture.executor.unansweredCalls.hold = 1;
+		await fixture.runFor(200);
+	}
+
+	return fixture;
+}
+
 function createStart(reference: string, attempt: number, expectedRunMs: number): TaskStart {
 	return {
 		task: {ticket: `kc1.${reference}`, index: 0},
@@ -337,6 +351,28 @@
 		});
 	});
 
+	describe('a renewal that takes effect late', () => {
+		// Guards against a second run of a task beside one that a late renewal has kept alive behind a cut.
+		it('does not extend the runs of an executor that does not respond', async t => {
+			const fixture = await createFixtureWithLateRenewals(t);
+			fixture.executor.isUnreachable = true;
+			while (fixture.results.length === 0 && fixture.clock.now() < 10_000) {
+				await fixture.runFor(1);
+			}
+
+			t.is(fixture.results[0]?.outcome, TaskOutcome.TASK_OUTCOME_ABORTED);
+			t.is(fixture.executor.runs[0]?.endDetail, 'lapsed');
+		});
+
+		// Guards against a second run of a task beside one that late renewals have kept alive after the death of its agent.
+		it('does not extend the runs of an agent that has died', async t => {
+			const fixture = await createFixtureWithLateRenewals(t);
+			await fixture.upstream.close();
+			await fixture.runFor(stoppedWithinMs);
+			t.is(fixture.executor.runs[0]?.endDetail, 'lapsed');
+		});
+	});
+
 	describe('taking over', () => {
 		it('makes the executor reachable at once', async t => {
 			const fixture = await createFixture(t);
