Say in a failed platform test what the replies were and what the processes logged

A failed test now prints each reply other than 200 (job, entry, times, status and body, or the error of the connection) and the latest log lines of all processes in order of time. No check has changed.

--- a/dev/platform-system.ts
+++ b/dev/platform-system.ts
@@ -94,9 +94,13 @@
 	/** Sets the processors of an executor, in thousandths, which its next heartbeat announces. */
 	setRoom(executor: number, cpu: number): Promise<void>;
 	setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void>;
+	/** Returns the replies other than 200 and the latest log lines of all processes, in order of time, as the output of a failed test. */
+	describe(): string;
 	stop(): Promise<void>;
 };
 
+/** Number of log lines of each process in the description of a system. */
+const describedLines = 150;
 const noProxies: SystemProxies = {links: [], executors: [], stores: []};
 /** Last byte of the address of the first proxy before the links of an entry. */
 const firstProxyNumber = 50;
@@ -124,6 +128,7 @@
 	const standin = start('dev/platform-standin.js');
 	const storeUrl = await waitForUrl(standin);
 	const connections = new http.Agent({keepAlive: true});
+	const failedReplies: string[] = [];
 	const executorOptions = options.executorCpu === undefined ? [] : ['--cpu', String(options.executorCpu)];
 	await publish(1);
 	const proxies = options.hasProxies ? await startProxies() : noProxies;
@@ -138,7 +143,7 @@
 		return {program, url};
 	}));
 	const system: PlatformSystem = {
-		storeUrl, entries, agents, executors, proxies, publish, submit, isReady, getEvents, setRoom, setStoreFaults, stop,
+		storeUrl, entries, agents, executors, proxies, publish, submit, isReady, getEvents, setRoom, setStoreFaults, describe, stop,
 	};
 	await waitUntilReady(system);
 	return system;
@@ -220,6 +225,7 @@
 			}],
 			'best-effort': true,
 		});
+		const sentAt = new Date();
 		return new Promise(resolve => {
 			const req = http.request({
 				host: entries[entry]!.address,
@@ -233,16 +239,26 @@
 				const chunks: Uint8Array[] = [];
 				res.on('data', (chunk: Uint8Array) => chunks.push(chunk));
 				res.on('end', () => {
-					resolve({status: res.statusCode ?? 0, body: Buffer.concat(chunks).toString(), retryAfter: res.headers['retry-after']});
-				});
-				res.on('error', () => {
-					resolve(undefined);
+					const reply = {status: res.statusCode ?? 0, body: Buffer.concat(chunks).toString(), retryAfter: res.headers['retry-after']};
+					if (reply.status !== 200) {
+						recordFailedReply(`${reply.status} ${reply.body}`);
+					}
+
+					resolve(reply);
 				});
+				res.on('error', fail);
 			});
-			req.on('error', () => {
-				resolve(undefined);
-			});
+			req.on('error', fail);
 			req.end(body);
+
+			function fail(err: Error): void {
+				recordFailedReply(err.message);
+				resolve(undefined);
+			}
+
+			function recordFailedReply(text: string): void {
+				failedReplies.push(`${job.name} at entry-${entry + 1}, ${sentAt.toISOString()} to ${new Date().toISOString()}: ${text}`);
+			}
 		});
 	}
 
@@ -271,6 +287,11 @@
 		await fetch(`${storeUrl}/faults`, {method: 'POST', body: JSON.stringify(faults)});
 	}
 
+	function describe(): string {
+		const lines = programs.flatMap(({name, pid, lines}) => lines.slice(-describedLines).map(line => `${name.split('/').at(-1)} ${pid}: ${line}`));
+		return ['Replies other than 200:', ...failedReplies, 'Logs:', ...lines.toSorted((a, b) => getTime(a) - getTime(b))].join('\n');
+	}
+
 	async function stop(): Promise<void> {
 		connections.destroy();
 		await Promise.all(programs.map(async program => program.kill()));
@@ -279,6 +300,11 @@
 	}
 }
 
+/** Returns the time of a line of a structured log; 0 if it has none. */
+function getTime(line: string): Milliseconds {
+	return Date.parse(/"time":"(?<time>[^"]+)"/v.exec(line)?.groups?.time ?? '1970-01-01');
+}
+
 function toAddress(url: string): Address {
 	const {hostname, port} = new URL(url);
 	return {host: hostname, port: Number(port)};
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -9,7 +9,13 @@
 
 async function startSystem(t: ExecutionContext, entries: number, agents: number): Promise<PlatformSystem> {
 	const system = await startPlatformSystem({entries, agents, subnet: nextSubnet++});
-	t.teardown(system.stop);
+	t.teardown(async () => {
+		if (!t.passed) {
+			t.log(system.describe());
+		}
+
+		await system.stop();
+	});
 	return system;
 }
 
