Report a start that got no connection in time as not sent

What was seen: "reads the runs of a status" failed in 6 of 6 runs of test/platform on one core beside four busy processes (load 17 to 24): no time of the executor, so the call had ended as an error. The other one, "reports a start as not sent if nothing listens", did not fail in these runs.

Cause: both tests ran the call's limit of 150 ms on the system clock. If the process waits that long for its processor, the limit fires before the event that already waits in the socket, so a response counts as missing, and a start whose connection was refused as unanswered. The bound is that of the machine's speed, and neither test is about it.

In the second case there is a fault of the client, too: a start that its limit ends before it got a connection (all of them were occupied, or none was established yet) was reported as unanswered, although it was not sent and never will be. Its task then waited until the executor had confirmed a higher fencing token. undici announces each request before it writes it (onRequestStart), so the client now reports starts and stops that were not announced as not sent. For polls nothing changes: only a refused connection counts as not sent there, since it stands for an executor that has ended.

Tests: the tests of the client run on the fake clock, and four new ones check what the system clock checked in passing and more: a start without a response is unanswered after 150 ms and not before; a start without a free connection is not sent (fails on the code before: unanswered); a poll without one is unanswered; a poll to a closed port is not sent.

Ruled out: the connection's own limit of 150 ms in undici, which lets waiting socket events go first.

Not changed: a response that waits in the socket when the limit fires is still dropped.

--- a/src/platform/executor-client.ts
+++ b/src/platform/executor-client.ts
@@ -9,7 +9,7 @@
 import type {
 	ActiveRun, EndedRun, Executor, ExecutorStatus, PollOutcome, CommandOutcome, RunOutcome, WithExecutorTime,
 } from '../process/executor-types.js';
-import {exchangeHttp, type HttpResponse} from './http-exchange.js';
+import {exchangeHttp, requestNotSent, type HttpResponse} from './http-exchange.js';
 
 /** The executor that the client calls, and the clock of its timeouts. */
 export type ExecutorClientHost = {
@@ -66,7 +66,7 @@
 
 function readCommandOutcome(answer: HttpResponse | Error): WithExecutorTime<CommandOutcome> {
 	if (answer instanceof Error) {
-		return {outcome: {kind: isConnectionRefused(answer) ? 'not-sent' : 'no-answer', detail: answer.message}, executorTime: undefined};
+		return {outcome: {kind: VError.hasCauseWithName(answer, requestNotSent) ? 'not-sent' : 'no-answer', detail: answer.message}, executorTime: undefined};
 	}
 
 	return toCommandOutcome(answer, readJson(replySchema, answer.text).unwrapOr<z.infer<typeof replySchema>>({}));
@@ -77,7 +77,7 @@
 }
 
 function isConnectionRefused(err: Error): boolean {
-	const cause: unknown = VError.cause(err);
+	const cause: unknown = VError.cause(VError.cause(err) ?? err);
 	return cause instanceof Error && 'code' in cause && cause.code === 'ECONNREFUSED';
 }
 
@@ -119,11 +119,16 @@
 };
 
 function readPollOutcome(answer: HttpResponse | Error): WithExecutorTime<PollOutcome> {
+	if (answer instanceof Error) {
+		// For a poll, only a refused connection is of interest: it is a sign that the executor has ended.
+		return {outcome: {kind: isConnectionRefused(answer) ? 'not-sent' : 'no-answer', detail: answer.message}, executorTime: undefined};
+	}
+
 	// Polls are the most frequent messages of an agent, so their responses are parsed only once.
-	const body = answer instanceof Error ? undefined : readJson(statusSchema, answer.text);
-	if (answer instanceof Error || body?.isOk() !== true) {
+	const body = readJson(statusSchema, answer.text);
+	if (body.isErr()) {
 		const {outcome, executorTime} = readCommandOutcome(answer);
-		return {outcome: outcome.kind === 'done' ? {kind: 'no-answer', detail: body?.isErr() ? body.error : ''} : outcome, executorTime};
+		return {outcome: outcome.kind === 'done' ? {kind: 'no-answer', detail: body.error} : outcome, executorTime};
 	}
 
 	const {outcome, executorTime} = toCommandOutcome(answer, body.value);
--- a/src/platform/http-exchange.ts
+++ b/src/platform/http-exchange.ts
@@ -4,6 +4,7 @@
  */
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
+import VError from 'verror';
 import type {Clock, Milliseconds} from '../process/clock.js';
 
 /** One HTTP request and the time allowed for its whole response. */
@@ -21,6 +22,9 @@
 	readonly text: string;
 };
 
+/** Name of the error of a request that was not sent, and that never will be: it got no connection, or no free one in time. */
+export const requestNotSent = 'RequestNotSent';
+
 /** Sends a request. Resolves to an error if the connection fails or the response is not complete in time. */
 export async function exchangeHttp(clock: Clock, dispatcher: Pick<Dispatcher, 'dispatch'>, req: HttpRequest): Promise<HttpResponse | Error> {
 	return new Promise(resolve => {
@@ -32,7 +36,7 @@
 			isTimedOut = true;
 			const timeout = new Error(`no response within ${req.timeoutMs} ms`);
 			controller?.abort(timeout);
-			resolve(timeout);
+			fail(timeout);
 		});
 		const {method, path, headers, body} = req;
 		dispatcher.dispatch({
@@ -57,9 +61,13 @@
 			},
 			onResponseError(_controller, error) {
 				timer.cancel();
-				resolve(error);
+				fail(error);
 			},
 		});
+
+		function fail(err: Error): void {
+			resolve(controller === undefined ? new VError({name: requestNotSent, cause: err}, 'the request was not sent') : err);
+		}
 	});
 }
 
--- a/src/process/executor-types.ts
+++ b/src/process/executor-types.ts
@@ -52,7 +52,7 @@
 	| {readonly kind: 'unavailable'}
 	/** Refused: the call is invalid. */
 	| {readonly kind: 'invalid'; readonly detail: string}
-	/** The connection was refused, so the call was not sent and will never take effect. */
+	/** There was no connection (for a poll: it was refused), so the call was not sent and will never take effect. */
 	| {readonly kind: 'not-sent'; readonly detail: string}
 	/** No response arrived. The call may have taken effect, or may still do so seconds later. */
 	| {readonly kind: 'no-answer'; readonly detail: string};
--- a/test/platform/executor-client.test.ts
+++ b/test/platform/executor-client.test.ts
@@ -2,10 +2,13 @@
 import net from 'node:net';
 import type {ExecutionContext} from 'ava';
 import {createExecutorClient} from '../../src/platform/executor-client.js';
-import {createSystemClock} from '../../src/process/clock.js';
+import type {Clock} from '../../src/process/clock.js';
 import type {Executor, StartCommand} from '../../src/process/executor-types.js';
+import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {describe, it} from '../describe.js';
 
+/** Number of connections of a client. */
+const connections = 8;
 const command: StartCommand = {
 	task: 'j.0.0.0', run: 1, spec: '', leaseExpiresAt: 1, fencingToken: 1,
 };
@@ -20,8 +23,56 @@
 	return typeof address === 'object' ? address?.port ?? 0 : 0;
 }
 
-function createClient(port: number): Executor {
-	return createExecutorClient({clock: createSystemClock(), address: `127.0.0.1:${port}`, id: 'i'});
+/** Returns a port on which nothing listens. */
+async function findClosedPort(t: ExecutionContext): Promise<number> {
+	const server = net.createServer();
+	const port = await listen(t, server);
+	await new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+	});
+	return port;
+}
+
+async function nextTurn<T>(value: T): Promise<T> {
+	return new Promise(resolve => {
+		setImmediate(resolve, value);
+	});
+}
+
+/** The time of calls does not advance unless the test advances it, so that no call times out because the machine is busy. */
+function createClient(port: number, clock: Clock = createFakeClock()): Executor {
+	return createExecutorClient({clock, address: `127.0.0.1:${port}`, id: 'i'});
+}
+
+/** Starts an executor that receives calls and answers none. Returns the client, its clock, and a promise of that many calls. */
+async function serveNothing(t: ExecutionContext): Promise<{client: Executor; clock: FakeClock; waitForCalls(count: number): Promise<void>}> {
+	const clock = createFakeClock();
+	let calls = 0;
+	let handleCall = (): void => undefined;
+	const server = http.createServer(req => {
+		req.resume();
+		calls++;
+		handleCall();
+	});
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	return {
+		client: createClient(await listen(t, server), clock),
+		clock,
+		waitForCalls: async count => new Promise(resolve => {
+			handleCall = () => {
+				if (calls >= count) {
+					resolve();
+				}
+			};
+
+			handleCall();
+		}),
+	};
 }
 
 /** Starts an executor that answers each call with this body. */
@@ -74,14 +125,7 @@
 	});
 
 	it('reports a start as not sent if nothing listens at its address', async t => {
-		const server = net.createServer();
-		const port = await listen(t, server);
-		await new Promise<void>(resolve => {
-			server.close(() => {
-				resolve();
-			});
-		});
-		const client = createClient(port);
+		const client = createClient(await findClosedPort(t));
 		const {outcome} = await client.start(command);
 		t.is(outcome.kind, 'not-sent');
 		await client.close();
@@ -100,4 +144,52 @@
 		await client.close();
 		server.close();
 	});
+
+	it('reports a start as unanswered if no response arrives within 150 ms', async t => {
+		const {client, clock, waitForCalls} = await serveNothing(t);
+		const pending = client.start(command);
+		await waitForCalls(1);
+		clock.advance(149);
+		t.is(await Promise.race([pending, nextTurn('pending')]), 'pending');
+		clock.advance(1);
+		const {outcome} = await pending;
+		t.is(outcome.kind, 'no-answer');
+		await client.close();
+	});
+
+	// Such a start was reported as unanswered, so that its task waited for a higher fencing token although it could not run.
+	it('reports a start as not sent if no connection was free for it in time', async t => {
+		const {client, clock, waitForCalls} = await serveNothing(t);
+		const sent = Array.from({length: connections}, async () => client.start(command));
+		await waitForCalls(connections);
+		const waiting = client.start(command);
+		clock.advance(150);
+		const outcomes = await Promise.all([...sent, waiting].map(async pending => pending));
+		t.deepEqual(outcomes.map(({outcome}) => outcome.kind), [...sent.map(() => 'no-answer'), 'not-sent']);
+		await client.close();
+	});
+
+	// A poll counts as not sent only if its connection was refused, which is a sign that the executor has ended.
+	it('reports a poll as unanswered if no connection was free for it in time', async t => {
+		const {client, clock, waitForCalls} = await serveNothing(t);
+		const sent = Array.from({length: connections}, async () => client.start(command));
+		await waitForCalls(connections);
+		const waiting = client.poll({
+			leaseExpiresAt: 1, fencingToken: 1, acknowledgedSequenceNumber: 0, waitMs: 0,
+		});
+		clock.advance(150);
+		const {outcome} = await waiting;
+		t.is(outcome.kind, 'no-answer');
+		await Promise.all(sent);
+		await client.close();
+	});
+
+	it('reports a poll as not sent if nothing listens at its address', async t => {
+		const client = createClient(await findClosedPort(t));
+		const {outcome} = await client.poll({
+			leaseExpiresAt: 1, fencingToken: 1, acknowledgedSequenceNumber: 0, waitMs: 0,
+		});
+		t.is(outcome.kind, 'not-sent');
+		await client.close();
+	});
 });
