Refuse no jobs because an idle entry has stood still

What callers saw: 503 "this entry is busy, and so are the others" from an entry without work. The entry's log says utilization 0 and 0.02, and that it had stood still for 0.8 s, 0.3 s before the job.

Cause: the share that is refused at once depends on the delay of the event loop alone. That delay is an average that takes 0.8 s to fall below the limit after a standstill of 0.8 s, in which nothing is late any more. The average of the refusals (`update`) already counts a delay only beside a lasting load; the share at once did not.

Change: below the utilization from which jobs are forwarded (0.6) a delay alone refuses nothing. A real overload raises the utilization with the first late sample, which counts for all the time that it covers.

--- a/src/request/load-sharing.ts
+++ b/src/request/load-sharing.ts
@@ -78,11 +78,18 @@
 			const change = isLate ? refusedShareIncrease * Math.min(maxLateFactor, (delay / lateDelayMs) - 1) : -refusedShareDecrease;
 			share = Math.min(maxRefusedShare, Math.max(0, share + change));
 		},
-		// Samples are late, too, so a long delay counts at once.
-		getShare: ({delay}) => Math.max(share, Math.min(maxRefusedShare, (delay - lateDelayMs) / (maxDelayMs - lateDelayMs))),
+		getShare: load => Math.max(share, getShareAtOnce(load)),
 	};
 }
 
+/**
+ * Returns the share of the jobs to refuse because of the present delay alone, since samples are late, too. A process with time to
+ * spare has stood still, and is not late any more while the average delay still says so.
+ */
+function getShareAtOnce({utilization, delay}: ProcessLoad): number {
+	return utilization < forwardFrom ? 0 : Math.min(maxRefusedShare, (delay - lateDelayMs) / (maxDelayMs - lateDelayMs));
+}
+
 /** Decides where a new job of a client goes; `random` returns a number in [0, 1). */
 export function decideByLoad({process, link, refusedShare}: OwnLoad, peers: readonly PeerLoadReport[], random: () => number): LoadDecision {
 	const linkShare = clampShare((link.sendUtilization - forwardByLinkFrom) / (forwardAllByLinkFrom - forwardByLinkFrom));
--- a/test/request/load-sharing.test.ts
+++ b/test/request/load-sharing.test.ts
@@ -3,7 +3,9 @@
 	acceptsForwardedJob, createRefusalControl, decideByLoad, type LoadDecision,
 } from '../../src/request/load-sharing.js';
 import {idleLink, type LinkLoad} from '../../src/process/link-budget.js';
-import type {ProcessLoad} from '../../src/process/load-monitor.js';
+import type {Milliseconds} from '../../src/process/clock.js';
+import {createFakeClock} from '../../src/process/fake-clock.js';
+import {createLoadMonitor, type ProcessLoad} from '../../src/process/load-monitor.js';
 import {describe, it} from '../describe.js';
 
 const idle: ProcessLoad = {utilization: 0.2, delay: 1};
@@ -100,6 +102,22 @@
 		t.is(control.getShare({utilization: 0.4, delay: 5}), 0);
 	});
 
+	// An entry that had stood still for 0.8 s refused most jobs for half a second after it, although it was idle.
+	it('refuses nothing because an idle process has stood still', t => {
+		const clock = createFakeClock();
+		let standstill: Milliseconds = 0;
+		const monitor = createLoadMonitor({clock: {...clock, now: () => clock.now() + standstill}, readActiveTime: () => 0});
+		const control = createRefusalControl();
+		monitor.onSample(control.update);
+		clock.advance(500);
+		standstill = 800;
+		t.is(control.getShare(monitor.getLoad()), 0);
+		clock.advance(50);
+		const load = monitor.getLoad();
+		t.true(load.delay > 500 && load.utilization === 0);
+		t.is(control.getShare(load), 0);
+	});
+
 	it('refuses a growing share while the event loop stays late, and less and less once it is not', t => {
 		const control = createRefusalControl();
 		const late = {utilization: 1, delay: 60};
