Give stop calls to an executor connections of their own

Cause: all calls of an agent share 8 connections, and a call without an answer occupies one for 150 ms. With a third of the calls unanswered and some 15 runs to be stopped at once beside new starts, stop calls waited for a connection until their own time-out, unsent. In the log the other runs of that agent took 0.15 to 0.7 s; that the one without a line waited like this is inferred, as the code had no lines on stops then.

Change: stop calls have a pool of their own; its connections open only when there is something to stop.

Figures: the new test did not end on the code before (time-out of 8 s) and passes now.

--- a/src/platform/executor-client.ts
+++ b/src/platform/executor-client.ts
@@ -22,8 +22,10 @@
 
 /** A healthy executor on the same machine answers within a millisecond; the rest allows for a machine that is slowed down. */
 const callTimeoutMs: Milliseconds = 150;
-/** Some connections are occupied by polls that wait for runs to end; the others carry start and stop calls. */
+/** Some connections are occupied by polls that wait for runs to end; the others carry start calls. */
 const connections = 8;
+/** Stop calls have connections of their own, so that start calls without an answer do not hold them up. */
+const stopConnections = 8;
 const idleConnectionMs: Milliseconds = 60_000;
 
 const replySchema = z.object({'clock-ms': z.number().optional(), reason: z.string().optional()});
@@ -35,35 +37,40 @@
 
 /** Creates the client; it connects with the first call. */
 export function createExecutorClient({clock, address, id}: ExecutorClientHost): Executor {
-	const pool = new Pool(`http://${address}`, {
-		connections, pipelining: 1, keepAliveTimeout: idleConnectionMs, connect: {timeout: callTimeoutMs},
-	});
+	const pool = createPool(address, connections);
+	const stopPool = createPool(address, stopConnections);
 
 	const headers = {'content-type': 'application/json', 'expect-instance': id};
 
 	return {
-		start: async command => post('/v1/run-start', {
+		start: async command => post(pool, '/v1/run-start', {
 			task: command.task, run: command.run, spec: command.spec, 'expires-at-ms': command.leaseExpiresAt, 'fence-token': command.fencingToken,
 		}, callTimeoutMs).then(answer => readCommandOutcome(answer)),
-		stop: async (run, fencingToken) => post('/v1/run-stop', {
+		stop: async (run, fencingToken) => post(stopPool, '/v1/run-stop', {
 			task: run.task, run: run.run, 'fence-token': fencingToken,
 		}, callTimeoutMs).then(answer => readCommandOutcome(answer)),
-		poll: async req => post('/v1/hold', {
+		poll: async req => post(pool, '/v1/hold', {
 			'expires-at-ms': req.leaseExpiresAt, 'fence-token': req.fencingToken, 'seen-upto': req.acknowledgedSequenceNumber, 'wait-ms': Math.round(req.waitMs),
 		}, callTimeoutMs + req.waitMs).then(answer => readPollOutcome(answer)),
 		async close() {
-			await pool.destroy();
+			await Promise.all([pool.destroy(), stopPool.destroy()]);
 		},
 	};
 
-	async function post(path: string, body: unknown, timeoutMs: Milliseconds): Promise<HttpResponse | Error> {
-		const res = await exchangeHttp(clock, pool, {
+	async function post(usedPool: Pool, path: string, body: unknown, timeoutMs: Milliseconds): Promise<HttpResponse | Error> {
+		const res = await exchangeHttp(clock, usedPool, {
 			method: 'POST', path, headers, body: JSON.stringify(body), timeoutMs,
 		});
 		return res instanceof Error ? new VError(res, 'POST %s to executor %s', path, id) : res;
 	}
 }
 
+function createPool(address: string, size: number): Pool {
+	return new Pool(`http://${address}`, {
+		connections: size, pipelining: 1, keepAliveTimeout: idleConnectionMs, connect: {timeout: callTimeoutMs},
+	});
+}
+
 function readCommandOutcome(answer: HttpResponse | Error): WithExecutorTime<CommandOutcome> {
 	if (answer instanceof Error) {
 		return {outcome: {kind: VError.hasCauseWithName(answer, requestNotSent) ? 'not-sent' : 'no-answer', detail: answer.message}, executorTime: undefined};
--- a/test/platform/executor-client.test.ts
+++ b/test/platform/executor-client.test.ts
@@ -169,6 +169,20 @@
 		await client.close();
 	});
 
+	// Stops that waited for a connection behind start calls without an answer came too late: a task ran twice at the same time.
+	it('sends a stop although calls without an answer occupy all other connections', async t => {
+		const {client, clock, waitForCalls} = await serveNothing(t);
+		const starts = Array.from({length: connections + 1}, async () => client.start(command));
+		await waitForCalls(connections);
+		const stop = client.stop(command, 1);
+		await waitForCalls(connections + 1);
+		clock.advance(150);
+		const {outcome} = await stop;
+		t.is(outcome.kind, 'no-answer');
+		await Promise.all(starts);
+		await client.close();
+	});
+
 	// A poll counts as not sent only if its connection was refused, which is a sign that the executor has ended.
 	it('reports a poll as unanswered if no connection was free for it in time', async t => {
 		const {client, clock, waitForCalls} = await serveNothing(t);
