Serve no request that is read after its stream has ended

A forwarded job of an entry that dies right after it has sent it would run to its end at the other entry, beside the copy that its client starts 1.3 s later.

Cause: an accepted stream between entries went on reading after it had ended. A stream may report its end before data that had arrived earlier. A request served then is in no list that a later close or pause would cancel.

Ruled out here: the agents' end of their links and the end of a stream that opened it drop such data already.

Change: an accepted stream reads nothing after its end.

Figures: the new test of the peer hub served the request before; it passes now.

Conclusion: shown on a stream made for the test. That gRPC orders the two events so was not tried.

--- a/src/connection/peer-server.ts
+++ b/src/connection/peer-server.ts
@@ -84,6 +84,11 @@
 		};
 		streams.add(accepted);
 		stream.on('data', batch => {
+			// A request that is read after the end of its stream can no longer be cancelled.
+			if (!streams.has(accepted)) {
+				return;
+			}
+
 			output.recordMessage();
 			host.guard(() => {
 				receive(batch);
--- a/test/connection/peer-hub.test.ts
+++ b/test/connection/peer-hub.test.ts
@@ -1,6 +1,8 @@
 import {createPeerHub, type PeerHub} from '../../src/connection/peer-hub.js';
 import type {Cancellation, PendingRequest, RelayResult} from '../../src/connection/peer-types.js';
-import type {EntryAddress, RelayReply, RelayRequest} from '../../src/generated/kingcuplane.js';
+import {
+	PeerBatch, type EntryAddress, type RelayReply, type RelayRequest,
+} from '../../src/generated/kingcuplane.js';
 import {platformTiming} from '../../src/platform/timing.js';
 import {every, type Milliseconds} from '../../src/process/clock.js';
 import {describe, it} from '../describe.js';
@@ -192,6 +194,24 @@
 		});
 	});
 
+	// Guards against a run that nobody can stop: its request was read after the stream on which it came had ended.
+	it('serve no request that is read after its stream has ended', async t => {
+		const {b} = await createFixture();
+		const listeners = new Map<string, (batch: PeerBatch) => void>();
+		b.hub.accept({
+			on: (event: string, listener: (batch: PeerBatch) => void) => listeners.set(event, listener),
+			write: () => undefined,
+			end: () => undefined,
+		});
+		listeners.get('cancelled')!(PeerBatch.create());
+		listeners.get('data')!(PeerBatch.create({
+			requests: [{
+				id: 1, operation: 'job', ticket: '', principal: '', body: new TextEncoder().encode('x'), timeoutMs: 60_000,
+			}],
+		}));
+		t.deepEqual(b.served, []);
+	});
+
 	it('answer requests of a lost stream as without a reply, and open it again', async t => {
 		const {network, a, advance, send} = await createFixture();
 		const sent = send('x');
