Keep the lease of an executor while only a stalled run is being stopped

On an executor that leaves stop calls unanswered for half a second, a run without progress took all other runs with it.

Cause: the lease is renewed only up to 0.5 s after any stop that is not confirmed. An entry waits for the end of a run that is stopped for lack of progress before it starts the task elsewhere, so that end needs no bound.

Change: such a stop does not limit the lease until the run has to end for another cause as well, such as a lost entry; the limit then counts from that time.

Figures: the new test of a stalled run beside another one failed before (both lapsed) and passes now. A second test holds the limit for a stalled run whose entry is lost; it passed before too.

Conclusion: the limit now acts only on runs that others may repeat.

--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -79,6 +79,8 @@
 type RequestedStop = {
 	readonly cause: StopCause;
 	readonly requestedAt: Milliseconds;
+	/** Since when the run has to end even if stop calls are lost; undefined while its entry waits for its end. */
+	mustEndSince?: Milliseconds;
 	/** Number of stop calls, answered or not. */
 	calls: number;
 };
@@ -175,11 +177,11 @@
 		},
 	};
 
-	/** A run whose stop is not confirmed ends with the lease, as do all others. */
+	/** A run that must end, and whose stop is not confirmed, ends with the lease, as do all others. */
 	function getRenewalLimit(): Milliseconds {
 		let limit = host.getSilentRunLimit?.() ?? Infinity;
 		for (const {stop} of runs.values()) {
-			limit = Math.min(limit, (stop?.requestedAt ?? Infinity) + leaseMs);
+			limit = Math.min(limit, (stop?.mustEndSince ?? Infinity) + leaseMs);
 		}
 
 		return limit;
@@ -353,11 +355,15 @@
 	}
 
 	function requestStop(run: Run, cause: StopCause): void {
+		const mustEndSince = cause === 'no-progress' ? undefined : clock.now();
 		if (run.stop !== undefined) {
+			run.stop.mustEndSince ??= mustEndSince;
 			return;
 		}
 
-		run.stop = {cause, requestedAt: clock.now(), calls: 0};
+		run.stop = {
+			cause, requestedAt: clock.now(), mustEndSince, calls: 0,
+		};
 		log.info({
 			...toLogFields(run), cause, state: run.state, elapsed: Math.round(clock.now() - run.requestedAt),
 		}, 'run is stopped');
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -336,6 +336,29 @@
 			t.deepEqual(fixture.executor.runs.map(({endDetail}) => endDetail), ['stopped', 'done']);
 		});
 
+		// Guards against the loss of all runs of an executor because one of them is stalled: nobody starts that one elsewhere yet.
+		it('leaves the other runs their lease if its run only makes too little progress', async t => {
+			const fixture = await createFixture(t, 4000);
+			fixture.executor.isStalled = true;
+			fixture.executor.unansweredCalls.stop = Infinity;
+			fixture.start('a', 1, 100);
+			fixture.start('b');
+			await fixture.runFor(3000);
+			t.deepEqual(fixture.executor.runs.map(({endDetail}) => endDetail), [undefined, undefined]);
+		});
+
+		// Guards against a second run of a task beside a stalled one whose entry is lost.
+		it('ends a stalled run with its lease once it has to end', async t => {
+			const fixture = await createFixture(t, 4000);
+			fixture.executor.isStalled = true;
+			fixture.executor.unansweredCalls.stop = Infinity;
+			const start = fixture.start('a', 1, 100);
+			await fixture.runFor(1000);
+			fixture.upstream.stop(start, 'entry-lost');
+			await fixture.runFor(stoppedWithinMs);
+			t.is(fixture.executor.runs[0]?.endDetail, 'lapsed');
+		});
+
 		it('lets no start extend the lease', async t => {
 			const fixture = await createFixture(t, 5000);
 			const start = fixture.start('a');
