Count pauses of an agent towards the silence of its entries

What callers saw: one task had two runs at the same time, in a simulation: entry dead without a word, its agents without processor time for 0.34 s, stop calls unanswered.

Cause: the lease is renewed up to 1.1 s after the last message of an entry, by the agent's monotonic clock, which may stand still with its machine. A message that waited in a socket meanwhile counted from when it was read. A pause of up to 0.5 s keeps links and runs, so the limit was up to 1.6 s, later than both the repeat of a client (1.3 s) and the wait of an entry.

Ruled out here: pauses of 0.4 s with lucky timing end the lease by themselves; a stop that is answered comes 0.82 s and the pause after the last message, so it is early enough up to a pause of 0.4 s.

Change: when a pause is noticed, all entries count as heard that much earlier, and messages that are read within the next 60 ms as having waited for it.

Conclusion: pauses below 0.2 s are not noticed (pause detector) and still add to the limit.

--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -72,6 +72,8 @@
 	receive(entry: string, batch: EntryBatch): void;
 	/** Returns the output that was not yet sent on the open link and marks it as sent. */
 	takePendingOutput(entry: string): PendingOutput;
+	/** To be called after a pause of this process, before messages are read that may have waited meanwhile. */
+	recordPause(pause: Milliseconds): void;
 	/** Sets whether the agent is draining; every start is refused while it is. */
 	setDraining(draining: boolean): void;
 	getRunningTasks(): number;
@@ -101,7 +103,7 @@
 	/** Pending while results of jobs that are still in progress here wait for more results. */
 	partialResultTimer?: Timer;
 	isOpen: boolean;
-	/** When the entry's last message arrived. */
+	/** When the entry's last message arrived, at the earliest. */
 	heardAt: Milliseconds;
 	closedAt: Milliseconds;
 };
@@ -111,6 +113,8 @@
 const partialResultDelayMs: Milliseconds = 50;
 /** An entry that has been disconnected for longer has abandoned its starts on this agent, or has died. */
 const reconnectGraceMs: Milliseconds = 3000;
+/** Time after a pause within which all messages are read that waited meanwhile. */
+const pauseBacklogMs: Milliseconds = 60;
 
 /** Creates an empty set of sessions. */
 export function createEntrySessions(host: EntrySessionsHost, granter: CreditGranter): EntrySessions {
@@ -120,6 +124,9 @@
 	const isolation = createIsolationGuard();
 	let running = 0;
 	let isDraining = false;
+	/** For how long messages that are read now may have waited. */
+	let messageDelay: Milliseconds = 0;
+	let messageDelayTimer: Timer | undefined;
 
 	return {
 		open(entry) {
@@ -131,7 +138,7 @@
 
 			record.orphanTimer?.cancel();
 			record.isOpen = true;
-			record.heardAt = host.clock.now();
+			recordMessage(record);
 			record.sentSeq = 0;
 			record.receivedStarts = 0;
 			granter.addEntry(entry);
@@ -165,6 +172,18 @@
 				granted: granter.getGrantedCredits(entry), results, receivedStarts: record.receivedStarts, held,
 			};
 		},
+		recordPause(pause) {
+			// The clock may have stood still too, so the time since a message may be longer than it shows.
+			for (const record of records.values()) {
+				record.heardAt -= pause;
+			}
+
+			messageDelay = pause;
+			messageDelayTimer?.cancel();
+			messageDelayTimer = host.clock.after(pauseBacklogMs, () => {
+				messageDelay = 0;
+			});
+		},
 		setDraining(draining) {
 			isDraining = draining;
 			granter.setDraining(draining);
@@ -191,13 +210,17 @@
 		},
 	};
 
+	function recordMessage(record: SessionRecord): void {
+		record.heardAt = Math.max(record.heardAt, host.clock.now() - messageDelay);
+	}
+
 	function receive(entry: string, batch: EntryBatch): void {
 		const record = records.get(entry);
 		if (!record?.isOpen) {
 			return;
 		}
 
-		record.heardAt = host.clock.now();
+		recordMessage(record);
 		// First, as it throws if the batch is faulty, which then must not be handled in part.
 		const starts = resolvePayloads(batch.starts);
 		for (const incarnation of batch.fenced) {
@@ -362,7 +385,7 @@
 		running: new Map(),
 		held: [],
 		isOpen: false,
-		heardAt: 0,
+		heardAt: -Infinity,
 		closedAt: 0,
 	};
 }
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -124,7 +124,7 @@
 		links.sendHeartbeats();
 	});
 	const gaugeTimer = every(clock, gaugeIntervalMs, updateGauges);
-	const unsubscribeFromPauses = host.pauseDetector?.onPause(resetLinks);
+	const unsubscribeFromPauses = host.pauseDetector?.onPause(handlePause);
 	updateDraining();
 	void probe();
 
@@ -162,7 +162,8 @@
 
 	// During the pause entries may have abandoned starts that are still in the sockets. On a new link the agent reports to
 	// each entry which starts it has received.
-	function resetLinks(pause: Milliseconds): void {
+	function handlePause(pause: Milliseconds): void {
+		sessions.recordPause(pause);
 		if (pause <= (timing.harmlessPauseMs ?? 0)) {
 			return;
 		}
--- a/test/failure/lost-entry.test.ts
+++ b/test/failure/lost-entry.test.ts
@@ -7,7 +7,9 @@
 import {describe, it} from '../describe.js';
 import {findLeasedViolations} from './leased/checker.js';
 import {createClients, type Clients} from './leased/clients.js';
-import {createLeasedCluster, entryNames, type LeasedCluster} from './leased/cluster.js';
+import {
+	agentNames, createLeasedCluster, entryNames, type LeasedCluster,
+} from './leased/cluster.js';
 import type {StreamEnd} from './stream.js';
 
 /** Longer than all delays until a repeated job has started. */
@@ -18,6 +20,10 @@
 const jobs = 9;
 /** Around the time after which a silent link counts as lost, when the entry closes it. */
 const laterSilenceMs: readonly Milliseconds[] = [0, 350, 600, 650, 690, 700];
+/** Time after the start of the jobs at which agents have just heard all entries. */
+const heardMs: Milliseconds = 340;
+/** A pause that agents survive with their links and runs. */
+const harmlessPauseMs: Milliseconds = 340;
 /** When agents notice that an entry has died. */
 const noticesMs = {closes: 1, 'becomes silent': 60_000};
 
@@ -66,6 +72,28 @@
 				expectNoOverlap(t);
 			});
 		}
+
+		// Guards against a second run of a task beside one whose agent has stood still, and so waited longer for a dead entry.
+		it('end its runs before its clients repeat their jobs, although stop calls are lost and agents stood still for a time', async t => {
+			const {cluster, clients, expectNoOverlap} = await createFixture(1);
+			for (const executor of cluster.executors.values()) {
+				executor.unansweredCalls.stop = Infinity;
+			}
+
+			for (let i = 0; i < jobs; i++) {
+				clients.submit(1, {timeLimit: timeLimitMs, expectedRun: longRunMs});
+			}
+
+			await cluster.advance(heardMs);
+			cluster.kill('e1', 3000, noticesMs['becomes silent']);
+			await cluster.advance(300);
+			for (const agent of agentNames) {
+				cluster.freeze(agent, harmlessPauseMs);
+			}
+
+			await cluster.advance(recoverMs);
+			expectNoOverlap(t);
+		});
 	});
 
 	describe('of the links between entries and an agent', () => {
