Check each start against the runs that go on at that instant

The failure runs compared the recorded times of all runs at their end. Two runs that touch at one instant have no order there: a start at the instant at which another run ended later passed for a start after it.

Each start is now checked, in the order of events, against what all executors run at that instant. The comparison at the end stays.

--- a/test/failure/leased.test.ts
+++ b/test/failure/leased.test.ts
@@ -1,7 +1,7 @@
 import {platformTiming} from '../../src/platform/timing.js';
 import type {Executor} from '../../src/process/executor-types.js';
 import {describe, it} from '../describe.js';
-import {crashRule, evacuationRule} from './leased/checker.js';
+import {crashRule, evacuationRule, overlapRule} from './leased/checker.js';
 import {randomForwarding} from './leased/entry.js';
 import {runLeasedFailures, type FailureOptions} from './leased/run.js';
 import type {InjectedDefects} from './leased/cluster.js';
@@ -24,16 +24,16 @@
 /** Defects that a code change could introduce, and the rule that each violates, or one of two rules. */
 const defectCases: Readonly<Record<string, {readonly defects: InjectedDefects; readonly brokenRule: string | readonly string[]; readonly hasExecutorFaults?: boolean; readonly hasForwarding?: boolean; readonly hasEvacuations?: boolean; readonly firstSeed?: number}>> = {
 	'agents do not stop the runs of a lost entry': {
-		defects: {timing: {...platformTiming, orphanGraceMs: undefined}}, brokenRule: 'no task runs twice at the same time',
+		defects: {timing: {...platformTiming, orphanGraceMs: undefined}}, brokenRule: overlapRule,
 	},
 	'tasks of a lost agent start elsewhere at once': {
-		defects: {timing: {...platformTiming, closedGraceMs: 20, silentGraceMs: 20}}, brokenRule: 'no task runs twice at the same time',
+		defects: {timing: {...platformTiming, closedGraceMs: 20, silentGraceMs: 20}}, brokenRule: overlapRule,
 	},
 	'leases outlast the time after which tasks start elsewhere': {
-		defects: {maxLeaseMs: 3000, changeExecutor: executor => extendLease(executor, 2000)}, brokenRule: 'no task runs twice at the same time',
+		defects: {maxLeaseMs: 3000, changeExecutor: executor => extendLease(executor, 2000)}, brokenRule: overlapRule,
 	},
 	'late commands are not fenced': {
-		defects: {changeExecutor: executor => disableFencing(executor)}, brokenRule: 'no task runs twice at the same time',
+		defects: {changeExecutor: executor => disableFencing(executor)}, brokenRule: overlapRule,
 	},
 	'agents are not notified that their executor is leaving': {
 		defects: {isLeavingIgnored: true}, brokenRule: 'a leaving executor gets no new work',
@@ -45,7 +45,7 @@
 		defects: {areRoomChangesIgnored: true}, brokenRule: 'no executor is overloaded', hasExecutorFaults: true,
 	},
 	'entries keep serving forwarded jobs whose sender is lost': {
-		defects: {areForwardedJobsKept: true}, brokenRule: ['no task runs twice at the same time', 'nothing runs for a job that nobody waits for'], hasForwarding: true, firstSeed: 81,
+		defects: {areForwardedJobsKept: true}, brokenRule: [overlapRule, 'nothing runs for a job that nobody waits for'], hasForwarding: true, firstSeed: 81,
 	},
 	'entries do not read which data centres are evacuated': {
 		defects: {areEvacuationsIgnored: true}, brokenRule: evacuationRule, hasEvacuations: true,
--- a/test/failure/leased/checker.ts
+++ b/test/failure/leased/checker.ts
@@ -8,7 +8,7 @@
 import type {Violation} from '../checker.js';
 import type {ClientJob} from './clients.js';
 import {
-	heartbeatIntervalMs, taskCpu, type LeasedCluster, type RoomChange,
+	heartbeatIntervalMs, taskCpu, type LeasedCluster, type Overlap, type RoomChange,
 } from './cluster.js';
 
 /** A run and its executor. */
@@ -26,6 +26,8 @@
 /** The rule of the users' platform on tasks that crash the executors that start them. */
 const crashLimit = 3;
 const maxStartsAfterCrashes = 3;
+/** Name of the rule on runs at the same time. */
+export const overlapRule = 'no task runs twice at the same time';
 /** Name of the rule on evacuated data centres. */
 export const evacuationRule = 'nothing starts in an evacuated data centre';
 /** Name of the rule on crashes. */
@@ -36,6 +38,7 @@
 	const runs = [...cluster.executors].flatMap(([executor, {runs: seen}]) => seen.map(run => ({...run, executor})));
 	const byTask = groupBy(runs, run => run.task);
 	return [
+		...cluster.overlaps.map(overlap => describeOverlap(overlap)),
 		...[...byTask].flatMap(([task, list]) => checkTask(task, list)),
 		...jobs.flatMap(job => checkJob(job, runs.filter(run => getJobName(run.task) === job.name), isCalm)),
 		...[...groupBy(runs, run => run.executor)].flatMap(([executor, list]) => checkExecutor(executor, list, cluster.rooms.get(executor)!)),
@@ -43,6 +46,12 @@
 	];
 }
 
+function describeOverlap({
+	task, at, executor, otherExecutor, otherRun,
+}: Overlap): Violation {
+	return {rule: overlapRule, subject: task, detail: `started at ${at.toFixed(1)} at ${executor} beside the run at ${otherExecutor}, ${describe(otherRun)}`};
+}
+
 /** A period in which an executor was leaving or its data centre was evacuated. */
 export type LeavingPeriod = {
 	readonly kind: 'leaving' | 'evacuated';
@@ -57,7 +66,7 @@
 	for (const [index, run] of sorted.entries()) {
 		const next = sorted[index + 1];
 		if (next !== undefined && next.startedAt < (run.endedAt ?? Infinity)) {
-			violations.push({rule: 'no task runs twice at the same time', subject: task, detail: `${run.executor} ${describe(run)}, ${next.executor} ${describe(next)}`});
+			violations.push({rule: overlapRule, subject: task, detail: `${run.executor} ${describe(run)}, ${next.executor} ${describe(next)}`});
 		}
 	}
 
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -16,7 +16,7 @@
 import {createEvacuationHolder, type EvacuationList} from '../../../src/version/evacuations.js';
 import {createSnapshot} from '../../../src/version/snapshot.js';
 import {silentLog} from '../../silent-log.js';
-import {createFakeExecutor, type FakeExecutor} from '../../process/fake-executor.js';
+import {createFakeExecutor, type FakeExecutor, type RecordedRun} from '../../process/fake-executor.js';
 import {createObjects} from '../config.js';
 import {createNetwork, type Network} from '../network.js';
 import {
@@ -41,6 +41,16 @@
 	readonly cpu: number;
 };
 
+/** A start of a task while another run of it goes on. */
+export type Overlap = {
+	readonly task: string;
+	readonly at: Milliseconds;
+	/** Executor of the start, and that of the run that goes on. */
+	readonly executor: string;
+	readonly otherExecutor: string;
+	readonly otherRun: RecordedRun;
+};
+
 /** Defects that may be injected to test the checks. */
 export type InjectedDefects = {
 	/** Link timing that replaces the one of the platform. */
@@ -81,6 +91,8 @@
 	readonly executors: ReadonlyMap<string, FakeExecutor>;
 	/** Time since which each leaving executor has been leaving. */
 	readonly leavingSince: Map<string, Milliseconds>;
+	/** Starts of tasks of which another run had not ended at that instant, seen in the order of events. */
+	readonly overlaps: readonly Overlap[];
 	/** The processors of each executor since the start, oldest first. */
 	readonly rooms: ReadonlyMap<string, readonly RoomChange[]>;
 	getEntry(name: string): LeasedEntry;
@@ -130,7 +142,12 @@
 			: {length: random.chance(0.2) ? random.integer(500, 3000) : random.integer(20, 300), fails: random.chance(0.03)};
 	}
 
+	const overlaps: Overlap[] = [];
 	for (const name of agentNames) {
+		executors.get(name)!.onRunStarted = run => {
+			overlaps.push(...findOverlaps(executors, name, run));
+		};
+
 		executors.get(name)!.onRestarted = () => {
 			// The first heartbeat of an executor follows its start.
 			clock.after(random.integer(1, maxAnnouncementDelayMs), () => {
@@ -148,6 +165,7 @@
 		network,
 		executors,
 		leavingSince: leavingStartedAt,
+		overlaps,
 		rooms,
 		getEntry: name => entries.get(name)!,
 		kill,
@@ -343,6 +361,15 @@
 	}
 }
 
+/** Finds the runs of the same task that go on, at any executor, while a run starts. */
+function findOverlaps(executors: ReadonlyMap<string, FakeExecutor>, executor: string, started: RecordedRun): readonly Overlap[] {
+	return [...executors].flatMap(([otherExecutor, other]) => other.getRunning()
+		.filter(run => run.task === started.task && run !== started)
+		.map((otherRun): Overlap => ({
+			task: started.task, at: started.startedAt, executor, otherExecutor, otherRun,
+		})));
+}
+
 /**
  * Creates the client of one agent process for one incarnation of an executor. Responses that arrive while the process is
  * frozen wait until it resumes.
--- a/test/process/fake-executor.ts
+++ b/test/process/fake-executor.ts
@@ -15,6 +15,9 @@
 	endDetail?: string;
 };
 
+/** Kinds of calls; `hold` for polls. */
+export type CallKind = 'start' | 'stop' | 'hold';
+
 /** An executor whose faults can be changed and whose runs can be inspected. */
 export type FakeExecutor = Executor & {
 	readonly runs: RecordedRun[];
@@ -45,6 +48,10 @@
 	downTimeMs: Milliseconds;
 	/** Chooses the duration and outcome of each run. If undefined, all runs take the default duration and complete. */
 	sampleRun?(task: string): RunSample;
+	/** Called when a run starts, before anything else happens at that instant. */
+	onRunStarted?(run: RecordedRun): void;
+	/** Returns whether a call gets no response, beside those that `unansweredCalls` counts. */
+	isUnanswered?(kind: CallKind): boolean;
 	/** Called when another incarnation has started after a crash. */
 	onRestarted?(): void;
 	/** Ends this incarnation with all its runs; another one starts after `downTime`. */
@@ -211,6 +218,7 @@
 			task, run, startedAt: clock.now(), duration: sample.length,
 		};
 		executor.runs.push(recorded);
+		executor.onRunStarted?.(recorded);
 		clock.after(sample.length, () => {
 			if (sample.crashes && recorded.endedAt === undefined) {
 				crash(executor.downTimeMs);
@@ -280,7 +288,7 @@
 		}
 	}
 
-	async function call<T>(kind: 'start' | 'stop' | 'hold', action: () => T | Promise<T>): Promise<WithExecutorTime<T | NoAnswer>> {
+	async function call<T>(kind: CallKind, action: () => T | Promise<T>): Promise<WithExecutorTime<T | NoAnswer>> {
 		const {startedAt} = executor;
 		const isSameIncarnation = () => !isDown && executor.startedAt === startedAt;
 		if (isDown) {
@@ -288,10 +296,11 @@
 			return {outcome: {kind: 'not-sent', detail: 'connection refused'}, executorTime: undefined};
 		}
 
-		const isUnanswered = executor.unansweredCalls[kind] > 0;
+		const isCounted = executor.unansweredCalls[kind] > 0;
+		const isUnanswered = isCounted || (executor.isUnanswered?.(kind) ?? false);
 		if (executor.isUnreachable || isUnanswered) {
 			if (isUnanswered) {
-				executor.unansweredCalls[kind]--;
+				executor.unansweredCalls[kind] -= isCounted ? 1 : 0;
 				if (executor.unansweredCalls.delay !== undefined) {
 					clock.after(executor.unansweredCalls.delay, () => {
 						if (isSameIncarnation()) {
