Stop forwarded jobs in time when their sender and then their server is lost

What a caller saw: a forwarded job of which a task had two runs at the same time, for up to 0.2 s.

Cause: each hop started its own clock. The server of a forwarded job notices after 0.7 s that its sender is silent, and its agents notice after 0.82 s that the server is. If the server, or its link, is lost just before it would have stopped the runs, the two add up to 1.52 s, while the client repeats its job 1.3 s after the first loss.

Ruled out: the start of an agent's grace when a link closes (0.12 s later), stops that are lost with a link that opens again (repeated when it opens), jobs whose clients hung up at the entry itself (one timeout only). Shorter timeouts would take 0.38 s for the silence of a sender, which is a gap of one heartbeat (up to 0.33 s) and a late event loop. Holding back the reply to a lost job does not help if the sender itself is lost.

Change: each batch of the server to an agent lists the runs whose sender is silent for 0.25 s or longer, and for how long. The agent stops these 1.1 s after the last message of the sender unless a later batch no longer lists them. Nothing is sent that was not sent before, and no answer is held back. If the server was lost before it listed the run, the agent's own timeout ends it at 1.07 s.

Not covered: a stop call without an answer after such a stop (that is bounded by the lease), and a server that stands still between the two losses while its clock does not advance.

--- a/src/connection/agent-sessions.ts
+++ b/src/connection/agent-sessions.ts
@@ -86,6 +86,8 @@
 	resumeStarts(): void;
 	/** Whether the outcome of a start is pending. */
 	hasOutstandingStarts(): boolean;
+	/** Returns the starts whose outcome is pending, by sequence number. */
+	getSentStarts(): ReadonlyMap<number, SentStart>;
 	/** Returns the highest sequence number up to which all results were handled. */
 	getAckedResultSeq(): number;
 	/** Closes the session of this link; `isSilent` if the silence timeout ended it. */
@@ -213,6 +215,7 @@
 				}
 			},
 			hasOutstandingStarts: () => record.sentStarts.size > 0,
+			getSentStarts: () => record.sentStarts,
 			getAckedResultSeq: () => record.lastResultSeq,
 			close(isSilent = false) {
 				if (isCurrent()) {
--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -6,7 +6,7 @@
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import {
 	RefusalReason, TaskOutcome,
-	type AgentHello, type EntryBatch, type HeldReply, type TaskResult, type TaskStart,
+	type AgentHello, type EntryBatch, type HeldReply, type SenderSilence, type TaskResult, type TaskStart,
 } from '../generated/kingcuplane.js';
 import {createIsolationGuard} from './isolation-guard.js';
 import {resolvePayloads} from './shared-payloads.js';
@@ -33,6 +33,8 @@
 	readonly maxRetainedBytes: number;
 	/** Time after a lost link for which the runs of that entry continue; undefined lets them run to their end. */
 	readonly orphanGraceMs?: Milliseconds;
+	/** Silence of the sender of a forwarded job after which its runs are stopped; see {@link SenderSilenceTiming}. */
+	readonly senderSilenceMs?: Milliseconds;
 	/** Runs the task at the upstream; `done` is called exactly once. */
 	run(start: TaskStart, done: (runResult: RunResult) => void): void;
 	/** Stops a run whose result is no longer needed; its `done` is still called. Has no effect if the run has ended. */
@@ -90,6 +92,8 @@
 	/** Running tasks by the number of their start. */
 	readonly running: Map<number, TaskStart>;
 	orphanTimer?: Timer;
+	/** Stop the runs of forwarded jobs whose senders were silent when the last batch was sent. They outlast the link. */
+	senderTimers: readonly Timer[];
 	held: HeldReply[];
 	/** Pending while results of jobs that are still in progress here wait for more results. */
 	partialResultTimer?: Timer;
@@ -185,6 +189,7 @@
 			fencedIncarnations.add(incarnation);
 		}
 
+		restartSenderTimers(record, batch.senderSilences);
 		acknowledge(record, batch.resultsAcked);
 		granter.setReturnedCredits(entry, batch.returned);
 		for (const start of starts) {
@@ -242,6 +247,25 @@
 		}
 	}
 
+	// The entry that serves the jobs may be lost before it notices that their senders are.
+	function restartSenderTimers(record: SessionRecord, silences: readonly SenderSilence[]): void {
+		const {senderSilenceMs} = host;
+		for (const timer of record.senderTimers) {
+			timer.cancel();
+		}
+
+		if (senderSilenceMs === undefined) {
+			return;
+		}
+
+		record.senderTimers = silences.map(({startSeq, silentMs}) => host.clock.after(Math.max(0, senderSilenceMs - silentMs), () => {
+			const start = record.running.get(startSeq);
+			if (start !== undefined) {
+				host.stop(start);
+			}
+		}));
+	}
+
 	function stopRuns(record: SessionRecord): void {
 		for (const start of record.running.values()) {
 			host.stop(start);
@@ -341,6 +365,7 @@
 		sentSeq: 0,
 		receivedStarts: 0,
 		running: new Map(),
+		senderTimers: [],
 		held: [],
 		isOpen: false,
 		closedAt: 0,
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -3,7 +3,7 @@
  * in one batch.
  */
 import type {
-	AgentBatch, AgentHello, ConfigUpdate, EntryAddress, EntryBatch, HeldReply, LinkServer, LossReport, TaskStart, TaskStop,
+	AgentBatch, AgentHello, ConfigUpdate, EntryAddress, EntryBatch, HeldReply, LinkServer, LossReport, SenderSilence, TaskStart, TaskStop,
 } from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {EvacuationList} from '../version/evacuations.js';
@@ -43,6 +43,8 @@
 	isNetworkBusy?(): boolean;
 	/** Called with the approximate size of a start that is sent at the end of this turn. */
 	onStartQueued?(bytes: number): void;
+	/** Returns for how long the sender of the forwarded job with this ticket has been silent; 0 for any other job. */
+	getSenderSilence?(ticket: string): Milliseconds;
 	/** Called when a link has opened or was lost. */
 	onLinkChanged?(agent: AgentInfo, change: LinkChange): void;
 	/** Called with an unexpected error while a batch was processed; its link has been closed. */
@@ -339,6 +341,7 @@
 			entries: link.isBroadcastPending ? [...host.getEntries()] : [],
 			fenced: link.isBroadcastPending ? [...host.getFencedIncarnations()] : [],
 			draining: host.isDraining(),
+			senderSilences: listSenderSilences(link),
 			evacuations: areNewEvacuations ? {...evacuations, dataCentres: [...evacuations.dataCentres]} : undefined,
 		}));
 		link.starts = [];
@@ -350,6 +353,22 @@
 		link.sentConfigVersion = isNewConfig ? config.version : link.sentConfigVersion;
 		link.sentEvacuationRevision = areNewEvacuations ? evacuations.revision : link.sentEvacuationRevision;
 	}
+
+	function listSenderSilences({session}: Link): SenderSilence[] {
+		if (timing.senderSilence === undefined || host.getSenderSilence === undefined) {
+			return [];
+		}
+
+		const silences: SenderSilence[] = [];
+		for (const [startSeq, {ticket}] of session.getSentStarts()) {
+			const silence = host.getSenderSilence(ticket);
+			if (silence >= timing.senderSilence.reportedFromMs) {
+				silences.push({startSeq, silentMs: Math.round(silence)});
+			}
+		}
+
+		return silences;
+	}
 }
 
 function createLink(session: AgentSession, stream: LinkStream, silence: SilenceMonitor | undefined): Link {
@@ -386,6 +405,7 @@
 		head: undefined,
 		stops: [],
 		evacuations: undefined,
+		senderSilences: [],
 		...fields,
 	};
 }
--- a/src/connection/link-timing.ts
+++ b/src/connection/link-timing.ts
@@ -26,6 +26,8 @@
 	 * 0 if undefined.
 	 */
 	readonly harmlessPauseMs?: Milliseconds;
+	/** How agents stop the runs of a forwarded job whose sender is silent; its server alone stops them if undefined. */
+	readonly senderSilence?: SenderSilenceTiming;
 	/** Number of entries that each agent is linked to; all if undefined. */
 	readonly maxLinksPerAgent?: number;
 	/** Maximum delay between two connection attempts. */
@@ -45,6 +47,17 @@
 	readonly idleMs: Milliseconds;
 };
 
+/** Bounds on the silence of an entry whose forwarded job another one serves. */
+export type SenderSilenceTiming = {
+	/** Silence from which the server tells its agents of it; longer than the usual time between two heartbeats. */
+	readonly reportedFromMs: Milliseconds;
+	/**
+	 * Silence at which an agent stops the runs unless the server has told it that the sender was heard again. Longer than the
+	 * silence timeout and a heartbeat interval, as the server decides itself while it is linked.
+	 */
+	readonly stopAfterMs: Milliseconds;
+};
+
 /** Timing for upstreams whose runs end by themselves, so that a lost link costs only time. */
 export const relaxedTiming: LinkTiming = {heartbeatMs: 500, ackDelayMs: 200, maxReconnectDelayMs: 2000};
 
--- a/src/connection/peer-server.ts
+++ b/src/connection/peer-server.ts
@@ -5,7 +5,9 @@
 	EntryAddress, PeerBatch, PeerLoad, RelayRequest,
 } from '../generated/kingcuplane.js';
 import {createPeerStream} from './peer-stream.js';
-import type {IncomingPeerStream, PeerHubHost, RelayResult} from './peer-types.js';
+import type {
+	Cancellation, IncomingPeerStream, PeerHubHost, RelayResult,
+} from './peer-types.js';
 
 /** Dependencies of the server. */
 export type PeerServerHost = Pick<PeerHubHost, 'clock' | 'timing' | 'defer' | 'tryGetLoad' | 'serveRequest' | 'receiveState' | 'receiveShares' | 'receiveLoss' | 'onUnexpectedError'> & {
@@ -135,12 +137,15 @@
 				}
 			});
 			output.setPending(true);
-			const reply = await tryServe(req, action => {
-				if (isCancelled) {
-					action();
-				} else {
-					actions.push(action);
-				}
+			const reply = await tryServe(req, {
+				onCancelled(action) {
+					if (isCancelled) {
+						action();
+					} else {
+						actions.push(action);
+					}
+				},
+				getSenderSilence: output.getSilence,
 			});
 			servedRequests.delete(req.id);
 			output.setPending(servedRequests.size > 0);
@@ -167,9 +172,9 @@
 		}
 	}
 
-	async function tryServe(req: RelayRequest, onCancelled: (action: () => void) => void): Promise<RelayResult> {
+	async function tryServe(req: RelayRequest, cancellation: Cancellation): Promise<RelayResult> {
 		try {
-			return await host.serveRequest(req, {onCancelled});
+			return await host.serveRequest(req, cancellation);
 		} catch (err) {
 			host.onUnexpectedError(err);
 			return {status: unexpectedErrorStatus, body: new Uint8Array(), retryAfterMs: 0};
--- a/src/connection/peer-stream.ts
+++ b/src/connection/peer-stream.ts
@@ -28,6 +28,8 @@
 	/** Sends a batch if replies are pending and nothing was sent recently. To be called every `heartbeatMs`. */
 	sendHeartbeat(): void;
 	recordMessage(): void;
+	/** Returns the time since the last message of the other end, or since this end was created. */
+	getSilence(): Milliseconds;
 	/** Sets whether replies are pending in either direction. */
 	setPending(isPending: boolean): void;
 	/** Sends nothing more. */
@@ -39,6 +41,7 @@
 	const {clock, timing} = host;
 	let output: PeerBatch | undefined;
 	let sentAt: Milliseconds = -Infinity;
+	let heardAt = clock.now();
 	let silence: SilenceMonitor | undefined;
 	let isStopped = false;
 
@@ -57,8 +60,10 @@
 			}
 		},
 		recordMessage() {
+			heardAt = clock.now();
 			silence?.recordMessage();
 		},
+		getSilence: () => clock.now() - heardAt,
 		setPending(isPending) {
 			if (!isPending || isStopped) {
 				silence?.stop();
--- a/src/connection/peer-types.ts
+++ b/src/connection/peer-types.ts
@@ -4,7 +4,7 @@
 import type {
 	EntryAddress, LossReport, PeerBatch, PeerLoad, PeerState, RelayReply, RelayRequest, ShareNews,
 } from '../generated/kingcuplane.js';
-import type {Clock} from '../process/clock.js';
+import type {Clock, Milliseconds} from '../process/clock.js';
 import type {LinkTiming} from './link-timing.js';
 
 /** Dependencies of the hub. */
@@ -53,6 +53,8 @@
 export type Cancellation = {
 	/** Calls `action` once if the sender cancels the request or its stream is lost. */
 	onCancelled(action: () => void): void;
+	/** Returns for how long nothing was heard from the sender; a client of this entry has none if undefined. */
+	getSenderSilence?(): Milliseconds;
 };
 
 /** The load that a peer has reported last. */
--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -74,6 +74,11 @@
 	submitForwarded(job: ForwardedJob, cancellation: Cancellation): Promise<RelayResult>;
 	/** Cancels the job of this name. Returns false if there is none. */
 	cancel(name: string): boolean;
+	/**
+	 * Returns for how long the senders of the forwarded job with this ticket have been silent, that is the one that was heard last;
+	 * 0 for any other job.
+	 */
+	getSenderSilence(ticket: string): Milliseconds;
 	/** Returns the number of jobs of a route of which no task has started. */
 	countWaiting(route: Route): number;
 	/** Logs a refusal and returns its reply. */
@@ -83,8 +88,8 @@
 /** A job without an answer yet. */
 type OpenJob = {
 	readonly job: JobHandle;
-	/** Number of requests that wait for its answer. */
-	waiters: number;
+	/** Requests that wait for its answer. */
+	readonly waiters: Set<Cancellation>;
 };
 
 const caller = {name: clientTeam, team: clientTeam};
@@ -100,6 +105,8 @@
 	entry, log, tryGetSnapshot, checkPause,
 }: JobDeskHost): JobDesk {
 	const openJobs = new Map<string, OpenJob>();
+	/** Open jobs that other entries have forwarded, by ticket. Every batch to an agent looks its tasks up here. */
+	const forwardedJobs = new Map<string, OpenJob>();
 	let routeTable: {readonly snapshot: Snapshot; readonly table: RouteTable} | undefined;
 
 	return {
@@ -115,6 +122,11 @@
 
 			return found !== undefined;
 		},
+		getSenderSilence(ticket) {
+			const waiters = forwardedJobs.get(ticket)?.waiters ?? [];
+			const silences = [...waiters].map(waiter => waiter.getSenderSilence?.() ?? 0);
+			return silences.length === 0 ? 0 : Math.min(...silences);
+		},
 		countWaiting(route) {
 			let waiting = 0;
 			for (const {job} of openJobs.values()) {
@@ -192,7 +204,7 @@
 			throw new Error(`a submission under a new ticket was not accepted: ${outcome.kind}`);
 		}
 
-		const accepted: OpenJob = {job: outcome.job, waiters: 0};
+		const accepted: OpenJob = {job: outcome.job, waiters: new Set()};
 		if (outcome.job.tryGetAnswer() === undefined) {
 			openJobs.set(name, accepted);
 		}
@@ -202,20 +214,24 @@
 
 	/** Waits for the answer; cancels the job if the last client that waits for it disconnects. */
 	async function waitForAnswer(name: string, openJob: OpenJob, cancellation: Cancellation): Promise<JobReply | undefined> {
-		openJob.waiters++;
+		openJob.waiters.add(cancellation);
+		if (cancellation.getSenderSilence !== undefined) {
+			forwardedJobs.set(openJob.job.ticket.text, openJob);
+		}
+
 		const answer = await new Promise<Answer | undefined>(resolve => {
 			openJob.job.whenAnswered(resolve);
 			cancellation.onCancelled(() => {
 				resolve(undefined);
 			});
 		});
-		openJob.waiters--;
+		openJob.waiters.delete(cancellation);
 		if (answer !== undefined) {
 			forget(name, openJob);
 			return toReply(name, answer);
 		}
 
-		if (openJob.waiters === 0) {
+		if (openJob.waiters.size === 0) {
 			entry.coordinator.cancel(openJob.job.ticket.text, 'its client, who hung up');
 			forget(name, openJob);
 		}
@@ -225,6 +241,7 @@
 
 	/** Removes an open job, unless another one under the same name has taken its place. */
 	function forget(name: string, openJob: OpenJob): void {
+		forwardedJobs.delete(openJob.job.ticket.text);
 		if (openJobs.get(name) === openJob) {
 			openJobs.delete(name);
 		}
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -84,6 +84,7 @@
 			traffic,
 			linkBudget,
 			serveForwardedJob: async (job, cancellation) => serving.desk?.submitForwarded(job, cancellation) ?? declinedResult,
+			getSenderSilence: ticket => serving.desk?.getSenderSilence(ticket) ?? 0,
 			createScheduler: host => createResourceScheduler({...host, random: Math.random, startupGraceMs}),
 			quota: unboundedQuota,
 		},
--- a/src/platform/timing.ts
+++ b/src/platform/timing.ts
@@ -20,6 +20,10 @@
  * An agent that stood still for up to 0.5 s keeps its links and runs; small shares of a core stand still that long under
  * load. A start that was held up may then begin 1.1 s after it was sent, and ends before its entry gives it up.
  *
+ * The silence of the sender of a forwarded job and that of its server may follow one another. Their timeouts add up to 1.52 s, so the
+ * server passes on for how long the sender has been silent: an agent that then loses the server stops the runs 1.07 to 1.1 s after
+ * the last message of the sender.
+ *
  * Links on which no outcome is pending are checked seldom. Their state is then up to two seconds old, which costs a few
  * refused starts, while their heartbeats would cost most of the processor time at a few hundred machines.
  *
@@ -36,6 +40,7 @@
 	silentGraceMs: agentGraceMs,
 	startValidityMs: 600,
 	harmlessPauseMs: 500,
+	senderSilence: {reportedFromMs: 250, stopAfterMs: 1100},
 	maxReconnectDelayMs: 300,
 	maxLinksPerAgent: 12,
 };
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -82,6 +82,7 @@
 			host.upstream.stop?.(start);
 		},
 		orphanGraceMs: timing.orphanGraceMs,
+		senderSilenceMs: timing.senderSilence?.stopAfterMs,
 		onOutputPending(entry) {
 			links.scheduleFlush(entry);
 		},
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -57,6 +57,8 @@
 	readonly quota?: TeamQuota;
 	/** Serves a job that another entry has forwarded; if undefined, such jobs are declined. */
 	serveForwardedJob?(job: ForwardedJob, cancellation: Cancellation): Promise<RelayResult>;
+	/** Returns for how long the sender of the forwarded job with this ticket has been silent; 0 for any other job. */
+	getSenderSilence?(ticket: string): Milliseconds;
 	authenticate(token: string): Result<Principal, Diagnostic>;
 	/** Whether the bearer tokens have been loaded, so that requests can be authenticated. */
 	areTokensLoaded(): boolean;
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -147,6 +147,7 @@
 		timing,
 		onBatchReceived: host.pauseDetector?.check,
 		onUnexpectedError: logUnexpectedError,
+		getSenderSilence: host.getSenderSilence,
 		isNetworkBusy: () => host.linkBudget?.isBusy() ?? false,
 		onStartQueued(bytes) {
 			startPacing?.recordStart(bytes);
--- a/test/failure/leased.test.ts
+++ b/test/failure/leased.test.ts
@@ -18,6 +18,11 @@
  * that its sender had given up.
  */
 const failedOnceWithForwarding: ReadonlyArray<readonly [number, FailureOptions]> = [[1121, {hasExecutorFaults: true}], [2254, {}], [5262, {hasExecutorFaults: true}]];
+/**
+ * Seeds of runs with chained faults that failed once: the server of a forwarded job was lost up to 0.7 s after the sender, and its
+ * agents counted their silence timeout from then.
+ */
+const failedOnceWithChains = [30, 71, 108, 116];
 /** Number of seeds within which each injected defect must be detected. */
 const defectSeeds = 40;
 
@@ -115,6 +120,13 @@
 		});
 	}
 
+	for (const seed of failedOnceWithChains) {
+		it(`violate no guarantee while the sender and the server of a job are lost, seed ${seed}, which failed once`, async t => {
+			const {violations} = await runLeasedFailures(seed, {chains: ['sender'], loadSharing: forwardingFromOne});
+			t.deepEqual(violations, []);
+		});
+	}
+
 	for (const seed of failedOnce) {
 		it(`violate no guarantee, seed ${seed}, which failed once`, async t => {
 			const {violations} = await runLeasedFailures(seed);
