Bring about the planted defect of kept forwarded jobs on every run

The new test plants the defect, loses the sender of a forwarded job and sees its tasks run twice, with each of 5 seeds.

--- a/test/failure/chained-losses.test.ts
+++ b/test/failure/chained-losses.test.ts
@@ -6,8 +6,11 @@
 import {describe, it} from '../describe.js';
 import {overlapRule, findLeasedViolations} from './leased/checker.js';
 import {createClients, type Clients} from './leased/clients.js';
-import {createLeasedCluster, agentNames, type LeasedCluster} from './leased/cluster.js';
+import {
+	createLeasedCluster, agentNames, type InjectedDefects, type LeasedCluster,
+} from './leased/cluster.js';
 
+const plantedDefectSeeds = 5;
 const unnoticedMs: Milliseconds = 60_000;
 /** With the time since the last heartbeat, less than the silence timeout. */
 const harmlessFreezeMs: Milliseconds = 350;
@@ -76,14 +79,24 @@
 			t.deepEqual(runs.map(({endDetail}) => endDetail), ['done', 'done', 'done', 'done'], `${phase} ms`);
 		}
 	});
+
+	// The search by random faults found this planted defect by luck only.
+	it('have two runs of a task at the same time if their server keeps serving them after the sender was lost, which the check sees', async t => {
+		for (let seed = 1; seed <= plantedDefectSeeds; seed++) {
+			const chain = await forwardJob(seed, {areForwardedJobsKept: true});
+			chain.cluster.kill('e1', unnoticedMs, 0);
+			const overlaps = await findOverlaps(chain);
+			t.true(overlaps.length > 0, `seed ${seed}`);
+		}
+	});
 });
 
 /** Starts a cluster in which e2 serves a job that e1 has forwarded, and whose client repeats it at e3. */
-async function forwardJob(seed: number): Promise<Chain> {
+async function forwardJob(seed: number, defects?: InjectedDefects): Promise<Chain> {
 	const utilization: Record<string, number> = {e1: 1, e2: 0, e3: 1};
 	const clients: Clients = createClients(() => cluster);
 	const cluster = await createLeasedCluster(seed, clients.breakConnections, {
-		loadSharing: {coordinationCostMs: 0, getLoad: (_random, entry) => ({utilization: utilization[entry]!, delay: 0})},
+		defects, loadSharing: {coordinationCostMs: 0, getLoad: (_random, entry) => ({utilization: utilization[entry]!, delay: 0})},
 	});
 	for (const executor of cluster.executors.values()) {
 		executor.sampleRun = () => ({length: longRunMs, fails: false});
