--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -6,7 +6,7 @@
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
 import {
 	RefusalReason, TaskOutcome,
-	type AgentHello, type EntryBatch, type HeldReply, type TaskResult, type TaskStart,
+	type AgentHello, type EntryBatch, type HeldReply, type SenderSilence, type TaskResult, type TaskStart,
 } from '../generated/kingcuplane.js';
 import {createIsolationGuard} from './isolation-guard.js';
 import {resolvePayloads} from './shared-payloads.js';
@@ -38,6 +38,8 @@
 	readonly orphanGraceMs?: Milliseconds;
 	/** Time after the last message of an entry until which its runs may go on; unlimited if undefined. */
 	readonly maxSilentRunMs?: Milliseconds;
+	/** Silence of the sender of a forwarded job after which its runs are stopped; see {@link SenderSilenceTiming}. */
+	readonly senderSilenceMs?: Milliseconds;
 	/** Runs the task at the upstream; `done` is called exactly once. */
 	run(start: TaskStart, done: (runResult: RunResult) => void): void;
 	/** Stops a run whose result is no longer needed; its `done` is still called. Has no effect if the run has ended. */
@@ -99,6 +101,8 @@
 	/** Running tasks by the number of their start. */
 	readonly running: Map<number, TaskStart>;
 	orphanTimer?: Timer;
+	/** Stop the runs of forwarded jobs whose senders were silent when the last batch was sent. They outlast the link. */
+	senderTimers: readonly Timer[];
 	held: HeldReply[];
 	/** Pending while results of jobs that are still in progress here wait for more results. */
 	partialResultTimer?: Timer;
@@ -227,6 +231,7 @@
 			fencedIncarnations.add(incarnation);
 		}
 
+		restartSenderTimers(record, batch.senderSilences);
 		acknowledge(record, batch.resultsAcked);
 		granter.setReturnedCredits(entry, batch.returned);
 		for (const start of starts) {
@@ -284,6 +289,25 @@
 		}
 	}
 
+	// The entry that serves the jobs may be lost before it notices that their senders are.
+	function restartSenderTimers(record: SessionRecord, silences: readonly SenderSilence[]): void {
+		const {senderSilenceMs} = host;
+		for (const timer of record.senderTimers) {
+			timer.cancel();
+		}
+
+		if (senderSilenceMs === undefined) {
+			return;
+		}
+
+		record.senderTimers = silences.map(({startSeq, silentMs}) => host.clock.after(Math.max(0, senderSilenceMs - silentMs), () => {
+			const start = record.running.get(startSeq);
+			if (start !== undefined) {
+				host.stop(start, 'entry-lost');
+			}
+		}));
+	}
+
 	function stopRuns(record: SessionRecord): void {
 		for (const start of record.running.values()) {
 			host.stop(start, 'entry-lost');
@@ -383,6 +407,7 @@
 		sentSeq: 0,
 		receivedStarts: 0,
 		running: new Map(),
+		senderTimers: [],
 		held: [],
 		isOpen: false,
 		heardAt: -Infinity,
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -83,6 +83,7 @@
 		},
 		orphanGraceMs: timing.orphanGraceMs,
 		maxSilentRunMs: timing.maxSilentRunMs,
+		senderSilenceMs: timing.senderSilence?.stopAfterMs,
 		onOutputPending(entry) {
 			links.scheduleFlush(entry);
 		},
