Let agents notice a suspension by the clock of their executor

Callers of an agent that was suspended for 2 to 4 s while its time of day was stepped back by as much could see their tasks run twice at the same time for some 180 ms: the steady clock does not count a suspension, the time of day did not show it, so the agent ran starts from its sockets that their entry had given up and started elsewhere. The executor refused the first call of such a start as late, since its lease was computed by the clock offset from before; the agent then polled for the new offset and repeated the call.

The executor's clock runs on while the agent is suspended, so its offset jumps. Each response is now compared with the earlier ones (clock-comparison.ts). A mere step of the time of day changes no offset.

Ruled out: the same suspensions without a step violate nothing. Held-up starts between the resumption and the first response cannot run: their lease has expired on the executor's clock. Late responses lower an offset and never look like a suspension.

--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -55,6 +55,7 @@
 			log,
 			metrics,
 			takePauseTime: takeAccumulatedPause,
+			onPauseWitnessed: pauseDetector.recordWitnessed,
 			harmlessPauseMs: platformTiming.harmlessPauseMs!,
 			...events,
 		}),
--- a/src/process/executor-lease.ts
+++ b/src/process/executor-lease.ts
@@ -2,6 +2,7 @@
  * The agent's side of its lease on an executor: the fencing token of its calls, an estimate of the executor's clock, and
  * the time until which the lease may be active there.
  */
+import {createClockComparison} from './clock-comparison.js';
 import type {Clock, Milliseconds} from './clock.js';
 import type {WithExecutorTime} from './executor-types.js';
 
@@ -14,6 +15,8 @@
 	readonly maxLeaseMs: Milliseconds;
 	/** Returns the time beyond which the lease must not be renewed now; Infinity if there is no such limit. */
 	getRenewalLimit(): Milliseconds;
+	/** Called when the executor's clock shows that this process was suspended, before the response that shows it is handled. */
+	onPauseWitnessed(pause: Milliseconds): void;
 };
 
 /** Fencing token and lease for one incarnation of an executor. */
@@ -53,7 +56,10 @@
 const fencingTokenCatchUpStep = 1000;
 
 /** Creates the lease for an executor incarnation that has not responded yet. */
-export function createExecutorLease({clock, firstFencingToken, maxLeaseMs, getRenewalLimit}: ExecutorLeaseHost): ExecutorLease {
+export function createExecutorLease({
+	clock, firstFencingToken, maxLeaseMs, getRenewalLimit, onPauseWitnessed,
+}: ExecutorLeaseHost): ExecutorLease {
+	const clockComparison = createClockComparison(clock);
 	const leaseDuration = Math.min(leaseMs, maxLeaseMs);
 	let fencingToken = firstFencingToken;
 	let clockOffset: Milliseconds | undefined;
@@ -79,6 +85,7 @@
 		recordResponse(response) {
 			if (response.executorTime !== undefined) {
 				clockOffset = response.executorTime - clock.now();
+				reportWitnessedPause(clockComparison.record(response.executorTime));
 			}
 
 			return response;
@@ -96,4 +103,10 @@
 	function getDuration(): Milliseconds {
 		return Math.min(leaseDuration, getRenewalLimit() - clock.now());
 	}
+
+	function reportWitnessedPause(pause: Milliseconds): void {
+		if (pause > 0) {
+			onPauseWitnessed(pause);
+		}
+	}
 }
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -49,6 +49,8 @@
 	getSilentRunLimit?(): Milliseconds;
 	/** Returns the total time for which this process was paused since the last call, and resets it to 0. */
 	takePauseTime(): Milliseconds;
+	/** Called when the executor's clock shows that this process was suspended. */
+	onPauseWitnessed(pause: Milliseconds): void;
 };
 
 /** An upstream that runs its tasks on an executor under a lease. */
@@ -104,7 +106,7 @@
 export function createLeasedUpstream(host: LeasedUpstreamHost): LeasedUpstream {
 	const {clock, executor, log} = host;
 	const runs = new Map<string, Run>();
-	const lease = createExecutorLease({...host, getRenewalLimit});
+	const lease = createExecutorLease({...host, getRenewalLimit, onPauseWitnessed: handleWitnessedPause});
 	const poller = createExecutorPoller({
 		clock,
 		executor,
@@ -125,11 +127,7 @@
 				endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, 'the executor does not answer; its lease has run out', RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE);
 			}
 		},
-		onPaused() {
-			for (const run of runs.values()) {
-				requestStop(run, 'agent-paused');
-			}
-		},
+		onPaused: stopAllRuns,
 		onIncarnationChanged: host.onIncarnationChanged,
 		onUnreachable: host.onUnreachable,
 		takePauseTime: host.takePauseTime,
@@ -187,6 +185,22 @@
 		return limit;
 	}
 
+	// While this process was suspended, entries may have abandoned the runs here and the starts that wait in the sockets.
+	function handleWitnessedPause(pause: Milliseconds): void {
+		if (pause > host.harmlessPauseMs) {
+			log.warn({pause}, 'this process was suspended, as the clock of the executor shows');
+			stopAllRuns();
+		}
+
+		host.onPauseWitnessed(pause);
+	}
+
+	function stopAllRuns(): void {
+		for (const run of runs.values()) {
+			requestStop(run, 'agent-paused');
+		}
+	}
+
 	function reportLostRuns(): void {
 		hasLostRuns = true;
 		host.onRunsLost(getActiveStarts());
@@ -214,6 +228,12 @@
 
 	async function sendStart(run: Run): Promise<void> {
 		for (let attempts = 0; attempts < maxStartAttempts && runs.get(run.task) === run; attempts++) {
+			// The response to the call before may have shown that this process was suspended after it had received the start.
+			if (run.stop !== undefined) {
+				endRun(run, TaskOutcome.TASK_OUTCOME_REFUSED, 'the order came too late', RefusalReason.REFUSAL_REASON_EXPIRED);
+				return;
+			}
+
 			const leaseExpiresAt = lease.tryGetLeaseExpiry();
 			if (leaseExpiresAt === undefined) {
 				break;
--- a/src/process/pause-detector.ts
+++ b/src/process/pause-detector.ts
@@ -1,6 +1,7 @@
 /**
  * Detects pauses of this process: its timers fired late, or wall time advanced while the monotonic clock did not. A step
- * of the wall clock looks the same, so before an action that cannot be undone, another source has to confirm the pause.
+ * of the wall clock looks the same, so before an action that cannot be undone, another source has to confirm the pause. A
+ * step backward may also hide a pause, which then only the clock of another process shows.
  */
 import {every, type Clock, type Milliseconds} from './clock.js';
 
@@ -10,16 +11,25 @@
 	check(): void;
 	/** Calls `action` with the length of each pause as soon as it is detected. Returns a function that unsubscribes it. */
 	onPause(action: (pause: Milliseconds) => void): () => void;
+	/** Calls `action` after each pause, and when the wall clock was stepped backward, which may have hidden a pause of any length. */
+	onPossiblePause(action: () => void): void;
+	/** Reports a pause that the clock of another process has shown, unless it was detected here. */
+	recordWitnessed(pause: Milliseconds): void;
 	stop(): void;
 };
 
 const checkIntervalMs: Milliseconds = 100;
 /** A delay up to this is attributed to load. */
 const toleranceMs: Milliseconds = 200;
+/** Time within which a pause that was detected here is shown by the clock of another process, too. */
+const witnessDelayMs: Milliseconds = 2500;
 
 /** Creates a detector. It also checks at regular intervals, so that a pause is detected without a call of `check`. */
 export function createPauseDetector(clock: Clock): PauseDetector {
 	const listeners = new Set<(pause: Milliseconds) => void>();
+	const possiblePauseListeners: Array<() => void> = [];
+	/** Recent pauses that the monotonic clock did not count. */
+	let uncounted: Array<{readonly at: Milliseconds; readonly pause: Milliseconds}> = [];
 	let checkedAt = clock.now();
 	let wallOffset = clock.wall() - checkedAt;
 	const timer = every(clock, checkIntervalMs, check);
@@ -32,6 +42,19 @@
 				listeners.delete(action);
 			};
 		},
+		onPossiblePause(action) {
+			possiblePauseListeners.push(action);
+		},
+		recordWitnessed(pause) {
+			check();
+			const now = clock.now();
+			uncounted = uncounted.filter(({at}) => at >= now - witnessDelayMs);
+			const detected = uncounted.reduce((sum, known) => sum + known.pause, 0);
+			if (pause - detected > toleranceMs) {
+				uncounted.push({at: now, pause: pause - detected});
+				report(pause - detected);
+			}
+		},
 		stop() {
 			timer.cancel();
 		},
@@ -40,13 +63,32 @@
 	function check(): void {
 		const now = clock.now();
 		const newWallOffset = clock.wall() - now;
-		const pause = Math.max(0, now - checkedAt - checkIntervalMs) + Math.max(0, newWallOffset - wallOffset);
+		const wallStep = newWallOffset - wallOffset;
+		const pause = Math.max(0, now - checkedAt - checkIntervalMs) + Math.max(0, wallStep);
 		checkedAt = now;
 		wallOffset = newWallOffset;
+		if (wallStep > toleranceMs) {
+			uncounted.push({at: now, pause: wallStep});
+		}
+
 		if (pause > toleranceMs) {
-			for (const listener of listeners) {
-				listener(pause);
-			}
+			report(pause);
+		} else if (wallStep < -toleranceMs) {
+			reportPossiblePause();
+		}
+	}
+
+	function report(pause: Milliseconds): void {
+		for (const listener of listeners) {
+			listener(pause);
+		}
+
+		reportPossiblePause();
+	}
+
+	function reportPossiblePause(): void {
+		for (const listener of possiblePauseListeners) {
+			listener();
 		}
 	}
 }
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -105,6 +105,8 @@
 	/** Keeps the event loop of an entry or an agent busy. Needs action costs. */
 	stall(name: string, duration: Milliseconds): void;
 	freeze(name: string, duration: Milliseconds): void;
+	/** Steps the time of day of an entry or an agent, forward or, if negative, backward. */
+	stepWallClock(name: string, by: Milliseconds): void;
 	setLeaving(agent: string, isLeaving: boolean): void;
 	/** Evacuates the data centre of an agent, or takes that back. Each agent has a data centre of its own. */
 	setEvacuated(agent: string, isEvacuated: boolean): void;
@@ -183,6 +185,9 @@
 		stall(name, duration) {
 			getProcess(name).spend(duration);
 		},
+		stepWallClock(name, by) {
+			getProcess(name).stepWallClock(by);
+		},
 		setLeaving(name, isLeaving) {
 			if (isLeaving) {
 				leavingStartedAt.set(name, clock.now());
@@ -325,6 +330,7 @@
 					metrics: noMetrics,
 					harmlessPauseMs: timing.harmlessPauseMs!,
 					takePauseTime: createPauseAccumulator(detector),
+					onPauseWitnessed: detector.recordWitnessed,
 					...events,
 				});
 			},
--- a/test/failure/simulation.ts
+++ b/test/failure/simulation.ts
@@ -38,6 +38,8 @@
 	kill(): void;
 	freeze(): void;
 	thaw(): void;
+	/** Steps the time of day, forward or, if negative, backward. */
+	stepWallClock(by: Milliseconds): void;
 	/** Uses processor time, for which the next action waits. */
 	spend(time: Milliseconds): void;
 	/** Returns the total processor time that was used until now. */
@@ -83,7 +85,7 @@
 /** Creates a process whose clock runs up to 1 % too fast or too slow. */
 export function createProcess({clock, random}: Simulation, name: string, {skewMs = 5000, isClockFrozen = false, actionCostMs}: ProcessOptions = {}): SimulatedProcess {
 	const rate = 1 + (random.integer(-10, 10) / 1000);
-	const skew = random.integer(-skewMs, skewMs);
+	let skew = random.integer(-skewMs, skewMs);
 	let state: 'running' | 'frozen' | 'dead' = 'running';
 	let frozenAt: Milliseconds = 0;
 	/** Total time for which the monotonic clock was stopped. */
@@ -134,6 +136,9 @@
 
 			scheduleQueue();
 		},
+		stepWallClock(by) {
+			skew += by;
+		},
 		spend(time) {
 			busyUntil = Math.max(busyUntil, clock.now()) + time;
 			activeTime += time;
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -1,6 +1,6 @@
 import type {ExecutionContext} from 'ava';
 import type {RunResult} from '../../src/connection/entry-sessions.js';
-import {TaskOutcome, type TaskStart} from '../../src/generated/kingcuplane.js';
+import {RefusalReason, TaskOutcome, type TaskStart} from '../../src/generated/kingcuplane.js';
 import type {Milliseconds} from '../../src/process/clock.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {createLeasedUpstream, type LeasedUpstream} from '../../src/process/leased-upstream.js';
@@ -20,6 +20,8 @@
 	readonly upstream: LeasedUpstream;
 	readonly results: RunResult[];
 	pendingPause: Milliseconds;
+	/** Pauses that the executor's clock has shown. */
+	readonly witnessedPauses: Milliseconds[];
 	incarnationChanges: number;
 	/** Number of runs in the last report of lost runs. */
 	lostRuns: number;
@@ -43,6 +45,7 @@
 			fixture.pendingPause = pause;
 		},
 		pendingPause: 0,
+		witnessedPauses: [],
 		incarnationChanges: 0,
 		lostRuns: 0,
 		progress: [],
@@ -72,6 +75,9 @@
 				fixture.pendingPause = 0;
 				return pause;
 			},
+			onPauseWitnessed(pause) {
+				fixture.witnessedPauses.push(pause);
+			},
 		}),
 		start(reference, attempt = 1, expectedRunMs = 0) {
 			const start = createStart(reference, attempt, expectedRunMs);
@@ -415,6 +421,7 @@
 				onRecovered: () => undefined,
 				harmlessPauseMs,
 				takePauseTime: () => 0,
+				onPauseWitnessed: () => undefined,
 			});
 			t.teardown(async () => second.close());
 			const takingOver = second.takeOver();
@@ -443,6 +450,7 @@
 				onRecovered: () => undefined,
 				harmlessPauseMs,
 				takePauseTime: () => 0,
+				onPauseWitnessed: () => undefined,
 			});
 			t.teardown(async () => second.close());
 			const takingOver = second.takeOver();
@@ -472,6 +480,40 @@
 			t.is(fixture.results[0]?.outcome, TaskOutcome.TASK_OUTCOME_COMPLETED);
 		});
 
+		// Issue 34: the time of day was stepped back meanwhile, so nothing but the executor's clock shows the pause.
+		it('that a step of the time of day hides is reported with its length, and stops all runs', async t => {
+			const fixture = await createFixture(t, 5000);
+			fixture.start('a');
+			await fixture.runFor(100);
+			fixture.executor.clockOffsetMs += 450;
+			await fixture.runFor(400);
+			t.is(fixture.witnessedPauses.length, 1);
+			t.true(Math.abs(fixture.witnessedPauses[0]! - 450) < 30, `${fixture.witnessedPauses[0]}`);
+			t.is(fixture.executor.runs[0]?.endDetail, 'stopped');
+		});
+
+		// Issue 34: the call is refused as late, but was repeated with a new lease although the task had been started elsewhere.
+		it('that is hidden and precedes a start from the sockets refuses that start', async t => {
+			const fixture = await createFixture(t);
+			fixture.executor.clockOffsetMs += 2000;
+			fixture.start('a');
+			await fixture.runFor(300);
+			t.deepEqual(fixture.results.map(({outcome, reason}) => ({outcome, reason})), [{outcome: TaskOutcome.TASK_OUTCOME_REFUSED, reason: RefusalReason.REFUSAL_REASON_EXPIRED}]);
+			t.is(fixture.executor.runs.length, 0);
+			fixture.start('b');
+			await fixture.runFor(300);
+			t.is(fixture.results[1]?.outcome, TaskOutcome.TASK_OUTCOME_COMPLETED);
+		});
+
+		it('is not seen in an executor that was unreachable for a while', async t => {
+			const fixture = await createFixture(t, 5000);
+			fixture.executor.isUnreachable = true;
+			await fixture.runFor(5000);
+			fixture.executor.isUnreachable = false;
+			await fixture.runFor(1000);
+			t.deepEqual(fixture.witnessedPauses, []);
+		});
+
 		it('stops no run if it was too short for any entry to abandon one', async t => {
 			const fixture = await createFixture(t, 600);
 			fixture.start('a');
@@ -504,6 +546,7 @@
 			onRecovered: () => undefined,
 			harmlessPauseMs: 500,
 			takePauseTime: () => 0,
+			onPauseWitnessed: () => undefined,
 		});
 		const takingOver = upstream.takeOver();
 		for (let i = 0; i < 100; i++) {
--- a/test/process/pause-detector.test.ts
+++ b/test/process/pause-detector.test.ts
@@ -3,17 +3,23 @@
 import {createPauseDetector} from '../../src/process/pause-detector.js';
 import {describe, it} from '../describe.js';
 
-function createFixture(): {readonly clock: FakeClock; readonly pauses: Milliseconds[]; stepWallClock(time: Milliseconds): void; pauseProcess(time: Milliseconds): void; check(): void} {
+function createFixture(): {readonly clock: FakeClock; readonly pauses: Milliseconds[]; possiblePauses(): number; recordWitnessed(pause: Milliseconds): void; stepWallClock(time: Milliseconds): void; pauseProcess(time: Milliseconds): void; check(): void} {
 	const clock = createFakeClock();
 	let wallStep: Milliseconds = 0;
 	let pausedTime: Milliseconds = 0;
 	const processClock: Clock = {now: () => clock.now() + pausedTime, wall: () => clock.now() + pausedTime + wallStep, after: clock.after};
 	const pauses: Milliseconds[] = [];
 	const detector = createPauseDetector(processClock);
+	let possiblePauses = 0;
 	detector.onPause(pause => pauses.push(pause));
+	detector.onPossiblePause(() => {
+		possiblePauses++;
+	});
 	return {
 		clock,
 		pauses,
+		possiblePauses: () => possiblePauses,
+		recordWitnessed: detector.recordWitnessed,
 		stepWallClock(time) {
 			wallStep += time;
 		},
@@ -58,6 +64,35 @@
 		t.is(calls, 0);
 	});
 
+	// Issue 34: a step backward hid a suspension.
+	it('reports a possible pause after each pause and after a backward step of the wall clock', t => {
+		const {clock, pauses, possiblePauses, stepWallClock} = createFixture();
+		clock.advance(1000);
+		stepWallClock(-2000);
+		clock.advance(1000);
+		t.is(possiblePauses(), 1);
+		t.deepEqual(pauses, []);
+		stepWallClock(2000);
+		clock.advance(1000);
+		t.is(possiblePauses(), 2);
+	});
+
+	it('reports a pause that another clock has shown, but only the part that was not detected here', t => {
+		const {clock, pauses, stepWallClock, recordWitnessed} = createFixture();
+		clock.advance(1000);
+		recordWitnessed(2000);
+		recordWitnessed(2100);
+		t.deepEqual(pauses, [2000]);
+		clock.advance(3000);
+		stepWallClock(3000);
+		clock.advance(400);
+		recordWitnessed(3050);
+		t.deepEqual(pauses, [2000, 3000]);
+		clock.advance(3000);
+		recordWitnessed(1000);
+		t.deepEqual(pauses, [2000, 3000, 1000]);
+	});
+
 	it('reports a pause that the monotonic clock did not count, but no backward step of the wall clock', t => {
 		const {clock, pauses, stepWallClock} = createFixture();
 		clock.advance(1000);
