Take an executor over with a token above all that the earlier agent may have used

A new agent accepted the first fencing token that the executor did not refuse. The earlier agent may have raised its own above that without any call having shown it to the executor, above all if the time of day, from which the first token comes, was stepped back before the restart: 1,000 for each unanswered call, where the new agent gains 1 for each millisecond. A start call of the earlier agent that was carried out late, within its lease of 0.5 s, then started its task after the executor had been reported as taken over.

The new agent now raises its token by 1,000,000 whenever it is refused, and once more when it is accepted, before it trusts the list of runs. That costs one or two polls of a millisecond.

--- a/src/process/executor-lease.ts
+++ b/src/process/executor-lease.ts
@@ -29,6 +29,8 @@
 	raiseFencingToken(usedToken: number): void;
 	/** Raises the fencing token after a call with `usedToken` was refused because a higher one had been used. */
 	catchUpFencingToken(usedToken: number): void;
+	/** Raises the fencing token by more than an earlier agent can have raised its own without the executor having seen that. */
+	raiseAboveEarlierAgent(): void;
 	/** Returns until when, on the executor's clock, the lease may be renewed now; undefined until that clock was reported, and while the lease must not be renewed. */
 	tryGetLeaseExpiry(): Milliseconds | undefined;
 	/** Called before a call that renews the lease is sent. The call may take effect even if no response arrives. */
@@ -54,6 +56,8 @@
 const fencingTokenStep = 1;
 /** Increment after a refusal, until the token is high enough. */
 const fencingTokenCatchUpStep = 1000;
+/** Increment when an executor is taken over: an agent raises its token at most once in some milliseconds. */
+const takeOverTokenStep = 1_000_000;
 
 /** Creates the lease for an executor incarnation that has not responded yet. */
 export function createExecutorLease({
@@ -78,6 +82,9 @@
 			const duration = getDuration();
 			return clockOffset === undefined || duration <= 0 ? undefined : Math.floor(clock.now() + clockOffset + duration);
 		},
+		raiseAboveEarlierAgent() {
+			fencingToken += takeOverTokenStep;
+		},
 		recordRenewal() {
 			expiresAt = Math.max(expiresAt, clock.now() + (getDuration() * (1 + maxClockRateError)) + clockMarginMs);
 		},
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -210,9 +210,20 @@
 		return [...runs.values()].map(run => run.start);
 	}
 
+	// The first token comes from the time of day, which may have been stepped back, and the earlier agent may have raised its
+	// own. So a token that the executor accepts is not enough: calls that have not arrived yet may carry a higher one.
 	async function takeOver(): Promise<void> {
+		let isAboveEarlierAgent = false;
 		while (poller.isOpen()) {
+			const usedFencingToken = lease.getFencingToken();
 			const status = await poller.poll();
+			const isFenced = lease.getFencingToken() !== usedFencingToken;
+			if (isFenced || (status !== undefined && !isAboveEarlierAgent)) {
+				isAboveEarlierAgent = !isFenced;
+				lease.raiseAboveEarlierAgent();
+				continue;
+			}
+
 			if (status?.running.length === 0) {
 				poller.pollNow();
 				return;
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -459,6 +459,45 @@
 			await takingOver;
 			t.is(fixture.executor.runs[0]?.endDetail, 'stopped');
 		});
+
+		// Issue 34: the earlier agent had raised its token, which no call had shown to the executor yet, above that of the next one.
+		for (const firstFencingToken of [5, 500]) {
+			it(`leaves no late start call of an earlier agent that could take effect, from token ${firstFencingToken}`, async t => {
+				const fixture = await createFixture(t, 5000);
+				fixture.executor.unansweredCalls.hold = 100;
+				fixture.executor.unansweredCalls.start = 1;
+				fixture.start('a');
+				await fixture.runFor(160);
+				fixture.executor.unansweredCalls.start = 1;
+				fixture.executor.unansweredCalls.delay = 250;
+				fixture.start('b');
+				await fixture.runFor(5);
+				const second = createLeasedUpstream({
+					clock: fixture.clock,
+					executor: fixture.executor,
+					firstFencingToken,
+					maxLeaseMs: 1000,
+					log: silentLog,
+					metrics: noMetrics,
+					onIncarnationChanged: () => undefined,
+					onProjectedSlowdowns: () => undefined,
+					onUnreachable: () => undefined,
+					onShortage: () => undefined,
+					onRunsLost: () => undefined,
+					onRecovered: () => undefined,
+					harmlessPauseMs,
+					takePauseTime: () => 0,
+					onPauseWitnessed: () => undefined,
+				});
+				t.teardown(async () => second.close());
+				fixture.executor.unansweredCalls.hold = 0;
+				const takingOver = second.takeOver();
+				await fixture.upstream.close();
+				await fixture.runFor(600);
+				await takingOver;
+				t.deepEqual(fixture.executor.runs, []);
+			});
+		}
 	});
 
 	describe('a pause of this process', () => {
