Count towards the silence of entries only what the clock did not count of a pause

Cause: a pause that shows in late timers is on the monotonic clock already, so it made entries seem silent for twice as long; on a slow agent that would have cost all runs their lease.

Change: listeners of the pause detector are told which part of a pause the clock did not count; messages that waited still count as that much older.

Conclusion: pauses that only late timers show no longer shorten the lease beyond the time that has passed.

--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -74,8 +74,11 @@
 	receive(entry: string, batch: EntryBatch): void;
 	/** Returns the output that was not yet sent on the open link and marks it as sent. */
 	takePendingOutput(entry: string): PendingOutput;
-	/** To be called after a pause of this process, before messages are read that may have waited meanwhile. */
-	recordPause(pause: Milliseconds): void;
+	/**
+	 * To be called after a pause of this process, before messages are read that may have waited meanwhile. `uncounted` is the part
+	 * of it that the clock did not count.
+	 */
+	recordPause(pause: Milliseconds, uncounted: Milliseconds): void;
 	/** Sets whether the agent is draining; every start is refused while it is. */
 	setDraining(draining: boolean): void;
 	getRunningTasks(): number;
@@ -176,10 +179,9 @@
 				granted: granter.getGrantedCredits(entry), results, receivedStarts: record.receivedStarts, held,
 			};
 		},
-		recordPause(pause) {
-			// The clock may have stood still too, so the time since a message may be longer than it shows.
+		recordPause(pause, uncounted) {
 			for (const record of records.values()) {
-				record.heardAt -= pause;
+				record.heardAt -= uncounted;
 			}
 
 			messageDelay = pause;
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -163,8 +163,8 @@
 
 	// During the pause entries may have abandoned starts that are still in the sockets. On a new link the agent reports to
 	// each entry which starts it has received.
-	function handlePause(pause: Milliseconds): void {
-		sessions.recordPause(pause);
+	function handlePause(pause: Milliseconds, uncounted: Milliseconds): void {
+		sessions.recordPause(pause, uncounted);
 		if (pause <= (timing.harmlessPauseMs ?? 0)) {
 			return;
 		}
--- a/src/process/pause-detector.ts
+++ b/src/process/pause-detector.ts
@@ -5,12 +5,15 @@
  */
 import {every, type Clock, type Milliseconds} from './clock.js';
 
+/** Called with the length of a pause, and the part of it that the monotonic clock did not count. */
+export type PauseListener = (pause: Milliseconds, uncounted: Milliseconds) => void;
+
 /** Detects pauses of this process. */
 export type PauseDetector = {
 	/** Checks for a pause now, for instance before reading input that may have arrived during one. */
 	check(): void;
-	/** Calls `action` with the length of each pause as soon as it is detected. Returns a function that unsubscribes it. */
-	onPause(action: (pause: Milliseconds) => void): () => void;
+	/** Calls `action` with each pause as soon as it is detected. Returns a function that unsubscribes it. */
+	onPause(action: PauseListener): () => void;
 	/** Calls `action` after each pause, and when the wall clock was stepped backward, which may have hidden a pause of any length. */
 	onPossiblePause(action: () => void): void;
 	/** Reports a pause that the clock of another process has shown, unless it was detected here. */
@@ -26,7 +29,7 @@
 
 /** Creates a detector. It also checks at regular intervals, so that a pause is detected without a call of `check`. */
 export function createPauseDetector(clock: Clock): PauseDetector {
-	const listeners = new Set<(pause: Milliseconds) => void>();
+	const listeners = new Set<PauseListener>();
 	const possiblePauseListeners: Array<() => void> = [];
 	/** Recent pauses that the monotonic clock did not count. */
 	let uncounted: Array<{readonly at: Milliseconds; readonly pause: Milliseconds}> = [];
@@ -52,7 +55,7 @@
 			const detected = uncounted.reduce((sum, known) => sum + known.pause, 0);
 			if (pause - detected > toleranceMs) {
 				uncounted.push({at: now, pause: pause - detected});
-				report(pause - detected);
+				report(pause - detected, pause - detected);
 			}
 		},
 		stop() {
@@ -72,15 +75,15 @@
 		}
 
 		if (pause > toleranceMs) {
-			report(pause);
+			report(pause, Math.max(0, wallStep));
 		} else if (wallStep < -toleranceMs) {
 			reportPossiblePause();
 		}
 	}
 
-	function report(pause: Milliseconds): void {
+	function report(pause: Milliseconds, uncountedPause: Milliseconds): void {
 		for (const listener of listeners) {
-			listener(pause);
+			listener(pause, uncountedPause);
 		}
 
 		reportPossiblePause();
