--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -355,14 +355,15 @@
 	}
 
 	function listSenderSilences({session}: Link): SenderSilence[] {
-		if (timing.senderSilence === undefined || host.getSenderSilence === undefined) {
+		if (timing.senderSilence === undefined || timing.silence === undefined || host.getSenderSilence === undefined) {
 			return [];
 		}
 
 		const silences: SenderSilence[] = [];
 		for (const [startSeq, {ticket}] of session.getSentStarts()) {
 			const silence = host.getSenderSilence(ticket);
-			if (silence >= timing.senderSilence.reportedFromMs) {
+			// From the silence timeout on, this entry has decided itself: an agent that stopped the run would only get it again.
+			if (silence >= timing.senderSilence.reportedFromMs && silence < timing.silence.activeMs) {
 				silences.push({startSeq, silentMs: Math.round(silence)});
 			}
 		}
