--- a/src/connection/peer-server.ts
+++ b/src/connection/peer-server.ts
@@ -86,7 +86,7 @@
 		};
 		streams.add(accepted);
 		stream.on('data', batch => {
-			// A request that is read after the end of its stream can no longer be cancelled.
+			// A request on a closed stream would be served without heartbeats, and no loss of its sender would be noticed.
 			if (!streams.has(accepted)) {
 				return;
 			}
--- a/test/failure/leased.test.ts
+++ b/test/failure/leased.test.ts
@@ -120,6 +120,12 @@
 		});
 	}
 
+	// Issue 34: a request that arrived on a stream that its server had closed was served without watching its sender.
+	it('violate no guarantee while one chain of a job is hit by several faults, seed 1121, which failed once', async t => {
+		const {violations} = await runLeasedFailures(1121, {chains: ['sender', 'reset', 'stall'], loadSharing: forwardingFromOne});
+		t.deepEqual(violations, []);
+	});
+
 	for (const seed of failedOnceWithChains) {
 		it(`violate no guarantee while the sender and the server of a job are lost, seed ${seed}, which failed once`, async t => {
 			const {violations} = await runLeasedFailures(seed, {chains: ['sender'], loadSharing: forwardingFromOne});
