Wait after a stop call that fails at once

Cause: a stop call without a response was repeated after 5 ms, since it had waited for its time-out; one whose connection is reset fails at once, and was repeated up to 100 times until the lease ran out. Found in the review.

Change: the delay counts from the call, so such a call is repeated after 100 ms as before.

--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -93,7 +93,7 @@
 const takeOverRetryMs: Milliseconds = 40;
 /** Delay between two attempts to stop a run. */
 const stopRetryMs: Milliseconds = 100;
-/** The same delay after a stop call without a response, which has already waited for its timeout. */
+/** Least delay after a stop call without a response, which may have waited for its timeout already. */
 const unansweredStopRetryMs: Milliseconds = 5;
 /**
  * Maximum number of start calls for one run. If the executor has stopped an earlier run of the task with the same number,
@@ -407,13 +407,14 @@
 	async function stopRun(run: Run, stop: RequestedStop): Promise<void> {
 		while (runs.get(run.task) === run && poller.isOpen()) {
 			stop.calls++;
+			const calledAt = clock.now();
 			const usedFencingToken = lease.getFencingToken();
 			const {outcome} = lease.recordResponse(await executor.stop(run, usedFencingToken));
 			if (outcome.kind === 'fenced') {
 				lease.catchUpFencingToken(usedFencingToken);
 			}
 
-			await sleep(clock, outcome.kind === 'no-answer' ? unansweredStopRetryMs : stopRetryMs);
+			await sleep(clock, outcome.kind === 'no-answer' ? Math.max(unansweredStopRetryMs, stopRetryMs - (clock.now() - calledAt)) : stopRetryMs);
 		}
 	}
 
