--- a/test/failure/lost-entry.test.ts
+++ b/test/failure/lost-entry.test.ts
@@ -29,21 +29,25 @@
 
 type Fixture = {
 	readonly cluster: LeasedCluster;
-	readonly clients: Clients;
 	/** Checks that no task has run twice at the same time, and that each has run again. */
 	expectNoOverlap(t: ExecutionContext): void;
 };
 
+/** Creates a cluster to which jobs with long runs were just submitted, and whose executors answer no stop call. */
 async function createFixture(seed: number): Promise<Fixture> {
 	const clients: Clients = createClients(() => cluster);
 	const cluster = await createLeasedCluster(seed, clients.breakConnections);
 	for (const executor of cluster.executors.values()) {
 		executor.sampleRun = () => ({length: longRunMs, fails: false});
+		executor.unansweredCalls.stop = Infinity;
+	}
+
+	for (let i = 0; i < jobs; i++) {
+		clients.submit(1, {timeLimit: timeLimitMs, expectedRun: longRunMs});
 	}
 
 	return {
 		cluster,
-		clients,
 		expectNoOverlap(t) {
 			t.deepEqual(findLeasedViolations(cluster, clients.jobs, [], false), []);
 			const runs = [...cluster.executors.values()].flatMap(executor => executor.runs);
@@ -57,15 +61,7 @@
 		for (const notice of ['closes', 'becomes silent'] as const) {
 			// Guards against a second run of a task beside one of a dead entry whose stop calls are lost.
 			it(`end its runs before its clients repeat their jobs, although stop calls are lost and its link ${notice}`, async t => {
-				const {cluster, clients, expectNoOverlap} = await createFixture(1);
-				for (const executor of cluster.executors.values()) {
-					executor.unansweredCalls.stop = Infinity;
-				}
-
-				for (let i = 0; i < jobs; i++) {
-					clients.submit(1, {timeLimit: timeLimitMs, expectedRun: longRunMs});
-				}
-
+				const {cluster, expectNoOverlap} = await createFixture(1);
 				await cluster.advance(300);
 				cluster.kill('e1', 3000, noticesMs[notice]);
 				await cluster.advance(recoverMs);
@@ -75,15 +71,7 @@
 
 		// Guards against a second run of a task beside one whose agent has stood still, and so waited longer for a dead entry.
 		it('end its runs before its clients repeat their jobs, although stop calls are lost and agents stood still for a time', async t => {
-			const {cluster, clients, expectNoOverlap} = await createFixture(1);
-			for (const executor of cluster.executors.values()) {
-				executor.unansweredCalls.stop = Infinity;
-			}
-
-			for (let i = 0; i < jobs; i++) {
-				clients.submit(1, {timeLimit: timeLimitMs, expectedRun: longRunMs});
-			}
-
+			const {cluster, expectNoOverlap} = await createFixture(1);
 			await cluster.advance(heardMs);
 			cluster.kill('e1', 3000, noticesMs['becomes silent']);
 			await cluster.advance(300);
@@ -100,15 +88,7 @@
 		for (const later of laterSilenceMs) {
 			// Guards against a second run of a task beside one whose agent still hears the entry that has given it up.
 			it(`end the agent's runs before entries start them elsewhere; it becomes silent first, and they ${later} ms later`, async t => {
-				const {cluster, clients, expectNoOverlap} = await createFixture(2);
-				for (const executor of cluster.executors.values()) {
-					executor.unansweredCalls.stop = Infinity;
-				}
-
-				for (let i = 0; i < jobs; i++) {
-					clients.submit(1, {timeLimit: timeLimitMs, expectedRun: longRunMs});
-				}
-
+				const {cluster, expectNoOverlap} = await createFixture(2);
 				await cluster.advance(300);
 				silenceAgent('server');
 				await cluster.advance(later);
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -102,6 +102,29 @@
 	return fixture;
 }
 
+/** Creates the upstream of the next agent of the same executor. */
+function createSecondUpstream(t: ExecutionContext, {clock, executor}: Fixture, firstFencingToken: number): LeasedUpstream {
+	const second = createLeasedUpstream({
+		clock,
+		executor,
+		firstFencingToken,
+		maxLeaseMs: 1000,
+		log: silentLog,
+		metrics: noMetrics,
+		onIncarnationChanged: () => undefined,
+		onProjectedSlowdowns: () => undefined,
+		onUnreachable: () => undefined,
+		onShortage: () => undefined,
+		onRunsLost: () => undefined,
+		onRecovered: () => undefined,
+		harmlessPauseMs,
+		takePauseTime: () => 0,
+		onPauseWitnessed: () => undefined,
+	});
+	t.teardown(async () => second.close());
+	return second;
+}
+
 /** Creates a fixture with a run, during which every other renewal takes effect late and extends the lease from then on. */
 async function createFixtureWithLateRenewals(t: ExecutionContext): Promise<Fixture> {
 	const fixture = await createFixture(t, 10_000);
@@ -406,24 +429,7 @@
 		it('makes the executor reachable at once', async t => {
 			const fixture = await createFixture(t);
 			t.true(await fixture.upstream.isReachable());
-			const second = createLeasedUpstream({
-				clock: fixture.clock,
-				executor: fixture.executor,
-				firstFencingToken: 20,
-				maxLeaseMs: 1000,
-				log: silentLog,
-				metrics: noMetrics,
-				onIncarnationChanged: () => undefined,
-				onProjectedSlowdowns: () => undefined,
-				onUnreachable: () => undefined,
-				onShortage: () => undefined,
-				onRunsLost: () => undefined,
-				onRecovered: () => undefined,
-				harmlessPauseMs,
-				takePauseTime: () => 0,
-				onPauseWitnessed: () => undefined,
-			});
-			t.teardown(async () => second.close());
+			const second = createSecondUpstream(t, fixture, 20);
 			const takingOver = second.takeOver();
 			await fixture.upstream.close();
 			await fixture.runFor(3);
@@ -435,24 +441,7 @@
 			const fixture = await createFixture(t, 5000);
 			fixture.start('a');
 			await fixture.runFor(20);
-			const second = createLeasedUpstream({
-				clock: fixture.clock,
-				executor: fixture.executor,
-				firstFencingToken: 3,
-				maxLeaseMs: 1000,
-				log: silentLog,
-				metrics: noMetrics,
-				onIncarnationChanged: () => undefined,
-				onProjectedSlowdowns: () => undefined,
-				onUnreachable: () => undefined,
-				onShortage: () => undefined,
-				onRunsLost: () => undefined,
-				onRecovered: () => undefined,
-				harmlessPauseMs,
-				takePauseTime: () => 0,
-				onPauseWitnessed: () => undefined,
-			});
-			t.teardown(async () => second.close());
+			const second = createSecondUpstream(t, fixture, 3);
 			const takingOver = second.takeOver();
 			await fixture.upstream.close();
 			await fixture.runFor(300);
@@ -472,24 +461,7 @@
 				fixture.executor.unansweredCalls.delay = 250;
 				fixture.start('b');
 				await fixture.runFor(5);
-				const second = createLeasedUpstream({
-					clock: fixture.clock,
-					executor: fixture.executor,
-					firstFencingToken,
-					maxLeaseMs: 1000,
-					log: silentLog,
-					metrics: noMetrics,
-					onIncarnationChanged: () => undefined,
-					onProjectedSlowdowns: () => undefined,
-					onUnreachable: () => undefined,
-					onShortage: () => undefined,
-					onRunsLost: () => undefined,
-					onRecovered: () => undefined,
-					harmlessPauseMs,
-					takePauseTime: () => 0,
-					onPauseWitnessed: () => undefined,
-				});
-				t.teardown(async () => second.close());
+				const second = createSecondUpstream(t, fixture, firstFencingToken);
 				fixture.executor.unansweredCalls.hold = 0;
 				const takingOver = second.takeOver();
 				await fixture.upstream.close();
