Wait between polls of a take-over that get no answer

What callers saw: nothing so far; found while reading the merged code. An agent that takes over an executor which resets its connections at once would have polled it without a pause.

Cause: the take-over took a token that was raised meanwhile for a refusal, and tried again at once. Since polls without an answer raise the token, too, each of them looked like a refusal.

Change: the take-over goes by the status alone: without one it raises the token and waits, whether it was refused or not answered.

--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -215,22 +215,22 @@
 	async function takeOver(): Promise<void> {
 		let isAboveEarlierAgent = false;
 		while (poller.isOpen()) {
-			const usedFencingToken = lease.getFencingToken();
 			const status = await poller.poll();
-			const isFenced = lease.getFencingToken() !== usedFencingToken;
-			if (isFenced || (status !== undefined && !isAboveEarlierAgent)) {
-				isAboveEarlierAgent = !isFenced;
+			if (status === undefined) {
+				// The token was too low, or there was no response.
+				isAboveEarlierAgent = false;
+				lease.raiseAboveEarlierAgent();
+			} else if (!isAboveEarlierAgent) {
+				isAboveEarlierAgent = true;
 				lease.raiseAboveEarlierAgent();
 				continue;
-			}
-
-			if (status?.running.length === 0) {
+			} else if (status.running.length === 0) {
 				poller.pollNow();
 				return;
-			}
-
-			for (const earlierRun of status?.running ?? []) {
-				await executor.stop(earlierRun, lease.getFencingToken());
+			} else {
+				for (const earlierRun of status.running) {
+					await executor.stop(earlierRun, lease.getFencingToken());
+				}
 			}
 
 			await sleep(clock, takeOverRetryMs);
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -449,6 +449,25 @@
 			t.is(fixture.executor.runs[0]?.endDetail, 'stopped');
 		});
 
+		// Guards against a loop without a pause: each poll that an executor resets at once was followed by the next one.
+		it('waits between polls that get no answer', async t => {
+			const fixture = await createFixture(t);
+			let polls = 0;
+			const executor: FakeExecutor = {
+				...fixture.executor,
+				async poll() {
+					polls++;
+					return {outcome: {kind: 'no-answer', detail: 'connection reset'}, executorTime: undefined};
+				},
+			};
+			const second = createSecondUpstream(t, {...fixture, executor}, 20);
+			const startedAt = fixture.clock.now();
+			void second.takeOver();
+			await fixture.runFor(400);
+			const elapsed = fixture.clock.now() - startedAt;
+			t.true(polls > 5 && polls <= (elapsed / 40) + 1, `${polls} polls in ${elapsed} ms`);
+		});
+
 		// Issue 34: the earlier agent had raised its token, which no call had shown to the executor yet, above that of the next one.
 		for (const firstFencingToken of [5, 500]) {
 			it(`leaves no late start call of an earlier agent that could take effect, from token ${firstFencingToken}`, async t => {
