Compute the renewal of an executor's lease once a call

Cause: each call that renews the lease computed its limit twice, over all runs and entries: once for the expiry that it carries, once to record it. The two always went together.

Change: one function does both; another says whether the lease may be renewed. Behaviour is the same.

--- a/src/process/executor-lease.ts
+++ b/src/process/executor-lease.ts
@@ -31,10 +31,13 @@
 	catchUpFencingToken(usedToken: number): void;
 	/** Raises the fencing token by more than an earlier agent can have raised its own without the executor having seen that. */
 	raiseAboveEarlierAgent(): void;
-	/** Returns until when, on the executor's clock, the lease may be renewed now; undefined until that clock was reported, and while the lease must not be renewed. */
-	tryGetLeaseExpiry(): Milliseconds | undefined;
-	/** Called before a call that renews the lease is sent. The call may take effect even if no response arrives. */
-	recordRenewal(): void;
+	/** Whether the lease may be renewed now: the executor's clock was reported, and no limit has passed. */
+	canRenew(): boolean;
+	/**
+	 * Returns the expiry of the lease, on the executor's clock, for a call that is sent now and renews it. It counts as renewed,
+	 * since the call may take effect even if no response arrives. Undefined if the lease must not be renewed.
+	 */
+	tryRenew(): Milliseconds | undefined;
 	/** Whether the lease has expired even on the slowest clock that the executor may have. */
 	hasExpired(): boolean;
 	/** Updates the estimate of the executor's clock from a response, and returns the response. */
@@ -78,16 +81,19 @@
 		catchUpFencingToken(usedToken) {
 			raise(usedToken, fencingTokenCatchUpStep);
 		},
-		tryGetLeaseExpiry() {
+		canRenew: () => clockOffset !== undefined && getDuration() > 0,
+		tryRenew() {
 			const duration = getDuration();
-			return clockOffset === undefined || duration <= 0 ? undefined : Math.floor(clock.now() + clockOffset + duration);
+			if (clockOffset === undefined || duration <= 0) {
+				return undefined;
+			}
+
+			expiresAt = Math.max(expiresAt, clock.now() + (duration * (1 + maxClockRateError)) + clockMarginMs);
+			return Math.floor(clock.now() + clockOffset + duration);
 		},
 		raiseAboveEarlierAgent() {
 			fencingToken += takeOverTokenStep;
 		},
-		recordRenewal() {
-			expiresAt = Math.max(expiresAt, clock.now() + (getDuration() * (1 + maxClockRateError)) + clockMarginMs);
-		},
 		hasExpired: () => clock.now() > expiresAt,
 		recordResponse(response) {
 			if (response.executorTime !== undefined) {
--- a/src/process/executor-poller.ts
+++ b/src/process/executor-poller.ts
@@ -231,11 +231,7 @@
 	async function sendPoll(wait: Milliseconds, renewsLease: boolean): Promise<ExecutorStatus | undefined> {
 		// A poll without a response may still have renewed the lease. After some of these in a row, polls stop renewing it:
 		// otherwise the lease of an executor whose responses are lost would never be known to have expired.
-		const leaseExpiresAt = renewsLease && unansweredPolls < unansweredPollLimit ? lease.tryGetLeaseExpiry() : undefined;
-		if (leaseExpiresAt !== undefined) {
-			lease.recordRenewal();
-		}
-
+		const leaseExpiresAt = renewsLease && unansweredPolls < unansweredPollLimit ? lease.tryRenew() : undefined;
 		const usedFencingToken = lease.getFencingToken();
 		const polledAt = clock.now();
 		const {outcome} = lease.recordResponse(await executor.poll({
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -168,7 +168,7 @@
 				endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, detail);
 			}
 		},
-		isReachable: async () => poller.isReachable() && clock.now() >= unavailableUntil && lease.tryGetLeaseExpiry() !== undefined,
+		isReachable: async () => poller.isReachable() && clock.now() >= unavailableUntil && lease.canRenew(),
 		async close() {
 			poller.close();
 			await executor.close();
@@ -245,13 +245,12 @@
 				return;
 			}
 
-			const leaseExpiresAt = lease.tryGetLeaseExpiry();
+			const leaseExpiresAt = lease.tryRenew();
 			if (leaseExpiresAt === undefined) {
 				break;
 			}
 
 			const usedFencingToken = lease.getFencingToken();
-			lease.recordRenewal();
 			const {outcome} = lease.recordResponse(await executor.start({
 				task: run.task, run: run.run, spec: new TextDecoder().decode(run.start.payload), leaseExpiresAt, fencingToken: usedFencingToken,
 			}));
