Allocate nothing for the starts of jobs that are not forwarded

Cause: each batch to an agent asks for every start without an outcome how long its sender has been silent, and made two lists for each, also where no job is forwarded.

Change: jobs that are not forwarded answer 0 at once. Behaviour is the same.

--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -123,9 +123,12 @@
 			return found !== undefined;
 		},
 		getSenderSilence(ticket) {
-			const waiters = forwardedJobs.get(ticket)?.waiters ?? [];
-			const silences = [...waiters].map(waiter => waiter.getSenderSilence?.() ?? 0);
-			return silences.length === 0 ? 0 : Math.min(...silences);
+			const forwarded = forwardedJobs.get(ticket);
+			if (forwarded === undefined || forwarded.waiters.size === 0) {
+				return 0;
+			}
+
+			return Math.min(...[...forwarded.waiters].map(waiter => waiter.getSenderSilence?.() ?? 0));
 		},
 		countWaiting(route) {
 			let waiting = 0;
