Cancel a job at whichever entry has it

Cause: an entry looked only among its own jobs, and took 'not here' for 'nowhere'. Ruled out: a lost or slow stop; if the request reached the entry that had the job, nothing started later.

Change: the request goes to every linked entry, one small message each, and each cancels what it has, passes it on if it has forwarded the job, and says so. 410 needs the word of every live entry; while one cannot be asked the reply is 503 with a time to ask again. Each entry remembers the name for a minute, so a request for the job that is still on its way starts nothing.

Cost: as many messages as there are other entries, for each request to cancel (test 'costs one message to each other entry').

--- a/dev/platform-system.ts
+++ b/dev/platform-system.ts
@@ -88,6 +88,8 @@
 	publish(version: number, prefixes?: readonly string[]): Promise<void>;
 	/** Submits a job to one entry; aborting `signal` closes the connection. */
 	submit(entry: number, job: PlatformJob, signal?: AbortSignal): Promise<PlatformReply>;
+	/** Asks one entry to cancel a job. */
+	cancel(entry: number, name: string): Promise<PlatformReply>;
 	isReady(entry: number): Promise<boolean>;
 	/** Returns all starts and ends so far in order of time, without the first `from` ones of each executor. */
 	getEvents(from?: readonly number[]): Promise<PlatformEvent[]>;
@@ -99,6 +101,16 @@
 	stop(): Promise<void>;
 };
 
+/** A request of a client; aborting `signal` closes its connection. */
+type ClientCall = {
+	readonly entry: number;
+	readonly method: 'POST' | 'DELETE';
+	readonly name: string;
+	readonly body?: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly signal?: AbortSignal;
+};
+
 /** Number of log lines of each process in the description of a system. */
 const describedLines = 150;
 const noProxies: SystemProxies = {links: [], executors: [], stores: []};
@@ -143,7 +155,7 @@
 		return {program, url};
 	}));
 	const system: PlatformSystem = {
-		storeUrl, entries, agents, executors, proxies, publish, submit, isReady, getEvents, setRoom, setStoreFaults, describe, stop,
+		storeUrl, entries, agents, executors, proxies, publish, submit, cancel, isReady, getEvents, setRoom, setStoreFaults, describe, stop,
 	};
 	await waitUntilReady(system);
 	return system;
@@ -225,16 +237,28 @@
 			}],
 			'best-effort': true,
 		});
+		return call({
+			entry, method: 'POST', name: job.name, body, headers: {'request-deadline': String(job.deadline ?? 1500)}, signal,
+		});
+	}
+
+	async function cancel(entry: number, name: string): Promise<PlatformReply> {
+		return call({entry, method: 'DELETE', name});
+	}
+
+	async function call({
+		entry, method, name, body, headers = {}, signal,
+	}: ClientCall): Promise<PlatformReply> {
 		const sentAt = new Date();
 		return new Promise(resolve => {
 			const req = http.request({
 				host: entries[entry]!.address,
 				port: ports.clients,
-				path: `${prefix}${job.name}`,
-				method: 'POST',
+				path: `${prefix}${name}`,
+				method,
 				agent: connections,
 				signal,
-				headers: {host, 'content-type': 'application/json', 'request-deadline': String(job.deadline ?? 1500)},
+				headers: {host, 'content-type': 'application/json', ...headers},
 			}, res => {
 				const chunks: Uint8Array[] = [];
 				res.on('data', (chunk: Uint8Array) => chunks.push(chunk));
@@ -257,7 +281,7 @@
 			}
 
 			function recordFailedReply(text: string): void {
-				failedReplies.push(`${job.name} at entry-${entry + 1}, ${sentAt.toISOString()} to ${new Date().toISOString()}: ${text}`);
+				failedReplies.push(`${method} ${name} at entry-${entry + 1}, ${sentAt.toISOString()} to ${new Date().toISOString()}: ${text}`);
 			}
 		});
 	}
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -62,7 +62,7 @@
 			}
 
 			case 'DELETE': {
-				return intake.cancel(name) ? c.json({}) : c.json({error: 'no such job'}, 410);
+				return respond(await intake.cancel(name));
 			}
 
 			default: {
--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -5,11 +5,12 @@
 import {Buffer} from 'node:buffer';
 import type {Cancellation, RelayResult} from '../connection/peer-types.js';
 import type {ForwardedJob} from '../generated/kingcuplane.js';
-import type {Milliseconds} from '../process/clock.js';
+import type {Clock, Milliseconds} from '../process/clock.js';
 import type {Entry} from '../process/entry-types.js';
 import {declinedResult} from '../process/job-forwarding.js';
 import {readJson} from '../process/json.js';
 import type {Log} from '../process/log.js';
+import {createRecentNames} from '../request/recent-names.js';
 import type {JobHandle} from '../request/tracked-job.js';
 import type {Answer} from '../request/types.js';
 import {createRouteTable, type RouteTable} from '../version/route-table.js';
@@ -23,6 +24,7 @@
 export type JobDeskHost = {
 	readonly entry: Pick<Entry, 'coordinator' | 'issueTicket' | 'getRemainingDrainTime'>;
 	readonly log: Pick<Log, 'info'>;
+	readonly clock: Clock;
 	tryGetSnapshot(): Snapshot | undefined;
 	/** Must be called before a request is accepted, since the request may have waited while this process was paused. */
 	checkPause(): void;
@@ -72,8 +74,10 @@
 	submit(job: ReceivedJob, cancellation: Cancellation): Promise<JobReply | undefined>;
 	/** Serves a job that another entry has forwarded. */
 	submitForwarded(job: ForwardedJob, cancellation: Cancellation): Promise<RelayResult>;
-	/** Cancels the job of this name. Returns false if there is none. */
+	/** Cancels the job of this name, and remembers that for requests that arrive later. Returns false if there is none. */
 	cancel(name: string): boolean;
+	/** Whether the job of this name was cancelled recently. */
+	wasCancelled(name: string): boolean;
 	/**
 	 * Returns for how long the senders of the forwarded job with this ticket have been silent, that is the one that was heard last;
 	 * 0 for any other job.
@@ -93,7 +97,12 @@
 };
 
 const caller = {name: clientTeam, team: clientTeam};
+/** A request of a client may arrive this long after the client has cancelled its job elsewhere. */
+const cancelledNameRetentionMs: Milliseconds = 60_000;
+const maxCancelledNames = 10_000;
 const jobNamePattern = /^[\da-f]{16}$/v;
+/** Some of its tasks may have run. */
+export const cancelledReply = createReply(504, {error: 'the job was cancelled'});
 const notReadyRetryMs: Milliseconds = 1000;
 /** Long, since these kinds of jobs are not supported on this platform and an early retry is useless. */
 const unsupportedRetryMs: Milliseconds = 60_000;
@@ -102,11 +111,12 @@
 
 /** Creates a desk without jobs. */
 export function createJobDesk({
-	entry, log, tryGetSnapshot, checkPause,
+	entry, log, clock, tryGetSnapshot, checkPause,
 }: JobDeskHost): JobDesk {
 	const openJobs = new Map<string, OpenJob>();
 	/** Open jobs that other entries have forwarded, by ticket. Every batch to an agent looks its tasks up here. */
 	const forwardedJobs = new Map<string, OpenJob>();
+	const cancelledNames = createRecentNames({clock, retentionMs: cancelledNameRetentionMs, maxNames: maxCancelledNames});
 	let routeTable: {readonly snapshot: Snapshot; readonly table: RouteTable} | undefined;
 
 	return {
@@ -115,6 +125,7 @@
 		submit,
 		submitForwarded,
 		cancel(name) {
+			cancelledNames.add(name);
 			const found = openJobs.get(name);
 			if (found !== undefined) {
 				entry.coordinator.cancel(found.job.ticket.text, 'its client');
@@ -122,6 +133,7 @@
 
 			return found !== undefined;
 		},
+		wasCancelled: cancelledNames.has,
 		getSenderSilence(ticket) {
 			const forwarded = forwardedJobs.get(ticket);
 			if (forwarded === undefined || forwarded.waiters.size === 0) {
@@ -176,10 +188,15 @@
 	async function submit({
 		route, name, body, timeLeft,
 	}: ReceivedJob, cancellation: Cancellation): Promise<JobReply | undefined> {
-		if (!jobNamePattern.test(name)) {
+		if (!isJobName(name)) {
 			return createReply(400, {error: 'a job is named by 16 hexadecimal digits'});
 		}
 
+		if (cancelledNames.has(name)) {
+			log.info({request: name, status: cancelledReply.status}, 'job was cancelled before this request; nothing is started for it');
+			return cancelledReply;
+		}
+
 		const parsed = readJson(jobSchema, Buffer.from(body).toString());
 		if (parsed.isErr()) {
 			log.info({request: name, status: 400, reason: parsed.error}, 'unreadable job; it has not run');
@@ -278,6 +295,11 @@
 	}
 }
 
+/** Whether clients may name a job like this. */
+export function isJobName(name: string): boolean {
+	return jobNamePattern.test(name);
+}
+
 /** Creates a reply with a JSON body. */
 export function createReply(status: number, body: Readonly<Record<string, unknown>>): JobReply {
 	return {status, body: JSON.stringify(body)};
--- a/src/platform/job-intake.ts
+++ b/src/platform/job-intake.ts
@@ -7,14 +7,15 @@
 import type {RelayReply} from '../generated/kingcuplane.js';
 import type {Milliseconds} from '../process/clock.js';
 import type {Entry} from '../process/entry-types.js';
+import type {CancelOutcome} from '../process/job-cancellation.js';
 import type {LoadDecision} from '../request/load-sharing.js';
 import {
-	createReply, type JobDesk, type JobReply, type RouteMatch,
+	cancelledReply, createReply, isJobName, type JobDesk, type JobReply, type RouteMatch,
 } from './job-desk.js';
 
 /** Dependencies of the intake. */
 export type JobIntakeHost = {
-	readonly entry: Pick<Entry, 'decideByLoad' | 'tryForwardJob'>;
+	readonly entry: Pick<Entry, 'decideByLoad' | 'tryForwardJob' | 'cancelJob'>;
 	readonly desk: JobDesk;
 };
 
@@ -38,8 +39,10 @@
 	 * all its clients have gone before its answer.
 	 */
 	submit(job: AdmittedJob, body: Uint8Array, timeLeft: Milliseconds, cancellation: Cancellation): Promise<JobReply | undefined>;
-	/** Cancels the job of this name. Returns false if there is none. */
-	cancel(name: string): boolean;
+	/** Cancels the job of this name at all entries. */
+	cancel(name: string): Promise<JobReply>;
+	/** Cancels the job of this name at this entry. Returns false if there is none. */
+	cancelHere(name: string): boolean;
 };
 
 /** A job that another entry serves for clients of this one. */
@@ -54,7 +57,13 @@
 const serveHere = {kind: 'serve'} as const;
 /** The job may have run. Its client may send it again after the platform's time for that, when all its runs have ended. */
 const lostReply = createReply(504, {error: 'the entry that served this job was lost'});
-const cancelledReply = createReply(504, {error: 'the job was cancelled'});
+const cancelRetryMs: Milliseconds = 1000;
+const notFoundReply = createReply(410, {error: 'no such job'});
+const cancelReplies: Readonly<Record<CancelOutcome, JobReply>> = {
+	cancelled: createReply(200, {}),
+	'not-found': notFoundReply,
+	unconfirmed: {...createReply(503, {error: 'an entry that may have the job cannot be asked now'}), retryAfter: cancelRetryMs},
+};
 
 /** Creates an intake without jobs. */
 export function createJobIntake({entry, desk}: JobIntakeHost): JobIntake {
@@ -62,6 +71,10 @@
 
 	return {
 		admit(target, match) {
+			if (desk.wasCancelled(match.name)) {
+				return cancelledReply;
+			}
+
 			const isOpen = desk.isOpen(match.name) || forwardedJobs.has(match.name);
 			const decision = isOpen ? serveHere : entry.decideByLoad();
 			return decision.kind === 'refuse'
@@ -73,10 +86,14 @@
 			const reply = forwarded && await waitForForwarded(job.name, forwarded, cancellation);
 			return reply ?? desk.submit({...job, body, timeLeft}, cancellation);
 		},
-		cancel(name) {
+		async cancel(name) {
+			return isJobName(name) ? cancelReplies[await entry.cancelJob(name)] : notFoundReply;
+		},
+		cancelHere(name) {
+			const isServedHere = desk.cancel(name);
 			const forwarded = forwardedJobs.get(name);
 			if (forwarded === undefined) {
-				return desk.cancel(name);
+				return isServedHere;
 			}
 
 			forwarded.isCancelled = true;
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -26,7 +26,7 @@
 import {serveHttp, serveMetrics} from './http-server.js';
 import {createIngress} from './ingress.js';
 import {createJobDesk, type JobDesk} from './job-desk.js';
-import {createJobIntake} from './job-intake.js';
+import {createJobIntake, type JobIntake} from './job-intake.js';
 import type {MachineSettings} from './settings.js';
 import {createPlatformClient} from './platform-client.js';
 import {maxTasks} from './wire-job.js';
@@ -68,7 +68,7 @@
 	const linkBudget = tryCreateLinkBudget({clock, traffic, linkMbps: machine.linkMbps});
 	log.info({linkMbps: machine.linkMbps, isWatched: linkBudget !== undefined}, 'network link');
 	// Other entries may forward jobs as soon as this one listens, and are declined until the desk exists.
-	const serving: {desk?: JobDesk} = {};
+	const serving: {desk?: JobDesk; intake?: JobIntake} = {};
 	const running = await runEntry(settings, incarnation, onDeclaredDead, {
 		log,
 		metrics,
@@ -84,6 +84,7 @@
 			traffic,
 			linkBudget,
 			serveForwardedJob: async (job, cancellation) => serving.desk?.submitForwarded(job, cancellation) ?? declinedResult,
+			cancelJob: name => serving.intake?.cancelHere(name) ?? false,
 			getSenderSilence: ticket => serving.desk?.getSenderSilence(ticket) ?? 0,
 			createScheduler: host => createResourceScheduler({...host, random: Math.random, startupGraceMs}),
 			quota: unboundedQuota,
@@ -91,11 +92,13 @@
 	});
 	const {entry} = running;
 	const desk = createJobDesk({
-		entry, log, checkPause: pauseDetector.check, tryGetSnapshot: follower.tryGet,
+		entry, log, clock, checkPause: pauseDetector.check, tryGetSnapshot: follower.tryGet,
 	});
 	serving.desk = desk;
+	const intake = createJobIntake({entry, desk});
+	serving.intake = intake;
 	const ingressServer = await serveHttp(createIngress({
-		entry, desk, log, intake: createJobIntake({entry, desk}),
+		entry, desk, log, intake,
 	}), machine.clients!);
 	const readinessServer = await serveHttp(new Hono().get('/v1/readyz', c => isReady() ? c.text('ready') : c.text('not ready', 503)), machine.ready!);
 	const metricsServer = await serveMetrics(metrics, {host: machine.ip, port: machine.metricsPort});
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -15,6 +15,7 @@
 import type {ConfigFollower} from '../version/polling-follower.js';
 import type {Clock, Milliseconds} from './clock.js';
 import type {Diagnostic} from './diagnostics.js';
+import type {CancelOutcome} from './job-cancellation.js';
 import type {LinkBudget} from './link-budget.js';
 import type {LoadMonitor} from './load-monitor.js';
 import type {Log} from './log.js';
@@ -57,6 +58,8 @@
 	readonly quota?: TeamQuota;
 	/** Serves a job that another entry has forwarded; if undefined, such jobs are declined. */
 	serveForwardedJob?(job: ForwardedJob, cancellation: Cancellation): Promise<RelayResult>;
+	/** Cancels the job of this name at this entry; returns false if there is none. Undefined if jobs have no names here. */
+	cancelJob?(name: string): boolean;
 	/** Returns for how long the sender of the forwarded job with this ticket has been silent; 0 for any other job. */
 	getSenderSilence?(ticket: string): Milliseconds;
 	authenticate(token: string): Result<Principal, Diagnostic>;
@@ -85,6 +88,8 @@
 	decideByLoad(): LoadDecision;
 	/** Forwards a job of the client's name `name` to another entry; undefined if it has to be served here after all. */
 	tryForwardJob(peer: string, name: string, job: ForwardedJob): PendingRequest | undefined;
+	/** Cancels the job of the client's name `name` at all entries. */
+	cancelJob(name: string): Promise<CancelOutcome>;
 	/** Whether the entry was asked to stop, so that callers should use another one. */
 	isShuttingDown(): boolean;
 	/** Returns the time until open jobs are abandoned because this process stops; infinite unless it was asked to stop. */
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -26,6 +26,7 @@
 import {createEntryDirectory} from './entry-directory.js';
 import {createEntryReports} from './entry-reports.js';
 import {createEvacuationTelemetry} from './evacuation-telemetry.js';
+import {cancelJobOperation, createJobCancellation} from './job-cancellation.js';
 import {createJobForwarding, jobOperation} from './job-forwarding.js';
 import {createHttpApi} from './http-api.js';
 import {createIsolationTelemetry, createJobTelemetry, createLookAheadTelemetry} from './job-telemetry.js';
@@ -179,14 +180,18 @@
 		timing,
 		defer: host.defer,
 		tryGetLoad: forwarding.tryGetLoad,
-		async serveRequest(req, cancellation) {
+		async serveRequest(req, reqCancellation) {
 			switch (req.operation) {
 				case snapshotOperation: {
 					return serveSnapshot();
 				}
 
 				case jobOperation: {
-					return forwarding.serve(req, cancellation);
+					return forwarding.serve(req, reqCancellation);
+				}
+
+				case cancelJobOperation: {
+					return cancellation.serve(req);
 				}
 
 				default: {
@@ -215,6 +220,9 @@
 		},
 		onLinksChanged: updateAddresses,
 	});
+	const cancellation = createJobCancellation({
+		...host, self, directory, peers, cancelHere: name => host.cancelJob?.(name) ?? false,
+	});
 	host.pauseDetector?.onPause(pause => {
 		if (pause > (timing.harmlessPauseMs ?? Infinity)) {
 			host.log.warn({pause}, 'streams of other entries are closed after a pause');
@@ -307,6 +315,7 @@
 		issueTicket: owner => issuer.issue(owner, 1)[0]!,
 		decideByLoad: forwarding.decide,
 		tryForwardJob: forwarding.tryForward,
+		cancelJob: cancellation.cancel,
 		isShuttingDown: () => isShuttingDown,
 		getRemainingDrainTime: () => drainEndsAt - clock.now(),
 		getOpenLinkCount: links.getLinkCount,
--- /dev/null
+++ b/src/process/job-cancellation.ts
@@ -0,0 +1,120 @@
+/**
+ * Cancels a job wherever it is. Its client may reach any entry, and the job may be at another one, or at several if the client has
+ * sent it again. Each entry remembers the name, so that a request for the job that arrives later is not served.
+ */
+import {Buffer} from 'node:buffer';
+import type {PeerHub} from '../connection/peer-hub.js';
+import type {PendingRequest, RelayResult} from '../connection/peer-types.js';
+import type {EntryAddress, RelayReply, RelayRequest} from '../generated/kingcuplane.js';
+import type {Clock, Milliseconds} from './clock.js';
+import type {EntryDirectory} from './entry-directory.js';
+import type {Log} from './log.js';
+import type {Metrics} from './metrics.js';
+
+/** Dependencies of the cancellation. */
+export type JobCancellationHost = {
+	readonly clock: Clock;
+	readonly log: Pick<Log, 'info'>;
+	readonly metrics: Pick<Metrics, 'count'>;
+	readonly self: Pick<EntryAddress, 'incarnation'>;
+	readonly directory: Pick<EntryDirectory, 'getLive' | 'isLoaded'>;
+	readonly peers: Pick<PeerHub, 'tryStartRequest' | 'getLinkedPeers'>;
+	/** Cancels the job of this name at this entry and remembers the name. Returns false if there is none. */
+	cancelHere(name: string): boolean;
+};
+
+/** What became of a request to cancel a job. */
+export type CancelOutcome =
+	/** At least one entry had the job. */
+	| 'cancelled'
+	/** Every entry that could have the job has said that it does not. */
+	| 'not-found'
+	/** No entry has said that it has the job, and at least one could not be asked. */
+	| 'unconfirmed';
+
+/** Cancels jobs at all entries. */
+export type JobCancellation = {
+	/** Cancels the job of this name at this entry and at all others. */
+	cancel(name: string): Promise<CancelOutcome>;
+	/** Serves the request of another entry to cancel a job here. */
+	serve(req: Pick<RelayRequest, 'body'>): RelayResult;
+};
+
+/** Operation of a request between entries that cancels a job. */
+export const cancelJobOperation = 'cancel-job';
+/** Longest wait for the replies of other entries, after which their silence is detected anyway. */
+const replyTimeoutMs: Milliseconds = 800;
+
+const foundStatus = 200;
+const notFoundStatus = 410;
+
+/** Creates the cancellation of one entry's clients. */
+export function createJobCancellation(host: JobCancellationHost): JobCancellation {
+	return {
+		async cancel(name) {
+			const isHere = host.cancelHere(name);
+			const pending = askPeers(name);
+			const outcome = isHere ? 'cancelled' : await waitForReplies(pending);
+			host.log.info({
+				request: name, outcome, isHere, asked: pending.length, unreachable: getUnreachable().map(entry => entry.name),
+			}, 'job cancelled by its client');
+			host.metrics.count('job.cancelled', 1, {outcome});
+			return outcome;
+		},
+		serve({body}) {
+			const isFound = host.cancelHere(Buffer.from(body).toString());
+			return {status: isFound ? foundStatus : notFoundStatus, body: new Uint8Array(), retryAfterMs: 0};
+		},
+	};
+
+	function askPeers(name: string): readonly PendingRequest[] {
+		return host.peers.getLinkedPeers().flatMap(peer => host.peers.tryStartRequest(peer.incarnation, {
+			operation: cancelJobOperation, ticket: '', principal: '', body: Buffer.from(name), timeoutMs: replyTimeoutMs,
+		}) ?? []);
+	}
+
+	/** Waits until one entry has said that it had the job, all have replied, or the time is over. */
+	async function waitForReplies(pending: readonly PendingRequest[]): Promise<CancelOutcome> {
+		const unreachable = getUnreachable();
+		return new Promise(resolve => {
+			const replies: Array<RelayReply | undefined> = [];
+			const timer = host.clock.after(replyTimeoutMs, () => {
+				resolve('unconfirmed');
+			});
+			if (pending.length === 0) {
+				finish();
+			}
+
+			for (const {reply} of pending) {
+				void reply.then(received => {
+					replies.push(received);
+					if (received?.status === foundStatus || replies.length === pending.length) {
+						finish();
+					}
+				});
+			}
+
+			function finish(): void {
+				timer.cancel();
+				resolve(toOutcome(replies, unreachable));
+			}
+		});
+	}
+
+	function toOutcome(replies: ReadonlyArray<RelayReply | undefined>, unreachable: readonly EntryAddress[]): CancelOutcome {
+		if (replies.some(reply => reply?.status === foundStatus)) {
+			return 'cancelled';
+		}
+
+		const areAllSure = replies.every(reply => reply?.status === notFoundStatus);
+		return areAllSure && unreachable.length === 0 && host.directory.isLoaded() ? 'not-found' : 'unconfirmed';
+	}
+
+	/** Returns the live entries that cannot be asked. One whose address another incarnation has taken over is gone, with its jobs. */
+	function getUnreachable(): readonly EntryAddress[] {
+		const linked = host.peers.getLinkedPeers();
+		const incarnations = new Set([host.self.incarnation, ...linked.map(peer => peer.incarnation)]);
+		const addresses = new Set(linked.map(peer => peer.links));
+		return host.directory.getLive().filter(entry => !incarnations.has(entry.incarnation) && !addresses.has(entry.links));
+	}
+}
--- a/test/failure/leased/entry.ts
+++ b/test/failure/leased/entry.ts
@@ -169,6 +169,7 @@
 	const desk = createJobDesk({
 		entry: {coordinator: createCostlyCoordinator(), issueTicket: owner => issuer.issue(owner, 1)[0]!, getRemainingDrainTime: () => Infinity},
 		log: silentLog,
+		clock,
 		tryGetSnapshot: () => snapshot,
 		checkPause: pauseDetector.check,
 	});
@@ -263,7 +264,7 @@
 		every(clock, stateIntervalMs, () => {
 			peers.broadcastState([]);
 		});
-		return {peers, intake: createJobIntake({entry: {decideByLoad: forwarding.decide, tryForwardJob: forwarding.tryForward}, desk})};
+		return {peers, intake: createJobIntake({entry: {decideByLoad: forwarding.decide, tryForwardJob: forwarding.tryForward, cancelJob: async () => 'not-found'}, desk})};
 	}
 }
 
--- /dev/null
+++ b/test/platform/cancelled-jobs.test.ts
@@ -0,0 +1,383 @@
+import {Buffer} from 'node:buffer';
+import type {Cancellation, PendingRequest} from '../../src/connection/peer-types.js';
+import {ForwardedJob, type EntryAddress, type RelayReply} from '../../src/generated/kingcuplane.js';
+import {createJobDesk, type JobDesk, type JobReply} from '../../src/platform/job-desk.js';
+import {createJobIntake, type JobIntake} from '../../src/platform/job-intake.js';
+import type {Entry} from '../../src/process/entry-types.js';
+import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
+import {createJobCancellation, type JobCancellation} from '../../src/process/job-cancellation.js';
+import {noMetrics} from '../../src/process/metrics.js';
+import type {LoadDecision} from '../../src/request/load-sharing.js';
+import type {SubmissionRequest} from '../../src/request/submission-rules.js';
+import type {Answer} from '../../src/request/types.js';
+import type {Snapshot} from '../../src/version/types.js';
+import {describe, it} from '../describe.js';
+import {silentLog} from '../silent-log.js';
+
+const name = '0123456789abcdef';
+const target = {host: 'h.example', path: `/jobs/${name}`};
+const body = Buffer.from(JSON.stringify({spec: 'x', 'best-effort': true, steps: [{count: 1, cpu: 100}]}));
+const cancelled: Answer = {
+	state: 'failed', ran: 'may-have-run', diagnostic: undefined, payloads: [],
+};
+const stays: Cancellation = {onCancelled: () => undefined};
+// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- only the routes are used
+const snapshot = {
+	version: 1, routes: [{
+		name: 'r', host: 'h.example', pathPrefix: '/jobs/', submission: 's', deadline: 1500, stretch: 1.6, margin: 60, attempts: 3,
+	}],
+} as unknown as Snapshot;
+
+/** One entry, with a coordinator that never ends a job by itself. */
+type Node = {
+	readonly address: EntryAddress;
+	readonly desk: JobDesk;
+	readonly intake: JobIntake;
+	readonly cancellation: JobCancellation;
+	/** Jobs that reached its coordinator and were not cancelled. */
+	readonly running: Set<string>;
+	/** Number of jobs that reached its coordinator. */
+	accepted: number;
+	/** Sends a job to this entry. */
+	post(): Promise<JobReply | undefined>;
+	/** Sends a request to cancel the job to this entry. */
+	remove(): Promise<JobReply>;
+};
+
+type Fixture = {
+	readonly clock: FakeClock;
+	readonly nodes: readonly [Node, Node, Node];
+	/** Entries that cannot be reached by the others. */
+	readonly cutOff: Set<string>;
+	/** Whether requests between entries wait for {@link deliver}. */
+	isHeld: boolean;
+	/** Number of requests between entries. */
+	sent: number;
+	deliver(): Promise<void>;
+};
+
+/** Creates three entries; the first one forwards its jobs to the second one if `isBusy`. */
+function createFixture({isBusy = false}: {readonly isBusy?: boolean} = {}): Fixture {
+	const clock = createFakeClock();
+	const cutOff = new Set<string>();
+	const held: Array<() => void> = [];
+	const fixture: Fixture = {
+		clock,
+		nodes: [createNode(0), createNode(1), createNode(2)],
+		cutOff,
+		isHeld: false,
+		sent: 0,
+		async deliver() {
+			fixture.isHeld = false;
+			for (const action of held.splice(0)) {
+				action();
+			}
+
+			await settle();
+		},
+	};
+	return fixture;
+
+	function createNode(index: number): Node {
+		const address: EntryAddress = {name: `e${index}`, incarnation: `e${index}-1`, links: `10.0.0.${index}:1`};
+		const running = new Set<string>();
+		const answers = new Map<string, Array<(answer: Answer) => void>>();
+		let tickets = 0;
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- the desk uses only these members
+		const entry = {
+			issueTicket: () => ({text: `ticket-${index}-${tickets++}`}),
+			getRemainingDrainTime: () => Infinity,
+			coordinator: {
+				submit(_caller: unknown, req: SubmissionRequest) {
+					const {text} = req.ticket;
+					running.add(text);
+					node.accepted++;
+					return {
+						kind: 'accepted', job: {
+							ticket: req.ticket, submission: req.submission, tryGetAnswer: () => undefined, getExecutionStatus: () => 'not-run', whenAnswered(action: (answer: Answer) => void) {
+								answers.set(text, [...answers.get(text) ?? [], action]);
+							},
+						},
+					};
+				},
+				cancel(ticket: string) {
+					running.delete(ticket);
+					for (const action of answers.get(ticket) ?? []) {
+						action(cancelled);
+					}
+				},
+			},
+		} as unknown as Entry;
+		const desk = createJobDesk({
+			entry, log: silentLog, clock, tryGetSnapshot: () => snapshot, checkPause: () => undefined,
+		});
+		const decision: LoadDecision = isBusy && index === 0
+			? {
+				kind: 'forward', peer: {
+					incarnation: 'e1-1', utilization: 0, acceptsJobs: true, linkUtilization: 0,
+				},
+			}
+			: {kind: 'serve'};
+		const intake: JobIntake = createJobIntake({
+			desk,
+			entry: {
+				decideByLoad: () => decision,
+				tryForwardJob: (peer, _name, job) => startRequest(peer, async forwarded => findNode(peer).desk.submitForwarded(job, forwarded)),
+				cancelJob: async cancelledName => cancellation.cancel(cancelledName),
+			},
+		});
+		const getLinked = () => cutOff.has(address.incarnation)
+			? []
+			: fixture.nodes.map(other => other.address).filter(({incarnation}) => incarnation !== address.incarnation && !cutOff.has(incarnation));
+		const cancellation = createJobCancellation({
+			clock,
+			log: silentLog,
+			metrics: noMetrics,
+			self: address,
+			directory: {getLive: () => fixture.nodes.map(other => other.address), isLoaded: () => true},
+			peers: {
+				getLinkedPeers: getLinked,
+				tryStartRequest: (peer, req) => startRequest(peer, async () => findNode(peer).cancellation.serve({body: req.body})),
+			},
+			cancelHere: intake.cancelHere,
+		});
+		const node: Node = {
+			address,
+			desk,
+			intake,
+			cancellation,
+			running,
+			accepted: 0,
+			async post() {
+				const match = desk.findRoute(target.host, target.path);
+				const admitted = 'status' in match ? match : intake.admit(target, match);
+				return 'status' in admitted ? admitted : intake.submit(admitted, body, 1500, stays);
+			},
+			async remove() {
+				return intake.cancel(name);
+			},
+		};
+		return node;
+	}
+
+	function findNode(incarnation: string): Node {
+		return fixture.nodes.find(node => node.address.incarnation === incarnation)!;
+	}
+
+	function startRequest(peer: string, serve: (cancellation: Cancellation) => Promise<Partial<RelayReply>> | Partial<RelayReply>): PendingRequest {
+		fixture.sent++;
+		const actions: Array<() => void> = [];
+		let finish: (reply: RelayReply | undefined) => void = () => undefined;
+		const reply = new Promise<RelayReply | undefined>(resolve => {
+			finish = resolve;
+			const send = () => {
+				if (!cutOff.has(peer)) {
+					void Promise.resolve(serve({onCancelled: action => actions.push(action)})).then(served => {
+						resolve({
+							id: 1, status: 0, body: new Uint8Array(), retryAfterMs: 0, declined: false, ...served,
+						});
+					});
+				}
+			};
+
+			if (fixture.isHeld) {
+				held.push(send);
+			} else {
+				send();
+			}
+		});
+		return {
+			reply,
+			cancel() {
+				for (const action of actions) {
+					action();
+				}
+
+				finish(undefined);
+			},
+		};
+	}
+}
+
+/** Lets all promises that can settle do so. */
+async function settle(): Promise<void> {
+	return new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
+
+function countRunning({nodes}: Fixture): number {
+	return nodes.reduce((sum, node) => sum + node.running.size, 0);
+}
+
+// Guards against a request to cancel that is answered as done at one entry while another one goes on with the job.
+describe('cancelling a job', () => {
+	it('reaches the job at another entry', async t => {
+		const fixture = createFixture();
+		const [owner, other] = fixture.nodes;
+		const posted = owner.post();
+		await settle();
+		t.is(countRunning(fixture), 1);
+		const reply = await other.remove();
+		t.is(reply.status, 200);
+		t.is(countRunning(fixture), 0);
+		const postReply = await posted;
+		t.is(postReply?.status, 504);
+	});
+
+	it('costs one message to each other entry', async t => {
+		const fixture = createFixture();
+		await fixture.nodes[1].remove();
+		t.is(fixture.sent, 2);
+	});
+
+	it('reaches the job at each entry to which its client has sent it', async t => {
+		const fixture = createFixture();
+		const [first, second, third] = fixture.nodes;
+		void first.post();
+		void second.post();
+		await settle();
+		t.is(countRunning(fixture), 2);
+		const reply = await third.remove();
+		t.is(reply.status, 200);
+		await settle();
+		t.is(countRunning(fixture), 0);
+	});
+
+	it('at the entry that has the job, reaches the others as well', async t => {
+		const fixture = createFixture();
+		const [first, second] = fixture.nodes;
+		void first.post();
+		void second.post();
+		await settle();
+		const reply = await first.remove();
+		t.is(reply.status, 200);
+		await settle();
+		t.is(countRunning(fixture), 0);
+	});
+
+	for (const asked of [0, 1, 2] as const) {
+		it(`reaches a job that was forwarded, asked for at entry ${asked}`, async t => {
+			const fixture = createFixture({isBusy: true});
+			const posted = fixture.nodes[0].post();
+			await settle();
+			t.is(fixture.nodes[1].running.size, 1);
+			const reply = await fixture.nodes[asked].remove();
+			t.is(reply.status, 200);
+			await settle();
+			t.is(countRunning(fixture), 0);
+			const postReply = await posted;
+			t.is(postReply?.status, 504);
+		});
+	}
+
+	it('keeps a forwarded job that is still on its way from being started', async t => {
+		const fixture = createFixture({isBusy: true});
+		fixture.isHeld = true;
+		void fixture.nodes[0].post();
+		await settle();
+		fixture.isHeld = false;
+		const reply = await fixture.nodes[2].remove();
+		t.is(reply.status, 200);
+		await fixture.deliver();
+		t.is(fixture.nodes[1].accepted, 0);
+	});
+
+	it('is answered with 410 if no entry has the job', async t => {
+		const reply = await createFixture().nodes[0].remove();
+		t.is(reply.status, 410);
+	});
+
+	it('before its request arrives, keeps it from being started at any entry', async t => {
+		const fixture = createFixture();
+		await fixture.nodes[0].remove();
+		for (const node of fixture.nodes) {
+			const reply = await node.post();
+			t.is(reply?.status, 504);
+			t.is(node.accepted, 0);
+		}
+	});
+
+	it('beside its request, keeps it from being started at whichever entry it arrives', async t => {
+		const fixture = createFixture();
+		const [first, second] = fixture.nodes;
+		fixture.isHeld = true;
+		const removed = first.remove();
+		void second.post();
+		await settle();
+		await fixture.deliver();
+		const reply = await removed;
+		t.is(reply.status, 200);
+		t.is(countRunning(fixture), 0);
+	});
+
+	it('twice is answered with 200 and then with 410', async t => {
+		const fixture = createFixture();
+		void fixture.nodes[0].post();
+		await settle();
+		const first = await fixture.nodes[1].remove();
+		const second = await fixture.nodes[2].remove();
+		t.deepEqual([first.status, second.status], [200, 410]);
+	});
+
+	it('at two entries at once ends the job and answers both', async t => {
+		const fixture = createFixture();
+		void fixture.nodes[0].post();
+		await settle();
+		const [first, second] = await Promise.all([fixture.nodes[1].remove(), fixture.nodes[2].remove()]);
+		t.true([first.status, second.status].includes(200));
+		t.true([first.status, second.status].every(status => status === 200 || status === 410));
+		t.is(countRunning(fixture), 0);
+	});
+
+	describe('while an entry cannot be reached', () => {
+		it('is answered at once if another one has the job', async t => {
+			const fixture = createFixture();
+			fixture.cutOff.add('e2-1');
+			void fixture.nodes[0].post();
+			await settle();
+			const reply = await fixture.nodes[1].remove();
+			t.is(reply.status, 200);
+		});
+
+		it('is not answered as done, but with when to ask again', async t => {
+			const fixture = createFixture();
+			void fixture.nodes[2].post();
+			await settle();
+			fixture.cutOff.add('e2-1');
+			const early = await fixture.nodes[1].remove();
+			t.is(early.status, 503);
+			t.true(early.retryAfter! > 0);
+			fixture.cutOff.clear();
+			const reply = await fixture.nodes[1].remove();
+			t.is(reply.status, 200);
+			t.is(countRunning(fixture), 0);
+		});
+
+		it('is not answered as done if the reply of a linked entry does not arrive', async t => {
+			const fixture = createFixture();
+			fixture.isHeld = true;
+			const removed = fixture.nodes[1].remove();
+			await settle();
+			fixture.clock.advance(1000);
+			const reply = await removed;
+			t.is(reply.status, 503);
+		});
+	});
+
+	it('is forgotten after a minute, when no request of the job can be on its way any more', async t => {
+		const fixture = createFixture();
+		await fixture.nodes[0].remove();
+		fixture.clock.advance(60_001);
+		void fixture.nodes[0].post();
+		await settle();
+		t.is(fixture.nodes[0].accepted, 1);
+	});
+
+	it('does not ask anyone about a name that no job can have', async t => {
+		const fixture = createFixture();
+		const reply = await fixture.nodes[0].intake.cancel('x');
+		t.is(reply.status, 410);
+		t.is(fixture.sent, 0);
+	});
+});
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -6,6 +6,7 @@
 import {createJobIntake} from '../../src/platform/job-intake.js';
 import {serveHttp} from '../../src/platform/http-server.js';
 import type {Entry} from '../../src/process/entry-types.js';
+import {createFakeClock} from '../../src/process/fake-clock.js';
 import type {SubmissionRequest} from '../../src/request/submission-rules.js';
 import type {Answer} from '../../src/request/types.js';
 import type {Snapshot} from '../../src/version/types.js';
@@ -65,7 +66,7 @@
 
 	} as unknown as Snapshot;
 	const desk = createJobDesk({
-		entry, log: silentLog, tryGetSnapshot: () => snapshot, checkPause: () => undefined,
+		entry, log: silentLog, clock: createFakeClock(), tryGetSnapshot: () => snapshot, checkPause: () => undefined,
 	});
 	const server = await serveHttp(createIngress({
 		entry, desk, log: silentLog, intake: createJobIntake({entry, desk}),
--- a/test/platform/job-intake.test.ts
+++ b/test/platform/job-intake.test.ts
@@ -72,6 +72,7 @@
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- the intake uses only these members
 	const desk = {
 		isOpen: () => false,
+		wasCancelled: () => false,
 		cancel: () => false,
 		async submit(job: ReceivedJob) {
 			served.push(job);
@@ -79,7 +80,7 @@
 		},
 		refuse: (_name: string, {status, retryAfter}: {readonly status: number; readonly retryAfter: number}): JobReply => ({status, body: '', retryAfter}),
 	} as unknown as JobDesk;
-	const intake = createJobIntake({entry: {decideByLoad: () => decision, tryForwardJob: forwarding.tryForward}, desk});
+	const intake = createJobIntake({entry: {decideByLoad: () => decision, tryForwardJob: forwarding.tryForward, cancelJob: async () => 'not-found'}, desk});
 	return {
 		intake,
 		served,
@@ -167,11 +168,11 @@
 	it('cancels a forwarded job by its name', async t => {
 		const {intake, forwarded, submit} = createFixture();
 		const pending = submit();
-		t.true(intake.cancel(name));
+		t.true(intake.cancelHere(name));
 		t.true(forwarded[0]!.isCancelled);
 		const answer = await pending;
 		t.is(answer?.status, 504);
-		t.false(intake.cancel(name));
+		t.false(intake.cancelHere(name));
 	});
 
 	// Seed 1121 of the failure runs: a resumed entry forwarded a job whose client had left meanwhile.
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -128,6 +128,30 @@
 		t.is(events.filter(({what}) => what === 'stopped').length, 2);
 	});
 
+	// Guards against a request to cancel that is answered as done at one entry while another one starts further tasks of the job.
+	itSerial('start nothing more of a job that was cancelled at an entry that does not have it', async t => {
+		const system = await startSystem(t, 2, 2);
+		const job = formatJobName(1);
+		// The executors have room for a part of the tasks at a time.
+		const reply = system.submit(0, {
+			name: job, tasks: 120, ms: 400, deadline: 20_000,
+		});
+		while (countStarts(await system.getEvents(), job) === 0) {
+			await sleep(20);
+		}
+
+		const cancelled = await system.cancel(1, job);
+		t.is(cancelled?.status, 200);
+		await reply;
+		await sleep(300);
+		const startsBefore = countStarts(await system.getEvents(), job);
+		await sleep(1500);
+		t.is(countStarts(await system.getEvents(), job), startsBefore);
+		t.true(startsBefore < 120);
+		const repeated = await system.cancel(0, job);
+		t.is(repeated?.status, 410);
+	});
+
 	itSerial('end the runs of a killed entry before its client may send the job again', async t => {
 		const system = await startSystem(t, 2, 2);
 		const job = {
