Log and count requests that an entry reads late

What callers saw: nothing of it could be told from a log.

Change: an entry tells in one line, `request was read late`, and in the histogram `request_input_delay`, for how long a request may have waited while the process stood still, and whether the end of its connection was read right after it. Only such requests are reported, so the volume is that of the late ones. When all input has been read that waited at the end of a pause is told by the poll phases of the event loop (`input-reading.ts`): a phase reads a connection until it is empty, and its end in the phase after. No decision depends on it yet.

--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -8,6 +8,7 @@
 import type {Cancellation} from '../connection/peer-types.js';
 import type {Entry} from '../process/entry-types.js';
 import type {Log} from '../process/log.js';
+import type {RequestArrivals} from '../process/request-arrivals.js';
 import type {JobDesk, JobReply, RouteMatch} from './job-desk.js';
 import type {JobIntake} from './job-intake.js';
 
@@ -16,6 +17,7 @@
 	readonly entry: Pick<Entry, 'isShuttingDown'>;
 	readonly desk: Pick<JobDesk, 'findRoute' | 'countWaiting'>;
 	readonly intake: JobIntake;
+	readonly arrivals: RequestArrivals;
 	readonly log: Pick<Log, 'warn'>;
 };
 
@@ -28,7 +30,7 @@
 
 /** Creates the HTTP routes. */
 export function createIngress({
-	entry, desk, intake, log,
+	entry, desk, intake, arrivals, log,
 }: IngressHost): Hono<HttpEnv> {
 	const app = new Hono<HttpEnv>();
 
@@ -82,6 +84,7 @@
 			return c.json({error: `the body exceeds ${maxBodyBytes} bytes`}, 413, {connection: 'close'});
 		}
 
+		arrivals.record(match.name, c.env.incoming.socket);
 		const reply = await intake.submit(admitted, body, Number(c.env.incoming.headers['request-deadline']), createCancellation(c));
 		// The client has disconnected if there is none, so nobody reads this response.
 		return reply === undefined ? c.body(null, 504) : respond(reply);
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -10,12 +10,14 @@
 import {createSystemClock} from '../process/clock.js';
 import {closeHttp} from '../process/http-listen.js';
 import {declinedResult} from '../process/job-forwarding.js';
+import {afterInputRead, afterPoll} from '../process/input-reading.js';
 import {tryCreateLinkBudget} from '../process/link-budget.js';
 import {createEventLoopMonitor, type LoadMonitor} from '../process/load-monitor.js';
 import type {Log} from '../process/log.js';
 import {createPauseDetector} from '../process/pause-detector.js';
 import {runEntry, type RunningEntry} from '../process/run-entry.js';
 import {createPrometheusMetrics} from '../process/prometheus-metrics.js';
+import {createRequestArrivals} from '../process/request-arrivals.js';
 import type {EntrySettings} from '../process/settings.js';
 import {createSocketTraffic, type CountedSocket} from '../process/socket-traffic.js';
 import {createResourceScheduler} from '../request/resource-scheduler.js';
@@ -53,6 +55,8 @@
 	const platform = createPlatformClient({...settings.platform, clock});
 	const pauseDetector = createPauseDetector(clock);
 	const loadMonitor = overrides.loadMonitor ?? createEventLoopMonitor(clock);
+	// Before anything is connected, as it knows only connections that were opened after it.
+	const traffic = createSocketTraffic((socket, isAccepted) => getTrafficPurpose(machine, socket, isAccepted));
 	const evacuations = createEvacuationHolder();
 	const follower = createLongPollFollower({
 		clock,
@@ -64,7 +68,6 @@
 		},
 	});
 	follower.start();
-	const traffic = createSocketTraffic((socket, isAccepted) => getTrafficPurpose(machine, socket, isAccepted));
 	const linkBudget = tryCreateLinkBudget({clock, traffic, linkMbps: machine.linkMbps});
 	log.info({linkMbps: machine.linkMbps, isWatched: linkBudget !== undefined}, 'network link');
 	// Other entries may forward jobs as soon as this one listens, and are declined until the desk exists.
@@ -79,7 +82,15 @@
 			timing: platformTiming,
 			evacuations,
 			drainNoticeMs: settings.entry.drainMs * drainNoticeShare,
-			pauseDetector,
+			pauses: {
+				pauseDetector,
+				afterInputRead(action) {
+					// The streams of a connection that has ended end one turn after it.
+					afterInputRead(traffic.getOpenSockets(), afterPoll, () => {
+						afterPoll(action);
+					});
+				},
+			},
 			loadMonitor,
 			traffic,
 			linkBudget,
@@ -95,7 +106,13 @@
 	});
 	serving.desk = desk;
 	const ingressServer = await serveHttp(createIngress({
-		entry, desk, log, intake: createJobIntake({entry, desk}),
+		entry,
+		desk,
+		log,
+		intake: createJobIntake({entry, desk}),
+		arrivals: createRequestArrivals({
+			clock, log, metrics, afterPoll, getInputDelay: entry.getInputDelay,
+		}),
 	}), machine.clients!);
 	const readinessServer = await serveHttp(new Hono().get('/v1/readyz', c => isReady() ? c.text('ready') : c.text('not ready', 503)), machine.ready!);
 	const metricsServer = await serveMetrics(metrics, {host: machine.ip, port: machine.metricsPort});
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -19,10 +19,10 @@
 import type {LoadMonitor} from './load-monitor.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
-import type {PauseDetector} from './pause-detector.js';
 import type {Platform} from './platform/types.js';
 import type {EntrySettings} from './settings.js';
 import type {SocketTraffic} from './socket-traffic.js';
+import type {StartHoldHost} from './start-hold.js';
 
 /** Dependencies of an entry. */
 export type EntryHost = {
@@ -40,8 +40,8 @@
 	readonly log: Log;
 	readonly metrics: Metrics;
 	readonly timing?: LinkTiming;
-	/** Detects pauses of this process, after which the entry holds its starts back for a moment; undefined disables this. */
-	readonly pauseDetector?: PauseDetector;
+	/** Tells of pauses of this process, after which the entry holds its starts back for a moment; undefined disables this. */
+	readonly pauses?: Pick<StartHoldHost, 'pauseDetector' | 'afterInputRead'>;
 	/**
 	 * Time at the start of a drain during which new work is still accepted, until the balancer sends its requests to other
 	 * entries. If undefined, new work is refused at once.
@@ -83,6 +83,8 @@
 	issueTicket(owner: string): Ticket;
 	/** Decides whether a new job is served here or by another entry; always here unless the load of this process is measured. */
 	decideByLoad(): LoadDecision;
+	/** Returns for how long input that is read now may have waited while this process stood still; 0 if it did not. */
+	getInputDelay(): Milliseconds;
 	/** Forwards a job of the client's name `name` to another entry; undefined if it has to be served here after all. */
 	tryForwardJob(peer: string, name: string, job: ForwardedJob): PendingRequest | undefined;
 	/** Whether the entry was asked to stop, so that callers should use another one. */
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -145,7 +145,7 @@
 		defer: host.defer,
 		clock,
 		timing,
-		onBatchReceived: host.pauseDetector?.check,
+		onBatchReceived: host.pauses?.pauseDetector.check,
 		onUnexpectedError: logUnexpectedError,
 		getSenderSilence: host.getSenderSilence,
 		isNetworkBusy: () => host.linkBudget?.isBusy() ?? false,
@@ -160,17 +160,15 @@
 	});
 	const heldTaskQueries = createHeldTaskQueries({clock, timeoutMs: heldTaskQueryTimeoutMs, broadcastQuery: links.broadcastQuery});
 	const createHoldSwitch = createHoldSwitches(coordinator.scheduler);
-	const areStartsHeld = host.pauseDetector === undefined
-		? () => false
-		: holdStartsAfterPauses({
-			clock, setHeld: createHoldSwitch(), pauseDetector: host.pauseDetector, log: host.log,
-		});
+	const startHold = host.pauses && holdStartsAfterPauses({
+		...host.pauses, clock, setHeld: createHoldSwitch(), log: host.log,
+	});
 	const startPacing = host.linkBudget && createStartPacing({clock, budget: host.linkBudget, setHeld: createHoldSwitch()});
 	const forwarding = createJobForwarding({
 		...host,
 		peers: {tryStartRequest: (peer, req) => peers.tryStartRequest(peer, req), getLoadReports: () => peers.getLoadReports()},
 		isServing: () => !isShuttingDown && follower.tryGet() !== undefined && links.getLinkCount() > 0,
-		areStartsHeld,
+		areStartsHeld: () => startHold?.areStartsHeld() ?? false,
 	});
 	const peers = createPeerHub({
 		clock,
@@ -215,7 +213,7 @@
 		},
 		onLinksChanged: updateAddresses,
 	});
-	host.pauseDetector?.onPause(pause => {
+	host.pauses?.pauseDetector.onPause(pause => {
 		if (pause > (timing.harmlessPauseMs ?? Infinity)) {
 			host.log.warn({pause}, 'streams of other entries are closed after a pause');
 			peers.abandonServedRequests();
@@ -306,6 +304,7 @@
 		coordinator,
 		issueTicket: owner => issuer.issue(owner, 1)[0]!,
 		decideByLoad: forwarding.decide,
+		getInputDelay: () => startHold?.getInputDelay() ?? 0,
 		tryForwardJob: forwarding.tryForward,
 		isShuttingDown: () => isShuttingDown,
 		getRemainingDrainTime: () => drainEndsAt - clock.now(),
--- a/src/process/socket-traffic.ts
+++ b/src/process/socket-traffic.ts
@@ -16,12 +16,14 @@
 export type SocketTraffic = {
 	/** Returns the bytes of all connections, closed ones included, by purpose. */
 	getCounts(): ReadonlyMap<string, TrafficCount>;
+	/** Returns the connections that are open, or being opened. */
+	getOpenSockets(): readonly CountedSocket[];
 	/** Stops to follow new connections. */
 	stop(): void;
 };
 
 /** The part of a socket that is counted. */
-export type CountedSocket = Pick<Socket, 'bytesRead' | 'bytesWritten' | 'localPort' | 'remotePort'> & {
+export type CountedSocket = Pick<Socket, 'bytesRead' | 'bytesWritten' | 'localPort' | 'remotePort' | 'destroyed'> & {
 	once(event: 'close', listener: () => void): unknown;
 };
 
@@ -57,6 +59,7 @@
 
 			return counts;
 		},
+		getOpenSockets: () => Array.from(sockets, ({socket}) => socket),
 		stop() {
 			for (const [name, listener] of listeners) {
 				unsubscribe(name, listener);
--- a/src/process/start-hold.ts
+++ b/src/process/start-hold.ts
@@ -13,18 +13,29 @@
 	readonly clock: Clock;
 	readonly pauseDetector: PauseDetector;
 	readonly log: Log;
+	/** Calls `action` once all input has been read that waits in the connections of this process now. */
+	afterInputRead(action: () => void): void;
 	/** Holds all starts back, or lets them go. */
 	setHeld(isHeld: boolean): void;
 };
 
+/** The hold of one entry. */
+export type StartHold = {
+	/** Whether starts are held back now because of a pause. */
+	areStartsHeld(): boolean;
+	/** Returns for how long input that is read now may have waited during a pause; 0 if all of that was read. */
+	getInputDelay(): Milliseconds;
+};
+
 /** Time to read the input that arrived during a pause: some turns of the event loop on a slow machine. */
 const holdMs: Milliseconds = 60;
 
-/** Holds starts back for a moment after each pause, and after each step backward of the wall clock, which may have hidden one. Returns a function that tells whether they are held now. */
+/** Holds starts back for a moment after each pause, and after each step backward of the wall clock, which may have hidden one. */
 export function holdStartsAfterPauses({
-	clock, setHeld, pauseDetector, log,
-}: StartHoldHost): () => boolean {
+	clock, setHeld, pauseDetector, log, afterInputRead,
+}: StartHoldHost): StartHold {
 	let timer: Timer | undefined;
+	let unread: {readonly pause: Milliseconds; readonly noticedAt: Milliseconds} | undefined;
 	// A step of the wall clock backward costs no more than this hold, so it counts as a pause here.
 	pauseDetector.onPossiblePause(pause => {
 		log.warn({pause, heldFor: holdMs}, 'this process may have stood still; starts are held');
@@ -34,10 +45,23 @@
 			timer = undefined;
 			setHeld(false);
 		});
+		const noticed = {pause, noticedAt: clock.now()};
+		unread = noticed;
+		afterInputRead(() => {
+			if (unread === noticed) {
+				unread = undefined;
+			}
+		});
 	});
-	return () => {
-		pauseDetector.check();
-		return timer !== undefined;
+	return {
+		areStartsHeld() {
+			pauseDetector.check();
+			return timer !== undefined;
+		},
+		getInputDelay() {
+			pauseDetector.check();
+			return unread === undefined ? 0 : unread.pause + clock.now() - unread.noticedAt;
+		},
 	};
 }
 
--- a/test/failure/leased/entry.ts
+++ b/test/failure/leased/entry.ts
@@ -172,8 +172,10 @@
 		tryGetSnapshot: () => snapshot,
 		checkPause: pauseDetector.check,
 	});
-	const areStartsHeld = holdStartsAfterPauses({
+	const {areStartsHeld} = holdStartsAfterPauses({
 		clock, setHeld: createHoldSwitches(coordinator.scheduler)(), pauseDetector, log: silentLog,
+		// A simulated process that resumes has performed everything that waited before it performs this.
+		afterInputRead: defer,
 	});
 	const sharing = loadSharing && startSharing(loadSharing);
 
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -5,7 +5,11 @@
 import {createJobDesk} from '../../src/platform/job-desk.js';
 import {createJobIntake} from '../../src/platform/job-intake.js';
 import {serveHttp} from '../../src/platform/http-server.js';
+import {createSystemClock} from '../../src/process/clock.js';
 import type {Entry} from '../../src/process/entry-types.js';
+import {afterPoll} from '../../src/process/input-reading.js';
+import {noMetrics} from '../../src/process/metrics.js';
+import {createRequestArrivals} from '../../src/process/request-arrivals.js';
 import type {SubmissionRequest} from '../../src/request/submission-rules.js';
 import type {Answer} from '../../src/request/types.js';
 import type {Snapshot} from '../../src/version/types.js';
@@ -68,7 +72,13 @@
 		entry, log: silentLog, tryGetSnapshot: () => snapshot, checkPause: () => undefined,
 	});
 	const server = await serveHttp(createIngress({
-		entry, desk, log: silentLog, intake: createJobIntake({entry, desk}),
+		entry,
+		desk,
+		log: silentLog,
+		intake: createJobIntake({entry, desk}),
+		arrivals: createRequestArrivals({
+			clock: createSystemClock(), log: silentLog, metrics: noMetrics, afterPoll, getInputDelay: () => 0,
+		}),
 	}), {host: '127.0.0.1', port: 0});
 	t.teardown(() => server.close());
 	const address = server.address();
