Begin no job whose client has left before its request was read

Cause: the end of a connection is read in a later poll phase of the event loop than its last bytes, and a job was begun as soon as the bytes were there. A wait of 60 ms stood for "all of it was read"; reading the requests of a long pause takes longer. Beside it, a client that has hung up was known only when its response closed, one to two turns after the end of its connection was read.

Ruled out: connections that are accepted late (each request waits for its own connection), and slow clients (the end was in the socket: the test sends and hangs up before the server reads anything).

Change: a job is served or forwarded only after a whole poll phase has followed the last byte of its request, and is dropped if the connection has ended by then. That needs no pause detector, so it holds for a slow entry, too. A job that another entry has declined is checked again before it is served here. A DELETE in between cancels the job. The check for a pause is made right before a job is accepted, not only when its request is routed. The end of a connection cancels its jobs at once.

The time that a late request's client still waits is not reduced: it lies between the stated time and that less the delay, the client is known to wait, and a refusal would lose it, while a late answer costs work at most.

--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -10,7 +10,7 @@
 import type {Log} from '../process/log.js';
 import type {RequestArrivals} from '../process/request-arrivals.js';
 import type {JobDesk, JobReply, RouteMatch} from './job-desk.js';
-import type {JobIntake} from './job-intake.js';
+import type {JobIntake, WaitingClient} from './job-intake.js';
 
 /** Dependencies of the interface. */
 export type IngressHost = {
@@ -84,8 +84,11 @@
 			return c.json({error: `the body exceeds ${maxBodyBytes} bytes`}, 413, {connection: 'close'});
 		}
 
-		arrivals.record(match.name, c.env.incoming.socket);
-		const reply = await intake.submit(admitted, body, Number(c.env.incoming.headers['request-deadline']), createCancellation(c));
+		const client: WaitingClient = {
+			...createCancellation(c),
+			isWaiting: async () => arrivals.isClientWaiting(match.name, c.env.incoming.socket),
+		};
+		const reply = await intake.submit(admitted, body, Number(c.env.incoming.headers['request-deadline']), client);
 		// The client has disconnected if there is none, so nobody reads this response.
 		return reply === undefined ? c.body(null, 504) : respond(reply);
 	}
@@ -101,10 +104,21 @@
 }
 
 function createCancellation(c: Context): Cancellation {
+	const {incoming: {socket}, outgoing} = c.env;
 	return {
 		onCancelled(action) {
-			c.env.outgoing.once('close', action);
-			if (c.env.outgoing.destroyed) {
+			if (socket.readableEnded || outgoing.destroyed) {
+				action();
+				return;
+			}
+
+			// The response closes some turns of the event loop after the end of the connection was read.
+			socket.once('end', cancel);
+			outgoing.once('close', cancel);
+
+			function cancel(): void {
+				socket.off('end', cancel);
+				outgoing.off('close', cancel);
 				action();
 			}
 		},
--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -24,7 +24,7 @@
 	readonly entry: Pick<Entry, 'coordinator' | 'issueTicket' | 'getRemainingDrainTime'>;
 	readonly log: Pick<Log, 'info'>;
 	tryGetSnapshot(): Snapshot | undefined;
-	/** Must be called before a request is accepted, since the request may have waited while this process was paused. */
+	/** Must be called before a job is accepted: its client may have left while this process was paused, which is not read yet then. */
 	checkPause(): void;
 };
 
@@ -142,7 +142,6 @@
 	};
 
 	function findRoute(host: string, path: string): RouteMatch | JobReply {
-		checkPause();
 		const snapshot = tryGetSnapshot();
 		if (snapshot === undefined) {
 			return refuse(undefined, {status: 503, retryAfter: notReadyRetryMs, reason: 'no configuration is in force'});
@@ -176,6 +175,7 @@
 	async function submit({
 		route, name, body, timeLeft,
 	}: ReceivedJob, cancellation: Cancellation): Promise<JobReply | undefined> {
+		checkPause();
 		if (!jobNamePattern.test(name)) {
 			return createReply(400, {error: 'a job is named by 16 hexadecimal digits'});
 		}
--- a/src/platform/job-intake.ts
+++ b/src/platform/job-intake.ts
@@ -29,6 +29,12 @@
 	readonly decision: Exclude<LoadDecision, {readonly kind: 'refuse'}>;
 };
 
+/** The client of a request. */
+export type WaitingClient = Cancellation & {
+	/** Resolves to whether the client still waits, once it is known that nothing else has come from it until now. */
+	isWaiting(): Promise<boolean>;
+};
+
 /** The jobs of the clients of one entry. */
 export type JobIntake = {
 	/** Decides whether and where a job is served; the reply if it is not. */
@@ -37,7 +43,7 @@
 	 * Serves an admitted job; `timeLeft` is the time that the client waits, not a positive number if it stated none. Undefined if
 	 * all its clients have gone before its answer.
 	 */
-	submit(job: AdmittedJob, body: Uint8Array, timeLeft: Milliseconds, cancellation: Cancellation): Promise<JobReply | undefined>;
+	submit(job: AdmittedJob, body: Uint8Array, timeLeft: Milliseconds, client: WaitingClient): Promise<JobReply | undefined>;
 	/** Cancels the job of this name. Returns false if there is none. */
 	cancel(name: string): boolean;
 };
@@ -51,6 +57,14 @@
 	cancel(): void;
 };
 
+/** A job of which nothing was done yet. */
+type ArrivingJob = {
+	readonly name: string;
+	isCancelled: boolean;
+};
+
+type Arrival = 'waiting' | 'gone' | 'cancelled';
+
 const serveHere = {kind: 'serve'} as const;
 /** The job may have run. Its client may send it again after the platform's time for that, when all its runs have ended. */
 const lostReply = createReply(504, {error: 'the entry that served this job was lost'});
@@ -59,6 +73,7 @@
 /** Creates an intake without jobs. */
 export function createJobIntake({entry, desk}: JobIntakeHost): JobIntake {
 	const forwardedJobs = new Map<string, ForwardedOpenJob>();
+	const arrivingJobs = new Set<ArrivingJob>();
 
 	return {
 		admit(target, match) {
@@ -68,15 +83,40 @@
 				? desk.refuse(match.name, {status: 503, retryAfter: decision.retryAfter, reason: 'this entry is busy, and so are the others'})
 				: {...match, ...target, decision};
 		},
-		async submit(job, body, timeLeft, cancellation) {
+		async submit(job, body, timeLeft, client) {
+			const arrival = await awaitClient(job.name, client);
+			if (arrival !== 'waiting') {
+				return toEndReply(arrival);
+			}
+
 			const forwarded = forwardedJobs.get(job.name) ?? tryForward(job, body, timeLeft);
-			const reply = forwarded && await waitForForwarded(job.name, forwarded, cancellation);
-			return reply ?? desk.submit({...job, body, timeLeft}, cancellation);
+			if (forwarded !== undefined) {
+				const reply = await waitForForwarded(job.name, forwarded, client);
+				if (reply !== undefined) {
+					return reply;
+				}
+
+				// The other entry has declined the job, which may have been read late.
+				const declined = await awaitClient(job.name, client);
+				if (declined !== 'waiting') {
+					return toEndReply(declined);
+				}
+			}
+
+			return desk.submit({...job, body, timeLeft}, client);
 		},
 		cancel(name) {
+			let isFound = false;
+			for (const arriving of arrivingJobs) {
+				if (arriving.name === name) {
+					arriving.isCancelled = true;
+					isFound = true;
+				}
+			}
+
 			const forwarded = forwardedJobs.get(name);
 			if (forwarded === undefined) {
-				return desk.cancel(name);
+				return desk.cancel(name) || isFound;
 			}
 
 			forwarded.isCancelled = true;
@@ -85,6 +125,19 @@
 		},
 	};
 
+	/** Waits until it is known whether the client still waits, or has cancelled the job meanwhile. */
+	async function awaitClient(name: string, client: WaitingClient): Promise<Arrival> {
+		const arriving: ArrivingJob = {name, isCancelled: false};
+		arrivingJobs.add(arriving);
+		const isWaiting = await client.isWaiting();
+		arrivingJobs.delete(arriving);
+		if (!isWaiting) {
+			return 'gone';
+		}
+
+		return arriving.isCancelled ? 'cancelled' : 'waiting';
+	}
+
 	function tryForward({
 		decision, name, host, path, configVersion,
 	}: AdmittedJob, body: Uint8Array, timeLeft: Milliseconds): ForwardedOpenJob | undefined {
@@ -125,6 +178,11 @@
 	}
 }
 
+/** Returns the reply to a job that is not served; undefined if nobody waits for it. */
+function toEndReply(arrival: Exclude<Arrival, 'waiting'>): JobReply | undefined {
+	return arrival === 'gone' ? undefined : cancelledReply;
+}
+
 function toJobReply({status, body, retryAfterMs}: RelayReply): JobReply {
 	return {status, body: Buffer.from(body).toString(), retryAfter: retryAfterMs === 0 ? undefined : retryAfterMs};
 }
--- a/src/process/job-forwarding.ts
+++ b/src/process/job-forwarding.ts
@@ -18,7 +18,10 @@
 	readonly peers: Pick<PeerHub, 'tryStartRequest' | 'getLoadReports'>;
 	/** Whether this entry has a configuration and agents, and was not asked to stop. */
 	isServing(): boolean;
-	/** Whether starts are held after a pause of this process. A job whose client may have gone must not be forwarded then. */
+	/**
+	 * Whether starts are held after a pause of this process. A job whose client may have gone must not be forwarded then. One whose
+	 * sender may have given it up is declined, so that only a sender that still waits serves it.
+	 */
 	areStartsHeld(): boolean;
 };
 
@@ -61,7 +64,7 @@
 		},
 		tryForward,
 		async serve(req, cancellation) {
-			const result = acceptsJobs() ? await host.serveForwardedJob!(ForwardedJob.decode(req.body), cancellation) : declinedResult;
+			const result = acceptsJobs() && !host.areStartsHeld() ? await host.serveForwardedJob!(ForwardedJob.decode(req.body), cancellation) : declinedResult;
 			metrics.count('job.received', 1, {outcome: result.declined ? 'declined' : 'served'});
 			return result;
 		},
--- a/src/process/request-arrivals.ts
+++ b/src/process/request-arrivals.ts
@@ -1,6 +1,6 @@
 /**
- * Tells which requests were read late, and which of their clients had hung up by then. A request that waited in its connection
- * while this process stood still, or was slow, looks like a new one: the end of its connection is read only after it.
+ * Tells whether the client of a request still waits. A request that waited in its connection while this process stood still, or was
+ * slow, looks like a new one, since the end of its connection is read only after it.
  */
 import type {Socket} from 'node:net';
 import type {Clock, Milliseconds} from './clock.js';
@@ -23,8 +23,11 @@
 
 /** The requests of clients at one process. */
 export type RequestArrivals = {
-	/** Reports a request of which all bytes were read, if it was read late or its client has hung up. */
-	record(request: string, connection: RequestConnection): void;
+	/**
+	 * Resolves to whether the client still waits, once everything has been read that its connection had received when this was called. To be
+	 * called when all bytes of the request were read, and again before it is acted on after another wait.
+	 */
+	isClientWaiting(request: string, connection: RequestConnection): Promise<boolean>;
 };
 
 /** Creates the arrivals of a process. */
@@ -32,21 +35,32 @@
 	clock, log, metrics, afterPoll, getInputDelay,
 }: RequestArrivalsHost): RequestArrivals {
 	return {
-		record(request, connection) {
+		async isClientWaiting(request, connection) {
 			const delay = getInputDelay();
 			const readAt = clock.now();
-			afterInputRead([connection], afterPoll, () => {
-				const hasLeft = connection.destroyed || connection.readableEnded;
-				if (delay === 0 && !hasLeft) {
-					return;
-				}
-
-				const client = hasLeft ? 'gone' : 'waiting';
-				log.info({
-					request, client, waitedUpTo: Math.round(delay), polled: Math.round(clock.now() - readAt),
-				}, 'request was read late');
-				metrics.time('request.input.delay', delay, {client});
+			await new Promise<void>(resolve => {
+				afterInputRead([connection], afterPoll, resolve);
 			});
+			const isWaiting = !connection.destroyed && !connection.readableEnded;
+			if (delay > 0 || !isWaiting) {
+				report(request, {isWaiting, delay, polled: clock.now() - readAt});
+			}
+
+			return isWaiting;
 		},
 	};
+
+	function report(request: string, {isWaiting, delay, polled}: Arrival): void {
+		const fields = {request, waitedUpTo: Math.round(delay), polled: Math.round(polled)};
+		log.info(fields, isWaiting ? 'request was read late' : 'request dropped, as its client has hung up; it has not run');
+		metrics.time('request.input.delay', delay, {client: isWaiting ? 'waiting' : 'gone'});
+	}
 }
+
+type Arrival = {
+	readonly isWaiting: boolean;
+	/** For how long the request may have waited while this process stood still. */
+	readonly delay: Milliseconds;
+	/** Time until the rest of the connection was read. */
+	readonly polled: Milliseconds;
+};
--- a/test/failure/leased/clients.ts
+++ b/test/failure/leased/clients.ts
@@ -233,10 +233,12 @@
 }
 
 /** Submits a job as the HTTP interface does. */
-function submitByRoute({desk}: Pick<LeasedEntry, 'desk'>, intake: JobIntake, job: ClientJob, deadlineMs: Milliseconds, expectedRun: Milliseconds): SubmittedJob {
+function submitByRoute({desk, process}: Pick<LeasedEntry, 'desk' | 'process'>, intake: JobIntake, job: ClientJob, deadlineMs: Milliseconds, expectedRun: Milliseconds): SubmittedJob {
 	const actions: Array<() => void> = [];
+	let hasLeft = false;
 	return {
 		cancel() {
+			hasLeft = true;
 			for (const action of actions) {
 				action();
 			}
@@ -265,8 +267,18 @@
 		};
 		return intake.submit(admitted, Buffer.from(JSON.stringify(body)), deadlineMs, {
 			onCancelled(action) {
-				actions.push(action);
+				if (hasLeft) {
+					action();
+				} else {
+					actions.push(action);
+				}
 			},
+			// What has waited with the request is performed before this.
+			isWaiting: async () => new Promise(resolve => {
+				process.clock.after(0, () => {
+					resolve(!hasLeft);
+				});
+			}),
 		});
 	}
 }
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
+import {Worker} from 'node:worker_threads';
 import type {ExecutionContext} from 'ava';
 import {createIngress} from '../../src/platform/ingress.js';
 import {createJobDesk} from '../../src/platform/job-desk.js';
@@ -10,38 +11,67 @@
 import {afterPoll} from '../../src/process/input-reading.js';
 import {noMetrics} from '../../src/process/metrics.js';
 import {createRequestArrivals} from '../../src/process/request-arrivals.js';
+import type {LoadDecision} from '../../src/request/load-sharing.js';
 import type {SubmissionRequest} from '../../src/request/submission-rules.js';
 import type {Answer} from '../../src/request/types.js';
 import type {Snapshot} from '../../src/version/types.js';
 import {describe, it} from '../describe.js';
 import {silentLog} from '../silent-log.js';
+import type {LateClient, LateClientsData, LateClientsMessage} from './late-clients.js';
 
-const path = '/jobs/0123456789abcdef';
+const pathPrefix = '/jobs/';
+const path = `${pathPrefix}0123456789abcdef`;
 const pollMs = 5;
+/** Time for which the server is blocked at most, while clients send and leave. */
+const maxBlockedMs = 20_000;
+const clientsOfEachKind = 8;
+/** Turns of the event loop in which a job that is begun by mistake would be seen. */
+const laterTurns = 20;
+const serveHere: LoadDecision = {kind: 'serve'};
+const forwardToPeer: LoadDecision = {
+	kind: 'forward', peer: {
+		incarnation: 'p-1', utilization: 0.1, acceptsJobs: true, linkUtilization: 0,
+	},
+};
 const complete: Answer = {state: 'complete', ran: 'ran', payloads: []};
 
 type Fixture = {
 	/** Requests that reached the coordinator. */
 	readonly submitted: SubmissionRequest[];
 	readonly cancelled: string[];
+	/** Names of the jobs that were forwarded. */
+	readonly forwarded: string[];
+	readonly port: number;
 	/** Number of requests that wait for the newest submission. */
 	countWaiting(): number;
 	/** Answers the newest submission, to all who wait for it. */
 	answer(value: Answer): void;
+	/** Answers all submissions. */
+	answerAll(value: Answer): void;
 	post(body: string, headers?: Readonly<Record<string, string>>): Promise<{readonly status: number; readonly text: string}>;
 	/** Sends a request and closes its connection without reading the response. */
 	postAndLeave(body: string): Promise<void>;
 };
 
-async function createFixture(t: ExecutionContext): Promise<Fixture> {
+async function createFixture(t: ExecutionContext, decision: LoadDecision = serveHere): Promise<Fixture> {
 	const submitted: SubmissionRequest[] = [];
 	const cancelled: string[] = [];
+	const forwarded: string[] = [];
 	let listeners: Array<(answer: Answer) => void> = [];
+	const allListeners: Array<(answer: Answer) => void> = [];
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- the ingress uses only these members
 	const entry = {
 		issueTicket: () => ({text: `ticket-${submitted.length}`}),
 		isShuttingDown: () => false,
-		decideByLoad: () => ({kind: 'serve'}),
+		decideByLoad: () => decision,
+		tryForwardJob(_peer: string, name: string) {
+			forwarded.push(name);
+			return {
+				reply: Promise.resolve({
+					id: 1, status: 200, body: new TextEncoder().encode('{}'), retryAfterMs: 0, declined: false,
+				}), cancel: () => undefined,
+			};
+		},
 		getRemainingDrainTime: () => Infinity,
 		coordinator: {
 			submit(_caller: unknown, req: SubmissionRequest) {
@@ -51,6 +81,7 @@
 					kind: 'accepted', job: {
 						ticket: req.ticket, submission: req.submission, tryGetAnswer: () => undefined, getExecutionStatus: () => 'not-run', whenAnswered(action: (answer: Answer) => void) {
 							listeners.push(action);
+							allListeners.push(action);
 						},
 					},
 				};
@@ -82,17 +113,24 @@
 	}), {host: '127.0.0.1', port: 0});
 	t.teardown(() => server.close());
 	const address = server.address();
-	const port = typeof address === 'object' ? address?.port : undefined;
+	const port = typeof address === 'object' ? address!.port : 0;
 
 	return {
 		submitted,
 		cancelled,
+		forwarded,
+		port,
 		countWaiting: () => listeners.length,
 		answer(value) {
 			for (const listener of listeners) {
 				listener(value);
 			}
 		},
+		answerAll(value) {
+			for (const listener of allListeners) {
+				listener(value);
+			}
+		},
 		async post(body, headers = {}) {
 			const req = send(body, headers);
 			const res = await new Promise<http.IncomingMessage>(resolve => {
@@ -199,4 +237,54 @@
 		const received = await Promise.all(replies);
 		t.deepEqual(received.map(({status}) => status), [200, 200]);
 	});
+
+	// Issue 40: an entry that resumes reads requests whose clients have hung up, and had their tasks started beside those of the repeated jobs.
+	for (const [where, decision] of Object.entries({here: serveHere, 'at another entry': forwardToPeer})) {
+		it(`after its process stood still, begins jobs ${where} of the clients that still wait, and of no others`, async t => {
+			const {submitted, cancelled, forwarded, port, answerAll} = await createFixture(t, decision);
+			const clients = createLateClients();
+			const answered = await sendWhileBlocked(t, port, clients);
+			const waiting = clients.filter(({leaves}) => leaves === 'never');
+			await waitUntil(() => submitted.length + forwarded.length >= waiting.length);
+			for (let turn = 0; turn < laterTurns; turn++) {
+				await nextTurn();
+			}
+
+			const begun = decision.kind === 'serve' ? submitted.map(({reference}) => reference) : forwarded;
+			t.deepEqual(begun.toSorted(), waiting.map(({path: clientPath}) => clientPath.slice(pathPrefix.length)).toSorted());
+			t.is(submitted.length + forwarded.length, waiting.length);
+			t.deepEqual(cancelled, []);
+			answerAll(complete);
+			await waitUntil(() => answered.length === waiting.length);
+			t.true(answered.every(text => text.startsWith('HTTP/1.1 200')));
+		});
+	}
 });
+
+/** Clients of each kind; several of each, which the event loop reads in any order. */
+function createLateClients(): readonly LateClient[] {
+	const kinds = (['before', 'meanwhile'] as const).flatMap(connects => (['end', 'destroy', 'never'] as const).map(leaves => ({connects, leaves})));
+	return Array.from({length: clientsOfEachKind * kinds.length}, (_, i) => ({
+		...kinds[i % kinds.length]!, path: `${pathPrefix}${i.toString(16).padStart(16, '0')}`, body: createBody({}),
+	}));
+}
+
+/** Blocks this thread until the clients have sent their requests and those that leave have left. Returns the responses, which come later. */
+async function sendWhileBlocked(t: ExecutionContext, port: number, clients: readonly LateClient[]): Promise<readonly string[]> {
+	const answered: string[] = [];
+	const data: LateClientsData = {port, clients, done: new Int32Array(new SharedArrayBuffer(4))};
+	const worker = new Worker(new URL('late-clients.js', import.meta.url), {workerData: data});
+	t.teardown(async () => worker.terminate());
+	await new Promise<void>(resolve => {
+		worker.on('message', (message: LateClientsMessage) => {
+			if (message.kind === 'connected') {
+				resolve();
+			} else {
+				answered.push(message.text);
+			}
+		});
+	});
+	worker.postMessage('start');
+	t.is(Atomics.wait(data.done, 0, 0, maxBlockedMs), 'ok');
+	return answered;
+}
--- a/test/platform/job-intake.test.ts
+++ b/test/platform/job-intake.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
-import type {Cancellation} from '../../src/connection/peer-types.js';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {ForwardedJob, type RelayReply} from '../../src/generated/kingcuplane.js';
-import {createJobIntake, type JobIntake} from '../../src/platform/job-intake.js';
+import {createJobIntake, type JobIntake, type WaitingClient} from '../../src/platform/job-intake.js';
 import type {JobDesk, JobReply, ReceivedJob} from '../../src/platform/job-desk.js';
 import {createFakeClock} from '../../src/process/fake-clock.js';
 import {createJobForwarding} from '../../src/process/job-forwarding.js';
@@ -20,7 +20,7 @@
 };
 const forwardToPeer: LoadDecision = {kind: 'forward', peer};
 const servedHere: JobReply = {status: 200, body: '{"state":"completed"}'};
-const never: Cancellation = {onCancelled: () => undefined};
+const patient: WaitingClient = {onCancelled: () => undefined, isWaiting: async () => true};
 
 type Fixture = {
 	readonly intake: JobIntake;
@@ -28,7 +28,7 @@
 	readonly served: ReceivedJob[];
 	/** Jobs that were forwarded, and the reply to each. */
 	readonly forwarded: Array<{readonly job: ForwardedJob; readonly timeoutMs: number; isCancelled: boolean; reply(reply: Partial<RelayReply> | undefined): void}>;
-	submit(options?: {readonly timeLeft?: number; readonly cancellation?: Cancellation}): Promise<JobReply | undefined>;
+	submit(options?: {readonly timeLeft?: number; readonly client?: WaitingClient}): Promise<JobReply | undefined>;
 };
 
 function createFixture(decision: LoadDecision = forwardToPeer, areStartsHeld = false): Fixture {
@@ -84,19 +84,21 @@
 		intake,
 		served,
 		forwarded,
-		async submit({timeLeft = 1500, cancellation = never} = {}) {
+		async submit({timeLeft = 1500, client = patient} = {}) {
 			const admitted = intake.admit(target, {name, route, configVersion: 7});
-			return 'status' in admitted ? admitted : intake.submit(admitted, Buffer.from('body'), timeLeft, cancellation);
+			return 'status' in admitted ? admitted : intake.submit(admitted, Buffer.from('body'), timeLeft, client);
 		},
 	};
 }
 
 /** A client that may hang up. */
-function createClient(): {readonly cancellation: Cancellation; hangUp(): void} {
+function createClient(): {readonly client: WaitingClient; hangUp(): void} {
 	const actions: Array<() => void> = [];
+	let isWaiting = true;
 	return {
-		cancellation: {onCancelled: action => actions.push(action)},
+		client: {onCancelled: action => actions.push(action), isWaiting: async () => isWaiting},
 		hangUp() {
+			isWaiting = false;
 			for (const action of actions) {
 				action();
 			}
@@ -108,6 +110,7 @@
 	it('forwards a job as it arrived, with the version under which it was routed, and passes on the reply', async t => {
 		const {forwarded, served, submit} = createFixture();
 		const pending = submit();
+		await nextTurn();
 		const {job, reply} = forwarded[0]!;
 		t.deepEqual({...job, body: Buffer.from(job.body).toString()}, {
 			...target, body: 'body', timeLeftMs: 1500, configVersion: 7,
@@ -126,6 +129,7 @@
 	it('serves a job here that the other entry has declined', async t => {
 		const {forwarded, served, submit} = createFixture();
 		const pending = submit();
+		await nextTurn();
 		forwarded[0]!.reply({declined: true});
 		t.is(await pending, servedHere);
 		t.is(served.length, 1);
@@ -134,6 +138,7 @@
 	it('does not say that a job has not run if the entry that served it was lost, and does not start it again', async t => {
 		const {forwarded, served, submit} = createFixture();
 		const pending = submit();
+		await nextTurn();
 		forwarded[0]!.reply(undefined);
 		const answer = await pending;
 		t.is(answer?.status, 504);
@@ -145,6 +150,7 @@
 		it(`forwards a job whose client states a time of ${timeLeft} ms`, async t => {
 			const {forwarded, submit} = createFixture();
 			const pending = submit({timeLeft});
+			await nextTurn();
 			t.true(Number.isInteger(forwarded[0]!.timeoutMs) && forwarded[0]!.timeoutMs > 0 && forwarded[0]!.timeoutMs < 2 ** 32);
 			forwarded[0]!.reply({});
 			const answer = await pending;
@@ -155,8 +161,9 @@
 	it('cancels a forwarded job once the last of its clients has left', async t => {
 		const {forwarded, submit} = createFixture();
 		const [first, second] = [createClient(), createClient()];
-		void submit({cancellation: first.cancellation});
-		void submit({cancellation: second.cancellation});
+		void submit({client: first.client});
+		void submit({client: second.client});
+		await nextTurn();
 		t.is(forwarded.length, 1, 'the repeated request joins the first one');
 		first.hangUp();
 		t.false(forwarded[0]!.isCancelled);
@@ -167,6 +174,7 @@
 	it('cancels a forwarded job by its name', async t => {
 		const {intake, forwarded, submit} = createFixture();
 		const pending = submit();
+		await nextTurn();
 		t.true(intake.cancel(name));
 		t.true(forwarded[0]!.isCancelled);
 		const answer = await pending;
@@ -180,4 +188,43 @@
 		t.is(await submit(), servedHere);
 		t.is(forwarded.length, 0);
 	});
+
+	// Issue 40: an entry that resumed had jobs started, here and at other entries, whose clients had left meanwhile.
+	for (const [where, decision] of Object.entries({here: {kind: 'serve'}, 'at another entry': forwardToPeer} satisfies Record<string, LoadDecision>)) {
+		it(`begins no job ${where} whose client has left before`, async t => {
+			const {forwarded, served, submit} = createFixture(decision);
+			const {client, hangUp} = createClient();
+			hangUp();
+			t.is(await submit({client}), undefined);
+			t.deepEqual([forwarded.length, served.length], [0, 0]);
+		});
+	}
+
+	it('does not serve a job here that was declined, if its client has left meanwhile', async t => {
+		const {forwarded, served, submit} = createFixture();
+		const {client} = createClient();
+		const answers = [true, false];
+		const pending = submit({client: {...client, isWaiting: async () => answers.shift()!}});
+		await nextTurn();
+		forwarded[0]!.reply({declined: true});
+		t.is(await pending, undefined);
+		t.is(served.length, 0);
+	});
+
+	it('begins no job that is cancelled while it arrives', async t => {
+		const {intake, forwarded, served, submit} = createFixture();
+		let arrive: (isWaiting: boolean) => void = () => undefined;
+		const pending = submit({
+			client: {
+				...patient, isWaiting: async () => new Promise(resolve => {
+					arrive = resolve;
+				}),
+			},
+		});
+		t.true(intake.cancel(name));
+		arrive(true);
+		const answer = await pending;
+		t.is(answer?.status, 504);
+		t.deepEqual([forwarded.length, served.length], [0, 0]);
+	});
 });
--- a/test/process/request-arrivals.test.ts
+++ b/test/process/request-arrivals.test.ts
@@ -42,33 +42,47 @@
 }
 
 describe('arrival of a request', () => {
-	it('is not reported if it was read in time and its client waits', t => {
+	it('is in time if its client waits, and is not reported', async t => {
 		const {arrivals, connection, poll, lines, observed} = createFixture({inputDelay: 0});
-		arrivals.record('a1', connection);
+		const isWaiting = arrivals.isClientWaiting('a1', connection);
 		poll();
+		t.true(await isWaiting);
 		t.deepEqual([lines, observed], [[], []]);
 	});
 
-	it('is reported if this process stood still before, with the longest time that the request may have waited', t => {
+	it('is reported if this process stood still before, with the longest time that the request may have waited', async t => {
 		const {arrivals, connection, poll, lines, observed} = createFixture({inputDelay: 4012.4});
-		arrivals.record('a1', connection);
+		const isWaiting = arrivals.isClientWaiting('a1', connection);
 		poll();
-		t.deepEqual(lines, [[{
-			request: 'a1', client: 'waiting', waitedUpTo: 4012, polled: 5,
-		}, 'request was read late']]);
+		t.true(await isWaiting);
+		t.deepEqual(lines, [[{request: 'a1', waitedUpTo: 4012, polled: 5}, 'request was read late']]);
 		t.deepEqual(observed, [['request.input.delay', 4012.4, {client: 'waiting'}]]);
 	});
 
-	for (const end of [{readableEnded: true}, {destroyed: true}]) {
-		it(`is reported if its client has hung up (${Object.keys(end).join('')})`, t => {
-			const {arrivals, connection, poll, lines, observed} = createFixture({inputDelay: 0});
-			arrivals.record('a1', connection);
-			Object.assign(connection, end);
-			poll();
-			t.deepEqual(lines, [[{
-				request: 'a1', client: 'gone', waitedUpTo: 0, polled: 5,
-			}, 'request was read late']]);
-			t.deepEqual(observed, [['request.input.delay', 0, {client: 'gone'}]]);
-		});
+	// Issue 40: the end of a connection is read after the request, so a process that resumes took jobs of clients that had left.
+	for (const inputDelay of [4000, 0]) {
+		for (const end of [{readableEnded: true}, {destroyed: true}]) {
+			it(`tells that the client has hung up (${Object.keys(end).join('')}), ${inputDelay > 0 ? 'after a pause' : 'also if this process was only slow'}`, async t => {
+				const {arrivals, connection, poll, lines, observed} = createFixture({inputDelay});
+				const isWaiting = arrivals.isClientWaiting('a1', connection);
+				Object.assign(connection, end);
+				poll();
+				t.false(await isWaiting);
+				t.deepEqual(lines, [[{request: 'a1', waitedUpTo: inputDelay, polled: 5}, 'request dropped, as its client has hung up; it has not run']]);
+				t.deepEqual(observed, [['request.input.delay', inputDelay, {client: 'gone'}]]);
+			});
+		}
 	}
+
+	it('waits until the connection brings no more bytes, behind which its end may be', async t => {
+		const {arrivals, connection, poll} = createFixture({inputDelay: 0});
+		const isWaiting = arrivals.isClientWaiting('a1', connection);
+		connection.bytesRead += 65_536;
+		poll();
+		connection.bytesRead += 10;
+		poll();
+		connection.readableEnded = true;
+		poll();
+		t.false(await isWaiting);
+	});
 });
