Send no forwarded job that was decided before a pause

A job that an entry forwards is sent at the end of a turn of its event loop. If the process stood still in between, the job reached the other entry seconds late and was started there at once, until the sender had read that its client had left. Starts for agents carry the end of their validity; forwarded jobs carry none.

Change: right before a batch is written, the jobs in it are declined while starts are held after a pause. They come back to the intake, which serves them here once all input is read, if their clients still wait.

Tests: peer-hub "do not send a request that its sender has declined meanwhile" (fails on the sources before), job-forwarding "a job that this entry has forwarded and not sent yet".

--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -206,7 +206,7 @@
 		link.output = createPeerStream({
 			...host,
 			write(batch) {
-				stream.write(batch);
+				stream.write({...batch, requests: batch.requests.filter(req => !isAnsweredUnsent(link, req))});
 			},
 			onSilent() {
 				replaceSilentConnection(link, stream);
@@ -232,6 +232,15 @@
 		link.output.send({...createHello(), losses: [...host.getLosses()]});
 	}
 
+	function isAnsweredUnsent(link: OutgoingLink, req: RelayRequest): boolean {
+		const reply = host.tryAnswerUnsent?.(req);
+		if (reply !== undefined) {
+			link.pendingRequests.get(req.id)?.({declined: false, ...reply, id: req.id});
+		}
+
+		return reply !== undefined;
+	}
+
 	function receive(link: OutgoingLink, batch: PeerBatch): void {
 		if (batch.hello?.address !== undefined) {
 			link.peer = batch.hello.address;
--- a/src/connection/peer-types.ts
+++ b/src/connection/peer-types.ts
@@ -18,6 +18,11 @@
 	onUnexpectedError(error: unknown): void;
 	/** Serves a request of another entry. */
 	serveRequest(req: RelayRequest, cancellation: Cancellation): Promise<RelayResult>;
+	/**
+	 * Called right before a request is sent, since this process may have stood still after it was made. Returns the reply if the request must
+	 * not be sent any more; all are sent if undefined.
+	 */
+	tryAnswerUnsent?(req: RelayRequest): RelayResult | undefined;
 	/** Returns the state to send, which reports these entries. */
 	getState(entries: readonly EntryAddress[]): PeerState;
 	/** Returns the load of this process; undefined if it is not measured. */
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -177,6 +177,7 @@
 		timing,
 		defer: host.defer,
 		tryGetLoad: forwarding.tryGetLoad,
+		tryAnswerUnsent: forwarding.tryAnswerUnsent,
 		async serveRequest(req, cancellation) {
 			switch (req.operation) {
 				case snapshotOperation: {
--- a/src/process/job-forwarding.ts
+++ b/src/process/job-forwarding.ts
@@ -33,6 +33,8 @@
 	tryForward(peer: string, name: string, job: ForwardedJob): PendingRequest | undefined;
 	/** Serves or declines a job that another entry has forwarded. */
 	serve(req: RelayRequest, cancellation: Cancellation): Promise<RelayResult>;
+	/** Declines a job that was forwarded and is not sent yet, if its client may have gone since; undefined if it may be sent. */
+	tryAnswerUnsent(req: RelayRequest): RelayResult | undefined;
 	/** Returns the load that is reported to peers; undefined if it is not measured. */
 	tryGetLoad(): PeerLoad | undefined;
 };
@@ -68,6 +70,7 @@
 			metrics.count('job.received', 1, {outcome: result.declined ? 'declined' : 'served'});
 			return result;
 		},
+		tryAnswerUnsent: req => req.operation === jobOperation && host.areStartsHeld() ? declinedResult : undefined,
 		tryGetLoad: () => loadMonitor && {
 			utilizationPerMille: Math.round(loadMonitor.getLoad().utilization * 1000),
 			acceptsJobs: acceptsJobs(),
--- a/test/connection/peer-hub.test.ts
+++ b/test/connection/peer-hub.test.ts
@@ -14,6 +14,8 @@
 type TestEntry = {
 	readonly process: SimulatedProcess;
 	readonly hub: PeerHub;
+	/** Bodies of requests that the entry declines instead of sending them. */
+	readonly declined: Set<string>;
 	/** Requests that the entry serves, and what became of them. */
 	readonly served: Array<{readonly body: string; isCancelled: boolean; reply(result: RelayResult): void}>;
 };
@@ -72,6 +74,7 @@
 	const process = createProcess(sim, `${name}-1`, {isClockFrozen: true});
 	const self: EntryAddress = {name, incarnation: process.name, links: name};
 	const served: TestEntry['served'] = [];
+	const declined = new Set<string>();
 	const hub = createPeerHub({
 		clock: process.clock,
 		self,
@@ -83,6 +86,7 @@
 			throw err;
 		},
 		serveRequest,
+		tryAnswerUnsent: ({body}) => declined.has(new TextDecoder().decode(body)) ? {...done, status: 503, declined: true} : undefined,
 		getState: () => ({
 			configVersion: 1, draining: false, entries: [], evacuations: undefined,
 		}),
@@ -103,7 +107,9 @@
 	every(process.clock, 1000, () => {
 		hub.broadcastState([]);
 	});
-	return {process, hub, served};
+	return {
+		process, hub, served, declined,
+	};
 
 	async function serveRequest({body}: RelayRequest, {onCancelled}: Cancellation): Promise<RelayResult> {
 		return new Promise(resolve => {
@@ -194,6 +200,20 @@
 		});
 	});
 
+	// Issue 40: an entry that stood still between deciding and sending had a job started whose client had left.
+	it('do not send a request that its sender has declined meanwhile', async t => {
+		const {a, b, advance, send} = await createFixture();
+		const declined = send('x');
+		a.declined.add('x');
+		const sent = send('y');
+		await advance(100);
+		t.deepEqual(b.served.map(({body}) => body), ['y']);
+		t.is(declined.outcome?.reply?.status, 503);
+		b.served[0]!.reply(done);
+		await advance(100);
+		t.is(sent.outcome?.reply?.status, 200);
+	});
+
 	// Guards against a run that nobody can stop: its request was read after the stream on which it came had ended.
 	it('serve no request that is read after its stream has ended', async t => {
 		const {b} = await createFixture();
--- a/test/failure/leased/entry.ts
+++ b/test/failure/leased/entry.ts
@@ -243,6 +243,7 @@
 				configVersion: 1, draining: false, entries: [...entries], evacuations: toMessage(evacuations.tryGet()),
 			}),
 			tryGetLoad: forwarding.tryGetLoad,
+			tryAnswerUnsent: forwarding.tryAnswerUnsent,
 			receiveState(_peer, state) {
 				if (state.evacuations !== undefined) {
 					evacuations.offer(state.evacuations);
--- a/test/process/job-forwarding.test.ts
+++ b/test/process/job-forwarding.test.ts
@@ -29,6 +29,18 @@
 	});
 }
 
+describe('a job that this entry has forwarded and not sent yet', () => {
+	// Issue 40: an entry that stood still between deciding and sending had a job started whose client had left.
+	it('is declined if this process stood still since, so that it is served here once all input is read', t => {
+		t.is(createForwarding(true).tryAnswerUnsent(req), declinedResult);
+		t.is(createForwarding(false).tryAnswerUnsent(req), undefined);
+	});
+
+	it('does not concern other requests', t => {
+		t.is(createForwarding(true).tryAnswerUnsent({...req, operation: 'snapshot'}), undefined);
+	});
+});
+
 describe('a job that another entry has forwarded', () => {
 	it('is served', async t => {
 		t.deepEqual(await createForwarding(false).serve(req, neverCancelled), served);
