--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -26,7 +26,7 @@
 	readonly log: Pick<Log, 'info'>;
 	readonly clock: Clock;
 	tryGetSnapshot(): Snapshot | undefined;
-	/** Must be called before a request is accepted, since the request may have waited while this process was paused. */
+	/** Must be called before a job is accepted: its client may have left while this process was paused, which is not read yet then. */
 	checkPause(): void;
 };
 
@@ -154,7 +154,6 @@
 	};
 
 	function findRoute(host: string, path: string): RouteMatch | JobReply {
-		checkPause();
 		const snapshot = tryGetSnapshot();
 		if (snapshot === undefined) {
 			return refuse(undefined, {status: 503, retryAfter: notReadyRetryMs, reason: 'no configuration is in force'});
@@ -188,6 +187,7 @@
 	async function submit({
 		route, name, body, timeLeft,
 	}: ReceivedJob, cancellation: Cancellation): Promise<JobReply | undefined> {
+		checkPause();
 		if (!isJobName(name)) {
 			return createReply(400, {error: 'a job is named by 16 hexadecimal digits'});
 		}
--- a/test/failure/leased/entry.ts
+++ b/test/failure/leased/entry.ts
@@ -173,8 +173,10 @@
 		tryGetSnapshot: () => snapshot,
 		checkPause: pauseDetector.check,
 	});
-	const areStartsHeld = holdStartsAfterPauses({
+	const {areStartsHeld} = holdStartsAfterPauses({
 		clock, setHeld: createHoldSwitches(coordinator.scheduler)(), pauseDetector, log: silentLog,
+		// A simulated process that resumes has performed everything that waited before it performs this.
+		afterInputRead: defer,
 	});
 	const sharing = loadSharing && startSharing(loadSharing);
 
@@ -242,6 +244,7 @@
 				configVersion: 1, draining: false, entries: [...entries], evacuations: toMessage(evacuations.tryGet()),
 			}),
 			tryGetLoad: forwarding.tryGetLoad,
+			tryAnswerUnsent: forwarding.tryAnswerUnsent,
 			receiveState(_peer, state) {
 				if (state.evacuations !== undefined) {
 					evacuations.offer(state.evacuations);
--- a/test/platform/cancelled-jobs.test.ts
+++ b/test/platform/cancelled-jobs.test.ts
@@ -2,7 +2,7 @@
 import type {Cancellation, PendingRequest} from '../../src/connection/peer-types.js';
 import {ForwardedJob, type EntryAddress, type RelayReply} from '../../src/generated/kingcuplane.js';
 import {createJobDesk, type JobDesk, type JobReply} from '../../src/platform/job-desk.js';
-import {createJobIntake, type JobIntake} from '../../src/platform/job-intake.js';
+import {createJobIntake, type JobIntake, type WaitingClient} from '../../src/platform/job-intake.js';
 import type {Entry} from '../../src/process/entry-types.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {createJobCancellation, type JobCancellation} from '../../src/process/job-cancellation.js';
@@ -20,7 +20,7 @@
 const cancelled: Answer = {
 	state: 'failed', ran: 'may-have-run', diagnostic: undefined, payloads: [],
 };
-const stays: Cancellation = {onCancelled: () => undefined};
+const stays: WaitingClient = {onCancelled: () => undefined, isWaiting: async () => true};
 // eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- only the routes are used
 const snapshot = {
 	version: 1, routes: [{
