--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -34,8 +34,8 @@
 	replaceEarlierLink(incarnation: string, link: AgentLink): void;
 	/** Called when the link has received the entry's welcome, and when it is lost after that. */
 	onLinkChanged?(change: AgentLinkChange): void;
-	/** Called with an unexpected error while a batch was processed; the link has been reset. */
-	onUnexpectedError?(error: unknown): void;
+	/** Called with an unexpected error while a batch from `address` was processed; the link has been reset. */
+	onUnexpectedError?(error: unknown, address: string): void;
 	/** Called before a received batch is processed; the batch is dropped if the callback resets the link. */
 	onBatchReceived?(): void;
 	/** Returns a number in [0, 1) for jitter. */
@@ -237,7 +237,7 @@
 			receive(batch);
 		} catch (err) {
 			reset();
-			host.onUnexpectedError?.(err);
+			host.onUnexpectedError?.(err, address);
 		}
 	}
 
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -47,8 +47,8 @@
 	getSenderSilence?(ticket: string): Milliseconds;
 	/** Called when a link has opened or was lost. */
 	onLinkChanged?(agent: AgentInfo, change: LinkChange): void;
-	/** Called with an unexpected error while a batch was processed; its link has been closed. */
-	onUnexpectedError?(error: unknown): void;
+	/** Called with an unexpected error while a batch was processed; its link has been closed. `agent` names the sender, once it is known. */
+	onUnexpectedError?(error: unknown, agent: string | undefined): void;
 	/** Called before a received batch is processed. */
 	onBatchReceived?(): void;
 };
@@ -206,7 +206,7 @@
 			} catch (err) {
 				close(link);
 				stream.destroy?.();
-				host.onUnexpectedError?.(err);
+				host.onUnexpectedError?.(err, link?.session.agent.name);
 			}
 		});
 		stream.on('end', () => {
--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -215,7 +215,7 @@
 		stream.on('data', (batch: PeerBatch) => {
 			if (link.stream === stream) {
 				link.output?.recordMessage();
-				guard(() => {
+				guard(link.peer?.name ?? link.address, () => {
 					receive(link, batch);
 				});
 			}
@@ -285,12 +285,12 @@
 		}
 	}
 
-	/** Processes a message; an unexpected error costs this message only. */
-	function guard(handle: () => void): void {
+	/** Processes a message of `source`; an unexpected error costs this message only. */
+	function guard(source: string | undefined, handle: () => void): void {
 		try {
 			handle();
 		} catch (err) {
-			host.onUnexpectedError(err);
+			host.onUnexpectedError(err, source);
 		}
 	}
 }
--- a/src/connection/peer-server.ts
+++ b/src/connection/peer-server.ts
@@ -14,8 +14,8 @@
 	/** Returns what this entry says first on a stream. */
 	createHello(): Partial<PeerBatch>;
 	receiveLoad(peer: EntryAddress, load: PeerLoad): void;
-	/** Processes a message and reports an unexpected error. */
-	guard(handle: () => void): void;
+	/** Processes a message of `source` and reports an unexpected error. */
+	guard(source: string | undefined, handle: () => void): void;
 };
 
 /** All streams that other entries have opened. */
@@ -92,7 +92,7 @@
 			}
 
 			output.recordMessage();
-			host.guard(() => {
+			host.guard(peer?.name, () => {
 				receive(batch);
 			});
 		});
@@ -181,7 +181,7 @@
 		try {
 			return await host.serveRequest(req, cancellation);
 		} catch (err) {
-			host.onUnexpectedError(err);
+			host.onUnexpectedError(err, `request ${req.operation}`);
 			return {status: unexpectedErrorStatus, body: new Uint8Array(), retryAfterMs: 0};
 		}
 	}
--- a/src/connection/peer-types.ts
+++ b/src/connection/peer-types.ts
@@ -14,8 +14,8 @@
 	readonly timing: Pick<LinkTiming, 'heartbeatMs' | 'silence'>;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
-	/** Called with an unexpected error while a message of a peer was processed. */
-	onUnexpectedError(error: unknown): void;
+	/** Called with an unexpected error while a message of a peer was processed. `source` names the peer, once it is known, or the request. */
+	onUnexpectedError(error: unknown, source: string | undefined): void;
 	/** Serves a request of another entry. */
 	serveRequest(req: RelayRequest, cancellation: Cancellation): Promise<RelayResult>;
 	/** Returns the state to send, which reports these entries. */
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -114,8 +114,8 @@
 		defer: host.defer,
 		connect: host.connect,
 		onBatchReceived: host.pauseDetector?.check,
-		onUnexpectedError(err) {
-			host.log.error({err}, 'a message of an entry could not be processed');
+		onUnexpectedError(err, address) {
+			host.log.error({err, address}, 'a message of an entry could not be processed');
 		},
 		onLinkChanged({kind, ...fields}) {
 			host.log.info(fields, `link ${kind}`);
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -329,8 +329,8 @@
 		}
 	}
 
-	function logUnexpectedError(err: unknown): void {
-		host.log.error({err}, 'a message of another process could not be processed');
+	function logUnexpectedError(err: unknown, source: string | undefined): void {
+		host.log.error({err, source}, 'a message of another process could not be processed');
 	}
 
 	function serveSnapshot(): RelayResult {
