directory: let one bad row of an entry cost that row alone

Callers saw: with one row of another writer in the table `entries` (its `links` empty, everything else valid) every agent and entry that read it ended with code 4, again at each start, and no job was served.

Cause: rows were checked for types alone. gRPC throws when a channel to an empty address is created, in a timer of entry-links.ts or peer-hub.ts. By reading, the same rows had three more effects: a row under any key could declare another entry dead or move it, as only the incarnation in its value counted; an entry whose own row was replaced by something unreadable took that for its own death and ended; and an entry with an unreadable row was forgotten, so that its death was never declared. Ruled out: gRPC with a port out of range, which it accepts when the channel is created.

Change: a row has names of bounded length, an "ip:port" that can be connected to, and is about the entry of its key; what is known of an entry holds while its row cannot be read. Addresses that peers report are checked in the same way, and an address that still cannot be used costs only its own link.

The simulations of test/failure had names as addresses in their rows; the rows have an IP address now, the simulated network still connects by name.

--- a/src/connection/entry-links.ts
+++ b/src/connection/entry-links.ts
@@ -42,6 +42,9 @@
 	stop(): void;
 };
 
+/** Bound on the unusable addresses that are remembered. */
+const maxUnusable = 1000;
+
 type PlannedLink = {
 	readonly link: AgentLink;
 	changedAt: Milliseconds;
@@ -56,6 +59,8 @@
 	const {clock, sessions} = host;
 	const links = new Map<string, PlannedLink>();
 	const linkByEntry = new Map<string, AgentLink>();
+	/** Addresses that no link could be created to. */
+	const unusable = new Set<string>();
 	let ranked: readonly string[] = [];
 	let isDiscovering = true;
 	const timer = every(clock, host.discoverMs, () => {
@@ -133,7 +138,7 @@
 
 	function setAddresses(addresses: readonly string[]): void {
 		// An entry that restarts keeps its address, and so its agents.
-		ranked = rankByRendezvousHash(host.agent, [...new Set(addresses)]);
+		ranked = rankByRendezvousHash(host.agent, [...new Set(addresses)].filter(address => !unusable.has(address)));
 		applyPlan();
 	}
 
@@ -157,7 +162,22 @@
 		}
 
 		for (const address of plan.open) {
+			tryAddLink(address);
+		}
+	}
+
+	// An address that cannot be used costs only itself, and the next one takes its place.
+	function tryAddLink(address: string): void {
+		try {
 			addLink(address);
+		} catch (err) {
+			if (unusable.size >= maxUnusable) {
+				unusable.clear();
+			}
+
+			unusable.add(address);
+			ranked = ranked.filter(other => other !== address);
+			host.onUnexpectedError?.(err, address);
 		}
 	}
 
--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -34,7 +34,7 @@
 	replaceEarlierLink(incarnation: string, link: AgentLink): void;
 	/** Called when the link has received the entry's welcome, and when it is lost after that. */
 	onLinkChanged?(change: AgentLinkChange): void;
-	/** Called with an unexpected error while a batch from `address` was processed; the link has been reset. */
+	/** Called with an unexpected error while a batch from `address` was processed, after which the link is reset, or while a link to it was created. */
 	onUnexpectedError?(error: unknown, address: string): void;
 	/** Called before a received batch is processed; the batch is dropped if the callback resets the link. */
 	onBatchReceived?(): void;
--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -86,7 +86,10 @@
 
 			for (const address of wanted) {
 				if (!links.has(address)) {
-					links.set(address, startLink(address));
+					// An address that cannot be used costs this link only.
+					guard(address, () => {
+						links.set(address, startLink(address));
+					});
 				}
 			}
 		},
@@ -285,7 +288,7 @@
 		}
 	}
 
-	/** Processes a message of `source`; an unexpected error costs this message only. */
+	/** Handles input of `source`; an unexpected error costs this input only. */
 	function guard(source: string | undefined, handle: () => void): void {
 		try {
 			handle();
--- a/src/connection/peer-types.ts
+++ b/src/connection/peer-types.ts
@@ -14,7 +14,7 @@
 	readonly timing: Pick<LinkTiming, 'heartbeatMs' | 'silence'>;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
-	/** Called with an unexpected error while a message of a peer was processed. `source` names the peer, once it is known, or the request. */
+	/** Called with an unexpected error while a message of a peer was processed or its address was used. `source` names the peer, its address or the request. */
 	onUnexpectedError(error: unknown, source: string | undefined): void;
 	/** Serves a request of another entry. */
 	serveRequest(req: RelayRequest, cancellation: Cancellation): Promise<RelayResult>;
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -4,7 +4,7 @@
 import {createLossLog} from '../connection/loss-log.js';
 import {createAgent} from '../process/agent.js';
 import {createSystemClock, type Milliseconds} from '../process/clock.js';
-import {readEntryAddresses} from '../process/entry-directory.js';
+import {createEntryAddressReader} from '../process/entry-directory.js';
 import {createExecutorManager} from '../process/executor-manager.js';
 import type {ExecutorInfo} from '../process/executor-types.js';
 import {createIncarnation} from '../process/incarnation.js';
@@ -40,6 +40,7 @@
 	const announcements = createAnnouncementStore({
 		clock, table: store.table, log, machine: machine.name,
 	});
+	const readEntryDirectory = createEntryAddressReader({table: store.table, log});
 	const lossLog = createLossLog({clock});
 	const evacuations = createEvacuationHolder();
 	const manager = createExecutorManager({
@@ -67,7 +68,7 @@
 			log,
 			metrics,
 			random: Math.random,
-			readEntryDirectory: async () => readEntryAddresses(store.table),
+			readEntryDirectory,
 			defer: setImmediate,
 			timing: platformTiming,
 			pauseDetector,
--- a/src/process/address.ts
+++ b/src/process/address.ts
@@ -25,6 +25,15 @@
 	return isIP(address.host) === 6 ? `[${address.host}]:${address.port}` : `${address.host}:${address.port}`;
 }
 
+/**
+ * Whether `text` is an "ip:port" or "[ip6]:port" to which a connection can be made. Of the texts of one address, only that of
+ * {@link formatAddress} is accepted, so that equal addresses have equal texts.
+ */
+export function isConnectable(text: string): boolean {
+	const address = tryParseAddress(text);
+	return address !== undefined && address.port > 0 && !isWildcard(address) && !address.host.includes('%') && formatAddress(address) === text;
+}
+
 /** Whether this is the wildcard address, which can be listened on but not connected to. */
 export function isWildcard(address: Address): boolean {
 	return address.host === '0.0.0.0' || address.host === '::';
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -115,7 +115,7 @@
 		connect: host.connect,
 		onBatchReceived: host.pauseDetector?.check,
 		onUnexpectedError(err, address) {
-			host.log.error({err, address}, 'a message of an entry could not be processed');
+			host.log.error({err, address}, 'input of an entry could not be processed');
 		},
 		onLinkChanged({kind, ...fields}) {
 			host.log.info(fields, `link ${kind}`);
--- a/src/process/bin/kingcuplane-agent.ts
+++ b/src/process/bin/kingcuplane-agent.ts
@@ -6,7 +6,7 @@
 import {createUpstreamClient} from '../../request/upstream-client.js';
 import {createAgent} from '../agent.js';
 import {createSystemClock} from '../clock.js';
-import {readEntryAddresses} from '../entry-directory.js';
+import {createEntryAddressReader} from '../entry-directory.js';
 import {createIncarnation} from '../incarnation.js';
 import {createLog} from '../log.js';
 import {createLogStream} from '../log-stream.js';
@@ -41,7 +41,7 @@
 	log,
 	metrics,
 	random: Math.random,
-	readEntryDirectory: async () => readEntryAddresses(platform.table),
+	readEntryDirectory: createEntryAddressReader({table: platform.table, log}),
 	defer: setImmediate,
 });
 log.info({incarnation, upstream: settings.upstream}, 'agent started');
--- a/src/process/entry-directory.ts
+++ b/src/process/entry-directory.ts
@@ -9,13 +9,16 @@
 import {
 	every, type Clock, type Milliseconds, type Timer,
 } from './clock.js';
-import {readJson} from './json.js';
+import {connectableAddressSchema, nameSchema, sequenceNumberSchema} from './input-schemas.js';
+import type {Log} from './log.js';
 import type {TableRow, TableStore} from './platform/types.js';
+import {createRowReader, type RowReader} from './row-reader.js';
 
 /** Dependencies of an entry directory. */
 export type EntryDirectoryHost = {
 	readonly clock: Clock;
 	readonly table: TableStore;
+	readonly log: Pick<Log, 'warn'>;
 	readonly self: EntryAddress;
 	/** Duration of a lease. An entry whose row stays unchanged for more than twice this time may be declared dead. */
 	readonly leaseMs: Milliseconds;
@@ -89,13 +92,15 @@
 const deadRowRetentionMs: Milliseconds = 3_600_000;
 
 const rowSchema = z.object({
-	name: z.string(), incarnation: z.string(), links: z.string(), dead: z.boolean(), renewals: z.int(),
+	name: nameSchema, incarnation: nameSchema, links: connectableAddressSchema, dead: z.boolean(), renewals: sequenceNumberSchema,
 });
+type EntryRow = z.infer<typeof rowSchema>;
 
 /** Creates the directory, registers this entry and renews its lease until stopped. */
 export function createEntryDirectory(host: EntryDirectoryHost): EntryDirectory {
 	const {clock, table, self} = host;
 	const key = `${rowPrefix}${self.incarnation}`;
+	const tryReadRow = createEntryRowReader(host.log);
 	const observations = new Map<string, Observation>();
 	const reportedEntries = new Map<string, EntryAddress>();
 	let revision = 0;
@@ -242,7 +247,8 @@
 			return 'unconfirmed';
 		}
 
-		if (tryParseRow(row.value)?.dead !== false) {
+		// A row that cannot be read declares nothing; the next renewal replaces it.
+		if (tryReadRow(row.value)?.dead) {
 			return reportLeaseLost();
 		}
 
@@ -283,11 +289,9 @@
 		const before = formatStatuses(observations);
 		const seenIncarnations = new Set<string>();
 		for (const row of rows.value) {
-			const value = tryParseRow(row);
-			if (value !== undefined) {
-				seenIncarnations.add(value.incarnation);
-				recordRow(row, value);
-			}
+			const incarnation = row.key.slice(rowPrefix.length);
+			seenIncarnations.add(incarnation);
+			recordRow(row, incarnation, tryReadRow(row));
 		}
 
 		for (const incarnation of observations.keys()) {
@@ -314,18 +318,17 @@
 		}
 	}
 
-	function recordRow(row: TableRow, value: z.infer<typeof rowSchema>): void {
-		const earlier = observations.get(value.incarnation);
-		if (earlier !== undefined && row.revision <= earlier.revision) {
+	// What is known of an entry stays as it is while its row cannot be read.
+	function recordRow({revision: rowRevision}: TableRow, incarnation: string, value: EntryRow | undefined): void {
+		const earlier = observations.get(incarnation);
+		if (earlier !== undefined && rowRevision <= earlier.revision) {
 			return;
 		}
 
-		observations.set(value.incarnation, {
-			address: {name: value.name, incarnation: value.incarnation, links: value.links},
-			isDead: value.dead,
-			revision: row.revision,
-			firstSeenAt: clock.now(),
-		});
+		const found = value === undefined ? earlier : {address: {name: value.name, incarnation, links: value.links}, isDead: value.dead};
+		if (found !== undefined) {
+			observations.set(incarnation, {...found, revision: rowRevision, firstSeenAt: clock.now()});
+		}
 	}
 
 	async function expireEntries(): Promise<void> {
@@ -378,21 +381,19 @@
 	}
 }
 
-/** Reads the link addresses of all live entries once; undefined if the platform does not answer. */
-export async function readEntryAddresses(table: TableStore): Promise<readonly string[] | undefined> {
-	const rows = await table.scan(rowPrefix, maxEntries);
-	if (rows.isErr()) {
-		return undefined;
-	}
+/** Creates a function that reads the link addresses of all live entries; undefined if the platform does not answer. */
+export function createEntryAddressReader({table, log}: Pick<EntryDirectoryHost, 'table' | 'log'>): () => Promise<readonly string[] | undefined> {
+	const tryReadRow = createEntryRowReader(log);
 
-	return rows.value
-		.map(row => tryParseRow(row))
-		.filter(row => row !== undefined && !row.dead)
-		.map(row => row!.links);
+	return async () => {
+		const rows = await table.scan(rowPrefix, maxEntries);
+		return rows.match(found => found.flatMap(row => tryReadRow(row) ?? []).filter(({dead}) => !dead).map(({links}) => links), () => undefined);
+	};
 }
 
-function tryParseRow(row: TableRow): z.infer<typeof rowSchema> | undefined {
-	return readJson(rowSchema, row.value).unwrapOr(undefined);
+/** Creates a reader of rows, each of which is about the entry that its key names. */
+function createEntryRowReader(log: Pick<Log, 'warn'>): RowReader<EntryRow> {
+	return createRowReader(rowSchema, log, ({key}, {incarnation}) => key === `${rowPrefix}${incarnation}` ? undefined : 'it is about another entry than its key');
 }
 
 function formatStatuses(observations: ReadonlyMap<string, Observation>): string {
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -19,7 +19,7 @@
 import {tryGetAgentConfig} from '../version/agent-config.js';
 import {createEvacuationHolder, toEvacuationList, type EvacuationList} from '../version/evacuations.js';
 import type {Snapshot} from '../version/types.js';
-import {formatAddress} from './address.js';
+import {formatAddress, isConnectable} from './address.js';
 import {
 	every, sleep, type Milliseconds,
 } from './clock.js';
@@ -114,6 +114,7 @@
 	const directory = createEntryDirectory({
 		clock,
 		table: host.platform.table,
+		log: host.log,
 		self,
 		leaseMs: limits.leaseMs,
 		isLinked: other => peers.isLinked(other),
@@ -197,7 +198,7 @@
 		getState,
 		receiveState(peer, state) {
 			peerStates.set(peer.incarnation, state);
-			directory.addReported([peer, ...state.entries]);
+			directory.addReported([peer, ...state.entries].filter(entry => isUsable(entry, peer)));
 			// Before the configuration of this peer, with which this entry may start to serve.
 			if (state.evacuations !== undefined) {
 				evacuations.offer(state.evacuations);
@@ -330,7 +331,17 @@
 	}
 
 	function logUnexpectedError(err: unknown, source: string | undefined): void {
-		host.log.error({err, source}, 'a message of another process could not be processed');
+		host.log.error({err, source}, 'input of another process could not be processed');
+	}
+
+	/** Whether an entry that `peer` has reported can be connected to. */
+	function isUsable({name, links: address}: EntryAddress, peer: EntryAddress): boolean {
+		if (!isConnectable(address)) {
+			host.log.warn({peer: peer.name, entry: name, address}, 'reported entry ignored, since its address cannot be used');
+			return false;
+		}
+
+		return true;
 	}
 
 	function serveSnapshot(): RelayResult {
--- /dev/null
+++ b/src/process/input-schemas.ts
@@ -0,0 +1,23 @@
+/**
+ * Schemas of values that several kinds of input have: rows of the store, messages and replies. Each states the range besides
+ * the type, since whatever passes is used without further checks.
+ */
+import {z} from 'zod';
+import {isConnectable} from './address.js';
+import type {Milliseconds} from './clock.js';
+
+/** Longest name of an object, process or service; the store allows keys of 200 bytes. */
+const maxNameLength = 200;
+/** End of the year 2099, which is later than any time of day that a working clock shows. */
+const maxWallTimeMs: Milliseconds = Date.UTC(2100, 0, 1) - 1;
+
+/** A name. */
+export const nameSchema = z.string().min(1).max(maxNameLength);
+/** A name that is sent in headers of HTTP requests: only visible ASCII characters. */
+export const headerNameSchema = nameSchema.regex(/^[!-~]+$/v);
+/** "IP:port" to which a connection can be made. */
+export const connectableAddressSchema = z.string().max(maxNameLength).refine(isConnectable, 'expected an IP number and a port from 1 to 65535');
+/** Wall time in whole milliseconds since 1970. */
+export const wallTimeSchema = z.int().min(0).max(maxWallTimeMs);
+/** A number that only increases: of messages, versions or revisions. */
+export const sequenceNumberSchema = z.int().min(0);
--- a/test/connection/entry-links.test.ts
+++ b/test/connection/entry-links.test.ts
@@ -14,6 +14,8 @@
 	/** Addresses to which a stream was opened, in order. */
 	readonly opened: string[];
 	readonly isOpen: ReadonlyMap<string, boolean>;
+	/** Addresses that no link could be created to, in order. */
+	readonly failed: string[];
 	/** Delivers the welcome of an entry and the list of entries that it knows. */
 	welcome(address: string, incarnation: string, known: readonly string[]): void;
 };
@@ -22,6 +24,7 @@
 	const clock = createFakeClock();
 	const opened: string[] = [];
 	const isOpen = new Map<string, boolean>();
+	const failed: string[] = [];
 	const receivers = new Map<string, (batch: EntryBatch) => void>();
 	const sessions = createEntrySessions({
 		clock,
@@ -49,8 +52,15 @@
 		defer(action) {
 			action();
 		},
+		onUnexpectedError(_err, address) {
+			failed.push(address);
+		},
 		connect: address => ({
 			open() {
+				if (address === 'unusable') {
+					throw new Error('this address cannot be used');
+				}
+
 				opened.push(address);
 				isOpen.set(address, true);
 				return {
@@ -74,6 +84,7 @@
 		links,
 		opened,
 		isOpen,
+		failed,
 		welcome(address, incarnation, known) {
 			receivers.get(address)?.(EntryBatch.fromPartial({welcome: {entry: incarnation, incarnation}}));
 			receivers.get(address)?.(EntryBatch.fromPartial({entries: known.map(links_ => ({name: links_, incarnation: links_, links: links_}))}));
@@ -114,6 +125,16 @@
 		t.deepEqual([...isOpen], [['e1', true], ['e2', true]]);
 	});
 
+	// Guards against an agent that ends, or finds no entry any more, because of one address that no link can be created to.
+	it('are opened to the other entries if an address cannot be used', async t => {
+		const {clock, opened, failed, welcome} = await createFixture(['unusable', 'e1']);
+		t.deepEqual(opened, ['e1']);
+		welcome('e1', 'e1-1', ['e1', 'unusable', 'e2']);
+		clock.advance(1000);
+		t.deepEqual(opened, ['e1', 'e2']);
+		t.deepEqual(failed, ['unusable']);
+	});
+
 	it('are limited in number', async t => {
 		const {opened, welcome} = await createFixture(['e1'], 2);
 		welcome('e1', 'e1-1', ['e1', 'e2', 'e3', 'e4']);
--- a/test/failure/entry.ts
+++ b/test/failure/entry.ts
@@ -18,6 +18,7 @@
 import type {Ticket} from '../../src/request/types.js';
 import {createPollingFollower} from '../../src/version/polling-follower.js';
 import type {Snapshot} from '../../src/version/types.js';
+import {silentLog} from '../silent-log.js';
 import {createSubmissionRecords} from './submission-records.js';
 import type {Journal} from './journal.js';
 import type {SimulatedProcess} from './simulation.js';
@@ -57,6 +58,8 @@
 	drain(done: (openJobs: number) => void): void;
 };
 
+/** Address in the rows of all entries, which nothing connects to. */
+const simulatedAddress = '10.0.0.1:7720';
 const drainMs: Milliseconds = 20_000;
 const drainCheckMs: Milliseconds = 10;
 
@@ -67,7 +70,7 @@
 export function createSimulatedEntry(host: SimulatedEntryHost): SimulatedEntry {
 	const {process, platform, journal} = host;
 	const {clock, name: incarnation} = process;
-	const self: EntryAddress = {name: host.address, incarnation, links: host.address};
+	const self: EntryAddress = {name: host.address, incarnation, links: simulatedAddress};
 	const follower = createPollingFollower({
 		platform, clock, random: host.random, onDiagnostic: () => undefined,
 	});
@@ -114,6 +117,7 @@
 	const directory = createEntryDirectory({
 		clock,
 		table: platform.table,
+		log: silentLog,
 		self,
 		leaseMs,
 		isLinked: host.isLinked,
@@ -128,7 +132,8 @@
 		sessions: coordinator.sessions,
 		scheduler: coordinator.scheduler,
 		tryGetConfig: agent => tryGetConfig(follower.tryGet(), agent.upstream),
-		getEntries: directory.getLive,
+		// The simulated network knows entries by their names.
+		getEntries: () => directory.getLive().map(entry => ({...entry, links: entry.name})),
 		getFencedIncarnations: directory.getDead,
 		isDraining: () => isDraining,
 		onConfigVersion: () => undefined,
