announcements: check heartbeats and stored announcements for range as well as type

Operators saw: a heartbeat with port 99999 or a space in `addr` was answered 500 after the executor in service had been ended and the announcement saved; one with `born` 1e300 was accepted and saved, and the real heartbeats counted as outdated from then on, also after a restart. By reading: a stored announcement with an unusable address threw in a background task at each start.

Cause: both schemas checked types alone. Ruled out as a limit of the acceptance logic: with these values nothing later can tell.

Change: one set of schemas states the ranges (input-schemas.ts): an address that can be connected to, born in whole milliseconds before the year 2100, whole sequence numbers, names of up to 200 characters, ids that may stand in a header, whole amounts in the stored form. A heartbeat must have all fields that the users' page names, also those that are not used; `born`, `gpu` and `labels` may be missing as before. Bodies are limited to the 4 MiB of that page. A bad stored announcement is logged with its row; should one still throw, the agent waits for the next heartbeat. Which valid heartbeats are believed is not changed here.

--- a/src/platform/announcement-store.ts
+++ b/src/platform/announcement-store.ts
@@ -5,9 +5,12 @@
 import {z} from 'zod';
 import {sleep, type Clock, type Milliseconds} from '../process/clock.js';
 import type {ExecutorInfo} from '../process/executor-types.js';
-import {readJson} from '../process/json.js';
+import {
+	amountSchema, connectableAddressSchema, headerNameSchema, labelsSchema, nameSchema, wallTimeSchema,
+} from '../process/input-schemas.js';
 import type {Log} from '../process/log.js';
 import type {TableStore} from '../process/platform/types.js';
+import {createRowReader} from '../process/row-reader.js';
 
 /** An announcement as it is stored. */
 export type Announcement = {
@@ -38,12 +41,12 @@
 
 const announcementSchema = z.object({
 	facts: z.object({
-		id: z.string(),
-		bornAt: z.number(),
-		address: z.string(),
-		service: z.string(),
-		room: z.object({cpu: z.number(), memory: z.number(), accelerators: z.number()}),
-		labels: z.array(z.string()),
+		id: headerNameSchema,
+		bornAt: wallTimeSchema,
+		address: connectableAddressSchema,
+		service: nameSchema,
+		room: z.object({cpu: amountSchema, memory: amountSchema, accelerators: amountSchema}),
+		labels: labelsSchema,
 	}),
 	isLeaving: z.boolean(),
 });
@@ -53,6 +56,7 @@
 	clock, table, log, machine,
 }: AnnouncementStoreHost): AnnouncementStore {
 	const key = `executors/${machine}`;
+	const tryReadRow = createRowReader(announcementSchema, log);
 	let pending: Announcement | undefined;
 	/** Revision of the row as last seen; undefined before it was read. */
 	let revision: number | undefined;
@@ -68,7 +72,7 @@
 			}
 
 			revision ??= row.value?.revision ?? 0;
-			return row.value === undefined ? undefined : readJson(announcementSchema, row.value.value).unwrapOr(undefined);
+			return row.value === undefined ? undefined : tryReadRow(row.value);
 		},
 		save(announcement) {
 			pending = announcement;
--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -2,9 +2,13 @@
  * HTTP routes by which the executor beside an agent announces itself, with regular heartbeats, and deregisters itself.
  */
 import {Hono} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
 import {z} from 'zod';
 import {maxAmount} from '../connection/resources.js';
 import type {ExecutorInfo} from '../process/executor-types.js';
+import {
+	connectableAddressSchema, headerNameSchema, labelsSchema, nameSchema, sequenceNumberSchema, wallTimeSchema,
+} from '../process/input-schemas.js';
 import {readJson} from '../process/json.js';
 import type {Log} from '../process/log.js';
 
@@ -27,15 +31,23 @@
 
 /** Rounds down to what a message can carry. */
 const amountSchema = z.number().min(0).transform(amount => Math.min(Math.floor(amount), maxAmount));
+/** A heartbeat with fields missing or of another type is no executor's, so fields that are not used are checked as well. */
 const heartbeatSchema = z.object({
-	upstream: z.string(),
-	addr: z.string(),
+	upstream: nameSchema,
+	addr: connectableAddressSchema,
+	zone: z.string(),
+	version: z.string(),
+	slots: z.number().min(0),
 	state: z.enum(['ready', 'draining']),
-	seq: z.number(),
-	born: z.number().default(0),
+	'cold-left-ms': z.number().min(0),
+	seq: sequenceNumberSchema,
+	born: wallTimeSchema.default(0),
 	room: z.object({cpu: amountSchema, 'mem-mb': amountSchema, gpu: amountSchema.default(0)}),
-	labels: z.array(z.string()).default([]),
+	labels: labelsSchema.default([]),
 });
+/** Largest heartbeat that the platform sends. */
+const maxBodyBytes = 4 * 1024 * 1024;
+const maxLoggedIdLength = 200;
 
 /** Creates the HTTP routes that an executor calls. */
 export function createHeartbeatApp(host: HeartbeatHost): Hono {
@@ -43,11 +55,22 @@
 	/** The newest heartbeat of each executor, by identifier. Heartbeats may arrive out of order. */
 	const newest = new Map<string, {readonly bornAt: number; readonly sequence: number}>();
 
+	app.use(bodyLimit({
+		maxSize: maxBodyBytes,
+		onError(c) {
+			host.log.warn({path: c.req.path, maxBodyBytes}, 'request ignored, since its body is too long');
+			return c.json({}, 413);
+		},
+	}));
+	app.onError((err, c) => {
+		host.log.error({err, path: c.req.path}, 'request of an executor failed unexpectedly');
+		return c.json({}, 500);
+	});
 	app.post('/v1/Executors.Heartbeat/:id', async c => {
 		const id = c.req.param('id');
 		const body = readJson(heartbeatSchema, await c.req.text());
-		if (body.isErr()) {
-			host.log.warn({executor: id, reason: body.error}, 'invalid heartbeat ignored');
+		if (body.isErr() || !headerNameSchema.safeParse(id).success) {
+			host.log.warn({executor: id.slice(0, maxLoggedIdLength), reason: body.isErr() ? body.error : 'the id is invalid'}, 'invalid heartbeat ignored');
 			return c.json({}, 400);
 		}
 
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -108,8 +108,14 @@
 
 	async function restoreExecutor(): Promise<void> {
 		const announcement = await announcements.load();
-		if (announcement !== undefined) {
+		if (announcement === undefined) {
+			return;
+		}
+
+		try {
 			manager.restore({executorInfo: announcement.facts, isLeaving: announcement.isLeaving});
+		} catch (err) {
+			log.error({err, announcement}, 'the stored announcement cannot be used; waiting for the next heartbeat');
 		}
 	}
 }
--- a/src/platform/wire-job.ts
+++ b/src/platform/wire-job.ts
@@ -3,8 +3,8 @@
  */
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
-import {maxAmount} from '../connection/resources.js';
 import type {Milliseconds} from '../process/clock.js';
+import {amountSchema} from '../process/input-schemas.js';
 import type {SubmissionRequest} from '../request/submission-rules.js';
 import type {Route} from '../version/types.js';
 
@@ -15,12 +15,12 @@
 /** Nineteen in twenty tasks take less than this multiple of their declared run time. */
 const runTimeMarginFactor = 2.3;
 
-const amountSchema = z.int().min(0).max(maxAmount).default(0);
+const neededAmountSchema = amountSchema.default(0);
 const stepSchema = z.object({
 	count: z.int().min(1).default(1),
-	cpu: amountSchema,
-	'mem-mb': amountSchema,
-	gpu: amountSchema,
+	cpu: neededAmountSchema,
+	'mem-mb': neededAmountSchema,
+	gpu: neededAmountSchema,
 	'est-runtime-ms': z.number().min(0).max(maxRunMs).default(0),
 	requires: z.string().optional(),
 	'data-rack': z.string().optional(),
--- a/src/process/input-schemas.ts
+++ b/src/process/input-schemas.ts
@@ -3,11 +3,14 @@
  * the type, since whatever passes is used without further checks.
  */
 import {z} from 'zod';
+import {maxAmount} from '../connection/resources.js';
 import {isConnectable} from './address.js';
 import type {Milliseconds} from './clock.js';
 
 /** Longest name of an object, process or service; the store allows keys of 200 bytes. */
 const maxNameLength = 200;
+/** Largest number of labels; executors have a kind and a rack. */
+const maxLabels = 100;
 /** End of the year 2099, which is later than any time of day that a working clock shows. */
 const maxWallTimeMs: Milliseconds = Date.UTC(2100, 0, 1) - 1;
 
@@ -17,6 +20,10 @@
 export const headerNameSchema = nameSchema.regex(/^[!-~]+$/v);
 /** "IP:port" to which a connection can be made. */
 export const connectableAddressSchema = z.string().max(maxNameLength).refine(isConnectable, 'expected an IP number and a port from 1 to 65535');
+/** An amount of a resource, as messages carry it. */
+export const amountSchema = z.int().min(0).max(maxAmount);
+/** The labels of an executor. */
+export const labelsSchema = z.array(z.string().max(maxNameLength)).max(maxLabels);
 /** Wall time in whole milliseconds since 1970. */
 export const wallTimeSchema = z.int().min(0).max(maxWallTimeMs);
 /** A number that only increases: of messages, versions or revisions. */
--- a/test/platform/announcement-store.test.ts
+++ b/test/platform/announcement-store.test.ts
@@ -1,10 +1,15 @@
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
 import {errAsync} from 'neverthrow';
 import {createAnnouncementStore, type Announcement} from '../../src/platform/announcement-store.js';
+import {isConnectable} from '../../src/process/address.js';
 import {createFakeClock} from '../../src/process/fake-clock.js';
 import {createTimeoutError} from '../../src/process/platform/errors.js';
 import {createMemoryPlatform} from '../../src/process/platform/memory.js';
 import type {Transaction} from '../../src/process/platform/types.js';
 import {describe, it} from '../describe.js';
+import {createOddBytes, oddInputRuns} from '../odd-input.js';
+import {createRecordingLog} from '../recording-log.js';
 import {silentLog} from '../silent-log.js';
 
 const announcement: Announcement = {
@@ -68,6 +73,50 @@
 		}).load(), undefined);
 	});
 
+	// Guards against a stored announcement that cannot be used, or that outdates all later heartbeats, at each start of the agent.
+	it('ignores an announcement with values out of range, and logs its row', async t => {
+		const odd = [
+			{address: ''},
+			{address: '10.0.0.1:99999'},
+			{address: 'host:80'},
+			{bornAt: 1e300},
+			{bornAt: -1},
+			{bornAt: 0.5},
+			{id: 'a\nb'},
+			{id: ''},
+			{service: ''},
+			{room: {cpu: -1, memory: 1, accelerators: 1}},
+			{room: {cpu: 1e300, memory: 1, accelerators: 1}},
+			{room: {cpu: 0.5, memory: 1, accelerators: 1}},
+		];
+		for (const fields of odd) {
+			const clock = createFakeClock();
+			const {table} = createMemoryPlatform({clock});
+			await table.commit({conditions: [], writes: [{key: 'executors/side-1', value: JSON.stringify({...announcement, facts: {...announcement.facts, ...fields}})}]});
+			const {log, lines} = createRecordingLog();
+			t.is(await createAnnouncementStore({
+				clock, table, log, machine: 'side-1',
+			}).load(), undefined, JSON.stringify(fields));
+			t.like(lines[0], {row: 'executors/side-1', revision: 1});
+		}
+	});
+
+	it('loads no announcement that cannot be used, whatever is stored, and saves the next one', async t => {
+		await fc.assert(fc.asyncProperty(createOddBytes(announcement), async bytes => {
+			const clock = createFakeClock();
+			const {table} = createMemoryPlatform({clock});
+			await table.commit({conditions: [], writes: [{key: 'executors/side-1', value: Buffer.from(bytes).toString()}]});
+			const announcements = createAnnouncementStore({
+				clock, table, log: silentLog, machine: 'side-1',
+			});
+			const loaded = await announcements.load();
+			t.true(loaded === undefined || (isConnectable(loaded.facts.address) && Number.isSafeInteger(loaded.facts.bornAt) && loaded.facts.id !== ''));
+			announcements.save(announcement);
+			await flushPromises();
+			t.deepEqual(await announcements.load(), announcement);
+		}), oddInputRuns);
+	});
+
 	it('keeps a write without an answer from replacing a newer announcement when it takes effect late', async t => {
 		const clock = createFakeClock();
 		const {table} = createMemoryPlatform({clock});
--- a/test/platform/heartbeats.test.ts
+++ b/test/platform/heartbeats.test.ts
@@ -1,5 +1,9 @@
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
 import {createHeartbeatApp, type Heartbeat} from '../../src/platform/heartbeats.js';
+import {isConnectable} from '../../src/process/address.js';
 import {describe, it} from '../describe.js';
+import {createOddBytes, oddInputRuns} from '../odd-input.js';
 import {silentLog} from '../silent-log.js';
 
 const sampleHeartbeat = {
@@ -22,7 +26,7 @@
 		received,
 		deregistered,
 		async send(id, body) {
-			const res = await app.request(`/v1/Executors.Heartbeat/${id}`, {method: 'POST', body: typeof body === 'string' ? body : JSON.stringify(body)});
+			const res = await app.request(`/v1/Executors.Heartbeat/${id}`, {method: 'POST', body: typeof body === 'string' || body instanceof Uint8Array ? Buffer.from(body) : JSON.stringify(body)});
 			return res.status;
 		},
 		async deregister(id) {
@@ -55,6 +59,71 @@
 		t.deepEqual(received.map(({executorInfo}) => executorInfo.id), ['i-2']);
 	});
 
+	// Guards against heartbeats that throw when they are used, or after which those of the executor count as outdated.
+	it('reject heartbeats with values out of range', async t => {
+		const {received, send} = createFixture();
+		const odd = [
+			{addr: ''},
+			{addr: '10.0.0.1:99999'},
+			{addr: '10.0.0.1:0'},
+			{addr: '10.0.0.1 :80'},
+			{addr: 'host:80'},
+			{addr: '10.0.0.1:80/x'},
+			{born: 1e300},
+			{born: -1},
+			{born: 0.5},
+			{born: 9e15},
+			{seq: 1e300},
+			{seq: -1},
+			{seq: 0.5},
+			{upstream: ''},
+			{upstream: 'x'.repeat(201)},
+			{labels: ['x'.repeat(201)]},
+			// Fields that are not used show as well that the writer is another one.
+			{slots: 'x'},
+			{zone: 1},
+			{version: undefined},
+			{'cold-left-ms': -1},
+		];
+		for (const fields of odd) {
+			t.is(await send('i-1', {...sampleHeartbeat, ...fields}), 400, JSON.stringify(fields));
+		}
+
+		for (const id of ['%0A', '%00', '%C3%A9', 'x'.repeat(201), 'a%20b']) {
+			t.is(await send(id, sampleHeartbeat), 400, id);
+		}
+
+		t.is(await send('i-1', sampleHeartbeat), 200);
+		t.is(received.length, 1);
+	});
+
+	it('reject a heartbeat that is longer than the platform sends', async t => {
+		const {received, send} = createFixture();
+		t.is(await send('i-1', {...sampleHeartbeat, version: 'x'.repeat(5 * 1024 * 1024)}), 413);
+		t.is(await send('i-1', sampleHeartbeat), 200);
+		t.is(received.length, 1);
+	});
+
+	// Guards against any input that ends the request unexpectedly, or passes with values that no other code expects.
+	it('accept or reject whatever another writer sends, and the next heartbeat of the executor', async t => {
+		const {received, send} = createFixture();
+		let sequence = 0;
+		await fc.assert(fc.asyncProperty(createOddBytes(sampleHeartbeat), async body => {
+			received.length = 0;
+			const status = await send('i-odd', body);
+			t.true(status === 200 || status === 400, `${status}`);
+			for (const {executorInfo: {bornAt, address, room, service}, sequence: number} of received) {
+				t.true(Number.isSafeInteger(bornAt) && bornAt >= 0 && Number.isSafeInteger(number) && isConnectable(address) && service !== '');
+				t.true(Object.values(room).every(amount => Number.isSafeInteger(amount) && amount >= 0));
+			}
+
+			sequence++;
+			received.length = 0;
+			t.is(await send('i-1', {...sampleHeartbeat, seq: sequence}), 200);
+			t.is(received.length, 1);
+		}), oddInputRuns);
+	});
+
 	// Messages carry resources as unsigned integers of 32 bits; one with any other value could not be written to any entry.
 	it('round resources down to what a message can carry, and reject negative ones', async t => {
 		const {received, send} = createFixture();
--- a/test/process/entry-directory.test.ts
+++ b/test/process/entry-directory.test.ts
@@ -88,10 +88,7 @@
 		// Guards against rows that end every process that reads them: an empty address could not be connected to.
 		it('name no address to use, whatever they contain, and the others hold', async t => {
 			const cluster = await createCluster(['a', 'b']);
-			const addresses = [
-				'', ' ', 'x', '10.0.0.9', '10.0.0.9:0', '10.0.0.9:99999', '10.0.0.9:-1', '10.0.0.9: 80', '10.0.0.9:80/', 'host:80', '0.0.0.0:80', '[::1%lo]:80', '10.0.0.9:080', 'unix:/x',
-				'x'.repeat(10_000),
-			];
+			const addresses = [...'| |x|10.0.0.9|10.0.0.9:0|10.0.0.9:99999|10.0.0.9:-1|10.0.0.9: 80|10.0.0.9:80/|host:80|0.0.0.0:80|[::1%lo]:80|10.0.0.9:080|unix:/x'.split('|'), 'x'.repeat(10_000)];
 			await write(cluster, Object.fromEntries(addresses.map((links, i) => [`x${i}`, {...goodRow, incarnation: `x${i}`, links}])));
 			await write(cluster, {
 				y0: '', y1: '{', y2: 'null', y3: '['.repeat(200_000), y4: {...goodRow, incarnation: 'y4', renewals: 0.5}, y5: {...goodRow, incarnation: 'y5', name: ''}, x: goodRow,
