executor-client: check the numbers and times of executors' responses

By reading, after the report of odd heartbeats: the same values in a response were used as they came. An end with the number 1e300 had all ends acknowledged, also those that were not listed yet; a `clock-ms` of 1e300 shifted the lease's estimate of the executor's clock; a `born` out of range passed for another incarnation, which ends the executor's service; a percentage of -5 or 1e300 went into times of release, which messages carry in 32 bits; the words `constructor` or `__proto__` as a reason were looked up in a prototype.

Change: numbers of ends and runs are whole and from 1 to 2^32 - 1, percentages are limited to 0 to 100, times to a stated range. A bad row is skipped and a bad response counts as none; each distinct fault is logged once for an executor, up to 20. Names of tasks are limited to 300 characters, passed-on texts to 500. Not covered: a number in range that is far too high.

--- a/src/platform/executor-client.ts
+++ b/src/platform/executor-client.ts
@@ -4,8 +4,11 @@
 import {Pool} from 'undici';
 import VError from 'verror';
 import {z} from 'zod';
+import {maxAmount} from '../connection/resources.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
+import {wallTimeSchema} from '../process/input-schemas.js';
 import {readJson} from '../process/json.js';
+import type {Log} from '../process/log.js';
 import type {
 	ActiveRun, EndedRun, Executor, ExecutorStatus, PollOutcome, CommandOutcome, RunOutcome, WithExecutorTime,
 } from '../process/executor-types.js';
@@ -18,6 +21,7 @@
 	readonly address: string;
 	/** Identifier of the executor; other incarnations may have the same. */
 	readonly id: string;
+	readonly log: Pick<Log, 'warn'>;
 };
 
 /** A healthy executor on the same machine answers within a millisecond; the rest allows for a machine that is slowed down. */
@@ -28,18 +32,33 @@
 const stopConnections = 8;
 const idleConnectionMs: Milliseconds = 60_000;
 
-const replySchema = z.object({'clock-ms': z.number().optional(), reason: z.string().optional()});
+/** Largest time on a steady clock, some three centuries, so that sums of times stay exact. */
+const maxSteadyTimeMs: Milliseconds = 1e13;
+/** Bound on the numbers of ends and runs; messages carry a run's number in 32 bits. */
+const maxNumber = maxAmount;
+/** Bound on the different faults that are logged for one executor. */
+const maxLoggedFaults = 20;
+/** Longest text of an executor that is passed on. */
+const maxDetailLength = 500;
+/** Longest name of a task. */
+const maxTaskLength = 300;
+
+const replySchema = z.object({'clock-ms': z.number().min(0).max(maxSteadyTimeMs).optional(), reason: z.string().optional()});
 const statusSchema = replySchema.extend({
-	born: z.number().optional(),
+	born: wallTimeSchema.optional(),
 	running: z.array(z.unknown()).optional(),
 	ended: z.array(z.unknown()).optional(),
 });
 
 /** Creates the client; it connects with the first call. */
-export function createExecutorClient({clock, address, id}: ExecutorClientHost): Executor {
+export function createExecutorClient({
+	clock, address, id, log,
+}: ExecutorClientHost): Executor {
 	const pool = createPool(address, connections);
 	const stopPool = createPool(address, stopConnections);
 
+	/** Faults of responses that were logged. An executor lists the same rows again until their ends are acknowledged. */
+	const loggedFaults = new Set<string>();
 	const headers = {'content-type': 'application/json', 'expect-instance': id};
 
 	return {
@@ -51,12 +70,19 @@
 		}, callTimeoutMs).then(answer => readCommandOutcome(answer)),
 		poll: async req => post(pool, '/v1/hold', {
 			'expires-at-ms': req.leaseExpiresAt, 'fence-token': req.fencingToken, 'seen-upto': req.acknowledgedSequenceNumber, 'wait-ms': Math.round(req.waitMs),
-		}, callTimeoutMs + req.waitMs).then(answer => readPollOutcome(answer)),
+		}, callTimeoutMs + req.waitMs).then(answer => readPollOutcome(answer, reportFault)),
 		async close() {
 			await Promise.all([pool.destroy(), stopPool.destroy()]);
 		},
 	};
 
+	function reportFault(reason: string): void {
+		if (loggedFaults.size < maxLoggedFaults && !loggedFaults.has(reason)) {
+			loggedFaults.add(reason);
+			log.warn({executor: id, address, reason}, 'a part of the status of the executor cannot be read; it is ignored');
+		}
+	}
+
 	async function post(usedPool: Pool, path: string, body: unknown, timeoutMs: Milliseconds): Promise<HttpResponse | Error> {
 		const res = await exchangeHttp(clock, usedPool, {
 			method: 'POST', path, headers, body: JSON.stringify(body), timeoutMs,
@@ -95,7 +121,7 @@
 		}
 
 		case 409: {
-			return outcomesByReason[reason ?? ''] ?? {kind: 'invalid', detail: text};
+			return outcomesByReason.get(reason ?? '') ?? {kind: 'invalid', detail: text.slice(0, maxDetailLength)};
 		}
 
 		case 421: {
@@ -108,7 +134,7 @@
 		}
 
 		case 400: {
-			return {kind: 'invalid', detail: text};
+			return {kind: 'invalid', detail: text.slice(0, maxDetailLength)};
 		}
 
 		default: {
@@ -117,15 +143,15 @@
 	}
 }
 
-const outcomesByReason: Readonly<Record<string, CommandOutcome>> = {
-	fence: {kind: 'fenced'},
+const outcomesByReason: ReadonlyMap<string, CommandOutcome> = new Map([
+	['fence', {kind: 'fenced'}],
 	// This run, or a later run of the same task, has ended.
-	old: {kind: 'superseded'},
-	late: {kind: 'expired'},
-	room: {kind: 'no-room'},
-};
+	['old', {kind: 'superseded'}],
+	['late', {kind: 'expired'}],
+	['room', {kind: 'no-room'}],
+]);
 
-function readPollOutcome(answer: HttpResponse | Error): WithExecutorTime<PollOutcome> {
+function readPollOutcome(answer: HttpResponse | Error, reportFault: (reason: string) => void): WithExecutorTime<PollOutcome> {
 	if (answer instanceof Error) {
 		// For a poll, only a refused connection is of interest: it is a sign that the executor has ended.
 		return {outcome: {kind: isConnectionRefused(answer) ? 'not-sent' : 'no-answer', detail: answer.message}, executorTime: undefined};
@@ -135,36 +161,61 @@
 	const body = readJson(statusSchema, answer.text);
 	if (body.isErr()) {
 		const {outcome, executorTime} = readCommandOutcome(answer);
+		if (outcome.kind === 'done') {
+			reportFault(body.error);
+		}
+
 		return {outcome: outcome.kind === 'done' ? {kind: 'no-answer', detail: body.error} : outcome, executorTime};
 	}
 
 	const {outcome, executorTime} = toCommandOutcome(answer, body.value);
-	return {outcome: outcome.kind === 'done' ? {kind: 'status', status: toExecutorStatus(body.value)} : outcome, executorTime};
+	return {outcome: outcome.kind === 'done' ? {kind: 'status', status: toExecutorStatus(body.value, reportFault)} : outcome, executorTime};
 }
 
 // Skips runs that cannot be parsed and keeps all others.
-function toExecutorStatus(body: z.infer<typeof statusSchema>): ExecutorStatus {
+function toExecutorStatus(body: z.infer<typeof statusSchema>, reportFault: (reason: string) => void): ExecutorStatus {
 	return {
 		executorStartedAt: body.born,
-		running: (body.running ?? []).flatMap(row => readActiveRun(row)),
-		ended: (body.ended ?? []).flatMap(row => readEndedRun(row)),
+		running: readRows('running', body.running, tryReadActiveRun),
+		ended: readRows('ended', body.ended, tryReadEndedRun),
 	};
+
+	function readRows<T>(list: string, rows: readonly unknown[] = [], tryRead: (row: unknown) => T | undefined): readonly T[] {
+		return rows.flatMap((row, i) => {
+			const run = tryRead(row);
+			if (run === undefined) {
+				reportFault(`${list}[${i}] is invalid`);
+				return [];
+			}
+
+			return [run];
+		});
+	}
 }
 
 /** Reads a row of task, run number, checkpoint and completed share. */
-function readActiveRun(row: unknown): ActiveRun[] {
+function tryReadActiveRun(row: unknown): ActiveRun | undefined {
 	const [task, run, , percent] = toArray(row);
-	return typeof task === 'string' && typeof run === 'number' && typeof percent === 'number' ? [{task, run, percent}] : [];
+	return isTask(task) && isNumber(run) && typeof percent === 'number' ? {task, run, percent: Math.min(100, Math.max(0, percent))} : undefined;
 }
 
 /** Reads a row of sequence number, task, run number and reason of the end. */
-function readEndedRun(row: unknown): EndedRun[] {
+function tryReadEndedRun(row: unknown): EndedRun | undefined {
 	const [sequenceNumber, task, run, endReason] = toArray(row);
-	return typeof sequenceNumber === 'number' && typeof task === 'string' && typeof run === 'number' && typeof endReason === 'string'
-		? [{
-			sequenceNumber, task, run, outcome: runOutcomes[endReason] ?? 'aborted', detail: endReason,
-		}]
-		: [];
+	return isNumber(sequenceNumber) && isTask(task) && isNumber(run) && typeof endReason === 'string'
+		? {
+			sequenceNumber, task, run, outcome: runOutcomes.get(endReason) ?? 'aborted', detail: endReason.slice(0, maxDetailLength),
+		}
+		: undefined;
+}
+
+function isTask(value: unknown): value is string {
+	return typeof value === 'string' && value !== '' && value.length <= maxTaskLength;
+}
+
+/** Whether a value can be the number of an end or of a run, both of which count from 1. */
+function isNumber(value: unknown): value is number {
+	return Number.isInteger(value) && typeof value === 'number' && value >= 1 && value <= maxNumber;
 }
 
 function toArray(row: unknown): readonly unknown[] {
@@ -172,4 +223,4 @@
 }
 
 // Any other value means that the run was ended from outside.
-const runOutcomes: Readonly<Record<string, RunOutcome>> = {done: 'completed', failed: 'failed'};
+const runOutcomes: ReadonlyMap<string, RunOutcome> = new Map([['done', 'completed'], ['failed', 'failed']]);
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -49,7 +49,9 @@
 		lossLog,
 		createUpstream: (executorInfo, events) => createLeasedUpstream({
 			clock,
-			executor: createExecutorClient({clock, address: executorInfo.address, id: executorInfo.id}),
+			executor: createExecutorClient({
+				clock, address: executorInfo.address, id: executorInfo.id, log,
+			}),
 			executorStartedAt: executorInfo.bornAt === 0 ? undefined : executorInfo.bornAt,
 			firstFencingToken: Math.floor(clock.wall()),
 			maxLeaseMs: machine.maxLeaseMs,
--- a/test/platform/executor-client.test.ts
+++ b/test/platform/executor-client.test.ts
@@ -1,11 +1,17 @@
+import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import net from 'node:net';
 import type {ExecutionContext} from 'ava';
+import fc from 'fast-check';
 import {createExecutorClient} from '../../src/platform/executor-client.js';
 import type {Clock} from '../../src/process/clock.js';
-import type {Executor, StartCommand} from '../../src/process/executor-types.js';
+import type {Executor, PollRequest, StartCommand} from '../../src/process/executor-types.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
+import type {Log} from '../../src/process/log.js';
 import {describe, it} from '../describe.js';
+import {createOddBytes, oddInputRuns} from '../odd-input.js';
+import {createRecordingLog} from '../recording-log.js';
+import {silentLog} from '../silent-log.js';
 
 /** Number of connections of a client. */
 const connections = 8;
@@ -13,6 +19,10 @@
 	task: 'j.0.0.0', run: 1, spec: '', leaseExpiresAt: 1, fencingToken: 1,
 };
 
+const pollRequest: PollRequest = {
+	leaseExpiresAt: 1, fencingToken: 1, acknowledgedSequenceNumber: 0, waitMs: 0,
+};
+
 /** Returns the port on which the server listens. */
 async function listen(t: ExecutionContext, server: net.Server): Promise<number> {
 	await new Promise<void>(resolve => {
@@ -42,8 +52,10 @@
 }
 
 /** The time of calls does not advance unless the test advances it, so that no call times out because the machine is busy. */
-function createClient(port: number, clock: Clock = createFakeClock()): Executor {
-	return createExecutorClient({clock, address: `127.0.0.1:${port}`, id: 'i'});
+function createClient(port: number, clock: Clock = createFakeClock(), log: Log = silentLog): Executor {
+	return createExecutorClient({
+		clock, address: `127.0.0.1:${port}`, id: 'i', log,
+	});
 }
 
 /** Starts an executor that receives calls and answers none. Returns the client, its clock, and a promise of that many calls. */
@@ -76,16 +88,85 @@
 }
 
 /** Starts an executor that answers each call with this body. */
-async function serveBody(t: ExecutionContext, body: unknown): Promise<Executor> {
+async function serveBody(t: ExecutionContext, body: unknown, log?: Log): Promise<Executor> {
 	const server = http.createServer((req, res) => {
 		req.resume();
 		res.end(JSON.stringify(body));
 	});
 	t.teardown(() => server.close());
-	return createClient(await listen(t, server));
+	return createClient(await listen(t, server), undefined, log);
 }
 
 describe('client of an executor', () => {
+	// Guards against one odd row that has all ends acknowledged, also those that were not listed yet, and against amounts that no
+	// message can carry.
+	it('skips rows with numbers out of range, and logs each fault once', async t => {
+		const {log, lines} = createRecordingLog();
+		const numbers = [1e300, 2 ** 53, 4_294_967_296, 0, -1, 0.5];
+		const client = await serveBody(t, {
+			running: [...numbers.map(number => ['j.0.0.0', number, '', 1]), ['j.0.0.1', 1, '', 1e300], ['j.0.0.2', 1, '', -5], ['x'.repeat(1000), 1, '', 1]],
+			ended: [...numbers.map(number => [number, 'j.0.0.3', 1, 'done', '']), ...numbers.map(number => [1, 'j.0.0.4', number, 'done', '']), [2, 'j.0.0.5', 1, 'constructor', '']],
+		}, log);
+		for (let i = 0; i < 3; i++) {
+			const {outcome} = await client.poll(pollRequest);
+			t.true(outcome.kind === 'status');
+			if (outcome.kind === 'status') {
+				t.deepEqual(outcome.status.running, [{task: 'j.0.0.1', run: 1, percent: 100}, {task: 'j.0.0.2', run: 1, percent: 0}]);
+				t.deepEqual(outcome.status.ended, [{
+					sequenceNumber: 2, task: 'j.0.0.5', run: 1, outcome: 'aborted', detail: 'constructor',
+				}]);
+			}
+		}
+
+		t.is(lines.length, 19);
+		t.like(lines[0], {executor: 'i', reason: 'running[0] is invalid'});
+		await client.close();
+	});
+
+	// Guards against one response that shifts the estimate of the executor's clock, or passes for another incarnation.
+	it('takes a status with a time out of range for no answer', async t => {
+		for (const body of [{'clock-ms': 1e300}, {'clock-ms': -1}, {born: 1e300}, {born: 0.5}, {running: 7}, {ended: {}}]) {
+			const client = await serveBody(t, {
+				'clock-ms': 5, born: 7, running: [], ended: [], ...body,
+			});
+			const {outcome, executorTime} = await client.poll(pollRequest);
+			t.is(outcome.kind, 'no-answer', JSON.stringify(body));
+			t.true(executorTime === undefined || executorTime === 5);
+			await client.close();
+		}
+	});
+
+	it('answers every call, whatever the executor responds, and the next one as usual', async t => {
+		const valid = {
+			'clock-ms': 5, born: 7, reason: 'fence', running: [['j.0.0.0', 1, '', 40, 99]], ended: [[3, 'j.0.0.2', 2, 'done', '']],
+		};
+		let response: {readonly status: number; readonly body: Uint8Array} = {status: 200, body: Buffer.from('')};
+		const server = http.createServer((req, res) => {
+			req.resume();
+			res.writeHead(response.status);
+			res.end(response.body);
+		});
+		t.teardown(() => {
+			server.closeAllConnections();
+			server.close();
+		});
+		const client = createClient(await listen(t, server));
+		await fc.assert(fc.asyncProperty(createOddBytes(valid), fc.constantFrom(200, 400, 409, 421, 429, 500, 503), async (body, status) => {
+			response = {status, body};
+			const odd = [await client.start(command), await client.stop(command, 1), await client.poll(pollRequest)];
+			for (const {outcome, executorTime} of odd) {
+				t.true(executorTime === undefined || (executorTime >= 0 && executorTime <= 1e13));
+				const rows = outcome.kind === 'status' ? [...outcome.status.running, ...outcome.status.ended] : [];
+				t.true(rows.every(({run}) => Number.isInteger(run) && run >= 1 && run <= 0xFF_FF_FF_FF));
+			}
+
+			response = {status: 200, body: Buffer.from(JSON.stringify(valid))};
+			const {outcome} = await client.poll(pollRequest);
+			t.true(outcome.kind === 'status' && outcome.status.running.length === 1 && outcome.status.ended.length === 1);
+		}), {...oddInputRuns, numRuns: 200});
+		await client.close();
+	});
+
 	it('reads the runs of a status, and skips rows that it cannot read', async t => {
 		const client = await serveBody(t, {
 			'clock-ms': 5,
