wire-job: check the limits and labels of clients' jobs for range

By reading: `max-per-server` 0.5 or 1e300 and `times` -1 or 0.5 were accepted, and `requires` and `data-rack` could be as long as the body.

Ruled out by the random run: bodies nested 200,000 levels deep, repeated keys, invalid UTF-8, and values of Request-Deadline such as 1e300, 1e999, -1, 0x10 or 1,000 digits. The deadline was limited before.

Test: a random run of 200 bodies and deadlines through a real HTTP server, each followed by a job that must be served. (executor-client.ts: the order of two parameters, as the linter asks.)

--- a/src/platform/executor-client.ts
+++ b/src/platform/executor-client.ts
@@ -176,11 +176,11 @@
 function toExecutorStatus(body: z.infer<typeof statusSchema>, reportFault: (reason: string) => void): ExecutorStatus {
 	return {
 		executorStartedAt: body.born,
-		running: readRows('running', body.running, tryReadActiveRun),
-		ended: readRows('ended', body.ended, tryReadEndedRun),
+		running: readRows('running', body.running ?? [], tryReadActiveRun),
+		ended: readRows('ended', body.ended ?? [], tryReadEndedRun),
 	};
 
-	function readRows<T>(list: string, rows: readonly unknown[] = [], tryRead: (row: unknown) => T | undefined): readonly T[] {
+	function readRows<T>(list: string, rows: readonly unknown[], tryRead: (row: unknown) => T | undefined): readonly T[] {
 		return rows.flatMap((row, i) => {
 			const run = tryRead(row);
 			if (run === undefined) {
--- a/src/platform/wire-job.ts
+++ b/src/platform/wire-job.ts
@@ -4,7 +4,7 @@
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
 import type {Milliseconds} from '../process/clock.js';
-import {amountSchema} from '../process/input-schemas.js';
+import {amountSchema, labelSchema} from '../process/input-schemas.js';
 import type {SubmissionRequest} from '../request/submission-rules.js';
 import type {Route} from '../version/types.js';
 
@@ -22,9 +22,9 @@
 	'mem-mb': neededAmountSchema,
 	gpu: neededAmountSchema,
 	'est-runtime-ms': z.number().min(0).max(maxRunMs).default(0),
-	requires: z.string().optional(),
-	'data-rack': z.string().optional(),
-	'max-per-server': z.number().min(0).default(0),
+	requires: labelSchema.optional(),
+	'data-rack': labelSchema.optional(),
+	'max-per-server': z.int().min(0).default(0),
 	gang: z.boolean().default(false),
 	'long-running': z.boolean().default(false),
 	fills: z.boolean().default(false),
@@ -35,7 +35,7 @@
 	steps: z.array(stepSchema).min(1),
 	// If true, the job need not be stored, since the response carries its outcome.
 	'best-effort': z.boolean().default(false),
-	times: z.number().default(0),
+	times: z.int().min(0).default(0),
 });
 /** The body of a job. */
 export type WireJob = z.infer<typeof jobSchema>;
--- a/src/process/input-schemas.ts
+++ b/src/process/input-schemas.ts
@@ -22,8 +22,10 @@
 export const connectableAddressSchema = z.string().max(maxNameLength).refine(isConnectable, 'expected an IP number and a port from 1 to 65535');
 /** An amount of a resource, as messages carry it. */
 export const amountSchema = z.int().min(0).max(maxAmount);
+/** A label of an executor, for instance its rack. */
+export const labelSchema = z.string().max(maxNameLength);
 /** The labels of an executor. */
-export const labelsSchema = z.array(z.string().max(maxNameLength)).max(maxLabels);
+export const labelsSchema = z.array(labelSchema).max(maxLabels);
 /** Wall time in whole milliseconds since 1970. */
 export const wallTimeSchema = z.int().min(0).max(maxWallTimeMs);
 /** A number that only increases: of messages, versions or revisions. */
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionContext} from 'ava';
+import fc from 'fast-check';
 import {createIngress} from '../../src/platform/ingress.js';
 import {createJobDesk} from '../../src/platform/job-desk.js';
 import {createJobIntake} from '../../src/platform/job-intake.js';
@@ -10,6 +11,7 @@
 import type {Answer} from '../../src/request/types.js';
 import type {Snapshot} from '../../src/version/types.js';
 import {describe, it} from '../describe.js';
+import {createOddBytes, createOddNumberTexts, oddInputRuns} from '../odd-input.js';
 import {silentLog} from '../silent-log.js';
 
 const path = '/jobs/0123456789abcdef';
@@ -24,7 +26,7 @@
 	countWaiting(): number;
 	/** Answers the newest submission, to all who wait for it. */
 	answer(value: Answer): void;
-	post(body: string, headers?: Readonly<Record<string, string>>): Promise<{readonly status: number; readonly text: string}>;
+	post(body: string | Uint8Array, headers?: Readonly<Record<string, string>>): Promise<{readonly status: number; readonly text: string}>;
 	/** Sends a request and closes its connection without reading the response. */
 	postAndLeave(body: string): Promise<void>;
 };
@@ -79,7 +81,9 @@
 		cancelled,
 		countWaiting: () => listeners.length,
 		answer(value) {
-			for (const listener of listeners) {
+			const waiting = listeners;
+			listeners = [];
+			for (const listener of waiting) {
 				listener(value);
 			}
 		},
@@ -104,7 +108,7 @@
 		},
 	};
 
-	function send(body: string, headers: Readonly<Record<string, string>>): http.ClientRequest {
+	function send(body: string | Uint8Array, headers: Readonly<Record<string, string>>): http.ClientRequest {
 		const req = http.request({
 			port, path, method: 'POST', headers: {host: 'h.example', 'content-type': 'application/json', ...headers},
 		});
@@ -125,6 +129,36 @@
 }
 
 describe('ingress', () => {
+	// Guards against a request that ends unexpectedly, and against amounts that no message can carry.
+	it('answers whatever clients send, and serves the next job', async t => {
+		const fixture = await createFixture(t);
+		const valid = {
+			spec: 'x', 'best-effort': true, times: 0, steps: [{
+				count: 1, cpu: 100, 'mem-mb': 64, gpu: 0, 'est-runtime-ms': 50, requires: 'a', 'data-rack': 'r', 'max-per-server': 1,
+			}],
+		};
+		const oddDeadlines = createOddNumberTexts().filter(text => !/[^\t\u0020-\u007E]/v.test(text));
+		await fc.assert(fc.asyncProperty(createOddBytes(valid), oddDeadlines, async (body, deadline) => {
+			const before = fixture.submitted.length;
+			const answered = fixture.post(body, {'request-deadline': deadline});
+			await Promise.race([answered, waitUntil(() => fixture.countWaiting() > 0)]);
+			fixture.answer(complete);
+			const {status} = await answered;
+			t.true([200, 400, 413, 503].includes(status), `${status}`);
+			for (const {deadlineMs, expectedRun, need, payloads} of fixture.submitted.slice(before)) {
+				t.true(deadlineMs! > 0 && deadlineMs! <= 3_600_000 && expectedRun! >= 0 && expectedRun! <= 3_600_000 && payloads.length <= 1100);
+				t.true(Object.values(need!.resources).every(amount => Number.isInteger(amount) && amount >= 0 && amount <= 0xFF_FF_FF_FF));
+				t.true(need!.maxPerUpstream === undefined || Number.isSafeInteger(need!.maxPerUpstream));
+			}
+
+			const next = fixture.post(JSON.stringify(valid));
+			await waitUntil(() => fixture.countWaiting() > 0);
+			fixture.answer(complete);
+			const served = await next;
+			t.is(served.status, 200);
+		}), {...oddInputRuns, numRuns: 200});
+	});
+
 	describe('refuses before anything is started', () => {
 		for (const [what, body] of Object.entries({
 			'a body that is not JSON': '{"spec":',
