desired-state: take no version or revision that messages cannot carry

By reading: a version or a revision of the store of 0.5, -1 or 1e300 was accepted. Messages carry both as whole numbers, so each message with one would have failed to be written, and a version of 1e300 could never be followed by another one. A time-out or margin of 1e300 overflows timers.

Change: versions and revisions are whole and at least 0; a configuration with another version is rejected, and a response of the store with another revision is an invalid one, which is repeated.

Tests: random runs of 400 configurations, and of 200 responses of the store, each followed by valid ones that must be used. Both failed with the old desired-state.ts and platform-client.ts. Nothing threw in either; the runs also showed that deep nesting does not.

--- a/src/platform/desired-state.ts
+++ b/src/platform/desired-state.ts
@@ -10,6 +10,7 @@
 import {z} from 'zod';
 import type {Milliseconds} from '../process/clock.js';
 import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
+import {sequenceNumberSchema} from '../process/input-schemas.js';
 import {readJson} from '../process/json.js';
 import type {PlatformError} from '../process/platform/types.js';
 import {createSnapshot} from '../version/snapshot.js';
@@ -32,26 +33,31 @@
 const maxPayloadBytes = 4000;
 /** Upper bound on the deadline that a client may state. */
 const maxDeadlineMs: Milliseconds = 60_000;
+/** Upper bound on the durations of a route; timers of the runtime overflow at 24 days. */
+const maxDurationMs: Milliseconds = 86_400_000;
 const unlimited = 1_000_000_000;
 const configRowName = 'config';
 const evacuationRowPrefix = 'evacuate/';
 /** All names with the prefix of evacuations are less than this one. */
 const evacuationRowsEnd = `${evacuationRowPrefix}\u{10FFFF}`;
 
+/** Limits a duration instead of refusing it, since a configuration that is refused stays out of force as a whole. */
+const durationSchema = z.number().transform(duration => Math.min(Math.max(0, duration), maxDurationMs));
 const routeSchema = z.object({
 	name: z.string(),
 	host: z.string(),
 	'path-prefix': z.string(),
 	upstream: z.string(),
-	'timeout-ms': z.number().default(30_000),
+	'timeout-ms': durationSchema.default(30_000),
 	// Despite its name this is only the margin of the objective, which is a multiple of the run time (`stretch`) plus this margin.
-	'slo-ms': z.number().default(0),
+	'slo-ms': durationSchema.default(0),
 	attempts: z.number().default(1),
 	stretch: z.number().default(1),
 	priority: z.number().default(0),
 });
 const stateSchema = z.object({
-	version: z.number(),
+	// Messages carry it as a whole number.
+	version: sequenceNumberSchema,
 	routes: z.array(routeSchema),
 	upstreams: z.array(z.object({name: z.string()})),
 });
--- a/src/platform/platform-client.ts
+++ b/src/platform/platform-client.ts
@@ -10,6 +10,7 @@
 import {Pool} from 'undici';
 import {z} from 'zod';
 import type {Clock, Milliseconds} from '../process/clock.js';
+import {sequenceNumberSchema} from '../process/input-schemas.js';
 import {readJson} from '../process/json.js';
 import {createCircuitBreaker} from '../process/platform/circuit-breaker.js';
 import {
@@ -233,10 +234,10 @@
 const maxRowsPerRead = 500;
 
 const rowSchema = z.object({
-	table: z.string(), key: z.string(), value: z.string().optional(), ver: z.number(), deleted: z.coerce.boolean().default(false),
+	table: z.string(), key: z.string(), value: z.string().optional(), ver: sequenceNumberSchema, deleted: z.coerce.boolean().default(false),
 });
-const rowsSchema = z.object({rows: z.array(rowSchema), 'has-more': z.boolean().default(false), ver: z.number().default(0)});
-const commitSchema = z.object({ver: z.number()});
+const rowsSchema = z.object({rows: z.array(rowSchema), 'has-more': z.boolean().default(false), ver: sequenceNumberSchema.default(0)});
+const commitSchema = z.object({ver: sequenceNumberSchema});
 const conflictSchema = z.object({rows: z.array(rowSchema)});
 const namesSchema = z.object({names: z.array(z.string())});
 
--- a/test/platform/desired-state.test.ts
+++ b/test/platform/desired-state.test.ts
@@ -1,10 +1,12 @@
 import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
 import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
 import {createDesiredStateCodec, createDesiredStateSource} from '../../src/platform/desired-state.js';
 import type {OperatorRow, RowChanges} from '../../src/platform/platform-client.js';
 import {createUnreachableError} from '../../src/process/platform/errors.js';
 import type {PlatformError} from '../../src/process/platform/types.js';
 import {describe, it} from '../describe.js';
+import {createOddBytes, oddInputRuns} from '../odd-input.js';
 
 const state = {
 	version: 7,
@@ -38,6 +40,22 @@
 		t.true(codec.decode(encode({...state, upstreams: []}), 'test').isErr());
 	});
 
+	// Guards against a configuration that passes and then cannot be sent, or ends a timer of the runtime.
+	it('is decoded with values in range or rejected, whatever the row contains, and the next one is decoded', t => {
+		const codec = createDesiredStateCodec();
+		fc.assert(fc.property(createOddBytes(state), bytes => {
+			const decoded = codec.decode(bytes, 'test');
+			if (decoded.isOk()) {
+				t.true(Number.isSafeInteger(decoded.value.version) && decoded.value.version >= 0);
+				for (const {deadline, margin} of decoded.value.routes ?? []) {
+					t.true(deadline >= 0 && deadline <= 86_400_000 && margin >= 0 && margin <= 86_400_000);
+				}
+			}
+
+			t.true(codec.decode(encode(state), 'test').isOk());
+		}), oddInputRuns);
+	});
+
 	describe('source', () => {
 		type Reply = ResultAsync<RowChanges, PlatformError>;
 
--- a/test/process/platform/platform-client.test.ts
+++ b/test/process/platform/platform-client.test.ts
@@ -4,6 +4,7 @@
 import net from 'node:net';
 import {createAdaptorServer} from '@hono/node-server';
 import type {ExecutionContext} from 'ava';
+import fc from 'fast-check';
 import {createPlatformApp} from '../../../dev/platform-app.js';
 import {checkDefined} from '../../../src/process/debug.js';
 import {createFakeClock} from '../../../src/process/fake-clock.js';
@@ -11,6 +12,7 @@
 import {createMemoryPlatform} from '../../../src/process/platform/memory.js';
 import type {Transaction} from '../../../src/process/platform/types.js';
 import {describe, it} from '../../describe.js';
+import {createOddBytes, oddInputRuns} from '../../odd-input.js';
 import {unwrap, unwrapError} from '../../unwrap.js';
 import {describePlatformContract} from './platform-contract.js';
 
@@ -56,6 +58,34 @@
 		t.true(error.diagnostic.message.includes('1000 ms'));
 	});
 
+	// Guards against a response of the store that ends a call unexpectedly.
+	it('returns a result for whatever the store responds, and for the next response', async t => {
+		const row = {
+			table: 'a', part: '', key: 'b', value: 'e30=', ver: 3,
+		};
+		const valid = {
+			rows: [row], 'has-more': false, ver: 3, names: ['x'],
+		};
+		let response: {readonly status: number; readonly body: Uint8Array} = {status: 200, body: Buffer.from('')};
+		const server = http.createServer((req, res) => {
+			req.resume();
+			res.writeHead(response.status);
+			res.end(response.body);
+		});
+		const client = createPlatformClient({clock: createFakeClock(), url: await open(t, server), timeoutMs: 1000});
+		await fc.assert(fc.asyncProperty(createOddBytes(valid), fc.constantFrom(200, 404, 410, 412, 500, 503), async (body, status) => {
+			response = {status, body};
+			const found = await client.table.get('a/b');
+			t.true(found.isErr() || found.value === undefined || Number.isSafeInteger(found.value.revision));
+			await client.table.commit(anyWrite);
+			await client.objects.list('x', 10);
+			await client.waitForOperatorRows(1, 0);
+			response = {status: 200, body: Buffer.from(JSON.stringify(valid))};
+			t.like(await unwrap(client.table.get('a/b')), {key: 'a/b', value: '{}', revision: 3});
+		}), {...oddInputRuns, numRuns: 200});
+		await client.close();
+	});
+
 	it('closes at once although a read waits for a change', async t => {
 		const server = http.createServer();
 		const client = createPlatformClient({clock: createFakeClock(), url: await open(t, server), timeoutMs: 1000});
