settings: report addresses, ports and bounds that are out of range

By reading: a store address such as `x` or `10.200.1.7:99999`, a port range such as `65535,65536` or `0,10`, an `ip` that is none and a grace period of 1e300 s were accepted, and the program failed later, without naming the setting.

--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -2,11 +2,13 @@
  * Parses the platform's settings file, which consists of lines `name=value`. All settings that this system uses are
  * checked at start; unknown names are ignored, since the platform may add settings.
  */
+import {isIP} from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
-import {tryParseAddress, type Address} from '../process/address.js';
+import {maxPort, tryParseAddress, type Address} from '../process/address.js';
 import type {Milliseconds} from '../process/clock.js';
 import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
+import {connectableAddressSchema} from '../process/input-schemas.js';
 
 /** Settings that the platform gives to the processes of one machine. */
 export type MachineSettings = {
@@ -50,13 +52,15 @@
 const commaSeparatedList = z.string().default('').transform(text => text.split(',').filter(part => part !== ''));
 const portRange = z.string()
 	.transform(text => text.split(',').map(Number))
-	.refine(([from, to]) => Number.isInteger(from) && Number.isInteger(to) && to! > from!, 'expected two ports, the second one larger');
+	.refine(([from, to]) => Number.isInteger(from) && Number.isInteger(to) && from! > 0 && to! > from! && to! <= maxPort, 'expected two ports, the second one larger');
 const secondMs: Milliseconds = 1000;
+/** Upper bound on durations; timers of the runtime overflow at 24 days. */
+const maxDurationMs: Milliseconds = 86_400_000;
 
 const schema = z.object({
 	node: z.string(),
 	zone: z.string(),
-	ip: z.string(),
+	ip: z.string().refine(text => isIP(text) !== 0, 'expected an IP number'),
 	'listen.front': address.optional(),
 	'listen.ready': address.optional(),
 	'listen.control': address.optional(),
@@ -64,10 +68,10 @@
 	'advertise.links': address.optional(),
 	'port-range': portRange,
 	seeds: commaSeparatedList,
-	'platform.addr': z.string(),
+	'platform.addr': connectableAddressSchema,
 	'limits.link-mbps': z.coerce.number().positive().optional(),
-	'bounds.hold-max-ms': z.coerce.number().positive().default(1000),
-	'bounds.grace-s': z.coerce.number().positive().default(6),
+	'bounds.hold-max-ms': z.coerce.number().positive().max(maxDurationMs).default(1000),
+	'bounds.grace-s': z.coerce.number().positive().max(maxDurationMs / secondMs).default(6),
 });
 
 /** Parses the text of the file; all invalid settings are reported together. */
--- a/src/process/address.ts
+++ b/src/process/address.ts
@@ -11,13 +11,16 @@
 	readonly port: number;
 };
 
+/** Largest port. */
+export const maxPort = 65_535;
+
 /** Parses "ip:port" or "[ip6]:port". Returns undefined for any other text. */
 export function tryParseAddress(text: string): Address | undefined {
 	const groups = /^(?:\[(?<host6>[^\]]+)\]|(?<host4>[^:]+)):(?<port>\d{1,5})$/v.exec(text)?.groups;
 	const host = groups?.host6 ?? groups?.host4 ?? '';
 	const port = Number(groups?.port);
 	const version = groups?.host6 === undefined ? 4 : 6;
-	return isIP(host) === version && port <= 65_535 ? {host, port} : undefined;
+	return isIP(host) === version && port <= maxPort ? {host, port} : undefined;
 }
 
 /** Formats an address as "ip:port" or "[ip6]:port". */
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -1,5 +1,7 @@
+import fc from 'fast-check';
 import {readMachineSettings} from '../../src/platform/settings.js';
 import {describe, it} from '../describe.js';
+import {createOddNumberTexts, oddInputRuns} from '../odd-input.js';
 
 const lines = [
 	'node=front-makati-1',
@@ -52,4 +54,34 @@
 		const names = diagnostics.map(({message}) => /setting (\S+)/v.exec(message)?.[1] ?? '');
 		t.deepEqual(names.toSorted((a, b) => a.localeCompare(b)), ['listen.front', 'node', 'platform.addr', 'port-range']);
 	});
+
+	// Guards against a program that fails at an address or a port later, without naming the setting.
+	it('are reported by name if their values are out of range', t => {
+		const odd = {
+			ip: ['', 'x', '10.1.0', '10.1.0.13:1'],
+			'platform.addr': ['', 'x', '10.200.1.7', '10.200.1.7:0', '10.200.1.7:99999', '10.200.1.7: 80'],
+			'listen.front': ['', 'x', '10.1.0.13:99999', '10.1.0.13:-1'],
+			'port-range': ['', '7720', 'a,b', '7735,7720', '0,10', '65535,65536', '1.5,3', '1e300,1e301'],
+			'bounds.grace-s': ['', '0', '-1', 'NaN', 'Infinity', '1e300'],
+			'bounds.hold-max-ms': ['x', '0', '-1', '1e300'],
+			'limits.link-mbps': ['x', '-1', 'NaN'],
+		};
+		for (const [name, values] of Object.entries(odd)) {
+			for (const value of values) {
+				const text = [...lines.filter(line => !line.startsWith(`${name}=`)), `${name}=${value}`].join('\n');
+				const diagnostics = readMachineSettings(text).match(() => [], found => found);
+				t.is(diagnostics.length, 1, `${name}=${value}`);
+				t.true(diagnostics[0]?.message.includes(name));
+			}
+		}
+	});
+
+	it('are read or reported, whatever the file contains', t => {
+		fc.assert(fc.property(fc.constantFrom(...lines), fc.oneof(createOddNumberTexts(), fc.string()), (line, value) => {
+			const text = lines.map(other => other === line ? `${line.split('=')[0]}=${value}` : other).join('\n');
+			const settings = readMachineSettings(text);
+			t.true(settings.isErr() || (settings.value.linksPort > 0 && settings.value.linksPort < 65_535));
+			t.true(settings.isErr() || (settings.value.graceMs > 0 && settings.value.graceMs <= 86_400_000));
+		}), oddInputRuns);
+	});
 });
