router, agreed answers: check relayed submissions, and log rows that cannot be read

By reading: a relayed request `submit` without a submission passed the schema and threw, which its sender was told as status 500 without a body.

Change: such a request is refused as malformed. Rows of agreed answers are read by createRowReader, which logs each bad revision once.

--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -238,7 +238,7 @@
 		queryCoordinator: async ticket => ({kind: directory.getStatus(ticket.incarnation) === 'dead' ? 'lost' : 'unreachable'}),
 		queryAgents: async ticket => heldTaskQueries.query(ticket.text),
 	});
-	const agreedAnswers = createAgreedAnswerStore(host.platform.table);
+	const agreedAnswers = createAgreedAnswerStore(host.platform.table, host.log);
 	const router = createRouter({
 		clock,
 		entry: settings.name,
--- a/src/request/agreed-answers.ts
+++ b/src/request/agreed-answers.ts
@@ -3,8 +3,9 @@
  * to the platform's table service is final, and every entry returns it. Rows `answers/<incarnation>/<ticket>`.
  */
 import {z} from 'zod';
-import {readJson} from '../process/json.js';
+import type {Log} from '../process/log.js';
 import type {TableStore} from '../process/platform/types.js';
+import {createRowReader} from '../process/row-reader.js';
 import type {Answer, Ticket} from './types.js';
 
 /** The part of an answer that is agreed. Payloads come from the agents that still retain them. */
@@ -23,12 +24,13 @@
 	state: z.enum(['complete', 'failed', 'refused']),
 	ran: z.enum(['not-run', 'ran', 'may-have-run']),
 	diagnostic: z.object({
-		code: z.number(), kind: z.string(), message: z.string(), remedy: z.string(),
+		code: z.int(), kind: z.string(), message: z.string(), remedy: z.string(),
 	}).optional(),
 });
 
 /** Creates the store through which one entry reads and proposes agreed answers. */
-export function createAgreedAnswerStore(table: TableStore): AgreedAnswerStore {
+export function createAgreedAnswerStore(table: TableStore, log: Pick<Log, 'warn'>): AgreedAnswerStore {
+	const tryReadRow = createRowReader(agreedAnswerSchema, log);
 	return {
 		async propose(ticket, {state, ran, diagnostic}) {
 			const key = getPrefix(ticket.incarnation) + ticket.text;
@@ -49,10 +51,10 @@
 
 	// A row is written once, so a stale read returns either the row or nothing.
 	async function tryGet(key: string): Promise<AgreedAnswer | undefined> {
-		const row = await table.get(key);
-		const value = row.unwrapOr(undefined)?.value;
+		const found = await table.get(key);
+		const row = found.unwrapOr(undefined);
 		// An unreadable row is as final as any other, but unknown: the ticket stays without an agreed answer.
-		return value === undefined ? undefined : readJson(agreedAnswerSchema, value).unwrapOr(undefined);
+		return row && tryReadRow(row);
 	}
 }
 
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -103,7 +103,7 @@
 	principal: z.object({name: z.string(), team: z.string(), role: z.enum(['caller', 'operator', 'support'])}),
 	via: z.string(),
 	submission: submissionSchema.optional(),
-});
+}).refine(({operation, submission}) => operation !== 'submit' || submission !== undefined, {path: ['submission'], error: 'a submission is missing'});
 
 /** Creates the router of one entry. */
 export function createRouter(host: RouterHost): Router {
--- a/test/failure/entry.ts
+++ b/test/failure/entry.ts
@@ -146,7 +146,7 @@
 		clock,
 		timing: relaxedTiming,
 	});
-	const agreedAnswers = createAgreedAnswerStore(platform.table);
+	const agreedAnswers = createAgreedAnswerStore(platform.table, silentLog);
 	const heldTaskQueries = createHeldTaskQueries({clock, timeoutMs: 500, broadcastQuery: links.broadcastQuery});
 	const router = createRouter({
 		clock,
--- a/test/request/router.test.ts
+++ b/test/request/router.test.ts
@@ -1,3 +1,5 @@
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
 import {RefusalReason, TaskOutcome, type HeldTask} from '../../src/generated/kingcuplane.js';
 import {recoverAnswer} from '../../src/connection/held-task-queries.js';
 import {createFakeClock} from '../../src/process/fake-clock.js';
@@ -5,6 +7,7 @@
 import {createRouter, type Router} from '../../src/request/router.js';
 import {parseTicket} from '../../src/request/ticket.js';
 import {describe, it} from '../describe.js';
+import {createOddBytes, oddInputRuns} from '../odd-input.js';
 
 const ticket = parseTicket('kc1.dead.0.0.AAAAAAAAAAAAAAAA')._unsafeUnwrap();
 
@@ -103,4 +106,26 @@
 			t.like(await requestAnswer(createTestRouter(false), 'ann'), {state: 'complete', ran: 'ran', tasks: [{payload: 'Bw=='}]});
 		});
 	});
+
+	// Guards against a body of a peer that ends the request unexpectedly, so that its caller is told nothing.
+	it('replies to whatever a peer relays', async t => {
+		const router = createExpiredRouter(undefined);
+		const relayed = {
+			operation: 'submit', principal: {name: 'ann', team: 'lunch', role: 'caller'}, via: 'e', submission: {
+				ticket: ticket.text, submission: 'confirm', reference: '', kind: 'job', wait: true, deadlineMs: 5, tasks: [{payload: ''}],
+			},
+		};
+		await fc.assert(fc.asyncProperty(createOddBytes(relayed), async body => {
+			const {status} = await router.serveRelayed({
+				operation: 'submit', ticket: ticket.text, principal: 'ann', body, timeoutMs: 0,
+			});
+			t.true(status >= 200 && status < 500, `${status}`);
+		}), oddInputRuns);
+		for (const text of ['', 'x', 'kc1', 'kc1.e.-1.0.AAAAAAAAAAAAAAAA', `kc1.${'x'.repeat(100_000)}.0.0.AAAAAAAAAAAAAAAA`]) {
+			const {status} = await router.serveRelayed({
+				operation: 'wait', ticket: text, principal: 'ann', body: Buffer.from(JSON.stringify(relayed)), timeoutMs: 0,
+			});
+			t.is(status, 400, text.slice(0, 50));
+		}
+	});
 });
