--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -86,7 +86,10 @@
 
 			for (const address of wanted) {
 				if (!links.has(address)) {
-					links.set(address, startLink(address));
+					// An address that cannot be used costs this link only.
+					guard(address, () => {
+						links.set(address, startLink(address));
+					});
 				}
 			}
 		},
@@ -215,7 +218,7 @@
 		stream.on('data', (batch: PeerBatch) => {
 			if (link.stream === stream) {
 				link.output?.recordMessage();
-				guard(() => {
+				guard(link.peer?.name ?? link.address, () => {
 					receive(link, batch);
 				});
 			}
@@ -294,12 +297,12 @@
 		}
 	}
 
-	/** Processes a message; an unexpected error costs this message only. */
-	function guard(handle: () => void): void {
+	/** Handles input of `source`; an unexpected error costs this input only. */
+	function guard(source: string | undefined, handle: () => void): void {
 		try {
 			handle();
 		} catch (err) {
-			host.onUnexpectedError(err);
+			host.onUnexpectedError(err, source);
 		}
 	}
 }
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -4,7 +4,7 @@
 import {createLossLog} from '../connection/loss-log.js';
 import {createAgent} from '../process/agent.js';
 import {createSystemClock, type Milliseconds} from '../process/clock.js';
-import {readEntryAddresses} from '../process/entry-directory.js';
+import {createEntryAddressReader} from '../process/entry-directory.js';
 import {createExecutorManager} from '../process/executor-manager.js';
 import type {ExecutorInfo} from '../process/executor-types.js';
 import {createIncarnation} from '../process/incarnation.js';
@@ -40,6 +40,7 @@
 	const announcements = createAnnouncementStore({
 		clock, table: store.table, log, machine: machine.name,
 	});
+	const readEntryDirectory = createEntryAddressReader({table: store.table, log});
 	const lossLog = createLossLog({clock});
 	const evacuations = createEvacuationHolder();
 	const manager = createExecutorManager({
@@ -48,7 +49,9 @@
 		lossLog,
 		createUpstream: (executorInfo, events) => createLeasedUpstream({
 			clock,
-			executor: createExecutorClient({clock, address: executorInfo.address, id: executorInfo.id}),
+			executor: createExecutorClient({
+				clock, address: executorInfo.address, id: executorInfo.id, log,
+			}),
 			executorStartedAt: executorInfo.bornAt === 0 ? undefined : executorInfo.bornAt,
 			firstFencingToken: Math.floor(clock.wall()),
 			maxLeaseMs: machine.maxLeaseMs,
@@ -67,7 +70,7 @@
 			log,
 			metrics,
 			random: Math.random,
-			readEntryDirectory: async () => readEntryAddresses(store.table),
+			readEntryDirectory,
 			defer: setImmediate,
 			timing: platformTiming,
 			pauseDetector,
@@ -107,8 +110,14 @@
 
 	async function restoreExecutor(): Promise<void> {
 		const announcement = await announcements.load();
-		if (announcement !== undefined) {
+		if (announcement === undefined) {
+			return;
+		}
+
+		try {
 			manager.restore({executorInfo: announcement.facts, isLeaving: announcement.isLeaving});
+		} catch (err) {
+			log.error({err, announcement}, 'the stored announcement cannot be used; waiting for the next heartbeat');
 		}
 	}
 }
