Say on what evidence the service of an executor ends, and which announcements are ignored

Each end of a service now has one line and a counter with its evidence and its runs (the first 20 by name), and each heartbeat or deregistration of another executor that has no effect has a line with the reason. No logic is changed.

--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -50,6 +50,18 @@
 	close(): Promise<void>;
 };
 
+/** What showed that the service of an executor has ended. */
+type EndEvidence =
+	/** Another incarnation has answered at the executor's own address. */
+	| 'incarnation-answered'
+	/** Another executor, or another incarnation, was announced. */
+	| 'announced'
+	/** The executor has deregistered itself. */
+	| 'deregistered';
+
+/** Maximum number of runs that one log line names. */
+const maxLoggedRuns = 20;
+
 const lossStateNames: Readonly<Record<LossState, string>> = {
 	[LossState.LOSS_STATE_SUSPECTED]: 'suspected',
 	[LossState.LOSS_STATE_CRASHED]: 'crashed',
@@ -87,7 +99,9 @@
 				// If this process restarts before the next executor announces itself, it must not use this one again.
 				host.saveAnnouncement({executorInfo: current.executorInfo, isLeaving: true});
 				current.isLeaving = true;
-				endExecutor(current);
+				endExecutor(current, 'deregistered');
+			} else {
+				reportIgnored({executor: id}, 'deregistration of another executor');
 			}
 		},
 		tryGetAgent: () => current?.agent,
@@ -107,7 +121,7 @@
 
 		if (current === undefined || current.hasEnded || current.executorInfo.id !== executorInfo.id || current.executorInfo.bornAt !== executorInfo.bornAt) {
 			if (current !== undefined && !current.hasEnded && executorInfo.bornAt < current.executorInfo.bornAt) {
-				log.info({executor: executorInfo.id, bornAt: executorInfo.bornAt}, 'heartbeat of an earlier incarnation ignored');
+				reportIgnored(toLogFields(executorInfo), 'earlier incarnation');
 				return;
 			}
 
@@ -137,7 +151,7 @@
 
 	function replaceExecutor(executorInfo: ExecutorInfo, isLeaving: boolean): void {
 		if (current !== undefined) {
-			endExecutor(current);
+			endExecutor(current, 'announced');
 		}
 
 		log.info({executor: executorInfo}, 'executor announced');
@@ -148,7 +162,7 @@
 			upstream: host.createUpstream(executorInfo, {
 				onIncarnationChanged() {
 					log.warn({executor: executorInfo.id}, 'another incarnation of the executor has answered');
-					endExecutor(next);
+					endExecutor(next, 'incarnation-answered');
 				},
 				onProgress(start, elapsed, percent) {
 					next.agent?.recordProgress(start, elapsed, percent);
@@ -195,15 +209,24 @@
 		managed.agent?.reportLosses();
 	}
 
+	function reportIgnored(fields: Readonly<Record<string, unknown>>, reason: string): void {
+		log.info({...fields, inService: current === undefined ? undefined : toLogFields(current.executorInfo), reason}, 'announcement ignored');
+		host.metrics.count('announcement.ignored', 1, {reason});
+	}
+
 	/** Ends the service of an incarnation of the executor, which has crashed unless it had announced that it leaves. */
-	function endExecutor(ended: ManagedExecutor): void {
+	function endExecutor(ended: ManagedExecutor, evidence: EndEvidence): void {
 		if (ended.hasEnded) {
 			return;
 		}
 
 		ended.hasEnded = true;
+		const starts = ended.upstream.getActiveStarts();
+		log.warn({
+			...toLogFields(ended.executorInfo), evidence, isLeaving: ended.isLeaving, runs: starts.length, tasks: starts.slice(0, maxLoggedRuns).map(({reference, task}) => `${reference}.${task?.index}`),
+		}, 'service of the executor has ended');
+		host.metrics.count('executor.ended', 1, {evidence});
 		if (!ended.isLeaving) {
-			const starts = ended.upstream.getActiveStarts();
 			log.warn({executor: ended.executorInfo.id, runs: starts.length}, 'executor crashed');
 			reportLoss(ended, LossState.LOSS_STATE_CRASHED, starts);
 		}
@@ -217,6 +240,10 @@
 	}
 }
 
+function toLogFields({id, bornAt, address}: ExecutorInfo): {readonly executor: string; readonly bornAt: number; readonly address: string} {
+	return {executor: id, bornAt, address};
+}
+
 function getIncarnation({executorInfo}: ManagedExecutor): string {
 	return `${executorInfo.id}@${executorInfo.bornAt}`;
 }
