Use an announced executor only once it answers and the one in service does not

A heartbeat with the own id and a start in the far future (born 1e300) had the same effect, also after a restart, since it was stored; a true executor whose time of day had been stepped back was ignored for as long as its agent lived.

Cause: any heartbeat that named another id or a later start ended the service of the executor at once and reported its runs as ended. Announcements were ordered by the start that they name before anything had verified it.

Ruled out: a check of the fields alone.

Change: an announcement of another id, start or address makes a candidate. The executor in service is polled at once; if it answers as itself, the candidate is dropped with a log line, and nothing of it is stored or remembered. Its service ends only if another incarnation answers at its address (as before), or if it runs nothing any more and refuses connections or its lease has expired without an answer. The candidate must then answer a poll at its own address with that id and start. The same holds for a stored announcement, and for the first one that an agent receives.

--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -19,7 +19,7 @@
 /** Dependencies of the heartbeat routes. */
 export type HeartbeatHost = {
 	readonly log: Log;
-	/** Called with each valid heartbeat that is newer than all earlier ones of the executor. */
+	/** Called with each valid heartbeat. Heartbeats may arrive out of order, and from other writers. */
 	onHeartbeat(heartbeat: Heartbeat): void;
 	/** Called when an executor announces that it is shutting down. */
 	onDeregister(id: string): void;
@@ -40,8 +40,6 @@
 /** Creates the HTTP routes that an executor calls. */
 export function createHeartbeatApp(host: HeartbeatHost): Hono {
 	const app = new Hono();
-	/** The newest heartbeat of each executor, by identifier. Heartbeats may arrive out of order. */
-	const newest = new Map<string, {readonly bornAt: number; readonly sequence: number}>();
 
 	app.post('/v1/Executors.Heartbeat/:id', async c => {
 		const id = c.req.param('id');
@@ -51,7 +49,7 @@
 			return c.json({}, 400);
 		}
 
-		acceptIfNewer(toHeartbeat(id, body.value));
+		host.onHeartbeat(toHeartbeat(id, body.value));
 		return c.json({});
 	});
 	app.post('/v1/Executors.Deregister/:id', c => {
@@ -59,20 +57,6 @@
 		return c.json({});
 	});
 	return app;
-
-	function acceptIfNewer(heartbeat: Heartbeat): void {
-		const {id, bornAt} = heartbeat.executorInfo;
-		const known = newest.get(id);
-		if (known !== undefined && (bornAt < known.bornAt || (bornAt === known.bornAt && heartbeat.sequence <= known.sequence))) {
-			host.log.info({
-				executor: id, bornAt, sequence: heartbeat.sequence, known,
-			}, 'outdated heartbeat ignored');
-			return;
-		}
-
-		newest.set(id, {bornAt, sequence: heartbeat.sequence});
-		host.onHeartbeat(heartbeat);
-	}
 }
 
 function toHeartbeat(id: string, body: z.infer<typeof heartbeatSchema>): Heartbeat {
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -43,6 +43,7 @@
 	const lossLog = createLossLog({clock});
 	const evacuations = createEvacuationHolder();
 	const manager = createExecutorManager({
+		clock,
 		log,
 		metrics,
 		lossLog,
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -6,22 +6,31 @@
 import {areEqualResources} from '../connection/resources.js';
 import {LossState, type TaskStart} from '../generated/kingcuplane.js';
 import type {Agent} from './agent-types.js';
-import type {ExecutorInfo} from './executor-types.js';
+import {createAnnouncementOrder, type AnnouncementOrder} from './announcement-order.js';
+import {sleep, type Clock, type Milliseconds} from './clock.js';
+import type {ExecutorInfo, ExecutorPresence} from './executor-types.js';
 import type {LeasedUpstream, LeasedUpstreamHost} from './leased-upstream.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
 
-/** What the executor last announced about itself. */
+/** What an executor has announced about itself. */
 export type ExecutorAnnouncement = {
 	readonly executorInfo: ExecutorInfo;
 	readonly isLeaving: boolean;
 };
 
+/** An announcement that has just arrived. */
+export type ReceivedAnnouncement = ExecutorAnnouncement & {
+	/** Increases with each announcement of one incarnation. */
+	readonly sequence: number;
+};
+
 /** The events of an upstream that the manager handles. */
 export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onShortage' | 'onRunsLost' | 'onRecovered' | 'getSilentRunLimit'>;
 
 /** Dependencies of the manager. */
 export type ExecutorManagerHost = {
+	readonly clock: Clock;
 	readonly log: Log;
 	readonly metrics: Metrics;
 	/** Losses of all incarnations of the executor. */
@@ -37,10 +46,13 @@
 
 /** Serves one executor at a time. */
 export type ExecutorManager = {
-	/** Uses the announcement that an earlier process has stored, unless the executor has announced itself since. */
+	/** Considers the announcement that an earlier process has stored, unless an executor has announced itself since. */
 	restore(announcement: ExecutorAnnouncement): void;
-	/** Handles an announcement that the executor has just made. */
-	receive(announcement: ExecutorAnnouncement): void;
+	/**
+	 * Handles an announcement. One of the executor in service changes its state. Any other is only a reason to ask: its executor
+	 * is used if it answers at its address as announced, and the one in service does not answer and runs nothing any more.
+	 */
+	receive(announcement: ReceivedAnnouncement): void;
 	/** Handles the announcement of an executor that it has shut down. */
 	receiveDeparture(id: string): void;
 	tryGetAgent(): Agent | undefined;
@@ -54,13 +66,21 @@
 type EndEvidence =
 	/** Another incarnation has answered at the executor's own address. */
 	| 'incarnation-answered'
-	/** Another executor, or another incarnation, was announced. */
-	| 'announced'
+	/** It refuses connections, runs nothing, and another one has answered as announced. */
+	| 'refused'
+	/** The same of one that does not answer and whose lease has expired. */
+	| 'lapsed'
 	/** The executor has deregistered itself. */
 	| 'deregistered';
 
 /** Maximum number of runs that one log line names. */
 const maxLoggedRuns = 20;
+/** Maximum number of announced executors that are considered at a time; the oldest one gives way. */
+const maxCandidates = 4;
+/** Delay between two attempts to verify an announced executor. */
+const candidateRetryMs: Milliseconds = 40;
+/** Time after its last announcement for which an executor that does not answer is considered: a few heartbeats. */
+const candidateLifetimeMs: Milliseconds = 5000;
 
 const lossStateNames: Readonly<Record<LossState, string>> = {
 	[LossState.LOSS_STATE_SUSPECTED]: 'suspected',
@@ -72,6 +92,9 @@
 /** One incarnation of the executor and the agent that serves it. */
 type ManagedExecutor = {
 	executorInfo: ExecutorInfo;
+	/** Distinguishes it from other incarnations. */
+	readonly incarnation: string;
+	readonly order: AnnouncementOrder;
 	readonly upstream: LeasedUpstream;
 	/** Undefined until the executor has been taken over. */
 	agent?: Agent;
@@ -79,22 +102,37 @@
 	hasEnded: boolean;
 };
 
+/** An announced executor that may replace the one in service. */
+type Candidate = {
+	announcement: ExecutorAnnouncement;
+	readonly order: AnnouncementOrder;
+	announcedAt: Milliseconds;
+	/** Whether an earlier process has stored this announcement. */
+	isStored: boolean;
+	/** Undefined as long as the executor in service may be there. */
+	managed?: ManagedExecutor;
+};
+
 /** Creates a manager that knows no executor. */
 export function createExecutorManager(host: ExecutorManagerHost): ExecutorManager {
-	const {log} = host;
+	const {clock, log} = host;
+	/** The last executor that has answered as announced; it is in service unless it has ended. */
 	let current: ManagedExecutor | undefined;
+	const candidates = new Set<Candidate>();
 	let isStopping = false;
 
 	return {
-		// The executor may have restarted since; it then refuses calls that are meant for the earlier incarnation.
-		restore({executorInfo, isLeaving}) {
-			if (current === undefined && !isStopping) {
-				replaceExecutor(executorInfo, isLeaving);
+		// The executor may have restarted since; it is then not the one that answers.
+		restore(announcement) {
+			if (current === undefined && candidates.size === 0 && !isStopping) {
+				addCandidate({
+					announcement, order: createAnnouncementOrder(), announcedAt: clock.now(), isStored: true,
+				});
 			}
 		},
 		receive,
 		receiveDeparture(id) {
-			if (current?.executorInfo.id === id) {
+			if (current?.executorInfo.id === id && !current.hasEnded) {
 				log.info({executor: id}, 'executor left');
 				// If this process restarts before the next executor announces itself, it must not use this one again.
 				host.saveAnnouncement({executorInfo: current.executorInfo, isLeaving: true});
@@ -110,85 +148,187 @@
 		},
 		async close() {
 			current?.agent?.stop();
-			await current?.upstream.close();
+			await Promise.all([current, ...[...candidates].map(({managed}) => managed)].map(async managed => managed?.upstream.close()));
+			candidates.clear();
 		},
 	};
 
-	function receive({executorInfo, isLeaving}: ExecutorAnnouncement): void {
+	function receive(announcement: ReceivedAnnouncement): void {
 		if (isStopping) {
 			return;
 		}
 
-		if (current === undefined || current.hasEnded || current.executorInfo.id !== executorInfo.id || current.executorInfo.bornAt !== executorInfo.bornAt) {
-			if (current !== undefined && !current.hasEnded && executorInfo.bornAt < current.executorInfo.bornAt) {
-				reportIgnored(toLogFields(executorInfo), 'earlier incarnation');
+		if (current !== undefined && !current.hasEnded && isAnnouncementOf(current, announcement.executorInfo)) {
+			if (acceptNewer(current.order, announcement)) {
+				updateCurrent(current, announcement);
+			}
+
+			return;
+		}
+
+		const known = [...candidates].find(candidate => areSameIncarnations(candidate.announcement.executorInfo, announcement.executorInfo));
+		if (known === undefined) {
+			const order = createAnnouncementOrder();
+			order.accept(announcement.sequence);
+			addCandidate({
+				announcement, order, announcedAt: clock.now(), isStored: false,
+			});
+		} else if (acceptNewer(known.order, announcement)) {
+			known.isStored &&= known.announcement.isLeaving === announcement.isLeaving && areEqualResources(known.announcement.executorInfo.room, announcement.executorInfo.room);
+			known.announcement = announcement;
+			known.announcedAt = clock.now();
+		}
+	}
+
+	function acceptNewer(order: AnnouncementOrder, {executorInfo, sequence}: ReceivedAnnouncement): boolean {
+		const isNewer = order.accept(sequence);
+		if (!isNewer) {
+			reportIgnored({...toLogFields(executorInfo), sequence}, 'outdated');
+		}
+
+		return isNewer;
+	}
+
+	function addCandidate(candidate: Candidate): void {
+		for (const oldest of [...candidates].slice(0, Math.max(0, candidates.size + 1 - maxCandidates))) {
+			dropCandidate(oldest, 'others were announced since');
+		}
+
+		candidates.add(candidate);
+		void considerCandidate(candidate);
+	}
+
+	function dropCandidate(candidate: Candidate, reason: string): void {
+		if (candidates.delete(candidate)) {
+			reportIgnored(toLogFields(candidate.announcement.executorInfo), reason);
+			void candidate.managed?.upstream.close();
+		}
+	}
+
+	/** Whether a candidate is still considered. It may have been dropped, or chosen, during any wait. */
+	function isConsidered(candidate: Candidate): boolean {
+		return candidates.has(candidate) && !isStopping;
+	}
+
+	// Asks the executor in service first, so that an announcement of another writer has no effect on anything else.
+	async function considerCandidate(candidate: Candidate): Promise<void> {
+		while (isConsidered(candidate)) {
+			const predecessor = current;
+			const presence = await getPresence(predecessor);
+			if (presence === 'answered') {
+				dropCandidate(candidate, 'the executor in service answers');
 				return;
 			}
 
-			host.saveAnnouncement({executorInfo, isLeaving});
-			replaceExecutor(executorInfo, isLeaving);
+			if (presence !== 'in-doubt' && isConsidered(candidate)) {
+				await verifyCandidate(candidate, predecessor, presence);
+			}
+
+			if (clock.now() - candidate.announcedAt > candidateLifetimeMs) {
+				dropCandidate(candidate, 'it does not answer');
+			}
+
+			await sleep(clock, candidateRetryMs);
+		}
+	}
+
+	async function getPresence(managed: ManagedExecutor | undefined): Promise<ExecutorPresence> {
+		const presence = managed === undefined || managed.hasEnded ? 'replaced' : await managed.upstream.checkPresence();
+		return managed?.hasEnded ? 'replaced' : presence;
+	}
+
+	/** Replaces `predecessor`, which is gone as `presence` says, if the candidate answers as announced. */
+	async function verifyCandidate(candidate: Candidate, predecessor: ManagedExecutor | undefined, presence: Exclude<ExecutorPresence, 'answered' | 'in-doubt'>): Promise<void> {
+		const {executorInfo, isLeaving} = candidate.announcement;
+		candidate.managed ??= createManagedExecutor(executorInfo, isLeaving, candidate.order);
+		const {managed} = candidate;
+		const candidatePresence = await managed.upstream.identify();
+		if (managed.hasEnded || candidatePresence === 'replaced') {
+			dropCandidate(candidate, 'another incarnation answers at its address');
+			return;
+		}
+
+		// Meanwhile the predecessor may have answered and started runs.
+		const isReplaceable = current === predecessor && (predecessor === undefined || predecessor.hasEnded || predecessor.upstream.getActiveStarts().length === 0);
+		if (candidatePresence !== 'answered' || !isReplaceable || !isConsidered(candidate)) {
 			return;
 		}
 
-		const hasNewCapacity = !areEqualResources(current.executorInfo.room, executorInfo.room);
-		const hasNewState = current.isLeaving !== isLeaving;
+		if (predecessor !== undefined) {
+			endExecutor(predecessor, presence === 'replaced' ? 'incarnation-answered' : presence);
+		}
+
+		candidates.delete(candidate);
+		managed.executorInfo = candidate.announcement.executorInfo;
+		managed.isLeaving = candidate.announcement.isLeaving;
+		if (!candidate.isStored) {
+			host.saveAnnouncement(candidate.announcement);
+		}
+
+		current = managed;
+		log.info({executor: managed.executorInfo}, 'executor announced');
+		void startAgent(managed);
+	}
+
+	function updateCurrent(managed: ManagedExecutor, {executorInfo, isLeaving}: ExecutorAnnouncement): void {
+		const hasNewCapacity = !areEqualResources(managed.executorInfo.room, executorInfo.room);
+		const hasNewState = managed.isLeaving !== isLeaving;
 		if (hasNewCapacity || hasNewState) {
 			host.saveAnnouncement({executorInfo, isLeaving});
 		}
 
 		if (hasNewCapacity) {
-			log.info({executor: executorInfo.id, room: executorInfo.room, roomBefore: current.executorInfo.room}, 'executor capacity changed');
-			current.executorInfo = executorInfo;
+			log.info({executor: executorInfo.id, room: executorInfo.room, roomBefore: managed.executorInfo.room}, 'executor capacity changed');
+			managed.executorInfo = executorInfo;
 		}
 
-		current.agent?.setCapacity(executorInfo.room);
+		managed.agent?.setCapacity(executorInfo.room);
 		if (hasNewState) {
-			current.isLeaving = isLeaving;
+			managed.isLeaving = isLeaving;
 			log.info({executor: executorInfo.id, isLeaving}, 'executor state changed');
-			current.agent?.setUpstreamLeaving(isLeaving);
+			managed.agent?.setUpstreamLeaving(isLeaving);
 		}
 	}
 
-	function replaceExecutor(executorInfo: ExecutorInfo, isLeaving: boolean): void {
-		if (current !== undefined) {
-			endExecutor(current, 'announced');
-		}
-
-		log.info({executor: executorInfo}, 'executor announced');
-		const next: ManagedExecutor = {
+	function createManagedExecutor(executorInfo: ExecutorInfo, isLeaving: boolean, order: AnnouncementOrder): ManagedExecutor {
+		const managed: ManagedExecutor = {
 			executorInfo,
+			incarnation: `${executorInfo.id}@${executorInfo.bornAt}`,
+			order,
 			isLeaving,
 			hasEnded: false,
 			upstream: host.createUpstream(executorInfo, {
 				onIncarnationChanged() {
-					log.warn({executor: executorInfo.id}, 'another incarnation of the executor has answered');
-					endExecutor(next, 'incarnation-answered');
+					if (managed === current) {
+						endExecutor(managed, 'incarnation-answered');
+					} else {
+						managed.hasEnded = true;
+					}
 				},
 				onProgress(start, elapsed, percent) {
-					next.agent?.recordProgress(start, elapsed, percent);
+					managed.agent?.recordProgress(start, elapsed, percent);
 				},
 				onProjectedSlowdowns(projections) {
-					next.agent?.recordProjectedSlowdowns(projections);
+					managed.agent?.recordProjectedSlowdowns(projections);
 				},
 				onUnreachable() {
-					next.agent?.probeUpstream();
+					managed.agent?.probeUpstream();
 				},
 				onShortage() {
-					next.agent?.recordShortage();
+					managed.agent?.recordShortage();
 				},
-				getSilentRunLimit: () => next.agent?.getSilentRunLimit() ?? Infinity,
+				getSilentRunLimit: () => managed.agent?.getSilentRunLimit() ?? Infinity,
 				onRunsLost(starts) {
 					log.warn({executor: executorInfo.id, runs: starts.length}, 'runs lost; the executor may have crashed');
-					reportLoss(next, LossState.LOSS_STATE_SUSPECTED, starts);
+					reportLoss(managed, LossState.LOSS_STATE_SUSPECTED, starts);
 				},
 				onRecovered() {
 					log.info({executor: executorInfo.id}, 'the executor answers again; it had not crashed');
-					reportLoss(next, LossState.LOSS_STATE_ALIVE, []);
+					reportLoss(managed, LossState.LOSS_STATE_ALIVE, []);
 				},
 			}),
 		};
-		current = next;
-		void startAgent(next);
+		return managed;
 	}
 
 	// The agent reports the executor to entries only after all runs that an earlier agent started there have ended.
@@ -198,13 +338,13 @@
 			return;
 		}
 
-		managed.agent = host.createAgent(managed.executorInfo, managed.upstream, getIncarnation(managed));
+		managed.agent = host.createAgent(managed.executorInfo, managed.upstream, managed.incarnation);
 		managed.agent.setUpstreamLeaving(managed.isLeaving);
 		log.info({executor: managed.executorInfo.id}, 'executor taken over');
 	}
 
 	function reportLoss(managed: ManagedExecutor, state: LossState, starts: readonly TaskStart[]): void {
-		host.lossLog.report(getIncarnation(managed), state, starts.map(start => toLostTask(start)));
+		host.lossLog.report(managed.incarnation, state, starts.map(start => toLostTask(start)));
 		host.metrics.count('executor.lost', 1, {state: lossStateNames[state]});
 		managed.agent?.reportLosses();
 	}
@@ -244,6 +384,12 @@
 	return {executor: id, bornAt, address};
 }
 
-function getIncarnation({executorInfo}: ManagedExecutor): string {
-	return `${executorInfo.id}@${executorInfo.bornAt}`;
+function areSameIncarnations(a: ExecutorInfo, b: ExecutorInfo): boolean {
+	return a.id === b.id && a.address === b.address && a.bornAt === b.bornAt;
+}
+
+/** Whether `executorInfo` names this incarnation, by the start that it has announced or answered. */
+function isAnnouncementOf(managed: ManagedExecutor, executorInfo: ExecutorInfo): boolean {
+	return areSameIncarnations(managed.executorInfo, executorInfo)
+		|| areSameIncarnations({...managed.executorInfo, bornAt: managed.upstream.tryGetExecutorStart() ?? managed.executorInfo.bornAt}, executorInfo);
 }
--- a/src/process/executor-poller.ts
+++ b/src/process/executor-poller.ts
@@ -41,6 +41,10 @@
 export type ExecutorPoller = {
 	/** Polls once, without renewing the lease. Returns undefined if there is no usable response. */
 	poll(): Promise<ExecutorStatus | undefined>;
+	/** Polls once, without renewing the lease, and returns the kind of the outcome; `status` only from the expected incarnation. */
+	probe(): Promise<PollOutcome['kind']>;
+	/** Returns when the incarnation that answers started; undefined if neither the expected one is known nor any has reported that. */
+	tryGetExecutorStart(): number | undefined;
 	/**
 	 * Polls with the current fencing token until the executor responds to it. Returns false if the poller was closed, or if
 	 * all runs ended because the lease expired without a response.
@@ -91,6 +95,11 @@
 
 	return {
 		poll: async () => sendPoll(0, false),
+		async probe() {
+			const {kind, status} = await exchangePoll(0, false);
+			return kind === 'status' && status === undefined ? 'other-incarnation' : kind;
+		},
+		tryGetExecutorStart: () => executorStartedAt,
 		confirmFencingToken,
 		pollNow() {
 			schedulePoll(0);
@@ -229,6 +238,12 @@
 
 	/** Sends one poll. Returns undefined if there is no usable response. */
 	async function sendPoll(wait: Milliseconds, renewsLease: boolean): Promise<ExecutorStatus | undefined> {
+		const {status} = await exchangePoll(wait, renewsLease);
+		return status;
+	}
+
+	/** Sends one poll. Its result has no status if there is no usable response. */
+	async function exchangePoll(wait: Milliseconds, renewsLease: boolean): Promise<{readonly kind: PollOutcome['kind']; readonly status: ExecutorStatus | undefined}> {
 		// A poll without a response may still have renewed the lease. After some of these in a row, polls stop renewing it:
 		// otherwise the lease of an executor whose responses are lost would never be known to have expired.
 		const leaseExpiresAt = renewsLease && unansweredPolls < unansweredPollLimit ? lease.tryRenew() : undefined;
@@ -237,7 +252,7 @@
 		const {outcome} = lease.recordResponse(await executor.poll({
 			leaseExpiresAt, fencingToken: usedFencingToken, acknowledgedSequenceNumber, waitMs: wait,
 		}));
-		return readOutcome(outcome, usedFencingToken, polledAt);
+		return {kind: outcome.kind, status: readOutcome(outcome, usedFencingToken, polledAt)};
 	}
 
 	function readOutcome(outcome: PollOutcome, usedFencingToken: number, polledAt: Milliseconds): ExecutorStatus | undefined {
--- a/src/process/executor-types.ts
+++ b/src/process/executor-types.ts
@@ -98,6 +98,19 @@
 	| {readonly kind: 'status'; readonly status: ExecutorStatus}
 	| Exclude<CommandOutcome, {readonly kind: 'done'}>;
 
+/** What a poll has shown of the expected incarnation of an executor. */
+export type ExecutorPresence =
+	/** It has answered. */
+	| 'answered'
+	/** Another incarnation has answered at its address. */
+	| 'replaced'
+	/** It refuses connections, and no run was left there. */
+	| 'refused'
+	/** It has not answered, and its lease has expired, so no run is left there. */
+	| 'lapsed'
+	/** Nothing of these: it may still run tasks. */
+	| 'in-doubt';
+
 /** The outcome of a call, with the executor's clock at the time of the response if it reported that. */
 export type WithExecutorTime<T> = {
 	readonly outcome: T;
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -12,7 +12,7 @@
 import {createExecutorPoller} from './executor-poller.js';
 import {createExecutorLease, leaseMs} from './executor-lease.js';
 import type {
-	EndedRun, Executor, ExecutorStatus, CommandOutcome, RunOutcome,
+	EndedRun, Executor, ExecutorPresence, ExecutorStatus, CommandOutcome, RunOutcome,
 } from './executor-types.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
@@ -56,11 +56,17 @@
 /** An upstream that runs its tasks on an executor under a lease. */
 export type LeasedUpstream = Omit<UpstreamClient, 'stop'> & {
 	stop(start: TaskStart, cause: StopCause): void;
+	/** Polls the executor once, without an effect on its runs, and returns what that shows. */
+	checkPresence(): Promise<ExecutorPresence>;
+	/** Does the same for an executor that an earlier agent may have used, whose fencing token may be higher. */
+	identify(): Promise<ExecutorPresence>;
+	/** Returns when the incarnation that answers started; undefined if that is not known. */
+	tryGetExecutorStart(): number | undefined;
 	/** Stops the runs of an earlier agent. Resolves once the executor has reported that it runs nothing. */
 	takeOver(): Promise<void>;
 	/** Returns the starts whose runs have not ended. */
 	getActiveStarts(): readonly TaskStart[];
-	/** Ends all runs as aborted, for use when this incarnation of the executor has ended. */
+	/** Ends all runs as aborted, for use once another incarnation of the executor has answered at its address. */
 	abortAll(detail: string): void;
 };
 
@@ -161,6 +167,16 @@
 				}
 			}
 		},
+		checkPresence,
+		async identify() {
+			const presence = await checkPresence();
+			if (presence === 'in-doubt') {
+				lease.raiseAboveEarlierAgent();
+			}
+
+			return presence;
+		},
+		tryGetExecutorStart: poller.tryGetExecutorStart,
 		takeOver,
 		getActiveStarts,
 		abortAll(detail) {
@@ -210,6 +226,36 @@
 		return [...runs.values()].map(run => run.start);
 	}
 
+	async function checkPresence(): Promise<ExecutorPresence> {
+		const kind = await poller.probe();
+		switch (kind) {
+			case 'status': {
+				return 'answered';
+			}
+
+			case 'other-incarnation': {
+				return 'replaced';
+			}
+
+			case 'not-sent': {
+				return runs.size === 0 ? 'refused' : 'in-doubt';
+			}
+
+			case 'no-answer': {
+				return runs.size === 0 && lease.hasExpired() ? 'lapsed' : 'in-doubt';
+			}
+
+			case 'fenced':
+			case 'superseded':
+			case 'expired':
+			case 'no-room':
+			case 'unavailable':
+			case 'invalid': {
+				return 'in-doubt';
+			}
+		}
+	}
+
 	// The first token comes from the time of day, which may have been stepped back, and the earlier agent may have raised its
 	// own. So a token that the executor accepts is not enough: calls that have not arrived yet may carry a higher one.
 	async function takeOver(): Promise<void> {
