Stop the runs of an executor that deregisters itself, and report only their ends

What callers saw: an executor that leaves deregisters itself and runs on for some seconds if it gets no answer.

Cause: a deregistration ended the service of the executor, and all its runs were reported as ended, without a stop and without waiting for the lease. Any deregistration with the right id did that, also one of another writer or of an earlier start.

Ruled out: to report the ends at once and send stops beside them. The restart elsewhere can be faster than the stop.

Change: a deregistration is an intention. The executor is marked as leaving (stored, as before) and gets no new starts; all its runs are stopped, and the deregistration is answered when their ends are listed, or after 0.7 s. They are reported as ended by that list, or when the lease has expired, which is not renewed for them. The service ends when the executor refuses connections, or another one has answered. If it announces itself as ready after its deregistration, it is used again. A deregistration that names another id or start is ignored with a log line. Runs that lapse after a deregistration count as no crash, as before.

--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -23,8 +23,8 @@
 	readonly detail: string;
 };
 
-/** Why a run is stopped: its job has an answer or no client any more, its entry was lost, the agent was paused, or the run hardly makes progress. */
-export type StopCause = 'not-needed' | 'entry-lost' | 'agent-paused' | 'no-progress';
+/** Why a run is stopped: its job has an answer or no client any more, its entry was lost, the agent was paused, the run hardly makes progress, or its executor has deregistered itself. */
+export type StopCause = 'not-needed' | 'entry-lost' | 'agent-paused' | 'no-progress' | 'executor-left';
 
 /** Dependencies of the agent's sessions. */
 export type EntrySessionsHost = {
--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -4,6 +4,7 @@
 import {Hono} from 'hono';
 import {z} from 'zod';
 import {maxAmount} from '../connection/resources.js';
+import type {ExecutorDeparture} from '../process/executor-manager.js';
 import type {ExecutorInfo} from '../process/executor-types.js';
 import {readJson} from '../process/json.js';
 import type {Log} from '../process/log.js';
@@ -21,8 +22,8 @@
 	readonly log: Log;
 	/** Called with each valid heartbeat. Heartbeats may arrive out of order, and from other writers. */
 	onHeartbeat(heartbeat: Heartbeat): void;
-	/** Called when an executor announces that it is shutting down. */
-	onDeregister(id: string): void;
+	/** Called when an executor announces that it is shutting down. It is acknowledged when the promise resolves. */
+	onDeregister(departure: ExecutorDeparture): Promise<void>;
 };
 
 /** Rounds down to what a message can carry. */
@@ -37,6 +38,9 @@
 	labels: z.array(z.string()).default([]),
 });
 
+/** The body may be empty. */
+const deregistrationSchema = z.object({born: z.number().optional()});
+
 /** Creates the HTTP routes that an executor calls. */
 export function createHeartbeatApp(host: HeartbeatHost): Hono {
 	const app = new Hono();
@@ -52,8 +56,9 @@
 		host.onHeartbeat(toHeartbeat(id, body.value));
 		return c.json({});
 	});
-	app.post('/v1/Executors.Deregister/:id', c => {
-		host.onDeregister(c.req.param('id'));
+	app.post('/v1/Executors.Deregister/:id', async c => {
+		const {born} = readJson(deregistrationSchema, await c.req.text()).unwrapOr<z.infer<typeof deregistrationSchema>>({});
+		await host.onDeregister({id: c.req.param('id'), bornAt: born});
 		return c.json({});
 	});
 	return app;
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -25,8 +25,15 @@
 	readonly sequence: number;
 };
 
+/** The announcement of an executor that it shuts down. */
+export type ExecutorDeparture = {
+	readonly id: string;
+	/** When this incarnation started; undefined if that was not announced. */
+	readonly bornAt: number | undefined;
+};
+
 /** The events of an upstream that the manager handles. */
-export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onShortage' | 'onRunsLost' | 'onRecovered' | 'getSilentRunLimit'>;
+export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onRefused' | 'onShortage' | 'onRunsLost' | 'onRecovered' | 'getSilentRunLimit'>;
 
 /** Dependencies of the manager. */
 export type ExecutorManagerHost = {
@@ -53,8 +60,11 @@
 	 * is used if it answers at its address as announced, and the one in service does not answer and runs nothing any more.
 	 */
 	receive(announcement: ReceivedAnnouncement): void;
-	/** Handles the announcement of an executor that it has shut down. */
-	receiveDeparture(id: string): void;
+	/**
+	 * Handles the announcement of an executor that it shuts down, which is an intention: its runs are stopped, and reported as ended as
+	 * after any other stop. Resolves once they have ended, or after a limit.
+	 */
+	receiveDeparture(departure: ExecutorDeparture): Promise<void>;
 	tryGetAgent(): Agent | undefined;
 	/** Refuses further announcements; the current agent keeps running. */
 	stopReceiving(): void;
@@ -70,7 +80,7 @@
 	| 'refused'
 	/** The same of one that does not answer and whose lease has expired. */
 	| 'lapsed'
-	/** The executor has deregistered itself. */
+	/** It refuses connections and runs nothing after it has deregistered itself. */
 	| 'deregistered';
 
 /** Maximum number of runs that one log line names. */
@@ -81,6 +91,11 @@
 const candidateRetryMs: Milliseconds = 40;
 /** Time after its last announcement for which an executor that does not answer is considered: a few heartbeats. */
 const candidateLifetimeMs: Milliseconds = 5000;
+/**
+ * Longest wait for the ends of the runs of an executor that has deregistered itself. It waits a second for the answer, and its runs have
+ * ended before with their lease, if not by their stops.
+ */
+const departureLimitMs: Milliseconds = 700;
 
 const lossStateNames: Readonly<Record<LossState, string>> = {
 	[LossState.LOSS_STATE_SUSPECTED]: 'suspected',
@@ -99,6 +114,8 @@
 	/** Undefined until the executor has been taken over. */
 	agent?: Agent;
 	isLeaving: boolean;
+	/** Whether it has deregistered itself and has not announced itself as ready since. */
+	hasDeregistered: boolean;
 	hasEnded: boolean;
 };
 
@@ -131,17 +148,7 @@
 			}
 		},
 		receive,
-		receiveDeparture(id) {
-			if (current?.executorInfo.id === id && !current.hasEnded) {
-				log.info({executor: id}, 'executor left');
-				// If this process restarts before the next executor announces itself, it must not use this one again.
-				host.saveAnnouncement({executorInfo: current.executorInfo, isLeaving: true});
-				current.isLeaving = true;
-				endExecutor(current, 'deregistered');
-			} else {
-				reportIgnored({executor: id}, 'deregistration of another executor');
-			}
-		},
+		receiveDeparture,
 		tryGetAgent: () => current?.agent,
 		stopReceiving() {
 			isStopping = true;
@@ -270,7 +277,41 @@
 		void startAgent(managed);
 	}
 
+	async function receiveDeparture({id, bornAt}: ExecutorDeparture): Promise<void> {
+		for (const candidate of candidates) {
+			if (candidate.announcement.executorInfo.id === id) {
+				dropCandidate(candidate, 'it has deregistered itself');
+			}
+		}
+
+		if (current === undefined || current.hasEnded || !isAnnouncementOf(current, {...current.executorInfo, id, bornAt: bornAt ?? current.executorInfo.bornAt})) {
+			reportIgnored({executor: id, bornAt}, 'deregistration of another executor');
+			return;
+		}
+
+		const leaving = current;
+		log.info({...toLogFields(leaving.executorInfo), runs: leaving.upstream.getActiveStarts().length}, 'executor deregisters; its runs are stopped');
+		leaving.hasDeregistered = true;
+		// If this process restarts before the next executor announces itself, it must start nothing on this one.
+		setState(leaving, leaving.executorInfo, true);
+		await Promise.race([leaving.upstream.stopAll('executor-left'), sleep(clock, departureLimitMs)]);
+		log.info({executor: id, runs: leaving.upstream.getActiveStarts().length}, 'executor left');
+	}
+
 	function updateCurrent(managed: ManagedExecutor, {executorInfo, isLeaving}: ExecutorAnnouncement): void {
+		const roomBefore = managed.executorInfo.room;
+		const {room} = executorInfo;
+		// An executor that has only been said to shut down is used again.
+		managed.hasDeregistered &&= isLeaving;
+		managed.agent?.setCapacity(room);
+		setState(managed, executorInfo, isLeaving);
+		if (!areEqualResources(roomBefore, room)) {
+			log.info({executor: executorInfo.id, room, roomBefore}, 'executor capacity changed');
+		}
+	}
+
+	/** Stores what has changed, and tells the agent whether the executor is leaving. */
+	function setState(managed: ManagedExecutor, executorInfo: ExecutorInfo, isLeaving: boolean): void {
 		const hasNewCapacity = !areEqualResources(managed.executorInfo.room, executorInfo.room);
 		const hasNewState = managed.isLeaving !== isLeaving;
 		if (hasNewCapacity || hasNewState) {
@@ -278,11 +319,9 @@
 		}
 
 		if (hasNewCapacity) {
-			log.info({executor: executorInfo.id, room: executorInfo.room, roomBefore: managed.executorInfo.room}, 'executor capacity changed');
 			managed.executorInfo = executorInfo;
 		}
 
-		managed.agent?.setCapacity(executorInfo.room);
 		if (hasNewState) {
 			managed.isLeaving = isLeaving;
 			log.info({executor: executorInfo.id, isLeaving}, 'executor state changed');
@@ -296,6 +335,7 @@
 			incarnation: `${executorInfo.id}@${executorInfo.bornAt}`,
 			order,
 			isLeaving,
+			hasDeregistered: false,
 			hasEnded: false,
 			upstream: host.createUpstream(executorInfo, {
 				onIncarnationChanged() {
@@ -318,7 +358,17 @@
 					managed.agent?.recordShortage();
 				},
 				getSilentRunLimit: () => managed.agent?.getSilentRunLimit() ?? Infinity,
+				onRefused() {
+					if (managed === current && managed.hasDeregistered) {
+						endExecutor(managed, 'deregistered');
+					}
+				},
 				onRunsLost(starts) {
+					if (managed.hasDeregistered) {
+						log.info({executor: executorInfo.id, runs: starts.length}, 'runs ended with the executor that has left');
+						return;
+					}
+
 					log.warn({executor: executorInfo.id, runs: starts.length}, 'runs lost; the executor may have crashed');
 					reportLoss(managed, LossState.LOSS_STATE_SUSPECTED, starts);
 				},
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -43,6 +43,8 @@
 	onShortage(): void;
 	/** Called with the starts whose runs count as lost: connections are refused, or there was no response until the lease expired. */
 	onRunsLost(starts: readonly TaskStart[]): void;
+	/** Called when the executor refuses connections while nothing runs there. */
+	onRefused?(): void;
 	/** Called when the executor responds again after runs were lost. */
 	onRecovered(): void;
 	/** Returns the time until which runs may go on although their entries are silent; Infinity if undefined or no run depends on a silent entry. */
@@ -64,6 +66,8 @@
 	tryGetExecutorStart(): number | undefined;
 	/** Stops the runs of an earlier agent. Resolves once the executor has reported that it runs nothing. */
 	takeOver(): Promise<void>;
+	/** Stops all runs. Resolves once each of them has ended. */
+	stopAll(cause: StopCause): Promise<void>;
 	/** Returns the starts whose runs have not ended. */
 	getActiveStarts(): readonly TaskStart[];
 	/** Ends all runs as aborted, for use once another incarnation of the executor has answered at its address. */
@@ -122,8 +126,13 @@
 		hasActiveRuns: () => runs.size > 0,
 		onStatus: receiveStatus,
 		onConnectionRefused() {
+			if (runs.size === 0) {
+				host.onRefused?.();
+				return;
+			}
+
 			// Tells the entries early. The runs are restarted only once the lease has expired: a cut may look the same.
-			if (!hasLostRuns && runs.size > 0) {
+			if (!hasLostRuns) {
 				reportLostRuns();
 			}
 		},
@@ -133,7 +142,9 @@
 				endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, 'the executor does not answer; its lease has run out', RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE);
 			}
 		},
-		onPaused: stopAllRuns,
+		onPaused() {
+			stopAllRuns('agent-paused');
+		},
 		onIncarnationChanged: host.onIncarnationChanged,
 		onUnreachable: host.onUnreachable,
 		takePauseTime: host.takePauseTime,
@@ -141,6 +152,8 @@
 	});
 	let unavailableUntil = -Infinity;
 	let hasLostRuns = false;
+	/** Called when the last run has ended. */
+	const idleListeners: Array<() => void> = [];
 
 	return {
 		run(start, done) {
@@ -178,6 +191,14 @@
 		},
 		tryGetExecutorStart: poller.tryGetExecutorStart,
 		takeOver,
+		async stopAll(cause) {
+			stopAllRuns(cause);
+			if (runs.size > 0) {
+				await new Promise<void>(resolve => {
+					idleListeners.push(resolve);
+				});
+			}
+		},
 		getActiveStarts,
 		abortAll(detail) {
 			for (const run of runs.values()) {
@@ -205,15 +226,15 @@
 	function handleWitnessedPause(pause: Milliseconds): void {
 		if (pause > host.harmlessPauseMs) {
 			log.warn({pause}, 'this process was suspended, as the clock of the executor shows');
-			stopAllRuns();
+			stopAllRuns('agent-paused');
 		}
 
 		host.onPauseWitnessed(pause);
 	}
 
-	function stopAllRuns(): void {
+	function stopAllRuns(cause: StopCause): void {
 		for (const run of runs.values()) {
-			requestStop(run, 'agent-paused');
+			requestStop(run, cause);
 		}
 	}
 
@@ -482,6 +503,11 @@
 		runs.delete(run.task);
 		reportStopEnd(run, detail);
 		run.done(createRunResult(outcome, reason, detail, clock.now() - run.requestedAt));
+		if (runs.size === 0) {
+			for (const resolveIdle of idleListeners.splice(0)) {
+				resolveIdle();
+			}
+		}
 	}
 }
 
--- a/test/platform/heartbeats.test.ts
+++ b/test/platform/heartbeats.test.ts
@@ -1,4 +1,5 @@
 import {createHeartbeatApp, type Heartbeat} from '../../src/platform/heartbeats.js';
+import type {ExecutorDeparture} from '../../src/process/executor-manager.js';
 import {describe, it} from '../describe.js';
 import {silentLog} from '../silent-log.js';
 
@@ -6,16 +7,16 @@
 	upstream: 'work', addr: '10.0.0.1:80', zone: 'z', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, seq: 1, born: 100, room: {cpu: 16_000, 'mem-mb': 64, gpu: 0}, labels: ['a', 'r1-1'],
 };
 
-function createFixture(): {readonly received: Heartbeat[]; readonly deregistered: string[]; send(id: string, body: unknown): Promise<number>; deregister(id: string): Promise<number>} {
+function createFixture(): {readonly received: Heartbeat[]; readonly deregistered: ExecutorDeparture[]; send(id: string, body: unknown): Promise<number>; deregister(id: string, body?: string): Promise<number>} {
 	const received: Heartbeat[] = [];
-	const deregistered: string[] = [];
+	const deregistered: ExecutorDeparture[] = [];
 	const app = createHeartbeatApp({
 		log: silentLog,
 		onHeartbeat(heartbeat) {
 			received.push(heartbeat);
 		},
-		onDeregister(id) {
-			deregistered.push(id);
+		async onDeregister(departure) {
+			deregistered.push(departure);
 		},
 	});
 	return {
@@ -25,8 +26,8 @@
 			const res = await app.request(`/v1/Executors.Heartbeat/${id}`, {method: 'POST', body: typeof body === 'string' ? body : JSON.stringify(body)});
 			return res.status;
 		},
-		async deregister(id) {
-			const res = await app.request(`/v1/Executors.Deregister/${id}`, {method: 'POST'});
+		async deregister(id, body) {
+			const res = await app.request(`/v1/Executors.Deregister/${id}`, {method: 'POST', body});
 			return res.status;
 		},
 	};
@@ -42,7 +43,16 @@
 			id: 'i-1', bornAt: 100, address: '10.0.0.1:80', service: 'work', room: {cpu: 16_000, memory: 64, accelerators: 0}, labels: ['a', 'r1-1'],
 		});
 		t.deepEqual(received.map(({isLeaving}) => isLeaving), [false, true]);
-		t.deepEqual(deregistered, ['i-1']);
+		t.deepEqual(deregistered, [{id: 'i-1', bornAt: undefined}]);
+	});
+
+	it('report which start of an executor deregisters itself, if it says that', async t => {
+		const {deregistered, deregister} = createFixture();
+		for (const body of ['{"born":100}', '{"born":"x"}', '{']) {
+			t.is(await deregister('i-1', body), 200);
+		}
+
+		t.deepEqual(deregistered.map(({bornAt}) => bornAt), [100, undefined, undefined]);
 	});
 
 	it('reject invalid heartbeats and still accept valid ones', async t => {
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -38,6 +38,8 @@
 	readonly calls: string[];
 	/** Results of the runs that {@link startRun} has started. */
 	readonly results: RunResult[];
+	/** How many runs went on at the usual executor when each of these results was reported. */
+	readonly runningAtResults: number[];
 	/** Makes an executor listen at an address. */
 	listen(address: string, id: string, startedAt: number): FakeExecutor;
 	runFor(time: Milliseconds): Promise<void>;
@@ -71,6 +73,7 @@
 		saved: [],
 		calls: [],
 		results: [],
+		runningAtResults: [],
 		manager: createExecutorManager({
 			clock,
 			log: silentLog,
@@ -114,6 +117,7 @@
 			await fixture.runFor(promptMs);
 			fixture.upstreams[0]!.run(start, result => {
 				fixture.results.push(result);
+				fixture.runningAtResults.push(fixture.executor.getRunning().length);
 			});
 			await fixture.runFor(promptMs);
 		},
@@ -221,7 +225,7 @@
 		const fixture = createFixture(t);
 		const {manager, lossLog, saved, executor} = fixture;
 		await fixture.startRun();
-		manager.receiveDeparture('i');
+		void manager.receiveDeparture({id: 'i', bornAt: undefined});
 		t.is(lossLog.count('c/r', 3).possible, 0);
 		t.true(saved.at(-1)?.isLeaving);
 		executor.crash(10);
@@ -413,4 +417,140 @@
 		manager.receive(createAnnouncement(1, true));
 		t.is(calls.at(-1), 'i@1 leaving: true');
 	});
+
+	describe('handles a deregistration', () => {
+		// Guards against a second run of a task beside one of an executor that has got no answer to its deregistration.
+		it('by stopping the runs, which are reported as ended when the executor has listed that', async t => {
+			const fixture = createFixture(t);
+			const {
+				manager, lossLog, saved, calls, results, runningAtResults, executor,
+			} = fixture;
+			await fixture.startRun();
+			let hasAnswer = false;
+			void manager.receiveDeparture({id: 'i', bornAt: undefined}).then(() => {
+				hasAnswer = true;
+			});
+			t.deepEqual(results, []);
+			await fixture.runFor(50);
+			t.is(executor.runs[0]?.endDetail, 'stopped');
+			t.deepEqual(results.map(({outcome}) => outcome), [TaskOutcome.TASK_OUTCOME_ABORTED]);
+			t.deepEqual(runningAtResults, [0]);
+			t.true(hasAnswer);
+			t.is(lossLog.count('c/r', 3).possible, 0);
+			t.deepEqual(saved.map(({isLeaving}) => isLeaving), [false, true]);
+			t.deepEqual(calls, ['i@1 leaving: false', 'i@1 leaving: true']);
+		});
+
+		it('by waiting for the lease if the stops are lost, and answers within a second', async t => {
+			const fixture = createFixture(t);
+			const {
+				clock, manager, lossLog, results, runningAtResults, executor,
+			} = fixture;
+			await fixture.startRun();
+			executor.unansweredCalls.stop = Infinity;
+			const deregisteredAt = clock.now();
+			let answeredAt = Infinity;
+			void manager.receiveDeparture({id: 'i', bornAt: undefined}).then(() => {
+				answeredAt = clock.now();
+			});
+			await fixture.runFor(lapsedWithinMs);
+			t.true(answeredAt - deregisteredAt < 1000);
+			t.is(executor.runs[0]?.endDetail, 'lapsed');
+			t.is(results.length, 1);
+			t.deepEqual(runningAtResults, [0]);
+			t.is(lossLog.count('c/r', 3).possible, 0);
+		});
+
+		it('by waiting for the lease if nothing is answered', async t => {
+			const fixture = createFixture(t);
+			const {
+				manager, lossLog, results, runningAtResults, executor,
+			} = fixture;
+			await fixture.startRun();
+			executor.isUnreachable = true;
+			void manager.receiveDeparture({id: 'i', bornAt: undefined});
+			await fixture.runFor(lapsedWithinMs);
+			t.is(executor.runs[0]?.endDetail, 'lapsed');
+			t.is(results.length, 1);
+			t.deepEqual(runningAtResults, [0]);
+			t.is(lossLog.count('c/r', 3).possible, 0);
+		});
+
+		it('by ending its service once it refuses connections', async t => {
+			const fixture = createFixture(t);
+			const {manager, calls, executor} = fixture;
+			await fixture.startRun();
+			void manager.receiveDeparture({id: 'i', bornAt: 1});
+			await fixture.runFor(lapsedWithinMs);
+			t.false(calls.includes('i@1 stops'));
+			executor.crash(10_000);
+			await fixture.runFor(lapsedWithinMs);
+			t.is(calls.at(-1), 'i@1 stops');
+		});
+
+		it('without an effect if it names another executor, or another start', async t => {
+			const fixture = createFixture(t);
+			const {manager, saved, calls, results, executor} = fixture;
+			await fixture.startRun();
+			await manager.receiveDeparture({id: 'x', bornAt: undefined});
+			await manager.receiveDeparture({id: 'i', bornAt: 0.5});
+			await fixture.runFor(promptMs);
+			t.deepEqual(results, []);
+			t.is(executor.getRunning().length, 1);
+			t.is(saved.length, 1);
+			t.deepEqual(calls, ['i@1 leaving: false']);
+		});
+
+		it('that is repeated once', async t => {
+			const fixture = createFixture(t);
+			const {manager, saved, calls, results} = fixture;
+			await fixture.startRun();
+			void manager.receiveDeparture({id: 'i', bornAt: undefined});
+			await fixture.runFor(promptMs);
+			let hasAnswer = false;
+			void manager.receiveDeparture({id: 'i', bornAt: undefined}).then(() => {
+				hasAnswer = true;
+			});
+			await fixture.runFor(1);
+			t.true(hasAnswer);
+			t.is(results.length, 1);
+			t.is(saved.length, 2);
+			t.deepEqual(calls, ['i@1 leaving: false', 'i@1 leaving: true']);
+		});
+
+		// Guards against an executor that another writer takes out of service for good.
+		it('of an executor that stays by using it again from its next announcement on', async t => {
+			const fixture = createFixture(t);
+			const {manager, saved, calls, results, executor} = fixture;
+			await fixture.startRun();
+			void manager.receiveDeparture({id: 'i', bornAt: undefined});
+			await fixture.runFor(promptMs);
+			manager.receive(createAnnouncement(1));
+			t.is(calls.findLast(call => call.includes('leaving')), 'i@1 leaving: false');
+			t.is(saved.at(-1)?.isLeaving, false);
+			fixture.upstreams[0]!.run({...start, task: {ticket: 't', index: 4}}, result => {
+				results.push(result);
+			});
+			await fixture.runFor(lapsedWithinMs);
+			t.is(executor.getRunning().length, 1);
+			executor.crash(10_000);
+			await fixture.runFor(lapsedWithinMs);
+			t.false(calls.includes('i@1 stops'));
+		});
+
+		it('before the next one takes over at the same address', async t => {
+			const fixture = createFixture(t);
+			const {manager, calls, executor} = fixture;
+			await fixture.startRun();
+			void manager.receiveDeparture({id: 'i', bornAt: undefined});
+			await fixture.runFor(50);
+			executor.crash(10);
+			await fixture.runFor(20);
+			manager.receive(createAnnouncement(2));
+			await fixture.runFor(promptMs);
+			t.is(calls.at(-1), 'i@2 leaving: false');
+			await manager.receiveDeparture({id: 'i', bornAt: 1});
+			t.is(calls.at(-1), 'i@2 leaving: false');
+		});
+	});
 });
