Follow an executor again after an announcement with its identity and a number that is not its own

What callers saw: nothing reported. By reading, and shown by a test: a heartbeat of another writer with the id, start and address of the executor and a huge sequence number made all true heartbeats outdated for as long as the agent lived, so that it followed neither its room nor whether it leaves.

Cause: only a higher sequence number was accepted, and nothing but the executor can say which numbers are its own.

Change: three outdated announcements in increasing order over 2.5 s, with no newer one between them, show that the executor is at these numbers. Delayed heartbeats do not: each is under way for a second at most. At the usual interval the executor is followed again with its third heartbeat.

Ruled out: to forget the newest number after a time without a newer one. A single late heartbeat would then undo that an executor leaves.

--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -143,7 +143,7 @@
 		restore(announcement) {
 			if (current === undefined && candidates.size === 0 && !isStopping) {
 				addCandidate({
-					announcement, order: createAnnouncementOrder(), announcedAt: clock.now(), isStored: true,
+					announcement, order: createAnnouncementOrder(clock), announcedAt: clock.now(), isStored: true,
 				});
 			}
 		},
@@ -175,7 +175,7 @@
 
 		const known = [...candidates].find(candidate => areSameIncarnations(candidate.announcement.executorInfo, announcement.executorInfo));
 		if (known === undefined) {
-			const order = createAnnouncementOrder();
+			const order = createAnnouncementOrder(clock);
 			order.accept(announcement.sequence);
 			addCandidate({
 				announcement, order, announcedAt: clock.now(), isStored: false,
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -292,6 +292,20 @@
 		t.deepEqual(calls.filter(call => call.includes('leaving')), ['i@1 leaving: false', 'i@1 leaving: true']);
 	});
 
+	it('follows the executor in service again after an announcement with its identity and a number that is not its own', async t => {
+		const fixture = createFixture(t);
+		const {manager, calls, saved} = fixture;
+		await fixture.startRun();
+		manager.receive({...createAnnouncement(1, true), sequence: Number.MAX_SAFE_INTEGER});
+		for (let i = 0; i < 3; i++) {
+			await fixture.runFor(1500);
+			manager.receive(createAnnouncement(1));
+		}
+
+		t.is(calls.at(-1), 'i@1 leaving: false');
+		t.is(saved.at(-1)?.isLeaving, false);
+	});
+
 	describe('keeps the executor in service, which answers, when an announcement names', () => {
 		for (const [name, announcement] of Object.entries(foreignAnnouncements)) {
 			// Guards against a second run of a task beside one that an announcement of another writer had ended.
