Failure runs with heartbeats and deregistrations that do not tell what ends

The client of an executor in these runs now knows its address and id: nothing listens at any other address, and another id is refused. The faults have draws of their own, so that earlier seeds keep theirs.

--- a/test/failure/leased.test.ts
+++ b/test/failure/leased.test.ts
@@ -27,7 +27,7 @@
 const defectSeeds = 40;
 
 /** Defects that a code change could introduce, and the rule that each violates, or one of two rules. */
-const defectCases: Readonly<Record<string, {readonly defects: InjectedDefects; readonly brokenRule: string | readonly string[]; readonly hasExecutorFaults?: boolean; readonly hasForwarding?: boolean; readonly hasEvacuations?: boolean; readonly firstSeed?: number}>> = {
+const defectCases: Readonly<Record<string, {readonly defects: InjectedDefects; readonly brokenRule: string | readonly string[]; readonly hasExecutorFaults?: boolean; readonly hasForwarding?: boolean; readonly hasAnnouncementFaults?: boolean; readonly hasEvacuations?: boolean; readonly firstSeed?: number}>> = {
 	'agents do not stop the runs of a lost entry': {
 		defects: {timing: {...platformTiming, orphanGraceMs: undefined, maxSilentRunMs: undefined}}, brokenRule: overlapRule,
 	},
@@ -52,6 +52,9 @@
 	'entries keep serving forwarded jobs whose sender is lost': {
 		defects: {areForwardedJobsKept: true}, brokenRule: [overlapRule, 'nothing runs for a job that nobody waits for'], hasForwarding: true, firstSeed: 81,
 	},
+	'agents take a deregistration for the end of all runs': {
+		defects: {areDeparturesTrusted: true}, brokenRule: overlapRule, hasAnnouncementFaults: true,
+	},
 	'entries do not read which data centres are evacuated': {
 		defects: {areEvacuationsIgnored: true}, brokenRule: evacuationRule, hasEvacuations: true,
 	},
@@ -81,6 +84,14 @@
 		}
 	});
 
+	// Issue 40: heartbeats of other writers and deregistrations were taken for the end of all runs of an executor.
+	it(`violate no guarantee while agents receive heartbeats and deregistrations that do not tell what ends, seeds 1 to ${seeds}`, async t => {
+		for (let seed = 1; seed <= seeds; seed++) {
+			const {violations, faults} = await runLeasedFailures(seed, {hasAnnouncementFaults: true, hasExecutorFaults: seed % 2 === 0});
+			t.deepEqual(violations, [], `seed ${seed}; its faults:\n${faults.join('\n')}`);
+		}
+	});
+
 	// Issue 27: jobs that a busy entry forwards, while the streams between entries fail, too.
 	it(`violate no guarantee while entries forward jobs, seeds 1 to ${seeds}`, async t => {
 		for (let seed = 1; seed <= seeds; seed++) {
@@ -142,13 +153,13 @@
 
 	describe('detect that', () => {
 		for (const [name, {
-			defects, brokenRule, hasExecutorFaults, hasForwarding, hasEvacuations, firstSeed = 1,
+			defects, brokenRule, hasExecutorFaults, hasForwarding, hasAnnouncementFaults, hasEvacuations, firstSeed = 1,
 		}] of Object.entries(defectCases)) {
 			it(name, async t => {
 				let isDetected = false;
 				for (let seed = firstSeed; seed < firstSeed + defectSeeds && !isDetected; seed++) {
 					const {violations} = await runLeasedFailures(seed, {
-						defects, hasExecutorFaults, hasEvacuations, loadSharing: hasForwarding ? randomForwarding : undefined,
+						defects, hasExecutorFaults, hasAnnouncementFaults, hasEvacuations, loadSharing: hasForwarding ? randomForwarding : undefined,
 					});
 					isDetected = violations.some(({rule}) => [brokenRule].flat().includes(rule));
 				}
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -7,9 +7,11 @@
 import {platformTiming} from '../../../src/platform/timing.js';
 import {createAgent} from '../../../src/process/agent.js';
 import type {Milliseconds} from '../../../src/process/clock.js';
-import {createLeasedUpstream} from '../../../src/process/leased-upstream.js';
+import {createLeasedUpstream, type LeasedUpstream} from '../../../src/process/leased-upstream.js';
 import {createExecutorManager, type ExecutorAnnouncement, type ExecutorManager} from '../../../src/process/executor-manager.js';
-import type {Executor, WithExecutorTime} from '../../../src/process/executor-types.js';
+import type {
+	CommandOutcome, Executor, ExecutorInfo, WithExecutorTime,
+} from '../../../src/process/executor-types.js';
 import {noMetrics} from '../../../src/process/metrics.js';
 import {createPauseAccumulator, createPauseDetector} from '../../../src/process/pause-detector.js';
 import {createMemoryPlatform} from '../../../src/process/platform/memory.js';
@@ -69,6 +71,8 @@
 	readonly areLossesIgnored?: boolean;
 	/** Whether entries keep serving forwarded jobs after their stream was lost or cancelled them. */
 	readonly areForwardedJobsKept?: boolean;
+	/** Whether agents take a deregistration of their executor for the end of its runs. */
+	readonly areDeparturesTrusted?: boolean;
 	/** Longest lease that executors grant. */
 	readonly maxLeaseMs?: Milliseconds;
 	/** Wraps the executor to change the commands of its agent. */
@@ -112,11 +116,23 @@
 	setEvacuated(agent: string, isEvacuated: boolean): void;
 	/** Keeps an entry from reading evacuations for a time. */
 	cutStore(entry: string, duration: Milliseconds): void;
+	/** Delivers to an agent an announcement of another writer, which names something else than its executor. */
+	announceForeign(agent: string, named: ForeignName): void;
+	/**
+	 * Delivers to an agent that its executor shuts down. Calls `onAnswer` when that is acknowledged; if the agent dies before, it is not
+	 * called.
+	 */
+	deregister(agent: string, onAnswer: () => void): void;
+	/** Delivers what an executor says of itself to its agent. */
+	announce(agent: string): void;
 	/** Changes the processors of an executor, in thousandths of a processor. Its next heartbeat announces them. */
 	setRoom(agent: string, cpu: number): void;
 	advance(duration: Milliseconds): Promise<void>;
 };
 
+/** What an announcement of another writer names. */
+export type ForeignName = 'other-executor' | 'other-address' | 'later-start' | 'earlier-start' | 'far-future';
+
 /** Called when an entry has died, so that its clients see broken connections. */
 export type OnEntryDeath = (entry: LeasedEntry) => void;
 
@@ -205,6 +221,21 @@
 		cutStore(name, duration) {
 			storeReachableFrom.set(name, Math.max(storeReachableFrom.get(name) ?? 0, clock.now() + duration));
 		},
+		announceForeign(name, named) {
+			const {executorInfo, isLeaving} = createAnnouncement(name);
+			receive(name, {executorInfo: {...executorInfo, ...foreignInfos[named]}, isLeaving});
+		},
+		deregister(name, onAnswer) {
+			const {process, manager} = agents.get(name)!;
+			process.perform(() => {
+				void manager.receiveDeparture({id: name, bornAt: undefined}).then(() => {
+					if (process.isAlive()) {
+						onAnswer();
+					}
+				});
+			});
+		},
+		announce,
 		setRoom(name, cpu) {
 			rooms.get(name)!.push({at: clock.now(), cpu});
 			executors.get(name)!.guardedRuns = defects.isGuarding ? Math.floor(cpu / taskCpu) : undefined;
@@ -289,10 +320,14 @@
 
 	/** Delivers what the executor says of itself to the agent beside it. */
 	function announce(name: string): void {
+		receive(name, createAnnouncement(name));
+	}
+
+	function receive(name: string, announcement: ExecutorAnnouncement): void {
 		const {process, manager} = agents.get(name)!;
-		const announcement = {...createAnnouncement(name), sequence: ++announcementCount};
+		const sequence = ++announcementCount;
 		process.perform(() => {
-			manager.receive(announcement);
+			manager.receive({...announcement, sequence});
 		});
 	}
 
@@ -321,8 +356,8 @@
 			metrics: noMetrics,
 			lossLog,
 			createUpstream(executorInfo, events) {
-				const executor = createExecutorClient(process, executors.get(name)!, executorInfo.bornAt);
-				return createLeasedUpstream({
+				const executor = createExecutorClient(process, {id: name, executor: executors.get(name)!}, executorInfo);
+				const upstream = createLeasedUpstream({
 					clock: process.clock,
 					executor: defects.changeExecutor?.(executor) ?? executor,
 					executorStartedAt: executorInfo.bornAt,
@@ -335,6 +370,7 @@
 					onPauseWitnessed: detector.recordWitnessed,
 					...events,
 				});
+				return defects.areDeparturesTrusted ? endRunsAtOnce(upstream) : upstream;
 			},
 			createAgent: (executorInfo, upstream, upstreamIncarnation) => createAgent({
 				clock: process.clock,
@@ -391,10 +427,10 @@
 }
 
 /**
- * Creates the client of one agent process for one incarnation of an executor. Responses that arrive while the process is
- * frozen wait until it resumes.
+ * Creates the client of one agent process for one incarnation of an executor. Nothing listens at any other address than the one
+ * that is the executor's identifier. Responses that arrive while the process is frozen wait until it resumes.
  */
-function createExecutorClient(process: SimulatedProcess, executor: FakeExecutor, bornAt: number): Executor {
+function createExecutorClient(process: SimulatedProcess, {id, executor}: {readonly id: string; readonly executor: FakeExecutor}, executorInfo: ExecutorInfo): Executor {
 	return {
 		start: async command => call(async () => executor.start(command)),
 		stop: async (name, fencingToken) => call(async () => executor.stop(name, fencingToken)),
@@ -402,13 +438,39 @@
 		close: async () => undefined,
 	};
 
-	async function call<T>(send: () => Promise<WithExecutorTime<T>>): Promise<WithExecutorTime<T | OtherIncarnation>> {
-		return process.deliver<WithExecutorTime<T | OtherIncarnation>>(executor.startedAt === bornAt ? send() : refuseCall());
+	async function call<T>(send: () => Promise<WithExecutorTime<T>>): Promise<WithExecutorTime<T | Refusal>> {
+		return process.deliver<WithExecutorTime<T | Refusal>>(tryRefuse() ?? send());
+	}
+
+	function tryRefuse(): Promise<WithExecutorTime<Refusal>> | undefined {
+		if (executorInfo.address !== id) {
+			return refuseCall({kind: 'not-sent', detail: 'nothing listens there'});
+		}
+
+		return executorInfo.id === id && executorInfo.bornAt === executor.startedAt ? undefined : refuseCall({kind: 'other-incarnation'});
 	}
 }
 
-type OtherIncarnation = {readonly kind: 'other-incarnation'};
+/** Makes an upstream report all runs as ended where it should stop them. */
+function endRunsAtOnce(upstream: LeasedUpstream): LeasedUpstream {
+	return {
+		...upstream,
+		async stopAll() {
+			upstream.abortAll('the executor ended');
+		},
+	};
+}
+
+type Refusal = Extract<CommandOutcome, {readonly kind: 'not-sent' | 'other-incarnation'}>;
 
-async function refuseCall(): Promise<WithExecutorTime<OtherIncarnation>> {
-	return {outcome: {kind: 'other-incarnation'}, executorTime: undefined};
+async function refuseCall(outcome: Refusal): Promise<WithExecutorTime<Refusal>> {
+	return {outcome, executorTime: undefined};
 }
+
+const foreignInfos: Readonly<Record<ForeignName, Partial<ExecutorInfo>>> = {
+	'other-executor': {id: 'x', address: 'nowhere', bornAt: 1000},
+	'other-address': {address: 'nowhere'},
+	'later-start': {bornAt: 1000},
+	'earlier-start': {bornAt: 0.5},
+	'far-future': {bornAt: 1e300},
+};
--- a/test/failure/leased/run.ts
+++ b/test/failure/leased/run.ts
@@ -10,7 +10,7 @@
 import {findLeasedViolations, type LeavingPeriod} from './checker.js';
 import {createClients, type Clients} from './clients.js';
 import {
-	agentNames, createLeasedCluster, entryNames, executorCpu, taskCpu, type LeasedCluster, type InjectedDefects,
+	agentNames, createLeasedCluster, entryNames, executorCpu, heartbeatIntervalMs, taskCpu, type ForeignName, type LeasedCluster, type InjectedDefects,
 } from './cluster.js';
 import type {LoadSharingOptions} from './entry.js';
 
@@ -27,6 +27,9 @@
 const maxFaultMs: Milliseconds = 4000;
 const faultCount = 8;
 const executorFaultCount = 8;
+const announcementFaultCount = 8;
+/** Time for which an executor goes on after a deregistration that was not acknowledged. */
+const maxUnansweredMs: Milliseconds = 4000;
 const peerFaultCount = 8;
 const evacuationCount = 3;
 /** Longer than the time after which nothing may be started in an evacuated data centre. */
@@ -57,6 +60,8 @@
 	readonly defects?: InjectedDefects;
 	/** Whether executors also crash, by themselves and under tasks, and change their processors. */
 	readonly hasExecutorFaults?: boolean;
+	/** Whether agents receive heartbeats of other writers, and deregistrations: not acknowledged, acknowledged, or of another writer. */
+	readonly hasAnnouncementFaults?: boolean;
 	/** Whether data centres are evacuated and taken back, while entries are cut off from the store in turn. */
 	readonly hasEvacuations?: boolean;
 	/** How entries share their load; if undefined, each serves its own clients. Streams between entries then fail, too. */
@@ -70,7 +75,7 @@
 
 /** Runs the load and injects the faults of a seed. */
 export async function runLeasedFailures(seed: number, {
-	isCalm = false, defects = {}, hasExecutorFaults = false, hasEvacuations = false, loadSharing, chains,
+	isCalm = false, defects = {}, hasExecutorFaults = false, hasAnnouncementFaults = false, hasEvacuations = false, loadSharing, chains,
 }: FailureOptions = {}): Promise<LeasedReport> {
 	const clients: Clients = createClients(() => cluster);
 	const cluster = await createLeasedCluster(seed, clients.breakConnections, {defects, loadSharing, ...chains && {entryActionCostMs: messageCostMs, agentActionCostMs: messageCostMs}});
@@ -87,6 +92,10 @@
 		scheduleExecutorFaults(cluster, clients, createRandomSource(seed), faults);
 	}
 
+	if (hasAnnouncementFaults) {
+		scheduleAnnouncementFaults(cluster, createRandomSource(seed), faults);
+	}
+
 	if (hasEvacuations) {
 		scheduleEvacuations(cluster, createRandomSource(seed), {periods: leavingPeriods, faults});
 	}
@@ -187,6 +196,58 @@
 	}
 }
 
+/** Heartbeats of other writers, and deregistrations whose acknowledgement is lost, arrives, or is not asked for by the executor. */
+function scheduleAnnouncementFaults(cluster: LeasedCluster, randomSource: RandomSource, faults: string[]): void {
+	const {clock} = cluster.sim;
+	for (let i = 0; i < announcementFaultCount; i++) {
+		const agent = randomSource.pick(agentNames);
+		const executor = cluster.executors.get(agent)!;
+		const named = randomSource.pick<ForeignName>(['other-executor', 'other-address', 'later-start', 'earlier-start', 'far-future']);
+		const endsAfter = randomSource.integer(1, maxUnansweredMs);
+		const downTime = randomSource.integer(200, maxFaultMs);
+		const beatAfter = randomSource.integer(1, heartbeatIntervalMs);
+		const kind = randomSource.pick(['foreign-heartbeat', 'unanswered-deregistration', 'deregistration', 'foreign-deregistration'] as const);
+		clock.after(randomSource.integer(0, faultWindowMs), () => {
+			faults.push(`${Math.round(clock.now())} ${kind} ${JSON.stringify({
+				agent, named, endsAfter, downTime, beatAfter,
+			})}`);
+			switch (kind) {
+				case 'foreign-heartbeat': {
+					cluster.announceForeign(agent, named);
+					break;
+				}
+
+				case 'unanswered-deregistration': {
+					cluster.deregister(agent, () => undefined);
+					clock.after(endsAfter, () => {
+						executor.crash(downTime);
+					});
+					break;
+				}
+
+				case 'deregistration': {
+					cluster.deregister(agent, () => {
+						executor.crash(downTime);
+					});
+					break;
+				}
+
+				case 'foreign-deregistration': {
+					cluster.deregister(agent, () => undefined);
+					break;
+				}
+			}
+
+			// The executor's own heartbeats go on, unless it has ended.
+			clock.after(beatAfter, () => {
+				if (kind.startsWith('foreign')) {
+					cluster.announce(agent);
+				}
+			});
+		});
+	}
+}
+
 /** Data centres that are evacuated and taken back, and entries that cannot read that for a while. */
 function scheduleEvacuations(cluster: LeasedCluster, randomSource: RandomSource, {periods, faults}: {readonly periods: LeavingPeriod[]; readonly faults: string[]}): void {
 	const {clock} = cluster.sim;
