--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -5,6 +5,7 @@
 import {bodyLimit} from 'hono/body-limit';
 import {z} from 'zod';
 import {maxAmount} from '../connection/resources.js';
+import type {ExecutorDeparture} from '../process/executor-manager.js';
 import type {ExecutorInfo} from '../process/executor-types.js';
 import {
 	connectableAddressSchema, headerNameSchema, labelsSchema, nameSchema, sequenceNumberSchema, wallTimeSchema,
@@ -23,10 +24,10 @@
 /** Dependencies of the heartbeat routes. */
 export type HeartbeatHost = {
 	readonly log: Log;
-	/** Called with each valid heartbeat that is newer than all earlier ones of the executor. */
+	/** Called with each valid heartbeat. Heartbeats may arrive out of order, and from other writers. */
 	onHeartbeat(heartbeat: Heartbeat): void;
-	/** Called when an executor announces that it is shutting down. */
-	onDeregister(id: string): void;
+	/** Called when an executor announces that it is shutting down. It is acknowledged when the promise resolves. */
+	onDeregister(departure: ExecutorDeparture): Promise<void>;
 };
 
 /** Rounds down to what a message can carry. */
@@ -49,11 +50,12 @@
 const maxBodyBytes = 4 * 1024 * 1024;
 const maxLoggedIdLength = 200;
 
+/** The body may be empty. */
+const deregistrationSchema = z.object({born: z.number().optional()});
+
 /** Creates the HTTP routes that an executor calls. */
 export function createHeartbeatApp(host: HeartbeatHost): Hono {
 	const app = new Hono();
-	/** The newest heartbeat of each executor, by identifier. Heartbeats may arrive out of order. */
-	const newest = new Map<string, {readonly bornAt: number; readonly sequence: number}>();
 
 	app.use(bodyLimit({
 		maxSize: maxBodyBytes,
@@ -74,28 +76,15 @@
 			return c.json({}, 400);
 		}
 
-		acceptIfNewer(toHeartbeat(id, body.value));
+		host.onHeartbeat(toHeartbeat(id, body.value));
 		return c.json({});
 	});
-	app.post('/v1/Executors.Deregister/:id', c => {
-		host.onDeregister(c.req.param('id'));
+	app.post('/v1/Executors.Deregister/:id', async c => {
+		const {born} = readJson(deregistrationSchema, await c.req.text()).unwrapOr<z.infer<typeof deregistrationSchema>>({});
+		await host.onDeregister({id: c.req.param('id'), bornAt: born});
 		return c.json({});
 	});
 	return app;
-
-	function acceptIfNewer(heartbeat: Heartbeat): void {
-		const {id, bornAt} = heartbeat.executorInfo;
-		const known = newest.get(id);
-		if (known !== undefined && (bornAt < known.bornAt || (bornAt === known.bornAt && heartbeat.sequence <= known.sequence))) {
-			host.log.info({
-				executor: id, bornAt, sequence: heartbeat.sequence, known,
-			}, 'outdated heartbeat ignored');
-			return;
-		}
-
-		newest.set(id, {bornAt, sequence: heartbeat.sequence});
-		host.onHeartbeat(heartbeat);
-	}
 }
 
 function toHeartbeat(id: string, body: z.infer<typeof heartbeatSchema>): Heartbeat {
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -12,7 +12,7 @@
 import {createExecutorPoller} from './executor-poller.js';
 import {createExecutorLease, leaseMs} from './executor-lease.js';
 import type {
-	EndedRun, Executor, ExecutorStatus, CommandOutcome, RunOutcome,
+	EndedRun, Executor, ExecutorPresence, ExecutorStatus, CommandOutcome, RunOutcome,
 } from './executor-types.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
@@ -43,6 +43,8 @@
 	onShortage(): void;
 	/** Called with the starts whose runs count as lost: connections are refused, or there was no response until the lease expired. */
 	onRunsLost(starts: readonly TaskStart[]): void;
+	/** Called when the executor refuses connections while nothing runs there. */
+	onRefused?(): void;
 	/** Called when the executor responds again after runs were lost. */
 	onRecovered(): void;
 	/** Returns the time until which runs may go on although their entries are silent; Infinity if undefined or no run depends on a silent entry. */
@@ -56,11 +58,19 @@
 /** An upstream that runs its tasks on an executor under a lease. */
 export type LeasedUpstream = Omit<UpstreamClient, 'stop'> & {
 	stop(start: TaskStart, cause: StopCause): void;
+	/** Polls the executor once, without an effect on its runs, and returns what that shows. */
+	checkPresence(): Promise<ExecutorPresence>;
+	/** Does the same for an executor that an earlier agent may have used, whose fencing token may be higher. */
+	identify(): Promise<ExecutorPresence>;
+	/** Returns when the incarnation that answers started; undefined if that is not known. */
+	tryGetExecutorStart(): number | undefined;
 	/** Stops the runs of an earlier agent. Resolves once the executor has reported that it runs nothing. */
 	takeOver(): Promise<void>;
+	/** Stops all runs. Resolves once each of them has ended. */
+	stopAll(cause: StopCause): Promise<void>;
 	/** Returns the starts whose runs have not ended. */
 	getActiveStarts(): readonly TaskStart[];
-	/** Ends all runs as aborted, for use when this incarnation of the executor has ended. */
+	/** Ends all runs as aborted, for use once another incarnation of the executor has answered at its address. */
 	abortAll(detail: string): void;
 };
 
@@ -116,8 +126,13 @@
 		hasActiveRuns: () => runs.size > 0,
 		onStatus: receiveStatus,
 		onConnectionRefused() {
+			if (runs.size === 0) {
+				host.onRefused?.();
+				return;
+			}
+
 			// Tells the entries early. The runs are restarted only once the lease has expired: a cut may look the same.
-			if (!hasLostRuns && runs.size > 0) {
+			if (!hasLostRuns) {
 				reportLostRuns();
 			}
 		},
@@ -127,7 +142,9 @@
 				endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, 'the executor does not answer; its lease has run out', RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE);
 			}
 		},
-		onPaused: stopAllRuns,
+		onPaused() {
+			stopAllRuns('agent-paused');
+		},
 		onIncarnationChanged: host.onIncarnationChanged,
 		onUnreachable: host.onUnreachable,
 		takePauseTime: host.takePauseTime,
@@ -135,6 +152,8 @@
 	});
 	let unavailableUntil = -Infinity;
 	let hasLostRuns = false;
+	/** Called when the last run has ended. */
+	const idleListeners: Array<() => void> = [];
 
 	return {
 		run(start, done) {
@@ -161,7 +180,25 @@
 				}
 			}
 		},
+		checkPresence,
+		async identify() {
+			const presence = await checkPresence();
+			if (presence === 'in-doubt') {
+				lease.raiseAboveEarlierAgent();
+			}
+
+			return presence;
+		},
+		tryGetExecutorStart: poller.tryGetExecutorStart,
 		takeOver,
+		async stopAll(cause) {
+			stopAllRuns(cause);
+			if (runs.size > 0) {
+				await new Promise<void>(resolve => {
+					idleListeners.push(resolve);
+				});
+			}
+		},
 		getActiveStarts,
 		abortAll(detail) {
 			for (const run of runs.values()) {
@@ -189,15 +226,15 @@
 	function handleWitnessedPause(pause: Milliseconds): void {
 		if (pause > host.harmlessPauseMs) {
 			log.warn({pause}, 'this process was suspended, as the clock of the executor shows');
-			stopAllRuns();
+			stopAllRuns('agent-paused');
 		}
 
 		host.onPauseWitnessed(pause);
 	}
 
-	function stopAllRuns(): void {
+	function stopAllRuns(cause: StopCause): void {
 		for (const run of runs.values()) {
-			requestStop(run, 'agent-paused');
+			requestStop(run, cause);
 		}
 	}
 
@@ -210,6 +247,36 @@
 		return [...runs.values()].map(run => run.start);
 	}
 
+	async function checkPresence(): Promise<ExecutorPresence> {
+		const kind = await poller.probe();
+		switch (kind) {
+			case 'status': {
+				return 'answered';
+			}
+
+			case 'other-incarnation': {
+				return 'replaced';
+			}
+
+			case 'not-sent': {
+				return runs.size === 0 ? 'refused' : 'in-doubt';
+			}
+
+			case 'no-answer': {
+				return runs.size === 0 && lease.hasExpired() ? 'lapsed' : 'in-doubt';
+			}
+
+			case 'fenced':
+			case 'superseded':
+			case 'expired':
+			case 'no-room':
+			case 'unavailable':
+			case 'invalid': {
+				return 'in-doubt';
+			}
+		}
+	}
+
 	// The first token comes from the time of day, which may have been stepped back, and the earlier agent may have raised its
 	// own. So a token that the executor accepts is not enough: calls that have not arrived yet may carry a higher one.
 	async function takeOver(): Promise<void> {
@@ -436,6 +503,11 @@
 		runs.delete(run.task);
 		reportStopEnd(run, detail);
 		run.done(createRunResult(outcome, reason, detail, clock.now() - run.requestedAt));
+		if (runs.size === 0) {
+			for (const resolveIdle of idleListeners.splice(0)) {
+				resolveIdle();
+			}
+		}
 	}
 }
 
