Drop an announced executor that cannot be called

Cause: creating the client of such an address throws. Since candidates are considered in the background, that would now end as an unhandled rejection, and the candidate would stay in the list of those that are considered.

Change: the candidate is dropped, with a line that has the error. A check of the address belongs to the readers of heartbeats and of stored announcements, too; this is what holds if one lets it through.

Shown: with such an address among the announcements, received or stored, the tests of the manager end with two unhandled rejections on the code before; all 37 pass now.

--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -247,7 +247,15 @@
 	/** Replaces `predecessor`, which is gone as `presence` says, if the candidate answers as announced. */
 	async function verifyCandidate(candidate: Candidate, predecessor: ManagedExecutor | undefined, presence: Exclude<ExecutorPresence, 'answered' | 'in-doubt'>): Promise<void> {
 		const {executorInfo, isLeaving} = candidate.announcement;
-		candidate.managed ??= createManagedExecutor(executorInfo, isLeaving, candidate.order);
+		try {
+			candidate.managed ??= createManagedExecutor(executorInfo, isLeaving, candidate.order);
+		} catch (err) {
+			// For instance an address that cannot be called.
+			log.warn({err, ...toLogFields(executorInfo)}, 'announced executor cannot be called');
+			dropCandidate(candidate, 'it cannot be called');
+			return;
+		}
+
 		const {managed} = candidate;
 		const candidatePresence = await managed.upstream.identify();
 		if (managed.hasEnded || candidatePresence === 'replaced') {
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -49,6 +49,8 @@
 
 const usualAddress = '127.0.0.1:1';
 const otherAddress = '127.0.0.1:2';
+/** An address for which no client can be created. */
+const unusableAddress = '127.0.0.1:99999';
 /** Longer than any wait of the manager, and shorter than a lease. */
 const promptMs: Milliseconds = 200;
 /** The duration of a lease on the slowest clock of an executor, and the waits for answers to the polls that renew it. */
@@ -80,6 +82,10 @@
 			metrics: noMetrics,
 			lossLog,
 			createUpstream(executorInfo, events) {
+				if (executorInfo.address === unusableAddress) {
+					throw new TypeError('invalid port');
+				}
+
 				const upstream = createLeasedUpstream({
 					clock,
 					executor: createClient(listeners, executorInfo),
@@ -201,6 +207,7 @@
 	'another executor, where nothing listens': createAnnouncement(2, false, {id: 'x', address: otherAddress}),
 	'another executor at the same address': createAnnouncement(2, false, {id: 'x'}),
 	'another address': createAnnouncement(1, false, {address: otherAddress}),
+	'an address that cannot be used': createAnnouncement(1, false, {address: unusableAddress}),
 	'a later start': createAnnouncement(2),
 	'an earlier start': createAnnouncement(0.5),
 	'a start in the far future': createAnnouncement(1e300),
