Test that an executor whose first announcement has no start is known by what it answers

A heartbeat may lack fields. The start that the executor itself answers is its identity from then on, so that neither a later announcement with the start nor a foreign one ends its runs. The client in the tests of the manager maps a missing start as the adapter does.

--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -89,7 +89,7 @@
 				const upstream = createLeasedUpstream({
 					clock,
 					executor: createClient(listeners, executorInfo),
-					executorStartedAt: executorInfo.bornAt,
+					executorStartedAt: executorInfo.bornAt === 0 ? undefined : executorInfo.bornAt,
 					firstFencingToken: 10,
 					maxLeaseMs: 1000,
 					log: silentLog,
@@ -299,6 +299,21 @@
 		t.deepEqual(calls.filter(call => call.includes('leaving')), ['i@1 leaving: false', 'i@1 leaving: true']);
 	});
 
+	// Guards against the end of all runs with the first announcement that says when the executor has started.
+	it('knows an executor whose first announcement did not say when it started by what it has answered', async t => {
+		const fixture = createFixture(t);
+		const {manager, calls, saved, results, executor} = fixture;
+		manager.receive(createAnnouncement(0));
+		await fixture.startRun();
+		manager.receive(createAnnouncement(2));
+		manager.receive(createAnnouncement(1, true));
+		await fixture.runFor(promptMs);
+		t.deepEqual(results, []);
+		t.is(executor.getRunning().length, 1);
+		t.deepEqual(calls.filter(call => call.includes('leaving')), ['i@0 leaving: false', 'i@0 leaving: true']);
+		t.deepEqual(saved.map(({isLeaving}) => isLeaving), [false, true]);
+	});
+
 	it('follows the executor in service again after an announcement with its identity and a number that is not its own', async t => {
 		const fixture = createFixture(t);
 		const {manager, calls, saved} = fixture;
