--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -33,7 +33,10 @@
 };
 
 /** The events of an upstream that the manager handles. */
-export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onRefused' | 'onShortage' | 'onRunsLost' | 'onRecovered' | 'getSilentRunLimit'>;
+export type UpstreamEvents = Pick<
+	LeasedUpstreamHost,
+	'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onRefused' | 'onShortage' | 'onRunsLost' | 'onRecovered' | 'getSilentRunLimit'
+>;
 
 /** Dependencies of the manager. */
 export type ExecutorManagerHost = {
@@ -421,7 +424,11 @@
 		ended.hasEnded = true;
 		const starts = ended.upstream.getActiveStarts();
 		log.warn({
-			...toLogFields(ended.executorInfo), evidence, isLeaving: ended.isLeaving, runs: starts.length, tasks: starts.slice(0, maxLoggedRuns).map(({reference, task}) => `${reference}.${task?.index}`),
+			...toLogFields(ended.executorInfo),
+			evidence,
+			isLeaving: ended.isLeaving,
+			runs: starts.length,
+			tasks: starts.slice(0, maxLoggedRuns).map(({reference, task}) => `${reference}.${task?.index}`),
 		}, 'service of the executor has ended');
 		host.metrics.count('executor.ended', 1, {evidence});
 		if (!ended.isLeaving) {
--- a/test/failure/leased/run.ts
+++ b/test/failure/leased/run.ts
@@ -88,14 +88,7 @@
 		scheduleFaults(cluster, randomSource, {periods: leavingPeriods, faults});
 	}
 
-	if (hasExecutorFaults) {
-		scheduleExecutorFaults(cluster, clients, createRandomSource(seed), faults);
-	}
-
-	if (hasAnnouncementFaults) {
-		scheduleAnnouncementFaults(cluster, createRandomSource(seed), faults);
-	}
-
+	scheduleExecutorEvents(cluster, clients, {seed, hasExecutorFaults, hasAnnouncementFaults}, faults);
 	if (hasEvacuations) {
 		scheduleEvacuations(cluster, createRandomSource(seed), {periods: leavingPeriods, faults});
 	}
@@ -139,6 +132,22 @@
 	};
 }
 
+/** What executors do by themselves, and what is said of them. Each kind has draws of its own. */
+function scheduleExecutorEvents(
+	cluster: LeasedCluster,
+	clients: Clients,
+	{seed, hasExecutorFaults, hasAnnouncementFaults}: {readonly seed: number; readonly hasExecutorFaults: boolean; readonly hasAnnouncementFaults: boolean},
+	faults: string[],
+): void {
+	if (hasExecutorFaults) {
+		scheduleExecutorFaults(cluster, clients, createRandomSource(seed), faults);
+	}
+
+	if (hasAnnouncementFaults) {
+		scheduleAnnouncementFaults(cluster, createRandomSource(seed), faults);
+	}
+}
+
 /** Independent faults of entries, agents and executors. */
 function scheduleFaults(cluster: LeasedCluster, randomSource: RandomSource, {periods, faults}: {readonly periods: LeavingPeriod[]; readonly faults: string[]}): void {
 	const {clock} = cluster.sim;
--- a/test/platform/heartbeats.test.ts
+++ b/test/platform/heartbeats.test.ts
@@ -7,7 +7,14 @@
 	upstream: 'work', addr: '10.0.0.1:80', zone: 'z', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, seq: 1, born: 100, room: {cpu: 16_000, 'mem-mb': 64, gpu: 0}, labels: ['a', 'r1-1'],
 };
 
-function createFixture(): {readonly received: Heartbeat[]; readonly deregistered: ExecutorDeparture[]; send(id: string, body: unknown): Promise<number>; deregister(id: string, body?: string): Promise<number>} {
+type Fixture = {
+	readonly received: Heartbeat[];
+	readonly deregistered: ExecutorDeparture[];
+	send(id: string, body: unknown): Promise<number>;
+	deregister(id: string, body?: string): Promise<number>;
+};
+
+function createFixture(): Fixture {
 	const received: Heartbeat[] = [];
 	const deregistered: ExecutorDeparture[] = [];
 	const app = createHeartbeatApp({
