Verify an announced executor at once although its predecessor's fencing token is higher

Cause: the poll that shows that the predecessor is gone carries the predecessor's fencing token to the new incarnation, so the first poll of the new client is refused for its lower one. The next attempt came 40 ms later.

Change: after an answer that shows nothing, the token is raised and the poll repeated once at once.

Shown: the test that an executor is back under its identifier now allows 20 ms; it fails on the code before (both cases).

--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -183,11 +183,12 @@
 		checkPresence,
 		async identify() {
 			const presence = await checkPresence();
-			if (presence === 'in-doubt') {
-				lease.raiseAboveEarlierAgent();
+			if (presence !== 'in-doubt') {
+				return presence;
 			}
 
-			return presence;
+			lease.raiseAboveEarlierAgent();
+			return checkPresence();
 		},
 		tryGetExecutorStart: poller.tryGetExecutorStart,
 		takeOver,
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -53,6 +53,8 @@
 const unusableAddress = '127.0.0.1:99999';
 /** Longer than any wait of the manager, and shorter than a lease. */
 const promptMs: Milliseconds = 200;
+/** Time for a few calls that are answered: less than the delay before another attempt. */
+const atOnceMs: Milliseconds = 20;
 /** The duration of a lease on the slowest clock of an executor, and the waits for answers to the polls that renew it. */
 const lapsedWithinMs: Milliseconds = 1000;
 const runMs: Milliseconds = 20_000;
@@ -358,7 +360,7 @@
 				await fixture.runFor(15);
 				executor.startedAt = bornAt;
 				manager.receive(createAnnouncement(bornAt));
-				await fixture.runFor(promptMs);
+				await fixture.runFor(atOnceMs);
 				t.is(calls.at(-1), `i@${bornAt} leaving: false`);
 				t.is(results.length, 1);
 			});
