--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -33,7 +33,10 @@
 };
 
 /** The events of an upstream that the manager handles. */
-export type UpstreamEvents = Pick<LeasedUpstreamHost, 'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onRefused' | 'onShortage' | 'onRunsLost' | 'onRecovered' | 'getSilentRunLimit'>;
+export type UpstreamEvents = Pick<
+	LeasedUpstreamHost,
+	'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onRefused' | 'onShortage' | 'onRunsLost' | 'onRecovered' | 'getSilentRunLimit'
+>;
 
 /** Dependencies of the manager. */
 export type ExecutorManagerHost = {
@@ -247,7 +250,15 @@
 	/** Replaces `predecessor`, which is gone as `presence` says, if the candidate answers as announced. */
 	async function verifyCandidate(candidate: Candidate, predecessor: ManagedExecutor | undefined, presence: Exclude<ExecutorPresence, 'answered' | 'in-doubt'>): Promise<void> {
 		const {executorInfo, isLeaving} = candidate.announcement;
-		candidate.managed ??= createManagedExecutor(executorInfo, isLeaving, candidate.order);
+		try {
+			candidate.managed ??= createManagedExecutor(executorInfo, isLeaving, candidate.order);
+		} catch (err) {
+			// For instance an address that cannot be called.
+			log.warn({err, ...toLogFields(executorInfo)}, 'announced executor cannot be called');
+			dropCandidate(candidate, 'it cannot be called');
+			return;
+		}
+
 		const {managed} = candidate;
 		const candidatePresence = await managed.upstream.identify();
 		if (managed.hasEnded || candidatePresence === 'replaced') {
@@ -413,7 +424,11 @@
 		ended.hasEnded = true;
 		const starts = ended.upstream.getActiveStarts();
 		log.warn({
-			...toLogFields(ended.executorInfo), evidence, isLeaving: ended.isLeaving, runs: starts.length, tasks: starts.slice(0, maxLoggedRuns).map(({reference, task}) => `${reference}.${task?.index}`),
+			...toLogFields(ended.executorInfo),
+			evidence,
+			isLeaving: ended.isLeaving,
+			runs: starts.length,
+			tasks: starts.slice(0, maxLoggedRuns).map(({reference, task}) => `${reference}.${task?.index}`),
 		}, 'service of the executor has ended');
 		host.metrics.count('executor.ended', 1, {evidence});
 		if (!ended.isLeaving) {
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -49,8 +49,12 @@
 
 const usualAddress = '127.0.0.1:1';
 const otherAddress = '127.0.0.1:2';
+/** An address for which no client can be created. */
+const unusableAddress = '127.0.0.1:99999';
 /** Longer than any wait of the manager, and shorter than a lease. */
 const promptMs: Milliseconds = 200;
+/** Time for a few calls that are answered: less than the delay before another attempt. */
+const atOnceMs: Milliseconds = 20;
 /** The duration of a lease on the slowest clock of an executor, and the waits for answers to the polls that renew it. */
 const lapsedWithinMs: Milliseconds = 1000;
 const runMs: Milliseconds = 20_000;
@@ -80,10 +84,14 @@
 			metrics: noMetrics,
 			lossLog,
 			createUpstream(executorInfo, events) {
+				if (executorInfo.address === unusableAddress) {
+					throw new TypeError('invalid port');
+				}
+
 				const upstream = createLeasedUpstream({
 					clock,
 					executor: createClient(listeners, executorInfo),
-					executorStartedAt: executorInfo.bornAt,
+					executorStartedAt: executorInfo.bornAt === 0 ? undefined : executorInfo.bornAt,
 					firstFencingToken: 10,
 					maxLeaseMs: 1000,
 					log: silentLog,
@@ -201,6 +209,7 @@
 	'another executor, where nothing listens': createAnnouncement(2, false, {id: 'x', address: otherAddress}),
 	'another executor at the same address': createAnnouncement(2, false, {id: 'x'}),
 	'another address': createAnnouncement(1, false, {address: otherAddress}),
+	'an address that cannot be used': createAnnouncement(1, false, {address: unusableAddress}),
 	'a later start': createAnnouncement(2),
 	'an earlier start': createAnnouncement(0.5),
 	'a start in the far future': createAnnouncement(1e300),
@@ -292,6 +301,21 @@
 		t.deepEqual(calls.filter(call => call.includes('leaving')), ['i@1 leaving: false', 'i@1 leaving: true']);
 	});
 
+	// Guards against the end of all runs with the first announcement that says when the executor has started.
+	it('knows an executor whose first announcement did not say when it started by what it has answered', async t => {
+		const fixture = createFixture(t);
+		const {manager, calls, saved, results, executor} = fixture;
+		manager.receive(createAnnouncement(0));
+		await fixture.startRun();
+		manager.receive(createAnnouncement(2));
+		manager.receive(createAnnouncement(1, true));
+		await fixture.runFor(promptMs);
+		t.deepEqual(results, []);
+		t.is(executor.getRunning().length, 1);
+		t.deepEqual(calls.filter(call => call.includes('leaving')), ['i@0 leaving: false', 'i@0 leaving: true']);
+		t.deepEqual(saved.map(({isLeaving}) => isLeaving), [false, true]);
+	});
+
 	it('follows the executor in service again after an announcement with its identity and a number that is not its own', async t => {
 		const fixture = createFixture(t);
 		const {manager, calls, saved} = fixture;
@@ -336,7 +360,7 @@
 				await fixture.runFor(15);
 				executor.startedAt = bornAt;
 				manager.receive(createAnnouncement(bornAt));
-				await fixture.runFor(promptMs);
+				await fixture.runFor(atOnceMs);
 				t.is(calls.at(-1), `i@${bornAt} leaving: false`);
 				t.is(results.length, 1);
 			});
