Take messages for as old as a pause until all of them are read

After a pause, an agent took the messages of entries that it read for as old as the pause, for 60 ms. A slow agent reads for longer, and then took a message of an entry that had died meanwhile for a new one: it renewed the lease of that entry's runs for up to half a second longer than the bound of 1.1 s.

Ruled out by reading, for the rest of the agent: a start that is read late is refused by its validity, a time on the agent's own clock that the entry has derived from the agent's last report; a late report shortens it. After a pause over 0.5 s all links are opened anew.

Change: the delay ends once the event loop has read all bytes that waited in the connections, and after 60 ms at least. It counts from the first of several pauses that follow each other. Entries and agents share the code (`pause-backlog.ts`); the entry's hold keeps its behaviour but for that sum.

Tests: entry-sessions "take a message that is read after a pause for as old as the pause, until all that waited is read" (fails on the sources before), input-reading, start-hold "adds up pauses".

--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -4,6 +4,7 @@
  * result until the entry has acknowledged it.
  */
 import type {Clock, Milliseconds, Timer} from '../process/clock.js';
+import {createPauseBacklog} from '../process/pause-backlog.js';
 import {
 	RefusalReason, TaskOutcome,
 	type AgentHello, type EntryBatch, type HeldReply, type SenderSilence, type TaskResult, type TaskStart,
@@ -40,6 +41,8 @@
 	readonly maxSilentRunMs?: Milliseconds;
 	/** Silence of the sender of a forwarded job after which its runs are stopped; see {@link SenderSilenceTiming}. */
 	readonly senderSilenceMs?: Milliseconds;
+	/** Calls `action` once all messages have been read that wait in the connections of this process now; not known if undefined. */
+	readonly afterInputRead?: (action: () => void) => void;
 	/** Runs the task at the upstream; `done` is called exactly once. */
 	run(start: TaskStart, done: (runResult: RunResult) => void): void;
 	/** Stops a run whose result is no longer needed; its `done` is still called. Has no effect if the run has ended. */
@@ -120,8 +123,6 @@
 const partialResultDelayMs: Milliseconds = 50;
 /** An entry that has been disconnected for longer has abandoned its starts on this agent, or has died. */
 const reconnectGraceMs: Milliseconds = 3000;
-/** Time after a pause within which all messages are read that waited meanwhile. */
-const pauseBacklogMs: Milliseconds = 60;
 
 /** Creates an empty set of sessions. */
 export function createEntrySessions(host: EntrySessionsHost, granter: CreditGranter): EntrySessions {
@@ -131,9 +132,7 @@
 	const isolation = createIsolationGuard();
 	let running = 0;
 	let isDraining = false;
-	/** For how long messages that are read now may have waited. */
-	let messageDelay: Milliseconds = 0;
-	let messageDelayTimer: Timer | undefined;
+	const backlog = createPauseBacklog(host);
 
 	return {
 		open(entry) {
@@ -184,11 +183,7 @@
 				record.heardAt -= uncounted;
 			}
 
-			messageDelay = pause;
-			messageDelayTimer?.cancel();
-			messageDelayTimer = host.clock.after(pauseBacklogMs, () => {
-				messageDelay = 0;
-			});
+			backlog.recordPause(pause);
 		},
 		setDraining(draining) {
 			isDraining = draining;
@@ -217,7 +212,7 @@
 	};
 
 	function recordMessage(record: SessionRecord): void {
-		record.heardAt = Math.max(record.heardAt, host.clock.now() - messageDelay);
+		record.heardAt = Math.max(record.heardAt, host.clock.now() - backlog.getDelay());
 	}
 
 	function receive(entry: string, batch: EntryBatch): void {
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -12,10 +12,12 @@
 import {closeHttp} from '../process/http-listen.js';
 import {createEventLoopMonitor} from '../process/load-monitor.js';
 import {startLoadTelemetry} from '../process/load-telemetry.js';
+import {afterBytesRead, afterPoll} from '../process/input-reading.js';
 import type {Log} from '../process/log.js';
 import {createPauseAccumulator, createPauseDetector} from '../process/pause-detector.js';
 import {createPrometheusMetrics} from '../process/prometheus-metrics.js';
 import type {AgentSettings} from '../process/settings.js';
+import {createSocketTraffic} from '../process/socket-traffic.js';
 import {createEvacuationHolder} from '../version/evacuations.js';
 import {createExecutorClient} from './executor-client.js';
 import {createAnnouncementStore} from './announcement-store.js';
@@ -34,6 +36,8 @@
 export async function runPlatformAgent(machine: MachineSettings, log: Log): Promise<{stop(): Promise<void>}> {
 	const clock = createSystemClock();
 	const metrics = createPrometheusMetrics({role: 'agent', process: machine.name});
+	// Before anything is connected, as it knows only connections that were opened after it.
+	const traffic = createSocketTraffic(() => 'all');
 	const store = createPlatformClient({clock, url: `http://${machine.store}`, timeoutMs: storeTimeoutMs});
 	const pauseDetector = createPauseDetector(clock);
 	const takeAccumulatedPause = createPauseAccumulator(pauseDetector);
@@ -71,6 +75,9 @@
 			defer: setImmediate,
 			timing: platformTiming,
 			pauseDetector,
+			afterInputRead(action) {
+				afterBytesRead(traffic.getOpenSockets(), afterPoll, action);
+			},
 			capacity: executorInfo.room,
 			labels: executorInfo.labels,
 			upstreamIncarnation,
@@ -98,6 +105,7 @@
 			loadTelemetry.cancel();
 			loadMonitor.stop();
 			announcements.stop();
+			traffic.stop();
 			const report = await manager.tryGetAgent()?.drain();
 			log.info({report}, 'agent drained');
 			await manager.close();
--- a/src/process/agent-types.ts
+++ b/src/process/agent-types.ts
@@ -25,6 +25,8 @@
 	readonly timing?: LinkTiming;
 	/** Detects pauses of this process, after which the agent reopens its links; undefined disables this. */
 	readonly pauseDetector?: PauseDetector;
+	/** Calls `action` once all messages have been read that wait in the connections of this process now; not known if undefined. */
+	readonly afterInputRead?: (action: () => void) => void;
 	/** Resources of the upstream at first. If given, they bound the runs on it instead of its slots. */
 	readonly capacity?: Resources;
 	/** Properties of the upstream that a task may require. */
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -84,6 +84,7 @@
 		orphanGraceMs: timing.orphanGraceMs,
 		maxSilentRunMs: timing.maxSilentRunMs,
 		senderSilenceMs: timing.senderSilence?.stopAfterMs,
+		afterInputRead: host.afterInputRead,
 		onOutputPending(entry) {
 			links.scheduleFlush(entry);
 		},
--- a/src/process/input-reading.ts
+++ b/src/process/input-reading.ts
@@ -15,6 +15,7 @@
 	readonly bytesRead: number;
 	/** Whether the last phase has read all bytes, so that only the end may be left. */
 	readonly isEmptied: boolean;
+	readonly isEndAwaited: boolean;
 };
 
 /** Size of Node's buffers: a phase that reads fewer bytes of a connection has emptied it. */
@@ -22,7 +23,12 @@
 
 /** Calls `action` once everything has been read that these connections have received by now, their ends included. */
 export function afterInputRead(connections: Iterable<ReadConnection>, poll: AfterPoll, action: () => void): void {
-	pollUnread(Array.from(connections, connection => ({connection, bytesRead: connection.bytesRead, isEmptied: false})), poll, action);
+	pollUnread(sample(connections), poll, action);
+}
+
+/** Calls `action` once all bytes have been read that these connections have received by now. */
+export function afterBytesRead(connections: Iterable<ReadConnection>, poll: AfterPoll, action: () => void): void {
+	pollUnread(sample(connections).map(unread => ({...unread, isEndAwaited: false})), poll, action);
 }
 
 /** {@link AfterPoll} for the event loop of this process. */
@@ -31,12 +37,23 @@
 	setImmediate(setImmediate, action);
 }
 
+function sample(connections: Iterable<ReadConnection>): readonly UnreadConnection[] {
+	return Array.from(connections, connection => ({
+		connection, bytesRead: connection.bytesRead, isEmptied: false, isEndAwaited: true,
+	}));
+}
+
 function pollUnread(unread: readonly UnreadConnection[], poll: AfterPoll, action: () => void): void {
 	poll(() => {
-		const stillUnread = unread.flatMap(({connection, bytesRead, isEmptied}) => {
+		const stillUnread = unread.flatMap(({connection, bytesRead, isEmptied, isEndAwaited}) => {
 			const growth = connection.bytesRead - bytesRead;
-			const isRead = connection.destroyed || growth === 0 || isEmptied;
-			return isRead ? [] : [{connection, bytesRead: connection.bytesRead, isEmptied: growth < fullReadBytes}];
+			const isEmptiedNow = growth < fullReadBytes;
+			const isRead = connection.destroyed || growth === 0 || isEmptied || (isEmptiedNow && !isEndAwaited);
+			return isRead
+				? []
+				: [{
+					connection, bytesRead: connection.bytesRead, isEmptied: isEmptiedNow, isEndAwaited,
+				}];
 		});
 		if (stillUnread.length === 0) {
 			action();
--- a/src/process/start-hold.ts
+++ b/src/process/start-hold.ts
@@ -4,8 +4,9 @@
  * before tasks are started again, however long that takes.
  */
 import type {Scheduler} from '../connection/types.js';
-import type {Clock, Milliseconds, Timer} from './clock.js';
+import type {Clock, Milliseconds} from './clock.js';
 import type {Log} from './log.js';
+import {createPauseBacklog} from './pause-backlog.js';
 import type {PauseDetector} from './pause-detector.js';
 
 /** Dependencies of the start hold. */
@@ -27,58 +28,36 @@
 	getInputDelay(): Milliseconds;
 };
 
-/** A sender that waited because its window was full sends the rest when this process has read what it had; that is not seen here. */
-const minHoldMs: Milliseconds = 60;
-
 /** Holds starts back for a moment after each pause, and after each step backward of the wall clock, which may have hidden one. */
 export function holdStartsAfterPauses({
 	clock, setHeld, pauseDetector, log, afterInputRead,
 }: StartHoldHost): StartHold {
-	let timer: Timer | undefined;
-	let unread: NoticedPause | undefined;
+	const backlog = createPauseBacklog({
+		clock,
+		afterInputRead,
+		onRead(elapsed) {
+			log.info({heldFor: Math.round(elapsed)}, 'starts are no longer held');
+			setHeld(false);
+		},
+	});
 	// A step of the wall clock backward costs no more than this hold, so it counts as a pause here.
 	pauseDetector.onPossiblePause(pause => {
 		log.warn({pause}, 'this process may have stood still; starts are held');
 		setHeld(true);
-		const noticed: NoticedPause = {pause, noticedAt: clock.now()};
-		timer?.cancel();
-		timer = clock.after(minHoldMs, () => {
-			timer = undefined;
-			releaseIfRead(noticed);
-		});
-		unread = noticed;
-		afterInputRead(() => {
-			// Another pause may have followed, whose input is not read yet.
-			if (unread === noticed) {
-				unread = undefined;
-				releaseIfRead(noticed);
-			}
-		});
+		backlog.recordPause(pause);
 	});
 	return {
 		areStartsHeld() {
 			pauseDetector.check();
-			return timer !== undefined || unread !== undefined;
+			return backlog.isPending();
 		},
 		getInputDelay() {
 			pauseDetector.check();
-			return unread === undefined ? 0 : unread.pause + clock.now() - unread.noticedAt;
+			return backlog.getDelay();
 		},
 	};
-
-	function releaseIfRead({pause, noticedAt}: NoticedPause): void {
-		if (timer === undefined && unread === undefined) {
-			log.info({pause, heldFor: Math.round(clock.now() - noticedAt)}, 'starts are no longer held');
-			setHeld(false);
-		}
-	}
 }
 
-type NoticedPause = {
-	readonly pause: Milliseconds;
-	readonly noticedAt: Milliseconds;
-};
-
 /** Returns the switch of one of several causes that hold starts back: they are held while at least one of them lasts. */
 export function createHoldSwitches(scheduler: Pick<Scheduler, 'setStartsHeld'>): () => StartHoldHost['setHeld'] {
 	const lastingCauses = new Set<symbol>();
--- a/test/connection/entry-sessions.test.ts
+++ b/test/connection/entry-sessions.test.ts
@@ -18,12 +18,15 @@
 	readonly runs: Array<(result: RunResult) => void>;
 	/** Times at which output became pending. */
 	readonly outputs: number[];
+	/** Tells that the input is read which waited at the end of the last pause. */
+	finishReading(): void;
 };
 
 function createFixture(): Fixture {
 	const clock = createFakeClock(10_000);
 	const runs: Fixture['runs'] = [];
 	const outputs: number[] = [];
+	let finishReading: () => void = () => undefined;
 	const sessions = createEntrySessions({
 		clock,
 		agent: {
@@ -36,13 +39,22 @@
 			runs.push(done);
 		},
 		stop: () => undefined,
+		afterInputRead(action) {
+			finishReading = action;
+		},
 		onOutputPending() {
 			outputs.push(clock.now());
 		},
 	}, createResourceLimiter({clock, notifyEntry: () => undefined}, {cpu: 8000, memory: 100, accelerators: 0}));
 	sessions.open('e');
 	return {
-		clock, sessions, runs, outputs,
+		clock,
+		sessions,
+		runs,
+		outputs,
+		finishReading() {
+			finishReading();
+		},
 	};
 }
 
@@ -66,6 +78,20 @@
 		t.is(runs.length, 1);
 	});
 
+	// Issue 40: messages that waited during a pause counted as new once 60 ms had passed, while a slow agent was still reading them.
+	it('take a message that is read after a pause for as old as the pause, until all that waited is read', t => {
+		const {clock, sessions, finishReading} = createFixture();
+		sessions.receive('e', createStarts('j', 1));
+		clock.advance(400);
+		sessions.recordPause(400, 0);
+		clock.advance(150);
+		sessions.receive('e', EntryBatch.fromPartial({}));
+		t.is(sessions.getSilentRunLimit(), clock.now() - 550 + 1100);
+		finishReading();
+		sessions.receive('e', EntryBatch.fromPartial({}));
+		t.is(sessions.getSilentRunLimit(), clock.now() + 1100);
+	});
+
 	// Guards against runs that go on for an entry that died, while the client sends the job again.
 	it('limit how long the runs of a silent entry may go on, and those of no other', t => {
 		const {clock, sessions, runs} = createFixture();
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -358,6 +358,10 @@
 				metrics: noMetrics,
 				timing,
 				pauseDetector: detector,
+				// A simulated process that resumes has performed everything that waited before it performs this.
+				afterInputRead(action) {
+					process.clock.after(0, action);
+				},
 				capacity: executorInfo.room,
 				upstreamIncarnation,
 				lossLog,
--- a/test/process/input-reading.test.ts
+++ b/test/process/input-reading.test.ts
@@ -1,4 +1,4 @@
-import {afterInputRead} from '../../src/process/input-reading.js';
+import {afterBytesRead, afterInputRead} from '../../src/process/input-reading.js';
 import {describe, it} from '../describe.js';
 
 type FakeConnection = {bytesRead: number; destroyed: boolean};
@@ -10,11 +10,11 @@
 	isRead(): boolean;
 };
 
-function createFixture(connectionCount: number): Fixture {
+function createFixture(connectionCount: number, afterRead = afterInputRead): Fixture {
 	const connections = Array.from({length: connectionCount}, (): FakeConnection => ({bytesRead: 100, destroyed: false}));
 	let waiting: Array<() => void> = [];
 	let isRead = false;
-	afterInputRead(connections, action => waiting.push(action), () => {
+	afterRead(connections, action => waiting.push(action), () => {
 		isRead = true;
 	});
 	return {
@@ -82,4 +82,12 @@
 		poll(70_000);
 		t.true(isRead());
 	});
+
+	it('has brought all its bytes after the first phase that has emptied it', t => {
+		const {poll, isRead} = createFixture(2, afterBytesRead);
+		poll(0, 70_000);
+		t.false(isRead());
+		poll(0, 500);
+		t.true(isRead());
+	});
 });
--- a/test/process/start-hold.test.ts
+++ b/test/process/start-hold.test.ts
@@ -94,9 +94,17 @@
 		const {hold, advance, pause, finishReading} = createFixture();
 		t.is(hold.getInputDelay(), 0);
 		pause(4000);
-		advance(30);
-		t.is(hold.getInputDelay(), 3930);
+		advance(100);
+		t.is(hold.getInputDelay(), 4000);
 		finishReading();
 		t.is(hold.getInputDelay(), 0);
 	});
+
+	it('adds up pauses that follow each other before the input is read', t => {
+		const {hold, advance, pause} = createFixture();
+		pause(4000);
+		advance(100);
+		pause(1000);
+		t.is(hold.getInputDelay(), 5000);
+	});
 });
