Notice a pause before a timer acts that was due during it

When an entry resumes, all timers that were due during the pause fire before any input is read. The pause was noticed by one of them, the check every 100 ms. A timer that was due before it (an agent that stays away, a reservation that ends) could have tasks started of jobs whose clients have left.

Change: on the platform, each timer of an entry checks for a pause before it acts, at the price of two readings of the clock. The simulated entries of the failure runs do the same. The schedulers check nothing themselves, since a pause that is noticed inside them cancels jobs that they work on.

Test: pause-detector "notices a pause before a timer acts that was due during it"; with the clock as it was, the timer comes first.

--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -14,7 +14,7 @@
 import {tryCreateLinkBudget} from '../process/link-budget.js';
 import {createEventLoopMonitor, type LoadMonitor} from '../process/load-monitor.js';
 import type {Log} from '../process/log.js';
-import {createPauseDetector} from '../process/pause-detector.js';
+import {createPauseCheckedClock, createPauseDetector} from '../process/pause-detector.js';
 import {runEntry, type RunningEntry} from '../process/run-entry.js';
 import {createPrometheusMetrics} from '../process/prometheus-metrics.js';
 import {createRequestArrivals} from '../process/request-arrivals.js';
@@ -79,6 +79,7 @@
 		follower,
 		authenticate: refuseToken,
 		host: {
+			clock: createPauseCheckedClock(clock, pauseDetector),
 			timing: platformTiming,
 			evacuations,
 			drainNoticeMs: settings.entry.drainMs * drainNoticeShare,
--- a/src/process/pause-detector.ts
+++ b/src/process/pause-detector.ts
@@ -99,6 +99,21 @@
 	}
 }
 
+/**
+ * Returns a clock whose timers check for a pause before they act: several timers that were due during a pause fire before any input is
+ * read, in any order.
+ */
+export function createPauseCheckedClock(clock: Clock, detector: Pick<PauseDetector, 'check'>): Clock {
+	return {
+		now: clock.now,
+		wall: clock.wall,
+		after: (delay, action) => clock.after(delay, () => {
+			detector.check();
+			action();
+		}),
+	};
+}
+
 /**
  * Sums up pauses. The returned function checks for a pause, then returns the sum and resets it to 0, so that each pause
  * counts once.
--- a/test/failure/leased/entry.ts
+++ b/test/failure/leased/entry.ts
@@ -14,7 +14,7 @@
 import {createJobForwarding} from '../../../src/process/job-forwarding.js';
 import {createLoadMonitor, type LoadMonitor} from '../../../src/process/load-monitor.js';
 import {noMetrics} from '../../../src/process/metrics.js';
-import {createPauseDetector, type PauseDetector} from '../../../src/process/pause-detector.js';
+import {createPauseCheckedClock, createPauseDetector, type PauseDetector} from '../../../src/process/pause-detector.js';
 import {createHoldSwitches, holdStartsAfterPauses} from '../../../src/process/start-hold.js';
 import type {MemoryPlatform} from '../../../src/process/platform/memory.js';
 import {createCoordinator} from '../../../src/request/coordinator.js';
@@ -101,10 +101,10 @@
 	const {
 		process, name, network, timing, snapshot, loadSharing, random,
 	} = host;
-	const {clock} = process;
+	const pauseDetector = createPauseDetector(process.clock);
+	const clock = createPauseCheckedClock(process.clock, pauseDetector);
 	const incarnation = process.name;
 	const self: EntryAddress = {name, incarnation, links: name};
-	const pauseDetector = createPauseDetector(clock);
 	const defer = (action: () => void) => {
 		clock.after(0, action);
 	};
--- a/test/process/pause-detector.test.ts
+++ b/test/process/pause-detector.test.ts
@@ -1,6 +1,6 @@
 import type {Clock, Milliseconds} from '../../src/process/clock.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
-import {createPauseDetector} from '../../src/process/pause-detector.js';
+import {createPauseCheckedClock, createPauseDetector} from '../../src/process/pause-detector.js';
 import {describe, it} from '../describe.js';
 
 function createFixture(): {readonly clock: FakeClock; readonly pauses: Milliseconds[]; possiblePauses(): number; recordWitnessed(pause: Milliseconds): void; stepWallClock(time: Milliseconds): void; pauseProcess(time: Milliseconds): void; check(): void} {
@@ -103,4 +103,20 @@
 		clock.advance(1000);
 		t.deepEqual(pauses, [3000]);
 	});
+
+	// Issue 40: a timer that was due during a pause could start tasks before the pause was noticed, and with it that input waits.
+	it('notices a pause before a timer acts that was due during it', t => {
+		const clock = createFakeClock();
+		let pausedTime: Milliseconds = 0;
+		const processClock: Clock = {now: () => clock.now() + pausedTime, wall: () => clock.now() + pausedTime, after: clock.after};
+		const events: string[] = [];
+		const detector = createPauseDetector(processClock);
+		detector.onPause(() => events.push('pause'));
+		const checkedClock = createPauseCheckedClock(processClock, detector);
+		checkedClock.after(50, () => events.push('timer'));
+		checkedClock.after(50, () => events.push('cancelled timer')).cancel();
+		pausedTime = 4000;
+		clock.advance(1000);
+		t.deepEqual(events, ['pause', 'timer']);
+	});
 });
