A payload arrives byte for byte, or is refused before anything starts

Found beside it: a spec with a lone surrogate, or a body with bytes that are not UTF-8, was started with U+FFFD in their place, and a spec over 4,000 bytes was started although PROTOCOL.md limits it.

Cause: `new TextDecoder()` in the leased upstream drops a byte order mark, and Buffer.from and Buffer.toString replace what they cannot convert.

Ruled out, by reading and by the round trip test: protobuf strings (the library decodes with `ignoreBOM`), the shared and compressed payloads (bytes), forwarded bodies (bytes), the JSON of executor calls, records, rows and relayed messages (JSON.stringify escapes lone surrogates), and the payloads of our own interface (base64).

A job whose spec cannot be carried exactly is answered with 400 before a ticket is issued. A lone surrogate is refused and not carried as an escape: the limit counts bytes, and it has none. A payload that is no text fails its task without a call of the executor.

--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -8,7 +8,6 @@
 import type {Milliseconds} from '../process/clock.js';
 import type {Entry} from '../process/entry-types.js';
 import {declinedResult} from '../process/job-forwarding.js';
-import {readJson} from '../process/json.js';
 import type {Log} from '../process/log.js';
 import type {JobHandle} from '../request/tracked-job.js';
 import type {Answer} from '../request/types.js';
@@ -16,7 +15,7 @@
 import type {Route, Snapshot} from '../version/types.js';
 import {clientTeam} from './desired-state.js';
 import {
-	isTooLongFor, jobSchema, toSubmissionRequest, tryGetUnsupportedReason, type WireJob,
+	isTooLongFor, readWireJob, toSubmissionRequest, tryGetUnsupportedReason, type WireJob,
 } from './wire-job.js';
 
 /** Dependencies of the desk. */
@@ -180,7 +179,7 @@
 			return createReply(400, {error: 'a job is named by 16 hexadecimal digits'});
 		}
 
-		const parsed = readJson(jobSchema, Buffer.from(body).toString());
+		const parsed = readWireJob(body);
 		if (parsed.isErr()) {
 			log.info({request: name, status: 400, reason: parsed.error}, 'unreadable job; it has not run');
 			return createReply(400, {error: parsed.error});
--- a/src/platform/wire-job.ts
+++ b/src/platform/wire-job.ts
@@ -2,14 +2,19 @@
  * A job as clients send it: the format of its body, which kinds are served, and the submission that it becomes.
  */
 import {Buffer} from 'node:buffer';
+import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {maxAmount} from '../connection/resources.js';
 import type {Milliseconds} from '../process/clock.js';
+import {readJson} from '../process/json.js';
+import {decodeText, isEncodable} from '../process/text.js';
 import type {SubmissionRequest} from '../request/submission-rules.js';
 import type {Route} from '../version/types.js';
 
 /** Largest number of tasks of a job. */
 export const maxTasks = 1100;
+/** Largest `spec` in UTF-8, the form in which it is carried. */
+const maxSpecBytes = 4000;
 /** Bound on declared run times and deadlines; timers of the runtime overflow at 24 days. */
 const maxRunMs: Milliseconds = 3_600_000;
 /** Nineteen in twenty tasks take less than this multiple of their declared run time. */
@@ -30,7 +35,7 @@
 	fills: z.boolean().default(false),
 });
 /** Format of the body of a job. */
-export const jobSchema = z.object({
+const jobSchema = z.object({
 	spec: z.string(),
 	steps: z.array(stepSchema).min(1),
 	// If true, the job need not be stored, since the response carries its outcome.
@@ -40,6 +45,18 @@
 /** The body of a job. */
 export type WireJob = z.infer<typeof jobSchema>;
 
+/** Reads the body of a job. Fails if an executor could not be told to start exactly what the client sent. */
+export function readWireJob(body: Uint8Array): Result<WireJob, string> {
+	return decodeText(body).andThen(text => readJson(jobSchema, text)).andThen(job => {
+		if (!isEncodable(job.spec)) {
+			return err('spec has a lone surrogate, which has no form in UTF-8');
+		}
+
+		const length = Buffer.byteLength(job.spec);
+		return length > maxSpecBytes ? err(`spec has ${length} bytes, more than ${maxSpecBytes}`) : ok(job);
+	});
+}
+
 /** Returns why jobs of this kind are not supported on this platform; undefined if they are. */
 export function tryGetUnsupportedReason(job: WireJob): string | undefined {
 	const [step] = job.steps;
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -16,6 +16,7 @@
 } from './executor-types.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
+import {decodeText} from './text.js';
 
 /** Dependencies of a leased upstream. */
 export type LeasedUpstreamHost = {
@@ -250,9 +251,15 @@
 				break;
 			}
 
+			const spec = decodeText(run.start.payload);
+			if (spec.isErr()) {
+				endRun(run, TaskOutcome.TASK_OUTCOME_FAILED, `the payload cannot be given to the executor: ${spec.error}`);
+				return;
+			}
+
 			const usedFencingToken = lease.getFencingToken();
 			const {outcome} = lease.recordResponse(await executor.start({
-				task: run.task, run: run.run, spec: new TextDecoder().decode(run.start.payload), leaseExpiresAt, fencingToken: usedFencingToken,
+				task: run.task, run: run.run, spec: spec.value, leaseExpiresAt, fencingToken: usedFencingToken,
 			}));
 			if (await handleStartOutcome(run, outcome, usedFencingToken)) {
 				return;
--- a/src/version/snapshot-codec.ts
+++ b/src/version/snapshot-codec.ts
@@ -5,6 +5,7 @@
 import {z} from 'zod';
 import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
 import {readJson} from '../process/json.js';
+import {decodeText} from '../process/text.js';
 import {checkSnapshot} from './check.js';
 import {
 	dataCentreSchema, policySchema, serviceSchema, submissionSchema, teamSchema, upstreamSchema,
@@ -51,11 +52,3 @@
 	teams: z.array(teamSchema),
 	dataCentres: z.array(dataCentreSchema).default([]),
 });
-
-function decodeText(bytes: Uint8Array): Result<string, string> {
-	try {
-		return ok(new TextDecoder('utf-8', {fatal: true}).decode(bytes));
-	} catch {
-		return err('it is not text in UTF-8');
-	}
-}
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -135,6 +135,9 @@
 			'a negative amount of memory': createBody({'mem-mb': -1}),
 			'a run time that is not finite': createBody({}).replace('"cpu":100', '"cpu":100,"est-runtime-ms":1e999'),
 			'no task': createBody({count: 0}),
+			'a spec with a lone surrogate, which has no form in UTF-8': createBody({}).replace('"x"', String.raw`"order \ud83d"`),
+			'a spec of more than 4,000 bytes, though of fewer characters': createBody({}).replace('"x"', `"${'é'.repeat(2001)}"`),
+			'a body that begins with a byte order mark': `\uFEFF${createBody({})}`,
 		})) {
 			it(what, async t => {
 				const {post, submitted} = await createFixture(t);
