Nothing is started on an agent before it has reported its free resources

Callers saw: nothing yet; found by the test with link resets. A job whose tasks need no resources (`cpu` is 0 or left out) makes an entry hang for good if a link is lost while one of its starts is on the way: the entry answers nothing any more.

Cause: until the first report on a link, and after a refusal, free resources counted as none, where a task that needs none fits. When the agent connected again, its start was ended as not received, requeued and started at once on the link that was just being opened, so it was ended as not received too, without end.

Ruled out: tasks that need resources (they fit nowhere without a report); the credit scheduler, which starts nothing without credits or reported free slots (read, not run).

Change: free resources that are not known are undefined, and nothing is started there until they are.

--- a/src/request/resource-pool.ts
+++ b/src/request/resource-pool.ts
@@ -17,8 +17,8 @@
 	health: Soundness;
 	/** Total resources in the agent's last report. */
 	capacity: Resources;
-	/** Free resources in the agent's last report. */
-	reportedFreeResources: Resources;
+	/** Free resources in the agent's last report; undefined until it reports them, on each link and after a refusal. Nothing is started meanwhile. */
+	reportedFreeResources: Resources | undefined;
 	/** What running tasks were expected to release by the agent's last report, in order of time on the monotonic clock. */
 	releases: ReadonlyArray<{readonly at: Milliseconds; readonly resources: Resources}>;
 	/** Time of the agent's last report, on the monotonic clock. */
@@ -42,7 +42,7 @@
 		isEvacuated: false,
 		health: Soundness.SOUNDNESS_SOUND,
 		capacity: agentInfo.capacity ?? noResources,
-		reportedFreeResources: noResources,
+		reportedFreeResources: undefined,
 		releases: [],
 		reportedAt: -Infinity,
 		sentStarts: 0,
@@ -95,7 +95,7 @@
 
 /** Returns the resources of the agent's upstream that are probably free. */
 export function estimateFreeResources(agent: AgentView): Resources {
-	let free = agent.reportedFreeResources;
+	let free = agent.reportedFreeResources ?? noResources;
 	for (const {resources} of agent.unreceivedStarts) {
 		free = subtractResources(free, resources);
 	}
@@ -105,7 +105,7 @@
 
 /** Records that an agent refused a start. Nothing more is sent to it until its next report. */
 export function recordRefusal(agent: AgentView): void {
-	agent.reportedFreeResources = noResources;
+	agent.reportedFreeResources = undefined;
 }
 
 /**
@@ -146,7 +146,7 @@
 /** Whether a task probably fits on the agent's upstream now. */
 export function hasFreeResources(agent: AgentView, ticket: string, requirements: TaskRequirements): boolean {
 	const isBelowLimit = requirements.maxPerUpstream === undefined || (agent.runningByTicket.get(ticket) ?? 0) < requirements.maxPerUpstream;
-	return isBelowLimit && fits(requirements.resources, estimateFreeResources(agent));
+	return isBelowLimit && agent.reportedFreeResources !== undefined && fits(requirements.resources, estimateFreeResources(agent));
 }
 
 /** Returns the number of agents whose upstream is not classified as healthy. */
--- a/test/request/coordinator.test.ts
+++ b/test/request/coordinator.test.ts
@@ -1,7 +1,8 @@
+import {noResources} from '../../src/connection/resources.js';
 import {unboundedQuota} from '../../src/connection/unbounded-quota.js';
 import {createSnapshot} from '../../src/version/snapshot.js';
 import {
-	LossState, RefusalReason, TaskOutcome, type TaskStart,
+	LossState, RefusalReason, TaskOutcome, type AgentState, type TaskStart,
 } from '../../src/generated/kingcuplane.js';
 import type {Milliseconds} from '../../src/process/clock.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
@@ -43,8 +44,12 @@
 	/** Submits a single idempotent request. */
 	submitLookUp(): JobHandle;
 	end(start: TaskStart, outcome: TaskOutcome): void;
-	/** Closes the link of the agent and opens it again; the agent has received all starts. */
-	reconnect(): void;
+	/** Submits a job of one task that needs no resources. */
+	submitSmall(): JobHandle;
+	/** Closes the link of the agent and opens it again; the agent has received that many starts, all if undefined. */
+	reconnect(receivedStarts?: number): void;
+	/** Lets the agent report that all its resources are free. */
+	report(): void;
 };
 
 function createFixture(): Fixture {
@@ -84,10 +89,11 @@
 	const hello = {
 		agent: 'a', incarnation: 'a1', upstream: 'u', service: 's', dataCentre: 'd', rack: '', slots: 1, entryIncarnation: incarnation, lastStartSeq: 0, lastResultSeq: 0, room: capacity, labels: [], upstreamIncarnation: '',
 	};
-	const session = coordinator.sessions.open(hello);
-	session.receiveState({
+	let session = coordinator.sessions.open(hello);
+	const state: AgentState = {
 		draining: false, running: 0, slots: 1, meanRunMs: 0, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: capacity, capacity, receivedStarts: 0, soundness: 0, clockMs: 0, runTimeRatioPerMille: 0, releases: [],
-	});
+	};
+	session.receiveState(state);
 	const submitRequest = (req: Pick<SubmissionRequest, 'submission' | 'payloads' | 'isSingleRequest'> & Partial<SubmissionRequest>): JobHandle => {
 		const [ticket] = issuer.issue('c', 1);
 		const outcome = coordinator.submit({name: 'c', team: 't'}, {
@@ -120,10 +126,17 @@
 				task: start.task, seq: results, attempt: start.attempt, outcome, reason: RefusalReason.REFUSAL_REASON_UNSPECIFIED, payload: new Uint8Array(), runMs: 1, detail: 'x', startSeq: start.seq,
 			});
 		},
-		reconnect() {
+		submitSmall: () => submitRequest({
+			submission: 'check', payloads: [new Uint8Array()], isSingleRequest: false, expectedRun: 100, need: {resources: noResources},
+		}),
+		reconnect(receivedStarts = starts.length) {
 			session.close();
 			stops.length = 0;
-			coordinator.sessions.open({...hello, lastStartSeq: starts.length}).resumeStarts();
+			session = coordinator.sessions.open({...hello, lastStartSeq: receivedStarts});
+			session.resumeStarts();
+		},
+		report() {
+			session.receiveState(state);
 		},
 	};
 }
@@ -174,6 +187,18 @@
 		reconnect();
 		t.deepEqual(stops, starts.slice(0, 2).map(({seq}) => seq));
 	});
+
+	// Guards against an entry that hangs: the task was started at once on the link that was being opened, counted as not received there, and so on.
+	it('starts a task without needs that was lost with a link once, after the first report on the next link', t => {
+		const {starts, submitSmall, reconnect, report, end} = createFixture();
+		const job = submitSmall();
+		reconnect(0);
+		t.is(starts.length, 1);
+		report();
+		t.is(starts.length, 2);
+		end(starts[1]!, TaskOutcome.TASK_OUTCOME_COMPLETED);
+		t.is(job.tryGetAnswer()?.state, 'complete');
+	});
 });
 
 // Issue 24: an entry that is handed a job again must neither start its task once more nor say that it has not run.
--- a/test/request/resource-scheduler.test.ts
+++ b/test/request/resource-scheduler.test.ts
@@ -1,3 +1,4 @@
+import {noResources} from '../../src/connection/resources.js';
 import type {
 	AgentInfo, QueuedJob, QueuedTask, Scheduler, TaskRequirements,
 } from '../../src/connection/types.js';
@@ -285,6 +286,18 @@
 			reportFreeCores('a', 8, 1);
 			t.is(starts.length, 2);
 		});
+
+		it('also sends no task that needs no resources there', t => {
+			const {scheduler, starts, connectAgent, reportFreeCores, clock} = createFixture();
+			connectAgent('a', 8);
+			const job = createJob('j', 1, 100, clock.now(), {resources: noResources});
+			scheduler.enqueue(job);
+			scheduler.recordTaskEnd('a', 'j', 'refused', undefined);
+			scheduler.requeue(job, {ticket: 'j', index: 0, attempt: 2});
+			t.is(starts.length, 1);
+			reportFreeCores('a', 0, 1);
+			t.is(starts.length, 2, 'none are needed');
+		});
 	});
 
 	describe('overload', () => {
