Limits count what runs, also after a link was lost

Cause: the number of running tasks of each job lay in the scheduler's view of an agent, which ends with the link, while the agent lets the runs go on and the session resumes them. Ends that came after the reset were subtracted from a count that no longer had them. Probing (one task at a time) and isolation read the same count.

Change: src/request/running-tasks.ts owns what runs where. A run is there from its start to its end; the limit on one upstream, probing, isolation and the service of a run that ends are views of it. It replaces two maps.

--- a/src/request/isolation-pool.ts
+++ b/src/request/isolation-pool.ts
@@ -58,8 +58,9 @@
 
 /** Whether an agent seems to run no task, or only tasks of this job. */
 function isIdleExceptFor(agent: AgentView, ticket: string): boolean {
-	if (agent.runningByTicket.size > 0) {
-		return agent.runningByTicket.size === 1 && agent.runningByTicket.has(ticket);
+	const jobs = agent.runs.countJobs();
+	if (jobs > 0) {
+		return jobs === 1 && agent.runs.count(ticket) > 0;
 	}
 
 	return estimateFreeResources(agent).cpu >= agent.capacity.cpu;
--- a/src/request/resource-pool.ts
+++ b/src/request/resource-pool.ts
@@ -6,6 +6,7 @@
 import type {AgentStatus, AgentInfo, TaskRequirements} from '../connection/types.js';
 import {Soundness, type Resources} from '../generated/kingcuplane.js';
 import type {Milliseconds} from '../process/clock.js';
+import type {AgentRuns} from './running-tasks.js';
 
 /** An entry's state of one agent with an open link. */
 export type AgentView = {
@@ -29,14 +30,15 @@
 	sentStarts: number;
 	/** Sent starts that the agent had not received when it made its last report, oldest first. */
 	readonly unreceivedStarts: Array<{readonly number: number; readonly resources: Resources}>;
-	/** Number of running tasks of each job, by ticket. */
-	readonly runningByTicket: Map<string, number>;
+	/** What this entry has running there, also from earlier links. */
+	readonly runs: AgentRuns;
 };
 
 /** Creates the state of an agent whose link was just opened. */
-export function createAgentView(agentInfo: AgentInfo): AgentView {
+export function createAgentView(agentInfo: AgentInfo, runs: AgentRuns): AgentView {
 	return {
 		info: agentInfo,
+		runs,
 		isDraining: false,
 		isReportedDraining: false,
 		isEvacuated: false,
@@ -47,7 +49,6 @@
 		reportedAt: -Infinity,
 		sentStarts: 0,
 		unreceivedStarts: [],
-		runningByTicket: new Map(),
 	};
 }
 
@@ -77,20 +78,9 @@
 }
 
 /** Records a start that is about to be sent. */
-export function recordSentStart(agent: AgentView, ticket: string, requirements: TaskRequirements): void {
+export function recordSentStart(agent: AgentView, requirements: TaskRequirements): void {
 	agent.sentStarts++;
 	agent.unreceivedStarts.push({number: agent.sentStarts, resources: requirements.resources});
-	agent.runningByTicket.set(ticket, (agent.runningByTicket.get(ticket) ?? 0) + 1);
-}
-
-/** Records that a run has ended. */
-export function recordRunEnd(agent: AgentView, ticket: string): void {
-	const remaining = (agent.runningByTicket.get(ticket) ?? 0) - 1;
-	if (remaining > 0) {
-		agent.runningByTicket.set(ticket, remaining);
-	} else {
-		agent.runningByTicket.delete(ticket);
-	}
 }
 
 /** Returns the resources of the agent's upstream that are probably free. */
@@ -119,7 +109,7 @@
 		}
 
 		case Soundness.SOUNDNESS_PROBED: {
-			return agent.runningByTicket.size === 0;
+			return agent.runs.countJobs() === 0;
 		}
 
 		default: {
@@ -145,7 +135,7 @@
 
 /** Whether a task probably fits on the agent's upstream now. */
 export function hasFreeResources(agent: AgentView, ticket: string, requirements: TaskRequirements): boolean {
-	const isBelowLimit = requirements.maxPerUpstream === undefined || (agent.runningByTicket.get(ticket) ?? 0) < requirements.maxPerUpstream;
+	const isBelowLimit = requirements.maxPerUpstream === undefined || agent.runs.count(ticket) < requirements.maxPerUpstream;
 	return isBelowLimit && agent.reportedFreeResources !== undefined && fits(requirements.resources, estimateFreeResources(agent));
 }
 
--- a/src/request/resource-scheduler.ts
+++ b/src/request/resource-scheduler.ts
@@ -16,12 +16,13 @@
 import {createLookAhead, type LookAhead} from './look-ahead.js';
 import {checkResourceAdmission, noRequirements} from './resource-admission.js';
 import {
-	createAgentView, estimateFreeResources, hasFreeResources, isEligible, isStartAllowed, leavesReserve, prefer, countSuspects, recordRunEnd, recordRefusal, recordSentStart, applyStatus, setEvacuated, type AgentView,
+	createAgentView, estimateFreeResources, hasFreeResources, isEligible, isStartAllowed, leavesReserve, prefer, countSuspects, recordRefusal, recordSentStart, applyStatus, setEvacuated, type AgentView,
 } from './resource-pool.js';
 import {
 	getSlack, hasStarted, isFeasible, isObjectiveInfeasible, sortByPriority, type PendingJob,
 } from './resource-queue.js';
 import {getReturnTime} from './return-time.js';
+import {createRunningTasks} from './running-tasks.js';
 import {applyRunTimeRatio, createUpstreamSpeeds, type UpstreamSpeeds} from './upstream-speed.js';
 
 /** Dependencies of the scheduler. */
@@ -91,7 +92,7 @@
 	const agentChoice = createAgentChoice(host);
 	let isHeld = false;
 	let evacuated: ReadonlySet<string> = new Set();
-	const jobsInFlight = new Map<string, {readonly state: ServiceState; running: number}>();
+	const runningTasks = createRunningTasks();
 
 	return {
 		setRules(service, rules) {
@@ -102,7 +103,7 @@
 		setTeamShare: () => undefined,
 		addAgent(agentInfo) {
 			const state = getService(agentInfo.service);
-			const agent = createAgentView(agentInfo);
+			const agent = createAgentView(agentInfo, runningTasks.getRunsOf(agentInfo.incarnation));
 			setEvacuated(agent, evacuated.has(agentInfo.dataCentre));
 			state.agents.set(agentInfo.incarnation, agent);
 			state.outliers.addAgent(agentInfo.incarnation);
@@ -147,20 +148,14 @@
 		},
 		remove,
 		recordTaskEnd(incarnation, ticket, outcome) {
-			const inFlight = jobsInFlight.get(ticket);
-			if (inFlight === undefined) {
+			const service = runningTasks.recordEnd(incarnation, ticket);
+			if (service === undefined) {
 				return;
 			}
 
-			const {state} = inFlight;
-			inFlight.running--;
-			if (inFlight.running === 0) {
-				jobsInFlight.delete(ticket);
-			}
-
+			const state = getService(service);
 			const agent = state.agents.get(incarnation);
 			if (agent !== undefined) {
-				recordRunEnd(agent, ticket);
 				if (outcome === 'refused') {
 					recordRefusal(agent);
 				}
@@ -325,13 +320,11 @@
 
 	function startTask(state: ServiceState, agent: AgentView, pending: PendingJob, task: QueuedTask): void {
 		const {job} = pending;
-		const inFlight = jobsInFlight.get(job.ticket) ?? {state, running: 0};
-		inFlight.running++;
-		jobsInFlight.set(job.ticket, inFlight);
+		runningTasks.recordStart(agent.info, job.ticket);
 		state.waitingTasks--;
 		state.drainRate.recordStart(getTaskWork({job}));
 		const isBackfilled = state.lookAhead.recordStart(pending, agent);
-		recordSentStart(agent, job.ticket, job.need ?? noRequirements);
+		recordSentStart(agent, job.need ?? noRequirements);
 		state.outliers.recordStart(agent.info.incarnation);
 		host.start(agent.info.incarnation, task, {
 			reportAge: clock.now() - agent.reportedAt,
--- a/test/request/agent-choice.test.ts
+++ b/test/request/agent-choice.test.ts
@@ -4,16 +4,19 @@
 import {createAgentChoice} from '../../src/request/agent-choice.js';
 import {createAgentView, type AgentView} from '../../src/request/resource-pool.js';
 import {createUpstreamSpeeds} from '../../src/request/upstream-speed.js';
+import {createRunningTasks} from '../../src/request/running-tasks.js';
 import {describe, it} from '../describe.js';
 
 const startedAt = 1000;
 
+const noRuns = createRunningTasks().getRunsOf('');
+
 /** Creates an agent with free resources whose runs take `ratio` times as long as declared. */
 function createAgent(name: string, ratio: number | undefined, {freeCores = 32, age = 0}: {readonly freeCores?: number; readonly age?: Milliseconds} = {}): AgentView {
 	return {
 		...createAgentView({
 			incarnation: name, name, upstream: name, service: 's', dataCentre: '', rack: '', slots: 1,
-		}),
+		}, noRuns),
 		reportedFreeResources: {cpu: freeCores * 1000, memory: 0, accelerators: 0},
 		reportedAt: startedAt - age,
 		runTimeRatio: ratio,
--- a/test/request/isolation-pool.test.ts
+++ b/test/request/isolation-pool.test.ts
@@ -1,8 +1,7 @@
 import type {AgentInfo, QueuedTask} from '../../src/connection/types.js';
 import {createIsolationPool, type IsolationPool} from '../../src/request/isolation-pool.js';
-import {
-	applyStatus, createAgentView, recordSentStart, type AgentView,
-} from '../../src/request/resource-pool.js';
+import {applyStatus, createAgentView, type AgentView} from '../../src/request/resource-pool.js';
+import {createRunningTasks, type RunningTasks} from '../../src/request/running-tasks.js';
 import {describe, it} from '../describe.js';
 
 const capacity = {cpu: 8000, memory: 1000, accelerators: 0};
@@ -10,12 +9,12 @@
 const suspect: QueuedTask = {ticket: 'suspect', index: 0, attempt: 2};
 const other: QueuedTask = {ticket: 'other', index: 0, attempt: 1};
 
-function createAgents(count: number, labels: readonly string[] = []): Map<string, AgentView> {
+function createAgents(count: number, labels: readonly string[] = [], running: RunningTasks = createRunningTasks()): Map<string, AgentView> {
 	return new Map(Array.from({length: count}, (_, i) => {
 		const info: AgentInfo = {
 			incarnation: `a${i}-1`, name: `a${i}`, upstream: `u${i}`, service: 's', dataCentre: 'd', rack: 'r', slots: 1, capacity, labels,
 		};
-		const agent = createAgentView(info);
+		const agent = createAgentView(info, running.getRunsOf(info.incarnation));
 		reportFreeCpu(agent, capacity.cpu);
 		return [info.incarnation, agent];
 	}));
@@ -68,15 +67,16 @@
 	});
 
 	it('run one job at a time', t => {
-		const agents = createAgents(4);
+		const running = createRunningTasks();
+		const agents = createAgents(4, [], running);
 		const pool = createPool(agents, 0.25);
 		const reserved = [...agents.values()].find(({info}) => getAllowed(pool, agents, suspect).includes(info.name))!;
 		reportFreeCpu(reserved, capacity.cpu - 1000);
 		t.deepEqual(getAllowed(pool, agents, suspect), [], 'a task of another entry still runs there');
 		reportFreeCpu(reserved, capacity.cpu);
-		recordSentStart(reserved, suspect.ticket, requirements);
+		running.recordStart(reserved.info, suspect.ticket);
 		t.deepEqual(getAllowed(pool, agents, suspect), [reserved.info.name], 'further tasks of the same job');
-		recordSentStart(reserved, other.ticket, requirements);
+		running.recordStart(reserved.info, other.ticket);
 		t.deepEqual(getAllowed(pool, agents, suspect), []);
 	});
 
--- a/test/request/upstream-speed.test.ts
+++ b/test/request/upstream-speed.test.ts
@@ -1,12 +1,15 @@
 import {createAgentView, type AgentView} from '../../src/request/resource-pool.js';
 import {applyRunTimeRatio, createUpstreamSpeeds} from '../../src/request/upstream-speed.js';
+import {createRunningTasks} from '../../src/request/running-tasks.js';
 import {describe, it} from '../describe.js';
 
+const noRuns = createRunningTasks().getRunsOf('');
+
 function createAgents(ratios: ReadonlyArray<number | undefined>): ReadonlyMap<string, AgentView> {
 	return new Map(ratios.map((runTimeRatio, index) => [String(index), {
 		...createAgentView({
 			incarnation: String(index), name: String(index), upstream: '', service: 's', dataCentre: '', rack: '', slots: 1,
-		}),
+		}, noRuns),
 		runTimeRatio,
 	}]));
 }
