An agent whose tasks fail stays ejected when its link is reset

Callers saw: nothing reported; found by reading for state that is kept by link. An agent whose upstream fails every task at once has always room. It is ejected after ten outcomes, and was used like any other again after each reset of its link.

Cause: the outlier detector deleted an agent's statistics with its link and began anew on the next one.

Ruled out: agents that are restarted (another incarnation, judged anew as before) and outcomes of runs whose agent is gone (still ignored). Agents without a link count neither among the others nor towards the share that may be ejected, as before.

Change: statistics are kept while there is no link, for as long as the longest ejection (60 s).

--- a/src/connection/outlier-detector.ts
+++ b/src/connection/outlier-detector.ts
@@ -22,7 +22,9 @@
 
 /** Detects outliers among the agents of one service. */
 export type OutlierDetector = {
+	/** Adds an agent whose link was opened. What is known about it from earlier links still holds. */
 	addAgent(incarnation: string): void;
+	/** Records that the link of an agent was lost. */
 	removeAgent(incarnation: string): void;
 	recordOutcome(incarnation: string, outcome: 'completed' | 'failed' | 'unknown' | 'refused'): void;
 	/** Sets the failure rate that the agent itself reports, from 0 to 1. */
@@ -43,6 +45,8 @@
 	/** True from an ejection until the failure rate has fallen again. */
 	isProbed: boolean;
 	lastStartAt: Milliseconds;
+	/** Since when there is no link to the agent; undefined while there is one. */
+	unlinkedSince: Milliseconds | undefined;
 };
 
 /** Creates a detector without agents. */
@@ -51,16 +55,22 @@
 
 	return {
 		addAgent(incarnation) {
-			agents.set(incarnation, {
-				observedFailureRate: 0, outcomeCount: 0, reportedFailureRate: 0, consecutiveEjections: 0, ejectedUntil: -Infinity, isProbed: false, lastStartAt: -Infinity,
-			});
+			deleteAbsentAgents();
+			const agent = agents.get(incarnation) ?? createStatistics();
+			agent.unlinkedSince = undefined;
+			agents.set(incarnation, agent);
 		},
 		removeAgent(incarnation) {
-			agents.delete(incarnation);
+			deleteAbsentAgents();
+			const agent = agents.get(incarnation);
+			if (agent !== undefined) {
+				agent.unlinkedSince ??= clock.now();
+			}
 		},
 		recordOutcome(incarnation, outcome) {
 			const agent = agents.get(incarnation);
-			if (agent === undefined || outcome === 'refused') {
+			// The end of a run whose agent is gone says nothing about its tasks.
+			if (agent === undefined || agent.unlinkedSince !== undefined || outcome === 'refused') {
 				return;
 			}
 
@@ -92,6 +102,15 @@
 		},
 	};
 
+	function deleteAbsentAgents(): void {
+		const oldest = clock.now() - maxEjectionDuration;
+		for (const [incarnation, {unlinkedSince = Infinity}] of agents) {
+			if (unlinkedSince < oldest) {
+				agents.delete(incarnation);
+			}
+		}
+	}
+
 	function updateEjection(agent: AgentStatistics, failure: number): void {
 		if (isOutlier(agent)) {
 			if (failure === 1 && clock.now() >= agent.ejectedUntil) {
@@ -109,8 +128,9 @@
 	}
 
 	function eject(agent: AgentStatistics): void {
-		const ejected = [...agents.values()].filter(other => other !== agent && other.isProbed).length;
-		if (ejected + 1 > agents.size * maxEjectedShare) {
+		const others = getLinkedOthers(agent);
+		const ejected = others.filter(other => other.isProbed).length;
+		if (ejected + 1 > (others.length + 1) * maxEjectedShare) {
 			return;
 		}
 
@@ -120,9 +140,19 @@
 	}
 
 	function getMedianOfOthers(agent: AgentStatistics): number {
-		const failureRates = [...agents.values()].filter(other => other !== agent).map(other => getFailureRate(other)).toSorted((a, b) => a - b);
+		const failureRates = getLinkedOthers(agent).map(other => getFailureRate(other)).toSorted((a, b) => a - b);
 		return failureRates[Math.floor(failureRates.length / 2)] ?? 1;
 	}
+
+	function getLinkedOthers(agent: AgentStatistics): readonly AgentStatistics[] {
+		return [...agents.values()].filter(other => other !== agent && other.unlinkedSince === undefined);
+	}
+}
+
+function createStatistics(): AgentStatistics {
+	return {
+		observedFailureRate: 0, outcomeCount: 0, reportedFailureRate: 0, consecutiveEjections: 0, ejectedUntil: -Infinity, isProbed: false, lastStartAt: -Infinity, unlinkedSince: undefined,
+	};
 }
 
 /** Returns the observed failure rate, or the reported one until enough outcomes were recorded. */
