job-forwarding: decline a forwarded job that cannot be read

By reading: ForwardedJob.decode threw, and the sender was told status 500 without a body, which it passed on to its client although it could have served the job itself.

Change: such a job is declined, with a line in the log that names the request. Ruled out: an end of the process, since the peer server catches what a request throws.

--- a/src/process/job-forwarding.ts
+++ b/src/process/job-forwarding.ts
@@ -61,7 +61,8 @@
 		},
 		tryForward,
 		async serve(req, cancellation) {
-			const result = acceptsJobs() ? await host.serveForwardedJob!(ForwardedJob.decode(req.body), cancellation) : declinedResult;
+			const job = acceptsJobs() ? tryDecode(req) : undefined;
+			const result = job === undefined ? declinedResult : await host.serveForwardedJob!(job, cancellation);
 			metrics.count('job.received', 1, {outcome: result.declined ? 'declined' : 'served'});
 			return result;
 		},
@@ -72,6 +73,16 @@
 		},
 	};
 
+	// A job that cannot be read here may be served by its sender.
+	function tryDecode({id, body}: RelayRequest): ForwardedJob | undefined {
+		try {
+			return ForwardedJob.decode(body);
+		} catch (err) {
+			log.warn({err, id}, 'forwarded job declined, since it cannot be read');
+			return undefined;
+		}
+	}
+
 	function acceptsJobs(): boolean {
 		return loadMonitor !== undefined && host.serveForwardedJob !== undefined && host.isServing() && acceptsForwardedJob({process: loadMonitor.getLoad(), link: getLinkLoad()});
 	}
