--- a/test/connection/entry-links.test.ts
+++ b/test/connection/entry-links.test.ts
@@ -1,3 +1,5 @@
+import fc from 'fast-check';
+import {Result} from 'neverthrow';
 import {createEntryLinks, type EntryLinks} from '../../src/connection/entry-links.js';
 import {createEntrySessions} from '../../src/connection/entry-sessions.js';
 import {relaxedTiming} from '../../src/connection/link-timing.js';
@@ -5,6 +7,7 @@
 import {AgentState, EntryBatch} from '../../src/generated/kingcuplane.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {describe, it} from '../describe.js';
+import {createOddMessages, oddInputRuns} from '../odd-input.js';
 
 const capacity = {cpu: 1000, memory: 1, accelerators: 0};
 
@@ -18,6 +21,8 @@
 	readonly failed: string[];
 	/** Delivers the welcome of an entry and the list of entries that it knows. */
 	welcome(address: string, incarnation: string, known: readonly string[]): void;
+	/** Delivers a batch of an entry. */
+	receive(address: string, batch: EntryBatch): void;
 };
 
 async function createFixture(seeds: readonly string[], maxLinks = Infinity): Promise<Fixture> {
@@ -85,6 +90,9 @@
 		opened,
 		isOpen,
 		failed,
+		receive(address, batch) {
+			receivers.get(address)?.(batch);
+		},
 		welcome(address, incarnation, known) {
 			receivers.get(address)?.(EntryBatch.fromPartial({welcome: {entry: incarnation, incarnation}}));
 			receivers.get(address)?.(EntryBatch.fromPartial({entries: known.map(links_ => ({name: links_, incarnation: links_, links: links_}))}));
@@ -135,6 +143,43 @@
 		t.deepEqual(failed, ['unusable']);
 	});
 
+	// Guards against a message of one entry that ends the agent or its other links.
+	it('are kept to other entries, and opened again, whatever an entry sends', async t => {
+		const valid = EntryBatch.encode(EntryBatch.fromPartial({
+			starts: [{
+				task: {ticket: 't', index: 0}, seq: 1, attempt: 1, taskCount: 1, service: 's', payload: new Uint8Array([1]), need: capacity, expectedRunMs: 5, validUntilMs: 9,
+			}],
+			resultsAcked: 1,
+			queued: 1,
+			returned: 1,
+			config: {version: 1, slots: 1},
+			queries: [{id: 1, ticket: 't'}],
+			fenced: ['e0'],
+			entries: [{name: 'e2', incarnation: 'e2-1', links: 'e2'}],
+			head: {
+				waited: 1, size: 1, need: capacity, keepMs: 1,
+			},
+			stops: [{task: {ticket: 't', index: 0}, startSeq: 1}],
+			evacuations: {revision: 1, dataCentres: ['d']},
+			senderSilences: [{startSeq: 1, silentMs: 1}],
+		})).finish();
+		const odd = createOddMessages(valid).map(bytes => Result.fromThrowable(() => EntryBatch.decode(bytes))());
+		await fc.assert(fc.asyncProperty(odd, async batch => {
+			const {clock, isOpen, welcome, receive} = await createFixture(['e1', 'e2']);
+			welcome('e1', 'e1-1', ['e1', 'e2']);
+			welcome('e2', 'e2-1', ['e1', 'e2']);
+			if (batch.isOk()) {
+				receive('e1', batch.value);
+			}
+
+			clock.advance(10_000);
+			welcome('e1', 'e1-1', ['e1', 'e2']);
+			receive('e1', EntryBatch.decode(valid));
+			t.true(isOpen.get('e1'));
+			t.true(isOpen.get('e2'));
+		}), oddInputRuns);
+	});
+
 	it('are limited in number', async t => {
 		const {opened, welcome} = await createFixture(['e1'], 2);
 		welcome('e1', 'e1-1', ['e1', 'e2', 'e3', 'e4']);
--- a/test/odd-input.ts
+++ b/test/odd-input.ts
@@ -69,6 +69,19 @@
 	);
 }
 
+/** Generates encoded messages that differ in some bytes from a valid one. */
+export function createOddMessages(valid: Uint8Array): fc.Arbitrary<Uint8Array> {
+	const changes = fc.array(fc.tuple(fc.nat(valid.length - 1), fc.nat(255)), {minLength: 1, maxLength: 6});
+	return changes.map(made => {
+		const bytes = Buffer.from(valid);
+		for (const [position, byte] of made) {
+			bytes[position] = byte;
+		}
+
+		return bytes;
+	});
+}
+
 /** Generates texts of numbers, as headers and settings have them. */
 export function createOddNumberTexts(): fc.Arbitrary<string> {
 	return fc.constantFrom('', ' ', 'NaN', 'Infinity', '-Infinity', '-1', '0', '-0', '0.5', '1e-300', '5e-324', '1e300', '1e999', '99999999999999999999', '0x10', 'x', '\u0661', '1'.repeat(1000));
--- a/test/process/entry-evacuation.test.ts
+++ b/test/process/entry-evacuation.test.ts
@@ -4,18 +4,12 @@
 import {
 	AgentBatch, AgentHello, AgentState, PeerBatch, type EntryBatch,
 } from '../../src/generated/kingcuplane.js';
-import {createEntry} from '../../src/process/entry.js';
-import {createFakeClock} from '../../src/process/fake-clock.js';
-import {noMetrics} from '../../src/process/metrics.js';
-import {createMemoryPlatform} from '../../src/process/platform/memory.js';
 import {createEvacuationHolder, type EvacuationList} from '../../src/version/evacuations.js';
-import {createPollingFollower} from '../../src/version/polling-follower.js';
 import {encodeSnapshot} from '../../src/version/snapshot-codec.js';
 import {createSnapshot} from '../../src/version/snapshot.js';
 import type {ConfigObject} from '../../src/version/types.js';
 import {describe, it} from '../describe.js';
-import {createSubmissionRecords} from '../failure/submission-records.js';
-import {silentLog} from '../silent-log.js';
+import {createTestEntry} from './test-entry.js';
 
 type Fixture = {
 	/** Lists that the entry has sent to a linked agent. */
@@ -36,47 +30,10 @@
 
 /** Creates an entry that has no connection to the store; with `areInConfig`, the configuration states the evacuations. */
 function createFixture(t: ExecutionContext, areInConfig = false): Fixture {
-	const clock = createFakeClock();
-	const platform = createMemoryPlatform({clock});
 	const evacuations = createEvacuationHolder();
-	const deferred: Array<() => void> = [];
-	const follower = createPollingFollower({
-		platform, clock, random: () => 0, onDiagnostic: () => undefined,
-	});
-	const entry = createEntry({
-		clock,
-		settings: {
-			name: 'e',
-			dataCentre: 'd',
-			rack: '',
-			listen: {http: {host: '', port: 1}, links: {host: '', port: 2}},
-			advertise: {http: {host: '', port: 1}, links: {host: '', port: 2}},
-			platform: {url: '', timeoutMs: 1000},
-			entry: {
-				seeds: [], leaseMs: 1000, ticketLifetimeMs: 1000, blockMs: 1000, fateMemoryBytes: 1000, fateWritesPerSecond: 1, answerKeepMs: 1000, maxBodyBytes: 1000, maxTasks: 10, maxHeaderBytes: 1000, maxWaitMs: 1000, agentGraceMs: 1000, drainMs: 0,
-			},
-			log: {level: 'info'},
-			metrics: {address: undefined, prefix: ''},
-		},
-		incarnation: 'e-1',
-		platform,
-		follower,
-		evacuations: areInConfig ? undefined : evacuations,
-		recorder: createSubmissionRecords(clock, 'e-1', platform.objects).recorder,
-		ticketKey: new Uint8Array(32),
-		log: silentLog,
-		metrics: noMetrics,
-		authenticate() {
-			throw new Error('no caller is expected');
-		},
-		areTokensLoaded: () => true,
-		random: () => 0,
-		onDeclaredDead: () => undefined,
-		defer(action) {
-			deferred.push(action);
-		},
-	});
-	t.teardown(entry.stop);
+	const {
+		entry, clock, follower, runDeferred,
+	} = createTestEntry(t, {evacuations: areInConfig ? undefined : evacuations});
 	const sentToAgent: EvacuationList[] = [];
 	let receivePeerBatch: (batch: PeerBatch) => void = () => undefined;
 
@@ -142,12 +99,6 @@
 			runDeferred();
 		},
 	};
-
-	function runDeferred(): void {
-		for (const action of deferred.splice(0)) {
-			action();
-		}
-	}
 }
 
 describe('evacuations at an entry', () => {
