--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -63,7 +63,7 @@
 		},
 	}));
 	app.onError((err, c) => {
-		host.log.error({err, path: c.req.path}, 'request of an executor failed unexpectedly');
+		host.log.warn({err, path: c.req.path}, 'request of an executor was not received whole, or failed unexpectedly');
 		return c.json({}, 500);
 	});
 	app.post('/v1/Executors.Heartbeat/:id', async c => {
