router: take a relayed reply that is none for a missing one

By reading: the body of a peer's reply was parsed unguarded. After an unexpected error at the coordinator its entry replies 500 without a body; JSON.parse threw at the entry that the caller had asked, which told it of an internal fault there. A status out of range failed as well, when the response was created.

Change: such a reply counts as none, and the caller is told that the coordinator cannot be reached and that its job may have run.

Test: seven replies that are none and a good one, in router.test.ts. With the old reply.ts and router.ts it failed (SyntaxError: Unexpected end of JSON input), with the new ones it passes.

--- a/src/request/reply.ts
+++ b/src/request/reply.ts
@@ -2,11 +2,13 @@
  * Replies to callers: an HTTP status, a JSON body and a time after which to retry.
  */
 import {Buffer} from 'node:buffer';
+import {z} from 'zod';
 import type {RecoveryResult} from '../connection/held-task-queries.js';
 import type {RelayResult} from '../connection/peer-types.js';
 import type {RelayReply} from '../generated/kingcuplane.js';
 import type {Milliseconds} from '../process/clock.js';
 import {createDiagnostic, Diagnostics, type Diagnostic} from '../process/diagnostics.js';
+import {readJson} from '../process/json.js';
 import type {AgreedAnswer} from './agreed-answers.js';
 import type {Answer, SubmissionRecord, Ticket} from './types.js';
 
@@ -29,6 +31,9 @@
 	readonly retryAfterMs?: Milliseconds;
 };
 
+/** Statuses with which a response can be sent. */
+const statusSchema = z.int().min(200).max(599);
+const bodySchema = z.looseObject({});
 const unreachableRetryMs: Milliseconds = 1000;
 
 /** Creates the reply for a request that is refused without reference to a job. */
@@ -88,13 +93,13 @@
 		: {...agreed, diagnostic: createDiagnostic(Diagnostics.Answer_is_no_longer_kept, ticket.text)});
 }
 
-/** Converts a reply that another entry relayed. */
-export function fromRelayReply(reply: RelayReply): Reply {
-	return {
-		status: reply.status,
-		body: JSON.parse(Buffer.from(reply.body).toString()),
-		retryAfter: reply.retryAfterMs === 0 ? undefined : reply.retryAfterMs,
-	};
+/** Converts a reply that another entry relayed; undefined if it is none, for instance after an unexpected error there. */
+export function tryFromRelayReply({status, body, retryAfterMs}: RelayReply): Reply | undefined {
+	return statusSchema.safeParse(status).success
+		? readJson(bodySchema, Buffer.from(body).toString()).match(content => ({
+			status, body: content, retryAfter: retryAfterMs === 0 ? undefined : retryAfterMs,
+		}), () => undefined)
+		: undefined;
 }
 
 /** Converts a reply into the message that relays it to another entry. */
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -17,7 +17,7 @@
 import type {Coordinator} from './coordinator-types.js';
 import type {JobHandle} from './tracked-job.js';
 import {
-	fromRelayReply, toUnreachableReply, toAnswerReply, toRecordReply, toRelayReply, toRefusalReply, toAgreedReply, type AnswerBody, type Reply,
+	tryFromRelayReply, toUnreachableReply, toAnswerReply, toRecordReply, toRelayReply, toRefusalReply, toAgreedReply, type AnswerBody, type Reply,
 } from './reply.js';
 import type {AgreedAnswer} from './agreed-answers.js';
 import type {Caller, SubmissionRequest} from './submission-rules.js';
@@ -124,7 +124,7 @@
 			})),
 		});
 		if (reply !== undefined) {
-			return fromRelayReply(reply);
+			return tryFromRelayReply(reply) ?? toUnreachableReply(req.ticket.incarnation);
 		}
 
 		return serveWithoutCoordinator(req, host.directory.getStatus(req.ticket.incarnation));
--- a/test/request/router.test.ts
+++ b/test/request/router.test.ts
@@ -4,7 +4,7 @@
 import {recoverAnswer} from '../../src/connection/held-task-queries.js';
 import {createFakeClock} from '../../src/process/fake-clock.js';
 import {mergeHeldTasks} from '../../src/request/record-merge.js';
-import {createRouter, type Router} from '../../src/request/router.js';
+import {createRouter, type Router, type RouterHost} from '../../src/request/router.js';
 import {parseTicket} from '../../src/request/ticket.js';
 import {describe, it} from '../describe.js';
 import {createOddBytes, oddInputRuns} from '../odd-input.js';
@@ -30,14 +30,14 @@
  * Creates a router at an entry for which the ticket's coordinator is dead. `doAgentsReply` says whether agents reply to
  * the record lookup; they always reply to the later query for the answer.
  */
-function createTestRouter(doAgentsReply = true): Router {
+function createTestRouter(doAgentsReply = true, relay: RouterHost['relay'] = async () => undefined): Router {
 	return createRouter({
 		clock: createFakeClock(),
 		entry: 'other',
 		incarnation: 'other',
 		coordinator: {submit: () => ({kind: 'forgotten'}), tryGetJob: () => undefined, cancel: () => undefined},
 		directory: {getStatus: () => 'dead', confirmLease: async () => 'held', isLoaded: () => true},
-		relay: async () => undefined,
+		relay,
 		findRecord: async () => doAgentsReply ? {fate: mergeHeldTasks(undefined, ticket, [createHeldTask()]), json: {}} : undefined,
 		recover: async () => recoverAnswer([createHeldTask()]),
 		proposeAnswer: async (_ticket, proposal) => proposal,
@@ -128,4 +128,16 @@
 			t.is(status, 400, text.slice(0, 50));
 		}
 	});
+
+	// Guards against a caller that is told of an internal fault here when the coordinator's entry failed unexpectedly.
+	it('takes what is no reply for none, since the job may have run', async t => {
+		const send = async (status: number, text: string) => requestAnswer(createTestRouter(true, async () => ({
+			id: 1, status, body: Buffer.from(text), retryAfterMs: 0, declined: false,
+		})), 'ann');
+		for (const [status, text] of [[500, ''], [200, '{'], [200, 'null'], [200, '7'], [0, '{}'], [100, '{}'], [4_294_967_295, '{}']] as const) {
+			t.like(await send(status, text), {ran: 'may-have-run', diagnostic: {kind: 'HomeUnreachable'}}, `${status} ${text}`);
+		}
+
+		t.like(await send(200, '{"state":"complete"}'), {state: 'complete'});
+	});
 });
