--- a/test/process/tokens.test.ts
+++ b/test/process/tokens.test.ts
@@ -1,8 +1,10 @@
+import fc from 'fast-check';
 import type {Diagnostic} from '../../src/process/diagnostics.js';
 import {createFakeClock} from '../../src/process/fake-clock.js';
 import {createMemoryPlatform} from '../../src/process/platform/memory.js';
 import {createTokenDirectory, createTokenRow} from '../../src/process/tokens.js';
 import {describe, it} from '../describe.js';
+import {createOddTexts, oddInputRuns} from '../odd-input.js';
 import {unwrap} from '../unwrap.js';
 
 const caller = {name: 'ordering-app', role: 'caller', team: 'lunch'} as const;
@@ -23,6 +25,20 @@
 		t.false(token.write.value!.includes(token.text.slice(5)), 'the row does not hold the secret');
 	});
 
+	it('authenticates the bearers of all other tokens, whatever one row contains', async t => {
+		const row = {
+			name: 'x', role: 'caller', team: 'lunch', secretSha256: '0'.repeat(64),
+		};
+		await fc.assert(fc.asyncProperty(createOddTexts(row), async value => {
+			const {platform, directory} = createFixture();
+			const token = createTokenRow('app1', caller);
+			await unwrap(platform.table.commit({conditions: [], writes: [token.write, {key: 'tokens/odd', value}]}));
+			await directory.refresh();
+			t.deepEqual(directory.authenticate(token.text)._unsafeUnwrap(), caller);
+			t.true(directory.authenticate('odd.x').isErr());
+		}), oddInputRuns);
+	});
+
 	it('keeps the loaded tokens during an outage', async t => {
 		const {platform, directory, diagnostics} = createFixture();
 		const token = createTokenRow('app1', caller);
--- a/test/request/record-codec.test.ts
+++ b/test/request/record-codec.test.ts
@@ -2,6 +2,7 @@
 import {gunzipSync, gzipSync} from 'node:zlib';
 import fc from 'fast-check';
 import {describe, it} from '../describe.js';
+import {createOddTexts, oddInputRuns} from '../odd-input.js';
 import {decodeBlock, encodeBlock, findRecord} from '../../src/request/record-codec.js';
 import {toRecordJson} from '../../src/request/record-json.js';
 import type {SubmissionRecord} from '../../src/request/types.js';
@@ -34,6 +35,22 @@
 		}), {seed: 4, numRuns: 200});
 	});
 
+	it('refuses or reads a block, whatever one of its lines contains', t => {
+		const [header = '', ...lines] = Buffer.from(gunzipSync(encodeBlock(block))).toString('utf8').split('\n');
+		const [first = ''] = lines;
+		const odd = fc.oneof(
+			createOddTexts(JSON.parse(header)).map(text => [text, ...lines]),
+			createOddTexts(JSON.parse(first.slice(first.indexOf(' ')))).map(text => [header, `0 ${text.replaceAll('\n', ' ')}`, ...lines.slice(1)]),
+		);
+		fc.assert(fc.property(odd, changed => {
+			const bytes = gzipSync(changed.join('\n'));
+			const read = [decodeBlock(bytes).isOk(), findRecord(bytes, 0).isOk()];
+			t.is(read.length, 2);
+			// The other records can be read unless the header is bad.
+			t.true(changed[0] !== header || findRecord(bytes, 2)._unsafeUnwrap()?.cancelledBy === 'ordering-app');
+		}), oddInputRuns);
+	});
+
 	it('refuses a truncated block', t => {
 		const bytes = encodeBlock(block);
 		for (let cut = 0; cut < bytes.length; cut += 7) {
