--- a/test/platform/payload.test.ts
+++ b/test/platform/payload.test.ts
@@ -125,7 +125,9 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const address = server.address();
-	const client = createExecutorClient({clock, log: silentLog, address: `127.0.0.1:${typeof address === 'object' ? address?.port : 0}`, id: 'i'});
+	const client = createExecutorClient({
+		clock, log: silentLog, address: `127.0.0.1:${typeof address === 'object' ? address?.port : 0}`, id: 'i',
+	});
 	const upstream = createLeasedUpstream({
 		clock,
 		executor: {...createFakeExecutor(clock, 1), start: client.start},
