Count a run whose progress cannot be read as running

Callers could see: a task that ran twice. After a start call without a response the agent asks the executor whether the run is there; a row of that run whose progress was no number was skipped, so the run counted as never started while it went on. Found by reading.

Cause: a row was used whole or not at all, though task and run number are all that says that a run goes on. Change: the progress is undefined if it cannot be read, and is not used then.

Test: 'lists a run whose progress cannot be read' in executor-client.test.ts, failed before; 89 tests of the client, the manager and the leased upstream pass.

--- a/src/platform/executor-client.ts
+++ b/src/platform/executor-client.ts
@@ -193,10 +193,10 @@
 	}
 }
 
-/** Reads a row of task, run number, checkpoint and completed share. */
+/** Reads a row of task, run number, checkpoint and completed share. The run goes on even if its share cannot be read. */
 function tryReadActiveRun(row: unknown): ActiveRun | undefined {
 	const [task, run, , percent] = toArray(row);
-	return isTask(task) && isNumber(run) && typeof percent === 'number' ? {task, run, percent: Math.min(100, Math.max(0, percent))} : undefined;
+	return isTask(task) && isNumber(run) ? {task, run, percent: typeof percent === 'number' ? Math.min(100, Math.max(0, percent)) : undefined} : undefined;
 }
 
 /** Reads a row of sequence number, task, run number and reason of the end. */
--- a/src/process/executor-types.ts
+++ b/src/process/executor-types.ts
@@ -62,8 +62,8 @@
 
 /** A run that has not ended. */
 export type ActiveRun = RunId & {
-	/** Progress in percent. */
-	readonly percent: number;
+	/** Progress in percent; undefined if it cannot be read. */
+	readonly percent: number | undefined;
 };
 
 /** A run that has ended. The executor lists it until it is acknowledged. */
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -12,7 +12,7 @@
 import {createExecutorPoller} from './executor-poller.js';
 import {createExecutorLease, leaseMs} from './executor-lease.js';
 import type {
-	EndedRun, Executor, ExecutorPresence, ExecutorStatus, CommandOutcome, RunOutcome,
+	ActiveRun, EndedRun, Executor, ExecutorPresence, ExecutorStatus, CommandOutcome, RunOutcome,
 } from './executor-types.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
@@ -420,10 +420,7 @@
 			const run = runs.get(listedRun.task);
 			if (run?.run === listedRun.run) {
 				markRunning(run);
-				const progress = {elapsed: polledAt - (run.runningSince ?? polledAt), percent: listedRun.percent, expected: run.start.expectedRunMs};
-				checkProgress(run, progress);
-				host.onProgress?.(run.start, progress.elapsed, progress.percent);
-				projections.push(...estimateSlowdown(progress));
+				projections.push(...recordProgress(run, listedRun, polledAt));
 			} else if (run === undefined) {
 				// A start call that was abandoned has taken effect late.
 				log.warn({task: listedRun.task, run: listedRun.run}, 'stopping an unknown run');
@@ -437,6 +434,18 @@
 		}
 	}
 
+	/** Returns the projected slowdown of a run, if there is one yet. */
+	function recordProgress(run: Run, {percent}: ActiveRun, polledAt: Milliseconds): readonly number[] {
+		if (percent === undefined) {
+			return [];
+		}
+
+		const progress = {elapsed: polledAt - (run.runningSince ?? polledAt), percent, expected: run.start.expectedRunMs};
+		checkProgress(run, progress);
+		host.onProgress?.(run.start, progress.elapsed, percent);
+		return estimateSlowdown(progress);
+	}
+
 	function receiveEnd(listedRun: EndedRun): void {
 		const run = runs.get(listedRun.task);
 		if (run?.run === listedRun.run) {
