Store that an executor leaves also while its agent stops

Callers could see: tasks started on an executor after its draining had been acknowledged. An agent that had been asked to stop answered the heartbeat and dropped what it said, and the next agent began with the stored announcement, in which the executor did not leave (noted by the review, by reading).

Cause: a stopping agent refused all announcements, where it need only refuse those of other executors. Change: those of the executor in service are applied and stored until the agent ends.

Test: 'stores that its executor leaves also while this process stops' in executor-manager.test.ts, failed before; 89 tests of the client, the manager and the leased upstream pass.

--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -108,11 +108,11 @@
 			manager.stopReceiving();
 			loadTelemetry.cancel();
 			loadMonitor.stop();
-			announcements.stop();
 			traffic.stop();
 			const report = await manager.tryGetAgent()?.drain();
 			log.info({report}, 'agent drained');
 			await manager.close();
+			announcements.stop();
 			await Promise.all([closeHttp(server), closeHttp(metricsServer), store.close()]);
 		},
 	};
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -164,10 +164,7 @@
 	};
 
 	function receive(announcement: ReceivedAnnouncement): void {
-		if (isStopping) {
-			return;
-		}
-
+		// Also while this process stops: the announcement is acknowledged, so the next process has to know it.
 		if (current !== undefined && !current.hasEnded && isAnnouncementOf(current, announcement.executorInfo)) {
 			if (acceptNewer(current.order, announcement)) {
 				updateCurrent(current, announcement);
@@ -176,6 +173,10 @@
 			return;
 		}
 
+		if (isStopping) {
+			return;
+		}
+
 		const known = [...candidates].find(candidate => areSameIncarnations(candidate.announcement.executorInfo, announcement.executorInfo));
 		if (known === undefined) {
 			const order = createAnnouncementOrder(clock);
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -442,6 +442,16 @@
 		t.is(calls.at(-1), 'j@2 leaving: false');
 	});
 
+	// Guards against a restarted agent that starts tasks on an executor whose draining the agent before it has acknowledged.
+	it('stores that its executor leaves also while this process stops', async t => {
+		const {manager, saved, calls, startRun} = createFixture(t);
+		await startRun();
+		manager.stopReceiving();
+		manager.receive(createAnnouncement(1, true));
+		t.true(saved.at(-1)?.isLeaving);
+		t.is(calls.at(-1), 'i@1 leaving: true');
+	});
+
 	it('keeps an executor that does not answer as long as the announced one does not answer either', async t => {
 		const fixture = createFixture(t);
 		const {manager, calls, executor} = fixture;
