Test over real processes that an announcement ends no run of an executor

The scripts of the review for these two cases become tests of the processes: a valid heartbeat of another writer arrives while tasks run, and a deregistration whose acknowledgement does not reach its executor.

--- a/dev/platform-system.ts
+++ b/dev/platform-system.ts
@@ -121,7 +121,8 @@
 const prefix = '/jobs/';
 /** Number of loopback networks `127.1` to `127.254`; each process that starts systems uses one of them. */
 const networkCount = 254;
-const ports = {
+/** Ports of each instance. */
+export const platformPorts = {
 	clients: 18_161, control: 18_166, ready: 18_167, links: 17_720,
 };
 const eventSchema = z.array(z.object({
@@ -149,7 +150,7 @@
 	const executors = await Promise.all(agents.map(async (agent, i) => {
 		const proxy = proxies.executors[i];
 		const announceOptions = proxy === undefined ? [] : ['--announce', formatAddress(proxy.address)];
-		const program = start('dev/executor-standin.js', ['--agent', `${agent.address}:${ports.control}`, '--id', `i-${i + 1}`, ...executorOptions, ...announceOptions]);
+		const program = start('dev/executor-standin.js', ['--agent', `${agent.address}:${platformPorts.control}`, '--id', `i-${i + 1}`, ...executorOptions, ...announceOptions]);
 		const url = await waitForUrl(program);
 		proxy?.setTarget(toAddress(url));
 		return {program, url};
@@ -168,8 +169,8 @@
 
 	async function startProxies(): Promise<SystemProxies> {
 		const links = await Promise.all(Array.from({length: options.entries}, async (_, i) => {
-			const proxy = await startFaultProxy({host: `${network}.${firstProxyNumber + i}`, port: ports.links});
-			proxy.setTarget({host: `${network}.${1 + i}`, port: ports.links});
+			const proxy = await startFaultProxy({host: `${network}.${firstProxyNumber + i}`, port: platformPorts.links});
+			proxy.setTarget({host: `${network}.${1 + i}`, port: platformPorts.links});
 			return proxy;
 		}));
 		const startMany = async (count: number) => Promise.all(Array.from({length: count}, async () => startFaultProxy({host: '127.0.0.1', port: 0})));
@@ -204,12 +205,12 @@
 	function toSettings(role: 'entry' | 'agent', name: string, address: string, i: number): string {
 		const linksProxy = role === 'entry' ? proxies.links[i] : undefined;
 		const advertise = linksProxy === undefined ? '' : `advertise.links=${formatAddress(linksProxy.address)}\n`;
-		const listen = role === 'entry' ? `listen.front=${address}:${ports.clients}\nlisten.ready=${address}:${ports.ready}\n${advertise}` : '';
+		const listen = role === 'entry' ? `listen.front=${address}:${platformPorts.clients}\nlisten.ready=${address}:${platformPorts.ready}\n${advertise}` : '';
 		const seed = proxies.links[0]?.address.host ?? `${network}.1`;
 		const storeProxy = proxies.stores[role === 'entry' ? i : options.entries + i];
 		const store = storeProxy === undefined ? new URL(storeUrl).host : formatAddress(storeProxy.address);
-		return `node=${name}\nzone=z\nip=${address}\n${listen}listen.control=${address}:${ports.control}\nport-range=${ports.links},${ports.links + 15}\n`
-			+ `seeds=${seed}:${ports.control}\nplatform.addr=${store}\n`;
+		return `node=${name}\nzone=z\nip=${address}\n${listen}listen.control=${address}:${platformPorts.control}\nport-range=${platformPorts.links},${platformPorts.links + 15}\n`
+			+ `seeds=${seed}:${platformPorts.control}\nplatform.addr=${store}\n`;
 	}
 
 	async function publish(version: number, prefixes: readonly string[] = [prefix]): Promise<void> {
@@ -253,7 +254,7 @@
 		return new Promise(resolve => {
 			const req = http.request({
 				host: entries[entry]!.address,
-				port: ports.clients,
+				port: platformPorts.clients,
 				path: `${prefix}${name}`,
 				method,
 				agent: connections,
@@ -288,7 +289,7 @@
 
 	async function isReady(entry: number): Promise<boolean> {
 		try {
-			const res = await fetch(`http://${entries[entry]!.address}:${ports.ready}/v1/readyz`);
+			const res = await fetch(`http://${entries[entry]!.address}:${platformPorts.ready}/v1/readyz`);
 			return res.ok;
 		} catch {
 			return false;
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -1,9 +1,13 @@
 import type {ExecutionContext} from 'ava';
-import {startPlatformSystem, type PlatformEvent, type PlatformSystem} from '../../dev/platform-system.js';
+import {
+	platformPorts, startPlatformSystem, type PlatformEvent, type PlatformSystem,
+} from '../../dev/platform-system.js';
 import type {Milliseconds} from '../../src/process/clock.js';
 import {describe, itSerial} from '../describe.js';
 
 let nextSubnet = 20;
+/** Where agents accept the calls of executors. */
+const agentPort = platformPorts.control;
 /** Time within which a crashed executor has announced itself again, also beside a few busy processes. */
 const executorReturnMs: Milliseconds = 3000;
 
@@ -48,6 +52,23 @@
 	return events.filter(({what, task}) => what === 'start' && task.startsWith(job)).length;
 }
 
+function countStartsByExecutor(events: readonly PlatformEvent[]): ReadonlyMap<string, number> {
+	const counts = new Map<string, number>();
+	for (const {what, executor} of events) {
+		if (what === 'start') {
+			counts.set(executor, (counts.get(executor) ?? 0) + 1);
+		}
+	}
+
+	return counts;
+}
+
+/** Makes a call of an executor to an agent. Returns whether it was acknowledged. */
+async function callAgent(address: string, path: string, body: unknown): Promise<boolean> {
+	const res = await fetch(`http://${address}:${agentPort}${path}`, {method: 'POST', body: JSON.stringify(body)});
+	return res.ok;
+}
+
 describe('processes on the platform', () => {
 	itSerial('distribute jobs over all executors and start each task once', async t => {
 		const system = await startSystem(t, 2, 3);
@@ -152,6 +173,45 @@
 		t.is(repeated?.status, 410);
 	});
 
+	describe('start a task elsewhere only when its run has ended', () => {
+		// Guards against runs that are reported as ended because another writer has announced an executor.
+		itSerial('after a heartbeat of another writer, which the executor in service survives', async t => {
+			const system = await startSystem(t, 1, 2);
+			const {address} = system.agents[0]!;
+			const reply = system.submit(0, {
+				name: formatJobName(1), tasks: 24, ms: 1000, deadline: 8000,
+			});
+			await sleep(400);
+			const accepted = await callAgent(address, '/v1/Executors.Heartbeat/i-7f3a91c2', {
+				upstream: 'not-named-here', addr: `${address}:1`, zone: 'z', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, room: {cpu: 16_000, 'mem-mb': 65_536, gpu: 0}, labels: ['a', 'r1-1'], seq: 1, born: Date.now(),
+			});
+			t.true(accepted);
+			const finished = await reply;
+			t.is(finished?.status, 200);
+			t.deepEqual(findOverlaps(await system.getEvents()), []);
+			const startsBefore = countStartsByExecutor(await system.getEvents());
+			await system.submit(0, {
+				name: formatJobName(2), tasks: 24, ms: 100, deadline: 8000,
+			});
+			const startsAfter = countStartsByExecutor(await system.getEvents());
+			t.is(startsAfter.size, 2);
+			t.true([...startsAfter].every(([executor, starts]) => starts > (startsBefore.get(executor) ?? 0)));
+		});
+
+		// Guards against a second run beside that of an executor that goes on after it has deregistered itself.
+		itSerial('after a deregistration whose acknowledgement is lost', async t => {
+			const system = await startSystem(t, 1, 2);
+			const reply = system.submit(0, {
+				name: formatJobName(1), tasks: 24, ms: 1000, deadline: 8000,
+			});
+			await sleep(400);
+			t.true(await callAgent(system.agents[0]!.address, '/v1/Executors.Deregister/i-1', {}));
+			const finished = await reply;
+			t.is(finished?.status, 200);
+			t.deepEqual(findOverlaps(await system.getEvents()), []);
+		});
+	});
+
 	itSerial('end the runs of a killed entry before its client may send the job again', async t => {
 		const system = await startSystem(t, 2, 2);
 		const job = {
