Refuse jobs of queues that need advice, in place of reporting them as failed

Callers saw: `failed` for a job of which no task had run, on a queue with advice (noted by the review, by reading): executors reject a start without a ticket, which counted as a faulty order and so as a failed run.

Cause: the route's advice was not read, and an unknown reason of a rejected start counts as a fault of the order. Change: such a job is refused before anything is started, truthfully and with a time to return, as other kinds that are not served; a start that is rejected for want of a ticket, when a queue gets advice while a job waits, has had no effect. Queues that state times of 0 need no advice.

Tests in desired-state, ingress and executor-client, which fail without the fields that they test. Asking for advice stays to be built.

--- a/src/platform/desired-state.ts
+++ b/src/platform/desired-state.ts
@@ -54,6 +54,8 @@
 	attempts: z.number().default(1),
 	stretch: z.number().default(1),
 	priority: z.number().default(0),
+	// Its times; a queue without an advising service may state them as 0.
+	advice: z.record(z.string(), z.unknown()).optional().catch(undefined),
 });
 const stateSchema = z.object({
 	// Messages carry it as a whole number.
@@ -204,5 +206,6 @@
 		stretch: route.stretch,
 		margin: route['slo-ms'],
 		priority: route.priority,
+		isAdvised: Object.values(route.advice ?? {}).some(time => typeof time === 'number' && time > 0),
 	};
 }
--- a/src/platform/executor-client.ts
+++ b/src/platform/executor-client.ts
@@ -149,6 +149,8 @@
 	['old', {kind: 'superseded'}],
 	['late', {kind: 'expired'}],
 	['room', {kind: 'no-room'}],
+	// It runs only what an advising service allows, which is not asked.
+	['ticket', {kind: 'unavailable'}],
 ]);
 
 function readPollOutcome(answer: HttpResponse | Error, reportFault: (reason: string) => void): WithExecutorTime<PollOutcome> {
--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -202,7 +202,7 @@
 			return createReply(400, {error: parsed.error});
 		}
 
-		const unsupportedReason = tryGetUnsupportedReason(parsed.value);
+		const unsupportedReason = tryGetUnsupportedReason(parsed.value, route);
 		if (unsupportedReason !== undefined) {
 			return refuse(name, {status: 503, retryAfter: unsupportedRetryMs, reason: unsupportedReason});
 		}
--- a/src/platform/wire-job.ts
+++ b/src/platform/wire-job.ts
@@ -58,8 +58,12 @@
 }
 
 /** Returns why jobs of this kind are not supported on this platform; undefined if they are. */
-export function tryGetUnsupportedReason(job: WireJob): string | undefined {
+export function tryGetUnsupportedReason(job: WireJob, route: Pick<Route, 'isAdvised'>): string | undefined {
 	const [step] = job.steps;
+	if (route.isAdvised) {
+		return 'jobs of queues with advice are not served';
+	}
+
 	if (!job['best-effort']) {
 		return 'jobs that must be stored are not served';
 	}
--- a/src/version/types.ts
+++ b/src/version/types.ts
@@ -94,6 +94,8 @@
 	readonly margin: Milliseconds;
 	/** The operators' order of urgency, the most urgent first. The order of jobs does not depend on it. */
 	readonly priority: number;
+	/** Whether a service outside the system decides which upstreams may run its tasks. Such jobs are not served. */
+	readonly isAdvised?: boolean;
 };
 
 /** A group of callers that shares a quota. */
--- a/test/platform/desired-state.test.ts
+++ b/test/platform/desired-state.test.ts
@@ -28,11 +28,20 @@
 		t.is(snapshot.version, 7);
 		t.is(snapshot.submissions.get('r-1')?.service, 'huvo11a');
 		t.deepEqual(snapshot.routes, [{
-			host: 'nony24.example', pathPrefix: '/lohu930/', submission: 'r-1', deadline: 1500, attempts: 3, stretch: 1.6, margin: 60, priority: 2,
+			host: 'nony24.example', pathPrefix: '/lohu930/', submission: 'r-1', deadline: 1500, attempts: 3, stretch: 1.6, margin: 60, priority: 2, isAdvised: false,
 		}]);
 		t.deepEqual(Buffer.from(codec.encode(snapshot)), Buffer.from(encode(state)));
 	});
 
+	it('tells which queues need advice', t => {
+		const codec = createDesiredStateCodec();
+		const isAdvised = (advice: unknown) => codec.decode(encode({...state, routes: [{...state.routes[0], advice}]}), 'test')._unsafeUnwrap().routes![0]!.isAdvised;
+		t.true(isAdvised({'decide-ms': 20, 'each-ms': 1, 'valid-ms': 500}));
+		t.false(isAdvised({}));
+		t.false(isAdvised({'decide-ms': 0, 'each-ms': 0, 'valid-ms': 0}));
+		t.false(isAdvised('x'));
+	});
+
 	it('is rejected if it is invalid or a route names an unknown service', t => {
 		const codec = createDesiredStateCodec();
 		t.true(codec.decode(Buffer.from('{'), 'test').isErr());
--- a/test/platform/executor-client.test.ts
+++ b/test/platform/executor-client.test.ts
@@ -88,9 +88,10 @@
 }
 
 /** Starts an executor that answers each call with this body. */
-async function serveBody(t: ExecutionContext, body: unknown, log?: Log): Promise<Executor> {
+async function serveBody(t: ExecutionContext, body: unknown, log?: Log, status = 200): Promise<Executor> {
 	const server = http.createServer((req, res) => {
 		req.resume();
+		res.statusCode = status;
 		res.end(JSON.stringify(body));
 	});
 	t.teardown(() => server.close());
@@ -198,12 +199,20 @@
 
 	// Guards against a run that goes on and is taken for one that was never started, since its progress cannot be read.
 	it('lists a run whose progress cannot be read', async t => {
-		const client = await serveBody(t, {running: [['j.0.0.0', 1, '', 'x'], ['j.0.0.1', 1], ['j.0.0.2', 1, '', null]], ended: []}); // eslint-disable-line unicorn/no-null -- as JSON has it
+		const client = await serveBody(t, {running: [['j.0.0.0', 1, '', 'x'], ['j.0.0.1', 1], ['j.0.0.2', 1, '', null]], ended: []});
 		const {outcome} = await client.poll(pollRequest);
 		await client.close();
 		t.deepEqual(outcome.kind === 'status' && outcome.status.running.map(({task, percent}) => [task, percent]), [['j.0.0.0', undefined], ['j.0.0.1', undefined], ['j.0.0.2', undefined]]);
 	});
 
+	// Guards against a job that is reported as failed although none of its tasks has run.
+	it('takes a start that lacks a ticket as refused without effect', async t => {
+		const client = await serveBody(t, {'clock-ms': 1, reason: 'ticket'}, silentLog, 409);
+		const {outcome} = await client.start(command);
+		await client.close();
+		t.is(outcome.kind, 'unavailable');
+	});
+
 	it('reads no status from a body of another form', async t => {
 		const client = await serveBody(t, {running: 'x'});
 		const {outcome} = await client.poll({
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -16,7 +16,7 @@
 import type {LoadDecision} from '../../src/request/load-sharing.js';
 import type {SubmissionRequest} from '../../src/request/submission-rules.js';
 import type {Answer} from '../../src/request/types.js';
-import type {Snapshot} from '../../src/version/types.js';
+import type {Route, Snapshot} from '../../src/version/types.js';
 import {describe, it} from '../describe.js';
 import {createOddBytes, createOddNumberTexts, oddInputRuns} from '../odd-input.js';
 import {silentLog} from '../silent-log.js';
@@ -56,7 +56,7 @@
 	postAndLeave(body: string): Promise<void>;
 };
 
-async function createFixture(t: ExecutionContext, decision: LoadDecision = serveHere): Promise<Fixture> {
+async function createFixture(t: ExecutionContext, decision: LoadDecision = serveHere, routeChanges: Partial<Route> = {}): Promise<Fixture> {
 	const submitted: SubmissionRequest[] = [];
 	const cancelled: string[] = [];
 	const forwarded: string[] = [];
@@ -98,7 +98,7 @@
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- the ingress uses only the routes
 	const snapshot = {
 		version: 1, routes: [{
-			name: 'r', host: 'h.example', pathPrefix: '/jobs/', submission: 's', deadline: 1500, stretch: 1.6, margin: 60, attempts: 3,
+			name: 'r', host: 'h.example', pathPrefix: '/jobs/', submission: 's', deadline: 1500, stretch: 1.6, margin: 60, attempts: 3, ...routeChanges,
 		}],
 
 	} as unknown as Snapshot;
@@ -208,6 +208,14 @@
 		}), {...oddInputRuns, numRuns: 200});
 	});
 
+	// Guards against a job that is reported as failed although none of its tasks has run.
+	it('refuses a job of a queue that needs advice, which is not asked for', async t => {
+		const {post, submitted} = await createFixture(t, serveHere, {isAdvised: true});
+		const reply = await post(createBody({}));
+		t.is(reply.status, 503);
+		t.is(submitted.length, 0);
+	});
+
 	describe('refuses before anything is started', () => {
 		for (const [what, body] of Object.entries({
 			'a body that is not JSON': '{"spec":',
