--- a/src/platform/desired-state.ts
+++ b/src/platform/desired-state.ts
@@ -55,7 +55,7 @@
 	stretch: z.number().default(1),
 	priority: z.number().default(0),
 	// Its times; a queue without an advising service may state them as 0.
-	advice: z.record(z.string(), z.unknown()).optional().catch(undefined),
+	advice: z.unknown().optional(),
 });
 const stateSchema = z.object({
 	// Messages carry it as a whole number.
@@ -196,6 +196,10 @@
 	recordBeforeStart: false,
 };
 
+function statesTime(value: unknown): boolean {
+	return typeof value === 'object' && Object.values(value ?? {}).some(time => typeof time === 'number' && time > 0);
+}
+
 function toRoute(route: z.infer<typeof routeSchema>): Route {
 	return {
 		host: route.host,
@@ -206,6 +210,6 @@
 		stretch: route.stretch,
 		margin: route['slo-ms'],
 		priority: route.priority,
-		isAdvised: Object.values(route.advice ?? {}).some(time => typeof time === 'number' && time > 0),
+		isAdvised: statesTime(route.advice),
 	};
 }
