Serve a job once if its client sends it again while it is decided where

Callers could see: a task that ran twice. A request waits for a turn of the event loop before it is acted on, and after another entry has declined it; a second request for the same job that was acted on meanwhile was not looked at, so one was served here and one forwarded (found by the review of this change, shown on fakes: 1 served and 1 forwarded in two ways).

Change: whether the job is open here or forwarded is asked again after each wait, and the request joins what it finds.

Tests: 'serves a job once if its client sends it again', both failed before.

--- a/src/platform/job-intake.ts
+++ b/src/platform/job-intake.ts
@@ -92,26 +92,22 @@
 				: {...match, ...target, decision};
 		},
 		async submit(job, body, timeLeft, client) {
-			const arrival = await awaitClient(job.name, client);
-			if (arrival !== 'waiting') {
-				return toEndReply(arrival);
-			}
+			for (let isDeclined = false; ; isDeclined = true) {
+				const arrival = await awaitClient(job.name, client);
+				if (arrival !== 'waiting') {
+					return toEndReply(arrival);
+				}
+
+				const forwarded = forwardedJobs.get(job.name) ?? (isDeclined || desk.isOpen(job.name) ? undefined : tryForward(job, body, timeLeft));
+				if (forwarded === undefined) {
+					return desk.submit({...job, body, timeLeft}, client);
+				}
 
-			const forwarded = forwardedJobs.get(job.name) ?? tryForward(job, body, timeLeft);
-			if (forwarded !== undefined) {
 				const reply = await waitForForwarded(job.name, forwarded, client);
 				if (reply !== undefined) {
 					return reply;
 				}
-
-				// The other entry has declined the job, which may have been read late.
-				const declined = await awaitClient(job.name, client);
-				if (declined !== 'waiting') {
-					return toEndReply(declined);
-				}
 			}
-
-			return desk.submit({...job, body, timeLeft}, client);
 		},
 		async cancel(name) {
 			return isJobName(name) ? cancelReplies[await entry.cancelJob(name)] : notFoundReply;
--- a/test/platform/job-intake.test.ts
+++ b/test/platform/job-intake.test.ts
@@ -26,6 +26,8 @@
 	readonly intake: JobIntake;
 	/** Jobs that were served here. */
 	readonly served: ReceivedJob[];
+	/** Names of jobs that are served here and have no answer yet. */
+	readonly openNames: Set<string>;
 	/** Jobs that were forwarded, and the reply to each. */
 	readonly forwarded: Array<{readonly job: ForwardedJob; readonly timeoutMs: number; isCancelled: boolean; reply(reply: Partial<RelayReply> | undefined): void}>;
 	submit(options?: {readonly timeLeft?: number; readonly client?: WaitingClient}): Promise<JobReply | undefined>;
@@ -34,6 +36,7 @@
 function createFixture(decision: LoadDecision = forwardToPeer, areStartsHeld = false): Fixture {
 	const served: ReceivedJob[] = [];
 	const cancelledNames = new Set<string>();
+	const openNames = new Set<string>();
 	const forwarded: Fixture['forwarded'] = [];
 	const forwarding = createJobForwarding({
 		log: silentLog,
@@ -72,7 +75,7 @@
 	});
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- the intake uses only these members
 	const desk = {
-		isOpen: () => false,
+		isOpen: (open: string) => openNames.has(open),
 		wasCancelled: (cancelled: string) => cancelledNames.has(cancelled),
 		cancel(cancelled: string) {
 			cancelledNames.add(cancelled);
@@ -88,6 +91,7 @@
 	return {
 		intake,
 		served,
+		openNames,
 		forwarded,
 		async submit({timeLeft = 1500, client = patient} = {}) {
 			const admitted = intake.admit(target, {name, route, configVersion: 7});
@@ -111,7 +115,55 @@
 	};
 }
 
+/** A client of which it is known after {@link arrive}, called once for each question, that it waits. */
+function createSlowClient(): {readonly client: WaitingClient; arrive(): void} {
+	const questions: Array<(isWaiting: boolean) => void> = [];
+	return {
+		client: {
+			onCancelled: () => undefined,
+			isWaiting: async () => new Promise(resolve => {
+				questions.push(resolve);
+			}),
+		},
+		arrive() {
+			questions.shift()!(true);
+		},
+	};
+}
+
 describe('intake of jobs', () => {
+	// Guards against a job that is served here and at another entry at once, since its client has sent it twice.
+	describe('serves a job once if its client sends it again', () => {
+		it('while it is not known whether the first client still waits', async t => {
+			const {forwarded, served, submit, openNames} = createFixture();
+			const {client, arrive} = createSlowClient();
+			void submit({client});
+			openNames.add(name);
+			arrive();
+			await nextTurn();
+			t.deepEqual([served.length, forwarded.length], [1, 0]);
+		});
+
+		it('after the other entry has declined it', async t => {
+			const {forwarded, served, submit} = createFixture();
+			const {client, arrive} = createSlowClient();
+			const first = submit({client});
+			arrive();
+			await nextTurn();
+			forwarded[0]!.reply({declined: true});
+			await nextTurn();
+			const second = submit();
+			await nextTurn();
+			t.is(forwarded.length, 2);
+			arrive();
+			await nextTurn();
+			forwarded[1]!.reply({});
+			const replies = await Promise.all([first, second]);
+			t.deepEqual(replies.map(reply => reply?.status), [200, 200]);
+			t.is(served.length, 0);
+		});
+	});
+
 	it('forwards a job as it arrived, with the version under which it was routed, and passes on the reply', async t => {
 		const {forwarded, served, submit} = createFixture();
 		const pending = submit();
