Count the predecessor of a restarted entry as gone when a job is cancelled

Callers saw: 503 to each request to cancel at a restarted entry for some 18 s, until its predecessor was declared dead. The address that the two share was not among those that a later incarnation has taken over (found by the review of this change).

Test: 'is answered with 410 by all entries after one of them was restarted', failed before.

--- a/src/process/job-cancellation.ts
+++ b/src/process/job-cancellation.ts
@@ -16,7 +16,7 @@
 	readonly clock: Clock;
 	readonly log: Pick<Log, 'info'>;
 	readonly metrics: Pick<Metrics, 'count'>;
-	readonly self: Pick<EntryAddress, 'incarnation'>;
+	readonly self: Pick<EntryAddress, 'incarnation' | 'links'>;
 	readonly directory: Pick<EntryDirectory, 'getLive' | 'isLoaded'>;
 	readonly peers: Pick<PeerHub, 'tryStartRequest' | 'getLinkedPeers'>;
 	/** Cancels the job of this name at this entry and remembers the name. Returns false if there is none. */
@@ -114,7 +114,7 @@
 	function getUnreachable(): readonly EntryAddress[] {
 		const linked = host.peers.getLinkedPeers();
 		const incarnations = new Set([host.self.incarnation, ...linked.map(peer => peer.incarnation)]);
-		const addresses = new Set(linked.map(peer => peer.links));
+		const addresses = new Set([host.self.links, ...linked.map(peer => peer.links)]);
 		return host.directory.getLive().filter(entry => !incarnations.has(entry.incarnation) && !addresses.has(entry.links));
 	}
 }
--- a/test/platform/cancelled-jobs.test.ts
+++ b/test/platform/cancelled-jobs.test.ts
@@ -49,6 +49,8 @@
 	readonly nodes: readonly [Node, Node, Node];
 	/** Entries that cannot be reached by the others. */
 	readonly cutOff: Set<string>;
+	/** Earlier incarnations of entries, which were killed and are not declared dead yet. */
+	readonly earlier: EntryAddress[];
 	/** Whether requests between entries wait for {@link deliver}. */
 	isHeld: boolean;
 	/** Number of requests between entries. */
@@ -65,6 +67,7 @@
 		clock,
 		nodes: [createNode(0), createNode(1), createNode(2)],
 		cutOff,
+		earlier: [],
 		isHeld: false,
 		sent: 0,
 		async deliver() {
@@ -134,7 +137,7 @@
 			log: silentLog,
 			metrics: noMetrics,
 			self: address,
-			directory: {getLive: () => fixture.nodes.map(other => other.address), isLoaded: () => true},
+			directory: {getLive: () => [...fixture.nodes.map(other => other.address), ...fixture.earlier], isLoaded: () => true},
 			peers: {
 				getLinkedPeers: getLinked,
 				tryStartRequest: (peer, req) => startRequest(peer, async () => findNode(peer).cancellation.serve({body: req.body})),
@@ -288,6 +291,16 @@
 		t.is(reply.status, 410);
 	});
 
+	// Guards against entries that answer no request to cancel for as long as the lease of an entry that was killed lasts.
+	it('is answered with 410 by all entries after one of them was restarted', async t => {
+		const fixture = createFixture();
+		fixture.earlier.push({...fixture.nodes[1].address, incarnation: 'e1-0'});
+		for (const node of fixture.nodes) {
+			const reply = await node.remove();
+			t.is(reply.status, 410);
+		}
+	});
+
 	it('before its request arrives, keeps it from being started at any entry', async t => {
 		const fixture = createFixture();
 		await fixture.nodes[0].remove();
