End the hold of a slow entry, and keep its least time

Callers could see: an entry that starts nothing and forwards nothing for as long as each turn of its event loop takes over 0.3 s, since each counts as a pause and began the reading anew, which takes several turns (found by the review of this change; with turns of 310, 350 and 450 ms the hold never ended in 8 s). And a timer of an earlier pause that noticed the next one ended the least time of its hold.

Change: a pause of up to 0.5 s, in which nobody gives work up, does not restart a reading that has begun; a longer one does, and so does a step of the clock, which may hide one. The timer acts only if it was not restarted.

Tests: two of the new ones in start-hold.test.ts failed before; the fixture has the clock of the entry now, whose timers check for pauses.

--- a/src/process/pause-backlog.ts
+++ b/src/process/pause-backlog.ts
@@ -25,6 +25,9 @@
 /** A sender that waited because its window was full sends the rest when this process has read what it had; that is not seen here. */
 const minPendingMs: Milliseconds = 60;
 
+/** A pause up to this is a turn of a slow event loop. Restarted by each of them, a reading that takes several turns would never end. */
+const slowTurnMs: Milliseconds = 500;
+
 /** Creates an empty backlog. */
 export function createPauseBacklog({clock, afterInputRead, onRead}: PauseBacklogHost): PauseBacklog {
 	/** When the oldest input that is pending may have arrived, and when it was noticed; undefined if nothing is pending. */
@@ -37,11 +40,11 @@
 		recordPause(pause) {
 			const now = clock.now();
 			pending = {since: Math.min(pending?.since ?? Infinity, now - pause), noticedAt: pending?.noticedAt ?? now};
-			timer?.cancel();
-			timer = clock.after(minPendingMs, () => {
-				timer = undefined;
-				endIfRead();
-			});
+			if (unread !== undefined && pause > 0 && pause <= slowTurnMs) {
+				return;
+			}
+
+			restartTimer();
 			const id = Symbol('pause');
 			unread = afterInputRead && id;
 			afterInputRead?.(() => {
@@ -56,6 +59,18 @@
 		getDelay: () => pending === undefined ? 0 : clock.now() - pending.since,
 	};
 
+	function restartTimer(): void {
+		timer?.cancel();
+		const started = clock.after(minPendingMs, () => {
+			// A pause that is noticed only now, by the clock, has restarted it.
+			if (timer === started) {
+				timer = undefined;
+				endIfRead();
+			}
+		});
+		timer = started;
+	}
+
 	function endIfRead(): void {
 		if (pending !== undefined && timer === undefined && unread === undefined) {
 			const {noticedAt} = pending;
--- a/test/process/start-hold.test.ts
+++ b/test/process/start-hold.test.ts
@@ -1,5 +1,5 @@
 import {createFakeClock} from '../../src/process/fake-clock.js';
-import {createPauseDetector} from '../../src/process/pause-detector.js';
+import {createPauseCheckedClock, createPauseDetector} from '../../src/process/pause-detector.js';
 import {holdStartsAfterPauses, type StartHold} from '../../src/process/start-hold.js';
 import {describe, it} from '../describe.js';
 import {silentLog} from '../silent-log.js';
@@ -10,6 +10,8 @@
 	readonly switches: boolean[];
 	advance(time: number): void;
 	pause(time: number): void;
+	/** Pauses the process; its timers have to notice that. */
+	pauseUnnoticed(time: number): void;
 	stepWallClock(time: number): void;
 	/** Tells that the input is read which waited at the end of the oldest pause of which that is not known yet. */
 	finishReading(): void;
@@ -23,9 +25,10 @@
 	const readings: Array<() => void> = [];
 	const processClock = {now: () => clock.now() + pausedTime, wall: () => clock.now() + pausedTime + wallStep, after: clock.after};
 	const pauseDetector = createPauseDetector(processClock);
+	const checkedClock = createPauseCheckedClock(processClock, pauseDetector);
 	return {
 		hold: holdStartsAfterPauses({
-			clock: processClock, pauseDetector, log: silentLog, setHeld: isHeld => switches.push(isHeld), afterInputRead: action => readings.push(action),
+			clock: checkedClock, pauseDetector, log: silentLog, setHeld: isHeld => switches.push(isHeld), afterInputRead: action => readings.push(action),
 		}),
 		switches,
 		advance: clock.advance,
@@ -33,6 +36,9 @@
 			pausedTime += time;
 			pauseDetector.check();
 		},
+		pauseUnnoticed(time) {
+			pausedTime += time;
+		},
 		stepWallClock(time) {
 			wallStep += time;
 			pauseDetector.check();
@@ -81,6 +87,46 @@
 		t.deepEqual(switches, [true, true, false]);
 	});
 
+	// Guards against an entry that starts nothing any more since it is slow: each turn of its event loop counts as a pause.
+	it('ends once the input is read that waited at first, if only slow turns follow', t => {
+		const {switches, advance, pause, finishReading} = createFixture();
+		for (let turn = 0; turn < 4; turn++) {
+			pause(350);
+			advance(20);
+		}
+
+		finishReading();
+		t.deepEqual(switches.at(-1), false);
+	});
+
+	it('lasts on if a long pause follows a slow turn', t => {
+		const {hold, advance, pause, finishReading} = createFixture();
+		pause(350);
+		pause(4000);
+		finishReading();
+		advance(100);
+		t.true(hold.areStartsHeld());
+		finishReading();
+		t.false(hold.areStartsHeld());
+	});
+
+	// Guards against a hold that a timer of the pause before ends at once.
+	it('lasts for its least time if the timer of an earlier pause notices the next one', t => {
+		const {hold, switches, advance, pause, pauseUnnoticed, finishReading} = createFixture();
+		pause(4000);
+		finishReading();
+		advance(30);
+		pauseUnnoticed(4000);
+		advance(30);
+		finishReading();
+		t.true(hold.areStartsHeld());
+		advance(59);
+		t.true(hold.areStartsHeld());
+		advance(1);
+		t.false(hold.areStartsHeld());
+		t.is(switches.at(-1), false);
+	});
+
 	it('follows a step of the wall clock backward, which may have hidden a pause', t => {
 		const {hold, stepWallClock, finishReading, advance} = createFixture();
 		stepWallClock(-3000);
