Drop an announced executor only with a deregistration of the same start

A late deregistration of an earlier start dropped the candidate of the next one with the same identifier, which then was not used until its next heartbeat, up to 1.5 s later (found by the review of this change; no test of its own). Those that state no start drop it as before.

--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -291,7 +291,7 @@
 
 	async function receiveDeparture({id, bornAt}: ExecutorDeparture): Promise<void> {
 		for (const candidate of candidates) {
-			if (candidate.announcement.executorInfo.id === id) {
+			if (candidate.announcement.executorInfo.id === id && (bornAt ?? candidate.announcement.executorInfo.bornAt) === candidate.announcement.executorInfo.bornAt) {
 				dropCandidate(candidate, 'it has deregistered itself');
 			}
 		}
