--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -377,7 +377,7 @@
 				},
 				onRunsLost(starts) {
 					if (managed.hasDeregistered) {
-						log.info({executor: executorInfo.id, runs: starts.length}, 'runs ended with the executor that has left');
+						log.info({executor: executorInfo.id, runs: starts.length}, 'the executor that has left does not answer; its runs end with their lease');
 						return;
 					}
 
