--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -86,7 +86,10 @@
 
 			for (const address of wanted) {
 				if (!links.has(address)) {
-					links.set(address, startLink(address));
+					// An address that cannot be used costs this link only.
+					guard(address, () => {
+						links.set(address, startLink(address));
+					});
 				}
 			}
 		},
@@ -206,7 +209,7 @@
 		link.output = createPeerStream({
 			...host,
 			write(batch) {
-				stream.write(batch);
+				stream.write({...batch, requests: batch.requests.filter(req => !isAnsweredUnsent(link, req))});
 			},
 			onSilent() {
 				replaceSilentConnection(link, stream);
@@ -215,7 +218,7 @@
 		stream.on('data', (batch: PeerBatch) => {
 			if (link.stream === stream) {
 				link.output?.recordMessage();
-				guard(() => {
+				guard(link.peer?.name ?? link.address, () => {
 					receive(link, batch);
 				});
 			}
@@ -232,6 +235,15 @@
 		link.output.send({...createHello(), losses: [...host.getLosses()]});
 	}
 
+	function isAnsweredUnsent(link: OutgoingLink, req: RelayRequest): boolean {
+		const reply = host.tryAnswerUnsent?.(req);
+		if (reply !== undefined) {
+			link.pendingRequests.get(req.id)?.({declined: false, ...reply, id: req.id});
+		}
+
+		return reply !== undefined;
+	}
+
 	function receive(link: OutgoingLink, batch: PeerBatch): void {
 		if (batch.hello?.address !== undefined) {
 			link.peer = batch.hello.address;
@@ -285,12 +297,12 @@
 		}
 	}
 
-	/** Processes a message; an unexpected error costs this message only. */
-	function guard(handle: () => void): void {
+	/** Handles input of `source`; an unexpected error costs this input only. */
+	function guard(source: string | undefined, handle: () => void): void {
 		try {
 			handle();
 		} catch (err) {
-			host.onUnexpectedError(err);
+			host.onUnexpectedError(err, source);
 		}
 	}
 }
--- a/src/connection/peer-types.ts
+++ b/src/connection/peer-types.ts
@@ -14,10 +14,15 @@
 	readonly timing: Pick<LinkTiming, 'heartbeatMs' | 'silence'>;
 	/** Runs an action at the end of this turn of the event loop. */
 	defer(action: () => void): void;
-	/** Called with an unexpected error while a message of a peer was processed. */
-	onUnexpectedError(error: unknown): void;
+	/** Called with an unexpected error while a message of a peer was processed or its address was used. `source` names the peer, its address or the request. */
+	onUnexpectedError(error: unknown, source: string | undefined): void;
 	/** Serves a request of another entry. */
 	serveRequest(req: RelayRequest, cancellation: Cancellation): Promise<RelayResult>;
+	/**
+	 * Called right before a request is sent, since this process may have stood still after it was made. Returns the reply if the request must
+	 * not be sent any more; all are sent if undefined.
+	 */
+	tryAnswerUnsent?(req: RelayRequest): RelayResult | undefined;
 	/** Returns the state to send, which reports these entries. */
 	getState(entries: readonly EntryAddress[]): PeerState;
 	/** Returns the load of this process; undefined if it is not measured. */
--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -2,9 +2,14 @@
  * HTTP routes by which the executor beside an agent announces itself, with regular heartbeats, and deregisters itself.
  */
 import {Hono} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
 import {z} from 'zod';
 import {maxAmount} from '../connection/resources.js';
+import type {ExecutorDeparture} from '../process/executor-manager.js';
 import type {ExecutorInfo} from '../process/executor-types.js';
+import {
+	connectableAddressSchema, headerNameSchema, labelsSchema, nameSchema, sequenceNumberSchema, wallTimeSchema,
+} from '../process/input-schemas.js';
 import {readJson} from '../process/json.js';
 import type {Log} from '../process/log.js';
 
@@ -19,60 +24,67 @@
 /** Dependencies of the heartbeat routes. */
 export type HeartbeatHost = {
 	readonly log: Log;
-	/** Called with each valid heartbeat that is newer than all earlier ones of the executor. */
+	/** Called with each valid heartbeat. Heartbeats may arrive out of order, and from other writers. */
 	onHeartbeat(heartbeat: Heartbeat): void;
-	/** Called when an executor announces that it is shutting down. */
-	onDeregister(id: string): void;
+	/** Called when an executor announces that it is shutting down. It is acknowledged when the promise resolves. */
+	onDeregister(departure: ExecutorDeparture): Promise<void>;
 };
 
 /** Rounds down to what a message can carry. */
 const amountSchema = z.number().min(0).transform(amount => Math.min(Math.floor(amount), maxAmount));
+/** A heartbeat with fields missing or of another type is no executor's, so fields that are not used are checked as well. */
 const heartbeatSchema = z.object({
-	upstream: z.string(),
-	addr: z.string(),
+	upstream: nameSchema,
+	addr: connectableAddressSchema,
+	zone: z.string(),
+	version: z.string(),
+	slots: z.number().min(0),
 	state: z.enum(['ready', 'draining']),
-	seq: z.number(),
-	born: z.number().default(0),
+	'cold-left-ms': z.number().min(0),
+	seq: sequenceNumberSchema,
+	born: wallTimeSchema.default(0),
 	room: z.object({cpu: amountSchema, 'mem-mb': amountSchema, gpu: amountSchema.default(0)}),
-	labels: z.array(z.string()).default([]),
+	labels: labelsSchema.default([]),
 });
+/** Largest heartbeat that the platform sends. */
+const maxBodyBytes = 4 * 1024 * 1024;
+const maxLoggedIdLength = 200;
+
+/** The body may be empty. */
+const deregistrationSchema = z.object({born: z.number().optional()});
 
 /** Creates the HTTP routes that an executor calls. */
 export function createHeartbeatApp(host: HeartbeatHost): Hono {
 	const app = new Hono();
-	/** The newest heartbeat of each executor, by identifier. Heartbeats may arrive out of order. */
-	const newest = new Map<string, {readonly bornAt: number; readonly sequence: number}>();
 
+	app.use(bodyLimit({
+		maxSize: maxBodyBytes,
+		onError(c) {
+			host.log.warn({path: c.req.path, maxBodyBytes}, 'request ignored, since its body is too long');
+			return c.json({}, 413);
+		},
+	}));
+	app.onError((err, c) => {
+		host.log.warn({err, path: c.req.path}, 'request of an executor was not received whole, or failed unexpectedly');
+		return c.json({}, 500);
+	});
 	app.post('/v1/Executors.Heartbeat/:id', async c => {
 		const id = c.req.param('id');
 		const body = readJson(heartbeatSchema, await c.req.text());
-		if (body.isErr()) {
-			host.log.warn({executor: id, reason: body.error}, 'invalid heartbeat ignored');
+		if (body.isErr() || !headerNameSchema.safeParse(id).success) {
+			host.log.warn({executor: id.slice(0, maxLoggedIdLength), reason: body.isErr() ? body.error : 'the id is invalid'}, 'invalid heartbeat ignored');
 			return c.json({}, 400);
 		}
 
-		acceptIfNewer(toHeartbeat(id, body.value));
+		host.onHeartbeat(toHeartbeat(id, body.value));
 		return c.json({});
 	});
-	app.post('/v1/Executors.Deregister/:id', c => {
-		host.onDeregister(c.req.param('id'));
+	app.post('/v1/Executors.Deregister/:id', async c => {
+		const {born} = readJson(deregistrationSchema, await c.req.text()).unwrapOr<z.infer<typeof deregistrationSchema>>({});
+		await host.onDeregister({id: c.req.param('id'), bornAt: born});
 		return c.json({});
 	});
 	return app;
-
-	function acceptIfNewer(heartbeat: Heartbeat): void {
-		const {id, bornAt} = heartbeat.executorInfo;
-		const known = newest.get(id);
-		if (known !== undefined && (bornAt < known.bornAt || (bornAt === known.bornAt && heartbeat.sequence <= known.sequence))) {
-			host.log.info({
-				executor: id, bornAt, sequence: heartbeat.sequence, known,
-			}, 'outdated heartbeat ignored');
-			return;
-		}
-
-		newest.set(id, {bornAt, sequence: heartbeat.sequence});
-		host.onHeartbeat(heartbeat);
-	}
 }
 
 function toHeartbeat(id: string, body: z.infer<typeof heartbeatSchema>): Heartbeat {
--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -5,26 +5,27 @@
 import {Buffer} from 'node:buffer';
 import type {Cancellation, RelayResult} from '../connection/peer-types.js';
 import type {ForwardedJob} from '../generated/kingcuplane.js';
-import type {Milliseconds} from '../process/clock.js';
+import type {Clock, Milliseconds} from '../process/clock.js';
 import type {Entry} from '../process/entry-types.js';
 import {declinedResult} from '../process/job-forwarding.js';
-import {readJson} from '../process/json.js';
 import type {Log} from '../process/log.js';
+import {createRecentNames} from '../request/recent-names.js';
 import type {JobHandle} from '../request/tracked-job.js';
 import type {Answer} from '../request/types.js';
 import {createRouteTable, type RouteTable} from '../version/route-table.js';
 import type {Route, Snapshot} from '../version/types.js';
 import {clientTeam} from './desired-state.js';
 import {
-	isTooLongFor, jobSchema, toSubmissionRequest, tryGetUnsupportedReason, type WireJob,
+	isTooLongFor, readWireJob, toSubmissionRequest, tryGetUnsupportedReason, type WireJob,
 } from './wire-job.js';
 
 /** Dependencies of the desk. */
 export type JobDeskHost = {
 	readonly entry: Pick<Entry, 'coordinator' | 'issueTicket' | 'getRemainingDrainTime'>;
 	readonly log: Pick<Log, 'info'>;
+	readonly clock: Clock;
 	tryGetSnapshot(): Snapshot | undefined;
-	/** Must be called before a request is accepted, since the request may have waited while this process was paused. */
+	/** Must be called before a job is accepted: its client may have left while this process was paused, which is not read yet then. */
 	checkPause(): void;
 };
 
@@ -72,8 +73,10 @@
 	submit(job: ReceivedJob, cancellation: Cancellation): Promise<JobReply | undefined>;
 	/** Serves a job that another entry has forwarded. */
 	submitForwarded(job: ForwardedJob, cancellation: Cancellation): Promise<RelayResult>;
-	/** Cancels the job of this name. Returns false if there is none. */
+	/** Cancels the job of this name, and remembers that for requests that arrive later. Returns false if there is none. */
 	cancel(name: string): boolean;
+	/** Whether the job of this name was cancelled recently. */
+	wasCancelled(name: string): boolean;
 	/**
 	 * Returns for how long the senders of the forwarded job with this ticket have been silent, that is the one that was heard last;
 	 * 0 for any other job.
@@ -93,7 +96,12 @@
 };
 
 const caller = {name: clientTeam, team: clientTeam};
+/** A request of a client may arrive this long after the client has cancelled its job elsewhere. */
+const cancelledNameRetentionMs: Milliseconds = 60_000;
+const maxCancelledNames = 10_000;
 const jobNamePattern = /^[\da-f]{16}$/v;
+/** Some of its tasks may have run. */
+export const cancelledReply = createReply(504, {error: 'the job was cancelled'});
 const notReadyRetryMs: Milliseconds = 1000;
 /** Long, since these kinds of jobs are not supported on this platform and an early retry is useless. */
 const unsupportedRetryMs: Milliseconds = 60_000;
@@ -102,11 +110,12 @@
 
 /** Creates a desk without jobs. */
 export function createJobDesk({
-	entry, log, tryGetSnapshot, checkPause,
+	entry, log, clock, tryGetSnapshot, checkPause,
 }: JobDeskHost): JobDesk {
 	const openJobs = new Map<string, OpenJob>();
 	/** Open jobs that other entries have forwarded, by ticket. Every batch to an agent looks its tasks up here. */
 	const forwardedJobs = new Map<string, OpenJob>();
+	const cancelledNames = createRecentNames({clock, retentionMs: cancelledNameRetentionMs, maxNames: maxCancelledNames});
 	let routeTable: {readonly snapshot: Snapshot; readonly table: RouteTable} | undefined;
 
 	return {
@@ -115,6 +124,7 @@
 		submit,
 		submitForwarded,
 		cancel(name) {
+			cancelledNames.add(name);
 			const found = openJobs.get(name);
 			if (found !== undefined) {
 				entry.coordinator.cancel(found.job.ticket.text, 'its client');
@@ -122,6 +132,7 @@
 
 			return found !== undefined;
 		},
+		wasCancelled: cancelledNames.has,
 		getSenderSilence(ticket) {
 			const forwarded = forwardedJobs.get(ticket);
 			if (forwarded === undefined || forwarded.waiters.size === 0) {
@@ -142,7 +153,6 @@
 	};
 
 	function findRoute(host: string, path: string): RouteMatch | JobReply {
-		checkPause();
 		const snapshot = tryGetSnapshot();
 		if (snapshot === undefined) {
 			return refuse(undefined, {status: 503, retryAfter: notReadyRetryMs, reason: 'no configuration is in force'});
@@ -176,11 +186,17 @@
 	async function submit({
 		route, name, body, timeLeft,
 	}: ReceivedJob, cancellation: Cancellation): Promise<JobReply | undefined> {
-		if (!jobNamePattern.test(name)) {
+		checkPause();
+		if (!isJobName(name)) {
 			return createReply(400, {error: 'a job is named by 16 hexadecimal digits'});
 		}
 
-		const parsed = readJson(jobSchema, Buffer.from(body).toString());
+		if (cancelledNames.has(name)) {
+			log.info({request: name, status: cancelledReply.status}, 'job was cancelled before this request; nothing is started for it');
+			return cancelledReply;
+		}
+
+		const parsed = readWireJob(body);
 		if (parsed.isErr()) {
 			log.info({request: name, status: 400, reason: parsed.error}, 'unreadable job; it has not run');
 			return createReply(400, {error: parsed.error});
@@ -278,6 +294,11 @@
 	}
 }
 
+/** Whether clients may name a job like this. */
+export function isJobName(name: string): boolean {
+	return jobNamePattern.test(name);
+}
+
 /** Creates a reply with a JSON body. */
 export function createReply(status: number, body: Readonly<Record<string, unknown>>): JobReply {
 	return {status, body: JSON.stringify(body)};
--- a/src/platform/job-intake.ts
+++ b/src/platform/job-intake.ts
@@ -7,14 +7,15 @@
 import type {RelayReply} from '../generated/kingcuplane.js';
 import type {Milliseconds} from '../process/clock.js';
 import type {Entry} from '../process/entry-types.js';
+import type {CancelOutcome} from '../process/job-cancellation.js';
 import type {LoadDecision} from '../request/load-sharing.js';
 import {
-	createReply, type JobDesk, type JobReply, type RouteMatch,
+	cancelledReply, createReply, isJobName, type JobDesk, type JobReply, type RouteMatch,
 } from './job-desk.js';
 
 /** Dependencies of the intake. */
 export type JobIntakeHost = {
-	readonly entry: Pick<Entry, 'decideByLoad' | 'tryForwardJob'>;
+	readonly entry: Pick<Entry, 'decideByLoad' | 'tryForwardJob' | 'cancelJob'>;
 	readonly desk: JobDesk;
 };
 
@@ -29,6 +30,12 @@
 	readonly decision: Exclude<LoadDecision, {readonly kind: 'refuse'}>;
 };
 
+/** The client of a request. */
+export type WaitingClient = Cancellation & {
+	/** Resolves to whether the client still waits, once it is known that nothing else has come from it until now. */
+	isWaiting(): Promise<boolean>;
+};
+
 /** The jobs of the clients of one entry. */
 export type JobIntake = {
 	/** Decides whether and where a job is served; the reply if it is not. */
@@ -37,9 +44,11 @@
 	 * Serves an admitted job; `timeLeft` is the time that the client waits, not a positive number if it stated none. Undefined if
 	 * all its clients have gone before its answer.
 	 */
-	submit(job: AdmittedJob, body: Uint8Array, timeLeft: Milliseconds, cancellation: Cancellation): Promise<JobReply | undefined>;
-	/** Cancels the job of this name. Returns false if there is none. */
-	cancel(name: string): boolean;
+	submit(job: AdmittedJob, body: Uint8Array, timeLeft: Milliseconds, client: WaitingClient): Promise<JobReply | undefined>;
+	/** Cancels the job of this name at all entries. */
+	cancel(name: string): Promise<JobReply>;
+	/** Cancels the job of this name at this entry. Returns false if there is none. */
+	cancelHere(name: string): boolean;
 };
 
 /** A job that another entry serves for clients of this one. */
@@ -51,32 +60,68 @@
 	cancel(): void;
 };
 
+type Arrival = 'waiting' | 'gone' | 'cancelled';
+
 const serveHere = {kind: 'serve'} as const;
 /** The job may have run. Its client may send it again after the platform's time for that, when all its runs have ended. */
 const lostReply = createReply(504, {error: 'the entry that served this job was lost'});
-const cancelledReply = createReply(504, {error: 'the job was cancelled'});
+const cancelRetryMs: Milliseconds = 1000;
+const notFoundReply = createReply(410, {error: 'no such job'});
+const cancelReplies: Readonly<Record<CancelOutcome, JobReply>> = {
+	cancelled: createReply(200, {}),
+	'not-found': notFoundReply,
+	unconfirmed: {...createReply(503, {error: 'an entry that may have the job cannot be asked now'}), retryAfter: cancelRetryMs},
+};
 
 /** Creates an intake without jobs. */
 export function createJobIntake({entry, desk}: JobIntakeHost): JobIntake {
 	const forwardedJobs = new Map<string, ForwardedOpenJob>();
+	/** Number of requests for each job of which it is not known yet whether their clients still wait. */
+	const arrivingJobs = new Map<string, number>();
 
 	return {
 		admit(target, match) {
+			if (desk.wasCancelled(match.name)) {
+				return cancelledReply;
+			}
+
 			const isOpen = desk.isOpen(match.name) || forwardedJobs.has(match.name);
 			const decision = isOpen ? serveHere : entry.decideByLoad();
 			return decision.kind === 'refuse'
 				? desk.refuse(match.name, {status: 503, retryAfter: decision.retryAfter, reason: 'this entry is busy, and so are the others'})
 				: {...match, ...target, decision};
 		},
-		async submit(job, body, timeLeft, cancellation) {
+		async submit(job, body, timeLeft, client) {
+			const arrival = await awaitClient(job.name, client);
+			if (arrival !== 'waiting') {
+				return toEndReply(arrival);
+			}
+
 			const forwarded = forwardedJobs.get(job.name) ?? tryForward(job, body, timeLeft);
-			const reply = forwarded && await waitForForwarded(job.name, forwarded, cancellation);
-			return reply ?? desk.submit({...job, body, timeLeft}, cancellation);
+			if (forwarded !== undefined) {
+				const reply = await waitForForwarded(job.name, forwarded, client);
+				if (reply !== undefined) {
+					return reply;
+				}
+
+				// The other entry has declined the job, which may have been read late.
+				const declined = await awaitClient(job.name, client);
+				if (declined !== 'waiting') {
+					return toEndReply(declined);
+				}
+			}
+
+			return desk.submit({...job, body, timeLeft}, client);
 		},
-		cancel(name) {
+		async cancel(name) {
+			return isJobName(name) ? cancelReplies[await entry.cancelJob(name)] : notFoundReply;
+		},
+		cancelHere(name) {
+			// One that is still arriving finds its name remembered.
+			const isFound = desk.cancel(name) || arrivingJobs.has(name);
 			const forwarded = forwardedJobs.get(name);
 			if (forwarded === undefined) {
-				return desk.cancel(name);
+				return isFound;
 			}
 
 			forwarded.isCancelled = true;
@@ -85,6 +130,27 @@
 		},
 	};
 
+	/** Waits until it is known whether the client still waits, or has cancelled the job meanwhile. */
+	async function awaitClient(name: string, client: WaitingClient): Promise<Arrival> {
+		countArriving(name, 1);
+		const isWaiting = await client.isWaiting();
+		countArriving(name, -1);
+		if (!isWaiting) {
+			return 'gone';
+		}
+
+		return desk.wasCancelled(name) ? 'cancelled' : 'waiting';
+	}
+
+	function countArriving(name: string, change: 1 | -1): void {
+		const count = (arrivingJobs.get(name) ?? 0) + change;
+		if (count === 0) {
+			arrivingJobs.delete(name);
+		} else {
+			arrivingJobs.set(name, count);
+		}
+	}
+
 	function tryForward({
 		decision, name, host, path, configVersion,
 	}: AdmittedJob, body: Uint8Array, timeLeft: Milliseconds): ForwardedOpenJob | undefined {
@@ -125,6 +191,11 @@
 	}
 }
 
+/** Returns the reply to a job that is not served; undefined if nobody waits for it. */
+function toEndReply(arrival: Exclude<Arrival, 'waiting'>): JobReply | undefined {
+	return arrival === 'gone' ? undefined : cancelledReply;
+}
+
 function toJobReply({status, body, retryAfterMs}: RelayReply): JobReply {
 	return {status, body: Buffer.from(body).toString(), retryAfter: retryAfterMs === 0 ? undefined : retryAfterMs};
 }
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -4,7 +4,7 @@
 import {createLossLog} from '../connection/loss-log.js';
 import {createAgent} from '../process/agent.js';
 import {createSystemClock, type Milliseconds} from '../process/clock.js';
-import {readEntryAddresses} from '../process/entry-directory.js';
+import {createEntryAddressReader} from '../process/entry-directory.js';
 import {createExecutorManager} from '../process/executor-manager.js';
 import type {ExecutorInfo} from '../process/executor-types.js';
 import {createIncarnation} from '../process/incarnation.js';
@@ -12,10 +12,12 @@
 import {closeHttp} from '../process/http-listen.js';
 import {createEventLoopMonitor} from '../process/load-monitor.js';
 import {startLoadTelemetry} from '../process/load-telemetry.js';
+import {afterBytesRead, afterPoll} from '../process/input-reading.js';
 import type {Log} from '../process/log.js';
 import {createPauseAccumulator, createPauseDetector} from '../process/pause-detector.js';
 import {createPrometheusMetrics} from '../process/prometheus-metrics.js';
 import type {AgentSettings} from '../process/settings.js';
+import {createSocketTraffic} from '../process/socket-traffic.js';
 import {createEvacuationHolder} from '../version/evacuations.js';
 import {createExecutorClient} from './executor-client.js';
 import {createAnnouncementStore} from './announcement-store.js';
@@ -34,21 +36,27 @@
 export async function runPlatformAgent(machine: MachineSettings, log: Log): Promise<{stop(): Promise<void>}> {
 	const clock = createSystemClock();
 	const metrics = createPrometheusMetrics({role: 'agent', process: machine.name});
+	// Before anything is connected, as it knows only connections that were opened after it.
+	const traffic = createSocketTraffic(() => 'all');
 	const store = createPlatformClient({clock, url: `http://${machine.store}`, timeoutMs: storeTimeoutMs});
 	const pauseDetector = createPauseDetector(clock);
 	const takeAccumulatedPause = createPauseAccumulator(pauseDetector);
 	const announcements = createAnnouncementStore({
 		clock, table: store.table, log, machine: machine.name,
 	});
+	const readEntryDirectory = createEntryAddressReader({table: store.table, log});
 	const lossLog = createLossLog({clock});
 	const evacuations = createEvacuationHolder();
 	const manager = createExecutorManager({
+		clock,
 		log,
 		metrics,
 		lossLog,
 		createUpstream: (executorInfo, events) => createLeasedUpstream({
 			clock,
-			executor: createExecutorClient({clock, address: executorInfo.address, id: executorInfo.id}),
+			executor: createExecutorClient({
+				clock, address: executorInfo.address, id: executorInfo.id, log,
+			}),
 			executorStartedAt: executorInfo.bornAt === 0 ? undefined : executorInfo.bornAt,
 			firstFencingToken: Math.floor(clock.wall()),
 			maxLeaseMs: machine.maxLeaseMs,
@@ -67,10 +75,13 @@
 			log,
 			metrics,
 			random: Math.random,
-			readEntryDirectory: async () => readEntryAddresses(store.table),
+			readEntryDirectory,
 			defer: setImmediate,
 			timing: platformTiming,
 			pauseDetector,
+			afterInputRead(action) {
+				afterBytesRead(traffic.getOpenSockets(), afterPoll, action);
+			},
 			capacity: executorInfo.room,
 			labels: executorInfo.labels,
 			upstreamIncarnation,
@@ -97,18 +108,25 @@
 			manager.stopReceiving();
 			loadTelemetry.cancel();
 			loadMonitor.stop();
-			announcements.stop();
+			traffic.stop();
 			const report = await manager.tryGetAgent()?.drain();
 			log.info({report}, 'agent drained');
 			await manager.close();
+			announcements.stop();
 			await Promise.all([closeHttp(server), closeHttp(metricsServer), store.close()]);
 		},
 	};
 
 	async function restoreExecutor(): Promise<void> {
 		const announcement = await announcements.load();
-		if (announcement !== undefined) {
+		if (announcement === undefined) {
+			return;
+		}
+
+		try {
 			manager.restore({executorInfo: announcement.facts, isLeaving: announcement.isLeaving});
+		} catch (err) {
+			log.error({err, announcement}, 'the stored announcement cannot be used; waiting for the next heartbeat');
 		}
 	}
 }
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -84,6 +84,7 @@
 		orphanGraceMs: timing.orphanGraceMs,
 		maxSilentRunMs: timing.maxSilentRunMs,
 		senderSilenceMs: timing.senderSilence?.stopAfterMs,
+		afterInputRead: host.afterInputRead,
 		onOutputPending(entry) {
 			links.scheduleFlush(entry);
 		},
@@ -114,8 +115,8 @@
 		defer: host.defer,
 		connect: host.connect,
 		onBatchReceived: host.pauseDetector?.check,
-		onUnexpectedError(err) {
-			host.log.error({err}, 'a message of an entry could not be processed');
+		onUnexpectedError(err, address) {
+			host.log.error({err, address}, 'input of an entry could not be processed');
 		},
 		onLinkChanged({kind, ...fields}) {
 			host.log.info(fields, `link ${kind}`);
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -15,14 +15,15 @@
 import type {ConfigFollower} from '../version/polling-follower.js';
 import type {Clock, Milliseconds} from './clock.js';
 import type {Diagnostic} from './diagnostics.js';
+import type {CancelOutcome} from './job-cancellation.js';
 import type {LinkBudget} from './link-budget.js';
 import type {LoadMonitor} from './load-monitor.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
-import type {PauseDetector} from './pause-detector.js';
 import type {Platform} from './platform/types.js';
 import type {EntrySettings} from './settings.js';
 import type {SocketTraffic} from './socket-traffic.js';
+import type {StartHoldHost} from './start-hold.js';
 
 /** Dependencies of an entry. */
 export type EntryHost = {
@@ -40,8 +41,8 @@
 	readonly log: Log;
 	readonly metrics: Metrics;
 	readonly timing?: LinkTiming;
-	/** Detects pauses of this process, after which the entry holds its starts back for a moment; undefined disables this. */
-	readonly pauseDetector?: PauseDetector;
+	/** Tells of pauses of this process, after which the entry holds its starts back for a moment; undefined disables this. */
+	readonly pauses?: Pick<StartHoldHost, 'pauseDetector' | 'afterInputRead'>;
 	/**
 	 * Time at the start of a drain during which new work is still accepted, until the balancer sends its requests to other
 	 * entries. If undefined, new work is refused at once.
@@ -57,6 +58,8 @@
 	readonly quota?: TeamQuota;
 	/** Serves a job that another entry has forwarded; if undefined, such jobs are declined. */
 	serveForwardedJob?(job: ForwardedJob, cancellation: Cancellation): Promise<RelayResult>;
+	/** Cancels the job of this name at this entry; returns false if there is none. Undefined if jobs have no names here. */
+	cancelJob?(name: string): boolean;
 	/** Returns for how long the sender of the forwarded job with this ticket has been silent; 0 for any other job. */
 	getSenderSilence?(ticket: string): Milliseconds;
 	authenticate(token: string): Result<Principal, Diagnostic>;
@@ -83,8 +86,12 @@
 	issueTicket(owner: string): Ticket;
 	/** Decides whether a new job is served here or by another entry; always here unless the load of this process is measured. */
 	decideByLoad(): LoadDecision;
+	/** Returns for how long input that is read now may have waited while this process stood still; 0 if it did not. */
+	getInputDelay(): Milliseconds;
 	/** Forwards a job of the client's name `name` to another entry; undefined if it has to be served here after all. */
 	tryForwardJob(peer: string, name: string, job: ForwardedJob): PendingRequest | undefined;
+	/** Cancels the job of the client's name `name` at all entries. */
+	cancelJob(name: string): Promise<CancelOutcome>;
 	/** Whether the entry was asked to stop, so that callers should use another one. */
 	isShuttingDown(): boolean;
 	/** Returns the time until open jobs are abandoned because this process stops; infinite unless it was asked to stop. */
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -19,13 +19,14 @@
 import {tryGetAgentConfig} from '../version/agent-config.js';
 import {createEvacuationHolder, toEvacuationList, type EvacuationList} from '../version/evacuations.js';
 import type {Snapshot} from '../version/types.js';
-import {formatAddress} from './address.js';
+import {formatAddress, isConnectable} from './address.js';
 import {
 	every, sleep, type Milliseconds,
 } from './clock.js';
 import {createEntryDirectory} from './entry-directory.js';
 import {createEntryReports} from './entry-reports.js';
 import {createEvacuationTelemetry} from './evacuation-telemetry.js';
+import {cancelJobOperation, createJobCancellation} from './job-cancellation.js';
 import {createJobForwarding, jobOperation} from './job-forwarding.js';
 import {createHttpApi} from './http-api.js';
 import {createIsolationTelemetry, createJobTelemetry, createLookAheadTelemetry} from './job-telemetry.js';
@@ -114,6 +115,7 @@
 	const directory = createEntryDirectory({
 		clock,
 		table: host.platform.table,
+		log: host.log,
 		self,
 		leaseMs: limits.leaseMs,
 		isLinked: other => peers.isLinked(other),
@@ -145,7 +147,7 @@
 		defer: host.defer,
 		clock,
 		timing,
-		onBatchReceived: host.pauseDetector?.check,
+		onBatchReceived: host.pauses?.pauseDetector.check,
 		onUnexpectedError: logUnexpectedError,
 		getSenderSilence: host.getSenderSilence,
 		isNetworkBusy: () => host.linkBudget?.isBusy() ?? false,
@@ -160,17 +162,15 @@
 	});
 	const heldTaskQueries = createHeldTaskQueries({clock, timeoutMs: heldTaskQueryTimeoutMs, broadcastQuery: links.broadcastQuery});
 	const createHoldSwitch = createHoldSwitches(coordinator.scheduler);
-	const areStartsHeld = host.pauseDetector === undefined
-		? () => false
-		: holdStartsAfterPauses({
-			clock, setHeld: createHoldSwitch(), pauseDetector: host.pauseDetector, log: host.log,
-		});
+	const startHold = host.pauses && holdStartsAfterPauses({
+		...host.pauses, clock, setHeld: createHoldSwitch(), log: host.log,
+	});
 	const startPacing = host.linkBudget && createStartPacing({clock, budget: host.linkBudget, setHeld: createHoldSwitch()});
 	const forwarding = createJobForwarding({
 		...host,
 		peers: {tryStartRequest: (peer, req) => peers.tryStartRequest(peer, req), getLoadReports: () => peers.getLoadReports()},
 		isServing: () => !isShuttingDown && follower.tryGet() !== undefined && links.getLinkCount() > 0,
-		areStartsHeld,
+		areStartsHeld: () => startHold?.areStartsHeld() ?? false,
 	});
 	const peers = createPeerHub({
 		clock,
@@ -179,14 +179,19 @@
 		timing,
 		defer: host.defer,
 		tryGetLoad: forwarding.tryGetLoad,
-		async serveRequest(req, cancellation) {
+		tryAnswerUnsent: forwarding.tryAnswerUnsent,
+		async serveRequest(req, reqCancellation) {
 			switch (req.operation) {
 				case snapshotOperation: {
 					return serveSnapshot();
 				}
 
 				case jobOperation: {
-					return forwarding.serve(req, cancellation);
+					return forwarding.serve(req, reqCancellation);
+				}
+
+				case cancelJobOperation: {
+					return cancellation.serve(req);
 				}
 
 				default: {
@@ -197,7 +202,7 @@
 		getState,
 		receiveState(peer, state) {
 			peerStates.set(peer.incarnation, state);
-			directory.addReported([peer, ...state.entries]);
+			directory.addReported([peer, ...state.entries].filter(entry => isUsable(entry, peer)));
 			// Before the configuration of this peer, with which this entry may start to serve.
 			if (state.evacuations !== undefined) {
 				evacuations.offer(state.evacuations);
@@ -215,7 +220,10 @@
 		},
 		onLinksChanged: updateAddresses,
 	});
-	host.pauseDetector?.onPause(pause => {
+	const cancellation = createJobCancellation({
+		...host, self, directory, peers, cancelHere: name => host.cancelJob?.(name) ?? false,
+	});
+	host.pauses?.pauseDetector.onPause(pause => {
 		if (pause > (timing.harmlessPauseMs ?? Infinity)) {
 			host.log.warn({pause}, 'streams of other entries are closed after a pause');
 			peers.abandonServedRequests();
@@ -237,7 +245,7 @@
 		queryCoordinator: async ticket => ({kind: directory.getStatus(ticket.incarnation) === 'dead' ? 'lost' : 'unreachable'}),
 		queryAgents: async ticket => heldTaskQueries.query(ticket.text),
 	});
-	const agreedAnswers = createAgreedAnswerStore(host.platform.table);
+	const agreedAnswers = createAgreedAnswerStore(host.platform.table, host.log);
 	const router = createRouter({
 		clock,
 		entry: settings.name,
@@ -306,7 +314,9 @@
 		coordinator,
 		issueTicket: owner => issuer.issue(owner, 1)[0]!,
 		decideByLoad: forwarding.decide,
+		getInputDelay: () => startHold?.getInputDelay() ?? 0,
 		tryForwardJob: forwarding.tryForward,
+		cancelJob: cancellation.cancel,
 		isShuttingDown: () => isShuttingDown,
 		getRemainingDrainTime: () => drainEndsAt - clock.now(),
 		getOpenLinkCount: links.getLinkCount,
@@ -329,8 +339,18 @@
 		}
 	}
 
-	function logUnexpectedError(err: unknown): void {
-		host.log.error({err}, 'a message of another process could not be processed');
+	function logUnexpectedError(err: unknown, source: string | undefined): void {
+		host.log.error({err, source}, 'input of another process could not be processed');
+	}
+
+	/** Whether an entry that `peer` has reported can be connected to. */
+	function isUsable({name, links: address}: EntryAddress, peer: EntryAddress): boolean {
+		if (!isConnectable(address)) {
+			host.log.warn({peer: peer.name, entry: name, address}, 'reported entry ignored, since its address cannot be used');
+			return false;
+		}
+
+		return true;
 	}
 
 	function serveSnapshot(): RelayResult {
--- a/src/process/job-forwarding.ts
+++ b/src/process/job-forwarding.ts
@@ -18,7 +18,10 @@
 	readonly peers: Pick<PeerHub, 'tryStartRequest' | 'getLoadReports'>;
 	/** Whether this entry has a configuration and agents, and was not asked to stop. */
 	isServing(): boolean;
-	/** Whether starts are held after a pause of this process. A job whose client may have gone must not be forwarded then. */
+	/**
+	 * Whether starts are held after a pause of this process. A job whose client may have gone must not be forwarded then. One whose
+	 * sender may have given it up is declined, so that only a sender that still waits serves it.
+	 */
 	areStartsHeld(): boolean;
 };
 
@@ -30,6 +33,8 @@
 	tryForward(peer: string, name: string, job: ForwardedJob): PendingRequest | undefined;
 	/** Serves or declines a job that another entry has forwarded. */
 	serve(req: RelayRequest, cancellation: Cancellation): Promise<RelayResult>;
+	/** Declines a job that was forwarded and is not sent yet, if its client may have gone since; undefined if it may be sent. */
+	tryAnswerUnsent(req: RelayRequest): RelayResult | undefined;
 	/** Returns the load that is reported to peers; undefined if it is not measured. */
 	tryGetLoad(): PeerLoad | undefined;
 };
@@ -61,10 +66,12 @@
 		},
 		tryForward,
 		async serve(req, cancellation) {
-			const result = acceptsJobs() ? await host.serveForwardedJob!(ForwardedJob.decode(req.body), cancellation) : declinedResult;
+			const job = acceptsJobs() && !host.areStartsHeld() ? tryDecode(req) : undefined;
+			const result = job === undefined ? declinedResult : await host.serveForwardedJob!(job, cancellation);
 			metrics.count('job.received', 1, {outcome: result.declined ? 'declined' : 'served'});
 			return result;
 		},
+		tryAnswerUnsent: req => req.operation === jobOperation && host.areStartsHeld() ? declinedResult : undefined,
 		tryGetLoad: () => loadMonitor && {
 			utilizationPerMille: Math.round(loadMonitor.getLoad().utilization * 1000),
 			acceptsJobs: acceptsJobs(),
@@ -72,6 +79,16 @@
 		},
 	};
 
+	// A job that cannot be read here may be served by its sender.
+	function tryDecode({id, body}: RelayRequest): ForwardedJob | undefined {
+		try {
+			return ForwardedJob.decode(body);
+		} catch (err) {
+			log.warn({err, id}, 'forwarded job declined, since it cannot be read');
+			return undefined;
+		}
+	}
+
 	function acceptsJobs(): boolean {
 		return loadMonitor !== undefined && host.serveForwardedJob !== undefined && host.isServing() && acceptsForwardedJob({process: loadMonitor.getLoad(), link: getLinkLoad()});
 	}
--- a/src/process/start-hold.ts
+++ b/src/process/start-hold.ts
@@ -1,11 +1,12 @@
 /**
  * Holds back the starts of an entry after a pause of its process. During the pause callers may have disconnected and
  * submitted their work elsewhere, and agents may have abandoned its runs, so all input waiting in the sockets is read
- * before tasks are started again.
+ * before tasks are started again, however long that takes.
  */
 import type {Scheduler} from '../connection/types.js';
-import type {Clock, Milliseconds, Timer} from './clock.js';
+import type {Clock, Milliseconds} from './clock.js';
 import type {Log} from './log.js';
+import {createPauseBacklog} from './pause-backlog.js';
 import type {PauseDetector} from './pause-detector.js';
 
 /** Dependencies of the start hold. */
@@ -13,31 +14,47 @@
 	readonly clock: Clock;
 	readonly pauseDetector: PauseDetector;
 	readonly log: Log;
+	/** Calls `action` once all input has been read that waits in the connections of this process now. */
+	afterInputRead(action: () => void): void;
 	/** Holds all starts back, or lets them go. */
 	setHeld(isHeld: boolean): void;
 };
 
-/** Time to read the input that arrived during a pause: some turns of the event loop on a slow machine. */
-const holdMs: Milliseconds = 60;
+/** The hold of one entry. */
+export type StartHold = {
+	/** Whether starts are held back now because of a pause. */
+	areStartsHeld(): boolean;
+	/** Returns for how long input that is read now may have waited during a pause; 0 if all of that was read. */
+	getInputDelay(): Milliseconds;
+};
 
-/** Holds starts back for a moment after each pause, and after each step backward of the wall clock, which may have hidden one. Returns a function that tells whether they are held now. */
+/** Holds starts back for a moment after each pause, and after each step backward of the wall clock, which may have hidden one. */
 export function holdStartsAfterPauses({
-	clock, setHeld, pauseDetector, log,
-}: StartHoldHost): () => boolean {
-	let timer: Timer | undefined;
+	clock, setHeld, pauseDetector, log, afterInputRead,
+}: StartHoldHost): StartHold {
+	const backlog = createPauseBacklog({
+		clock,
+		afterInputRead,
+		onRead(elapsed) {
+			log.info({heldFor: Math.round(elapsed)}, 'starts are no longer held');
+			setHeld(false);
+		},
+	});
 	// A step of the wall clock backward costs no more than this hold, so it counts as a pause here.
 	pauseDetector.onPossiblePause(pause => {
-		log.warn({pause, heldFor: holdMs}, 'this process may have stood still; starts are held');
+		log.warn({pause}, 'this process may have stood still; starts are held');
 		setHeld(true);
-		timer?.cancel();
-		timer = clock.after(holdMs, () => {
-			timer = undefined;
-			setHeld(false);
-		});
+		backlog.recordPause(pause);
 	});
-	return () => {
-		pauseDetector.check();
-		return timer !== undefined;
+	return {
+		areStartsHeld() {
+			pauseDetector.check();
+			return backlog.isPending();
+		},
+		getInputDelay() {
+			pauseDetector.check();
+			return backlog.getDelay();
+		},
 	};
 }
 
--- a/src/request/resource-pool.ts
+++ b/src/request/resource-pool.ts
@@ -6,6 +6,7 @@
 import type {AgentStatus, AgentInfo, TaskRequirements} from '../connection/types.js';
 import {Soundness, type Resources} from '../generated/kingcuplane.js';
 import type {Milliseconds} from '../process/clock.js';
+import type {AgentRuns} from './running-tasks.js';
 
 /** An entry's state of one agent with an open link. */
 export type AgentView = {
@@ -17,8 +18,8 @@
 	health: Soundness;
 	/** Total resources in the agent's last report. */
 	capacity: Resources;
-	/** Free resources in the agent's last report. */
-	reportedFreeResources: Resources;
+	/** Free resources in the agent's last report; undefined until it reports them, on each link and after a refusal. Nothing is started meanwhile. */
+	reportedFreeResources: Resources | undefined;
 	/** What running tasks were expected to release by the agent's last report, in order of time on the monotonic clock. */
 	releases: ReadonlyArray<{readonly at: Milliseconds; readonly resources: Resources}>;
 	/** Time of the agent's last report, on the monotonic clock. */
@@ -29,25 +30,25 @@
 	sentStarts: number;
 	/** Sent starts that the agent had not received when it made its last report, oldest first. */
 	readonly unreceivedStarts: Array<{readonly number: number; readonly resources: Resources}>;
-	/** Number of running tasks of each job, by ticket. */
-	readonly runningByTicket: Map<string, number>;
+	/** What this entry has running there, also from earlier links. */
+	readonly runs: AgentRuns;
 };
 
 /** Creates the state of an agent whose link was just opened. */
-export function createAgentView(agentInfo: AgentInfo): AgentView {
+export function createAgentView(agentInfo: AgentInfo, runs: AgentRuns): AgentView {
 	return {
 		info: agentInfo,
+		runs,
 		isDraining: false,
 		isReportedDraining: false,
 		isEvacuated: false,
 		health: Soundness.SOUNDNESS_SOUND,
 		capacity: agentInfo.capacity ?? noResources,
-		reportedFreeResources: noResources,
+		reportedFreeResources: undefined,
 		releases: [],
 		reportedAt: -Infinity,
 		sentStarts: 0,
 		unreceivedStarts: [],
-		runningByTicket: new Map(),
 	};
 }
 
@@ -77,25 +78,14 @@
 }
 
 /** Records a start that is about to be sent. */
-export function recordSentStart(agent: AgentView, ticket: string, requirements: TaskRequirements): void {
+export function recordSentStart(agent: AgentView, requirements: TaskRequirements): void {
 	agent.sentStarts++;
 	agent.unreceivedStarts.push({number: agent.sentStarts, resources: requirements.resources});
-	agent.runningByTicket.set(ticket, (agent.runningByTicket.get(ticket) ?? 0) + 1);
-}
-
-/** Records that a run has ended. */
-export function recordRunEnd(agent: AgentView, ticket: string): void {
-	const remaining = (agent.runningByTicket.get(ticket) ?? 0) - 1;
-	if (remaining > 0) {
-		agent.runningByTicket.set(ticket, remaining);
-	} else {
-		agent.runningByTicket.delete(ticket);
-	}
 }
 
 /** Returns the resources of the agent's upstream that are probably free. */
 export function estimateFreeResources(agent: AgentView): Resources {
-	let free = agent.reportedFreeResources;
+	let free = agent.reportedFreeResources ?? noResources;
 	for (const {resources} of agent.unreceivedStarts) {
 		free = subtractResources(free, resources);
 	}
@@ -105,7 +95,7 @@
 
 /** Records that an agent refused a start. Nothing more is sent to it until its next report. */
 export function recordRefusal(agent: AgentView): void {
-	agent.reportedFreeResources = noResources;
+	agent.reportedFreeResources = undefined;
 }
 
 /**
@@ -119,7 +109,7 @@
 		}
 
 		case Soundness.SOUNDNESS_PROBED: {
-			return agent.runningByTicket.size === 0;
+			return agent.runs.countJobs() === 0;
 		}
 
 		default: {
@@ -145,8 +135,8 @@
 
 /** Whether a task probably fits on the agent's upstream now. */
 export function hasFreeResources(agent: AgentView, ticket: string, requirements: TaskRequirements): boolean {
-	const isBelowLimit = requirements.maxPerUpstream === undefined || (agent.runningByTicket.get(ticket) ?? 0) < requirements.maxPerUpstream;
-	return isBelowLimit && fits(requirements.resources, estimateFreeResources(agent));
+	const isBelowLimit = requirements.maxPerUpstream === undefined || agent.runs.count(ticket) < requirements.maxPerUpstream;
+	return isBelowLimit && agent.reportedFreeResources !== undefined && fits(requirements.resources, estimateFreeResources(agent));
 }
 
 /** Returns the number of agents whose upstream is not classified as healthy. */
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -17,7 +17,7 @@
 import type {Coordinator} from './coordinator-types.js';
 import type {JobHandle} from './tracked-job.js';
 import {
-	fromRelayReply, toUnreachableReply, toAnswerReply, toRecordReply, toRelayReply, toRefusalReply, toAgreedReply, type AnswerBody, type Reply,
+	tryFromRelayReply, toUnreachableReply, toAnswerReply, toRecordReply, toRelayReply, toRefusalReply, toAgreedReply, type AnswerBody, type Reply,
 } from './reply.js';
 import type {AgreedAnswer} from './agreed-answers.js';
 import type {Caller, SubmissionRequest} from './submission-rules.js';
@@ -103,7 +103,7 @@
 	principal: z.object({name: z.string(), team: z.string(), role: z.enum(['caller', 'operator', 'support'])}),
 	via: z.string(),
 	submission: submissionSchema.optional(),
-});
+}).refine(({operation, submission}) => operation !== 'submit' || submission !== undefined, {path: ['submission'], error: 'a submission is missing'});
 
 /** Creates the router of one entry. */
 export function createRouter(host: RouterHost): Router {
@@ -124,7 +124,7 @@
 			})),
 		});
 		if (reply !== undefined) {
-			return fromRelayReply(reply);
+			return tryFromRelayReply(reply) ?? toUnreachableReply(req.ticket.incarnation);
 		}
 
 		return serveWithoutCoordinator(req, host.directory.getStatus(req.ticket.incarnation));
--- a/test/failure/leased/entry.ts
+++ b/test/failure/leased/entry.ts
@@ -14,7 +14,7 @@
 import {createJobForwarding} from '../../../src/process/job-forwarding.js';
 import {createLoadMonitor, type LoadMonitor} from '../../../src/process/load-monitor.js';
 import {noMetrics} from '../../../src/process/metrics.js';
-import {createPauseDetector, type PauseDetector} from '../../../src/process/pause-detector.js';
+import {createPauseCheckedClock, createPauseDetector, type PauseDetector} from '../../../src/process/pause-detector.js';
 import {createHoldSwitches, holdStartsAfterPauses} from '../../../src/process/start-hold.js';
 import type {MemoryPlatform} from '../../../src/process/platform/memory.js';
 import {createCoordinator} from '../../../src/request/coordinator.js';
@@ -101,10 +101,10 @@
 	const {
 		process, name, network, timing, snapshot, loadSharing, random,
 	} = host;
-	const {clock} = process;
+	const pauseDetector = createPauseDetector(process.clock);
+	const clock = createPauseCheckedClock(process.clock, pauseDetector);
 	const incarnation = process.name;
 	const self: EntryAddress = {name, incarnation, links: name};
-	const pauseDetector = createPauseDetector(clock);
 	const defer = (action: () => void) => {
 		clock.after(0, action);
 	};
@@ -169,11 +169,14 @@
 	const desk = createJobDesk({
 		entry: {coordinator: createCostlyCoordinator(), issueTicket: owner => issuer.issue(owner, 1)[0]!, getRemainingDrainTime: () => Infinity},
 		log: silentLog,
+		clock,
 		tryGetSnapshot: () => snapshot,
 		checkPause: pauseDetector.check,
 	});
-	const areStartsHeld = holdStartsAfterPauses({
+	const {areStartsHeld} = holdStartsAfterPauses({
 		clock, setHeld: createHoldSwitches(coordinator.scheduler)(), pauseDetector, log: silentLog,
+		// A simulated process that resumes has performed everything that waited before it performs this.
+		afterInputRead: defer,
 	});
 	const sharing = loadSharing && startSharing(loadSharing);
 
@@ -241,6 +244,7 @@
 				configVersion: 1, draining: false, entries: [...entries], evacuations: toMessage(evacuations.tryGet()),
 			}),
 			tryGetLoad: forwarding.tryGetLoad,
+			tryAnswerUnsent: forwarding.tryAnswerUnsent,
 			receiveState(_peer, state) {
 				if (state.evacuations !== undefined) {
 					evacuations.offer(state.evacuations);
@@ -263,7 +267,7 @@
 		every(clock, stateIntervalMs, () => {
 			peers.broadcastState([]);
 		});
-		return {peers, intake: createJobIntake({entry: {decideByLoad: forwarding.decide, tryForwardJob: forwarding.tryForward}, desk})};
+		return {peers, intake: createJobIntake({entry: {decideByLoad: forwarding.decide, tryForwardJob: forwarding.tryForward, cancelJob: async () => 'not-found'}, desk})};
 	}
 }
 
