--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -69,7 +69,7 @@
 	 */
 	receiveDeparture(departure: ExecutorDeparture): Promise<void>;
 	tryGetAgent(): Agent | undefined;
-	/** Refuses further announcements; the current agent keeps running. */
+	/** Ignores announcements of other executors from now on; the current agent keeps running. */
 	stopReceiving(): void;
 	/** Stops the agent and closes the upstream. */
 	close(): Promise<void>;
@@ -291,7 +291,8 @@
 
 	async function receiveDeparture({id, bornAt}: ExecutorDeparture): Promise<void> {
 		for (const candidate of candidates) {
-			if (candidate.announcement.executorInfo.id === id && (bornAt ?? candidate.announcement.executorInfo.bornAt) === candidate.announcement.executorInfo.bornAt) {
+			const {executorInfo} = candidate.announcement;
+			if (executorInfo.id === id && (bornAt === undefined || executorInfo.bornAt === bornAt)) {
 				dropCandidate(candidate, 'it has deregistered itself');
 			}
 		}
