Refuse announcements of another service than the executor's

What callers saw: a heartbeat with an executor's own identity and a service that no configuration names was acknowledged and counted.

Cause: the schemas take any name as the service, and nothing compares it with that of the executor, so a heartbeat that names no executor to use is taken as the executor's own word. Ruled out: the configuration as the place of the check, since agents do not read it and it may name a service later than the executor announces it.

Change: the settings of a machine name the service of its executor. A heartbeat with another one gets 400, like one with an unknown state, and a stored announcement with another one is ignored; both are logged. Without a service in the settings any is accepted, as before.

Tests: `ignores an announcement of another service`, `reject heartbeats of another service`, and the first assertion of `after a heartbeat of another writer` over real processes fail without the change. The last one sent such a heartbeat and expected that it was acknowledged; it now expects that it is refused, and sends one with the executor's own service for the path that it tests.

--- a/dev/platform-system.ts
+++ b/dev/platform-system.ts
@@ -119,6 +119,8 @@
 const compiledProgram = 'src/platform/bin/kingcuplane-platform.js';
 const host = 'jobs.example';
 const prefix = '/jobs/';
+/** The service of all executors. */
+const service = 'work';
 /** Number of loopback networks `127.1` to `127.254`; each process that starts systems uses one of them. */
 const networkCount = 254;
 /** Ports of each instance. */
@@ -150,7 +152,7 @@
 	const executors = await Promise.all(agents.map(async (agent, i) => {
 		const proxy = proxies.executors[i];
 		const announceOptions = proxy === undefined ? [] : ['--announce', formatAddress(proxy.address)];
-		const program = start('dev/executor-standin.js', ['--agent', `${agent.address}:${platformPorts.control}`, '--id', `i-${i + 1}`, ...executorOptions, ...announceOptions]);
+		const program = start('dev/executor-standin.js', ['--agent', `${agent.address}:${platformPorts.control}`, '--id', `i-${i + 1}`, '--service', service, ...executorOptions, ...announceOptions]);
 		const url = await waitForUrl(program);
 		proxy?.setTarget(toAddress(url));
 		return {program, url};
@@ -205,7 +207,7 @@
 	function toSettings(role: 'entry' | 'agent', name: string, address: string, i: number): string {
 		const linksProxy = role === 'entry' ? proxies.links[i] : undefined;
 		const advertise = linksProxy === undefined ? '' : `advertise.links=${formatAddress(linksProxy.address)}\n`;
-		const listen = role === 'entry' ? `listen.front=${address}:${platformPorts.clients}\nlisten.ready=${address}:${platformPorts.ready}\n${advertise}` : '';
+		const listen = role === 'entry' ? `listen.front=${address}:${platformPorts.clients}\nlisten.ready=${address}:${platformPorts.ready}\n${advertise}` : `upstream=${service}\n`;
 		const seed = proxies.links[0]?.address.host ?? `${network}.1`;
 		const storeProxy = proxies.stores[role === 'entry' ? i : options.entries + i];
 		const store = storeProxy === undefined ? new URL(storeUrl).host : formatAddress(storeProxy.address);
@@ -217,9 +219,9 @@
 		const value = JSON.stringify({
 			version,
 			routes: prefixes.map((pathPrefix, i) => ({
-				name: `route-${i}`, host, 'path-prefix': pathPrefix, upstream: 'work', 'timeout-ms': 1500, 'slo-ms': 60, stretch: 1.6, attempts: 2,
+				name: `route-${i}`, host, 'path-prefix': pathPrefix, upstream: service, 'timeout-ms': 1500, 'slo-ms': 60, stretch: 1.6, attempts: 2,
 			})),
-			upstreams: [{name: 'work'}],
+			upstreams: [{name: service}],
 		});
 		await fetch(`${storeUrl}/v1/rows-tx`, {
 			method: 'POST', body: JSON.stringify({
--- a/src/platform/announcement-store.ts
+++ b/src/platform/announcement-store.ts
@@ -11,6 +11,7 @@
 import type {Log} from '../process/log.js';
 import type {TableStore} from '../process/platform/types.js';
 import {createRowReader} from '../process/row-reader.js';
+import type {IsOwnService} from './own-service.js';
 
 /** An announcement as it is stored. */
 export type Announcement = {
@@ -25,6 +26,7 @@
 	readonly log: Log;
 	/** Name of the machine. */
 	readonly machine: string;
+	readonly isOwnService: IsOwnService;
 };
 
 /** Loads and saves the announcement of one machine's executor. */
@@ -53,7 +55,7 @@
 
 /** Creates the store of one machine's announcement. */
 export function createAnnouncementStore({
-	clock, table, log, machine,
+	clock, table, log, machine, isOwnService,
 }: AnnouncementStoreHost): AnnouncementStore {
 	const key = `executors/${machine}`;
 	const tryReadRow = createRowReader(announcementSchema, log);
@@ -72,7 +74,13 @@
 			}
 
 			revision ??= row.value?.revision ?? 0;
-			return row.value === undefined ? undefined : tryReadRow(row.value);
+			const announcement = row.value === undefined ? undefined : tryReadRow(row.value);
+			if (announcement !== undefined && !isOwnService(announcement.facts.service)) {
+				log.warn({announcement}, 'the last announcement names another service than the settings; waiting for the next heartbeat');
+				return undefined;
+			}
+
+			return announcement;
 		},
 		save(announcement) {
 			pending = announcement;
--- a/src/platform/bin/kingcuplane-platform.ts
+++ b/src/platform/bin/kingcuplane-platform.ts
@@ -23,7 +23,8 @@
 const log = createLog(`kingcuplane-${role}`, machine.name, {level: 'info'}, stream);
 logUnexpectedErrors(log, stream.flushNow);
 process.on('SIGHUP', () => {
-	// Seeds and bounds are read only at start; a running process keeps the entries that it has found since.
+	// Seeds and bounds are read only at start; a running process keeps the entries that it has found since. The service of an executor
+	// is read again when a heartbeat names another one.
 	log.info({file}, 'settings changed; they are read at the next start');
 });
 // The bundle is a CommonJS module, for which V8's code cache can be used, so there is no top-level await.
@@ -46,9 +47,12 @@
 	process.exit(0);
 }
 
+function readSettings(): ReturnType<typeof readMachineSettings> {
+	return readMachineSettings(fs.existsSync(file) ? fs.readFileSync(file, 'utf8') : '');
+}
+
 function loadMachine(): MachineSettings {
-	const result = readMachineSettings(fs.existsSync(file) ? fs.readFileSync(file, 'utf8') : '');
-	return result.match(settings => settings, diagnostics => {
+	return readSettings().match(settings => settings, diagnostics => {
 		console.error(diagnostics.map(diagnostic => formatDiagnostic(diagnostic)).join('\n'));
 		process.exit(2);
 	});
@@ -65,7 +69,7 @@
 		}
 
 		case 'agent': {
-			return runPlatformAgent(machine, log);
+			return runPlatformAgent(machine, log, () => readSettings().unwrapOr(machine).service);
 		}
 
 		default: {
--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -3,6 +3,7 @@
  */
 import {Hono} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
+import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {maxAmount} from '../connection/resources.js';
 import type {ExecutorDeparture} from '../process/executor-manager.js';
@@ -12,6 +13,7 @@
 } from '../process/input-schemas.js';
 import {readJson} from '../process/json.js';
 import type {Log} from '../process/log.js';
+import type {IsOwnService} from './own-service.js';
 
 /** One heartbeat of an executor. */
 export type Heartbeat = {
@@ -24,6 +26,7 @@
 /** Dependencies of the heartbeat routes. */
 export type HeartbeatHost = {
 	readonly log: Log;
+	readonly isOwnService: IsOwnService;
 	/** Called with each valid heartbeat. Heartbeats may arrive out of order, and from other writers. */
 	onHeartbeat(heartbeat: Heartbeat): void;
 	/** Called when an executor announces that it is shutting down. It is acknowledged when the promise resolves. */
@@ -70,13 +73,13 @@
 	});
 	app.post('/v1/Executors.Heartbeat/:id', async c => {
 		const id = c.req.param('id');
-		const body = readJson(heartbeatSchema, await c.req.text());
-		if (body.isErr() || !headerNameSchema.safeParse(id).success) {
-			host.log.warn({executor: id.slice(0, maxLoggedIdLength), reason: body.isErr() ? body.error : 'the id is invalid'}, 'invalid heartbeat ignored');
+		const heartbeat = readHeartbeat(id, await c.req.text());
+		if (heartbeat.isErr()) {
+			host.log.warn({executor: id.slice(0, maxLoggedIdLength), reason: heartbeat.error}, 'invalid heartbeat ignored');
 			return c.json({}, 400);
 		}
 
-		host.onHeartbeat(toHeartbeat(id, body.value));
+		host.onHeartbeat(heartbeat.value);
 		return c.json({});
 	});
 	app.post('/v1/Executors.Deregister/:id', async c => {
@@ -85,6 +88,16 @@
 		return c.json({});
 	});
 	return app;
+
+	function readHeartbeat(id: string, text: string): Result<Heartbeat, string> {
+		if (!headerNameSchema.safeParse(id).success) {
+			return err('the id is invalid');
+		}
+
+		return readJson(heartbeatSchema, text).andThen(body => host.isOwnService(body.upstream)
+			? ok(toHeartbeat(id, body))
+			: err('the service is not that of the executor beside this agent'));
+	}
 }
 
 function toHeartbeat(id: string, body: z.infer<typeof heartbeatSchema>): Heartbeat {
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -23,6 +23,7 @@
 import {createAnnouncementStore} from './announcement-store.js';
 import {createHeartbeatApp} from './heartbeats.js';
 import {serveHttp, serveMetrics} from './http-server.js';
+import {createOwnServiceCheck} from './own-service.js';
 import type {MachineSettings} from './settings.js';
 import {createPlatformClient} from './platform-client.js';
 import {shutdownReserveMs, platformTiming, storeTimeoutMs} from './timing.js';
@@ -32,8 +33,8 @@
 /** Long, since nothing but the log depends on the load of an agent. */
 const loadSampleIntervalMs: Milliseconds = 500;
 
-/** Starts an agent; resolves once it accepts heartbeats. */
-export async function runPlatformAgent(machine: MachineSettings, log: Log): Promise<{stop(): Promise<void>}> {
+/** Starts an agent; resolves once it accepts heartbeats. `readService` reads the service of its executor from the settings as they are now. */
+export async function runPlatformAgent(machine: MachineSettings, log: Log, readService: () => string | undefined): Promise<{stop(): Promise<void>}> {
 	const clock = createSystemClock();
 	const metrics = createPrometheusMetrics({role: 'agent', process: machine.name});
 	// Before anything is connected, as it knows only connections that were opened after it.
@@ -41,8 +42,11 @@
 	const store = createPlatformClient({clock, url: `http://${machine.store}`, timeoutMs: storeTimeoutMs});
 	const pauseDetector = createPauseDetector(clock);
 	const takeAccumulatedPause = createPauseAccumulator(pauseDetector);
+	const isOwnService = createOwnServiceCheck({
+		clock, log, service: machine.service, readService,
+	});
 	const announcements = createAnnouncementStore({
-		clock, table: store.table, log, machine: machine.name,
+		clock, table: store.table, log, machine: machine.name, isOwnService,
 	});
 	const readEntryDirectory = createEntryAddressReader({table: store.table, log});
 	const lossLog = createLossLog({clock});
@@ -93,7 +97,9 @@
 			announcements.save({facts: executorInfo, isLeaving});
 		},
 	});
-	const server = await serveHttp(createHeartbeatApp({log, onHeartbeat: manager.receive, onDeregister: manager.receiveDeparture}), machine.control!);
+	const server = await serveHttp(createHeartbeatApp({
+		log, isOwnService, onHeartbeat: manager.receive, onDeregister: manager.receiveDeparture,
+	}), machine.control!);
 	const metricsServer = await serveMetrics(metrics, {host: machine.ip, port: machine.metricsPort});
 
 	const loadMonitor = createEventLoopMonitor(clock, loadSampleIntervalMs);
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -23,6 +23,8 @@
 	readonly ready: Address | undefined;
 	/** Address for heartbeats of the executor beside an agent; at an entry, address for operators. */
 	readonly control: Address | undefined;
+	/** Service of the executor beside an agent; undefined if the settings name none. */
+	readonly service: string | undefined;
 	/** Address at which other machines reach the links of this one. */
 	readonly advertisedLinks: Address;
 	/** Ports for links and metrics, the same on all machines. */
@@ -64,6 +66,7 @@
 	'listen.front': address.optional(),
 	'listen.ready': address.optional(),
 	'listen.control': address.optional(),
+	upstream: z.string().optional(),
 	// Not set by the platform: for machines whose links are reached through another address.
 	'advertise.links': address.optional(),
 	'port-range': portRange,
@@ -90,6 +93,7 @@
 		clients: fields['listen.front'],
 		ready: fields['listen.ready'],
 		control: fields['listen.control'],
+		service: fields.upstream === '' ? undefined : fields.upstream,
 		advertisedLinks: fields['advertise.links'] ?? {host: fields.ip, port: linksPort},
 		linksPort,
 		metricsPort,
--- a/test/platform/announcement-store.test.ts
+++ b/test/platform/announcement-store.test.ts
@@ -19,6 +19,10 @@
 	isLeaving: false,
 };
 
+function isOwnService(service: string): boolean {
+	return service === 's';
+}
+
 async function flushPromises(): Promise<void> {
 	return new Promise(resolve => {
 		setImmediate(resolve);
@@ -30,7 +34,7 @@
 		const clock = createFakeClock();
 		const {table} = createMemoryPlatform({clock});
 		const host = {
-			clock, table, log: silentLog, machine: 'side-1',
+			clock, table, log: silentLog, machine: 'side-1', isOwnService,
 		};
 		t.is(await createAnnouncementStore(host).load(), undefined);
 		const announcements = createAnnouncementStore(host);
@@ -44,7 +48,7 @@
 		const clock = createFakeClock();
 		const platform = createMemoryPlatform({clock});
 		const host = {
-			clock, table: platform.table, log: silentLog, machine: 'side-1',
+			clock, table: platform.table, log: silentLog, machine: 'side-1', isOwnService,
 		};
 		platform.setFaults({down: true});
 		const announcements = createAnnouncementStore(host);
@@ -69,7 +73,7 @@
 		const {table} = createMemoryPlatform({clock});
 		await table.commit({conditions: [], writes: [{key: 'executors/side-1', value: '{"facts":1}'}]});
 		t.is(await createAnnouncementStore({
-			clock, table, log: silentLog, machine: 'side-1',
+			clock, table, log: silentLog, machine: 'side-1', isOwnService,
 		}).load(), undefined);
 	});
 
@@ -95,19 +99,41 @@
 			await table.commit({conditions: [], writes: [{key: 'executors/side-1', value: JSON.stringify({...announcement, facts: {...announcement.facts, ...fields}})}]});
 			const {log, lines} = createRecordingLog();
 			t.is(await createAnnouncementStore({
-				clock, table, log, machine: 'side-1',
+				clock, table, log, machine: 'side-1', isOwnService,
 			}).load(), undefined, JSON.stringify(fields));
 			t.like(lines[0], {row: 'executors/side-1', revision: 1});
 		}
 	});
 
+	// Guards against an executor that is never used again, as another writer's service was stored for it.
+	it('ignores an announcement of another service than the executor\'s, and saves the next one', async t => {
+		const clock = createFakeClock();
+		const {table} = createMemoryPlatform({clock});
+		const {log, lines} = createRecordingLog();
+		const announcements = createAnnouncementStore({
+			clock, table, log, machine: 'side-1', isOwnService,
+		});
+		for (const isLeaving of [false, true]) {
+			await table.commit({conditions: [], writes: [{key: 'executors/side-1', value: JSON.stringify({facts: {...announcement.facts, service: 'x'}, isLeaving})}]});
+			t.is(await announcements.load(), undefined);
+		}
+
+		t.is(lines.length, 2);
+		const next = createAnnouncementStore({
+			clock, table, log, machine: 'side-1', isOwnService,
+		});
+		next.save(announcement);
+		await flushPromises();
+		t.deepEqual(await next.load(), announcement);
+	});
+
 	it('loads no announcement that cannot be used, whatever is stored, and saves the next one', async t => {
 		await fc.assert(fc.asyncProperty(createOddBytes(announcement), async bytes => {
 			const clock = createFakeClock();
 			const {table} = createMemoryPlatform({clock});
 			await table.commit({conditions: [], writes: [{key: 'executors/side-1', value: Buffer.from(bytes).toString()}]});
 			const announcements = createAnnouncementStore({
-				clock, table, log: silentLog, machine: 'side-1',
+				clock, table, log: silentLog, machine: 'side-1', isOwnService,
 			});
 			const loaded = await announcements.load();
 			t.true(loaded === undefined || (isConnectable(loaded.facts.address) && Number.isSafeInteger(loaded.facts.bornAt) && loaded.facts.id !== ''));
@@ -125,6 +151,7 @@
 			clock,
 			log: silentLog,
 			machine: 'side-1',
+			isOwnService,
 			table: {
 				...table,
 				commit(transaction: Transaction) {
--- a/test/platform/heartbeats.test.ts
+++ b/test/platform/heartbeats.test.ts
@@ -23,6 +23,7 @@
 	const deregistered: ExecutorDeparture[] = [];
 	const app = createHeartbeatApp({
 		log: silentLog,
+		isOwnService: service => service === sampleHeartbeat.upstream,
 		onHeartbeat(heartbeat) {
 			received.push(heartbeat);
 		},
@@ -114,6 +115,19 @@
 		t.is(received.length, 1);
 	});
 
+	// Guards against an executor that another writer's service takes out of use, or keeps in use while it drains.
+	it('reject heartbeats of another service than the executor\'s', async t => {
+		const {received, send} = createFixture();
+		for (const state of ['ready', 'draining']) {
+			t.is(await send('i-1', {
+				...sampleHeartbeat, state, upstream: 'not-named-here', seq: 1_000_000,
+			}), 400);
+		}
+
+		t.deepEqual(received, []);
+		t.is(await send('i-1', sampleHeartbeat), 200);
+	});
+
 	it('reject a heartbeat that is longer than the platform sends', async t => {
 		const {received, send} = createFixture();
 		t.is(await send('i-1', {...sampleHeartbeat, version: 'x'.repeat(5 * 1024 * 1024)}), 413);
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -35,9 +35,15 @@
 			maxLeaseMs: 1000,
 			linkMbps: undefined,
 			graceMs: 6000,
+			service: undefined,
 		});
 	});
 
+	it('may name the service of an executor, and name none if it is empty', t => {
+		const services = ['upstream=huvo11a', 'upstream='].map(line => readMachineSettings([...lines, line].join('\n'))._unsafeUnwrap().service);
+		t.deepEqual(services, ['huvo11a', undefined]);
+	});
+
 	it('may lack seeds and listeners, as beside an executor before the first entry', t => {
 		const settings = readMachineSettings(lines.filter(line => !line.startsWith('listen') && !line.startsWith('seeds')).join('\n'))._unsafeUnwrap();
 		t.deepEqual(settings.seeds, []);
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -63,6 +63,11 @@
 	return counts;
 }
 
+/** A heartbeat of the stand-ins but for their address and start. */
+const sampleHeartbeat = {
+	upstream: 'work', zone: 'z', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, room: {cpu: 16_000, 'mem-mb': 65_536, gpu: 0}, labels: ['a', 'r1'], seq: 1,
+};
+
 /** Makes a call of an executor to an agent. Returns whether it was acknowledged. */
 async function callAgent(address: string, path: string, body: unknown): Promise<boolean> {
 	const res = await fetch(`http://${address}:${agentPort}${path}`, {method: 'POST', body: JSON.stringify(body)});
@@ -182,10 +187,12 @@
 				name: formatJobName(1), tasks: 24, ms: 1000, deadline: 8000,
 			});
 			await sleep(400);
-			const accepted = await callAgent(address, '/v1/Executors.Heartbeat/i-7f3a91c2', {
-				upstream: 'not-named-here', addr: `${address}:1`, zone: 'z', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, room: {cpu: 16_000, 'mem-mb': 65_536, gpu: 0}, labels: ['a', 'r1-1'], seq: 1, born: Date.now(),
+			const isAccepted = async (service: string) => callAgent(address, '/v1/Executors.Heartbeat/i-7f3a91c2', {
+				...sampleHeartbeat, upstream: service, addr: `${address}:1`, born: Date.now(),
 			});
-			t.true(accepted);
+			// Of one with the executor's own service only the executor in service can tell that it names none to use.
+			t.false(await isAccepted('not-named-here'));
+			t.true(await isAccepted('work'));
 			const finished = await reply;
 			t.is(finished?.status, 200);
 			t.deepEqual(findOverlaps(await system.getEvents()), []);
