Acknowledge an announcement only if it is in force

Cause: the number alone decided which announcements count, and the response did not depend on that decision. Ruled out: asking the executor, whose answers do not tell whether it leaves; the number of the last draining announcement as the newest one, after which a repeated foreign number has tasks started again.

Change: one module decides what counts of an incarnation's announcements (announced-state.ts). Any announcement that the executor leaves counts at once, also one that seems outdated; it is ready again once it has announced that steadily, at least three times over 2.5 s without another announcement that it leaves. The response tells what became of the announcement: 200 only if it is in force or names an executor that is still being verified, 409 if it is outdated or unconfirmed, 503 while the process stops.

The same cause elsewhere: an announcement of the executor in service with another service or other labels changed the room and the state and kept the wrong description for good; now the description with which its writer goes on counts, and the agent is replaced once its runs have ended. An executor that states no start could not leave after another writer had announced a start for it; such a start is no longer taken as confirmed. A repeated number no longer keeps the executor's own announcements outdated.

--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -6,7 +6,8 @@
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {maxAmount} from '../connection/resources.js';
-import type {ExecutorDeparture} from '../process/executor-manager.js';
+import type {ReceivedAnnouncement} from '../process/announced-state.js';
+import type {AnnouncementReception, ExecutorDeparture} from '../process/executor-manager.js';
 import type {ExecutorInfo} from '../process/executor-types.js';
 import {
 	connectableAddressSchema, headerNameSchema, labelsSchema, nameSchema, sequenceNumberSchema, wallTimeSchema,
@@ -15,20 +16,12 @@
 import type {Log} from '../process/log.js';
 import type {IsOwnService} from './own-service.js';
 
-/** One heartbeat of an executor. */
-export type Heartbeat = {
-	readonly executorInfo: ExecutorInfo;
-	readonly isLeaving: boolean;
-	/** Increases with each heartbeat of one incarnation. */
-	readonly sequence: number;
-};
-
 /** Dependencies of the heartbeat routes. */
 export type HeartbeatHost = {
 	readonly log: Log;
 	readonly isOwnService: IsOwnService;
 	/** Called with each valid heartbeat. Heartbeats may arrive out of order, and from other writers. */
-	onHeartbeat(heartbeat: Heartbeat): void;
+	onHeartbeat(heartbeat: ReceivedAnnouncement): AnnouncementReception;
 	/** Called when an executor announces that it is shutting down. It is acknowledged when the promise resolves. */
 	onDeregister(departure: ExecutorDeparture): Promise<void>;
 };
@@ -79,8 +72,9 @@
 			return c.json({}, 400);
 		}
 
-		host.onHeartbeat(heartbeat.value);
-		return c.json({});
+		// The executor relies on what is acknowledged: after `draining`, that nothing more is started there.
+		const reception = host.onHeartbeat(heartbeat.value);
+		return c.json(replyStatuses[reception] === 200 ? {} : {reason: reception}, replyStatuses[reception]);
 	});
 	app.post('/v1/Executors.Deregister/:id', async c => {
 		const {born} = readJson(deregistrationSchema, await c.req.text()).unwrapOr<z.infer<typeof deregistrationSchema>>({});
@@ -89,18 +83,23 @@
 	});
 	return app;
 
-	function readHeartbeat(id: string, text: string): Result<Heartbeat, string> {
+	function readHeartbeat(id: string, text: string): Result<ReceivedAnnouncement, string> {
 		if (!headerNameSchema.safeParse(id).success) {
 			return err('the id is invalid');
 		}
 
 		return readJson(heartbeatSchema, text).andThen(body => host.isOwnService(body.upstream)
-			? ok(toHeartbeat(id, body))
+			? ok(toAnnouncement(id, body))
 			: err('the service is not that of the executor beside this agent'));
 	}
 }
 
-function toHeartbeat(id: string, body: z.infer<typeof heartbeatSchema>): Heartbeat {
+/** HTTP statuses of the responses to heartbeats. */
+const replyStatuses: Readonly<Record<AnnouncementReception, 200 | 409 | 503>> = {
+	'in-force': 200, considered: 200, outdated: 409, unconfirmed: 409, stopping: 503,
+};
+
+function toAnnouncement(id: string, body: z.infer<typeof heartbeatSchema>): ReceivedAnnouncement {
 	return {
 		executorInfo: {
 			id,
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -6,24 +6,22 @@
 import {areEqualResources} from '../connection/resources.js';
 import {LossState, type TaskStart} from '../generated/kingcuplane.js';
 import type {Agent} from './agent-types.js';
-import {createAnnouncementOrder, type AnnouncementOrder} from './announcement-order.js';
+import {
+	areSameDescriptions, createAnnouncedState, type AnnouncedState, type AnnouncementOutcome, type ExecutorAnnouncement, type ReceivedAnnouncement,
+} from './announced-state.js';
 import {sleep, type Clock, type Milliseconds} from './clock.js';
 import type {ExecutorInfo, ExecutorPresence} from './executor-types.js';
 import type {LeasedUpstream, LeasedUpstreamHost} from './leased-upstream.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
 
-/** What an executor has announced about itself. */
-export type ExecutorAnnouncement = {
-	readonly executorInfo: ExecutorInfo;
-	readonly isLeaving: boolean;
-};
-
-/** An announcement that has just arrived. */
-export type ReceivedAnnouncement = ExecutorAnnouncement & {
-	/** Increases with each announcement of one incarnation. */
-	readonly sequence: number;
-};
+/** What became of an announcement. Only one whose effect is in force, or which is no one's to believe yet, is acknowledged. */
+export type AnnouncementReception =
+	| AnnouncementOutcome
+	/** Its executor is not in service; it is used if it answers at its address as announced. */
+	| 'considered'
+	/** This process is about to end and considers no other executor. */
+	| 'stopping';
 
 /** The announcement of an executor that it shuts down. */
 export type ExecutorDeparture = {
@@ -62,7 +60,7 @@
 	 * Handles an announcement. One of the executor in service changes its state. Any other is only a reason to ask: its executor
 	 * is used if it answers at its address as announced, and the one in service does not answer and runs nothing any more.
 	 */
-	receive(announcement: ReceivedAnnouncement): void;
+	receive(announcement: ReceivedAnnouncement): AnnouncementReception;
 	/**
 	 * Handles the announcement of an executor that it shuts down, which is an intention: its runs are stopped, and reported as ended as
 	 * after any other stop. Resolves once they have ended, or after a limit.
@@ -109,13 +107,15 @@
 
 /** One incarnation of the executor and the agent that serves it. */
 type ManagedExecutor = {
+	/** What its agent knows of it. */
 	executorInfo: ExecutorInfo;
 	/** Distinguishes it from other incarnations. */
 	readonly incarnation: string;
-	readonly order: AnnouncementOrder;
+	readonly announced: AnnouncedState;
 	readonly upstream: LeasedUpstream;
 	/** Undefined until the executor has been taken over. */
 	agent?: Agent;
+	isReplacingAgent: boolean;
 	isLeaving: boolean;
 	/** Whether it has deregistered itself and has not announced itself as ready since. */
 	hasDeregistered: boolean;
@@ -124,10 +124,9 @@
 
 /** An announced executor that may replace the one in service. */
 type Candidate = {
-	announcement: ExecutorAnnouncement;
-	readonly order: AnnouncementOrder;
+	readonly announced: AnnouncedState;
 	announcedAt: Milliseconds;
-	/** Whether an earlier process has stored this announcement. */
+	/** Whether an earlier process has stored what counts of its announcements. */
 	isStored: boolean;
 	/** Undefined as long as the executor in service may be there. */
 	managed?: ManagedExecutor;
@@ -146,7 +145,7 @@
 		restore(announcement) {
 			if (current === undefined && candidates.size === 0 && !isStopping) {
 				addCandidate({
-					announcement, order: createAnnouncementOrder(clock), announcedAt: clock.now(), isStored: true,
+					announced: createAnnouncedState(clock, announcement), announcedAt: clock.now(), isStored: true,
 				});
 			}
 		},
@@ -163,41 +162,40 @@
 		},
 	};
 
-	function receive(announcement: ReceivedAnnouncement): void {
-		// Also while this process stops: the announcement is acknowledged, so the next process has to know it.
-		if (current !== undefined && !current.hasEnded && isAnnouncementOf(current, announcement.executorInfo)) {
-			if (acceptNewer(current.order, announcement)) {
-				updateCurrent(current, announcement);
-			}
+	function receive(announcement: ReceivedAnnouncement): AnnouncementReception {
+		const reception = handleAnnouncement(announcement);
+		if (reception !== 'in-force' && reception !== 'considered') {
+			reportIgnored({...toLogFields(announcement.executorInfo), sequence: announcement.sequence, isLeaving: announcement.isLeaving}, reception);
+		}
 
-			return;
+		return reception;
+	}
+
+	function handleAnnouncement(announcement: ReceivedAnnouncement): AnnouncementReception {
+		// Also while this process stops: the next process has to know what is acknowledged.
+		if (current !== undefined && !current.hasEnded && isAnnouncementOf(current, announcement.executorInfo)) {
+			const outcome = current.announced.receive(withConfirmedStart(current, announcement));
+			updateCurrent(current, outcome);
+			return outcome;
 		}
 
 		if (isStopping) {
-			return;
+			return 'stopping';
 		}
 
-		const known = [...candidates].find(candidate => areSameIncarnations(candidate.announcement.executorInfo, announcement.executorInfo));
+		const known = [...candidates].find(candidate => areSameIncarnations(candidate.announced.get().executorInfo, announcement.executorInfo));
 		if (known === undefined) {
-			const order = createAnnouncementOrder(clock);
-			order.accept(announcement.sequence);
 			addCandidate({
-				announcement, order, announcedAt: clock.now(), isStored: false,
+				announced: createAnnouncedState(clock, announcement, announcement.sequence), announcedAt: clock.now(), isStored: false,
 			});
-		} else if (acceptNewer(known.order, announcement)) {
-			known.isStored &&= known.announcement.isLeaving === announcement.isLeaving && areEqualResources(known.announcement.executorInfo.room, announcement.executorInfo.room);
-			known.announcement = announcement;
-			known.announcedAt = clock.now();
-		}
-	}
-
-	function acceptNewer(order: AnnouncementOrder, {executorInfo, sequence}: ReceivedAnnouncement): boolean {
-		const isNewer = order.accept(sequence);
-		if (!isNewer) {
-			reportIgnored({...toLogFields(executorInfo), sequence}, 'outdated');
+			return 'considered';
 		}
 
-		return isNewer;
+		const before = known.announced.get();
+		const outcome = known.announced.receive(announcement);
+		known.isStored &&= areSameAnnouncements(before, known.announced.get());
+		known.announcedAt = clock.now();
+		return outcome === 'in-force' ? 'considered' : outcome;
 	}
 
 	function addCandidate(candidate: Candidate): void {
@@ -211,7 +209,7 @@
 
 	function dropCandidate(candidate: Candidate, reason: string): void {
 		if (candidates.delete(candidate)) {
-			reportIgnored(toLogFields(candidate.announcement.executorInfo), reason);
+			reportIgnored(toLogFields(candidate.announced.get().executorInfo), reason);
 			void candidate.managed?.upstream.close();
 		}
 	}
@@ -250,9 +248,9 @@
 
 	/** Replaces `predecessor`, which is gone as `presence` says, if the candidate answers as announced. */
 	async function verifyCandidate(candidate: Candidate, predecessor: ManagedExecutor | undefined, presence: Exclude<ExecutorPresence, 'answered' | 'in-doubt'>): Promise<void> {
-		const {executorInfo, isLeaving} = candidate.announcement;
+		const {executorInfo} = candidate.announced.get();
 		try {
-			candidate.managed ??= createManagedExecutor(executorInfo, isLeaving, candidate.order);
+			candidate.managed ??= createManagedExecutor(executorInfo, candidate.announced);
 		} catch (err) {
 			// For instance an address that cannot be called.
 			log.warn({err, ...toLogFields(executorInfo)}, 'announced executor cannot be called');
@@ -278,10 +276,11 @@
 		}
 
 		candidates.delete(candidate);
-		managed.executorInfo = candidate.announcement.executorInfo;
-		managed.isLeaving = candidate.announcement.isLeaving;
+		const announcement = candidate.announced.get();
+		managed.executorInfo = announcement.executorInfo;
+		managed.isLeaving = announcement.isLeaving;
 		if (!candidate.isStored) {
-			host.saveAnnouncement(candidate.announcement);
+			host.saveAnnouncement(announcement);
 		}
 
 		current = managed;
@@ -291,7 +290,7 @@
 
 	async function receiveDeparture({id, bornAt}: ExecutorDeparture): Promise<void> {
 		for (const candidate of candidates) {
-			const {executorInfo} = candidate.announcement;
+			const {executorInfo} = candidate.announced.get();
 			if (executorInfo.id === id && (bornAt === undefined || executorInfo.bornAt === bornAt)) {
 				dropCandidate(candidate, 'it has deregistered itself');
 			}
@@ -305,49 +304,82 @@
 		const leaving = current;
 		log.info({...toLogFields(leaving.executorInfo), runs: leaving.upstream.getActiveStarts().length}, 'executor deregisters; its runs are stopped');
 		leaving.hasDeregistered = true;
+		leaving.announced.recordDeparture();
 		// If this process restarts before the next executor announces itself, it must start nothing on this one.
-		setState(leaving, leaving.executorInfo, true);
+		applyAnnounced(leaving);
 		await Promise.race([leaving.upstream.stopAll('executor-left'), sleep(clock, departureLimitMs)]);
 		log.info({executor: id, runs: leaving.upstream.getActiveStarts().length}, 'executor left');
 	}
 
-	function updateCurrent(managed: ManagedExecutor, {executorInfo, isLeaving}: ExecutorAnnouncement): void {
-		const roomBefore = managed.executorInfo.room;
-		const {room} = executorInfo;
+	function updateCurrent(managed: ManagedExecutor, outcome: AnnouncementOutcome): void {
+		const {executorInfo: {room}, isLeaving} = managed.announced.get();
 		// An executor that has only been said to shut down is used again.
 		managed.hasDeregistered &&= isLeaving;
-		managed.agent?.setCapacity(room);
-		setState(managed, executorInfo, isLeaving);
-		if (!areEqualResources(roomBefore, room)) {
-			log.info({executor: executorInfo.id, room, roomBefore}, 'executor capacity changed');
+		if (outcome === 'in-force') {
+			managed.agent?.setCapacity(room);
 		}
+
+		applyAnnounced(managed);
 	}
 
-	/** Stores what has changed, and tells the agent whether the executor is leaving. */
-	function setState(managed: ManagedExecutor, executorInfo: ExecutorInfo, isLeaving: boolean): void {
-		const hasNewCapacity = !areEqualResources(managed.executorInfo.room, executorInfo.room);
-		const hasNewState = managed.isLeaving !== isLeaving;
-		if (hasNewCapacity || hasNewState) {
-			host.saveAnnouncement({executorInfo, isLeaving});
+	/** Stores what has changed, and tells the agent. */
+	function applyAnnounced(managed: ManagedExecutor): void {
+		const announcement = managed.announced.get();
+		const {executorInfo: before, isLeaving: wasLeaving} = managed;
+		const {executorInfo, isLeaving} = announcement;
+		if (areSameAnnouncements({executorInfo: before, isLeaving: wasLeaving}, announcement)) {
+			return;
 		}
 
-		if (hasNewCapacity) {
-			managed.executorInfo = executorInfo;
+		host.saveAnnouncement(announcement);
+		managed.executorInfo = executorInfo;
+		managed.isLeaving = isLeaving;
+		if (!areEqualResources(before.room, executorInfo.room)) {
+			log.info({executor: executorInfo.id, room: executorInfo.room, roomBefore: before.room}, 'executor capacity changed');
 		}
 
-		if (hasNewState) {
-			managed.isLeaving = isLeaving;
+		if (wasLeaving !== isLeaving) {
 			log.info({executor: executorInfo.id, isLeaving}, 'executor state changed');
 			managed.agent?.setUpstreamLeaving(isLeaving);
 		}
+
+		if (!areSameDescriptions(before, executorInfo)) {
+			log.warn({executor: executorInfo, before}, 'the executor goes on with another description than was announced first');
+			void replaceAgent(managed);
+		}
 	}
 
-	function createManagedExecutor(executorInfo: ExecutorInfo, isLeaving: boolean, order: AnnouncementOrder): ManagedExecutor {
+	// Entries place tasks by the service and the labels that an agent tells them once, so another agent tells them the right ones.
+	async function replaceAgent(managed: ManagedExecutor): Promise<void> {
+		if (managed.agent === undefined || managed.isReplacingAgent) {
+			return;
+		}
+
+		managed.isReplacingAgent = true;
+		const previous = managed.agent;
+		let report = await previous.drain();
+		while (report.running > 0 && isInUse(managed)) {
+			report = await previous.drain();
+		}
+
+		managed.isReplacingAgent = false;
+		if (isInUse(managed)) {
+			previous.stop();
+			createAgent(managed);
+		}
+	}
+
+	function isInUse(managed: ManagedExecutor): boolean {
+		return !managed.hasEnded && !isStopping;
+	}
+
+	function createManagedExecutor(executorInfo: ExecutorInfo, announced: AnnouncedState): ManagedExecutor {
 		const managed: ManagedExecutor = {
 			executorInfo,
 			incarnation: `${executorInfo.id}@${executorInfo.bornAt}`,
-			order,
-			isLeaving,
+			announced,
+			isReplacingAgent: false,
+			isLeaving: announced.get().isLeaving,
 			hasDeregistered: false,
 			hasEnded: false,
 			upstream: host.createUpstream(executorInfo, {
@@ -397,13 +429,17 @@
 	// The agent reports the executor to entries only after all runs that an earlier agent started there have ended.
 	async function startAgent(managed: ManagedExecutor): Promise<void> {
 		await managed.upstream.takeOver();
-		if (managed.hasEnded || isStopping) {
+		if (!isInUse(managed)) {
 			return;
 		}
 
+		createAgent(managed);
+		log.info({executor: managed.executorInfo.id}, 'executor taken over');
+	}
+
+	function createAgent(managed: ManagedExecutor): void {
 		managed.agent = host.createAgent(managed.executorInfo, managed.upstream, managed.incarnation);
 		managed.agent.setUpstreamLeaving(managed.isLeaving);
-		log.info({executor: managed.executorInfo.id}, 'executor taken over');
 	}
 
 	function reportLoss(managed: ManagedExecutor, state: LossState, starts: readonly TaskStart[]): void {
@@ -455,8 +491,18 @@
 	return a.id === b.id && a.address === b.address && a.bornAt === b.bornAt;
 }
 
+function areSameAnnouncements(a: ExecutorAnnouncement, b: ExecutorAnnouncement): boolean {
+	return a.isLeaving === b.isLeaving && areEqualResources(a.executorInfo.room, b.executorInfo.room) && areSameDescriptions(a.executorInfo, b.executorInfo);
+}
+
 /** Whether `executorInfo` names this incarnation, by the start that it has announced or answered. */
-function isAnnouncementOf(managed: ManagedExecutor, executorInfo: ExecutorInfo): boolean {
-	return areSameIncarnations(managed.executorInfo, executorInfo)
-		|| areSameIncarnations({...managed.executorInfo, bornAt: managed.upstream.tryGetExecutorStart() ?? managed.executorInfo.bornAt}, executorInfo);
+function isAnnouncementOf({executorInfo: known, upstream}: ManagedExecutor, {id, address, bornAt}: ExecutorInfo): boolean {
+	// An executor that does not state its start has confirmed none, so a start in an announcement may be another writer's.
+	return known.id === id && known.address === address
+		&& (known.bornAt === bornAt || upstream.tryGetExecutorStart() === bornAt || !upstream.statesStart());
+}
+
+/** The start that identifies the executor may be missing in its first announcement, and has been confirmed by its answers then. */
+function withConfirmedStart({executorInfo: {bornAt}, upstream}: ManagedExecutor, announcement: ReceivedAnnouncement): ReceivedAnnouncement {
+	return upstream.statesStart() ? {...announcement, executorInfo: {...announcement.executorInfo, bornAt}} : announcement;
 }
--- a/src/process/executor-poller.ts
+++ b/src/process/executor-poller.ts
@@ -45,6 +45,8 @@
 	probe(): Promise<PollOutcome['kind']>;
 	/** Returns when the incarnation that answers started; undefined if neither the expected one is known nor any has reported that. */
 	tryGetExecutorStart(): number | undefined;
+	/** Whether the executor states in its responses when it started. */
+	statesStart(): boolean;
 	/**
 	 * Polls with the current fencing token until the executor responds to it. Returns false if the poller was closed, or if
 	 * all runs ended because the lease expired without a response.
@@ -84,6 +86,7 @@
 	} = host;
 	let acknowledgedSequenceNumber = 0;
 	let {executorStartedAt} = host;
+	let hasStatedStart = false;
 	let isClosed = false;
 	let isReachable = false;
 	let isPolling = false;
@@ -100,6 +103,7 @@
 			return kind === 'status' && status === undefined ? 'other-incarnation' : kind;
 		},
 		tryGetExecutorStart: () => executorStartedAt,
+		statesStart: () => hasStatedStart,
 		confirmFencingToken,
 		pollNow() {
 			schedulePoll(0);
@@ -296,6 +300,7 @@
 		}
 
 		executorStartedAt ??= status.executorStartedAt;
+		hasStatedStart ||= status.executorStartedAt !== undefined;
 		unansweredPolls = 0;
 		isReachable = true;
 		host.onStatus(status, polledAt);
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -65,6 +65,8 @@
 	identify(): Promise<ExecutorPresence>;
 	/** Returns when the incarnation that answers started; undefined if that is not known. */
 	tryGetExecutorStart(): number | undefined;
+	/** Whether the executor states in its responses when it started. */
+	statesStart(): boolean;
 	/** Stops the runs of an earlier agent. Resolves once the executor has reported that it runs nothing. */
 	takeOver(): Promise<void>;
 	/** Stops all runs. Resolves once each of them has ended. */
@@ -192,6 +194,7 @@
 			return checkPresence();
 		},
 		tryGetExecutorStart: poller.tryGetExecutorStart,
+		statesStart: poller.statesStart,
 		takeOver,
 		async stopAll(cause) {
 			stopAllRuns(cause);
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -8,7 +8,8 @@
 import {createAgent} from '../../../src/process/agent.js';
 import type {Milliseconds} from '../../../src/process/clock.js';
 import {createLeasedUpstream, type LeasedUpstream} from '../../../src/process/leased-upstream.js';
-import {createExecutorManager, type ExecutorAnnouncement, type ExecutorManager} from '../../../src/process/executor-manager.js';
+import type {ExecutorAnnouncement} from '../../../src/process/announced-state.js';
+import {createExecutorManager, type ExecutorManager} from '../../../src/process/executor-manager.js';
 import type {
 	CommandOutcome, Executor, ExecutorInfo, WithExecutorTime,
 } from '../../../src/process/executor-types.js';
--- a/test/platform/heartbeats.test.ts
+++ b/test/platform/heartbeats.test.ts
@@ -1,8 +1,9 @@
 import {Buffer} from 'node:buffer';
 import fc from 'fast-check';
-import {createHeartbeatApp, type Heartbeat} from '../../src/platform/heartbeats.js';
+import {createHeartbeatApp} from '../../src/platform/heartbeats.js';
 import {isConnectable} from '../../src/process/address.js';
-import type {ExecutorDeparture} from '../../src/process/executor-manager.js';
+import type {ReceivedAnnouncement} from '../../src/process/announced-state.js';
+import type {AnnouncementReception, ExecutorDeparture} from '../../src/process/executor-manager.js';
 import {describe, it} from '../describe.js';
 import {createOddBytes, oddInputRuns} from '../odd-input.js';
 import {silentLog} from '../silent-log.js';
@@ -12,28 +13,32 @@
 };
 
 type Fixture = {
-	readonly received: Heartbeat[];
+	readonly received: ReceivedAnnouncement[];
 	readonly deregistered: ExecutorDeparture[];
+	/** What becomes of the next heartbeats. */
+	reception: AnnouncementReception;
 	send(id: string, body: unknown): Promise<number>;
 	deregister(id: string, body?: string): Promise<number>;
 };
 
 function createFixture(): Fixture {
-	const received: Heartbeat[] = [];
+	const received: ReceivedAnnouncement[] = [];
 	const deregistered: ExecutorDeparture[] = [];
 	const app = createHeartbeatApp({
 		log: silentLog,
 		isOwnService: service => service === sampleHeartbeat.upstream,
 		onHeartbeat(heartbeat) {
 			received.push(heartbeat);
+			return fixture.reception;
 		},
 		async onDeregister(departure) {
 			deregistered.push(departure);
 		},
 	});
-	return {
+	const fixture: Fixture = {
 		received,
 		deregistered,
+		reception: 'in-force',
 		async send(id, body) {
 			const res = await app.request(`/v1/Executors.Heartbeat/${id}`, {method: 'POST', body: typeof body === 'string' || body instanceof Uint8Array ? Buffer.from(body) : JSON.stringify(body)});
 			return res.status;
@@ -43,6 +48,7 @@
 			return res.status;
 		},
 	};
+	return fixture;
 }
 
 describe('heartbeat routes', () => {
@@ -115,6 +121,16 @@
 		t.is(received.length, 1);
 	});
 
+	// Guards against tasks that are started on an executor after it was told that its draining is understood.
+	it('acknowledge nothing that is not in force', async t => {
+		const fixture = createFixture();
+		const statuses: ReadonlyArray<readonly [AnnouncementReception, number]> = [['in-force', 200], ['considered', 200], ['outdated', 409], ['unconfirmed', 409], ['stopping', 503]];
+		for (const [reception, status] of statuses) {
+			fixture.reception = reception;
+			t.is(await fixture.send('i-1', sampleHeartbeat), status);
+		}
+	});
+
 	// Guards against an executor that another writer's service takes out of use, or keeps in use while it drains.
 	it('reject heartbeats of another service than the executor\'s', async t => {
 		const {received, send} = createFixture();
--- a/test/platform/http-server.test.ts
+++ b/test/platform/http-server.test.ts
@@ -40,7 +40,7 @@
 
 async function listen(t: ExecutionContext): Promise<number> {
 	const app = createHeartbeatApp({
-		log: silentLog, isOwnService: () => true, onHeartbeat: () => undefined, onDeregister: async () => undefined,
+		log: silentLog, isOwnService: () => true, onHeartbeat: () => 'in-force', onDeregister: async () => undefined,
 	});
 	const server = await serveHttp(app, {host: '127.0.0.1', port: 0});
 	t.teardown(() => server.close());
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -4,9 +4,8 @@
 import {TaskOutcome, TaskStart} from '../../src/generated/kingcuplane.js';
 import type {Agent} from '../../src/process/agent-types.js';
 import type {Milliseconds} from '../../src/process/clock.js';
-import {
-	createExecutorManager, type ExecutorAnnouncement, type ExecutorManager, type ReceivedAnnouncement, type UpstreamEvents,
-} from '../../src/process/executor-manager.js';
+import type {ExecutorAnnouncement, ReceivedAnnouncement} from '../../src/process/announced-state.js';
+import {createExecutorManager, type ExecutorManager, type UpstreamEvents} from '../../src/process/executor-manager.js';
 import type {
 	CommandOutcome, Executor, ExecutorInfo, WithExecutorTime,
 } from '../../src/process/executor-types.js';
@@ -36,6 +35,8 @@
 	readonly events: UpstreamEvents[];
 	readonly saved: ExecutorAnnouncement[];
 	readonly calls: string[];
+	/** Numbers of running tasks that agents report when they are drained; none from then on. */
+	readonly agentReports: number[];
 	/** Results of the runs that {@link startRun} has started. */
 	readonly results: RunResult[];
 	/** How many runs went on at the usual executor when each of these results was reported. */
@@ -76,6 +77,7 @@
 		events: [],
 		saved: [],
 		calls: [],
+		agentReports: [],
 		results: [],
 		runningAtResults: [],
 		manager: createExecutorManager({
@@ -105,7 +107,7 @@
 				fixture.upstreams.push(upstream);
 				return upstream;
 			},
-			createAgent: ({id, bornAt}) => createAgent(`${id}@${bornAt}`, fixture.calls),
+			createAgent: ({id, bornAt}) => createAgent(`${id}@${bornAt}`, fixture.calls, fixture.agentReports),
 			afterFlush(action) {
 				action();
 			},
@@ -163,9 +165,9 @@
 
 type Refusal = Extract<CommandOutcome, {readonly kind: 'not-sent' | 'other-incarnation'}>;
 
-function createAgent(name: string, calls: string[]): Agent {
+function createAgent(name: string, calls: string[], reports: number[]): Agent {
 	return {
-		drain: async () => ({running: 0, unacknowledged: 0, outstanding: 0}),
+		drain: async () => ({running: reports.shift() ?? 0, unacknowledged: 0, outstanding: 0}),
 		setUpstreamLeaving(isLeaving) {
 			calls.push(`${name} leaving: ${isLeaving}`);
 		},
@@ -349,6 +351,88 @@
 		}
 	});
 
+	describe('starts nothing on an executor that has announced that it leaves', () => {
+		const readyWithForeignNumber = {...createAnnouncement(1), sequence: Number.MAX_SAFE_INTEGER};
+
+		// Guards against tasks that are started on an executor after the acknowledgement of its draining (review/2, DRAIN).
+		it('after an announcement of another writer with its identity and a later number', async t => {
+			const fixture = createFixture(t);
+			const {manager, calls, saved} = fixture;
+			await fixture.startRun();
+			manager.receive(readyWithForeignNumber);
+			t.is(manager.receive(createAnnouncement(1, true)), 'in-force');
+			t.is(calls.at(-1), 'i@1 leaving: true');
+			t.true(saved.at(-1)?.isLeaving);
+			t.is(manager.receive({...readyWithForeignNumber, sequence: Number.MAX_SAFE_INTEGER}), 'unconfirmed');
+			t.is(calls.at(-1), 'i@1 leaving: true');
+		});
+
+		it('while it is not in service yet', async t => {
+			const fixture = createFixture(t);
+			const {manager, calls} = fixture;
+			manager.receive(readyWithForeignNumber);
+			t.is(manager.receive(createAnnouncement(1, true)), 'considered');
+			await fixture.runFor(promptMs);
+			t.deepEqual(calls, ['i@1 leaving: true']);
+		});
+
+		// Guards against an executor that cannot leave, since another writer has announced a start for it and it states none itself.
+		it('beside a start that it does not state itself', async t => {
+			const fixture = createFixture(t);
+			const {manager, calls, executor} = fixture;
+			executor.statesStart = false;
+			manager.receive(createAnnouncement(7));
+			await fixture.runFor(promptMs);
+			t.is(manager.receive(createAnnouncement(0, true)), 'in-force');
+			t.is(calls.at(-1), 'i@7 leaving: true');
+		});
+
+		it('by not acknowledging that of another executor while this process stops', async t => {
+			const fixture = createFixture(t);
+			await fixture.startRun();
+			fixture.manager.stopReceiving();
+			t.is(fixture.manager.receive(createAnnouncement(2, true)), 'stopping');
+		});
+	});
+
+	describe('corrects the description of an executor with which another writer came first', () => {
+		const foreignDescriptions: Readonly<Record<string, Partial<ExecutorInfo>>> = {service: {service: 'x'}, labels: {labels: ['x']}};
+		for (const [name, description] of Object.entries(foreignDescriptions)) {
+			// Guards against an executor that is never used again after its agent has restarted.
+			it(name, async t => {
+				for (const isLeaving of [false, true]) {
+					const fixture = createFixture(t);
+					const {manager, calls, saved} = fixture;
+					manager.restore(createAnnouncement(1, isLeaving, description));
+					await fixture.runFor(promptMs);
+					for (let i = 0; i < 3; i++) {
+						manager.receive(createAnnouncement(1));
+						await fixture.runFor(1500);
+					}
+
+					t.deepEqual(calls.slice(-2), ['i@1 stops', 'i@1 leaving: false']);
+					t.deepEqual(saved.at(-1), {executorInfo: createAnnouncement(1).executorInfo, isLeaving: false});
+				}
+			});
+		}
+
+		it('once its runs have ended', async t => {
+			const fixture = createFixture(t);
+			const {manager, calls, results, agentReports} = fixture;
+			agentReports.push(1, 1);
+			manager.restore(createAnnouncement(1, false, {labels: ['x']}));
+			await fixture.runFor(promptMs);
+			for (let i = 0; i < 3; i++) {
+				manager.receive(createAnnouncement(1));
+				await fixture.runFor(1500);
+			}
+
+			t.deepEqual(results, []);
+			t.deepEqual(agentReports, []);
+			t.is(calls.filter(call => call === 'i@1 stops').length, 1);
+		});
+	});
+
 	describe('uses an executor soon after its announcement', () => {
 		// Guards against an executor that was never used again because its time of day had been stepped back.
 		for (const bornAt of [2, 0.5]) {
--- a/test/process/fake-executor.ts
+++ b/test/process/fake-executor.ts
@@ -42,6 +42,8 @@
 	maxLeaseMs: Milliseconds;
 	/** Identifies this incarnation of the executor. */
 	startedAt: number;
+	/** Whether it states in its responses when it started. */
+	statesStart: boolean;
 	/** Number of runs above which the executor refuses starts; undefined if it accepts all. */
 	guardedRuns?: number;
 	/** Number of starts that were refused for that reason. */
@@ -110,6 +112,7 @@
 		clockOffsetMs: initialClockOffsetMs,
 		maxLeaseMs: defaultMaxLeaseMs,
 		startedAt: 1,
+		statesStart: true,
 		refusedStarts: 0,
 		downTimeMs: defaultDownTimeMs,
 		crash,
@@ -172,7 +175,7 @@
 			return {
 				kind: 'status',
 				status: {
-					executorStartedAt: executor.startedAt,
+					executorStartedAt: executor.statesStart ? executor.startedAt : undefined,
 					running: getRunning().map(({task, run, startedAt, duration}) => ({
 						task, run, percent: executor.isStalled ? 0 : Math.floor(100 * (clock.now() - startedAt) / duration),
 					})),
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -1,6 +1,6 @@
 import type {ExecutionContext} from 'ava';
 import {
-	platformPorts, startPlatformSystem, type PlatformEvent, type PlatformSystem,
+	platformPorts, startPlatformSystem, type PlatformEvent, type PlatformInstance, type PlatformSystem,
 } from '../../dev/platform-system.js';
 import type {Milliseconds} from '../../src/process/clock.js';
 import {describe, itSerial} from '../describe.js';
@@ -68,6 +68,12 @@
 	upstream: 'work', zone: 'z', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, room: {cpu: 16_000, 'mem-mb': 65_536, gpu: 0}, labels: ['a', 'r1'], seq: 1,
 };
 
+/** Reads the address and the start that an executor has announced from the log of its agent. */
+function readAnnounced({program}: PlatformInstance): {readonly addr: string; readonly born: number} {
+	const line = program.lines.findLast(text => text.includes('"executor announced"')) ?? '';
+	return {addr: /"address":"(?<addr>[^"]+)"/v.exec(line)?.groups?.addr ?? '', born: Number(/"bornAt":(?<born>\d+)/v.exec(line)?.groups?.born)};
+}
+
 /** Makes a call of an executor to an agent. Returns whether it was acknowledged. */
 async function callAgent(address: string, path: string, body: unknown): Promise<boolean> {
 	const res = await fetch(`http://${address}:${agentPort}${path}`, {method: 'POST', body: JSON.stringify(body)});
@@ -254,6 +260,37 @@
 		t.true(events.some(({what}) => what === 'lapsed'));
 	});
 
+	// Guards against tasks that are started on an executor after its draining was acknowledged (DRAIN), and against one that another
+	// writer takes out of use.
+	itSerial('start nothing on an executor that drains, whatever another writer has announced for it', async t => {
+		const system = await startSystem(t, 2, 3);
+		const [agent, executor] = [system.agents[0]!, system.executors[0]!];
+		const beat = async (changes: Readonly<Record<string, unknown>>) => callAgent(agent.address, '/v1/Executors.Heartbeat/i-1', {
+			...sampleHeartbeat, seq: 1_000_000, ...readAnnounced(agent), ...changes,
+		});
+		t.false(await beat({upstream: 'not-named-here', state: 'draining'}));
+		t.false(await beat({upstream: 'not-named-here', room: {cpu: 0, 'mem-mb': 0, gpu: 0}}));
+		let number = 0;
+		const countNewStarts = async () => {
+			const from = Date.now();
+			await Promise.all(Array.from({length: 12}, async () => system.submit(number % 2, {
+				name: formatJobName(++number), tasks: 2, ms: 50, declaredMs: 500, deadline: 3000,
+			})));
+			const events = await system.getEvents();
+			return events.filter(({what, executor: url, at}) => what === 'start' && url === executor.url && at >= from).length;
+		};
+
+		t.true(await countNewStarts() > 0, 'the executor is in use');
+		t.true(await beat({}));
+		executor.program.signal('SIGUSR2');
+		await agent.program.waitForLine(/"isLeaving":true/v);
+		for (let i = 0; i < 8; i++) {
+			await beat({seq: 1_000_001 + i});
+			t.is(await countNewStarts(), 0);
+			await sleep(400);
+		}
+	});
+
 	itSerial('answer every job when an entry and then an agent are stopped under load', async t => {
 		const system = await startSystem(t, 2, 2);
 		const replies: Array<ReturnType<typeof system.submit>> = [];
