Begin submissions only of clients that still wait, on the own HTTP interface too

Cause: the end of a connection is read after the request on it. The interface for the users' clients waits for a further poll of the event loop (request-arrivals.ts); the product's own interface looked only at the abort signal of the request, which is as late.

Change: the arrivals belong to the entry, and both interfaces ask them before a submission is begun.

--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -17,7 +17,6 @@
 import {createPauseCheckedClock, createPauseDetector} from '../process/pause-detector.js';
 import {runEntry, type RunningEntry} from '../process/run-entry.js';
 import {createPrometheusMetrics} from '../process/prometheus-metrics.js';
-import {createRequestArrivals} from '../process/request-arrivals.js';
 import type {EntrySettings} from '../process/settings.js';
 import {createSocketTraffic, type CountedSocket} from '../process/socket-traffic.js';
 import {createResourceScheduler} from '../request/resource-scheduler.js';
@@ -114,9 +113,7 @@
 		desk,
 		log,
 		intake,
-		arrivals: createRequestArrivals({
-			clock, log, metrics, afterPoll, getInputDelay: entry.getInputDelay,
-		}),
+		arrivals: entry.arrivals,
 	}), machine.clients!);
 	const readinessServer = await serveHttp(new Hono().get('/v1/readyz', c => isReady() ? c.text('ready') : c.text('not ready', 503)), machine.ready!);
 	const metricsServer = await serveMetrics(metrics, {host: machine.ip, port: machine.metricsPort});
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -15,12 +15,15 @@
 import type {ConfigFollower} from '../version/polling-follower.js';
 import type {Clock, Milliseconds} from './clock.js';
 import type {Diagnostic} from './diagnostics.js';
+import type {HttpApiEnv} from './http-api.js';
+import type {AfterPoll} from './input-reading.js';
 import type {CancelOutcome} from './job-cancellation.js';
 import type {LinkBudget} from './link-budget.js';
 import type {LoadMonitor} from './load-monitor.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
 import type {Platform} from './platform/types.js';
+import type {RequestArrivals} from './request-arrivals.js';
 import type {EntrySettings} from './settings.js';
 import type {SocketTraffic} from './socket-traffic.js';
 import type {StartHoldHost} from './start-hold.js';
@@ -40,6 +43,7 @@
 	readonly ticketKey: Uint8Array;
 	readonly log: Log;
 	readonly metrics: Metrics;
+	readonly afterPoll: AfterPoll;
 	readonly timing?: LinkTiming;
 	/** Tells of pauses of this process, after which the entry holds its starts back for a moment; undefined disables this. */
 	readonly pauses?: Pick<StartHoldHost, 'pauseDetector' | 'afterInputRead'>;
@@ -79,15 +83,15 @@
 export type Entry = {
 	/** Coordinator of the submissions that this entry has accepted. */
 	readonly coordinator: Coordinator;
-	readonly http: Hono<{Variables: {principal: Principal}}>;
+	readonly http: Hono<HttpApiEnv>;
+	/** Tells of each request whether its client still waits. */
+	readonly arrivals: RequestArrivals;
 	readonly links: LinkServer;
 	readonly peers: PeerServer;
 	/** Issues a ticket for a submission that does not arrive over this HTTP interface. */
 	issueTicket(owner: string): Ticket;
 	/** Decides whether a new job is served here or by another entry; always here unless the load of this process is measured. */
 	decideByLoad(): LoadDecision;
-	/** Returns for how long input that is read now may have waited while this process stood still; 0 if it did not. */
-	getInputDelay(): Milliseconds;
 	/** Forwards a job of the client's name `name` to another entry; undefined if it has to be served here after all. */
 	tryForwardJob(peer: string, name: string, job: ForwardedJob): PendingRequest | undefined;
 	/** Cancels the job of the client's name `name` at all entries. */
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -31,6 +31,7 @@
 import {createHttpApi} from './http-api.js';
 import {createIsolationTelemetry, createJobTelemetry, createLookAheadTelemetry} from './job-telemetry.js';
 import {startLoadTelemetry} from './load-telemetry.js';
+import {createRequestArrivals} from './request-arrivals.js';
 import {createHoldSwitches, holdStartsAfterPauses} from './start-hold.js';
 import {createStartPacing} from './start-pacing.js';
 import type {
@@ -258,9 +259,13 @@
 		proposeAnswer: agreedAnswers.propose,
 		recordDelivery: host.recorder.recordDelivery,
 	});
+	const arrivals = createRequestArrivals({
+		...host, getInputDelay: () => startHold?.getInputDelay() ?? 0,
+	});
 	const http = createHttpApi({
 		clock,
 		router,
+		arrivals,
 		maxBodyBytes: limits.maxBodyBytes,
 		maxTickets,
 		maxWaitMs: limits.maxWaitMs,
@@ -314,7 +319,7 @@
 		coordinator,
 		issueTicket: owner => issuer.issue(owner, 1)[0]!,
 		decideByLoad: forwarding.decide,
-		getInputDelay: () => startHold?.getInputDelay() ?? 0,
+		arrivals,
 		tryForwardJob: forwarding.tryForward,
 		cancelJob: cancellation.cancel,
 		isShuttingDown: () => isShuttingDown,
--- a/src/process/http-api.ts
+++ b/src/process/http-api.ts
@@ -3,6 +3,7 @@
  */
 import {bodyLimit} from 'hono/body-limit';
 import {routePath} from 'hono/route';
+import type {HttpBindings} from '@hono/node-server';
 import {type Context, Hono} from 'hono';
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
@@ -14,11 +15,13 @@
 import type {Ticket} from '../request/types.js';
 import type {Clock, Milliseconds} from './clock.js';
 import {createDiagnostic, Diagnostics, type Diagnostic} from './diagnostics.js';
+import type {RequestArrivals} from './request-arrivals.js';
 
 /** Dependencies of the HTTP interface. */
 export type HttpApiHost = {
 	readonly clock: Clock;
 	readonly router: Router;
+	readonly arrivals: RequestArrivals;
 	/** Largest body of a request, in bytes. */
 	readonly maxBodyBytes: number;
 	/** Maximum number of tickets issued for one request. */
@@ -41,12 +44,13 @@
 const ticketsSchema = z.strictObject({count: z.int().min(1).default(1)});
 const notReadyRetryMs: Milliseconds = 1000;
 
-type Env = {Variables: {principal: Principal}};
-type RequestContext = Context<Env>;
+/** What handlers know of a request besides its contents; there are no bindings where it did not come through a connection. */
+export type HttpApiEnv = {Variables: {principal: Principal}; Bindings: Partial<HttpBindings> | undefined};
+type RequestContext = Context<HttpApiEnv>;
 
 /** Creates the routes of one entry. */
-export function createHttpApi(host: HttpApiHost): Hono<Env> {
-	const app = new Hono<Env>();
+export function createHttpApi(host: HttpApiHost): Hono<HttpApiEnv> {
+	const app = new Hono<HttpApiEnv>();
 	const limitBody = bodyLimit({
 		maxSize: host.maxBodyBytes,
 		onError: () => send(toRefusalReply(createDiagnostic(Diagnostics.Body_is_too_large, host.maxBodyBytes))),
@@ -115,6 +119,12 @@
 			return send(toRefusalReply(ticket.error));
 		}
 
+		const connection = c.env?.incoming?.socket;
+		if (connection !== undefined && !await host.arrivals.isClientWaiting(submission.ticket, connection)) {
+			// Nobody reads this response.
+			return c.body(null, 504);
+		}
+
 		return send(await host.router.route({
 			operation: 'submit', principal: c.var.principal, ticket: ticket.value, submission, waitMs: host.maxWaitMs, isConnected: trackConnection(c),
 		}));
--- a/src/process/run-entry.ts
+++ b/src/process/run-entry.ts
@@ -19,6 +19,7 @@
 import {createEntry} from './entry.js';
 import type {Entry, EntryHost} from './entry-types.js';
 import {closeHttp, listenHttp} from './http-listen.js';
+import {afterPoll} from './input-reading.js';
 import {createLog, type Log} from './log.js';
 import {createLogStream} from './log-stream.js';
 import {createMetrics, type Metrics} from './metrics.js';
@@ -115,6 +116,7 @@
 		areTokensLoaded: () => overrides.authenticate !== undefined || tokens.isLoaded(),
 		onDeclaredDead,
 		defer: setImmediate,
+		afterPoll,
 		random: Math.random,
 		...overrides.host,
 	});
--- a/test/platform/late-clients.ts
+++ b/test/late-clients.ts
@@ -8,6 +8,8 @@
 export type LateClient = {
 	readonly path: string;
 	readonly body: string;
+	/** Headers besides those of every request, each followed by a line break. */
+	readonly headers?: string;
 	/** Whether it is connected before the server is blocked, or waits to be accepted meanwhile. */
 	readonly connects: 'before' | 'meanwhile';
 	/** How it leaves once its request is sent. */
@@ -53,7 +55,7 @@
 }
 
 /** Sends a request; resolves once it has left this process, and its client if it leaves. */
-async function send({path, body, leaves}: LateClient, socket: net.Socket): Promise<void> {
+async function send({path, body, headers = '', leaves}: LateClient, socket: net.Socket): Promise<void> {
 	let text = '';
 	socket.on('data', chunk => {
 		text += chunk.toString();
@@ -63,7 +65,7 @@
 		}
 	});
 	await new Promise<void>(resolve => {
-		socket.write(`POST ${path} HTTP/1.1\r\nhost: h.example\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`, () => {
+		socket.write(`POST ${path} HTTP/1.1\r\nhost: h.example\r\ncontent-type: application/json\r\n${headers}content-length: ${body.length}\r\n\r\n${body}`, () => {
 			resolve();
 		});
 	});
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -1,6 +1,5 @@
 import http from 'node:http';
 import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
-import {Worker} from 'node:worker_threads';
 import type {ExecutionContext} from 'ava';
 import fc from 'fast-check';
 import {createIngress} from '../../src/platform/ingress.js';
@@ -17,17 +16,14 @@
 import type {SubmissionRequest} from '../../src/request/submission-rules.js';
 import type {Answer} from '../../src/request/types.js';
 import type {Route, Snapshot} from '../../src/version/types.js';
+import {createLateClients, sendWhileBlocked} from '../blocked-server.js';
 import {describe, it} from '../describe.js';
 import {createOddBytes, createOddNumberTexts, oddInputRuns} from '../odd-input.js';
 import {silentLog} from '../silent-log.js';
-import type {LateClient, LateClientsData, LateClientsMessage} from './late-clients.js';
 
 const pathPrefix = '/jobs/';
 const path = `${pathPrefix}0123456789abcdef`;
 const pollMs = 5;
-/** Time for which the server is blocked at most, while clients send and leave. */
-const maxBlockedMs = 20_000;
-const clientsOfEachKind = 8;
 /** Turns of the event loop in which a job that is begun by mistake would be seen. */
 const laterTurns = 20;
 const serveHere: LoadDecision = {kind: 'serve'};
@@ -288,7 +284,7 @@
 	for (const [where, decision] of Object.entries({here: serveHere, 'at another entry': forwardToPeer})) {
 		it(`after its process stood still, begins jobs ${where} of the clients that still wait, and of no others`, async t => {
 			const {submitted, cancelled, forwarded, port, answerAll} = await createFixture(t, decision);
-			const clients = createLateClients();
+			const clients = createLateClients(i => ({path: `${pathPrefix}${i.toString(16).padStart(16, '0')}`, body: createBody({})}));
 			const answered = await sendWhileBlocked(t, port, clients);
 			const waiting = clients.filter(({leaves}) => leaves === 'never');
 			await waitUntil(() => submitted.length + forwarded.length >= waiting.length);
@@ -306,31 +302,3 @@
 		});
 	}
 });
-
-/** Clients of each kind; several of each, which the event loop reads in any order. */
-function createLateClients(): readonly LateClient[] {
-	const kinds = (['before', 'meanwhile'] as const).flatMap(connects => (['end', 'destroy', 'never'] as const).map(leaves => ({connects, leaves})));
-	return Array.from({length: clientsOfEachKind * kinds.length}, (_, i) => ({
-		...kinds[i % kinds.length]!, path: `${pathPrefix}${i.toString(16).padStart(16, '0')}`, body: createBody({}),
-	}));
-}
-
-/** Blocks this thread until the clients have sent their requests and those that leave have left. Returns the responses, which come later. */
-async function sendWhileBlocked(t: ExecutionContext, port: number, clients: readonly LateClient[]): Promise<readonly string[]> {
-	const answered: string[] = [];
-	const data: LateClientsData = {port, clients, done: new Int32Array(new SharedArrayBuffer(4))};
-	const worker = new Worker(new URL('late-clients.js', import.meta.url), {workerData: data});
-	t.teardown(async () => worker.terminate());
-	await new Promise<void>(resolve => {
-		worker.on('message', (message: LateClientsMessage) => {
-			if (message.kind === 'connected') {
-				resolve();
-			} else {
-				answered.push(message.text);
-			}
-		});
-	});
-	worker.postMessage('start');
-	t.is(Atomics.wait(data.done, 0, 0, maxBlockedMs), 'ok');
-	return answered;
-}
--- /dev/null
+++ b/test/process/http-api.test.ts
@@ -0,0 +1,94 @@
+import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
+import type {ExecutionContext} from 'ava';
+import {createAdaptorServer} from '@hono/node-server';
+import {ok} from 'neverthrow';
+import {createSystemClock} from '../../src/process/clock.js';
+import {createHttpApi} from '../../src/process/http-api.js';
+import {listenHttp} from '../../src/process/http-listen.js';
+import {afterPoll} from '../../src/process/input-reading.js';
+import {noMetrics} from '../../src/process/metrics.js';
+import {createRequestArrivals} from '../../src/process/request-arrivals.js';
+import {createTicketIssuer} from '../../src/request/ticket.js';
+import {createLateClients, sendWhileBlocked} from '../blocked-server.js';
+import {describe, it} from '../describe.js';
+import {silentLog} from '../silent-log.js';
+
+/** Turns of the event loop in which a submission that is begun by mistake would be seen. */
+const laterTurns = 20;
+const pollMs = 5;
+const answerWaitMs = 10_000;
+
+type Fixture = {
+	readonly port: number;
+	/** Tickets of the submissions that were begun. */
+	readonly begun: string[];
+	issueTicket(): string;
+};
+
+async function createFixture(t: ExecutionContext): Promise<Fixture> {
+	const clock = createSystemClock();
+	const issuer = createTicketIssuer({
+		clock, incarnation: 'e-1', key: new Uint8Array(32), blockMs: 1000, lifetimeMs: 60_000,
+	});
+	const begun: string[] = [];
+	const app = createHttpApi({
+		clock,
+		router: {
+			async route({ticket}) {
+				begun.push(ticket.text);
+				return {status: 200, body: {}};
+			},
+			async serveRelayed() {
+				throw new Error('no peer is expected');
+			},
+		},
+		arrivals: createRequestArrivals({
+			clock, log: silentLog, metrics: noMetrics, afterPoll, getInputDelay: () => 0,
+		}),
+		maxBodyBytes: 10_000,
+		maxTickets: 100,
+		maxWaitMs: 10_000,
+		ticketLifetimeMs: 60_000,
+		authenticate: () => ok({name: 'c', team: 't', role: 'caller'}),
+		issueTickets: issuer.issue,
+		isReady: () => true,
+		getStatus: () => ({}),
+		logError(err) {
+			t.fail(String(err));
+		},
+		onRequestServed: () => undefined,
+	});
+	const server = createAdaptorServer({fetch: app.fetch});
+	t.teardown(() => server.close());
+	return {port: await listenHttp(server, {host: '127.0.0.1', port: 0}), begun, issueTicket: () => issuer.issue('c', 1)[0]!.text};
+}
+
+function createBody(ticket: string): string {
+	return JSON.stringify({ticket, submission: 'check', tasks: [{payload: ''}]});
+}
+
+describe('HTTP interface of an entry', () => {
+	// Guards against a second run of what a client has submitted elsewhere since it left an entry that stood still (review/1).
+	it('after its process stood still, begins submissions of the clients that still wait, and of no others', async t => {
+		const {port, begun, issueTicket} = await createFixture(t);
+		const tickets: string[] = [];
+		const clients = createLateClients(i => {
+			tickets[i] = issueTicket();
+			return {path: '/v1/submissions', body: createBody(tickets[i]), headers: 'authorization: Bearer x\r\n'};
+		});
+		const answered = await sendWhileBlocked(t, port, clients);
+		const waiting = tickets.filter((_, i) => clients[i]!.leaves === 'never');
+		const end = Date.now() + answerWaitMs;
+		while (answered.length < waiting.length && Date.now() < end) {
+			await sleep(pollMs);
+		}
+
+		for (let turn = 0; turn < laterTurns; turn++) {
+			await nextTurn();
+		}
+
+		t.deepEqual(begun.toSorted(), waiting.toSorted());
+		t.is(answered.length, waiting.length);
+		t.true(answered.every(text => text.startsWith('HTTP/1.1 200')));
+	});
+});
--- a/test/process/test-entry.ts
+++ b/test/process/test-entry.ts
@@ -56,6 +56,9 @@
 		areTokensLoaded: () => true,
 		random: () => 0,
 		onDeclaredDead: () => undefined,
+		afterPoll(action) {
+			deferred.push(action);
+		},
 		defer(action) {
 			deferred.push(action);
 		},
