Survive a signal about changed settings while a program starts

Cause: the handler was installed once the modules were loaded, some 0.3 s or more after the start; until then the signal's default action ends the process.

Change: launch.ts, the first code of the deployed program, ignores the signal before it compiles the bundle; the program replaces nothing, as it logs the signal in addition. A signal within the first tens of milliseconds, before Node.js runs any code, still ends the process.

--- a/src/platform/bin/launch.ts
+++ b/src/platform/bin/launch.ts
@@ -20,6 +20,9 @@
 const bundle = path.join(folder, 'program.cjs');
 const cacheFile = path.join(folder, `program-${process.argv[2] ?? ''}.cache`);
 
+// A signal about changed settings must not end a process that is still starting.
+process.on('SIGHUP', () => undefined);
+
 if (process.argv[3] === '--write-code-cache') {
 	writeCodeCache();
 } else {
