Work out once what a cancelled job and a start need

The entries that cannot be asked were worked out twice for a cancelled job, for the outcome and for its log line, which could differ; the payload of a start was decoded for each attempt.

--- a/src/process/job-cancellation.ts
+++ b/src/process/job-cancellation.ts
@@ -54,9 +54,10 @@
 		async cancel(name) {
 			const isHere = host.cancelHere(name);
 			const pending = askPeers(name);
-			const outcome = isHere ? 'cancelled' : await waitForReplies(pending);
+			const unreachable = getUnreachable();
+			const outcome = isHere ? 'cancelled' : await waitForReplies(pending, unreachable);
 			host.log.info({
-				request: name, outcome, isHere, asked: pending.length, unreachable: getUnreachable().map(entry => entry.name),
+				request: name, outcome, isHere, asked: pending.length, unreachable: unreachable.map(entry => entry.name),
 			}, 'job cancelled by its client');
 			host.metrics.count('job.cancelled', 1, {outcome});
 			return outcome;
@@ -74,8 +75,7 @@
 	}
 
 	/** Waits until one entry has said that it had the job, all have replied, or the time is over. */
-	async function waitForReplies(pending: readonly PendingRequest[]): Promise<CancelOutcome> {
-		const unreachable = getUnreachable();
+	async function waitForReplies(pending: readonly PendingRequest[], unreachable: readonly EntryAddress[]): Promise<CancelOutcome> {
 		return new Promise(resolve => {
 			const replies: Array<RelayReply | undefined> = [];
 			const timer = host.clock.after(replyTimeoutMs, () => {
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -310,6 +310,12 @@
 	}
 
 	async function sendStart(run: Run): Promise<void> {
+		const spec = decodeText(run.start.payload);
+		if (spec.isErr()) {
+			endRun(run, TaskOutcome.TASK_OUTCOME_FAILED, `the payload cannot be given to the executor: ${spec.error}`);
+			return;
+		}
+
 		for (let attempts = 0; attempts < maxStartAttempts && runs.get(run.task) === run; attempts++) {
 			// The response to the call before may have shown that this process was suspended after it had received the start.
 			if (run.stop !== undefined) {
@@ -322,12 +328,6 @@
 				break;
 			}
 
-			const spec = decodeText(run.start.payload);
-			if (spec.isErr()) {
-				endRun(run, TaskOutcome.TASK_OUTCOME_FAILED, `the payload cannot be given to the executor: ${spec.error}`);
-				return;
-			}
-
 			const usedFencingToken = lease.getFencingToken();
 			const {outcome} = lease.recordResponse(await executor.start({
 				task: run.task, run: run.run, spec: spec.value, leaseExpiresAt, fencingToken: usedFencingToken,
