test: count starts from the acknowledgement of the draining itself

The test waited for the agent's log line that the executor leaves, without a bound, so an agent that acknowledged the draining and believed it seconds later would have passed. It now waits for the executor's own sight of the acknowledgement.

--- a/dev/executor-standin.ts
+++ b/dev/executor-standin.ts
@@ -112,7 +112,10 @@
 				labels: ['a', 'r1'],
 			};
 			try {
-				await fetch(`http://${options.agent}/v1/Executors.Heartbeat/${options.id}`, {method: 'POST', body: JSON.stringify(body)});
+				const res = await fetch(`http://${options.agent}/v1/Executors.Heartbeat/${options.id}`, {method: 'POST', body: JSON.stringify(body)});
+				if (state === 'draining' && res.ok) {
+					console.log('draining is acknowledged');
+				}
 			} catch {
 				// The agent is down; the next heartbeat tries again.
 			}
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -283,7 +283,7 @@
 		t.true(await countNewStarts() > 0, 'the executor is in use');
 		t.true(await beat({}));
 		executor.program.signal('SIGUSR2');
-		await agent.program.waitForLine(/"isLeaving":true/v);
+		await executor.program.waitForLine(/draining is acknowledged/v);
 		for (let i = 0; i < 8; i++) {
 			await beat({seq: 1_000_001 + i});
 			t.is(await countNewStarts(), 0);
