--- a/src/platform/own-service.ts
+++ b/src/platform/own-service.ts
@@ -1,5 +1,5 @@
 /**
- * Tells the service of the executor beside an agent, as the machine's settings name it, from a service that another writer names.
+ * The service of the executor beside an agent, by which announcements of other writers are recognized.
  */
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {Log} from '../process/log.js';
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -15,7 +15,7 @@
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
 
-/** What became of an announcement. Only one whose effect is in force, or which is no one's to believe yet, is acknowledged. */
+/** What became of an announcement; `in-force` and `considered` ones are acknowledged. */
 export type AnnouncementReception =
 	| AnnouncementOutcome
 	/** Its executor is not in service; it is used if it answers at its address as announced. */
@@ -107,7 +107,7 @@
 
 /** One incarnation of the executor and the agent that serves it. */
 type ManagedExecutor = {
-	/** What its agent knows of it. */
+	/** What was passed on to its agent. */
 	executorInfo: ExecutorInfo;
 	/** Distinguishes it from other incarnations. */
 	readonly incarnation: string;
@@ -115,6 +115,7 @@
 	readonly upstream: LeasedUpstream;
 	/** Undefined until the executor has been taken over. */
 	agent?: Agent;
+	/** Whether the agent is drained, to be followed by one with another description. */
 	isReplacingAgent: boolean;
 	isLeaving: boolean;
 	/** Whether it has deregistered itself and has not announced itself as ready since. */
