Failure runs with announcements of another writer under the executor's identity

Executors leave and are ready again while another writer announces something else under their identity, with numbers far beyond their own (`--identities`). Executors of the runs go on with their heartbeats when their state changes, since one that was leaving is ready only after three of them: with a single one they would stay out of use, and the runs would check less.

--- a/test/failure/leased.test.ts
+++ b/test/failure/leased.test.ts
@@ -27,7 +27,7 @@
 const defectSeeds = 40;
 
 /** Defects that a code change could introduce, and the rule that each violates, or one of two rules. */
-const defectCases: Readonly<Record<string, {readonly defects: InjectedDefects; readonly brokenRule: string | readonly string[]; readonly hasExecutorFaults?: boolean; readonly hasForwarding?: boolean; readonly hasAnnouncementFaults?: boolean; readonly hasEvacuations?: boolean; readonly firstSeed?: number}>> = {
+const defectCases: Readonly<Record<string, {readonly defects: InjectedDefects; readonly brokenRule: string | readonly string[]; readonly hasExecutorFaults?: boolean; readonly hasForwarding?: boolean; readonly hasAnnouncementFaults?: boolean; readonly hasIdentityFaults?: boolean; readonly hasEvacuations?: boolean; readonly firstSeed?: number}>> = {
 	'agents do not stop the runs of a lost entry': {
 		defects: {timing: {...platformTiming, orphanGraceMs: undefined, maxSilentRunMs: undefined}}, brokenRule: overlapRule,
 	},
@@ -55,6 +55,9 @@
 	'agents take a deregistration for the end of all runs': {
 		defects: {areDeparturesTrusted: true}, brokenRule: overlapRule, hasAnnouncementFaults: true,
 	},
+	'agents trust the numbers of announcements, whoever sent them': {
+		defects: {areNumbersTrusted: true}, brokenRule: 'a leaving executor gets no new work', hasIdentityFaults: true,
+	},
 	'entries do not read which data centres are evacuated': {
 		defects: {areEvacuationsIgnored: true}, brokenRule: evacuationRule, hasEvacuations: true,
 	},
@@ -92,6 +95,14 @@
 		}
 	});
 
+	// Guards against tasks that are started on an executor after the acknowledgement of its draining (review/2, DRAIN).
+	it(`violate no guarantee while executors leave beside announcements under their identity, seeds 1 to ${seeds}`, async t => {
+		for (let seed = 1; seed <= seeds; seed++) {
+			const {violations, faults} = await runLeasedFailures(seed, {hasIdentityFaults: true, hasExecutorFaults: seed % 2 === 0});
+			t.deepEqual(violations, [], `seed ${seed}; its faults:\n${faults.join('\n')}`);
+		}
+	});
+
 	// Issue 27: jobs that a busy entry forwards, while the streams between entries fail, too.
 	it(`violate no guarantee while entries forward jobs, seeds 1 to ${seeds}`, async t => {
 		for (let seed = 1; seed <= seeds; seed++) {
@@ -153,13 +164,13 @@
 
 	describe('detect that', () => {
 		for (const [name, {
-			defects, brokenRule, hasExecutorFaults, hasForwarding, hasAnnouncementFaults, hasEvacuations, firstSeed = 1,
+			defects, brokenRule, hasExecutorFaults, hasForwarding, hasAnnouncementFaults, hasIdentityFaults, hasEvacuations, firstSeed = 1,
 		}] of Object.entries(defectCases)) {
 			it(name, async t => {
 				let isDetected = false;
 				for (let seed = firstSeed; seed < firstSeed + defectSeeds && !isDetected; seed++) {
 					const {violations} = await runLeasedFailures(seed, {
-						defects, hasExecutorFaults, hasAnnouncementFaults, hasEvacuations, loadSharing: hasForwarding ? randomForwarding : undefined,
+						defects, hasExecutorFaults, hasAnnouncementFaults, hasIdentityFaults, hasEvacuations, loadSharing: hasForwarding ? randomForwarding : undefined,
 					});
 					isDetected = violations.some(({rule}) => [brokenRule].flat().includes(rule));
 				}
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -60,6 +60,8 @@
 	readonly timing?: typeof platformTiming;
 	/** Whether agents are not notified that their executor is leaving. */
 	readonly isLeavingIgnored?: boolean;
+	/** Whether an announcement is dropped if one with a higher number has arrived before, whoever sent that. */
+	readonly areNumbersTrusted?: boolean;
 	/** Processors that agents announce instead of those of their executor, in thousandths of a processor. */
 	readonly announcedCpu?: number;
 	/** Whether executors refuse starts that exceed their processors. */
@@ -119,6 +121,8 @@
 	cutStore(entry: string, duration: Milliseconds): void;
 	/** Delivers to an agent an announcement of another writer, which names something else than its executor. */
 	announceForeign(agent: string, named: ForeignName): void;
+	/** Delivers to an agent an announcement of another writer under its executor's identity, with a number far beyond the executor's. */
+	announceUnderIdentity(agent: string, isLeaving: boolean): void;
 	/**
 	 * Delivers to an agent that its executor shuts down. Calls `onAnswer` when that is acknowledged; if the agent dies before, it is not
 	 * called.
@@ -139,6 +143,10 @@
 
 /** Interval between the heartbeats of an executor. */
 export const heartbeatIntervalMs: Milliseconds = 1500;
+/** Number of heartbeats in a row after which an executor is known to be ready again. */
+const steadyHeartbeats = 3;
+/** Exceeds each number of an executor's own announcements. */
+const foreignSequence = 1_000_000;
 /** Longest time from the start of an executor to its first announcement. */
 const maxAnnouncementDelayMs: Milliseconds = 300;
 const snapshot = createSnapshot(1, createObjects());
@@ -160,6 +168,7 @@
 	const storeReachableFrom = new Map<string, Milliseconds>();
 	let evacuations: EvacuationList = {revision: 1, dataCentres: []};
 	const leavingStartedAt = new Map<string, Milliseconds>();
+	const highestSequences = new Map<string, number>();
 	let announcementCount = 0;
 	const rooms = new Map(agentNames.map(name => [name as string, [{at: 0, cpu: executorCpu}]]));
 	for (const executor of executors.values()) {
@@ -214,6 +223,12 @@
 			}
 
 			announce(name);
+			// An executor goes on with its heartbeats, and is not taken for ready before.
+			for (let i = 1; i < steadyHeartbeats; i++) {
+				clock.after(i * heartbeatIntervalMs, () => {
+					announce(name);
+				});
+			}
 		},
 		setEvacuated(name, isEvacuated) {
 			const others = evacuations.dataCentres.filter(other => other !== name);
@@ -226,6 +241,9 @@
 			const {executorInfo, isLeaving} = createAnnouncement(name);
 			receive(name, {executorInfo: {...executorInfo, ...foreignInfos[named]}, isLeaving});
 		},
+		announceUnderIdentity(name, isLeaving) {
+			receive(name, {...createAnnouncement(name), isLeaving}, foreignSequence + (++announcementCount));
+		},
 		deregister(name, onAnswer) {
 			const {process, manager} = agents.get(name)!;
 			process.perform(() => {
@@ -324,9 +342,14 @@
 		receive(name, createAnnouncement(name));
 	}
 
-	function receive(name: string, announcement: ExecutorAnnouncement): void {
+	function receive(name: string, announcement: ExecutorAnnouncement, sequence = ++announcementCount): void {
 		const {process, manager} = agents.get(name)!;
-		const sequence = ++announcementCount;
+		const highest = highestSequences.get(name) ?? 0;
+		highestSequences.set(name, Math.max(highest, sequence));
+		if (defects.areNumbersTrusted && sequence < highest) {
+			return;
+		}
+
 		process.perform(() => {
 			manager.receive({...announcement, sequence});
 		});
--- a/test/failure/leased/run.ts
+++ b/test/failure/leased/run.ts
@@ -28,6 +28,9 @@
 const faultCount = 8;
 const executorFaultCount = 8;
 const announcementFaultCount = 8;
+const identityFaultCount = 4;
+/** Announcements of another writer while an executor leaves. */
+const foreignAnnouncements = 2;
 /** Time for which an executor goes on after a deregistration that was not acknowledged. */
 const maxUnansweredMs: Milliseconds = 4000;
 const peerFaultCount = 8;
@@ -62,6 +65,8 @@
 	readonly hasExecutorFaults?: boolean;
 	/** Whether agents receive heartbeats of other writers, and deregistrations: not acknowledged, acknowledged, or of another writer. */
 	readonly hasAnnouncementFaults?: boolean;
+	/** Whether executors leave while another writer announces something else under their identity. */
+	readonly hasIdentityFaults?: boolean;
 	/** Whether data centres are evacuated and taken back, while entries are cut off from the store in turn. */
 	readonly hasEvacuations?: boolean;
 	/** How entries share their load; if undefined, each serves its own clients. Streams between entries then fail, too. */
@@ -75,7 +80,7 @@
 
 /** Runs the load and injects the faults of a seed. */
 export async function runLeasedFailures(seed: number, {
-	isCalm = false, defects = {}, hasExecutorFaults = false, hasAnnouncementFaults = false, hasEvacuations = false, loadSharing, chains,
+	isCalm = false, defects = {}, hasExecutorFaults = false, hasAnnouncementFaults = false, hasIdentityFaults = false, hasEvacuations = false, loadSharing, chains,
 }: FailureOptions = {}): Promise<LeasedReport> {
 	const clients: Clients = createClients(() => cluster);
 	const cluster = await createLeasedCluster(seed, clients.breakConnections, {defects, loadSharing, ...chains && {entryActionCostMs: messageCostMs, agentActionCostMs: messageCostMs}});
@@ -89,6 +94,10 @@
 	}
 
 	scheduleExecutorEvents(cluster, clients, {seed, hasExecutorFaults, hasAnnouncementFaults}, faults);
+	if (hasIdentityFaults) {
+		scheduleIdentityFaults(cluster, createRandomSource(seed), {periods: leavingPeriods, faults});
+	}
+
 	if (hasEvacuations) {
 		scheduleEvacuations(cluster, createRandomSource(seed), {periods: leavingPeriods, faults});
 	}
@@ -148,6 +157,27 @@
 	}
 }
 
+/** Executors that leave and are ready again, while another writer announces something else under their identity. */
+function scheduleIdentityFaults(cluster: LeasedCluster, randomSource: RandomSource, {periods, faults}: {readonly periods: LeavingPeriod[]; readonly faults: string[]}): void {
+	const {clock} = cluster.sim;
+	for (let i = 0; i < identityFaultCount; i++) {
+		const fault: Fault = {kind: 'leaving', agent: randomSource.pick(agentNames), duration: randomSource.integer(heartbeatIntervalMs, maxFaultMs)};
+		const at = randomSource.integer(0, faultWindowMs);
+		const foreignAt = Array.from({length: foreignAnnouncements}, () => randomSource.integer(0, fault.duration));
+		const isForeignLeaving = randomSource.chance(0.2);
+		clock.after(at, () => {
+			faults.push(`${Math.round(clock.now())} under another writer's announcements ${JSON.stringify({...fault, isForeignLeaving, foreignAt})}`);
+			cluster.announceUnderIdentity(fault.agent, isForeignLeaving);
+			applyFault(cluster, fault, periods);
+		});
+		for (const delay of foreignAt) {
+			clock.after(at + delay, () => {
+				cluster.announceUnderIdentity(fault.agent, isForeignLeaving);
+			});
+		}
+	}
+}
+
 /** Independent faults of entries, agents and executors. */
 function scheduleFaults(cluster: LeasedCluster, randomSource: RandomSource, {periods, faults}: {readonly periods: LeavingPeriod[]; readonly faults: string[]}): void {
 	const {clock} = cluster.sim;
