Soak: know the end of a run that ends in the millisecond of its start

Cause, in the checker: ends are sorted before starts of the same millisecond, so the end of a run that was lost in a crash in the millisecond of its start was dropped, and the run counted as going on for ever. Ruled out: an overlap of real runs, as the executor of the first run was down.

Change: an end without a run is kept for the start of the same run in the same millisecond; ends match by the number of the run besides. Overlaps are judged as before.

--- a/dev/soak/soak-checker.ts
+++ b/dev/soak/soak-checker.ts
@@ -23,6 +23,7 @@
 
 type Run = {
 	readonly executor: string;
+	readonly number: number;
 	readonly startedAt: Milliseconds;
 	endedAt?: Milliseconds;
 	what?: PlatformEvent['what'];
@@ -37,6 +38,8 @@
 /** Creates a checker that has seen nothing. */
 export function createSoakChecker(): SoakChecker {
 	const runsByTask = new Map<string, Run[]>();
+	/** Ends whose starts come after them, since both happened in the same millisecond. */
+	const earlyEnds: PlatformEvent[] = [];
 	let starts = 0;
 
 	return {
@@ -47,12 +50,15 @@
 		getStarts: () => starts,
 	};
 
-	function addEvent({task, what, at, executor}: PlatformEvent): readonly SoakViolation[] {
+	function addEvent(event: PlatformEvent): readonly SoakViolation[] {
+		const {task, what, at, executor, run: number} = event;
 		const runs = runsByTask.get(task) ?? [];
 		runsByTask.set(task, runs);
 		if (what !== 'start') {
-			const open = runs.findLast(run => run.executor === executor && run.endedAt === undefined);
-			if (open !== undefined) {
+			const open = runs.findLast(run => run.executor === executor && run.number === number && run.endedAt === undefined);
+			if (open === undefined) {
+				earlyEnds.push(event);
+			} else {
 				open.endedAt = at;
 				open.what = what;
 			}
@@ -62,7 +68,10 @@
 
 		starts++;
 		const other = runs.find(run => run.endedAt === undefined || run.endedAt > at);
-		runs.push({executor, startedAt: at});
+		const end = earlyEnds.find(early => early.task === task && early.executor === executor && early.run === number && early.at === at);
+		runs.push({
+			executor, number, startedAt: at, endedAt: end?.at, what: end?.what,
+		});
 		return other === undefined
 			? []
 			: [{rule: 'no task runs twice at the same time', subject: task, detail: `${describe(other)}; ${executor} from ${at}`}];
