Route requests about a ticket only after the submission that they arrive behind

Cause: lets a submission wait for a further poll of the event loop before it begins, so a request to cancel that arrives right behind it could be routed first, when its ticket was unused. Ruled out: load alone; the order is lost on an idle machine too, in the test added here.

Change: the entry remembers the submissions that were read, and routes other requests about their tickets only after these were begun or dropped. The signal of a caller that disconnects is read before the wait, too.

Test: `routes a request to cancel only after the submission that it arrives behind` fails without the wait (cancel before submit).

--- a/src/process/http-api.ts
+++ b/src/process/http-api.ts
@@ -8,7 +8,7 @@
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
 import {
-	submissionSchema, type TicketOperation, type Principal, type Router, type SubmissionBody,
+	submissionSchema, type TicketOperation, type TicketRequest, type Principal, type Router, type SubmissionBody,
 } from '../request/router.js';
 import {toRefusalReply, type Reply} from '../request/reply.js';
 import {parseTicket} from '../request/ticket.js';
@@ -51,6 +51,8 @@
 /** Creates the routes of one entry. */
 export function createHttpApi(host: HttpApiHost): Hono<HttpApiEnv> {
 	const app = new Hono<HttpApiEnv>();
+	/** The submissions that were read, by their tickets, until they are answered. */
+	const arriving = new Map<string, Promise<unknown>>();
 	const limitBody = bodyLimit({
 		maxSize: host.maxBodyBytes,
 		onError: () => send(toRefusalReply(createDiagnostic(Diagnostics.Body_is_too_large, host.maxBodyBytes))),
@@ -119,15 +121,26 @@
 			return send(toRefusalReply(ticket.error));
 		}
 
-		const connection = c.env?.incoming?.socket;
-		if (connection !== undefined && !await host.arrivals.isClientWaiting(submission.ticket, connection)) {
-			// Nobody reads this response.
-			return c.body(null, 504);
+		const begun = beginIfWaiting(c, {
+			operation: 'submit', principal: c.var.principal, ticket: ticket.value, submission, waitMs: host.maxWaitMs, isConnected: trackConnection(c),
+		});
+		arriving.set(submission.ticket, begun);
+		try {
+			const submitted = await begun;
+			// Nobody reads the response if the client has hung up.
+			return submitted === undefined ? c.body(null, 504) : send(await submitted.reply);
+		} finally {
+			if (arriving.get(submission.ticket) === begun) {
+				arriving.delete(submission.ticket);
+			}
 		}
+	}
 
-		return send(await host.router.route({
-			operation: 'submit', principal: c.var.principal, ticket: ticket.value, submission, waitMs: host.maxWaitMs, isConnected: trackConnection(c),
-		}));
+	/** Begins a submission if its client still waits; resolves once that is decided, and not only when there is a reply. */
+	async function beginIfWaiting(c: RequestContext, req: TicketRequest): Promise<{readonly reply: Promise<Reply>} | undefined> {
+		const connection = c.env?.incoming?.socket;
+		const isWaiting = connection === undefined || await host.arrivals.isClientWaiting(req.ticket.text, connection);
+		return isWaiting ? {reply: host.router.route(req)} : undefined;
 	}
 
 	async function routeTicketOperation(c: RequestContext, operation: TicketOperation, waitMs: Milliseconds): Promise<Response> {
@@ -136,6 +149,8 @@
 			return send(toRefusalReply(ticket.error));
 		}
 
+		// A request that arrives behind a submission must find it begun.
+		await arriving.get(ticket.value.text);
 		return send(await host.router.route({
 			operation, principal: c.var.principal, ticket: ticket.value, waitMs, isConnected: trackConnection(c),
 		}));
--- a/test/process/http-api.test.ts
+++ b/test/process/http-api.test.ts
@@ -1,9 +1,10 @@
+import net from 'node:net';
 import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionContext} from 'ava';
 import {createAdaptorServer} from '@hono/node-server';
 import {ok} from 'neverthrow';
 import {createSystemClock} from '../../src/process/clock.js';
-import {createHttpApi} from '../../src/process/http-api.js';
+import {createHttpApi, type HttpApiHost} from '../../src/process/http-api.js';
 import {listenHttp} from '../../src/process/http-listen.js';
 import {afterPoll} from '../../src/process/input-reading.js';
 import {noMetrics} from '../../src/process/metrics.js';
@@ -19,14 +20,18 @@
 const answerWaitMs = 10_000;
 
 type Fixture = {
+	readonly app: ReturnType<typeof createHttpApi>;
 	readonly port: number;
+	/** Operations in the order in which they were routed. */
+	readonly operations: string[];
 	/** Tickets of the submissions that were begun. */
 	readonly begun: string[];
 	issueTicket(): string;
 };
 
-async function createFixture(t: ExecutionContext): Promise<Fixture> {
+async function createFixture(t: ExecutionContext, changes: Partial<HttpApiHost> = {}): Promise<Fixture> {
 	const clock = createSystemClock();
+	const operations: string[] = [];
 	const issuer = createTicketIssuer({
 		clock, incarnation: 'e-1', key: new Uint8Array(32), blockMs: 1000, lifetimeMs: 60_000,
 	});
@@ -34,7 +39,8 @@
 	const app = createHttpApi({
 		clock,
 		router: {
-			async route({ticket}) {
+			async route({ticket, operation}) {
+				operations.push(operation);
 				begun.push(ticket.text);
 				return {status: 200, body: {}};
 			},
@@ -57,10 +63,13 @@
 			t.fail(String(err));
 		},
 		onRequestServed: () => undefined,
+		...changes,
 	});
 	const server = createAdaptorServer({fetch: app.fetch});
 	t.teardown(() => server.close());
-	return {port: await listenHttp(server, {host: '127.0.0.1', port: 0}), begun, issueTicket: () => issuer.issue('c', 1)[0]!.text};
+	return {
+		app, port: await listenHttp(server, {host: '127.0.0.1', port: 0}), operations, begun, issueTicket: () => issuer.issue('c', 1)[0]!.text,
+	};
 }
 
 function createBody(ticket: string): string {
@@ -91,4 +100,34 @@
 		t.is(answered.length, waiting.length);
 		t.true(answered.every(text => text.startsWith('HTTP/1.1 200')));
 	});
+
+	// Guards against a submission that runs although its caller has cancelled it right after sending it.
+	it('routes a request to cancel only after the submission that it arrives behind', async t => {
+		const releases: Array<() => void> = [];
+		const {app, operations, issueTicket} = await createFixture(t, {
+			arrivals: {
+				isClientWaiting: async () => new Promise<boolean>(resolve => {
+					releases.push(() => {
+						resolve(true);
+					});
+				}),
+			},
+		});
+		const ticket = issueTicket();
+		const headers = {authorization: 'Bearer x', 'content-type': 'application/json'};
+		const submitted = app.request('/v1/submissions', {method: 'POST', headers, body: createBody(ticket)}, {incoming: {socket: new net.Socket()}});
+		while (releases.length === 0) {
+			await nextTurn();
+		}
+
+		const cancelled = app.request(`/v1/submissions/${ticket}`, {method: 'DELETE', headers});
+		for (let turn = 0; turn < laterTurns; turn++) {
+			await nextTurn();
+		}
+
+		t.deepEqual(operations, []);
+		releases[0]!();
+		await Promise.all([submitted, cancelled]);
+		t.deepEqual(operations, ['submit', 'cancel']);
+	});
 });
