--- a/test/processes/starting.test.ts
+++ b/test/processes/starting.test.ts
@@ -2,6 +2,7 @@
 import fs from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {startProgram} from '../../dev/processes.js';
 import type {Milliseconds} from '../../src/process/clock.js';
 import {describe, it} from '../describe.js';
@@ -9,12 +10,6 @@
 /** Time within which a signal arrives. */
 const signalMs: Milliseconds = 20;
 
-async function sleep(duration: Milliseconds): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, duration);
-	});
-}
-
 describe('a program on the platform that is starting', () => {
 	// Guards against an end by a signal about changed settings that comes before the program has read its settings (soak, seed 4015).
 	for (const role of ['entry', 'agent']) {
