Log by whose word a run may go on, and when an agent lets the lease go

The lines on a stop now have both ages, a line says when the lease is no longer renewed and for which run, and the end of a forwarded job is 'cancelled' or 'lost'. Nothing is decided differently. The three tests are new: test/connection/entry-sessions, test/process/job-forwarding, test/process/leased-upstream.

--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -91,10 +91,28 @@
 	hasRunningTasks(entry: string): boolean;
 	/** Returns the time until which the tasks that run may go on if none of their entries sends anything more; Infinity if it is unlimited. */
 	getSilentRunLimit(): Milliseconds;
+	/** Returns by what a run may go on; undefined if it has ended. */
+	tryGetPermission(start: TaskStart): RunPermission | undefined;
 	/** Returns the number of unacknowledged results for entries that are linked or were linked until a few seconds ago. */
 	getUnacknowledgedResults(): number;
 };
 
+/** How old the words are by which a run may go on. */
+export type RunPermission = {
+	/** The entry that has sent the start, and the time since its last message. */
+	readonly entry: string;
+	readonly entryAge: Milliseconds;
+	readonly isLinked: boolean;
+	/** Time since the last message of the entry that forwarded the job; undefined if none did, or it was not reported as silent. */
+	readonly senderAge?: Milliseconds;
+};
+
+type RunningStart = {
+	readonly start: TaskStart;
+	/** When the entry that forwarded the job was heard last, if that was reported; undefined otherwise. */
+	senderHeardAt?: Milliseconds;
+};
+
 type SessionRecord = {
 	lastStartSeq: number;
 	lastResultSeq: number;
@@ -105,7 +123,7 @@
 	/** Number of starts received on the open link. */
 	receivedStarts: number;
 	/** Running tasks by the number of their start. */
-	readonly running: Map<number, TaskStart>;
+	readonly running: Map<number, RunningStart>;
 	orphanTimer?: Timer;
 	/** Stop the runs of forwarded jobs whose senders were silent when the last batch was sent. They outlast the link. */
 	senderTimers: readonly Timer[];
@@ -200,6 +218,20 @@
 
 			return limit;
 		},
+		tryGetPermission(start) {
+			for (const [entry, {running: starts, heardAt, isOpen}] of records) {
+				const runningStart = starts.get(start.seq);
+				if (runningStart?.start === start) {
+					const now = host.clock.now();
+					const {senderHeardAt} = runningStart;
+					return {
+						entry, entryAge: now - heardAt, isLinked: isOpen, senderAge: senderHeardAt === undefined ? undefined : now - senderHeardAt,
+					};
+				}
+			}
+
+			return undefined;
+		},
 		getUnacknowledgedResults() {
 			const oldest = host.clock.now() - reconnectGraceMs;
 			let count = 0;
@@ -236,9 +268,9 @@
 		}
 
 		for (const {startSeq} of batch.stops) {
-			const start = record.running.get(startSeq);
-			if (start !== undefined) {
-				host.stop(start, 'not-needed');
+			const stopped = record.running.get(startSeq);
+			if (stopped !== undefined) {
+				host.stop(stopped.start, 'not-needed');
 			}
 		}
 
@@ -263,7 +295,7 @@
 		}
 
 		running++;
-		record.running.set(start.seq, start);
+		record.running.set(start.seq, {start});
 		isolation.recordStart(start);
 		const startedTask = startedTasks.recordStart(start);
 		host.run(start, runResult => {
@@ -293,20 +325,34 @@
 			timer.cancel();
 		}
 
+		recordSenderSilences(record, silences);
 		if (senderSilenceMs === undefined) {
 			return;
 		}
 
 		record.senderTimers = silences.map(({startSeq, silentMs}) => host.clock.after(Math.max(0, senderSilenceMs - silentMs), () => {
-			const start = record.running.get(startSeq);
-			if (start !== undefined) {
-				host.stop(start, 'entry-lost');
+			const silenced = record.running.get(startSeq);
+			if (silenced !== undefined) {
+				host.stop(silenced.start, 'entry-lost');
 			}
 		}));
 	}
 
+	function recordSenderSilences(record: SessionRecord, silences: readonly SenderSilence[]): void {
+		for (const runningStart of record.running.values()) {
+			runningStart.senderHeardAt = undefined;
+		}
+
+		for (const {startSeq, silentMs} of silences) {
+			const silenced = record.running.get(startSeq);
+			if (silenced !== undefined) {
+				silenced.senderHeardAt = host.clock.now() - silentMs;
+			}
+		}
+	}
+
 	function stopRuns(record: SessionRecord): void {
-		for (const start of record.running.values()) {
+		for (const {start} of record.running.values()) {
 			host.stop(start, 'entry-lost');
 		}
 	}
@@ -374,7 +420,7 @@
 			return false;
 		}
 
-		for (const running of record.running.values()) {
+		for (const {start: running} of record.running.values()) {
 			if (running.task!.ticket === task!.ticket) {
 				return true;
 			}
--- a/src/process/agent-types.ts
+++ b/src/process/agent-types.ts
@@ -1,6 +1,7 @@
 /**
  * Types of the agent: its dependencies and the interface that it offers to the program that runs it.
  */
+import type {RunPermission} from '../connection/entry-sessions.js';
 import type {LinkConnection} from '../connection/link-client.js';
 import type {BatchCounts, LinkTiming} from '../connection/link-timing.js';
 import type {LossLog} from '../connection/loss-log.js';
@@ -67,6 +68,8 @@
 	probeUpstream(): void;
 	/** Returns the time until which the tasks that run may go on if none of their entries sends anything more; Infinity if it is unlimited. */
 	getSilentRunLimit(): Milliseconds;
+	/** Returns by what a run may go on; undefined if it has ended. */
+	tryGetPermission(start: TaskStart): RunPermission | undefined;
 	/** Returns the numbers of batches on the present links and of tasks that were started. */
 	getCounts(): BatchCounts & {readonly tasksStarted: number};
 	stop(): void;
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -151,6 +151,7 @@
 			void probe();
 		},
 		getSilentRunLimit: sessions.getSilentRunLimit,
+		tryGetPermission: sessions.tryGetPermission,
 		getCounts: () => ({...links.getBatchCounts(), tasksStarted}),
 		stop() {
 			shortageTimer?.cancel();
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -33,7 +33,7 @@
 /** The events of an upstream that the manager handles. */
 export type UpstreamEvents = Pick<
 	LeasedUpstreamHost,
-	'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onRefused' | 'onShortage' | 'onRunsLost' | 'onRecovered' | 'getSilentRunLimit'
+	'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onRefused' | 'onShortage' | 'onRunsLost' | 'onRecovered' | 'getSilentRunLimit' | 'tryGetPermission'
 >;
 
 /** Dependencies of the manager. */
@@ -404,6 +404,7 @@
 					managed.agent?.recordShortage();
 				},
 				getSilentRunLimit: () => managed.agent?.getSilentRunLimit() ?? Infinity,
+				tryGetPermission: start => managed.agent?.tryGetPermission(start),
 				onRefused() {
 					if (managed === current && managed.hasDeregistered) {
 						endExecutor(managed, 'deregistered');
--- a/src/process/job-forwarding.ts
+++ b/src/process/job-forwarding.ts
@@ -108,13 +108,17 @@
 		}
 
 		const forwardedAt = clock.now();
+		let isCancelled = false;
 		log.info({
 			request: name, peer, ...loadMonitor?.getLoad(), link: getLinkLoad().sendUtilization,
 		}, 'job forwarded');
 		return {
-			...pending,
+			cancel() {
+				isCancelled = true;
+				pending.cancel();
+			},
 			reply: pending.reply.then(reply => {
-				const outcome = describeOutcome(reply);
+				const outcome = reply === undefined && isCancelled ? 'cancelled' : describeOutcome(reply);
 				log.info({
 					request: name, peer, outcome, status: reply?.status, elapsed: Math.round(clock.now() - forwardedAt),
 				}, 'forwarded job ended');
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -5,7 +5,7 @@
  * will never have an effect.
  */
 import {RefusalReason, TaskOutcome, type TaskStart} from '../generated/kingcuplane.js';
-import type {RunResult, StopCause} from '../connection/entry-sessions.js';
+import type {RunPermission, RunResult, StopCause} from '../connection/entry-sessions.js';
 import {isStalled, estimateSlowdown, type RunProgress} from '../request/progress.js';
 import type {UpstreamClient} from '../request/upstream-client.js';
 import {sleep, type Clock, type Milliseconds} from './clock.js';
@@ -50,6 +50,8 @@
 	onRecovered(): void;
 	/** Returns the time until which runs may go on although their entries are silent; Infinity if undefined or no run depends on a silent entry. */
 	getSilentRunLimit?(): Milliseconds;
+	/** Returns by what a run may go on, for the log; undefined if that is not known. */
+	tryGetPermission?(start: TaskStart): RunPermission | undefined;
 	/** Returns the total time for which this process was paused since the last call, and resets it to 0. */
 	takePauseTime(): Milliseconds;
 	/** Called when the executor's clock shows that this process was suspended. */
@@ -155,6 +157,8 @@
 	});
 	let unavailableUntil = -Infinity;
 	let hasLostRuns = false;
+	/** Whether the lease must not be renewed, although there are runs. */
+	let hasRenewalEnded = false;
 	/** Called when the last run has ended. */
 	const idleListeners: Array<() => void> = [];
 
@@ -219,14 +223,44 @@
 
 	/** A run that must end, and whose stop is not confirmed, ends with the lease, as do all others. */
 	function getRenewalLimit(): Milliseconds {
-		let limit = host.getSilentRunLimit?.() ?? Infinity;
-		for (const {stop} of runs.values()) {
-			limit = Math.min(limit, (stop?.mustEndSince ?? Infinity) + leaseMs);
+		const silentRunLimit = host.getSilentRunLimit?.() ?? Infinity;
+		let limit = silentRunLimit;
+		let unconfirmedRun: Run | undefined;
+		for (const run of runs.values()) {
+			const stopLimit = (run.stop?.mustEndSince ?? Infinity) + leaseMs;
+			if (stopLimit < limit) {
+				limit = stopLimit;
+				unconfirmedRun = run;
+			}
 		}
 
+		reportRenewalEnd(limit, unconfirmedRun);
 		return limit;
 	}
 
+	function reportRenewalEnd(limit: Milliseconds, unconfirmedRun: Run | undefined): void {
+		const hasEnded = runs.size > 0 && clock.now() >= limit;
+		if (hasEnded && !hasRenewalEnded) {
+			const cause = unconfirmedRun === undefined ? 'silent-run' : 'unconfirmed-stop';
+			log.warn({cause, runs: runs.size, ...unconfirmedRun && toLogFields(unconfirmedRun)}, 'lease is no longer renewed');
+		}
+
+		hasRenewalEnded = hasEnded;
+	}
+
+	/** Returns the ages of the words by which a run may go on; the oldest of them was lost first. */
+	function describePermission({start}: Run): Readonly<Record<string, unknown>> {
+		const permission = host.tryGetPermission?.(start);
+		return permission === undefined
+			? {}
+			: {
+				entry: permission.entry,
+				isLinked: permission.isLinked,
+				entryAge: Math.round(permission.entryAge),
+				senderAge: permission.senderAge === undefined ? undefined : Math.round(permission.senderAge),
+			};
+	}
+
 	// While this process was suspended, entries may have abandoned the runs here and the starts that wait in the sockets.
 	function handleWitnessedPause(pause: Milliseconds): void {
 		if (pause > host.harmlessPauseMs) {
@@ -482,7 +516,7 @@
 			cause, requestedAt: clock.now(), mustEndSince, calls: 0,
 		};
 		log.info({
-			...toLogFields(run), cause, state: run.state, elapsed: Math.round(clock.now() - run.requestedAt),
+			...toLogFields(run), cause, state: run.state, elapsed: Math.round(clock.now() - run.requestedAt), ...describePermission(run),
 		}, 'run is stopped');
 		if (run.state === 'running') {
 			void stopRun(run, run.stop);
@@ -509,7 +543,7 @@
 			const {cause, requestedAt, calls} = run.stop;
 			const took = clock.now() - requestedAt;
 			log.info({
-				...toLogFields(run), cause, calls, took: Math.round(took), detail,
+				...toLogFields(run), cause, calls, took: Math.round(took), detail, ...describePermission(run),
 			}, 'stopped run has ended');
 			host.metrics.time('run.stop', took, {cause});
 		}
--- a/test/connection/entry-sessions.test.ts
+++ b/test/connection/entry-sessions.test.ts
@@ -109,6 +109,22 @@
 		t.is(sessions.getSilentRunLimit(), Infinity);
 	});
 
+	// Issue 49: the log could not tell which hop of a forwarded job was lost first.
+	it('tell how old the words are by which a run may go on', t => {
+		const {clock, sessions} = createFixture();
+		const batch = createStarts('j', 1);
+		sessions.receive('e', batch);
+		clock.advance(100);
+		sessions.receive('e', EntryBatch.fromPartial({senderSilences: [{startSeq: 1, silentMs: 300}]}));
+		clock.advance(50);
+		const [start] = batch.starts;
+		t.like(sessions.tryGetPermission(start!), {
+			entry: 'e', entryAge: 50, isLinked: true, senderAge: 350,
+		});
+		sessions.close('e');
+		t.like(sessions.tryGetPermission(start!), {isLinked: false});
+	});
+
 	it('run nothing of a batch in which a start refers to a missing payload', t => {
 		const {sessions, runs} = createFixture();
 		const {starts} = createStarts('j', 2);
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -174,6 +174,7 @@
 		recordProjectedSlowdowns: () => undefined,
 		recordProgress: () => undefined,
 		getSilentRunLimit: () => Infinity,
+		tryGetPermission: () => undefined,
 		setCapacity({cpu}) {
 			calls.push(`${name} has ${cpu}`);
 		},
--- a/test/process/job-forwarding.test.ts
+++ b/test/process/job-forwarding.test.ts
@@ -1,3 +1,4 @@
+import type {PeerHub} from '../../src/connection/peer-hub.js';
 import {declinedResult, createJobForwarding, type JobForwarding} from '../../src/process/job-forwarding.js';
 import {ForwardedJob} from '../../src/generated/kingcuplane.js';
 import {createFakeClock} from '../../src/process/fake-clock.js';
@@ -21,7 +22,13 @@
 	readonly servedJobs: readonly ForwardedJob[];
 };
 
-function createFixture({areStartsHeld = false, log = silentLog}: {readonly areStartsHeld?: boolean; readonly log?: Log} = {}): Fixture {
+type FixtureOptions = {
+	readonly areStartsHeld?: boolean;
+	readonly log?: Log;
+	readonly tryStartRequest?: PeerHub['tryStartRequest'];
+};
+
+function createFixture({areStartsHeld = false, log = silentLog, tryStartRequest = () => undefined}: FixtureOptions = {}): Fixture {
 	const servedJobs: ForwardedJob[] = [];
 	const forwarding = createJobForwarding({
 		log,
@@ -37,7 +44,7 @@
 			servedJobs.push(received);
 			return served;
 		},
-		peers: {getLoadReports: () => [], tryStartRequest: () => undefined},
+		peers: {getLoadReports: () => [], tryStartRequest},
 	});
 	return {forwarding, servedJobs};
 }
@@ -54,6 +61,30 @@
 	});
 });
 
+describe('a job that this entry has forwarded', () => {
+	// Issue 49: the log did not tell whether the clients here or the other entry were lost first.
+	for (const outcome of ['cancelled', 'lost'] as const) {
+		it(`has ended as ${outcome}, by its line in the log`, async t => {
+			const {log, lines} = createRecordingLog('info');
+			let end: () => void = () => undefined;
+			const reply = new Promise<undefined>(resolve => {
+				end = () => {
+					resolve(undefined);
+				};
+			});
+			const pending = createFixture({log, tryStartRequest: () => ({reply, cancel: end})}).forwarding.tryForward('e2', 'j', job)!;
+			if (outcome === 'cancelled') {
+				pending.cancel();
+			} else {
+				end();
+			}
+
+			await pending.reply;
+			t.like(lines.at(-1), {request: 'j', peer: 'e2', outcome});
+		});
+	}
+});
+
 describe('a job that another entry has forwarded', () => {
 	it('is served', async t => {
 		t.deepEqual(await createFixture().forwarding.serve(req, neverCancelled), served);
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -1,11 +1,12 @@
 import type {ExecutionContext} from 'ava';
 import type {RunResult} from '../../src/connection/entry-sessions.js';
 import {RefusalReason, TaskOutcome, type TaskStart} from '../../src/generated/kingcuplane.js';
-import type {Milliseconds} from '../../src/process/clock.js';
+import {sleep, type Milliseconds} from '../../src/process/clock.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {createLeasedUpstream, type LeasedUpstream} from '../../src/process/leased-upstream.js';
 import {noMetrics} from '../../src/process/metrics.js';
 import {describe, it} from '../describe.js';
+import {createRecordingLog} from '../recording-log.js';
 import {silentLog} from '../silent-log.js';
 import {createFakeExecutor, type FakeExecutor} from './fake-executor.js';
 
@@ -105,21 +106,7 @@
 /** Creates the upstream of the next agent of the same executor. */
 function createSecondUpstream(t: ExecutionContext, {clock, executor}: Fixture, firstFencingToken: number): LeasedUpstream {
 	const second = createLeasedUpstream({
-		clock,
-		executor,
-		firstFencingToken,
-		maxLeaseMs: 1000,
-		log: silentLog,
-		metrics: noMetrics,
-		onIncarnationChanged: () => undefined,
-		onProjectedSlowdowns: () => undefined,
-		onUnreachable: () => undefined,
-		onShortage: () => undefined,
-		onRunsLost: () => undefined,
-		onRecovered: () => undefined,
-		harmlessPauseMs,
-		takePauseTime: () => 0,
-		onPauseWitnessed: () => undefined,
+		clock, executor, firstFencingToken, log: silentLog, ...idleEvents,
 	});
 	t.teardown(async () => second.close());
 	return second;
@@ -139,7 +126,36 @@
 	return fixture;
 }
 
-function createStart(reference: string, attempt: number, expectedRunMs: number): TaskStart {
+/** Handlers of an upstream whose events do not matter, in a process that is never paused. */
+const idleEvents = {
+	maxLeaseMs: 1000,
+	harmlessPauseMs,
+	metrics: noMetrics,
+	onIncarnationChanged: () => undefined,
+	onProjectedSlowdowns: () => undefined,
+	onUnreachable: () => undefined,
+	onShortage: () => undefined,
+	onRunsLost: () => undefined,
+	onRecovered: () => undefined,
+	takePauseTime: () => 0,
+	onPauseWitnessed: () => undefined,
+};
+
+/** Advances the clock until `pending` has resolved. */
+async function runWith(clock: FakeClock, pending: Promise<void>): Promise<void> {
+	const progress = {hasResolved: false};
+	void pending.then(() => {
+		progress.hasResolved = true;
+	});
+	while (!progress.hasResolved) {
+		clock.advance(1);
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
+
+function createStart(reference: string, attempt = 1, expectedRunMs = 0): TaskStart {
 	return {
 		task: {ticket: `kc1.${reference}`, index: 0},
 		seq: 1,
@@ -554,6 +570,39 @@
 		});
 	});
 
+	describe('log of a run that must end', () => {
+		// Issue 49: the log could not tell which hop's permission was the last to go, nor when the lease was let go.
+		it('tells the ages of the words by which it may go on, and when the lease is no longer renewed', async t => {
+			const clock = createFakeClock(1000);
+			const {log, lines} = createRecordingLog('info');
+			const executor = createFakeExecutor(clock, 3000);
+			executor.unansweredCalls.stop = Infinity;
+			const upstream = createLeasedUpstream({
+				...idleEvents, clock, executor, log, firstFencingToken: 1, tryGetPermission: () => ({
+					entry: 'e2-1', entryAge: 100.4, isLinked: true, senderAge: 1100,
+				}),
+			});
+			await runWith(clock, upstream.takeOver());
+			const start = createStart('j');
+			upstream.run(start, () => undefined);
+			await runWith(clock, sleep(clock, 100));
+			upstream.stop(start, 'entry-lost');
+			await runWith(clock, sleep(clock, 1100));
+			const ages = {
+				request: 'j', entry: 'e2-1', entryAge: 100, senderAge: 1100,
+			};
+			t.like(find('run is stopped'), [{...ages, cause: 'entry-lost'}]);
+			t.like(find('stopped run has ended'), [{...ages, detail: 'lapsed'}]);
+			const renewalEnds = find('lease is no longer renewed');
+			t.is(renewalEnds.length, 1);
+			t.like(renewalEnds, [{request: 'j', cause: 'unconfirmed-stop', runs: 1}]);
+
+			function find(msg: string): readonly unknown[] {
+				return lines.filter(line => typeof line === 'object' && line !== null && 'msg' in line && line.msg === msg);
+			}
+		});
+	});
+
 	it('reports at the take-over that the executor is not the expected incarnation', async t => {
 		const clock = createFakeClock(1000);
 		let incarnationChanges = 0;
@@ -562,31 +611,14 @@
 			executor: createFakeExecutor(clock, runMs),
 			executorStartedAt: 77,
 			firstFencingToken: 1,
-			maxLeaseMs: 1000,
 			log: silentLog,
-			metrics: noMetrics,
+			...idleEvents,
 			onIncarnationChanged() {
 				incarnationChanges++;
 				void upstream.close();
 			},
-			onProjectedSlowdowns: () => undefined,
-			onUnreachable: () => undefined,
-			onShortage: () => undefined,
-			onRunsLost: () => undefined,
-			onRecovered: () => undefined,
-			harmlessPauseMs: 500,
-			takePauseTime: () => 0,
-			onPauseWitnessed: () => undefined,
-		});
-		const takingOver = upstream.takeOver();
-		for (let i = 0; i < 100; i++) {
-			clock.advance(1);
-			await new Promise(resolve => {
-				setImmediate(resolve);
-			});
-		}
-
-		await takingOver;
+		});
+		await runWith(clock, upstream.takeOver());
 		t.is(incarnationChanges, 1);
 		t.false(await upstream.isReachable());
 	});
--- a/test/recording-log.ts
+++ b/test/recording-log.ts
@@ -10,8 +10,8 @@
 	readonly lines: readonly unknown[];
 };
 
-/** Creates a log without lines, which records those of the level `warn` and above. */
-export function createRecordingLog(): RecordingLog {
+/** Creates a log without lines, which records those of a level and above. */
+export function createRecordingLog(level: 'info' | 'warn' = 'warn'): RecordingLog {
 	const lines: unknown[] = [];
 	const stream = new Writable({
 		decodeStrings: false,
@@ -20,5 +20,5 @@
 			done();
 		},
 	});
-	return {log: createLog('test', 'test', {level: 'warn'}, stream), lines};
+	return {log: createLog('test', 'test', {level}, stream), lines};
 }
