End the runs of a forwarded job with the last word of the entry that forwarded it

Cause: a permission that passes over several hops, and whose renewal knew the last hop only. The agent renewed the lease of the executor up to 1.1 s after the last word of the serving entry. How old the last word of the forwarding entry was, which alone knows whether the client still waits, set only a timer at 1.1 s that stopped the run; a stop without an answer let the lease go on for another 0.5 s. Below 0.25 s and from 0.7 s on that age was not passed on at all.

Ruled out: the repeated job taken too early by an entry that knows of the first one.

Change: every batch to an agent says for all its starts of forwarded jobs how old the sender's last word is. The agent ends the renewals 1.1 s after the older of the two words, whichever hop is lost later and whether stops are answered, and stops the runs 0.95 s after the sender's, so that stop calls still come first. A start brings the age with it, and a run that its entry has abandoned gets no newer one.

--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -37,10 +37,13 @@
 	readonly maxRetainedBytes: number;
 	/** Time after a lost link for which the runs of that entry continue; undefined lets them run to their end. */
 	readonly orphanGraceMs?: Milliseconds;
-	/** Time after the last message of an entry until which its runs may go on; unlimited if undefined. */
+	/**
+	 * Time after the last message of an entry until which its runs may go on, and after that of the entry that forwarded their jobs, if
+	 * one did; unlimited if undefined.
+	 */
 	readonly maxSilentRunMs?: Milliseconds;
-	/** Silence of the sender of a forwarded job after which its runs are stopped; see {@link SenderSilenceTiming}. */
-	readonly senderSilenceMs?: Milliseconds;
+	/** Silence of the entry that forwarded a job at which its runs are stopped; never for this reason if undefined. */
+	readonly maxSenderSilenceMs?: Milliseconds;
 	/** Calls `action` once all messages have been read that wait in the connections of this process now; not known if undefined. */
 	readonly afterInputRead?: (action: () => void) => void;
 	/** Runs the task at the upstream; `done` is called exactly once. */
@@ -103,14 +106,16 @@
 	readonly entry: string;
 	readonly entryAge: Milliseconds;
 	readonly isLinked: boolean;
-	/** Time since the last message of the entry that forwarded the job; undefined if none did, or it was not reported as silent. */
+	/** Time since the last message of the entry that forwarded the job; undefined if none did. */
 	readonly senderAge?: Milliseconds;
 };
 
 type RunningStart = {
 	readonly start: TaskStart;
-	/** When the entry that forwarded the job was heard last, if that was reported; undefined otherwise. */
+	/** When the entry that forwarded the job was heard last; undefined if none did, or it was heard with the last message of the serving one. */
 	senderHeardAt?: Milliseconds;
+	/** Whether its entry no longer needs it, and tells nothing more about it. */
+	isAbandoned: boolean;
 };
 
 type SessionRecord = {
@@ -125,8 +130,8 @@
 	/** Running tasks by the number of their start. */
 	readonly running: Map<number, RunningStart>;
 	orphanTimer?: Timer;
-	/** Stop the runs of forwarded jobs whose senders were silent when the last batch was sent. They outlast the link. */
-	senderTimers: readonly Timer[];
+	/** Stops the runs of forwarded jobs whose senders are silent for too long. It outlasts the link. */
+	senderTimer?: {readonly firesAt: Milliseconds; readonly timer: Timer};
 	held: HeldReply[];
 	/** Pending while results of jobs that are still in progress here wait for more results. */
 	partialResultTimer?: Timer;
@@ -212,8 +217,10 @@
 		hasRunningTasks: entry => (records.get(entry)?.running.size ?? 0) > 0,
 		getSilentRunLimit() {
 			let limit = Infinity;
-			for (const {running: tasks, heardAt} of host.maxSilentRunMs === undefined ? [] : records.values()) {
-				limit = tasks.size > 0 ? Math.min(limit, heardAt + host.maxSilentRunMs!) : limit;
+			for (const {running: starts, heardAt} of host.maxSilentRunMs === undefined ? [] : records.values()) {
+				for (const {senderHeardAt = heardAt} of starts.values()) {
+					limit = Math.min(limit, Math.min(heardAt, senderHeardAt) + host.maxSilentRunMs!);
+				}
 			}
 
 			return limit;
@@ -244,7 +251,12 @@
 	};
 
 	function recordMessage(record: SessionRecord): void {
-		record.heardAt = Math.max(record.heardAt, host.clock.now() - backlog.getDelay());
+		record.heardAt = Math.max(record.heardAt, getArrivalTime());
+	}
+
+	/** Returns when the message that is read now has arrived, at the earliest. */
+	function getArrivalTime(): Milliseconds {
+		return host.clock.now() - backlog.getDelay();
 	}
 
 	function receive(entry: string, batch: EntryBatch): void {
@@ -260,20 +272,24 @@
 			fencedIncarnations.add(incarnation);
 		}
 
-		restartSenderTimers(record, batch.senderSilences);
+		for (const {startSeq} of batch.stops) {
+			abandonRun(record, startSeq);
+		}
+
+		const senderHeardAt = getSenderTimes(batch.senderSilences);
+		updateSenderTimes(record, senderHeardAt);
 		acknowledge(record, batch.resultsAcked);
 		granter.setReturnedCredits(entry, batch.returned);
 		for (const start of starts) {
-			receiveStart(entry, record, start);
+			receiveStart(entry, record, {start, senderHeardAt: senderHeardAt.get(start.seq), isAbandoned: false});
 		}
 
 		for (const {startSeq} of batch.stops) {
-			const stopped = record.running.get(startSeq);
-			if (stopped !== undefined) {
-				host.stop(stopped.start, 'not-needed');
-			}
+			stopRun(record, startSeq, 'not-needed');
 		}
 
+		scheduleSenderStop(record);
+
 		granter.setQueued(entry, batch.queued, batch.head);
 		for (const query of batch.queries) {
 			record.held.push({id: query.id, tasks: startedTasks.getHeldTasks(query.ticket)});
@@ -281,7 +297,8 @@
 		}
 	}
 
-	function receiveStart(entry: string, record: SessionRecord, start: TaskStart): void {
+	function receiveStart(entry: string, record: SessionRecord, runningStart: RunningStart): void {
+		const {start} = runningStart;
 		if (start.seq <= record.lastStartSeq) {
 			return;
 		}
@@ -295,7 +312,7 @@
 		}
 
 		running++;
-		record.running.set(start.seq, {start});
+		record.running.set(start.seq, runningStart);
 		isolation.recordStart(start);
 		const startedTask = startedTasks.recordStart(start);
 		host.run(start, runResult => {
@@ -318,37 +335,73 @@
 		}
 	}
 
-	// The entry that serves the jobs may be lost before it notices that their senders are.
-	function restartSenderTimers(record: SessionRecord, silences: readonly SenderSilence[]): void {
-		const {senderSilenceMs} = host;
-		for (const timer of record.senderTimers) {
-			timer.cancel();
+	function getSenderTimes(silences: readonly SenderSilence[]): ReadonlyMap<number, Milliseconds> {
+		const heardAt = new Map<number, Milliseconds>();
+		for (const {startSeqs, silentMs} of silences) {
+			for (const seq of startSeqs) {
+				heardAt.set(seq, getArrivalTime() - silentMs);
+			}
 		}
 
-		recordSenderSilences(record, silences);
-		if (senderSilenceMs === undefined) {
-			return;
-		}
+		return heardAt;
+	}
 
-		record.senderTimers = silences.map(({startSeq, silentMs}) => host.clock.after(Math.max(0, senderSilenceMs - silentMs), () => {
-			const silenced = record.running.get(startSeq);
-			if (silenced !== undefined) {
-				host.stop(silenced.start, 'entry-lost');
+	// What was heard of a sender says nothing about a job that its entry has abandoned.
+	function updateSenderTimes(record: SessionRecord, senderHeardAt: ReadonlyMap<number, Milliseconds>): void {
+		for (const [seq, runningStart] of record.running) {
+			if (!runningStart.isAbandoned) {
+				runningStart.senderHeardAt = senderHeardAt.get(seq);
 			}
-		}));
+		}
 	}
 
-	function recordSenderSilences(record: SessionRecord, silences: readonly SenderSilence[]): void {
-		for (const runningStart of record.running.values()) {
-			runningStart.senderHeardAt = undefined;
+	function abandonRun(record: SessionRecord, seq: number): void {
+		const abandoned = record.running.get(seq);
+		if (abandoned !== undefined) {
+			abandoned.isAbandoned = true;
+		}
+	}
+
+	// The entry that serves the jobs may be lost before it notices that their senders are.
+	function scheduleSenderStop(record: SessionRecord): void {
+		const {maxSenderSilenceMs} = host;
+		if (maxSenderSilenceMs === undefined) {
+			return;
+		}
+
+		let heardAt = Infinity;
+		for (const {senderHeardAt = Infinity, isAbandoned} of record.running.values()) {
+			heardAt = isAbandoned ? heardAt : Math.min(heardAt, senderHeardAt);
 		}
 
-		for (const {startSeq, silentMs} of silences) {
-			const silenced = record.running.get(startSeq);
-			if (silenced !== undefined) {
-				silenced.senderHeardAt = host.clock.now() - silentMs;
+		const firesAt = heardAt + maxSenderSilenceMs;
+		// A later time is found when the timer fires, so that a message costs no timer.
+		if (firesAt < (record.senderTimer?.firesAt ?? Infinity)) {
+			record.senderTimer?.timer.cancel();
+			const timer = host.clock.after(Math.max(0, firesAt - host.clock.now()), () => {
+				record.senderTimer = undefined;
+				stopRunsOfSilentSenders(record, maxSenderSilenceMs);
+			});
+			record.senderTimer = {firesAt, timer};
+		}
+	}
+
+	function stopRunsOfSilentSenders(record: SessionRecord, maxSenderSilenceMs: Milliseconds): void {
+		for (const [seq, {senderHeardAt = Infinity, isAbandoned}] of record.running) {
+			if (!isAbandoned && host.clock.now() >= senderHeardAt + maxSenderSilenceMs) {
+				stopRun(record, seq, 'entry-lost');
 			}
 		}
+
+		scheduleSenderStop(record);
+	}
+
+	function stopRun(record: SessionRecord, seq: number, cause: StopCause): void {
+		const stopped = record.running.get(seq);
+		if (stopped !== undefined) {
+			stopped.isAbandoned = true;
+			host.stop(stopped.start, cause);
+		}
 	}
 
 	function stopRuns(record: SessionRecord): void {
@@ -450,7 +503,6 @@
 		sentSeq: 0,
 		receivedStarts: 0,
 		running: new Map(),
-		senderTimers: [],
 		held: [],
 		isOpen: false,
 		heardAt: -Infinity,
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -355,20 +355,19 @@
 	}
 
 	function listSenderSilences({session}: Link): SenderSilence[] {
-		if (timing.senderSilence === undefined || timing.silence === undefined || host.getSenderSilence === undefined) {
+		if (host.getSenderSilence === undefined) {
 			return [];
 		}
 
-		const silences: SenderSilence[] = [];
+		const startSeqs = new Map<Milliseconds, number[]>();
 		for (const [startSeq, {ticket}] of session.getSentStarts()) {
-			const silence = host.getSenderSilence(ticket);
-			// From the silence timeout on, this entry has decided itself: an agent that stopped the run would only get it again.
-			if (silence >= timing.senderSilence.reportedFromMs && silence < timing.silence.activeMs) {
-				silences.push({startSeq, silentMs: Math.round(silence)});
+			const silentMs = Math.ceil(host.getSenderSilence(ticket));
+			if (silentMs > 0) {
+				startSeqs.set(silentMs, [...startSeqs.get(silentMs) ?? [], startSeq]);
 			}
 		}
 
-		return silences;
+		return Array.from(startSeqs, ([silentMs, seqs]) => ({startSeqs: seqs, silentMs}));
 	}
 }
 
--- a/src/connection/link-timing.ts
+++ b/src/connection/link-timing.ts
@@ -16,8 +16,8 @@
 	/** Time after a lost link for which an agent lets the runs of that entry continue; undefined lets them run to their end. */
 	readonly orphanGraceMs?: Milliseconds;
 	/**
-	 * Time after the last message of an entry until which its runs may go on at the upstream, even if they cannot be stopped;
-	 * unlimited if undefined. Longer than the silence timeout and `orphanGraceMs`, so that stop calls come first.
+	 * Time after the last message of an entry until which its runs may go on at the upstream, even if they cannot be stopped. For
+	 * those of a forwarded job it also counts from the last message of the entry that forwarded it. Unlimited if undefined. Longer than the silence timeout and `orphanGraceMs`, so that stop calls come first.
 	 */
 	readonly maxSilentRunMs?: Milliseconds;
 	/** Time after a closed link for which an entry waits for the agent to return; undefined leaves this to the settings. */
@@ -31,8 +31,12 @@
 	 * 0 if undefined.
 	 */
 	readonly harmlessPauseMs?: Milliseconds;
-	/** How agents stop the runs of a forwarded job whose sender is silent; its server alone stops them if undefined. */
-	readonly senderSilence?: SenderSilenceTiming;
+	/**
+	 * Silence of the entry that forwarded a job at which an agent stops its runs unless the serving entry has told it that more was heard.
+	 * Longer than the silence timeout and a heartbeat interval, as that entry decides itself while it is linked; shorter than
+	 * `maxSilentRunMs`, which bounds them even if they cannot be stopped. The serving entry alone stops them if undefined.
+	 */
+	readonly maxSenderSilenceMs?: Milliseconds;
 	/** Number of entries that each agent is linked to; all if undefined. */
 	readonly maxLinksPerAgent?: number;
 	/** Maximum delay between two connection attempts. */
@@ -52,17 +56,6 @@
 	readonly idleMs: Milliseconds;
 };
 
-/** Bounds on the silence of an entry whose forwarded job another one serves. */
-export type SenderSilenceTiming = {
-	/** Silence from which the server tells its agents of it; longer than the usual time between two heartbeats. */
-	readonly reportedFromMs: Milliseconds;
-	/**
-	 * Silence at which an agent stops the runs unless the server has told it that the sender was heard again. Longer than the
-	 * silence timeout and a heartbeat interval, as the server decides itself while it is linked.
-	 */
-	readonly stopAfterMs: Milliseconds;
-};
-
 /** Timing for upstreams whose runs end by themselves, so that a lost link costs only time. */
 export const relaxedTiming: LinkTiming = {heartbeatMs: 500, ackDelayMs: 200, maxReconnectDelayMs: 2000};
 
--- a/src/platform/timing.ts
+++ b/src/platform/timing.ts
@@ -25,8 +25,8 @@
  * load. A start that was held up may then begin 1.1 s after it was sent, and ends before its entry gives it up.
  *
  * The silence of the sender of a forwarded job and that of its server may follow one another. Their timeouts add up to 1.52 s, so the
- * server passes on for how long the sender has been silent: an agent that then loses the server stops the runs 1.07 to 1.1 s after
- * the last message of the sender.
+ * server passes on for how long the sender has been silent. An agent stops the runs 0.95 s after the last message of the sender and
+ * renews the lease for them up to 1.1 s after it, whatever it still hears of the server.
  *
  * Links on which no outcome is pending are checked seldom. Their state is then up to two seconds old, which costs a few
  * refused starts, while their heartbeats would cost most of the processor time at a few hundred machines.
@@ -45,7 +45,7 @@
 	silentGraceMs: agentGraceMs,
 	startValidityMs: 600,
 	harmlessPauseMs: 500,
-	senderSilence: {reportedFromMs: 250, stopAfterMs: 1100},
+	maxSenderSilenceMs: 950,
 	maxReconnectDelayMs: 300,
 	maxLinksPerAgent: 12,
 };
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -83,7 +83,7 @@
 		},
 		orphanGraceMs: timing.orphanGraceMs,
 		maxSilentRunMs: timing.maxSilentRunMs,
-		senderSilenceMs: timing.senderSilence?.stopAfterMs,
+		maxSenderSilenceMs: timing.maxSenderSilenceMs,
 		afterInputRead: host.afterInputRead,
 		onOutputPending(entry) {
 			links.scheduleFlush(entry);
--- a/test/connection/entry-sessions.test.ts
+++ b/test/connection/entry-sessions.test.ts
@@ -18,6 +18,8 @@
 	readonly runs: Array<(result: RunResult) => void>;
 	/** Times at which output became pending. */
 	readonly outputs: number[];
+	/** Cause and index of each stop. */
+	readonly stops: readonly string[];
 	/** Tells that the input is read which waited at the end of the last pause. */
 	finishReading(): void;
 };
@@ -26,6 +28,7 @@
 	const clock = createFakeClock(10_000);
 	const runs: Fixture['runs'] = [];
 	const outputs: number[] = [];
+	const stops: string[] = [];
 	let finishReading: () => void = () => undefined;
 	const sessions = createEntrySessions({
 		clock,
@@ -38,7 +41,10 @@
 		run(_start, done) {
 			runs.push(done);
 		},
-		stop: () => undefined,
+		maxSenderSilenceMs: 950,
+		stop(start, cause) {
+			stops.push(`${cause} ${start.task!.index}`);
+		},
 		afterInputRead(action) {
 			finishReading = action;
 		},
@@ -52,6 +58,7 @@
 		sessions,
 		runs,
 		outputs,
+		stops,
 		finishReading() {
 			finishReading();
 		},
@@ -115,7 +122,7 @@
 		const batch = createStarts('j', 1);
 		sessions.receive('e', batch);
 		clock.advance(100);
-		sessions.receive('e', EntryBatch.fromPartial({senderSilences: [{startSeq: 1, silentMs: 300}]}));
+		sessions.receive('e', EntryBatch.fromPartial({senderSilences: [{startSeqs: [1], silentMs: 300}]}));
 		clock.advance(50);
 		const [start] = batch.starts;
 		t.like(sessions.tryGetPermission(start!), {
@@ -125,6 +132,44 @@
 		t.like(sessions.tryGetPermission(start!), {isLinked: false});
 	});
 
+	describe('with a forwarded job', () => {
+		// Issue 49: a run went on for 1.1 s after the last word of the serving entry, and 0.5 s after its stop, whenever the sender was heard last.
+		it('let a run go on no longer after the last word of the sender than after that of its entry', t => {
+			const {clock, sessions} = createFixture();
+			sessions.receive('e', EntryBatch.fromPartial({...createStarts('j', 1), senderSilences: [{startSeqs: [1], silentMs: 200}]}));
+			t.is(sessions.getSilentRunLimit(), clock.now() + 900);
+			clock.advance(100);
+			sessions.receive('e', EntryBatch.fromPartial({senderSilences: [{startSeqs: [1], silentMs: 300}]}));
+			t.is(sessions.getSilentRunLimit(), clock.now() + 800);
+			sessions.receive('e', EntryBatch.fromPartial({}));
+			t.is(sessions.getSilentRunLimit(), clock.now() + 1100);
+		});
+
+		it('let a run that is no longer needed not go on for longer when nothing more is told of its sender', t => {
+			const {clock, sessions} = createFixture();
+			sessions.receive('e', EntryBatch.fromPartial({...createStarts('j', 1), senderSilences: [{startSeqs: [1], silentMs: 700}]}));
+			sessions.receive('e', EntryBatch.fromPartial({stops: [{startSeq: 1}]}));
+			clock.advance(10);
+			sessions.receive('e', EntryBatch.fromPartial({}));
+			t.is(sessions.getSilentRunLimit(), clock.now() + 390);
+		});
+
+		it('stop a run when its sender has been silent for too long, and none whose sender was heard since', t => {
+			const {clock, sessions, stops} = createFixture();
+			sessions.receive('e', EntryBatch.fromPartial({...createStarts('j', 2), senderSilences: [{startSeqs: [1, 2], silentMs: 400}]}));
+			clock.advance(100);
+			sessions.receive('e', EntryBatch.fromPartial({senderSilences: [{startSeqs: [1], silentMs: 500}, {startSeqs: [2], silentMs: 50}]}));
+			clock.advance(449);
+			t.deepEqual(stops, []);
+			clock.advance(1);
+			t.deepEqual(stops, ['entry-lost 0']);
+			clock.advance(449);
+			t.is(stops.length, 1);
+			clock.advance(1);
+			t.deepEqual(stops, ['entry-lost 0', 'entry-lost 1']);
+		});
+	});
+
 	it('run nothing of a batch in which a start refers to a missing payload', t => {
 		const {sessions, runs} = createFixture();
 		const {starts} = createStarts('j', 2);
