--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -104,6 +104,8 @@
 
 /** Time for which an executor that refuses calls is reported as unreachable. */
 const unavailableBackoffMs: Milliseconds = 200;
+/** Remaining time of a lease below which the log says why it is not renewed for longer; a stop that is answered at once takes less than the rest. */
+const reportedRenewalMs: Milliseconds = 250;
 /** Delay between two attempts to take over an executor. */
 const takeOverRetryMs: Milliseconds = 40;
 /** Delay between two attempts to stop a run. */
@@ -157,8 +159,8 @@
 	});
 	let unavailableUntil = -Infinity;
 	let hasLostRuns = false;
-	/** Whether the lease must not be renewed, although there are runs. */
-	let hasRenewalEnded = false;
+	/** Whether the lease will soon end, although there are runs. */
+	let isRenewalEnding = false;
 	/** Called when the last run has ended. */
 	const idleListeners: Array<() => void> = [];
 
@@ -239,13 +241,16 @@
 	}
 
 	function reportRenewalEnd(limit: Milliseconds, unconfirmedRun: Run | undefined): void {
-		const hasEnded = runs.size > 0 && clock.now() >= limit;
-		if (hasEnded && !hasRenewalEnded) {
+		const endsIn = limit - clock.now();
+		const isEnding = runs.size > 0 && endsIn < reportedRenewalMs;
+		if (isEnding && !isRenewalEnding) {
 			const cause = unconfirmedRun === undefined ? 'silent-run' : 'unconfirmed-stop';
-			log.warn({cause, runs: runs.size, ...unconfirmedRun && toLogFields(unconfirmedRun)}, 'lease is no longer renewed');
+			log.warn({
+				cause, endsIn: Math.round(endsIn), runs: runs.size, ...unconfirmedRun && toLogFields(unconfirmedRun),
+			}, 'lease is not renewed for long');
 		}
 
-		hasRenewalEnded = hasEnded;
+		isRenewalEnding = isEnding;
 	}
 
 	/** Returns the ages of the words by which a run may go on; the oldest of them was lost first. */
