--- a/src/process/executor-lease.ts
+++ b/src/process/executor-lease.ts
@@ -49,7 +49,7 @@
 /** Duration of the lease. Three renewals in a row may fail within it, yet the tasks of a lost agent restart soon. */
 export const leaseMs: Milliseconds = 500;
 /** Greatest share by which an executor's clock may run slower than this one, as the platform documents. */
-const maxClockRateError = 0.02;
+export const maxClockRateError = 0.02;
 /** Bound on the error of the clock estimate, apart from the clock's rate. */
 const clockMarginMs: Milliseconds = 20;
 /**
