--- a/dev/failures.ts
+++ b/dev/failures.ts
@@ -2,6 +2,7 @@
  * Runs the coordination logic under random faults on a fake clock. For each seed whose run violates a rule, it prints
  * the smallest set of faults found that still violates the rule, and the events that concern the first violation.
  * Usage: npm run failures -- --seed N --runs M [--leased [--executors] [--announcements] [--identities] [--forwarding] [--evacuations] [--chained KINDS]]
+ *    or: npm run failures -- --seed N --enumerated all [--every N] | --enumerated COMBINATION
  */
 import process from 'node:process';
 import sade from 'sade';
@@ -9,6 +10,9 @@
 import type {PlannedFault} from '../test/failure/faults.js';
 import {formatEvent, type RecordedEvent} from '../test/failure/journal.js';
 import {chainKinds, type ChainKind} from '../test/failure/leased/chained-faults.js';
+import {
+	enumerateCombinations, formatCombination, parseCombination, playCombination,
+} from '../test/failure/leased/enumerated-faults.js';
 import {forwardingFromOne, randomForwarding} from '../test/failure/leased/entry.js';
 import {runLeasedFailures} from '../test/failure/leased/run.js';
 import {getFaultsOfSeed, runRandomFailures, type RunReport} from '../test/failure/random-run.js';
@@ -24,6 +28,8 @@
 	readonly forwarding: boolean;
 	readonly evacuations: boolean;
 	readonly chained: string;
+	readonly enumerated: string;
+	readonly every: number;
 };
 
 const violatedRuleCounts = new Map<string, number>();
@@ -40,11 +46,36 @@
 	.option('--announcements', 'With --leased: agents receive heartbeats of other writers, and deregistrations that are not answered or not true', false)
 	.option('--evacuations', 'With --leased: data centres are evacuated and taken back, while the store does not respond to some entries', false)
 	.option('--chained', `With --leased: faults in groups that hit one chain of a job, beside long runs; "all", or some of ${chainKinds.join(',')}`, '')
+	.option('--enumerated', 'Play combinations of faults of a forwarded job on a grid of times: "all", or one as it is printed', '')
+	.option('--every', 'With --enumerated all: play only each N-th combination', 1)
 	.action(run)
 	.parse(process.argv);
 
 async function run(options: Options): Promise<void> {
-	await (options.leased ? runLeasedSeeds(options) : runSeeds(options));
+	if (options.enumerated !== '') {
+		await runEnumerated(options);
+	} else if (options.leased) {
+		await runLeasedSeeds(options);
+	} else {
+		await runSeeds(options);
+	}
+}
+
+async function runEnumerated({seed, enumerated, every}: Options): Promise<void> {
+	const combinations = enumerated === 'all' ? enumerateCombinations().filter((_combination, index) => index % every === 0) : [parseCombination(enumerated)];
+	let overlapping = 0;
+	let late = 0;
+	for (const combination of combinations) {
+		const {overlaps, overlapMs, excessMs} = await playCombination(seed, combination);
+		overlapping += overlaps.length > 0 ? 1 : 0;
+		late += excessMs > 0 ? 1 : 0;
+		if (overlaps.length > 0 || excessMs > 0 || combinations.length === 1) {
+			console.log(`${formatCombination(combination)}: overlap ${overlapMs.toFixed(1)} ms, first attempt ends ${excessMs.toFixed(1)} ms after the repetition${overlaps.map(overlap => `\n  ${overlap}`).join('')}`);
+		}
+	}
+
+	console.log(`${combinations.length} combinations with seed ${seed}: ${overlapping} with overlaps, ${late} with runs of the first attempt when the job is repeated`);
+	process.exitCode = overlapping === 0 ? 0 : 1;
 }
 
 async function runLeasedSeeds({seed: firstSeed, runs, executors: hasExecutorFaults, announcements: hasAnnouncementFaults, identities: hasIdentityFaults, evacuations: hasEvacuations, forwarding, chained}: Options): Promise<void> {
