--- a/dev/failures.ts
+++ b/dev/failures.ts
@@ -9,7 +9,7 @@
 import {countLostAnswers, type Violation} from '../test/failure/checker.js';
 import type {PlannedFault} from '../test/failure/faults.js';
 import {formatEvent, type RecordedEvent} from '../test/failure/journal.js';
-import {chainKinds, type ChainKind} from '../test/failure/leased/chained-faults.js';
+import {chainKinds, furtherChainKinds, type ChainKind} from '../test/failure/leased/chained-faults.js';
 import {
 	enumerateCombinations, formatCombination, parseCombination, playCombination,
 } from '../test/failure/leased/enumerated-faults.js';
@@ -45,7 +45,7 @@
 	.option('--identities', 'With --leased: executors leave while another writer announces something else under their identity', false)
 	.option('--announcements', 'With --leased: agents receive heartbeats of other writers, and deregistrations that are not answered or not true', false)
 	.option('--evacuations', 'With --leased: data centres are evacuated and taken back, while the store does not respond to some entries', false)
-	.option('--chained', `With --leased: faults in groups that hit one chain of a job, beside long runs; "all", or some of ${chainKinds.join(',')}`, '')
+	.option('--chained', `With --leased: faults in groups that hit one chain of a job, beside long runs; "all" (${chainKinds.join(',')}), "further" (${furtherChainKinds.join(',')}), or some of these`, '')
 	.option('--enumerated', 'Play combinations of faults of a forwarded job on a grid of times: "all", or one as it is printed', '')
 	.option('--every', 'With --enumerated all: play only each N-th combination', 1)
 	.action(run)
@@ -97,7 +97,8 @@
 }
 
 function readChainKinds(chained: string): readonly ChainKind[] | undefined {
-	return chained === '' ? undefined : chainKinds.filter(kind => chained === 'all' || chained.split(',').includes(kind));
+	const names = new Set(chained.split(',').flatMap((name): readonly string[] => name === 'all' ? chainKinds : (name === 'further' ? furtherChainKinds : [name])));
+	return chained === '' ? undefined : [...chainKinds, ...furtherChainKinds].filter(kind => names.has(kind));
 }
 
 async function runSeeds({seed: firstSeed, runs, whole}: Options): Promise<void> {
--- a/test/failure/leased/enumerated-faults.ts
+++ b/test/failure/leased/enumerated-faults.ts
@@ -65,6 +65,9 @@
 const shortRestartMs: Milliseconds = 100;
 const longRestartMs: Milliseconds = 700;
 const clockStepMs: Milliseconds = 1000;
+/** Delay of all batches on a slow network, and how long they are delayed. */
+const slowRangeMs = [400, 400] as const;
+const slowMs: Milliseconds = 1000;
 /** Delay with which calls that get no response are carried out. */
 const lateCallMs: Milliseconds = 400;
 const promptCallMs: Milliseconds = 1;
@@ -146,6 +149,12 @@
 	'restart-agent-700'({cluster, agent}: Chain) {
 		cluster.kill(agent, longRestartMs, unnoticedMs);
 	},
+	'slow-e1-e2'({cluster}: Chain) {
+		cluster.network.slow('e1', 'e2', slowRangeMs, slowMs);
+	},
+	'slow-e2-agent'({cluster, agent}: Chain) {
+		cluster.network.slow('e2', agent, slowRangeMs, slowMs);
+	},
 	'clock-agent-back'({cluster, agent}: Chain) {
 		cluster.stepWallClock(agent, -clockStepMs);
 	},
@@ -181,7 +190,7 @@
 const lossTimesMs: readonly Milliseconds[] = [0, 110, 220, 250, 400, 600, 690, 700, 820, 950, 1090];
 /** Those of the second of two such faults, if both come after the loss of the client. */
 const secondLossTimesMs: readonly Milliseconds[] = [250, 690, 820, 1090];
-/** Late event loops also matter if they begin before the loss of the client, whose last messages then wait. */
+/** Late event loops and slow networks also matter if they begin before the loss of the client, whose last messages then wait. */
 const stallTimesMs: readonly Milliseconds[] = [-400, -200, -100, 0, 400, 690, 950];
 /** Faults that last change little if they begin somewhat later. */
 const lastingTimesMs: readonly Milliseconds[] = [-250, 690];
@@ -248,7 +257,7 @@
 		return lossTimesMs;
 	}
 
-	return name.startsWith('stall') ? stallTimesMs : lastingTimesMs;
+	return /^(?:stall|slow)/v.test(name) ? stallTimesMs : lastingTimesMs;
 }
 
 /** Formats a combination so that `parseCombination` can read it. */
--- a/test/failure/network.ts
+++ b/test/failure/network.ts
@@ -21,6 +21,9 @@
 	readonly peers?: Pick<PeerHub, 'accept'>;
 };
 
+/** Shortest and longest additional delay of a batch. */
+export type DelayRange = readonly [Milliseconds, Milliseconds];
+
 /** The network of one run. Processes are identified by their host name, the part of the name that stays after a restart. */
 export type Network = {
 	readonly faults: StreamFaults;
@@ -35,6 +38,11 @@
 	cut(client: string, server: string, notices: readonly [Milliseconds, Milliseconds], blockedMs: Milliseconds): void;
 	/** Stops the open streams of the process `client` to the process `server` from delivering anything to one end; new streams work. */
 	silence(client: string, server: string, at: StreamEnd): void;
+	/**
+	 * Delays, for a time, each batch that `from` sends to `to` on any stream by a random time within the range. They still arrive in
+	 * order, as over TCP when packets are lost.
+	 */
+	slow(from: string, to: string, range: DelayRange, duration: Milliseconds): void;
 	/** Drops everything between two processes, in both directions, for a time. */
 	block(a: string, b: string, duration: Milliseconds): void;
 	isBlocked(a: string, b: string): boolean;
@@ -63,9 +71,10 @@
 /** Creates a network without any process. */
 export function createNetwork(sim: Simulation): Network {
 	const {clock, random} = sim;
-	const faults: StreamFaults = {repeatChance: 0};
+	const faults: StreamFaults = {repeatChance: 0, getDelay};
 	const listeners = new Map<string, Listener>();
 	const blocked = new Map<string, Milliseconds>();
+	const slowed = new Map<string, {readonly range: DelayRange; readonly until: Milliseconds}>();
 	const frozenSince = new Map<SimulatedProcess, Milliseconds>();
 	let streams: SimulatedStream[] = [];
 
@@ -97,6 +106,9 @@
 				stream.silence(at);
 			}
 		},
+		slow(from, to, range, duration) {
+			slowed.set(`${from}>${to}`, {range, until: clock.now() + duration});
+		},
 		block,
 		isBlocked,
 		kill(process, noticeMs) {
@@ -157,6 +169,11 @@
 		}
 	}
 
+	function getDelay(from: SimulatedProcess, to: SimulatedProcess): Milliseconds {
+		const slowness = slowed.get(`${getHostName(from)}>${getHostName(to)}`);
+		return slowness === undefined || slowness.until <= clock.now() ? 0 : random.integer(...slowness.range);
+	}
+
 	function block(a: string, b: string, duration: Milliseconds): void {
 		blocked.set(getPair(a, b), clock.now() + duration);
 	}
--- a/test/failure/stream.ts
+++ b/test/failure/stream.ts
@@ -32,9 +32,12 @@
 	};
 };
 
-/** Faults of all streams: the probability that a batch is delivered again later, even after the stream was cut. */
+/** Faults of all streams. */
 export type StreamFaults = {
+	/** Probability that a batch is delivered again later, even after the stream was cut. */
 	repeatChance: number;
+	/** Returns by how much a batch that is sent now is late, and with it all later ones of the same stream. */
+	getDelay(from: SimulatedProcess, to: SimulatedProcess): Milliseconds;
 };
 
 /** What is sent in one direction of a stream. */
@@ -50,6 +53,9 @@
 	readonly toClient: BatchKind<ToClient>;
 };
 
+/** The processes between which one direction of a stream delivers, and the end to which it does. */
+type Ends = {readonly from: SimulatedProcess; readonly to: SimulatedProcess; readonly end: StreamEnd};
+
 type Direction<T> = {send(batch: T): void; close(event: string): void};
 
 const maxRepeatDelayMs: Milliseconds = 4000;
@@ -60,8 +66,8 @@
 	const silenced = new Set<StreamEnd>();
 	const atClient = createListeners<ToClient>();
 	const atServer = createListeners<ToServer>();
-	const toServer = createDirection(batches.toServer, serverProcess, 'server', atServer);
-	const toClient = createDirection(batches.toClient, clientProcess, 'client', atClient);
+	const toServer = createDirection(batches.toServer, {from: clientProcess, to: serverProcess, end: 'server'}, atServer);
+	const toClient = createDirection(batches.toClient, {from: serverProcess, to: clientProcess, end: 'client'}, atClient);
 
 	return {
 		clientProcess,
@@ -101,7 +107,7 @@
 		});
 	}
 
-	function createDirection<T>({codec, isRepeatable}: BatchKind<T>, to: SimulatedProcess, end: StreamEnd, listeners: Listeners<T>): Direction<T> {
+	function createDirection<T>({codec, isRepeatable}: BatchKind<T>, {from, to, end}: Ends, listeners: Listeners<T>): Direction<T> {
 		let lastAt = 0;
 
 		return {
@@ -138,7 +144,7 @@
 		};
 
 		function scheduleInOrder(action: () => void): void {
-			lastAt = Math.max(lastAt, sim.clock.now() + sim.random.integer(1, 3));
+			lastAt = Math.max(lastAt, sim.clock.now() + sim.random.integer(1, 3) + faults.getDelay(from, to));
 			sim.clock.after(lastAt - sim.clock.now(), () => {
 				if (isOpen && !silenced.has(end)) {
 					action();
