--- a/test/failure/leased/chained-faults.ts
+++ b/test/failure/leased/chained-faults.ts
@@ -150,11 +150,15 @@
 		}
 
 		case 'slow-network': {
+			const slowness = sampleSlowness(server, agent, randomSource);
+			const slowFrom = randomSource.integer(-maxSlowMs, gap);
+			// The stops of the server are on their way when it is lost.
+			const serverLostAfter = randomSource.integer(minLateGapMs, maxLateGapMs + maxSlowMs);
 			return delayGroup(maxSlowMs, [
 				...sampleSenderLoss(entry, server, randomSource),
-				{after: randomSource.integer(-maxSlowMs, gap), fault: sampleSlowness(entry, server, randomSource)},
-				{after: randomSource.integer(-maxSlowMs, gap), fault: sampleSlowness(server, agent, randomSource)},
-				...randomSource.chance(0.5) ? [{after: gap, fault: sampleServerLoss(server, agent, randomSource)}] : [],
+				{after: randomSource.integer(-maxSlowMs, 0), fault: sampleSlowness(entry, server, randomSource)},
+				...agentNames.map((to): ChainedFault => ({after: slowFrom, fault: {...slowness, to}})),
+				{after: serverLostAfter, fault: sampleServerLoss(server, agent, randomSource)},
 			]);
 		}
 
@@ -249,7 +253,7 @@
 	];
 }
 
-function sampleSlowness(from: string, to: string, randomSource: RandomSource): Fault {
+function sampleSlowness(from: string, to: string, randomSource: RandomSource): Extract<Fault, {readonly kind: 'slow'}> {
 	const longest = randomSource.integer(100, maxSlowMs);
 	return {
 		kind: 'slow', from, to, range: [randomSource.pick([0, longest]), longest], duration: sampleDuration(randomSource),
