--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -100,7 +100,7 @@
 	getUnacknowledgedResults(): number;
 };
 
-/** How old the words are by which a run may go on. */
+/** How old the messages are by which a run may go on. */
 export type RunPermission = {
 	/** The entry that has sent the start, and the time since its last message. */
 	readonly entry: string;
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -254,7 +254,7 @@
 		isRenewalEnding = isEnding;
 	}
 
-	/** Returns the ages of the words by which a run may go on; the oldest of them was lost first. */
+	/** Returns the ages of the messages by which a run may go on; the hop of the oldest was lost first. */
 	function describePermission({start}: Run): Readonly<Record<string, unknown>> {
 		const permission = host.tryGetPermission?.(start);
 		return permission === undefined
--- a/test/connection/entry-sessions.test.ts
+++ b/test/connection/entry-sessions.test.ts
@@ -117,7 +117,7 @@
 	});
 
 	// Issue 49: the log could not tell which hop of a forwarded job was lost first.
-	it('tell how old the words are by which a run may go on', t => {
+	it('tell how old the messages are by which a run may go on', t => {
 		const {clock, sessions} = createFixture();
 		const batch = createStarts('j', 1);
 		sessions.receive('e', batch);
@@ -133,7 +133,7 @@
 	});
 
 	describe('take a batch', () => {
-		// Issue 49: a word that was read late, by less than counts as a pause, counted from its reading.
+		// Issue 49: a message that was read late, by less than counts as a pause, counted from its reading.
 		it('for as old as the time since it was sent', t => {
 			const {clock, sessions} = createFixture();
 			sessions.receive('e', createStarts('j', 1));
@@ -161,8 +161,8 @@
 	});
 
 	describe('with a forwarded job', () => {
-		// Issue 49: a run went on for 1.1 s after the last word of the serving entry, and 0.5 s after its stop, whenever the sender was heard last.
-		it('let a run go on no longer after the last word of the sender than after that of its entry', t => {
+		// Issue 49: a run went on for 1.1 s after the last message of the serving entry, and 0.5 s after its stop, whenever the sender was heard last.
+		it('let a run go on no longer after the last message of the sender than after that of its entry', t => {
 			const {clock, sessions} = createFixture();
 			sessions.receive('e', EntryBatch.fromPartial({...createStarts('j', 1), senderSilences: [{startSeqs: [1], silentMs: 200}]}));
 			t.is(sessions.getSilentRunLimit(), clock.now() + 900);
--- a/test/connection/peer-stream.test.ts
+++ b/test/connection/peer-stream.test.ts
@@ -50,7 +50,7 @@
 }
 
 describe('the silence of the other end of a stream', () => {
-	// Issue 49: a word that was read late counted from its reading.
+	// Issue 49: a message that was read late counted from its reading.
 	it('counts from when its last batch was sent, by the clocks that both have shown', t => {
 		const a = createEnd(1000);
 		const b = createEnd(500_000);
--- a/test/failure/late-words.test.ts
+++ b/test/failure/late-messages.test.ts
@@ -20,7 +20,7 @@
 describe('forwarded jobs whose messages are read late', () => {
 	for (const [senderLoss, loseSender] of Object.entries(senderLosses)) {
 		for (const [serverLoss, loseServer] of Object.entries(serverLosses)) {
-			// Issue 49: the age of a word counted from its reading, at each hop anew.
+			// Issue 49: the age of a message counted from its reading, at each hop anew.
 			it(`have no two runs of a task at the same time if ${senderLoss}, and up to 0.6 s later ${serverLoss}`, async t => {
 				for (let seed = 1; seed <= seeds; seed++) {
 					const random = createRandomSource(seed);
--- a/test/failure/unanswered-stops.test.ts
+++ b/test/failure/unanswered-stops.test.ts
@@ -12,7 +12,7 @@
 const phasesMs: readonly Milliseconds[] = Array.from({length: 6}, (_, i) => i * 40);
 
 describe('forwarded jobs whose stops have no answer', () => {
-	// Issue 49: the age of the sender's last word only set a timer for a stop, and the lease was renewed for 0.5 s after that stop.
+	// Issue 49: the age of the sender's last message only set a timer for a stop, and the lease was renewed for 0.5 s after that stop.
 	for (const [senderLoss, loseSender] of Object.entries(senderLosses)) {
 		for (const [serverLoss, loseServer] of Object.entries(serverLosses)) {
 			it(`have no two runs of a task at the same time if ${senderLoss}, and up to 0.7 s later ${serverLoss}`, async t => {
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -572,7 +572,7 @@
 
 	describe('log of a run that must end', () => {
 		// Issue 49: the log could not tell which hop's permission was the last to go, nor when the lease was let go.
-		it('tells the ages of the words by which it may go on, and when the lease is not renewed for long', async t => {
+		it('tells the ages of the messages by which it may go on, and when the lease is not renewed for long', async t => {
 			const clock = createFakeClock(1000);
 			const {log, lines} = createRecordingLog('info');
 			const executor = createFakeExecutor(clock, 3000);
