Name the starts of forwarded jobs to agents explicitly, in the earlier form of the message

A silence of 0 was coded as 'not forwarded', after which the age followed the messages of the serving entry alone. And the grouped form of the message, of this change, would have told nothing to an agent of an older version during a rolling update. Every start of a forwarded job is listed now, with its silence, in the fields that older agents read; they only set their timer by it, as before.

--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -112,7 +112,7 @@
 
 type RunningStart = {
 	readonly start: TaskStart;
-	/** When the entry that forwarded the job was heard last; undefined if none did, or it was heard with the last message of the serving one. */
+	/** When the entry that forwarded the job was heard last; undefined if none did. */
 	senderHeardAt?: Milliseconds;
 	/** Whether its entry no longer needs it, and tells nothing more about it. */
 	isAbandoned: boolean;
@@ -344,10 +344,8 @@
 
 	function getSenderTimes(silences: readonly SenderSilence[], sentAt: Milliseconds): ReadonlyMap<number, Milliseconds> {
 		const heardAt = new Map<number, Milliseconds>();
-		for (const {startSeqs, silentMs} of silences) {
-			for (const seq of startSeqs) {
-				heardAt.set(seq, sentAt - silentMs);
-			}
+		for (const {startSeq, silentMs} of silences) {
+			heardAt.set(startSeq, sentAt - silentMs);
 		}
 
 		return heardAt;
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -43,8 +43,8 @@
 	isNetworkBusy?(): boolean;
 	/** Called with the approximate size of a start that is sent at the end of this turn. */
 	onStartQueued?(bytes: number): void;
-	/** Returns for how long the sender of the forwarded job with this ticket has been silent; 0 for any other job. */
-	getSenderSilence?(ticket: string): Milliseconds;
+	/** Returns for how long the sender of the forwarded job with this ticket has been silent; undefined for any other job. */
+	tryGetSenderSilence?(ticket: string): Milliseconds | undefined;
 	/** Called when a link has opened or was lost. */
 	onLinkChanged?(agent: AgentInfo, change: LinkChange): void;
 	/** Called with an unexpected error while a batch was processed; its link has been closed. `agent` names the sender, once it is known. */
@@ -356,19 +356,19 @@
 	}
 
 	function listSenderSilences({session}: Link): SenderSilence[] {
-		if (host.getSenderSilence === undefined) {
+		if (host.tryGetSenderSilence === undefined) {
 			return [];
 		}
 
-		const startSeqs = new Map<Milliseconds, number[]>();
+		const silences: SenderSilence[] = [];
 		for (const [startSeq, {ticket}] of session.getSentStarts()) {
-			const silentMs = Math.ceil(host.getSenderSilence(ticket));
-			if (silentMs > 0) {
-				startSeqs.set(silentMs, [...startSeqs.get(silentMs) ?? [], startSeq]);
+			const silence = host.tryGetSenderSilence(ticket);
+			if (silence !== undefined) {
+				silences.push({startSeq, silentMs: Math.ceil(silence)});
 			}
 		}
 
-		return Array.from(startSeqs, ([silentMs, seqs]) => ({startSeqs: seqs, silentMs}));
+		return silences;
 	}
 }
 
--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -79,9 +79,9 @@
 	wasCancelled(name: string): boolean;
 	/**
 	 * Returns for how long the senders of the forwarded job with this ticket have been silent, that is the one that was heard last;
-	 * 0 for any other job.
+	 * undefined for any other job.
 	 */
-	getSenderSilence(ticket: string): Milliseconds;
+	tryGetSenderSilence(ticket: string): Milliseconds | undefined;
 	/** Returns the number of jobs of a route of which no task has started. */
 	countWaiting(route: Route): number;
 	/** Logs a refusal and returns its reply. */
@@ -133,13 +133,11 @@
 			return found !== undefined;
 		},
 		wasCancelled: cancelledNames.has,
-		getSenderSilence(ticket) {
+		tryGetSenderSilence(ticket) {
 			const forwarded = forwardedJobs.get(ticket);
-			if (forwarded === undefined || forwarded.waiters.size === 0) {
-				return 0;
-			}
-
-			return Math.min(...[...forwarded.waiters].map(waiter => waiter.getSenderSilence?.() ?? 0));
+			return forwarded === undefined || forwarded.waiters.size === 0
+				? undefined
+				: Math.min(...[...forwarded.waiters].map(waiter => waiter.getSenderSilence?.() ?? 0));
 		},
 		countWaiting(route) {
 			let waiting = 0;
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -96,7 +96,7 @@
 			linkBudget,
 			serveForwardedJob: async (job, cancellation) => serving.desk?.submitForwarded(job, cancellation) ?? declinedResult,
 			cancelJob: name => serving.intake?.cancelHere(name) ?? false,
-			getSenderSilence: ticket => serving.desk?.getSenderSilence(ticket) ?? 0,
+			tryGetSenderSilence: ticket => serving.desk?.tryGetSenderSilence(ticket),
 			createScheduler: host => createResourceScheduler({...host, random: Math.random, startupGraceMs}),
 			quota: unboundedQuota,
 		},
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -64,8 +64,8 @@
 	serveForwardedJob?(job: ForwardedJob, cancellation: Cancellation): Promise<RelayResult>;
 	/** Cancels the job of this name at this entry; returns false if there is none. Undefined if jobs have no names here. */
 	cancelJob?(name: string): boolean;
-	/** Returns for how long the sender of the forwarded job with this ticket has been silent; 0 for any other job. */
-	getSenderSilence?(ticket: string): Milliseconds;
+	/** Returns for how long the sender of the forwarded job with this ticket has been silent; undefined for any other job. */
+	tryGetSenderSilence?(ticket: string): Milliseconds | undefined;
 	authenticate(token: string): Result<Principal, Diagnostic>;
 	/** Whether the bearer tokens have been loaded, so that requests can be authenticated. */
 	areTokensLoaded(): boolean;
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -150,7 +150,7 @@
 		timing,
 		onBatchReceived: host.pauses?.pauseDetector.check,
 		onUnexpectedError: logUnexpectedError,
-		getSenderSilence: host.getSenderSilence,
+		tryGetSenderSilence: host.tryGetSenderSilence,
 		isNetworkBusy: () => host.linkBudget?.isBusy() ?? false,
 		onStartQueued(bytes) {
 			startPacing?.recordStart(bytes);
--- a/test/connection/entry-links.test.ts
+++ b/test/connection/entry-links.test.ts
@@ -161,7 +161,7 @@
 			},
 			stops: [{task: {ticket: 't', index: 0}, startSeq: 1}],
 			evacuations: {revision: 1, dataCentres: ['d']},
-			senderSilences: [{startSeqs: [1], silentMs: 1}],
+			senderSilences: [{startSeq: 1, silentMs: 1}],
 		})).finish();
 		const odd = createOddMessages(valid).map(bytes => Result.fromThrowable(() => EntryBatch.decode(bytes))());
 		await fc.assert(fc.asyncProperty(odd, async batch => {
--- a/test/connection/entry-sessions.test.ts
+++ b/test/connection/entry-sessions.test.ts
@@ -122,7 +122,7 @@
 		const batch = createStarts('j', 1);
 		sessions.receive('e', batch);
 		clock.advance(100);
-		sessions.receive('e', EntryBatch.fromPartial({senderSilences: [{startSeqs: [1], silentMs: 300}]}));
+		sessions.receive('e', EntryBatch.fromPartial({senderSilences: [{startSeq: 1, silentMs: 300}]}));
 		clock.advance(50);
 		const [start] = batch.starts;
 		t.like(sessions.tryGetPermission(start!), {
@@ -138,7 +138,7 @@
 			const {clock, sessions} = createFixture();
 			sessions.receive('e', createStarts('j', 1));
 			clock.advance(190);
-			sessions.receive('e', EntryBatch.fromPartial({sentAtMs: clock.now() - 150, senderSilences: [{startSeqs: [1], silentMs: 100}]}));
+			sessions.receive('e', EntryBatch.fromPartial({sentAtMs: clock.now() - 150, senderSilences: [{startSeq: 1, silentMs: 100}]}));
 			t.is(sessions.getSilentRunLimit(), clock.now() - 250 + 1100);
 		});
 
@@ -164,10 +164,10 @@
 		// Issue 49: a run went on for 1.1 s after the last message of the serving entry, and 0.5 s after its stop, whenever the sender was heard last.
 		it('let a run go on no longer after the last message of the sender than after that of its entry', t => {
 			const {clock, sessions} = createFixture();
-			sessions.receive('e', EntryBatch.fromPartial({...createStarts('j', 1), senderSilences: [{startSeqs: [1], silentMs: 200}]}));
+			sessions.receive('e', EntryBatch.fromPartial({...createStarts('j', 1), senderSilences: [{startSeq: 1, silentMs: 200}]}));
 			t.is(sessions.getSilentRunLimit(), clock.now() + 900);
 			clock.advance(100);
-			sessions.receive('e', EntryBatch.fromPartial({senderSilences: [{startSeqs: [1], silentMs: 300}]}));
+			sessions.receive('e', EntryBatch.fromPartial({senderSilences: [{startSeq: 1, silentMs: 300}]}));
 			t.is(sessions.getSilentRunLimit(), clock.now() + 800);
 			sessions.receive('e', EntryBatch.fromPartial({}));
 			t.is(sessions.getSilentRunLimit(), clock.now() + 1100);
@@ -175,7 +175,7 @@
 
 		it('count a suspension that the clock of this process did not count in the silence of the sender', t => {
 			const {clock, sessions, stops} = createFixture();
-			sessions.receive('e', EntryBatch.fromPartial({...createStarts('j', 1), senderSilences: [{startSeqs: [1], silentMs: 500}]}));
+			sessions.receive('e', EntryBatch.fromPartial({...createStarts('j', 1), senderSilences: [{startSeq: 1, silentMs: 500}]}));
 			sessions.recordPause(400, 400);
 			t.is(sessions.getSilentRunLimit(), clock.now() + 200);
 			clock.advance(50);
@@ -184,7 +184,7 @@
 
 		it('let a run that is no longer needed not go on for longer when nothing more is told of its sender', t => {
 			const {clock, sessions} = createFixture();
-			sessions.receive('e', EntryBatch.fromPartial({...createStarts('j', 1), senderSilences: [{startSeqs: [1], silentMs: 700}]}));
+			sessions.receive('e', EntryBatch.fromPartial({...createStarts('j', 1), senderSilences: [{startSeq: 1, silentMs: 700}]}));
 			sessions.receive('e', EntryBatch.fromPartial({stops: [{startSeq: 1}]}));
 			clock.advance(10);
 			sessions.receive('e', EntryBatch.fromPartial({}));
@@ -193,9 +193,9 @@
 
 		it('stop a run when its sender has been silent for too long, and none whose sender was heard since', t => {
 			const {clock, sessions, stops} = createFixture();
-			sessions.receive('e', EntryBatch.fromPartial({...createStarts('j', 2), senderSilences: [{startSeqs: [1, 2], silentMs: 400}]}));
+			sessions.receive('e', EntryBatch.fromPartial({...createStarts('j', 2), senderSilences: [{startSeq: 1, silentMs: 400}, {startSeq: 2, silentMs: 400}]}));
 			clock.advance(100);
-			sessions.receive('e', EntryBatch.fromPartial({senderSilences: [{startSeqs: [1], silentMs: 500}, {startSeqs: [2], silentMs: 50}]}));
+			sessions.receive('e', EntryBatch.fromPartial({senderSilences: [{startSeq: 1, silentMs: 500}, {startSeq: 2, silentMs: 50}]}));
 			clock.advance(449);
 			t.deepEqual(stops, []);
 			clock.advance(1);
--- a/test/connection/link-server.test.ts
+++ b/test/connection/link-server.test.ts
@@ -14,7 +14,7 @@
 };
 
 /** Creates a hub with a link to an agent. */
-function createFixture(getSenderSilence: (ticket: string) => number): Fixture {
+function createFixture(tryGetSenderSilence: (ticket: string) => number | undefined): Fixture {
 	const clock = createFakeClock();
 	const batches: EntryBatch[] = [];
 	const sessions = createAgentSessions({
@@ -40,7 +40,7 @@
 		isDraining: () => false,
 		onConfigVersion: () => undefined,
 		onHeldReply: () => undefined,
-		getSenderSilence,
+		tryGetSenderSilence,
 		defer(action) {
 			action();
 		},
@@ -69,16 +69,16 @@
 describe('links of an entry', () => {
 	// Issue 49: agents were told of a silence between 0.25 and 0.7 s only, and took any other for none.
 	it('tell with each batch for how long the senders of all forwarded jobs were silent, also with their starts', t => {
-		const silences: Record<string, number> = {
-			own: 0, first: 12.2, second: 900, third: 12.4,
+		const silences: Readonly<Record<string, number | undefined>> = {
+			own: undefined, first: 12.2, second: 900, third: 0,
 		};
-		const {batches, start} = createFixture(ticket => silences[ticket]!);
+		const {batches, start} = createFixture(ticket => silences[ticket]);
 		for (const ticket of Object.keys(silences)) {
 			start(ticket);
 		}
 
-		const second = {startSeqs: [3], silentMs: 900};
-		t.deepEqual(batches.at(-1)?.senderSilences, [{startSeqs: [2, 4], silentMs: 13}, second]);
+		const second = {startSeq: 3, silentMs: 900};
+		t.deepEqual(batches.at(-1)?.senderSilences, [{startSeq: 2, silentMs: 13}, second, {startSeq: 4, silentMs: 0}]);
 		t.deepEqual(batches.find(({starts}) => starts.some(({seq}) => seq === 3))?.senderSilences.at(-1), second);
 	});
 
--- a/test/failure/leased/entry.ts
+++ b/test/failure/leased/entry.ts
@@ -164,7 +164,7 @@
 		clock,
 		timing,
 		onBatchReceived: pauseDetector.check,
-		getSenderSilence: ticket => desk.getSenderSilence(ticket),
+		tryGetSenderSilence: ticket => desk.tryGetSenderSilence(ticket),
 	});
 	const desk = createJobDesk({
 		entry: {coordinator: createCostlyCoordinator(), issueTicket: owner => issuer.issue(owner, 1)[0]!, getRemainingDrainTime: () => Infinity},
