Let no welcome renew runs, and let entries send every heartbeat of a pending request

A welcome carries no time of sending, and took the runs of the earlier link for renewed when it was read; an entry that died right after it gave them what it had waited on the way. It does so no more; the next batch says its age.

A batch in the last 0.11 s replaced a heartbeat between entries, so two could be 0.33 s apart and the age that an agent knew of a sound sender up to 0.46 s. While a request is pending on a stream, each end now sends one each 0.22 s, whatever else was sent.

--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -167,7 +167,11 @@
 
 			record.orphanTimer?.cancel();
 			record.isOpen = true;
-			record.heardAt = Math.max(record.heardAt, getArrivalTime());
+			// A welcome does not say when it was sent, so it lets no run of an earlier link go on for longer.
+			if (record.running.size === 0) {
+				record.heardAt = Math.max(record.heardAt, getArrivalTime());
+			}
+
 			record.sentSeq = 0;
 			record.receivedStarts = 0;
 			granter.addEntry(entry);
--- a/src/connection/peer-stream.ts
+++ b/src/connection/peer-stream.ts
@@ -27,7 +27,7 @@
 export type PeerStream = {
 	/** Adds fields to the batch that is sent at the end of this turn of the event loop. */
 	send(fields: Partial<PeerBatch>): void;
-	/** Sends a batch if replies are pending and nothing was sent recently. To be called every `heartbeatMs`. */
+	/** Sends a batch if replies are pending. To be called every `heartbeatMs`, which is the longest time between two batches. */
 	sendHeartbeat(): void;
 	recordMessage(batch: PeerBatch): void;
 	/** Records a suspension of this process that its clock did not count. */
@@ -47,7 +47,6 @@
 export function createPeerStream(host: PeerStreamHost): PeerStream {
 	const {clock, timing} = host;
 	let output: PeerBatch | undefined;
-	let sentAt: Milliseconds = -Infinity;
 	let heardAt = clock.now();
 	/** The clock of the other end minus that of this process, at most, and when it was shown; undefined until then. */
 	let peerClock: {readonly offset: Milliseconds; readonly shownAt: Milliseconds} | undefined;
@@ -64,7 +63,7 @@
 			output = mergeBatches(getOutput(), fields);
 		},
 		sendHeartbeat() {
-			if (silence !== undefined && clock.now() - sentAt > timing.heartbeatMs / 2) {
+			if (silence !== undefined) {
 				getOutput();
 			}
 		},
@@ -124,9 +123,8 @@
 			return;
 		}
 
-		sentAt = clock.now();
 		const batch = {
-			...output, load: host.tryGetLoad(), clockMs: sentAt, sentAtMs: tryGetPeerTime() ?? 0,
+			...output, load: host.tryGetLoad(), clockMs: clock.now(), sentAtMs: tryGetPeerTime() ?? 0,
 		};
 		output = undefined;
 		host.write(batch);
--- a/test/connection/entry-sessions.test.ts
+++ b/test/connection/entry-sessions.test.ts
@@ -207,6 +207,18 @@
 		});
 	});
 
+	// Issue 49: a welcome may have waited on the way since its entry died.
+	it('let the runs of an earlier link go on for no longer when the link opens again', t => {
+		const {clock, sessions} = createFixture();
+		sessions.receive('e', createStarts('j', 1));
+		sessions.close('e');
+		clock.advance(100);
+		sessions.open('e');
+		t.is(sessions.getSilentRunLimit(), clock.now() + 1000);
+		sessions.receive('e', EntryBatch.fromPartial({sentAtMs: clock.now() - 5}));
+		t.is(sessions.getSilentRunLimit(), clock.now() + 1095);
+	});
+
 	it('run nothing of a batch in which a start refers to a missing payload', t => {
 		const {sessions, runs} = createFixture();
 		const {starts} = createStarts('j', 2);
