--- a/dev/executor-standin.ts
+++ b/dev/executor-standin.ts
@@ -2,7 +2,7 @@
  * Stand-in for one executor of the platform: accepts start and stop calls and polls over HTTP and sends heartbeats to
  * its agent. A task's spec is JSON with `ms`, the run time in milliseconds, `fails`, and `crashes` if it ends the executor,
  * which is back after a while as another incarnation. `GET /events` returns all starts and ends of runs. `PUT /room` sets the
- * processors.
+ * processors; `PUT /faults` with `losesStops` lets stop calls have neither an effect nor an answer.
  */
 import process from 'node:process';
 import {Hono} from 'hono';
@@ -28,6 +28,7 @@
 
 const specSchema = z.object({ms: z.number(), fails: z.boolean().default(false), crashes: z.boolean().default(false)});
 const roomSchema = z.object({cpu: z.number()});
+const faultsSchema = z.object({losesStops: z.boolean()});
 const commandSchema = z.object({
 	task: z.string(), run: z.number(), spec: z.string().optional(), 'expires-at-ms': z.number().optional(), 'fence-token': z.number().optional(),
 });
@@ -47,18 +48,26 @@
 		const clock = createSystemClock();
 		let {cpu} = options;
 		let isDown = false;
+		let losesStops = false;
 		let startedAt = Math.floor(clock.wall());
 		let executor = launch();
 		const endedEvents: ExecutorEvent[] = [];
 		const app = new Hono<HttpEnv>();
 		app.post('/v1/run-start', async c => toResponse(executor.start(commandSchema.parse(await c.req.json()))));
-		app.post('/v1/run-stop', async c => toResponse(executor.stop(commandSchema.parse(await c.req.json()))));
+		app.post('/v1/run-stop', async c => {
+			const command = commandSchema.parse(await c.req.json());
+			return losesStops ? waitForAbort(c.req.raw.signal) : toResponse(executor.stop(command));
+		});
 		app.post('/v1/hold', async c => toResponse(await executor.poll(pollSchema.parse(await c.req.json()))));
 		app.get('/events', c => c.json([...endedEvents, ...executor.events].slice(Number(c.req.query('from') ?? 0))));
 		app.put('/room', async c => {
 			({cpu} = roomSchema.parse(await c.req.json()));
 			return c.json({});
 		});
+		app.put('/faults', async c => {
+			({losesStops} = faultsSchema.parse(await c.req.json()));
+			return c.json({});
+		});
 		const server = await runHttpServer('executor-standin', app, options.listen);
 		let sequence = 0;
 		let state = 'ready';
@@ -126,3 +135,12 @@
 function toResponse({status, body}: ExecutorReply): Response {
 	return Response.json(body, {status});
 }
+
+/** Answers only once the caller has given up. */
+async function waitForAbort(signal: AbortSignal): Promise<Response> {
+	return new Promise(resolve => {
+		signal.addEventListener('abort', () => {
+			resolve(new Response(undefined, {status: 504}));
+		}, {once: true});
+	});
+}
--- a/dev/platform-system.ts
+++ b/dev/platform-system.ts
@@ -26,6 +26,8 @@
 	readonly program?: string;
 	/** Script of entries; that of `program` if undefined. */
 	readonly entryProgram?: string;
+	/** Share of the decisions for which each entry seems to be busy, for the program that forwards jobs; its default if undefined. */
+	readonly busyShares?: readonly number[];
 	/** Options of Node.js by role. */
 	readonly nodeOptions?: Readonly<Record<'entry' | 'agent', readonly string[]>>;
 	/** Processors of an executor, in thousandths; the default of the stand-in if undefined. */
@@ -96,6 +98,10 @@
 	/** Sets the processors of an executor, in thousandths, which its next heartbeat announces. */
 	setRoom(executor: number, cpu: number): Promise<void>;
 	setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void>;
+	/** Sets whether stop calls have neither an effect nor an answer at all executors. */
+	setLosesStops(losesStops: boolean): Promise<void>;
+	/** Waits until every entry serves and is linked to all agents. */
+	waitUntilReady(): Promise<void>;
 	/** Returns the replies other than 200 and the latest log lines of all processes, in order of time, as the output of a failed test. */
 	describe(): string;
 	stop(): Promise<void>;
@@ -158,9 +164,9 @@
 		return {program, url};
 	}));
 	const system: PlatformSystem = {
-		storeUrl, entries, agents, executors, proxies, publish, submit, cancel, isReady, getEvents, setRoom, setStoreFaults, describe, stop,
+		storeUrl, entries, agents, executors, proxies, publish, submit, cancel, isReady, getEvents, setRoom, setStoreFaults, setLosesStops, waitUntilReady: async () => waitUntilReady(system), describe, stop,
 	};
-	await waitUntilReady(system);
+	await system.waitUntilReady();
 	return system;
 
 	function start(script: string, args: readonly string[] = [], env: Readonly<Record<string, string>> = {}, nodeOptions: readonly string[] = []): Program {
@@ -191,7 +197,9 @@
 			const file = path.join(folder, name);
 			fs.writeFileSync(file, toSettings(role, name, address, i));
 			const program = (role === 'entry' ? options.entryProgram : undefined) ?? options.program ?? compiledProgram;
-			const launch = () => start(program, [role], {KINGCUPLANE_CONFIG: file}, options.nodeOptions?.[role]);
+			const busyShare = role === 'entry' ? options.busyShares?.[i] : undefined;
+			const env = {KINGCUPLANE_CONFIG: file, ...busyShare !== undefined && {KINGCUPLANE_BUSY_SHARE: String(busyShare)}};
+			const launch = () => start(program, [role], env, options.nodeOptions?.[role]);
 			const instance: PlatformInstance = {
 				name,
 				address,
@@ -314,6 +322,10 @@
 		await fetch(`${storeUrl}/faults`, {method: 'POST', body: JSON.stringify(faults)});
 	}
 
+	async function setLosesStops(losesStops: boolean): Promise<void> {
+		await Promise.all(executors.map(async ({url}) => fetch(`${url}/faults`, {method: 'PUT', body: JSON.stringify({losesStops})})));
+	}
+
 	function describe(): string {
 		const lines = programs.flatMap(({name, pid, lines}) => lines.slice(-describedLines).map(line => `${name.split('/').at(-1)} ${pid}: ${line}`));
 		return ['Replies other than 200:', ...failedReplies, 'Logs:', ...lines.toSorted((a, b) => getTime(a) - getTime(b))].join('\n');
--- a/dev/soak/fault-proxy.ts
+++ b/dev/soak/fault-proxy.ts
@@ -1,6 +1,7 @@
 /**
  * A loopback proxy that disturbs the connections through it: delays, resets, and directions that deliver nothing.
  */
+import {Buffer} from 'node:buffer';
 import net from 'node:net';
 import type {Address} from '../../src/process/address.js';
 import type {Milliseconds} from '../../src/process/clock.js';
@@ -8,18 +9,21 @@
 /** A direction of a connection: from the side that opened it, or to it. */
 export type Direction = 'forward' | 'backward';
 
+/** Chooses connections by what their opener has sent first, as Latin-1 text. */
+export type ConnectionFilter = (opening: string) => boolean;
+
 /** A proxy whose faults can be changed while it runs. */
 export type FaultProxy = {
 	/** Where the proxy listens. */
 	readonly address: Address;
 	/** Sets to where connections lead; before that they are accepted and lead nowhere. */
 	setTarget(target: Address): void;
-	/** Delays everything that is sent from now on. */
-	setDelay(delay: Milliseconds): void;
+	/** Delays everything that is sent from now on, on the connections that `isAffected` chooses; on all if undefined. */
+	setDelay(delay: Milliseconds, isAffected?: ConnectionFilter): void;
 	/** Holds back what is sent in these directions, on open and new connections, until it is called without any. */
 	setHeld(directions: readonly Direction[]): void;
-	/** Lets the connections that are open now deliver nothing any more; new ones work. */
-	silence(directions: readonly Direction[]): void;
+	/** Lets the connections that are open now, or those of them that `isAffected` chooses, deliver nothing any more; new ones work. */
+	silence(directions: readonly Direction[], isAffected?: ConnectionFilter): void;
 	/** Resets a share of the open connections. */
 	reset(share: number, random: () => number): void;
 	close(): Promise<void>;
@@ -32,15 +36,20 @@
 	readonly held: Readonly<Record<Direction, Uint8Array[]>>;
 	/** When the last delayed bytes are delivered, by direction. */
 	readonly deliveredAt: Record<Direction, Milliseconds>;
+	/** The first bytes that the opener has sent. */
+	opening: string;
 };
 
 const directions: readonly Direction[] = ['forward', 'backward'];
+/** Number of bytes to choose connections by; the name of the opener comes with its first message. */
+const maxOpeningBytes = 4096;
 
 /** Starts a proxy; port 0 lets the system choose. */
 export async function startFaultProxy(listen: Address): Promise<FaultProxy> {
 	const connections = new Set<ProxiedConnection>();
 	let target: Address | undefined;
 	let delay: Milliseconds = 0;
+	let isDelayed: ConnectionFilter = () => true;
 	let heldDirections: readonly Direction[] = [];
 	const server = net.createServer(accept);
 	await new Promise<void>((resolve, reject) => {
@@ -54,8 +63,9 @@
 		setTarget(newTarget) {
 			target = newTarget;
 		},
-		setDelay(newDelay) {
+		setDelay(newDelay, isAffected = () => true) {
 			delay = newDelay;
+			isDelayed = isAffected;
 		},
 		setHeld(newDirections) {
 			heldDirections = newDirections;
@@ -63,8 +73,8 @@
 				releaseHeld(connection);
 			}
 		},
-		silence(silenced) {
-			for (const connection of connections) {
+		silence(silenced, isAffected = () => true) {
+			for (const connection of [...connections].filter(({opening}) => isAffected(opening))) {
 				for (const direction of silenced) {
 					connection.silenced.add(direction);
 				}
@@ -95,7 +105,7 @@
 	function accept(client: net.Socket): void {
 		const upstream = target === undefined ? new net.Socket() : net.connect(target.port, target.host);
 		const connection: ProxiedConnection = {
-			sockets: [client, upstream], silenced: new Set(), held: {forward: [], backward: []}, deliveredAt: {forward: 0, backward: 0},
+			sockets: [client, upstream], silenced: new Set(), held: {forward: [], backward: []}, deliveredAt: {forward: 0, backward: 0}, opening: '',
 		};
 		connections.add(connection);
 		pump(connection, 'forward', client, upstream);
@@ -104,7 +114,11 @@
 
 	function pump(connection: ProxiedConnection, direction: Direction, from: net.Socket, to: net.Socket): void {
 		from.setNoDelay(true);
-		from.on('data', chunk => {
+		from.on('data', (chunk: Uint8Array) => {
+			if (direction === 'forward' && connection.opening.length < maxOpeningBytes) {
+				connection.opening += Buffer.from(chunk.subarray(0, maxOpeningBytes - connection.opening.length)).toString('latin1');
+			}
+
 			if (isHeld(connection, direction)) {
 				connection.held[direction].push(chunk);
 			} else {
@@ -126,8 +140,8 @@
 		});
 	}
 
-	function deliver({deliveredAt}: ProxiedConnection, direction: Direction, chunk: Uint8Array, to: net.Socket): void {
-		const at = Math.max(deliveredAt[direction], performance.now() + delay);
+	function deliver({deliveredAt, opening}: ProxiedConnection, direction: Direction, chunk: Uint8Array, to: net.Socket): void {
+		const at = Math.max(deliveredAt[direction], performance.now() + (isDelayed(opening) ? delay : 0));
 		deliveredAt[direction] = at;
 		if (at <= performance.now()) {
 			to.write(chunk);
--- a/dev/soak/run-forwarding-entry.ts
+++ b/dev/soak/run-forwarding-entry.ts
@@ -15,7 +15,7 @@
 /** Exit code of an entry that another one has declared dead, as that of the platform's program. */
 const declaredDeadExitCode = 3;
 /** Share of the decisions for which the entry seems to be busy. */
-const busyShare = 0.4;
+const busyShare = Number(process.env.KINGCUPLANE_BUSY_SHARE ?? 0.4);
 
 keepProcessAlive();
 const clock = createSystemClock();
