Test that the runs of a forwarded job end before its client may send it again

They judge the end of the lease, which the executor stand-in now reports: its own event loop may be late on a busy machine.

--- a/dev/chain.ts
+++ b/dev/chain.ts
@@ -112,7 +112,7 @@
 }: PlayedTask): string {
 	const stopped = stop === undefined
 		? 'not stopped'
-		: `${stop.cause} ${stop.beforeEnd} ms before; at the end the entry's word was ${stop.entryAgeAtEnd} ms old, the sender's ${stop.senderAgeAtEnd}`;
+		: `${stop.cause} ${stop.beforeEnd} ms before; at the end the entry's word was ${stop.entryAgeAtEnd} ms old, the sender's ${stop.senderAgeAtEnd ?? 'not told to be'}`;
 	return `${task}: ${ended} ${endAfterRetry} ms after the retry, overlap ${overlap}; ${stopped}; bound by ${getBound(stop)}; lease ${leaseEnd ?? 'renewed'}`;
 }
 
@@ -124,7 +124,7 @@
 	return `= ${formatPlan(plan)} | ${chains.length} runs | ${overlaps.length} overlaps | longest ${Math.max(...chains.map(({overlap}) => overlap))} ms | ${late.length} ended late`
 		+ ` | end ${formatRange(tasks.map(({endAfterRetry}) => endAfterRetry))} after the retry | ${formatCounts(tasks.map(({ended}) => ended))}`
 		+ ` | stop ${formatCounts(tasks.map(({stop}) => stop?.cause ?? 'none'))} | bound by ${formatCounts(tasks.map(({stop}) => getBound(stop)))}`
-		+ ` | entry's word ${formatRange(stops.map(stop => stop.entryAgeAtEnd))}, sender's ${formatRange(stops.map(stop => stop.senderAgeAtEnd))} old at the end`
+		+ ` | entry's word ${formatRange(stops.map(stop => stop.entryAgeAtEnd))}, sender's ${formatRange(stops.flatMap(stop => stop.senderAgeAtEnd ?? []))} old at the end`
 		+ ` | lease ${formatCounts(tasks.map(({leaseEnd}) => leaseEnd ?? 'renewed'))}`;
 }
 
--- a/dev/chain/chain-play.ts
+++ b/dev/chain/chain-play.ts
@@ -35,7 +35,7 @@
 /** The first run of a task, with what its agent has logged, and the start of the repeated one. */
 export type PlayedTask = {
 	readonly task: string;
-	/** End of the first run; negative if it ended before the client could send the job again. */
+	/** End of the first run, or of its lease if it lapsed; not positive if that came before the client could send the job again. */
 	readonly endAfterRetry: Milliseconds;
 	/** How long both runs were active; not positive if they did not overlap. */
 	readonly overlap: Milliseconds;
@@ -51,7 +51,8 @@
 	readonly cause: string;
 	readonly beforeEnd: Milliseconds;
 	readonly entryAgeAtEnd: Milliseconds;
-	readonly senderAgeAtEnd: Milliseconds;
+	/** Undefined if the agent had not been told that the sender is silent. */
+	readonly senderAgeAtEnd: Milliseconds | undefined;
 };
 
 /** What became of a chain. */
@@ -88,7 +89,7 @@
 	time: z.string(),
 	msg: z.string(),
 	request: z.string().optional(),
-	peer: z.unknown(),
+	peer: z.string().optional(),
 	task: z.string().optional(),
 	cause: z.string().optional(),
 	entryAge: z.number().optional(),
@@ -221,11 +222,11 @@
 		const beforeEnd = end!.at - Date.parse(stop?.time ?? '');
 		return {
 			task: start.task,
-			endAfterRetry: end!.at - retriedAt,
+			endAfterRetry: Math.round((end!.expiredAt ?? end!.at) - retriedAt),
 			overlap: end!.at - second.start.at,
 			ended: end!.what,
 			stop: stop && {
-				cause: stop.cause ?? '', beforeEnd, entryAgeAtEnd: Number(stop.entryAge ?? 0) + beforeEnd, senderAgeAtEnd: Number(stop.senderAge ?? 0) + beforeEnd,
+				cause: stop.cause ?? '', beforeEnd, entryAgeAtEnd: (stop.entryAge ?? 0) + beforeEnd, senderAgeAtEnd: stop.senderAge === undefined ? undefined : stop.senderAge + beforeEnd,
 			},
 			leaseEnd: lines.findLast(({msg}) => msg === 'lease is no longer renewed')?.cause,
 		};
@@ -287,7 +288,7 @@
 function findServer({entries}: PlatformSystem, job: string): number {
 	const line = entries[sender]!.program.lines.flatMap(text => readLogLine(text)).find(({msg, request}) => msg === 'job forwarded' && request === job);
 	const peer = line?.peer;
-	return typeof peer === 'string' ? entries.findIndex(({program}) => program.lines.some(text => text.includes('entry is listening') && text.includes(peer))) : -1;
+	return peer === undefined ? -1 : entries.findIndex(({program}) => program.lines.some(text => text.includes('entry is listening') && text.includes(peer)));
 }
 
 /** Ends an entry so that nobody is told: its connections deliver nothing, not even that they were closed. */
--- a/dev/executor.ts
+++ b/dev/executor.ts
@@ -37,6 +37,8 @@
 	readonly what: 'start' | 'done' | 'failed' | 'stopped' | 'lapsed';
 	readonly task: string;
 	readonly run: number;
+	/** When the lease of a run that lapsed had expired; a late event loop ends the run later. */
+	readonly expiredAt?: Milliseconds;
 };
 
 type Run = {
@@ -197,7 +199,7 @@
 
 		function recordEvent(what: ExecutorEvent['what']): void {
 			events.push({
-				at: clock.wall(), what, task, run,
+				at: clock.wall(), what, task, run, expiredAt: what === 'lapsed' ? clock.wall() - (clock.now() - leaseExpiresAt) : undefined,
 			});
 		}
 	}
--- a/dev/platform-system.ts
+++ b/dev/platform-system.ts
@@ -134,7 +134,7 @@
 	clients: 18_161, control: 18_166, ready: 18_167, links: 17_720,
 };
 const eventSchema = z.array(z.object({
-	at: z.number(), what: z.enum(['start', 'done', 'failed', 'stopped', 'lapsed']), task: z.string(), run: z.number(),
+	at: z.number(), what: z.enum(['start', 'done', 'failed', 'stopped', 'lapsed']), task: z.string(), run: z.number(), expiredAt: z.number().optional(),
 }));
 
 /** Starts a system and waits until every entry is ready. */
