--- a/dev/chain.ts
+++ b/dev/chain.ts
@@ -22,6 +22,7 @@
 	readonly loss: SenderLoss;
 	readonly delay: string;
 	readonly pause: string;
+	readonly answered: boolean;
 	readonly subnet: number;
 	readonly logs: string;
 };
@@ -38,18 +39,21 @@
 	.option('--loss', 'Loss of the sender: reset (it lives on) or kill', 'reset')
 	.option('--delay', 'Delay of the messages of the serving entry with others, as "sender:200" or "agents:200"', '')
 	.option('--pause', 'Pause, as "server:before-cut:300", with "agents" or "before-server-loss" or "after-server-loss"', '')
+	.option('--answered', 'Whether executors answer stop calls all the time, as a control', false)
 	.option('--subnet', 'Third byte of the addresses; programs that run at the same time need different ones', 180)
 	.option('--logs', 'Folder for the logs of chains with an overlap', 'dist/chain')
 	.action(run)
 	.parse(process.argv);
 
-async function run({seed, runs, gap: gaps, loss, delay, pause, subnet, logs}: Options): Promise<void> {
+async function run({seed, runs, gap: gaps, loss, delay, pause, answered, subnet, logs}: Options): Promise<void> {
 	const random = createRandom(seed);
 	const system = await startChainSystem(subnet);
 	let overlaps = 0;
 	try {
 		for (const [i, gap] of String(gaps).split(',').map(Number).entries()) {
-			const plan: ChainPlan = {loss, gap, disturbance: readDisturbance(delay, pause)};
+			const plan: ChainPlan = {
+				loss, gap, disturbance: readDisturbance(delay, pause), answersStops: answered,
+			};
 			const chains: PlayedChain[] = [];
 			for (let n = 0; n < runs; n++) {
 				const chain = await playChain(system, plan, (i * runs) + n, random);
--- a/dev/chain/chain-play.ts
+++ b/dev/chain/chain-play.ts
@@ -30,6 +30,8 @@
 	/** Time from the last word of the sender to the loss of the serving entry. */
 	readonly gap: Milliseconds;
 	readonly disturbance: Disturbance;
+	/** Whether executors answer stop calls all the time, as a control. */
+	readonly answersStops?: boolean;
 };
 
 /** The first run of a task, with what its agent has logged, and the start of the repeated one. */
@@ -118,7 +120,7 @@
 			client.abort();
 			lostAt = Date.now();
 		}),
-		at(cutAt + stopsLostAfterMs, async () => system.setLosesStops(true)),
+		at(cutAt + stopsLostAfterMs, async () => system.setLosesStops(!plan.answersStops)),
 		at(serverLostAt, async () => killUnnoticed(system, server)),
 		...planPause(),
 	]);
