--- a/dev/chain/chain-play.ts
+++ b/dev/chain/chain-play.ts
@@ -44,7 +44,7 @@
 	readonly ended: PlatformEvent['what'];
 	/** From the line `run is stopped` of its agent; undefined if the run was not stopped. */
 	readonly stop: LoggedStop | undefined;
-	/** Cause in the line `lease is no longer renewed`; undefined if there is none. */
+	/** Cause in the line `lease is not renewed for long`; undefined if there is none. */
 	readonly leaseEnd: string | undefined;
 };
 
@@ -230,7 +230,7 @@
 			stop: stop && {
 				cause: stop.cause ?? '', beforeEnd, entryAgeAtEnd: (stop.entryAge ?? 0) + beforeEnd, senderAgeAtEnd: stop.senderAge === undefined ? undefined : stop.senderAge + beforeEnd,
 			},
-			leaseEnd: lines.findLast(({msg}) => msg === 'lease is no longer renewed')?.cause,
+			leaseEnd: lines.findLast(({msg}) => msg === 'lease is not renewed for long')?.cause,
 		};
 	}
 
--- a/src/connection/peer-stream.ts
+++ b/src/connection/peer-stream.ts
@@ -76,7 +76,7 @@
 		},
 		recordPause(uncounted) {
 			heardAt -= uncounted;
-			peerClock = peerClock && {...peerClock, offset: peerClock.offset + uncounted};
+			peerClock &&= {...peerClock, offset: peerClock.offset + uncounted};
 			silence?.recordPause(uncounted);
 		},
 		getSilence: () => clock.now() - heardAt,
