--- a/test/failure/chained-losses.test.ts
+++ b/test/failure/chained-losses.test.ts
@@ -11,6 +11,7 @@
 const plantedDefectSeeds = 5;
 /** With the time since the last heartbeat, less than the silence timeout. */
 const harmlessFreezeMs: Milliseconds = 350;
+const harmlessServerFreezeMs: Milliseconds = 450;
 /** Time before the first loss, as heartbeats are sent every 220 ms. */
 const phasesMs: readonly Milliseconds[] = Array.from({length: 11}, (_, i) => i * 20);
 
@@ -45,6 +46,18 @@
 		}
 	});
 
+	// The age of the sender's last message at the agents grows while the server stands still; that must not cost a run either.
+	it('keep their runs if the server stands still for less than the time that counts as harmless', async t => {
+		for (const phase of phasesMs) {
+			const chain = await forwardJob(1);
+			await chain.cluster.advance(phase);
+			chain.cluster.freeze('e2', harmlessServerFreezeMs);
+			await chain.cluster.advance(longRunMs + harmlessServerFreezeMs);
+			const runs = [...chain.cluster.executors.values()].flatMap(executor => executor.runs);
+			t.deepEqual(runs.map(({endDetail}) => endDetail), ['done', 'done', 'done', 'done'], `${phase} ms`);
+		}
+	});
+
 	// The search by random faults found this planted defect by luck only.
 	it('have two runs of a task at the same time if their server keeps serving them after the sender was lost, which the check sees', async t => {
 		for (let seed = 1; seed <= plantedDefectSeeds; seed++) {
