--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -266,7 +266,7 @@
 
 	// A batch may have waited on the way or in this process, for less than counts as a pause.
 	function getSendingTime({sentAtMs}: EntryBatch): Milliseconds {
-		return sentAtMs === 0 ? getArrivalTime() : Math.min(sentAtMs, getArrivalTime());
+		return sentAtMs > 0 ? Math.min(sentAtMs, getArrivalTime()) : getArrivalTime();
 	}
 
 	function receive(entry: string, batch: EntryBatch): void {
@@ -300,7 +300,6 @@
 		}
 
 		scheduleSenderStop(record);
-
 		granter.setQueued(entry, batch.queued, batch.head);
 		for (const query of batch.queries) {
 			record.held.push({id: query.id, tasks: startedTasks.getHeldTasks(query.ticket)});
--- a/src/connection/link-timing.ts
+++ b/src/connection/link-timing.ts
@@ -17,7 +17,8 @@
 	readonly orphanGraceMs?: Milliseconds;
 	/**
 	 * Time after the last message of an entry until which its runs may go on at the upstream, even if they cannot be stopped. For
-	 * those of a forwarded job it also counts from the last message of the entry that forwarded it. Unlimited if undefined. Longer than the silence timeout and `orphanGraceMs`, so that stop calls come first.
+	 * those of a forwarded job it also counts from the last message of the entry that forwarded it. Unlimited if undefined. Longer than
+	 * the silence timeout and `orphanGraceMs`, so that stop calls come first.
 	 */
 	readonly maxSilentRunMs?: Milliseconds;
 	/** Time after a closed link for which an entry waits for the agent to return; undefined leaves this to the settings. */
--- a/src/connection/peer-stream.ts
+++ b/src/connection/peer-stream.ts
@@ -69,9 +69,9 @@
 		},
 		recordMessage({clockMs, sentAtMs}) {
 			const now = clock.now();
-			peerClock = clockMs === 0 ? undefined : {offset: clockMs - now, shownAt: now};
+			peerClock = clockMs > 0 ? {offset: clockMs - now, shownAt: now} : undefined;
 			const arrivedAt = now - (host.getInputDelay?.() ?? 0);
-			heardAt = Math.max(heardAt, sentAtMs === 0 ? arrivedAt : Math.min(arrivedAt, sentAtMs));
+			heardAt = Math.max(heardAt, sentAtMs > 0 ? Math.min(arrivedAt, sentAtMs) : arrivedAt);
 			silence?.recordMessage();
 		},
 		recordPause(uncounted) {
--- a/test/connection/peer-stream.test.ts
+++ b/test/connection/peer-stream.test.ts
@@ -77,6 +77,16 @@
 		t.is(b.stream.getSilence(), 0);
 	});
 
+	// Guards against one message of a faulty writer after which no silence is noticed.
+	it('counts from the reading if the time in a batch is not a number', t => {
+		const a = createEnd(1000);
+		const b = createEnd(500_000);
+		b.stream.recordMessage({...a.send(), clockMs: Number.NaN, sentAtMs: Number.NaN});
+		advance([a, b], 50);
+		t.is(b.stream.getSilence(), 50);
+		t.is(b.send().sentAtMs, 0);
+	});
+
 	it('counts from the reading while the clock of this end is not known to the other one, or was shown too long ago', t => {
 		const a = createEnd(1000);
 		const b = createEnd(500_000);
