--- a/dev/chain.ts
+++ b/dev/chain.ts
@@ -132,14 +132,18 @@
 		+ ` | lease ${formatCounts(tasks.map(({leaseEnd}) => leaseEnd ?? 'renewed'))}`;
 }
 
-/** Returns which permission ended the run: that of the serving entry, or that of a stop call without an answer, whichever is shorter. */
-function getBound(stop: LoggedStop | undefined): 'entry' | 'stop' | 'none' {
+/** Returns which permission ended the run: the age of a message, or a stop call without an answer, whichever ended it first. */
+function getBound(stop: LoggedStop | undefined): 'entry' | 'sender' | 'stop' | 'none' {
 	if (stop === undefined) {
 		return 'none';
 	}
 
-	const entryAgeAtStop = stop.entryAgeAtEnd - stop.beforeEnd;
-	return platformTiming.maxSilentRunMs! - entryAgeAtStop < leaseMs ? 'entry' : 'stop';
+	const {entryAgeAtEnd, senderAgeAtEnd = 0, beforeEnd} = stop;
+	if (platformTiming.maxSilentRunMs! - (Math.max(entryAgeAtEnd, senderAgeAtEnd) - beforeEnd) >= leaseMs) {
+		return 'stop';
+	}
+
+	return senderAgeAtEnd > entryAgeAtEnd ? 'sender' : 'entry';
 }
 
 function formatRange(values: readonly Milliseconds[]): string {
--- a/test/connection/link-server.test.ts
+++ b/test/connection/link-server.test.ts
@@ -1,5 +1,7 @@
-import {createAgentSessions} from '../../src/connection/agent-sessions.js';
-import {createLinkHub, type LinkStream} from '../../src/connection/link-server.js';
+import {createAgentSessions, type AgentSessionsHost} from '../../src/connection/agent-sessions.js';
+import {
+	createLinkHub, type LinkHub, type LinkServerHost, type LinkStream,
+} from '../../src/connection/link-server.js';
 import {relaxedTiming} from '../../src/connection/link-timing.js';
 import {
 	AgentBatch, AgentHello, AgentState, TaskStart, type EntryBatch,
@@ -8,21 +10,29 @@
 import {describe, it} from '../describe.js';
 
 type Fixture = {
+	readonly hub: LinkHub;
 	readonly batches: readonly EntryBatch[];
-	/** Sends the start of a task. */
-	start(ticket: string): void;
+	/** Whether the stream of each agent was destroyed; no entry if it was not. */
+	readonly isDestroyed: ReadonlyMap<string, boolean>;
+	/** Opens the link of an agent. */
+	connect(agent: string): void;
+	/** Sends the start of a task to an agent. */
+	start(agent: string, ticket: string): void;
 };
 
-/** Creates a hub with a link to an agent. */
-function createFixture(tryGetSenderSilence: (ticket: string) => number | undefined): Fixture {
+type FixtureOptions = Partial<Pick<AgentSessionsHost, 'onAgentState'> & Pick<LinkServerHost, 'tryGetSenderSilence' | 'onUnexpectedError'>>;
+
+/** Creates a hub without links. */
+function createFixture({onAgentState = () => undefined, ...linkOptions}: FixtureOptions): Fixture {
 	const clock = createFakeClock();
 	const batches: EntryBatch[] = [];
+	const isDestroyed = new Map<string, boolean>();
 	const sessions = createAgentSessions({
 		clock,
 		graceMs: 1000,
 		onAgentConnected: () => undefined,
 		onAgentDisconnected: () => undefined,
-		onAgentState: () => undefined,
+		onAgentState,
 		onCreditsGranted: () => undefined,
 		onStartEnded: () => undefined,
 		onLateResult: () => undefined,
@@ -40,28 +50,36 @@
 		isDraining: () => false,
 		onConfigVersion: () => undefined,
 		onHeldReply: () => undefined,
-		tryGetSenderSilence,
 		defer(action) {
 			action();
 		},
+		...linkOptions,
 	});
-	let receive: (batch: AgentBatch) => void = () => undefined;
-	hub.accept({
-		on(event: string, listener: (batch: AgentBatch) => void) {
-			if (event === 'data') {
-				receive = listener;
-			}
-		},
-		write(batch) {
-			batches.push(batch);
-		},
-		end: () => undefined,
-	});
-	receive(AgentBatch.fromPartial({hello: AgentHello.fromPartial({agent: 'a', incarnation: 'a-1'}), state: AgentState.fromPartial({})}));
 	return {
+		hub,
 		batches,
-		start(ticket) {
-			hub.sendStart('a-1', sessions.tryGet('a-1')!.prepareStart(TaskStart.fromPartial({task: {ticket, index: 0}})));
+		isDestroyed,
+		connect(agent) {
+			let receive: (batch: AgentBatch) => void = () => undefined;
+			const stream: LinkStream = {
+				on(event: string, listener: (batch: AgentBatch) => void) {
+					if (event === 'data') {
+						receive = listener;
+					}
+				},
+				write(batch) {
+					batches.push(batch);
+				},
+				end: () => undefined,
+				destroy() {
+					isDestroyed.set(agent, true);
+				},
+			};
+			hub.accept(stream);
+			receive(AgentBatch.fromPartial({hello: AgentHello.fromPartial({agent, incarnation: `${agent}-1`}), state: AgentState.fromPartial({})}));
+		},
+		start(agent, ticket) {
+			hub.sendStart(`${agent}-1`, sessions.tryGet(`${agent}-1`)!.prepareStart(TaskStart.fromPartial({task: {ticket, index: 0}})));
 		},
 	};
 }
@@ -72,9 +90,10 @@
 		const silences: Readonly<Record<string, number | undefined>> = {
 			own: undefined, first: 12.2, second: 900, third: 0,
 		};
-		const {batches, start} = createFixture(ticket => silences[ticket]);
+		const {batches, connect, start} = createFixture({tryGetSenderSilence: ticket => silences[ticket]});
+		connect('a');
 		for (const ticket of Object.keys(silences)) {
-			start(ticket);
+			start('a', ticket);
 		}
 
 		const second = {startSeq: 3, silentMs: 900};
@@ -83,61 +102,17 @@
 	});
 
 	it('lose only the link whose batch causes an unexpected error', t => {
-		const clock = createFakeClock();
 		const errors: unknown[] = [];
-		const sessions = createAgentSessions({
-			clock,
-			graceMs: 1000,
-			onAgentConnected: () => undefined,
-			onAgentDisconnected: () => undefined,
+		const {hub, isDestroyed, connect} = createFixture({
 			onAgentState(agent) {
 				if (agent.name === 'faulty') {
 					throw new Error('a report that nobody expected');
 				}
 			},
-			onCreditsGranted: () => undefined,
-			onStartEnded: () => undefined,
-			onLateResult: () => undefined,
-		});
-		const hub = createLinkHub({
-			entry: 'e',
-			incarnation: 'e-1',
-			sessions,
-			scheduler: {getDemand: () => 0, tryGetHead: () => undefined, getReturnedCredits: () => 0},
-			clock,
-			timing: relaxedTiming,
-			tryGetConfig: () => undefined,
-			getEntries: () => [],
-			getFencedIncarnations: () => [],
-			isDraining: () => false,
-			onConfigVersion: () => undefined,
-			onHeldReply: () => undefined,
 			onUnexpectedError(err) {
 				errors.push(err);
 			},
-			defer(action) {
-				action();
-			},
 		});
-		const isDestroyed = new Map<string, boolean>();
-		const connect = (agent: string) => {
-			let receive: (batch: AgentBatch) => void = () => undefined;
-			const stream: LinkStream = {
-				on(event: string, listener: (batch: AgentBatch) => void) {
-					if (event === 'data') {
-						receive = listener;
-					}
-				},
-				write: () => undefined,
-				end: () => undefined,
-				destroy() {
-					isDestroyed.set(agent, true);
-				},
-			};
-			hub.accept(stream);
-			receive(AgentBatch.fromPartial({hello: AgentHello.fromPartial({agent, incarnation: `${agent}-1`}), state: AgentState.fromPartial({})}));
-		};
-
 		connect('sound');
 		t.notThrows(() => {
 			connect('faulty');
