Log by which incarnation runs can have been begun when an executor restarts

The line `service of the executor has ended` named the runs, but not by which incarnation each was begun, when its start was answered, nor when the ended one was last heard of, so "the run had ended with the executor" and "the next incarnation has begun it" looked the same.

Now the line has these ages, and `another incarnation of the executor answers` has the lists of the response that shows it.

--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -10,6 +10,7 @@
 	areSameDescriptions, createAnnouncedState, type AnnouncedState, type AnnouncementOutcome, type ExecutorAnnouncement, type ReceivedAnnouncement,
 } from './announced-state.js';
 import {sleep, type Clock, type Milliseconds} from './clock.js';
+import {maxLoggedRuns} from './executor-poller.js';
 import type {ExecutorInfo, ExecutorPresence} from './executor-types.js';
 import type {LeasedUpstream, LeasedUpstreamHost} from './leased-upstream.js';
 import type {Log} from './log.js';
@@ -84,8 +85,6 @@
 	/** It refuses connections and runs nothing after it has deregistered itself. */
 	| 'deregistered';
 
-/** Maximum number of runs that one log line names. */
-const maxLoggedRuns = 20;
 /** Maximum number of announced executors that are considered at a time; the oldest one gives way. */
 const maxCandidates = 4;
 /** Delay between two attempts to verify an announced executor. */
@@ -468,7 +467,7 @@
 			evidence,
 			isLeaving: ended.isLeaving,
 			runs: starts.length,
-			tasks: starts.slice(0, maxLoggedRuns).map(({reference, task}) => `${reference}.${task?.index}`),
+			tasks: ended.upstream.describeRuns().slice(0, maxLoggedRuns),
 		}, 'service of the executor has ended');
 		host.metrics.count('executor.ended', 1, {evidence});
 		if (!ended.isLeaving) {
--- a/src/process/executor-poller.ts
+++ b/src/process/executor-poller.ts
@@ -78,6 +78,8 @@
 const unansweredPollLimit = 2;
 /** Delay after a poll that failed. */
 const retryDelayMs: Milliseconds = 40;
+/** Maximum number of runs that one log line names. */
+export const maxLoggedRuns = 20;
 
 /** Creates a poller that does not poll yet. */
 export function createExecutorPoller(host: ExecutorPollerHost): ExecutorPoller {
@@ -91,7 +93,7 @@
 	let isReachable = false;
 	let isPolling = false;
 	let unansweredPolls = 0;
-	/** When the newest poll that was answered was sent. */
+	/** When the newest poll that the expected incarnation has answered was sent. */
 	let lastAnsweredPollAt = -Infinity;
 	let timer: Timer | undefined;
 	let confirmation: Promise<boolean> | undefined;
@@ -170,7 +172,6 @@
 			return 'silent';
 		}
 
-		lastAnsweredPollAt = polledAt;
 		return host.hasActiveRuns() || status.ended.length > 0 ? 'more-to-come' : 'idle';
 	}
 
@@ -295,6 +296,14 @@
 
 	function acceptStatus(status: ExecutorStatus, polledAt: Milliseconds): ExecutorStatus | undefined {
 		if (status.executorStartedAt !== undefined && executorStartedAt !== undefined && status.executorStartedAt !== executorStartedAt) {
+			log.warn({
+				startedAt: executorStartedAt,
+				nextStartedAt: status.executorStartedAt,
+				lastAnswerAge: Math.round(clock.now() - lastAnsweredPollAt),
+				polledAge: Math.round(clock.now() - polledAt),
+				running: status.running.slice(0, maxLoggedRuns).map(({task, run}) => [task, run]),
+				ended: status.ended.slice(0, maxLoggedRuns).map(({task, run, detail}) => [task, run, detail]),
+			}, 'another incarnation of the executor answers');
 			host.onIncarnationChanged();
 			return undefined;
 		}
@@ -302,6 +311,7 @@
 		executorStartedAt ??= status.executorStartedAt;
 		hasStatedStart ||= status.executorStartedAt !== undefined;
 		unansweredPolls = 0;
+		lastAnsweredPollAt = Math.max(lastAnsweredPollAt, polledAt);
 		isReachable = true;
 		host.onStatus(status, polledAt);
 		for (const {sequenceNumber} of status.ended) {
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -76,10 +76,24 @@
 	stopAll(cause: StopCause): Promise<void>;
 	/** Returns the starts whose runs have not ended. */
 	getActiveStarts(): readonly TaskStart[];
+	/** Returns what is known of the runs that have not ended, for the log. */
+	describeRuns(): readonly RunDescription[];
 	/** Ends all runs as aborted, for use once another incarnation of the executor has answered at its address. */
 	abortAll(detail: string): void;
 };
 
+/** What is known of a run, with the times since then. */
+export type RunDescription = {
+	readonly task: string;
+	readonly run: number;
+	/** Since its start was requested. */
+	readonly requestedAge: Milliseconds;
+	/** Since its start was answered; undefined if it was not. */
+	readonly answeredAge: Milliseconds | undefined;
+	/** Whether the incarnation in service has listed it as running. */
+	readonly isListed: boolean;
+};
+
 type Run = {
 	readonly start: TaskStart;
 	readonly task: string;
@@ -88,6 +102,9 @@
 	readonly requestedAt: Milliseconds;
 	/** When it was first known to run; before that, the start call may have waited for a connection. */
 	runningSince?: Milliseconds;
+	/** When the response to its start call was received. */
+	answeredAt?: Milliseconds;
+	isListed: boolean;
 	/** `requested` while the start call is being made, `running` once the executor is known to run the task. */
 	state: 'requested' | 'running';
 	/** Undefined while the run may go on. */
@@ -169,7 +186,7 @@
 		run(start, done) {
 			const task = `${start.reference}.0.0.${start.task!.index}`;
 			const run: Run = {
-				start, task, run: start.attempt, done, requestedAt: clock.now(), state: 'requested',
+				start, task, run: start.attempt, done, requestedAt: clock.now(), state: 'requested', isListed: false,
 			};
 			if (runs.has(task)) {
 				// An earlier run of the task, which an entry has abandoned, is still being stopped here.
@@ -212,6 +229,13 @@
 			}
 		},
 		getActiveStarts,
+		describeRuns: () => [...runs.values()].map(run => ({
+			task: run.task,
+			run: run.run,
+			requestedAge: Math.round(clock.now() - run.requestedAt),
+			answeredAge: run.answeredAt === undefined ? undefined : Math.round(clock.now() - run.answeredAt),
+			isListed: run.isListed,
+		})),
 		abortAll(detail) {
 			for (const run of runs.values()) {
 				endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, detail);
@@ -384,6 +408,7 @@
 	async function handleStartOutcome(run: Run, outcome: CommandOutcome, usedFencingToken: number): Promise<boolean> {
 		switch (outcome.kind) {
 			case 'done': {
+				run.answeredAt = clock.now();
 				markRunning(run);
 				return true;
 			}
@@ -462,6 +487,7 @@
 		for (const listedRun of status.running) {
 			const run = runs.get(listedRun.task);
 			if (run?.run === listedRun.run) {
+				run.isListed = true;
 				markRunning(run);
 				projections.push(...recordProgress(run, listedRun, polledAt));
 			} else if (run === undefined) {
