--- a/dev/executor-standin.ts
+++ b/dev/executor-standin.ts
@@ -2,13 +2,14 @@
  * Stand-in for one executor of the platform: accepts start and stop calls and polls over HTTP and sends heartbeats to
  * its agent. A task's spec is JSON with `ms`, the run time in milliseconds, `fails`, and `crashes` if it ends the executor,
  * which is back after a while as another incarnation. `GET /events` returns all starts and ends of runs. `PUT /room` sets the
- * processors; `PUT /faults` with `losesStops` lets stop calls have neither an effect nor an answer.
+ * processors; `PUT /faults` with `losesStops` lets stop calls have neither an effect nor an answer; `PUT /restart` lets it crash and
+ * be back `downMs` later under its identifier, with its first heartbeat `announceMs` after that.
  */
 import process from 'node:process';
 import {Hono} from 'hono';
 import sade from 'sade';
 import {z} from 'zod';
-import {createSystemClock} from '../src/process/clock.js';
+import {createSystemClock, type Milliseconds} from '../src/process/clock.js';
 import {readJson} from '../src/process/json.js';
 import {
 	createMemoryExecutor, type ExecutorEvent, type ExecutorReply, type MemoryExecutor,
@@ -29,11 +30,15 @@
 const specSchema = z.object({ms: z.number(), fails: z.boolean().default(false), crashes: z.boolean().default(false)});
 const roomSchema = z.object({cpu: z.number()});
 const faultsSchema = z.object({losesStops: z.boolean()});
+const restartSchema = z.object({downMs: z.number(), announceMs: z.number()});
 const commandSchema = z.object({
 	task: z.string(), run: z.number(), spec: z.string().optional(), 'expires-at-ms': z.number().optional(), 'fence-token': z.number().optional(),
 });
 const pollSchema = commandSchema.omit({task: true, run: true}).extend({'seen-upto': z.number().optional(), 'wait-ms': z.number().optional()});
 
+/** Enough for the answer to a call that breaks all connections. */
+const answerMs: Milliseconds = 5;
+
 sade('executor-standin', true)
 	.describe('Runs tasks under leases and announces itself to its agent.')
 	.option('--listen', 'Address and port; port 0 lets the system choose', '127.0.0.1:0')
@@ -49,6 +54,8 @@
 		let {cpu} = options;
 		let isDown = false;
 		let losesStops = false;
+		let restartPlan = {downMs: options.down, announceMs: 0};
+		let announcesFrom = -Infinity;
 		let startedAt = Math.floor(clock.wall());
 		let executor = launch();
 		const endedEvents: ExecutorEvent[] = [];
@@ -68,6 +75,14 @@
 			({losesStops} = faultsSchema.parse(await c.req.json()));
 			return c.json({});
 		});
+		app.put('/restart', async c => {
+			restartPlan = restartSchema.parse(await c.req.json());
+			// Answers first, since the crash breaks all connections.
+			clock.after(answerMs, () => {
+				executor.crash();
+			});
+			return c.json({});
+		});
 		const server = await runHttpServer('executor-standin', app, options.listen);
 		let sequence = 0;
 		let state = 'ready';
@@ -89,20 +104,25 @@
 		}
 
 		function restart(): void {
+			const {downMs, announceMs} = restartPlan;
+			restartPlan = {downMs: options.down, announceMs: 0};
 			isDown = true;
 			endedEvents.push(...executor.events);
-			server.goDownFor(options.down);
-			clock.after(options.down, () => {
+			server.goDownFor(downMs);
+			clock.after(downMs, () => {
 				isDown = false;
 				sequence = 0;
 				startedAt = Math.floor(clock.wall());
 				executor = launch();
-				void sendHeartbeat();
+				announcesFrom = clock.now() + announceMs;
+				clock.after(announceMs, () => {
+					void sendHeartbeat();
+				});
 			});
 		}
 
 		async function sendHeartbeat(): Promise<void> {
-			if (isDown) {
+			if (isDown || clock.now() < announcesFrom) {
 				return;
 			}
 
--- a/dev/executor.ts
+++ b/dev/executor.ts
@@ -58,6 +58,8 @@
 /** One incarnation of an executor. */
 export type MemoryExecutor = {
 	readonly events: readonly ExecutorEvent[];
+	/** Ends all runs and calls the host's `onCrash`. */
+	crash(): void;
 	start(command: WireCommand): ExecutorReply;
 	stop(command: WireCommand): ExecutorReply;
 	poll(req: {readonly 'expires-at-ms'?: number; readonly 'fence-token'?: number; readonly 'seen-upto'?: number; readonly 'wait-ms'?: number}): Promise<ExecutorReply>;
@@ -65,10 +67,17 @@
 
 const maxLeaseMs: Milliseconds = 1000;
 
+/** Returns the clock of an incarnation that starts now: its monotonic time starts anew. */
+function restartClock(clock: Clock): Clock {
+	const startedAt = clock.now();
+	return {...clock, now: () => clock.now() - startedAt};
+}
+
 /** Creates an executor without runs. */
 export function createMemoryExecutor({
-	clock, startedAt: executorStartedAt, readSpec, onCrash,
+	clock: systemClock, startedAt: executorStartedAt, readSpec, onCrash,
 }: MemoryExecutorHost): MemoryExecutor {
+	const clock = restartClock(systemClock);
 	const events: ExecutorEvent[] = [];
 	const runs = new Map<string, Run>();
 	const highestEndedRuns = new Map<string, number>();
@@ -80,6 +89,7 @@
 
 	return {
 		events,
+		crash,
 		start(command) {
 			return checkFencingToken(command['fence-token'], () => {
 				if ((command['expires-at-ms'] ?? 0) <= clock.now()) {
--- a/dev/platform-system.ts
+++ b/dev/platform-system.ts
@@ -100,6 +100,8 @@
 	setStoreFaults(faults: Readonly<Record<string, unknown>>): Promise<void>;
 	/** Sets whether stop calls have neither an effect nor an answer at all executors. */
 	setLosesStops(losesStops: boolean): Promise<void>;
+	/** Lets an executor crash. It is back `downMs` later under its identifier, and announces itself for the first time `announceMs` after that. */
+	restartExecutor(executor: number, restart: {readonly downMs: Milliseconds; readonly announceMs: Milliseconds}): Promise<void>;
 	/** Waits until every entry serves and is linked to all agents. */
 	waitUntilReady(): Promise<void>;
 	/** Returns the replies other than 200 and the latest log lines of all processes, in order of time, as the output of a failed test. */
@@ -164,7 +166,7 @@
 		return {program, url};
 	}));
 	const system: PlatformSystem = {
-		storeUrl, entries, agents, executors, proxies, publish, submit, cancel, isReady, getEvents, setRoom, setStoreFaults, setLosesStops, waitUntilReady: async () => waitUntilReady(system), describe, stop,
+		storeUrl, entries, agents, executors, proxies, publish, submit, cancel, isReady, getEvents, setRoom, setStoreFaults, setLosesStops, restartExecutor, waitUntilReady: async () => waitUntilReady(system), describe, stop,
 	};
 	await system.waitUntilReady();
 	return system;
@@ -326,6 +328,10 @@
 		await Promise.all(executors.map(async ({url}) => fetch(`${url}/faults`, {method: 'PUT', body: JSON.stringify({losesStops})})));
 	}
 
+	async function restartExecutor(executor: number, restart: {readonly downMs: Milliseconds; readonly announceMs: Milliseconds}): Promise<void> {
+		await fetch(`${executors[executor]!.url}/restart`, {method: 'PUT', body: JSON.stringify(restart)});
+	}
+
 	function describe(): string {
 		const lines = programs.flatMap(({name, pid, lines}) => lines.slice(-describedLines).map(line => `${name.split('/').at(-1)} ${pid}: ${line}`));
 		return ['Replies other than 200:', ...failedReplies, 'Logs:', ...lines.toSorted((a, b) => getTime(a) - getTime(b))].join('\n');
--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -24,8 +24,11 @@
 	readonly detail: string;
 };
 
-/** Why a run is stopped: its job has an answer or no client any more, its entry was lost, the agent was paused, the run hardly makes progress, or its executor has deregistered itself. */
-export type StopCause = 'not-needed' | 'entry-lost' | 'agent-paused' | 'no-progress' | 'executor-left';
+/**
+ * Why a run is stopped: its job has an answer or no client any more, its entry was lost, the agent was paused, the run hardly makes progress,
+ * or its executor has deregistered itself or is back with another service or other labels.
+ */
+export type StopCause = 'not-needed' | 'entry-lost' | 'agent-paused' | 'no-progress' | 'executor-left' | 'executor-changed';
 
 /** Dependencies of the agent's sessions. */
 export type EntrySessionsHost = {
--- a/src/platform/executor-client.ts
+++ b/src/platform/executor-client.ts
@@ -40,6 +40,8 @@
 const maxLoggedFaults = 20;
 /** Longest text of an executor that is passed on. */
 const maxDetailLength = 500;
+/** Number of ends in a response at which the executor may have left out others. */
+const maxListedEnds = 500;
 /** Longest name of a task. */
 const maxTaskLength = 300;
 
@@ -176,10 +178,14 @@
 
 // Skips runs that cannot be parsed and keeps all others.
 function toExecutorStatus(body: z.infer<typeof statusSchema>, reportFault: (reason: string) => void): ExecutorStatus {
+	const {born, running: runningRows = [], ended: endedRows = []} = body;
+	const running = readRows('running', runningRows, tryReadActiveRun);
+	const ended = readRows('ended', endedRows, tryReadEndedRun);
 	return {
-		executorStartedAt: body.born,
-		running: readRows('running', body.running ?? [], tryReadActiveRun),
-		ended: readRows('ended', body.ended ?? [], tryReadEndedRun),
+		executorStartedAt: born,
+		running,
+		ended,
+		isComplete: running.length === runningRows.length && ended.length === endedRows.length && ended.length < maxListedEnds,
 	};
 
 	function readRows<T>(list: string, rows: readonly unknown[], tryRead: (row: unknown) => T | undefined): readonly T[] {
--- a/src/process/executor-lease.ts
+++ b/src/process/executor-lease.ts
@@ -17,6 +17,8 @@
 	getRenewalLimit(): Milliseconds;
 	/** Called when the executor's clock shows that this process was suspended, before the response that shows it is handled. */
 	onPauseWitnessed(pause: Milliseconds): void;
+	/** Called when the executor's clock has gone back, so that another incarnation has probably responded. */
+	onClockSetBack(): void;
 };
 
 /** Fencing token and lease for one incarnation of an executor. */
@@ -40,8 +42,13 @@
 	tryRenew(): Milliseconds | undefined;
 	/** Whether the lease has expired even on the slowest clock that the executor may have. */
 	hasExpired(): boolean;
-	/** Updates the estimate of the executor's clock from a response, and returns the response. */
-	recordResponse<T>(response: WithExecutorTime<T>): WithExecutorTime<T>;
+	/** Updates the estimate of the executor's clock from the response to a call that is sent now, and returns the response. */
+	track<T>(call: Promise<WithExecutorTime<T>>): Promise<WithExecutorTime<T>>;
+	/**
+	 * Continues with the next incarnation of the executor, whose clock showed `executorTime` in a response that has just arrived. It has
+	 * seen no fencing token, and may have granted leases for calls that were meant for the one before.
+	 */
+	continueWithNext(executorTime: Milliseconds | undefined): void;
 	/** Returns the executor's clock minus this process's clock; undefined until the executor's clock was reported. */
 	tryGetClockOffset(): Milliseconds | undefined;
 };
@@ -61,17 +68,23 @@
 const fencingTokenCatchUpStep = 1000;
 /** Increment when an executor is taken over: an agent raises its token at most once in some milliseconds. */
 const takeOverTokenStep = 1_000_000;
+/** Longest time by which the responses to two calls may arrive in the wrong order: a call takes no longer, with the wait of a poll. */
+const maxReorderingMs: Milliseconds = 250;
 
 /** Creates the lease for an executor incarnation that has not responded yet. */
 export function createExecutorLease({
-	clock, firstFencingToken, maxLeaseMs, getRenewalLimit, onPauseWitnessed,
+	clock, firstFencingToken, maxLeaseMs, getRenewalLimit, onPauseWitnessed, onClockSetBack,
 }: ExecutorLeaseHost): ExecutorLease {
-	const clockComparison = createClockComparison(clock);
+	let clockComparison = createClockComparison(clock);
 	const leaseDuration = Math.min(leaseMs, maxLeaseMs);
 	let fencingToken = firstFencingToken;
 	let clockOffset: Milliseconds | undefined;
 	/** Time on this process's clock by which all runs at the executor have ended unless the lease is renewed. */
 	let expiresAt = -Infinity;
+	/** The latest time that the executor has reported. */
+	let latestExecutorTime = -Infinity;
+	/** Number of incarnations that were followed by another one. */
+	let formerIncarnations = 0;
 
 	return {
 		getFencingToken: () => fencingToken,
@@ -88,21 +101,35 @@
 				return undefined;
 			}
 
-			expiresAt = Math.max(expiresAt, clock.now() + (duration * (1 + maxClockRateError)) + clockMarginMs);
+			recordGrant(duration);
 			return Math.floor(clock.now() + clockOffset + duration);
 		},
 		raiseAboveEarlierAgent() {
 			fencingToken += takeOverTokenStep;
 		},
 		hasExpired: () => clock.now() > expiresAt,
-		recordResponse(response) {
-			if (response.executorTime !== undefined) {
-				clockOffset = response.executorTime - clock.now();
-				reportWitnessedPause(clockComparison.record(response.executorTime));
+		async track(call) {
+			const formerIncarnationsBefore = formerIncarnations;
+			const response = await call;
+			if (formerIncarnations !== formerIncarnationsBefore) {
+				recordLongestGrant();
+			} else if (response.executorTime !== undefined) {
+				recordExecutorTime(response.executorTime);
 			}
 
 			return response;
 		},
+		continueWithNext(executorTime) {
+			formerIncarnations++;
+			fencingToken += fencingTokenStep;
+			recordLongestGrant();
+			clockComparison = createClockComparison(clock);
+			clockOffset = undefined;
+			latestExecutorTime = -Infinity;
+			if (executorTime !== undefined) {
+				recordExecutorTime(executorTime);
+			}
+		},
 		tryGetClockOffset: () => clockOffset,
 	};
 
@@ -112,6 +139,27 @@
 		}
 	}
 
+	// The clock of an incarnation starts anew, so an expiry on the clock of the one before is later than any that it grants.
+	function recordLongestGrant(): void {
+		recordGrant(maxLeaseMs);
+	}
+
+	/** Records that runs may go on for the duration of a lease from now on. */
+	function recordGrant(duration: Milliseconds): void {
+		expiresAt = Math.max(expiresAt, clock.now() + (duration * (1 + maxClockRateError)) + clockMarginMs);
+	}
+
+	function recordExecutorTime(executorTime: Milliseconds): void {
+		clockOffset = executorTime - clock.now();
+		reportWitnessedPause(clockComparison.record(executorTime));
+		if (executorTime + maxReorderingMs < latestExecutorTime) {
+			latestExecutorTime = executorTime;
+			onClockSetBack();
+		} else {
+			latestExecutorTime = Math.max(latestExecutorTime, executorTime);
+		}
+	}
+
 	/** Returns the duration of a lease that starts now; not positive if there must be none. */
 	function getDuration(): Milliseconds {
 		return Math.min(leaseDuration, getRenewalLimit() - clock.now());
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -12,7 +12,7 @@
 import {sleep, type Clock, type Milliseconds} from './clock.js';
 import {maxLoggedRuns} from './executor-poller.js';
 import type {ExecutorInfo, ExecutorPresence} from './executor-types.js';
-import type {LeasedUpstream, LeasedUpstreamHost} from './leased-upstream.js';
+import type {LeasedUpstream, LeasedUpstreamHost, UpstreamRestart} from './leased-upstream.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
 
@@ -34,7 +34,7 @@
 /** The events of an upstream that the manager handles. */
 export type UpstreamEvents = Pick<
 	LeasedUpstreamHost,
-	'onIncarnationChanged' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onRefused' | 'onShortage' | 'onRunsLost' | 'onRecovered' | 'getSilentRunLimit' | 'tryGetPermission'
+	'onReplaced' | 'onRestarted' | 'onFormerRunsLost' | 'onProgress' | 'onProjectedSlowdowns' | 'onUnreachable' | 'onRefused' | 'onShortage' | 'onRunsLost' | 'onRecovered' | 'getSilentRunLimit' | 'tryGetPermission'
 >;
 
 /** Dependencies of the manager. */
@@ -76,7 +76,7 @@
 
 /** What showed that the service of an executor has ended. */
 type EndEvidence =
-	/** Another incarnation has answered at the executor's own address. */
+	/** Another incarnation of it, or another executor, has answered at its address. */
 	| 'incarnation-answered'
 	/** It refuses connections, runs nothing, and another one has answered as announced. */
 	| 'refused'
@@ -108,8 +108,10 @@
 type ManagedExecutor = {
 	/** What was passed on to its agent. */
 	executorInfo: ExecutorInfo;
-	/** Distinguishes it from other incarnations. */
-	readonly incarnation: string;
+	/** Distinguishes it from other incarnations. After a restart it is that of the one that runs the remaining tasks. */
+	incarnation: string;
+	/** The incarnation before the last restart; undefined if there was none. Then only the runs that have begun at the next one go on. */
+	formerIncarnation?: string;
 	readonly announced: AnnouncedState;
 	readonly upstream: LeasedUpstream;
 	/** Undefined until the executor has been taken over. */
@@ -173,7 +175,7 @@
 
 	function handleAnnouncement(announcement: ReceivedAnnouncement): AnnouncementReception {
 		// Also while this process stops: the next process has to know what is acknowledged.
-		if (current !== undefined && !current.hasEnded && isAnnouncementOf(current, announcement.executorInfo)) {
+		if (current !== undefined && !current.hasEnded && !hasRestarted(current) && isAnnouncementOf(current, announcement.executorInfo)) {
 			const outcome = current.announced.receive(withConfirmedStart(current, announcement));
 			updateCurrent(current, outcome);
 			return outcome;
@@ -231,6 +233,8 @@
 
 			if (presence !== 'in-doubt' && isConsidered(candidate)) {
 				await verifyCandidate(candidate, predecessor, presence);
+			} else if (predecessor !== undefined && hasChangedWithRestart(predecessor, candidate.announced.get().executorInfo)) {
+				await predecessor.upstream.stopAll('executor-changed');
 			}
 
 			if (clock.now() - candidate.announcedAt > candidateLifetimeMs) {
@@ -242,8 +246,16 @@
 	}
 
 	async function getPresence(managed: ManagedExecutor | undefined): Promise<ExecutorPresence> {
-		const presence = managed === undefined || managed.hasEnded ? 'replaced' : await managed.upstream.checkPresence();
-		return managed?.hasEnded ? 'replaced' : presence;
+		if (managed === undefined || managed.hasEnded) {
+			return 'replaced';
+		}
+
+		const presence = hasRestarted(managed) ? 'in-doubt' : await managed.upstream.checkPresence();
+		if (managed.hasEnded) {
+			return 'replaced';
+		}
+
+		return hasRestarted(managed) ? 'in-doubt' : presence;
 	}
 
 	/** Replaces `predecessor`, which is gone as `presence` says, if the candidate answers as announced. */
@@ -370,26 +382,36 @@
 	}
 
 	function isInUse(managed: ManagedExecutor): boolean {
-		return !managed.hasEnded && !isStopping;
+		return !managed.hasEnded && !hasRestarted(managed) && !isStopping;
 	}
 
 	function createManagedExecutor(executorInfo: ExecutorInfo, announced: AnnouncedState): ManagedExecutor {
 		const managed: ManagedExecutor = {
 			executorInfo,
-			incarnation: `${executorInfo.id}@${executorInfo.bornAt}`,
+			incarnation: toIncarnation(executorInfo.id, executorInfo.bornAt),
 			announced,
 			isReplacingAgent: false,
 			isLeaving: announced.get().isLeaving,
 			hasDeregistered: false,
 			hasEnded: false,
 			upstream: host.createUpstream(executorInfo, {
-				onIncarnationChanged() {
+				onReplaced() {
 					if (managed === current) {
 						endExecutor(managed, 'incarnation-answered');
 					} else {
 						managed.hasEnded = true;
 					}
 				},
+				onRestarted(restart) {
+					if (managed === current) {
+						handleRestart(managed, restart);
+					} else {
+						managed.hasEnded = true;
+					}
+				},
+				onFormerRunsLost(starts) {
+					reportCrash(managed, managed.formerIncarnation ?? managed.incarnation, starts);
+				},
 				onProgress(start, elapsed, percent) {
 					managed.agent?.recordProgress(start, elapsed, percent);
 				},
@@ -443,8 +465,16 @@
 		managed.agent.setUpstreamLeaving(managed.isLeaving);
 	}
 
-	function reportLoss(managed: ManagedExecutor, state: LossState, starts: readonly TaskStart[]): void {
-		host.lossLog.report(managed.incarnation, state, starts.map(start => toLostTask(start)));
+	function reportCrash(managed: ManagedExecutor, incarnation: string, starts: readonly TaskStart[]): void {
+		// An executor that leaves does not crash.
+		if (!managed.isLeaving) {
+			log.warn({executor: managed.executorInfo.id, runs: starts.length}, 'executor crashed');
+			reportLoss(managed, LossState.LOSS_STATE_CRASHED, starts, incarnation);
+		}
+	}
+
+	function reportLoss(managed: ManagedExecutor, state: LossState, starts: readonly TaskStart[], incarnation = managed.incarnation): void {
+		host.lossLog.report(incarnation, state, starts.map(start => toLostTask(start)));
 		host.metrics.count('executor.lost', 1, {state: lossStateNames[state]});
 		managed.agent?.reportLosses();
 	}
@@ -454,36 +484,74 @@
 		host.metrics.count('announcement.ignored', 1, {reason});
 	}
 
-	/** Ends the service of an incarnation of the executor, which has crashed unless it had announced that it leaves. */
-	function endExecutor(ended: ManagedExecutor, evidence: EndEvidence): void {
-		if (ended.hasEnded) {
+	// The runs that the next incarnation has begun go on under the agent that has started them. The executor is taken over, and its
+	// resources are offered again, once they have ended and it has announced itself.
+	function handleRestart(managed: ManagedExecutor, {startedAt, formerAge, lost}: UpstreamRestart): void {
+		if (managed.hasEnded) {
+			return;
+		}
+
+		recordEnd(managed, 'incarnation-answered', lost, formerAge);
+		managed.formerIncarnation = managed.incarnation;
+		managed.upstream.abort(lost, endedDetail);
+		managed.incarnation = toIncarnation(managed.executorInfo.id, startedAt);
+		const remaining = managed.upstream.getActiveStarts().length;
+		if (remaining === 0) {
+			retire(managed);
 			return;
 		}
 
-		ended.hasEnded = true;
-		const starts = ended.upstream.getActiveStarts();
+		log.info({...toLogFields(managed.executorInfo), startedAt, runs: remaining}, 'runs go on at the next incarnation of the executor, or may have begun there');
+		managed.agent?.setUpstreamLeaving(true);
+		void managed.upstream.whenIdle().then(() => {
+			retire(managed);
+		});
+	}
+
+	/** Ends the service of an incarnation of the executor of which no run can go on. */
+	function endExecutor(ended: ManagedExecutor, evidence: EndEvidence): void {
+		if (!ended.hasEnded) {
+			const lost = ended.upstream.getActiveStarts();
+			recordEnd(ended, evidence, lost);
+			ended.upstream.abort(lost, endedDetail);
+			retire(ended);
+		}
+	}
+
+	/** Reports the end of an incarnation of the executor, which has crashed unless it had announced that it leaves. */
+	function recordEnd(ended: ManagedExecutor, evidence: EndEvidence, lost: readonly TaskStart[], lastAnswerAge?: Milliseconds): void {
 		log.warn({
 			...toLogFields(ended.executorInfo),
 			evidence,
+			lastAnswerAge: lastAnswerAge === undefined ? undefined : Math.round(lastAnswerAge),
 			isLeaving: ended.isLeaving,
-			runs: starts.length,
-			tasks: ended.upstream.describeRuns().slice(0, maxLoggedRuns),
+			runs: lost.length,
+			tasks: lost.slice(0, maxLoggedRuns).map(({reference, task}) => `${reference}.${task?.index}`),
 		}, 'service of the executor has ended');
 		host.metrics.count('executor.ended', 1, {evidence});
-		if (!ended.isLeaving) {
-			log.warn({executor: ended.executorInfo.id, runs: starts.length}, 'executor crashed');
-			reportLoss(ended, LossState.LOSS_STATE_CRASHED, starts);
+		reportCrash(ended, ended.incarnation, lost);
+	}
+
+	function retire(managed: ManagedExecutor): void {
+		if (managed.hasEnded) {
+			return;
 		}
 
-		ended.upstream.abortAll('the executor ended');
+		managed.hasEnded = true;
 		// Leaves the links open until they have carried the results of the aborted runs.
 		host.afterFlush(() => {
-			ended.agent?.stop();
-			void ended.upstream.close();
+			managed.agent?.stop();
+			void managed.upstream.close();
 		});
 	}
 }
 
+const endedDetail = 'the executor ended';
+
+function toIncarnation(id: string, startedAt: number): string {
+	return `${id}@${startedAt}`;
+}
+
 function toLogFields({id, bornAt, address}: ExecutorInfo): {readonly executor: string; readonly bornAt: number; readonly address: string} {
 	return {executor: id, bornAt, address};
 }
@@ -496,11 +564,23 @@
 	return a.isLeaving === b.isLeaving && areEqualResources(a.executorInfo.room, b.executorInfo.room) && areSameDescriptions(a.executorInfo, b.executorInfo);
 }
 
+function hasRestarted({formerIncarnation}: ManagedExecutor): boolean {
+	return formerIncarnation !== undefined;
+}
+
+/** Whether `executorInfo` is that of the incarnation after the one in service, whose service or labels are others. */
+function hasChangedWithRestart(managed: ManagedExecutor, executorInfo: ExecutorInfo): boolean {
+	const {executorInfo: known, hasEnded, upstream} = managed;
+	return hasRestarted(managed) && !hasEnded && known.id === executorInfo.id && upstream.tryGetExecutorStart() === executorInfo.bornAt
+		&& !areSameDescriptions({...known, bornAt: executorInfo.bornAt}, executorInfo);
+}
+
 /** Whether `executorInfo` names this incarnation, by the start that it has announced or answered. */
-function isAnnouncementOf({executorInfo: known, upstream}: ManagedExecutor, {id, address, bornAt}: ExecutorInfo): boolean {
+function isAnnouncementOf(managed: ManagedExecutor, {id, address, bornAt}: ExecutorInfo): boolean {
+	const {executorInfo: known, upstream} = managed;
 	// An executor that does not state its start has confirmed none, so a start in an announcement may be another writer's.
 	return known.id === id && known.address === address
-		&& (known.bornAt === bornAt || upstream.tryGetExecutorStart() === bornAt || !upstream.statesStart());
+		&& ((known.bornAt === bornAt && !hasRestarted(managed)) || upstream.tryGetExecutorStart() === bornAt || !upstream.statesStart());
 }
 
 /** The start that identifies the executor may be missing in its first announcement, and has been confirmed by its answers then. */
--- a/src/process/executor-poller.ts
+++ b/src/process/executor-poller.ts
@@ -6,7 +6,9 @@
 	sleep, type Clock, type Milliseconds, type Timer,
 } from './clock.js';
 import type {ExecutorLease} from './executor-lease.js';
-import type {Executor, ExecutorStatus, PollOutcome} from './executor-types.js';
+import type {
+	Executor, ExecutorStatus, PollOutcome, WithExecutorTime,
+} from './executor-types.js';
 import type {Log} from './log.js';
 
 /** Dependencies of an executor poller. */
@@ -29,20 +31,35 @@
 	onLeaseExpired(): void;
 	/** Called after this process was paused for so long that entries may have abandoned its runs. */
 	onPaused(): void;
-	/** Called when the executor turns out to be another incarnation than the expected one. */
-	onIncarnationChanged(): void;
+	/** Called when an executor with another identifier has responded. */
+	onReplaced(): void;
+	/** Called when the next incarnation of the executor has responded, which is the expected one from now on. */
+	onRestarted(restart: ExecutorRestart): void;
 	/** Called when the executor has stopped responding. */
 	onUnreachable(): void;
 	/** Returns the total time for which this process was paused since the last call, and resets it to 0. */
 	takePauseTime(): Milliseconds;
 };
 
-/** Polls one incarnation of an executor. */
+/** The first status of the next incarnation of an executor. */
+export type ExecutorRestart = {
+	/** When it started. */
+	readonly startedAt: number;
+	readonly status: ExecutorStatus;
+	/** When the poll was sent that it answers. */
+	readonly polledAt: Milliseconds;
+	/** When the newest poll was sent that the incarnation before has answered; -Infinity if it has answered none. */
+	readonly formerPolledAt: Milliseconds;
+};
+
+/** Polls an executor: one incarnation, and the next one of the same identifier after a restart. */
 export type ExecutorPoller = {
 	/** Polls once, without renewing the lease. Returns undefined if there is no usable response. */
 	poll(): Promise<ExecutorStatus | undefined>;
 	/** Polls once, without renewing the lease, and returns the kind of the outcome; `status` only from the expected incarnation. */
 	probe(): Promise<PollOutcome['kind']>;
+	/** Polls once, without renewing the lease, unless such a poll is pending. */
+	checkIncarnation(): void;
 	/** Returns when the incarnation that answers started; undefined if neither the expected one is known nor any has reported that. */
 	tryGetExecutorStart(): number | undefined;
 	/** Whether the executor states in its responses when it started. */
@@ -65,6 +82,13 @@
  */
 type PollResult = 'silent' | 'more-to-come' | 'idle';
 
+/** A poll that was sent. */
+type SentPoll = {
+	readonly fencingToken: number;
+	readonly polledAt: Milliseconds;
+	readonly acknowledgement: number;
+};
+
 /** How long a poll may wait at the executor while tasks run: short enough to renew the lease and to see progress. */
 const longPollMs: Milliseconds = 60;
 /**
@@ -86,8 +110,13 @@
 	const {
 		clock, executor, lease, log,
 	} = host;
+	/** Highest sequence number of an ended run that was listed, and up to which the executor is known to have received that. */
+	let listedSequenceNumber = 0;
 	let acknowledgedSequenceNumber = 0;
 	let {executorStartedAt} = host;
+	/** Starts of the incarnations that were followed by another one. Their responses may be read after its first one. */
+	const formerStarts = new Set<number>();
+	let isCheckingIncarnation = false;
 	let hasStatedStart = false;
 	let isClosed = false;
 	let isReachable = false;
@@ -104,6 +133,14 @@
 			const {kind, status} = await exchangePoll(0, false);
 			return kind === 'status' && status === undefined ? 'other-incarnation' : kind;
 		},
+		checkIncarnation() {
+			if (!isCheckingIncarnation) {
+				isCheckingIncarnation = true;
+				void sendPoll(0, false).finally(() => {
+					isCheckingIncarnation = false;
+				});
+			}
+		},
 		tryGetExecutorStart: () => executorStartedAt,
 		statesStart: () => hasStatedStart,
 		confirmFencingToken,
@@ -252,27 +289,32 @@
 		// A poll without a response may still have renewed the lease. After some of these in a row, polls stop renewing it:
 		// otherwise the lease of an executor whose responses are lost would never be known to have expired.
 		const leaseExpiresAt = renewsLease && unansweredPolls < unansweredPollLimit ? lease.tryRenew() : undefined;
-		const usedFencingToken = lease.getFencingToken();
-		const polledAt = clock.now();
-		const {outcome} = lease.recordResponse(await executor.poll({
-			leaseExpiresAt, fencingToken: usedFencingToken, acknowledgedSequenceNumber, waitMs: wait,
+		const sent: SentPoll = {fencingToken: lease.getFencingToken(), polledAt: clock.now(), acknowledgement: getAcknowledgement()};
+		const response = await lease.track(executor.poll({
+			leaseExpiresAt, fencingToken: sent.fencingToken, acknowledgedSequenceNumber: sent.acknowledgement, waitMs: wait,
 		}));
-		return {kind: outcome.kind, status: readOutcome(outcome, usedFencingToken, polledAt)};
+		return {kind: response.outcome.kind, status: readResponse(response, sent)};
 	}
 
-	function readOutcome(outcome: PollOutcome, usedFencingToken: number, polledAt: Milliseconds): ExecutorStatus | undefined {
+	// Another incarnation would forget its own ends up to this number, unseen. So it is sent only until it has arrived, and directly after
+	// a response.
+	function getAcknowledgement(): number {
+		return listedSequenceNumber > acknowledgedSequenceNumber && unansweredPolls === 0 ? listedSequenceNumber : 0;
+	}
+
+	function readResponse({outcome, executorTime}: WithExecutorTime<PollOutcome>, sent: SentPoll): ExecutorStatus | undefined {
 		switch (outcome.kind) {
 			case 'status': {
-				return acceptStatus(outcome.status, polledAt);
+				return acceptStatus(outcome.status, executorTime, sent);
 			}
 
 			case 'fenced': {
-				lease.catchUpFencingToken(usedFencingToken);
+				lease.catchUpFencingToken(sent.fencingToken);
 				return undefined;
 			}
 
 			case 'other-incarnation': {
-				host.onIncarnationChanged();
+				host.onReplaced();
 				return undefined;
 			}
 
@@ -283,7 +325,7 @@
 
 			case 'no-answer': {
 				// The poll may renew the lease seconds later, when its runs count as ended. The next poll prevents that.
-				lease.raiseFencingToken(usedFencingToken);
+				lease.raiseFencingToken(sent.fencingToken);
 				return undefined;
 			}
 
@@ -294,34 +336,46 @@
 		}
 	}
 
-	function acceptStatus(status: ExecutorStatus, polledAt: Milliseconds): ExecutorStatus | undefined {
-		if (status.executorStartedAt !== undefined && executorStartedAt !== undefined && status.executorStartedAt !== executorStartedAt) {
-			log.warn({
-				startedAt: executorStartedAt,
-				nextStartedAt: status.executorStartedAt,
-				lastAnswerAge: Math.round(clock.now() - lastAnsweredPollAt),
-				polledAge: Math.round(clock.now() - polledAt),
-				running: status.running.slice(0, maxLoggedRuns).map(({task, run}) => [task, run]),
-				ended: status.ended.slice(0, maxLoggedRuns).map(({task, run, detail}) => [task, run, detail]),
-			}, 'another incarnation of the executor answers');
-			host.onIncarnationChanged();
+	function acceptStatus(status: ExecutorStatus, executorTime: Milliseconds | undefined, {polledAt, acknowledgement}: SentPoll): ExecutorStatus | undefined {
+		if (status.executorStartedAt !== undefined && formerStarts.has(status.executorStartedAt)) {
 			return undefined;
 		}
 
-		executorStartedAt ??= status.executorStartedAt;
-		hasStatedStart ||= status.executorStartedAt !== undefined;
 		unansweredPolls = 0;
-		lastAnsweredPollAt = Math.max(lastAnsweredPollAt, polledAt);
 		isReachable = true;
-		host.onStatus(status, polledAt);
-		for (const {sequenceNumber} of status.ended) {
-			acknowledgedSequenceNumber = Math.max(acknowledgedSequenceNumber, sequenceNumber);
+		const formerPolledAt = lastAnsweredPollAt;
+		lastAnsweredPollAt = Math.max(lastAnsweredPollAt, polledAt);
+		if (status.executorStartedAt !== undefined && executorStartedAt !== undefined && status.executorStartedAt !== executorStartedAt) {
+			formerStarts.add(executorStartedAt);
+			executorStartedAt = status.executorStartedAt;
+			hasStatedStart = true;
+			lease.continueWithNext(executorTime);
+			acknowledgedSequenceNumber = 0;
+			listedSequenceNumber = getHighestSequenceNumber(status);
+			host.onRestarted({
+				startedAt: executorStartedAt, status, polledAt, formerPolledAt,
+			});
+			return undefined;
 		}
 
+		executorStartedAt ??= status.executorStartedAt;
+		hasStatedStart ||= status.executorStartedAt !== undefined;
+		host.onStatus(status, polledAt);
+		acknowledgedSequenceNumber = Math.max(acknowledgedSequenceNumber, acknowledgement);
+		listedSequenceNumber = Math.max(listedSequenceNumber, getHighestSequenceNumber(status));
 		return status;
 	}
 }
 
+function getHighestSequenceNumber({ended}: ExecutorStatus): number {
+	let highest = 0;
+	for (const {sequenceNumber} of ended) {
+		highest = Math.max(highest, sequenceNumber);
+	}
+
+	return highest;
+}
+
 /** Delay before the next poll. */
 const delayAfter: Readonly<Record<PollResult | 'overdue', Milliseconds>> = {
 	silent: retryDelayMs, overdue: 0, 'more-to-come': 0, idle: idleIntervalMs,
--- a/src/process/executor-types.ts
+++ b/src/process/executor-types.ts
@@ -80,6 +80,8 @@
 	readonly executorStartedAt: number | undefined;
 	readonly running: readonly ActiveRun[];
 	readonly ended: readonly EndedRun[];
+	/** Whether the lists contain every run that goes on or whose end is not acknowledged: each could be read, and none was left out. */
+	readonly isComplete: boolean;
 };
 
 /** A poll of an executor's status, which may renew its lease. */
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -9,7 +9,7 @@
 import {isStalled, estimateSlowdown, type RunProgress} from '../request/progress.js';
 import type {UpstreamClient} from '../request/upstream-client.js';
 import {sleep, type Clock, type Milliseconds} from './clock.js';
-import {createExecutorPoller} from './executor-poller.js';
+import {createExecutorPoller, maxLoggedRuns, type ExecutorRestart} from './executor-poller.js';
 import {createExecutorLease, leaseMs} from './executor-lease.js';
 import type {
 	ActiveRun, EndedRun, Executor, ExecutorPresence, ExecutorStatus, CommandOutcome, RunOutcome,
@@ -32,8 +32,12 @@
 	readonly harmlessPauseMs: Milliseconds;
 	readonly log: Log;
 	readonly metrics: Pick<Metrics, 'time'>;
-	/** Called when the executor turns out to be another incarnation than the expected one. */
-	onIncarnationChanged(): void;
+	/** Called when an executor with another identifier has responded at the address. */
+	onReplaced(): void;
+	/** Called when the executor has responded after a restart. The caller ends the lost runs by {@link LeasedUpstream.abort}. */
+	onRestarted(restart: UpstreamRestart): void;
+	/** Called after a restart with starts that the incarnation before has carried out, if any has. Their runs are then reported as aborted. */
+	onFormerRunsLost(starts: readonly TaskStart[]): void;
 	/** Called with the projected slowdowns of the current runs: projected divided by declared run time. */
 	onProjectedSlowdowns(projections: readonly number[]): void;
 	/** Called with the progress of each current run. */
@@ -58,6 +62,16 @@
 	onPauseWitnessed(pause: Milliseconds): void;
 };
 
+/** What is known when the next incarnation of an executor responds. */
+export type UpstreamRestart = {
+	/** When the next incarnation started, by its own time of day. */
+	readonly startedAt: number;
+	/** Time since the newest poll was sent that the incarnation before has answered. */
+	readonly formerAge: Milliseconds;
+	/** The starts whose runs have certainly ended: the next incarnation does not run them. */
+	readonly lost: readonly TaskStart[];
+};
+
 /** An upstream that runs its tasks on an executor under a lease. */
 export type LeasedUpstream = Omit<UpstreamClient, 'stop'> & {
 	/** Stops a run that must end since some time, or from now on if undefined. */
@@ -76,20 +90,20 @@
 	stopAll(cause: StopCause): Promise<void>;
 	/** Returns the starts whose runs have not ended. */
 	getActiveStarts(): readonly TaskStart[];
-	/** Returns what is known of the runs that have not ended, for the log. */
-	describeRuns(): readonly RunDescription[];
-	/** Ends all runs as aborted, for use once another incarnation of the executor has answered at its address. */
-	abortAll(detail: string): void;
+	/** Resolves once no run is left. */
+	whenIdle(): Promise<void>;
+	/** Ends the runs of these starts as aborted, which have ended with their executor. */
+	abort(starts: readonly TaskStart[], detail: string): void;
 };
 
-/** What is known of a run, with the times since then. */
-export type RunDescription = {
+/** What the log tells of a run. */
+type RunDescription = {
 	readonly task: string;
 	readonly run: number;
 	/** Since its start was requested. */
 	readonly requestedAge: Milliseconds;
-	/** Since its start was answered; undefined if it was not. */
-	readonly answeredAge: Milliseconds | undefined;
+	/** Since it was first known to run; undefined if it is not. */
+	readonly runningAge: Milliseconds | undefined;
 	/** Whether the incarnation in service has listed it as running. */
 	readonly isListed: boolean;
 };
@@ -102,9 +116,10 @@
 	readonly requestedAt: Milliseconds;
 	/** When it was first known to run; before that, the start call may have waited for a connection. */
 	runningSince?: Milliseconds;
-	/** When the response to its start call was received. */
-	answeredAt?: Milliseconds;
-	isListed: boolean;
+	/** When the newest poll was sent that the present incarnation of the executor has answered with this run among those that go on. */
+	listedAt?: Milliseconds;
+	/** Whether its start may have reached an incarnation that was followed by another one. */
+	isInDoubt: boolean;
 	/** `requested` while the start call is being made, `running` once the executor is known to run the task. */
 	state: 'requested' | 'running';
 	/** Undefined while the run may go on. */
@@ -136,12 +151,20 @@
  */
 const maxStartAttempts = 8;
 const emptyPayload = new Uint8Array();
+const restartedDetail = 'the executor has restarted and has not announced itself yet';
 
 /** Creates an upstream over one incarnation of an executor. It starts no runs before {@link LeasedUpstream.takeOver}. */
 export function createLeasedUpstream(host: LeasedUpstreamHost): LeasedUpstream {
 	const {clock, executor, log} = host;
 	const runs = new Map<string, Run>();
-	const lease = createExecutorLease({...host, getRenewalLimit, onPauseWitnessed: handleWitnessedPause});
+	const lease = createExecutorLease({
+		...host,
+		getRenewalLimit,
+		onPauseWitnessed: handleWitnessedPause,
+		onClockSetBack() {
+			poller.checkIncarnation();
+		},
+	});
 	const poller = createExecutorPoller({
 		clock,
 		executor,
@@ -170,7 +193,8 @@
 		onPaused() {
 			stopAllRuns('agent-paused');
 		},
-		onIncarnationChanged: host.onIncarnationChanged,
+		onReplaced: host.onReplaced,
+		onRestarted: handleRestart,
 		onUnreachable: host.onUnreachable,
 		takePauseTime: host.takePauseTime,
 		harmlessPauseMs: host.harmlessPauseMs,
@@ -179,6 +203,8 @@
 	let hasLostRuns = false;
 	/** Whether the lease will soon end, although there are runs. */
 	let isRenewalEnding = false;
+	/** Whether the runs that are left belong to a later incarnation than the one that was taken over. */
+	let hasRestarted = false;
 	/** Called when the last run has ended. */
 	const idleListeners: Array<() => void> = [];
 
@@ -186,8 +212,16 @@
 		run(start, done) {
 			const task = `${start.reference}.0.0.${start.task!.index}`;
 			const run: Run = {
-				start, task, run: start.attempt, done, requestedAt: clock.now(), state: 'requested', isListed: false,
+				start, task, run: start.attempt, done, requestedAt: clock.now(), state: 'requested', isInDoubt: false,
 			};
+			if (hasRestarted) {
+				// The next incarnation has not announced itself yet and may offer something else.
+				queueMicrotask(() => {
+					done(createRunResult(TaskOutcome.TASK_OUTCOME_REFUSED, RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE, restartedDetail, 0));
+				});
+				return;
+			}
+
 			if (runs.has(task)) {
 				// An earlier run of the task, which an entry has abandoned, is still being stopped here.
 				queueMicrotask(() => {
@@ -222,26 +256,19 @@
 		takeOver,
 		async stopAll(cause) {
 			stopAllRuns(cause);
-			if (runs.size > 0) {
-				await new Promise<void>(resolve => {
-					idleListeners.push(resolve);
-				});
-			}
+			await whenIdle();
 		},
+		whenIdle,
 		getActiveStarts,
-		describeRuns: () => [...runs.values()].map(run => ({
-			task: run.task,
-			run: run.run,
-			requestedAge: Math.round(clock.now() - run.requestedAt),
-			answeredAge: run.answeredAt === undefined ? undefined : Math.round(clock.now() - run.answeredAt),
-			isListed: run.isListed,
-		})),
-		abortAll(detail) {
+		abort(starts, detail) {
+			const aborted = new Set(starts);
 			for (const run of runs.values()) {
-				endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, detail);
+				if (aborted.has(run.start)) {
+					endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, detail);
+				}
 			}
 		},
-		isReachable: async () => poller.isReachable() && clock.now() >= unavailableUntil && lease.canRenew(),
+		isReachable: async () => !hasRestarted && poller.isReachable() && clock.now() >= unavailableUntil && lease.canRenew(),
 		async close() {
 			poller.close();
 			await executor.close();
@@ -307,6 +334,58 @@
 		}
 	}
 
+	async function whenIdle(): Promise<void> {
+		if (runs.size > 0) {
+			await new Promise<void>(resolve => {
+				idleListeners.push(resolve);
+			});
+		}
+	}
+
+	// A response to a start does not name the incarnation that has carried it out, so any run may have begun at either one. The next one
+	// lists what it runs of the starts that were answered before it was polled; the others are settled by a later status.
+	function handleRestart({startedAt, status, polledAt, formerPolledAt}: ExecutorRestart): void {
+		hasRestarted = true;
+		hasLostRuns = false;
+		const runsBefore = describeRuns();
+		for (const run of runs.values()) {
+			run.listedAt = undefined;
+			run.isInDoubt = true;
+		}
+
+		receiveLists(status, polledAt);
+		const lost = findMissingRuns(status, polledAt).map(run => run.start);
+		log.warn({
+			startedAt,
+			formerAge: Math.round(clock.now() - formerPolledAt),
+			polledAge: Math.round(clock.now() - polledAt),
+			runs: runsBefore.slice(0, maxLoggedRuns),
+			lost: lost.length,
+			running: status.running.slice(0, maxLoggedRuns).map(({task, run}) => [task, run]),
+			ended: status.ended.slice(0, maxLoggedRuns).map(({task, run, detail}) => [task, run, detail]),
+		}, 'the executor has restarted');
+		host.onRestarted({startedAt, formerAge: clock.now() - formerPolledAt, lost});
+		if (runs.size > 0) {
+			// Its fencing token keeps the next incarnation from carrying out what has not arrived yet.
+			void poller.confirmFencingToken();
+		}
+	}
+
+	/**
+	 * Returns the runs that had begun before a poll was sent at `polledAt` and are not in the lists that it was answered with. They have
+	 * ended, with an incarnation of the executor or, if their ends were acknowledged by mistake after a restart, unseen.
+	 */
+	function findMissingRuns(status: ExecutorStatus, polledAt: Milliseconds): readonly Run[] {
+		return status.isComplete ? [...runs.values()].filter(({runningSince = Infinity, listedAt}) => runningSince <= polledAt && listedAt !== polledAt) : [];
+	}
+
+	function reportFormerRuns(ended: readonly Run[]): void {
+		const former = ended.filter(({isInDoubt}) => isInDoubt);
+		if (former.length > 0) {
+			host.onFormerRunsLost(former.map(run => run.start));
+		}
+	}
+
 	function reportLostRuns(): void {
 		hasLostRuns = true;
 		host.onRunsLost(getActiveStarts());
@@ -316,6 +395,16 @@
 		return [...runs.values()].map(run => run.start);
 	}
 
+	function describeRuns(): readonly RunDescription[] {
+		return [...runs.values()].map(run => ({
+			task: run.task,
+			run: run.run,
+			requestedAge: Math.round(clock.now() - run.requestedAt),
+			runningAge: run.runningSince === undefined ? undefined : Math.round(clock.now() - run.runningSince),
+			isListed: run.listedAt !== undefined,
+		}));
+	}
+
 	async function checkPresence(): Promise<ExecutorPresence> {
 		const kind = await poller.probe();
 		switch (kind) {
@@ -387,13 +476,18 @@
 				return;
 			}
 
+			if (hasRestarted) {
+				endRun(run, TaskOutcome.TASK_OUTCOME_REFUSED, restartedDetail, RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE);
+				return;
+			}
+
 			const leaseExpiresAt = lease.tryRenew();
 			if (leaseExpiresAt === undefined) {
 				break;
 			}
 
 			const usedFencingToken = lease.getFencingToken();
-			const {outcome} = lease.recordResponse(await executor.start({
+			const {outcome} = await lease.track(executor.start({
 				task: run.task, run: run.run, spec: spec.value, leaseExpiresAt, fencingToken: usedFencingToken,
 			}));
 			if (await handleStartOutcome(run, outcome, usedFencingToken)) {
@@ -408,7 +502,6 @@
 	async function handleStartOutcome(run: Run, outcome: CommandOutcome, usedFencingToken: number): Promise<boolean> {
 		switch (outcome.kind) {
 			case 'done': {
-				run.answeredAt = clock.now();
 				markRunning(run);
 				return true;
 			}
@@ -447,7 +540,8 @@
 			}
 
 			case 'other-incarnation': {
-				host.onIncarnationChanged();
+				endRun(run, TaskOutcome.TASK_OUTCOME_REFUSED, 'another executor has refused the order', RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE);
+				host.onReplaced();
 				return true;
 			}
 
@@ -472,7 +566,14 @@
 			return;
 		}
 
-		if (runs.get(run.task) === run && run.state === 'requested') {
+		if (runs.get(run.task) !== run) {
+			return;
+		}
+
+		if (run.isInDoubt) {
+			reportFormerRuns([run]);
+			endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, 'the executor has restarted and may have begun the run before');
+		} else if (run.state === 'requested') {
 			endRun(run, TaskOutcome.TASK_OUTCOME_REFUSED, 'the order had no effect', RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE);
 		}
 	}
@@ -483,11 +584,22 @@
 			host.onRecovered();
 		}
 
+		receiveLists(status, polledAt);
+		const missing = findMissingRuns(status, polledAt);
+		reportFormerRuns(missing);
+		for (const run of missing) {
+			log.warn({...toLogFields(run), isInDoubt: run.isInDoubt}, 'run is missing in the lists of the executor');
+			endRun(run, TaskOutcome.TASK_OUTCOME_ABORTED, 'the executor does not list it any more');
+		}
+	}
+
+	function receiveLists(status: ExecutorStatus, polledAt: Milliseconds): void {
 		const projections: number[] = [];
 		for (const listedRun of status.running) {
 			const run = runs.get(listedRun.task);
 			if (run?.run === listedRun.run) {
-				run.isListed = true;
+				run.listedAt = polledAt;
+				run.isInDoubt = false;
 				markRunning(run);
 				projections.push(...recordProgress(run, listedRun, polledAt));
 			} else if (run === undefined) {
@@ -561,7 +673,7 @@
 			stop.calls++;
 			const calledAt = clock.now();
 			const usedFencingToken = lease.getFencingToken();
-			const {outcome} = lease.recordResponse(await executor.stop(run, usedFencingToken));
+			const {outcome} = await lease.track(executor.stop(run, usedFencingToken));
 			if (outcome.kind === 'fenced') {
 				lease.catchUpFencingToken(usedFencingToken);
 			}
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -76,6 +76,8 @@
 	readonly areForwardedJobsKept?: boolean;
 	/** Whether agents take a deregistration of their executor for the end of its runs. */
 	readonly areDeparturesTrusted?: boolean;
+	/** Whether agents take a restart of their executor for the end of all runs. */
+	readonly areRestartsTrusted?: boolean;
 	/** Longest lease that executors grant. */
 	readonly maxLeaseMs?: Milliseconds;
 	/** Wraps the executor to change the commands of its agent. */
@@ -130,6 +132,8 @@
 	deregister(agent: string, onAnswer: () => void): void;
 	/** Delivers what an executor says of itself to its agent. */
 	announce(agent: string): void;
+	/** Crashes an executor, which starts again after `downTime` and announces itself for the first time `announcementDelay` later. */
+	restartExecutor(agent: string, downTime: Milliseconds, announcementDelay: Milliseconds): void;
 	/** Changes the processors of an executor, in thousandths of a processor. Its next heartbeat announces them. */
 	setRoom(agent: string, cpu: number): void;
 	advance(duration: Milliseconds): Promise<void>;
@@ -170,6 +174,8 @@
 	const leavingStartedAt = new Map<string, Milliseconds>();
 	const highestSequences = new Map<string, number>();
 	let announcementCount = 0;
+	/** Time from the next start of an executor to its first announcement, where it is given. */
+	const announcementDelays = new Map<string, Milliseconds>();
 	const rooms = new Map(agentNames.map(name => [name as string, [{at: 0, cpu: executorCpu}]]));
 	for (const executor of executors.values()) {
 		executor.isLongPolling = true;
@@ -186,9 +192,14 @@
 		};
 
 		executors.get(name)!.onRestarted = () => {
+			const {startedAt} = executors.get(name)!;
+			const delay = announcementDelays.get(name) ?? random.integer(1, maxAnnouncementDelayMs);
+			announcementDelays.delete(name);
 			// The first heartbeat of an executor follows its start.
-			clock.after(random.integer(1, maxAnnouncementDelayMs), () => {
-				announce(name);
+			clock.after(delay, () => {
+				if (executors.get(name)!.startedAt === startedAt) {
+					announce(name);
+				}
 			});
 		};
 	}
@@ -255,6 +266,10 @@
 			});
 		},
 		announce,
+		restartExecutor(name, downTime, announcementDelay) {
+			announcementDelays.set(name, announcementDelay);
+			executors.get(name)!.crash(downTime);
+		},
 		setRoom(name, cpu) {
 			rooms.get(name)!.push({at: clock.now(), cpu});
 			executors.get(name)!.guardedRuns = defects.isGuarding ? Math.floor(cpu / taskCpu) : undefined;
@@ -381,7 +396,7 @@
 			lossLog,
 			createUpstream(executorInfo, events) {
 				const executor = createExecutorClient(process, {id: name, executor: executors.get(name)!}, executorInfo);
-				const upstream = createLeasedUpstream({
+				const upstream: LeasedUpstream = createLeasedUpstream({
 					clock: process.clock,
 					executor: defects.changeExecutor?.(executor) ?? executor,
 					executorStartedAt: executorInfo.bornAt,
@@ -393,6 +408,9 @@
 					takePauseTime: createPauseAccumulator(detector),
 					onPauseWitnessed: detector.recordWitnessed,
 					...events,
+					onRestarted(restart) {
+						events.onRestarted(defects.areRestartsTrusted ? {...restart, lost: upstream.getActiveStarts()} : restart);
+					},
 				});
 				return defects.areDeparturesTrusted ? endRunsAtOnce(upstream) : upstream;
 			},
@@ -455,7 +473,7 @@
 }
 
 /**
- * Creates the client of one agent process for one incarnation of an executor. Nothing listens at any other address than the one
+ * Creates the client of one agent process for one executor, whose incarnations it does not tell apart. Nothing listens at any other address than the one
  * that is the executor's identifier. Responses that arrive while the process is frozen wait until it resumes.
  */
 function createExecutorClient(process: SimulatedProcess, {id, executor}: {readonly id: string; readonly executor: FakeExecutor}, executorInfo: ExecutorInfo): Executor {
@@ -475,7 +493,8 @@
 			return refuseCall({kind: 'not-sent', detail: 'nothing listens there'});
 		}
 
-		return executorInfo.id === id && executorInfo.bornAt === executor.startedAt ? undefined : refuseCall({kind: 'other-incarnation'});
+		// Another incarnation has the same identifier and answers.
+		return executorInfo.id === id ? undefined : refuseCall({kind: 'other-incarnation'});
 	}
 }
 
@@ -484,7 +503,7 @@
 	return {
 		...upstream,
 		async stopAll() {
-			upstream.abortAll('the executor ended');
+			upstream.abort(upstream.getActiveStarts(), 'the executor ended');
 		},
 	};
 }
--- a/test/failure/leased/run.ts
+++ b/test/failure/leased/run.ts
@@ -29,6 +29,11 @@
 const executorFaultCount = 8;
 const announcementFaultCount = 8;
 const identityFaultCount = 4;
+const restartCount = 30;
+/** Longest time for which an executor that restarts unnoticed is down. */
+const maxUnnoticedMs: Milliseconds = 120;
+/** Longest time after the first run of a restarted executor until something happens to its agent. */
+const maxFollowingMs: Milliseconds = 80;
 /** Announcements of another writer while an executor leaves. */
 const foreignAnnouncements = 2;
 /** Time for which an executor goes on after a deregistration that was not acknowledged. */
@@ -63,6 +68,8 @@
 	readonly defects?: InjectedDefects;
 	/** Whether executors also crash, by themselves and under tasks, and change their processors. */
 	readonly hasExecutorFaults?: boolean;
+	/** Whether executors restart so soon that nobody notices at first, while something else happens to their agents. */
+	readonly hasRestarts?: boolean;
 	/** Whether agents receive heartbeats of other writers, and deregistrations: not acknowledged, acknowledged, or of another writer. */
 	readonly hasAnnouncementFaults?: boolean;
 	/** Whether executors leave while another writer announces something else under their identity. */
@@ -80,7 +87,7 @@
 
 /** Runs the load and injects the faults of a seed. */
 export async function runLeasedFailures(seed: number, {
-	isCalm = false, defects = {}, hasExecutorFaults = false, hasAnnouncementFaults = false, hasIdentityFaults = false, hasEvacuations = false, loadSharing, chains,
+	isCalm = false, defects = {}, hasExecutorFaults = false, hasAnnouncementFaults = false, hasIdentityFaults = false, hasRestarts = false, hasEvacuations = false, loadSharing, chains,
 }: FailureOptions = {}): Promise<LeasedReport> {
 	const clients: Clients = createClients(() => cluster);
 	const cluster = await createLeasedCluster(seed, clients.breakConnections, {defects, loadSharing, ...chains && {entryActionCostMs: messageCostMs, agentActionCostMs: messageCostMs}});
@@ -94,13 +101,9 @@
 	}
 
 	scheduleExecutorEvents(cluster, clients, {seed, hasExecutorFaults, hasAnnouncementFaults}, faults);
-	if (hasIdentityFaults) {
-		scheduleIdentityFaults(cluster, createRandomSource(seed), {periods: leavingPeriods, faults});
-	}
-
-	if (hasEvacuations) {
-		scheduleEvacuations(cluster, createRandomSource(seed), {periods: leavingPeriods, faults});
-	}
+	scheduleAnnouncedFaults(cluster, {
+		seed, hasIdentityFaults, hasRestarts, hasEvacuations,
+	}, {periods: leavingPeriods, faults});
 
 	if (chains !== undefined) {
 		lengthenRuns(cluster);
@@ -141,6 +144,25 @@
 	};
 }
 
+/** Faults that concern what agents and entries are told of executors and data centres. Each kind has draws of its own. */
+function scheduleAnnouncedFaults(
+	cluster: LeasedCluster,
+	{seed, hasIdentityFaults, hasRestarts, hasEvacuations}: {readonly seed: number; readonly hasIdentityFaults: boolean; readonly hasRestarts: boolean; readonly hasEvacuations: boolean},
+	records: {readonly periods: LeavingPeriod[]; readonly faults: string[]},
+): void {
+	if (hasIdentityFaults) {
+		scheduleIdentityFaults(cluster, createRandomSource(seed), records);
+	}
+
+	if (hasRestarts) {
+		scheduleRestarts(cluster, createRandomSource(seed), records);
+	}
+
+	if (hasEvacuations) {
+		scheduleEvacuations(cluster, createRandomSource(seed), records);
+	}
+}
+
 /** What executors do by themselves, and what is said of them. Each kind has draws of its own. */
 function scheduleExecutorEvents(
 	cluster: LeasedCluster,
@@ -178,6 +200,73 @@
 	}
 }
 
+/**
+ * Executors that are back under their identifier before anybody has noticed that they were down, and that announce themselves late. When one
+ * of them has begun its first run, something happens to its agent, its calls or an entry.
+ */
+function scheduleRestarts(cluster: LeasedCluster, randomSource: RandomSource, {periods, faults}: {readonly periods: LeavingPeriod[]; readonly faults: string[]}): void {
+	const {clock} = cluster.sim;
+	/** What follows the first run of the next incarnation of each executor. */
+	const following = new Map<string, {readonly startedAt: number; apply(): void}>();
+	for (const agent of agentNames) {
+		const executor = cluster.executors.get(agent)!;
+		const {onRunStarted} = executor;
+		executor.onRunStarted = run => {
+			onRunStarted?.(run);
+			const next = following.get(agent);
+			if (next !== undefined && next.startedAt !== executor.startedAt) {
+				following.delete(agent);
+				next.apply();
+			}
+		};
+	}
+
+	clock.after(faultWindowMs, () => {
+		following.clear();
+	});
+	for (let i = 0; i < restartCount; i++) {
+		const agent = randomSource.pick(agentNames);
+		const downTime = randomSource.integer(1, maxUnnoticedMs);
+		const announcementDelay = randomSource.integer(1, heartbeatIntervalMs);
+		const fault = randomSource.chance(0.5) ? sampleRestartFollower(agent, randomSource) : undefined;
+		const followsAfter = randomSource.integer(0, maxFollowingMs);
+		clock.after(randomSource.integer(0, faultWindowMs), () => {
+			faults.push(`${Math.round(clock.now())} restart ${JSON.stringify({agent, downTime, announcementDelay})}`);
+			if (fault !== undefined) {
+				following.set(agent, {
+					startedAt: cluster.executors.get(agent)!.startedAt,
+					apply() {
+						clock.after(followsAfter, () => {
+							faults.push(`${Math.round(clock.now())} after its first run ${JSON.stringify(fault)}`);
+							applyFault(cluster, fault, periods);
+						});
+					},
+				});
+			}
+
+			cluster.restartExecutor(agent, downTime, announcementDelay);
+		});
+	}
+}
+
+function sampleRestartFollower(agent: string, randomSource: RandomSource): Fault {
+	const entry = randomSource.pick(entryNames);
+	const duration = randomSource.pick([randomSource.integer(50, 500), randomSource.integer(500, maxFaultMs)]);
+	const orders = randomSource.pick(['start', 'stop', 'hold'] as const);
+	return randomSource.pick<Fault>([
+		{kind: 'kill', name: agent, backAfter: duration},
+		{kind: 'kill', name: entry, backAfter: duration},
+		{kind: 'freeze', name: agent, duration},
+		{
+			kind: 'cut', agent, entry, notices: [randomSource.pick([0, 60_000]), randomSource.pick([0, 60_000])], duration,
+		},
+		{kind: 'dark', agent, duration},
+		{
+			kind: 'late', agent, orders, count: randomSource.integer(1, 4), delay: randomSource.pick([undefined, 1, randomSource.integer(1, 1000)]),
+		},
+	]);
+}
+
 /** Independent faults of entries, agents and executors. */
 function scheduleFaults(cluster: LeasedCluster, randomSource: RandomSource, {periods, faults}: {readonly periods: LeavingPeriod[]; readonly faults: string[]}): void {
 	const {clock} = cluster.sim;
--- a/test/platform/executor-client.test.ts
+++ b/test/platform/executor-client.test.ts
@@ -193,10 +193,30 @@
 						sequenceNumber: 4, task: 'j.0.0.3', run: 1, outcome: 'aborted', detail: 'lapsed',
 					},
 				],
+				isComplete: false,
 			},
 		});
 	});
 
+	// Guards against a run that goes on and is taken for one that has ended, since its row cannot be read or was left out.
+	it('tells whether the lists of a status contain all runs', async t => {
+		const row = ['j.0.0.0', 1, '', 40, 99];
+		const end = (i: number) => [i + 1, `j.0.0.${i}`, 1, 'done', ''];
+		const cases: ReadonlyArray<readonly [boolean, Readonly<Record<string, unknown>>]> = [
+			[true, {}],
+			[true, {running: [row], ended: [end(0)]}],
+			[false, {running: [row, ['j.0.0.1', 'x', '', 0]], ended: []}],
+			[false, {running: [], ended: [end(0), 'x']}],
+			[false, {running: [], ended: Array.from({length: 500}, (_, i) => end(i))}],
+		];
+		for (const [isComplete, lists] of cases) {
+			const client = await serveBody(t, {'clock-ms': 5, born: 7, ...lists});
+			const {outcome} = await client.poll(pollRequest);
+			await client.close();
+			t.is(outcome.kind === 'status' && outcome.status.isComplete, isComplete, JSON.stringify(lists).slice(0, 100));
+		}
+	});
+
 	// Guards against a run that goes on and is taken for one that was never started, since its progress cannot be read.
 	it('lists a run whose progress cannot be read', async t => {
 		const client = await serveBody(t, {running: [['j.0.0.0', 1, '', 'x'], ['j.0.0.1', 1], ['j.0.0.2', 1, '', null]], ended: []});
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -46,6 +46,10 @@
 	runFor(time: Milliseconds): Promise<void>;
 	/** Announces the executor, whose run is then started. */
 	startRun(): Promise<void>;
+	/** Starts a run at the first executor in service. */
+	runNow(started: TaskStart): void;
+	/** Advances the clock until `pending` has resolved. */
+	runWith(pending: Promise<void>): Promise<void>;
 };
 
 const usualAddress = '127.0.0.1:1';
@@ -125,11 +129,18 @@
 		async startRun() {
 			fixture.manager.receive(createAnnouncement(1));
 			await fixture.runFor(promptMs);
-			fixture.upstreams[0]!.run(start, result => {
+			fixture.runNow(start);
+			await fixture.runFor(promptMs);
+		},
+		runNow(started) {
+			fixture.upstreams[0]!.run(started, result => {
 				fixture.results.push(result);
 				fixture.runningAtResults.push(fixture.executor.getRunning().length);
 			});
-			await fixture.runFor(promptMs);
+		},
+		async runWith(pending) {
+			await Promise.race([pending, fixture.runFor(lapsedWithinMs)]);
+			await pending;
 		},
 	};
 	t.teardown(async () => fixture.manager.close());
@@ -527,6 +538,112 @@
 		t.is(calls.at(-1), 'j@2 leaving: false');
 	});
 
+	// Review 6: the runs that the next incarnation of an executor had begun were reported as ended with the one before.
+	describe('of an executor that is back under its identifier before anybody has noticed', () => {
+		async function createRestartedFixture(t: ExecutionContext, length: Milliseconds): Promise<Fixture> {
+			const fixture = createFixture(t);
+			fixture.manager.receive(createAnnouncement(1));
+			await fixture.runFor(promptMs);
+			fixture.executor.sampleRun = () => ({length, fails: false});
+			fixture.executor.crash(10);
+			await fixture.runFor(15);
+			fixture.runNow(start);
+			await fixture.runFor(promptMs);
+			t.deepEqual(fixture.results, []);
+			t.is(fixture.executor.getRunning().length, 1);
+			return fixture;
+		}
+
+		it('lets the runs go on that it has begun since, and takes it over once they have ended and it has announced itself', async t => {
+			const fixture = await createRestartedFixture(t, 1000);
+			const {manager, calls, results, executor, lossLog, saved} = fixture;
+			t.is(manager.receive(createAnnouncement(2)), 'considered');
+			await fixture.runFor(promptMs);
+			t.is(executor.getRunning().length, 1);
+			t.deepEqual(calls, ['i@1 leaving: false', 'i@1 reports losses', 'i@1 leaving: true']);
+			await fixture.runFor(800);
+			t.deepEqual(executor.runs.map(({endDetail}) => endDetail), ['done']);
+			t.deepEqual(results.map(({outcome}) => outcome), [TaskOutcome.TASK_OUTCOME_COMPLETED]);
+			t.is(lossLog.count('c/r', 3).possible, 0);
+			t.deepEqual(calls.slice(3), ['i@1 stops', 'i@2 leaving: false']);
+			t.deepEqual(saved.map(({executorInfo}) => executorInfo.bornAt), [1, 2]);
+		});
+
+		it('reports only the runs of the incarnation before as lost in a crash', async t => {
+			const fixture = createFixture(t);
+			const {results, executor, lossLog} = fixture;
+			await fixture.startRun();
+			executor.crash(2);
+			await fixture.runFor(4);
+			fixture.runNow({...start, task: {ticket: 't', index: 4}});
+			await fixture.runFor(promptMs);
+			t.deepEqual(results.map(({outcome, detail}) => ({outcome, detail})), [{outcome: TaskOutcome.TASK_OUTCOME_ABORTED, detail: 'the executor ended'}]);
+			t.is(lossLog.count('c/r', 3).crashed, 1);
+			t.is(lossLog.count('c/r', 4).possible, 0);
+			t.deepEqual(executor.getRunning().map(({task}) => task), ['r.0.0.4']);
+		});
+
+		// Guards against tasks that crash their executors with their start, and are not counted among the lost ones.
+		it('reports a run as lost in the crash whose start has got no response', async t => {
+			const fixture = createFixture(t);
+			const {manager, results, executor, lossLog} = fixture;
+			manager.receive(createAnnouncement(1));
+			await fixture.runFor(promptMs);
+			executor.unansweredCalls.start = 1;
+			fixture.runNow(start);
+			await fixture.runFor(5);
+			executor.crash(10);
+			await fixture.runFor(2 * promptMs);
+			t.deepEqual(results.map(({outcome}) => outcome), [TaskOutcome.TASK_OUTCOME_ABORTED]);
+			t.is(lossLog.count('c/r', 3).crashed, 1);
+		});
+
+		it('counts another restart as the crash of the incarnation in between', async t => {
+			const fixture = await createRestartedFixture(t, runMs);
+			fixture.executor.crash(10);
+			await fixture.runFor(promptMs);
+			t.deepEqual(fixture.results.map(({outcome}) => outcome), [TaskOutcome.TASK_OUTCOME_ABORTED]);
+			t.is(fixture.lossLog.count('c/r', 3).crashed, 1);
+			t.is(fixture.calls.at(-1), 'i@1 stops');
+			fixture.manager.receive(createAnnouncement(3));
+			await fixture.runFor(promptMs);
+			t.is(fixture.calls.at(-1), 'i@3 leaving: false');
+		});
+
+		const changes: Readonly<Record<string, Partial<ExecutorInfo>>> = {labels: {labels: ['b']}, service: {service: 'x'}};
+		for (const [name, change] of Object.entries(changes)) {
+			// Guards against tasks that go on at an executor on which they must not run.
+			it(`stops the runs that it has begun since if it announces another ${name}`, async t => {
+				const fixture = await createRestartedFixture(t, runMs);
+				fixture.manager.receive(createAnnouncement(2, false, change));
+				await fixture.runFor(promptMs);
+				t.is(fixture.executor.runs[0]?.endDetail, 'stopped');
+				t.is(fixture.results.length, 1);
+				t.is(fixture.calls.at(-1), 'i@2 leaving: false');
+			});
+		}
+
+		it('keeps the runs that it has begun since whatever another writer announces', async t => {
+			const fixture = await createRestartedFixture(t, runMs);
+			for (const announcement of [...Object.values(foreignAnnouncements).filter(({executorInfo}) => executorInfo.bornAt !== 2), createAnnouncement(1, true)]) {
+				fixture.manager.receive(announcement);
+				await fixture.runFor(promptMs);
+			}
+
+			await fixture.manager.receiveDeparture({id: 'i', bornAt: 1});
+			await fixture.runFor(promptMs);
+			t.deepEqual(fixture.results, []);
+			t.is(fixture.executor.getRunning().length, 1);
+		});
+
+		it('stops the runs that it has begun since when it deregisters itself', async t => {
+			const fixture = await createRestartedFixture(t, runMs);
+			await fixture.runWith(fixture.manager.receiveDeparture({id: 'i', bornAt: 2}));
+			t.is(fixture.executor.runs[0]?.endDetail, 'stopped');
+			t.is(fixture.results.length, 1);
+		});
+	});
+
 	// Guards against a restarted agent that starts tasks on an executor whose draining the agent before it has acknowledged.
 	it('stores that its executor leaves also while this process stops', async t => {
 		const {manager, saved, calls, startRun} = createFixture(t);
--- a/test/process/fake-executor.ts
+++ b/test/process/fake-executor.ts
@@ -36,7 +36,7 @@
 	startCallDelay: Milliseconds;
 	/** Whether polls wait for a run to end, for at most the time that they allow; otherwise they are answered at once. */
 	isLongPolling: boolean;
-	/** Offset of the executor's clock from the test's clock. */
+	/** Offset of the executor's clock from the test's clock. It changes with a restart. */
 	clockOffsetMs: Milliseconds;
 	/** Longest lease that the executor grants. */
 	maxLeaseMs: Milliseconds;
@@ -58,7 +58,7 @@
 	isUnanswered?(kind: CallKind): boolean;
 	/** Called when another incarnation has started after a crash. */
 	onRestarted?(): void;
-	/** Ends this incarnation with all its runs; another one starts after `downTime`. */
+	/** Ends this incarnation with all its runs; another one starts after `downTime`, with a clock that starts anew. */
 	crash(downTime: Milliseconds): void;
 	getFencingToken(): number;
 	getRunning(): readonly RecordedRun[];
@@ -180,6 +180,7 @@
 						task, run, percent: executor.isStalled ? 0 : Math.floor(100 * (clock.now() - startedAt) / duration),
 					})),
 					ended: ended.filter(endedRun => endedRun.sequenceNumber > acknowledgedSequenceNumber),
+					isComplete: true,
 				},
 			};
 		}),
@@ -256,6 +257,7 @@
 		clock.after(downTime, () => {
 			isDown = false;
 			executor.startedAt++;
+			executor.clockOffsetMs = -clock.now() * clockRate;
 			executor.onRestarted?.();
 		});
 	}
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -8,12 +8,14 @@
 import {describe, it} from '../describe.js';
 import {createRecordingLog} from '../recording-log.js';
 import {silentLog} from '../silent-log.js';
-import {createFakeExecutor, type FakeExecutor} from './fake-executor.js';
+import {crashedDetail, createFakeExecutor, type FakeExecutor} from './fake-executor.js';
 
 const runMs: Milliseconds = 80;
 const harmlessPauseMs: Milliseconds = 400;
 /** The duration of a lease on the slowest clock of an executor, and a poll. */
 const stoppedWithinMs: Milliseconds = 600;
+/** Longer than calls take, and shorter than the time between two polls of an executor without runs. */
+const betweenPollsMs: Milliseconds = 100;
 
 type Fixture = {
 	readonly clock: FakeClock;
@@ -57,8 +59,11 @@
 			maxLeaseMs: 1000,
 			log: silentLog,
 			metrics: noMetrics,
-			onIncarnationChanged() {
+			onReplaced: () => undefined,
+			onFormerRunsLost: () => undefined,
+			onRestarted({lost}) {
 				fixture.incarnationChanges++;
+				fixture.upstream.abort(lost, endedDetail);
 			},
 			onProgress(_start, _elapsed, percent) {
 				fixture.progress.push(percent);
@@ -103,6 +108,21 @@
 	return fixture;
 }
 
+/** Lets the executor of a fixture restart between two polls. */
+async function restartUnnoticed({executor, runFor}: Fixture): Promise<void> {
+	await runFor(betweenPollsMs);
+	executor.crash(10);
+	await runFor(15);
+}
+
+/** Creates a fixture whose executor has restarted unnoticed, after a while without runs. */
+async function createRestartedFixture(t: ExecutionContext, runDuration: Milliseconds): Promise<Fixture> {
+	const fixture = await createFixture(t, runDuration);
+	await restartUnnoticed(fixture);
+	t.is(fixture.incarnationChanges, 0);
+	return fixture;
+}
+
 /** Creates the upstream of the next agent of the same executor. */
 function createSecondUpstream(t: ExecutionContext, {clock, executor}: Fixture, firstFencingToken: number): LeasedUpstream {
 	const second = createLeasedUpstream({
@@ -126,12 +146,17 @@
 	return fixture;
 }
 
+/** Detail of runs that have ended with their executor. */
+const endedDetail = 'the executor ended';
+
 /** Handlers of an upstream whose events do not matter, in a process that is never paused. */
 const idleEvents = {
 	maxLeaseMs: 1000,
 	harmlessPauseMs,
 	metrics: noMetrics,
-	onIncarnationChanged: () => undefined,
+	onReplaced: () => undefined,
+	onRestarted: () => undefined,
+	onFormerRunsLost: () => undefined,
 	onProjectedSlowdowns: () => undefined,
 	onUnreachable: () => undefined,
 	onShortage: () => undefined,
@@ -603,6 +628,213 @@
 		});
 	});
 
+	// Review 6: a response to a start does not name the incarnation that has carried it out. Runs of the next one were reported as ended
+	// with the one before, and their tasks were started elsewhere as well.
+	describe('an executor that has restarted unnoticed', () => {
+		it('keeps the runs that its next incarnation has begun, up to their ends there', async t => {
+			const fixture = await createRestartedFixture(t, 2000);
+			fixture.start('a');
+			await fixture.runFor(350);
+			t.deepEqual(fixture.results, []);
+			t.is(fixture.incarnationChanges, 1);
+			await fixture.runFor(2000);
+			t.deepEqual(fixture.executor.runs.map(({endDetail}) => endDetail), ['done']);
+			t.deepEqual(fixture.results.map(({outcome}) => outcome), [TaskOutcome.TASK_OUTCOME_COMPLETED]);
+		});
+
+		it('is noticed by its clock with the first response, and by a poll', async t => {
+			const fixture = await createRestartedFixture(t, 400);
+			fixture.executor.isLongPolling = true;
+			fixture.start('a');
+			await fixture.runFor(5);
+			t.is(fixture.incarnationChanges, 1);
+		});
+
+		it('ends the runs of its former incarnation at once, and only these', async t => {
+			const fixture = await createFixture(t, 400);
+			fixture.start('a');
+			await fixture.runFor(100);
+			fixture.executor.crash(2);
+			await fixture.runFor(4);
+			fixture.start('b');
+			await fixture.runFor(60);
+			t.deepEqual(fixture.results.map(({outcome, detail}) => ({outcome, detail})), [{outcome: TaskOutcome.TASK_OUTCOME_ABORTED, detail: endedDetail}]);
+			await fixture.runFor(400);
+			t.deepEqual(fixture.executor.runs.map(({task, endDetail}) => [task, endDetail]), [['a.0.0.0', crashedDetail], ['b.0.0.0', 'done']]);
+			t.is(fixture.results[1]?.outcome, TaskOutcome.TASK_OUTCOME_COMPLETED);
+		});
+
+		it('keeps a run whose start arrives only after it was noticed', async t => {
+			const fixture = await createRestartedFixture(t, 400);
+			fixture.executor.startCallDelay = 60;
+			fixture.start('a');
+			await fixture.runFor(50);
+			t.is(fixture.incarnationChanges, 1);
+			await fixture.runFor(500);
+			t.true(fixture.executor.runs.length <= 1);
+			const endDetail = fixture.executor.runs[0]?.endDetail;
+			t.is(fixture.results[0]?.outcome, endDetail === 'done' ? TaskOutcome.TASK_OUTCOME_COMPLETED : TaskOutcome.TASK_OUTCOME_REFUSED);
+		});
+
+		it('gets no further starts', async t => {
+			const fixture = await createRestartedFixture(t, 400);
+			fixture.start('a');
+			await fixture.runFor(50);
+			fixture.start('b');
+			await fixture.runFor(1);
+			t.deepEqual(fixture.results.map(({outcome, reason}) => ({outcome, reason})), [{outcome: TaskOutcome.TASK_OUTCOME_REFUSED, reason: RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE}]);
+			t.is(fixture.executor.runs.length, 1);
+		});
+
+		it('stops a run of its next incarnation on request', async t => {
+			const fixture = await createRestartedFixture(t, 5000);
+			const start = fixture.start('a');
+			await fixture.runFor(50);
+			fixture.upstream.stop(start, 'not-needed');
+			await fixture.runFor(100);
+			t.is(fixture.executor.runs[0]?.endDetail, 'stopped');
+			t.is(fixture.results[0]?.outcome, TaskOutcome.TASK_OUTCOME_ABORTED);
+		});
+
+		// Guards against a poll that acknowledges ends of the former incarnation, whose numbers the next one uses again.
+		it('reports how a run has ended that its next incarnation has begun and ended before it was noticed', async t => {
+			const fixture = await createFixture(t, 1);
+			for (const reference of ['x', 'y', 'z']) {
+				fixture.start(reference);
+				await fixture.runFor(20);
+			}
+
+			await restartUnnoticed(fixture);
+			fixture.start('a');
+			await fixture.runFor(100);
+			t.is(fixture.incarnationChanges, 1);
+			t.deepEqual(fixture.results.map(({outcome}) => outcome), Array.from({length: 4}, () => TaskOutcome.TASK_OUTCOME_COMPLETED));
+		});
+
+		// Guards against the end of the wait for a lease that was granted for as long as its next incarnation grants any.
+		it('has a run that its next incarnation has begun reported as ended only with the lease there', async t => {
+			for (const answersOnce of [true, false]) {
+				const fixture = await createRestartedFixture(t, 5000);
+				if (!answersOnce) {
+					fixture.executor.unansweredCalls.start = 1;
+					fixture.executor.unansweredCalls.delay = 0;
+				}
+
+				fixture.start('a');
+				await fixture.runFor(10);
+				t.is(fixture.incarnationChanges, 1);
+				fixture.executor.isUnreachable = true;
+				while (fixture.results.length === 0 && fixture.clock.now() < 8000) {
+					await fixture.runFor(1);
+				}
+
+				t.is(fixture.executor.runs[0]?.endDetail, 'lapsed');
+				t.is(fixture.results[0]?.outcome, TaskOutcome.TASK_OUTCOME_ABORTED);
+			}
+		});
+
+		// Guards against a refusal that says that a task did not run whose run has ended in the crash.
+		it('has a start without a response reported as possibly run, and does not carry it out later', async t => {
+			for (const delay of [undefined, 100]) {
+				const fixture = await createFixture(t, 5000);
+				fixture.executor.unansweredCalls.start = 1;
+				fixture.executor.unansweredCalls.delay = delay;
+				fixture.start('a');
+				await fixture.runFor(5);
+				fixture.executor.crash(2);
+				await fixture.runFor(2000);
+				t.deepEqual(fixture.results.map(({outcome}) => outcome), [TaskOutcome.TASK_OUTCOME_ABORTED]);
+				t.deepEqual(fixture.executor.runs, []);
+			}
+		});
+
+		it('is not taken for its former incarnation, a response of which is read late', async t => {
+			const fixture = await createRestartedFixture(t, 2000);
+			const {executor, clock} = fixture;
+			const poll = executor.poll.bind(executor);
+			executor.poll = async () => {
+				executor.poll = poll;
+				await sleep(clock, 20);
+				return {
+					outcome: {
+						kind: 'status', status: {
+							executorStartedAt: 1, running: [], ended: [], isComplete: true,
+						},
+					}, executorTime: clock.now() + 5000,
+				};
+			};
+
+			fixture.start('a');
+			await fixture.runFor(200);
+			t.is(fixture.incarnationChanges, 1);
+			t.deepEqual(fixture.results, []);
+			t.deepEqual(fixture.witnessedPauses, []);
+		});
+
+		it('once more keeps the runs of the last incarnation only', async t => {
+			const fixture = await createRestartedFixture(t, 400);
+			fixture.start('a');
+			await fixture.runFor(50);
+			fixture.executor.crash(2);
+			await fixture.runFor(100);
+			t.is(fixture.incarnationChanges, 2);
+			t.deepEqual(fixture.results.map(({outcome}) => outcome), [TaskOutcome.TASK_OUTCOME_ABORTED]);
+			t.is(fixture.executor.runs.length, 1);
+		});
+	});
+
+	describe('a run that the executor does not list any more', () => {
+		// Guards against a run whose end is never reported, as the executor has taken it for acknowledged.
+		it('is reported as aborted', async t => {
+			const fixture = await createFixture(t, 100);
+			const {executor} = fixture;
+			const poll = executor.poll.bind(executor);
+			executor.poll = async req => poll({...req, acknowledgedSequenceNumber: 1000});
+			fixture.start('a');
+			await fixture.runFor(400);
+			t.is(executor.runs[0]?.endDetail, 'done');
+			t.deepEqual(fixture.results.map(({outcome}) => outcome), [TaskOutcome.TASK_OUTCOME_ABORTED]);
+		});
+
+		it('goes on if a part of the lists is missing', async t => {
+			const fixture = await createFixture(t, 2000);
+			const {executor} = fixture;
+			const poll = executor.poll.bind(executor);
+			executor.poll = async req => {
+				const {outcome, executorTime} = await poll(req);
+				return {outcome: outcome.kind === 'status' ? {...outcome, status: {...outcome.status, running: [], isComplete: false}} : outcome, executorTime};
+			};
+
+			fixture.start('a');
+			await fixture.runFor(400);
+			t.deepEqual(fixture.results, []);
+			t.is(executor.getRunning().length, 1);
+		});
+	});
+
+	describe('a start that another executor at the address refuses', () => {
+		it('is reported as refused, since it has begun nothing', async t => {
+			const clock = createFakeClock(1000);
+			const executor = createFakeExecutor(clock, runMs);
+			let replacements = 0;
+			const upstream = createLeasedUpstream({
+				...idleEvents, clock, executor, log: silentLog, firstFencingToken: 1, onReplaced() {
+					replacements++;
+				},
+			});
+			t.teardown(async () => upstream.close());
+			await runWith(clock, upstream.takeOver());
+			executor.start = async () => ({outcome: {kind: 'other-incarnation'}, executorTime: undefined});
+			const results: RunResult[] = [];
+			upstream.run(createStart('a'), result => {
+				results.push(result);
+			});
+			await runWith(clock, sleep(clock, 5));
+			t.deepEqual(results.map(({outcome}) => outcome), [TaskOutcome.TASK_OUTCOME_REFUSED]);
+			t.is(replacements, 1);
+		});
+	});
+
 	it('reports at the take-over that the executor is not the expected incarnation', async t => {
 		const clock = createFakeClock(1000);
 		let incarnationChanges = 0;
@@ -613,7 +845,7 @@
 			firstFencingToken: 1,
 			log: silentLog,
 			...idleEvents,
-			onIncarnationChanged() {
+			onRestarted() {
 				incarnationChanges++;
 				void upstream.close();
 			},
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -10,6 +10,8 @@
 const agentPort = platformPorts.control;
 /** Time within which a crashed executor has announced itself again, also beside a few busy processes. */
 const executorReturnMs: Milliseconds = 3000;
+/** Rounds within which a restarted executor has certainly begun a run before its agent polls it, which happens every half second. */
+const maxRestartRounds = 15;
 
 async function startSystem(t: ExecutionContext, entries: number, agents: number): Promise<PlatformSystem> {
 	const system = await startPlatformSystem({entries, agents, subnet: nextSubnet++});
@@ -223,6 +225,24 @@
 			t.is(finished?.status, 200);
 			t.deepEqual(findOverlaps(await system.getEvents()), []);
 		});
+
+		// Review 6: a start that the next incarnation of an executor had carried out was reported as ended with the one before.
+		itSerial('after a restart of its executor, which begins runs before anybody has noticed that', async t => {
+			const system = await startSystem(t, 1, 2);
+			const haveRunsGoneOn = () => system.agents.some(({program}) => program.lines.some(line => line.includes('runs go on at the next incarnation')));
+			for (let round = 0; round < maxRestartRounds && !haveRunsGoneOn(); round++) {
+				await system.restartExecutor(round % 2, {downMs: 30, announceMs: 700});
+				await sleep(60);
+				const replies = await Promise.all([1, 2, 3, 4].map(async i => system.submit(0, {
+					name: formatJobName((round * 10) + i), tasks: 1, ms: 600, deadline: 5000,
+				})));
+				t.deepEqual(replies.map(reply => reply?.body), Array.from({length: 4}, () => '{"state":"completed"}'));
+				t.deepEqual(findOverlaps(await system.getEvents()), []);
+				await sleep(800);
+			}
+
+			t.true(haveRunsGoneOn());
+		});
 	});
 
 	itSerial('end the runs of a killed entry before its client may send the job again', async t => {
