Ask whether an executor has restarted before a start whose messages are old

What callers could see: two runs of one task if an executor restarts unnoticed, a start reaches its next incarnation, and the agent is lost before it notices.

Cause: the sums on which entries and clients rely count on a lease of 0.5 s. The next incarnation cuts the expiry, a time on the clock of the one before, to the longest lease that it grants, 1 s, which is 1.11 s until the run has ended on its slowest clock. An agent that is killed with the start is covered by construction: its entry waits 1.52 s after the closed link. If it is suspended, the entry waits 1.25 s after it has closed the silent link, and clients come back 1.3 s after they have lost their entry; both hold only for a start by messages that are at most 0.14 s old. A start may be 0.6 s old, and that of a forwarded job is sent up to 0.7 s after its sender was lost.

Change: an agent polls the executor before it sends such a start, without a lease. Usual starts are some milliseconds old, and entries with pending starts send every 0.11 s, so they are sent as before.

Tests: the sums stand in test/platform/timing.test.ts; without the bound 2 of 4 fail, and both tests of leased-upstream.test.ts, "a start by messages that are old".

--- a/src/connection/link-timing.ts
+++ b/src/connection/link-timing.ts
@@ -38,6 +38,11 @@
 	 * `maxSilentRunMs`, which bounds them even if they cannot be stopped. The serving entry alone stops them if undefined.
 	 */
 	readonly maxSenderSilenceMs?: Milliseconds;
+	/**
+	 * Age of the messages by which a start is permitted up to which an agent sends it without asking first whether its upstream has restarted.
+	 * An upstream that has restarted unnoticed holds a run for the longest lease that it grants, whatever the start says. Unlimited if undefined.
+	 */
+	readonly maxUnverifiedAgeMs?: Milliseconds;
 	/** Number of entries that each agent is linked to; all if undefined. */
 	readonly maxLinksPerAgent?: number;
 	/** Maximum delay between two connection attempts. */
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -69,6 +69,7 @@
 			takePauseTime: takeAccumulatedPause,
 			onPauseWitnessed: pauseDetector.recordWitnessed,
 			harmlessPauseMs: platformTiming.harmlessPauseMs!,
+			maxUnverifiedAgeMs: platformTiming.maxUnverifiedAgeMs,
 			...events,
 		}),
 		createAgent: (executorInfo, upstream, upstreamIncarnation) => createAgent({
--- a/src/platform/timing.ts
+++ b/src/platform/timing.ts
@@ -28,6 +28,10 @@
  * server passes on for how long the sender has been silent. An agent stops the runs 0.95 s after the last message of the sender and
  * renews the lease for them up to 1.1 s after it, whatever it still hears of the server.
  *
+ * An executor may restart under its identifier before its agent notices. Its next incarnation then holds a run for the longest lease that
+ * it grants, 1 s, so the run has ended 1.11 s after its start. An agent asks first whether the executor has restarted if the messages that
+ * permit a start are older than 0.14 s.
+ *
  * Links on which no outcome is pending are checked seldom. Their state is then up to two seconds old, which costs a few
  * refused starts, while their heartbeats would cost most of the processor time at a few hundred machines.
  *
@@ -46,6 +50,7 @@
 	startValidityMs: 600,
 	harmlessPauseMs: 500,
 	maxSenderSilenceMs: 950,
+	maxUnverifiedAgeMs: 140,
 	maxReconnectDelayMs: 300,
 	maxLinksPerAgent: 12,
 };
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -28,6 +28,11 @@
 	readonly firstFencingToken: number;
 	/** Longest lease that the executor grants. */
 	readonly maxLeaseMs: Milliseconds;
+	/**
+	 * Age of the messages by which a start is permitted up to which it is sent without asking first whether the executor has restarted.
+	 * Unlimited if undefined.
+	 */
+	readonly maxUnverifiedAgeMs?: Milliseconds;
 	/** Pause of this process up to which no entry can have abandoned a run. */
 	readonly harmlessPauseMs: Milliseconds;
 	readonly log: Log;
@@ -469,6 +474,11 @@
 			return;
 		}
 
+		if (isVerificationNeeded(run) && await poller.poll() === undefined) {
+			endRun(run, TaskOutcome.TASK_OUTCOME_REFUSED, 'the executor does not answer, or has restarted', RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE);
+			return;
+		}
+
 		for (let attempts = 0; attempts < maxStartAttempts && runs.get(run.task) === run; attempts++) {
 			// The response to the call before may have shown that this process was suspended after it had received the start.
 			if (run.stop !== undefined) {
@@ -498,6 +508,13 @@
 		endRun(run, TaskOutcome.TASK_OUTCOME_REFUSED, 'the order could not be placed', RefusalReason.REFUSAL_REASON_UPSTREAM_UNREACHABLE);
 	}
 
+	// An executor that has restarted unnoticed holds the run for the longest lease that it grants, whatever the call says. If the messages
+	// that permit the start are old, its task might be started elsewhere before that lease has expired.
+	function isVerificationNeeded({start}: Run): boolean {
+		const permission = host.tryGetPermission?.(start);
+		return permission !== undefined && Math.max(permission.entryAge, permission.senderAge ?? 0) > (host.maxUnverifiedAgeMs ?? Infinity);
+	}
+
 	/** Handles the outcome of a start call. Returns whether no further attempt is needed. */
 	async function handleStartOutcome(run: Run, outcome: CommandOutcome, usedFencingToken: number): Promise<boolean> {
 		switch (outcome.kind) {
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -405,6 +405,7 @@
 					log: silentLog,
 					metrics: noMetrics,
 					harmlessPauseMs: timing.harmlessPauseMs!,
+					maxUnverifiedAgeMs: timing.maxUnverifiedAgeMs,
 					takePauseTime: createPauseAccumulator(detector),
 					onPauseWitnessed: detector.recordWitnessed,
 					...events,
--- a/test/platform/timing.test.ts
+++ b/test/platform/timing.test.ts
@@ -12,11 +12,15 @@
 const clockErrorMs: Milliseconds = 40;
 const {
 	heartbeatMs, idleHeartbeatMs = 0, silence, orphanGraceMs = 0, maxSilentRunMs = 0, maxSenderSilenceMs = 0, closedGraceMs = 0, silentGraceMs = 0,
-	startValidityMs = 0, harmlessPauseMs = 0,
+	startValidityMs = 0, harmlessPauseMs = 0, maxUnverifiedAgeMs = Infinity,
 } = platformTiming;
 const activeSilenceMs = silence!.activeMs;
 /** Longest time from the end of the renewals until the runs have ended. */
 const lapseMs = (leaseMs * maxClockRateError) + runEndMs + clockErrorMs;
+/** Longest lease that an executor grants, as the platform documents. */
+const longestLeaseMs: Milliseconds = 1000;
+/** Longest time from a start that has reached the next incarnation of an executor unnoticed until its run has ended with the lease. */
+const longestLapseMs = (longestLeaseMs * (1 + maxClockRateError)) + runEndMs + clockErrorMs;
 
 // Issue 49: the table of worst cases stood in a comment, and no test added its terms up.
 describe('the timing of the platform', () => {
@@ -41,6 +45,25 @@
 		});
 	});
 
+	// Review 6: the next incarnation of an executor cuts a lease that was meant for the one before to the longest that it grants.
+	describe('ends a run that an executor has begun after a restart that nobody has noticed', () => {
+		it('before its entry starts the task elsewhere, if its agent is killed with the start', t => {
+			t.true(longestLapseMs <= closedGraceMs);
+		});
+
+		it('before its entry starts the task elsewhere, if its agent is suspended with the start, which the entry has sent last', t => {
+			t.true(maxUnverifiedAgeMs + longestLapseMs <= silentGraceMs);
+		});
+
+		it('before its client sends the job again, if its entry or that of its client is lost, and its agent with the start', t => {
+			t.true(maxUnverifiedAgeMs + longestLapseMs <= clientRetryMs);
+		});
+
+		it('without asking first for a start whose entries send as they do while all is well', t => {
+			t.true(maxUnverifiedAgeMs > heartbeatMs / 2);
+		});
+	});
+
 	describe('asks for a stop before the lease ends', () => {
 		it('early enough for one that has no answer to be repeated', t => {
 			t.true(maxSenderSilenceMs + callTimeoutMs <= maxSilentRunMs);
--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -812,6 +812,36 @@
 		});
 	});
 
+	describe('a start by messages that are old', () => {
+		for (const ages of [{entryAge: 200}, {entryAge: 1, senderAge: 200}]) {
+			// Guards against a run that outlasts the time after which its task may be started elsewhere.
+			it(`asks first whether the executor has restarted, with ${JSON.stringify(ages)}`, async t => {
+				const clock = createFakeClock(1000);
+				const executor = createFakeExecutor(clock, runMs);
+				const upstream = createLeasedUpstream({
+					...idleEvents, clock, executor, log: silentLog, firstFencingToken: 1, maxUnverifiedAgeMs: 140, tryGetPermission: () => ({entry: 'e', isLinked: true, ...ages}),
+				});
+				t.teardown(async () => upstream.close());
+				const results: RunResult[] = [];
+				const run = async (reference: string) => {
+					upstream.run(createStart(reference), result => {
+						results.push(result);
+					});
+					await runWith(clock, sleep(clock, runMs + 50));
+				};
+
+				await runWith(clock, upstream.takeOver());
+				await run('a');
+				t.is(results[0]?.outcome, TaskOutcome.TASK_OUTCOME_COMPLETED);
+				executor.crash(2);
+				await runWith(clock, sleep(clock, 5));
+				await run('b');
+				t.is(results[1]?.outcome, TaskOutcome.TASK_OUTCOME_REFUSED);
+				t.deepEqual(executor.runs.map(({task}) => task), ['a.0.0.0']);
+			});
+		}
+	});
+
 	describe('a start that another executor at the address refuses', () => {
 		it('is reported as refused, since it has begun nothing', async t => {
 			const clock = createFakeClock(1000);
