Let the agent of a restarted executor begin with the fencing token of the one before

Callers saw: nothing wrong; an executor that restarts again and again came into service 44 ms later with each restart.

Cause: the poll that notices a restart shows the next incarnation the fencing token of the agent before, which has risen above the time of day with each takeover. The next upstream began with the time of day again, so its first polls were refused until it had passed that token, a step of 1,000,000 for each restart. The takeover covers the refusals, but takes its time.

Change: an upstream begins with the highest token that this process has used, if that is higher.

Tests: executor-manager.test.ts, "that is back under its identifier for the twelfth time", failed before at the third start.

--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -56,13 +56,13 @@
 		log,
 		metrics,
 		lossLog,
-		createUpstream: (executorInfo, events) => createLeasedUpstream({
+		createUpstream: (executorInfo, events, lowestFencingToken) => createLeasedUpstream({
 			clock,
 			executor: createExecutorClient({
 				clock, address: executorInfo.address, id: executorInfo.id, log,
 			}),
 			executorStartedAt: executorInfo.bornAt === 0 ? undefined : executorInfo.bornAt,
-			firstFencingToken: Math.floor(clock.wall()),
+			firstFencingToken: Math.max(Math.floor(clock.wall()), lowestFencingToken),
 			maxLeaseMs: machine.maxLeaseMs,
 			log,
 			metrics,
--- a/src/process/executor-manager.ts
+++ b/src/process/executor-manager.ts
@@ -44,7 +44,8 @@
 	readonly metrics: Metrics;
 	/** Losses of all incarnations of the executor. */
 	readonly lossLog: LossLog;
-	createUpstream(executorInfo: ExecutorInfo, events: UpstreamEvents): LeasedUpstream;
+	/** Creates an upstream whose calls have at least this fencing token: earlier ones of this process may have shown it to the executor. */
+	createUpstream(executorInfo: ExecutorInfo, events: UpstreamEvents, lowestFencingToken: number): LeasedUpstream;
 	/** Creates the agent of an executor that has been taken over. */
 	createAgent(executorInfo: ExecutorInfo, upstream: LeasedUpstream, upstreamIncarnation: string): Agent;
 	/** Runs an action after the results of this turn of the event loop were sent. */
@@ -444,11 +445,17 @@
 					log.info({executor: executorInfo.id}, 'the executor answers again; it had not crashed');
 					reportLoss(managed, LossState.LOSS_STATE_ALIVE, []);
 				},
-			}),
+			}, getLowestFencingToken()),
 		};
 		return managed;
 	}
 
+	/** Returns the fencing token that the calls of the next upstream need at least. */
+	function getLowestFencingToken(): number {
+		const upstreams = [current, ...[...candidates].map(({managed}) => managed)].flatMap(managed => managed === undefined ? [] : [managed.upstream]);
+		return Math.max(0, ...upstreams.map(upstream => upstream.getFencingToken()));
+	}
+
 	// The agent reports the executor to entries only after all runs that an earlier agent started there have ended.
 	async function startAgent(managed: ManagedExecutor): Promise<void> {
 		await managed.upstream.takeOver();
--- a/src/process/leased-upstream.ts
+++ b/src/process/leased-upstream.ts
@@ -89,6 +89,8 @@
 	tryGetExecutorStart(): number | undefined;
 	/** Whether the executor states in its responses when it started. */
 	statesStart(): boolean;
+	/** Returns the fencing token of the next call, the highest so far. */
+	getFencingToken(): number;
 	/** Stops the runs of an earlier agent. Resolves once the executor has reported that it runs nothing. */
 	takeOver(): Promise<void>;
 	/** Stops all runs. Resolves once each of them has ended. */
@@ -258,6 +260,7 @@
 		},
 		tryGetExecutorStart: poller.tryGetExecutorStart,
 		statesStart: poller.statesStart,
+		getFencingToken: lease.getFencingToken,
 		takeOver,
 		async stopAll(cause) {
 			stopAllRuns(cause);
--- a/test/failure/leased/cluster.ts
+++ b/test/failure/leased/cluster.ts
@@ -394,13 +394,13 @@
 			log: silentLog,
 			metrics: noMetrics,
 			lossLog,
-			createUpstream(executorInfo, events) {
+			createUpstream(executorInfo, events, lowestFencingToken) {
 				const executor = createExecutorClient(process, {id: name, executor: executors.get(name)!}, executorInfo);
 				const upstream: LeasedUpstream = createLeasedUpstream({
 					clock: process.clock,
 					executor: defects.changeExecutor?.(executor) ?? executor,
 					executorStartedAt: executorInfo.bornAt,
-					firstFencingToken: Math.floor(process.clock.wall()),
+					firstFencingToken: Math.max(Math.floor(process.clock.wall()), lowestFencingToken),
 					maxLeaseMs: 1000,
 					log: silentLog,
 					metrics: noMetrics,
--- a/test/process/executor-manager.test.ts
+++ b/test/process/executor-manager.test.ts
@@ -89,7 +89,7 @@
 			log: silentLog,
 			metrics: noMetrics,
 			lossLog,
-			createUpstream(executorInfo, events) {
+			createUpstream(executorInfo, events, lowestFencingToken) {
 				if (executorInfo.address === unusableAddress) {
 					throw new TypeError('invalid port');
 				}
@@ -98,7 +98,7 @@
 					clock,
 					executor: createClient(listeners, executorInfo),
 					executorStartedAt: executorInfo.bornAt === 0 ? undefined : executorInfo.bornAt,
-					firstFencingToken: 10,
+					firstFencingToken: Math.max(10, lowestFencingToken),
 					maxLeaseMs: 1000,
 					log: silentLog,
 					metrics: noMetrics,
@@ -462,6 +462,21 @@
 			});
 		}
 
+		// Guards against a takeover that takes longer with each restart, since the calls of the agents before have used higher fencing tokens.
+		it('that is back under its identifier for the twelfth time', async t => {
+			const fixture = createFixture(t);
+			const {manager, calls, executor} = fixture;
+			manager.receive(createAnnouncement(1));
+			await fixture.runFor(promptMs);
+			for (let bornAt = 2; bornAt <= 12; bornAt++) {
+				executor.crash(10);
+				await fixture.runFor(15);
+				manager.receive(createAnnouncement(bornAt));
+				await fixture.runFor(atOnceMs);
+				t.is(calls.at(-1), `i@${bornAt} leaving: false`);
+			}
+		});
+
 		it('that is another one at the same address', async t => {
 			const fixture = createFixture(t);
 			const {manager, calls, results} = fixture;
