Let clients cancel a job whose route was dropped

Cause: the route of a request was looked up before anything else, also for a job that was accepted under a route of before.

--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -43,7 +43,7 @@
 	app.all('*', async c => {
 		const host = c.env.incoming.headers.host ?? '';
 		const match = desk.findRoute(host, c.req.path);
-		return 'status' in match ? respond(match) : handle(c, host, match);
+		return 'status' in match ? respondWithoutRoute(c, host, match) : handle(c, host, match);
 	});
 	app.onError((err, c) => {
 		log.warn({err}, 'request failed unexpectedly; its outcome is unknown');
@@ -51,6 +51,12 @@
 	});
 	return app;
 
+	// A job outlives the route under which it was accepted.
+	async function respondWithoutRoute(c: Context, host: string, reply: JobReply): Promise<Response> {
+		const cancelled = c.req.method === 'DELETE' && reply.status === 404 ? await intake.cancelAtDroppedRoute({host, path: c.req.path}) : undefined;
+		return respond(cancelled ?? reply);
+	}
+
 	async function handle(c: Context, host: string, match: RouteMatch): Promise<Response> {
 		const {route, name} = match;
 		switch (c.req.method) {
@@ -64,7 +70,7 @@
 			}
 
 			case 'DELETE': {
-				return respond(await intake.cancel(name));
+				return respond(await intake.cancel(name, {host, path: c.req.path}));
 			}
 
 			default: {
--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -7,6 +7,7 @@
 import type {ForwardedJob} from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {Entry} from '../process/entry-types.js';
+import type {JobTarget} from '../process/job-cancellation.js';
 import {declinedResult} from '../process/job-forwarding.js';
 import type {Log} from '../process/log.js';
 import {createRecentNames} from '../request/recent-names.js';
@@ -69,6 +70,8 @@
 	findRoute(host: string, path: string): RouteMatch | JobReply;
 	/** Whether a job of this name has no answer yet. */
 	isOpen(name: string): boolean;
+	/** Whether such a job was sent to this host and path, whose route may have been dropped since. */
+	isOpenAt(name: string, target: JobTarget): boolean;
 	/** Submits a job, or joins the one under the same name. Undefined if all its clients have gone before its answer. */
 	submit(job: ReceivedJob, cancellation: Cancellation): Promise<JobReply | undefined>;
 	/** Serves a job that another entry has forwarded. */
@@ -91,6 +94,7 @@
 /** A job without an answer yet. */
 type OpenJob = {
 	readonly job: JobHandle;
+	readonly route: Route;
 	/** Requests that wait for its answer. */
 	readonly waiters: Set<Cancellation>;
 };
@@ -121,6 +125,10 @@
 	return {
 		findRoute,
 		isOpen: name => openJobs.has(name),
+		isOpenAt(name, {host, path}) {
+			const route = openJobs.get(name)?.route;
+			return route?.host === host && `${route.pathPrefix}${name}` === path;
+		},
 		submit,
 		submitForwarded,
 		cancel(name) {
@@ -221,7 +229,7 @@
 			throw new Error(`a submission under a new ticket was not accepted: ${outcome.kind}`);
 		}
 
-		const accepted: OpenJob = {job: outcome.job, waiters: new Set()};
+		const accepted: OpenJob = {job: outcome.job, route, waiters: new Set()};
 		if (outcome.job.tryGetAnswer() === undefined) {
 			openJobs.set(name, accepted);
 		}
--- a/src/platform/job-intake.ts
+++ b/src/platform/job-intake.ts
@@ -7,7 +7,7 @@
 import type {RelayReply} from '../generated/kingcuplane.js';
 import type {Milliseconds} from '../process/clock.js';
 import type {Entry} from '../process/entry-types.js';
-import type {CancelOutcome} from '../process/job-cancellation.js';
+import type {CancelOutcome, JobTarget} from '../process/job-cancellation.js';
 import type {LoadDecision} from '../request/load-sharing.js';
 import {
 	cancelledReply, createReply, isJobName, type JobDesk, type JobReply, type RouteMatch,
@@ -19,14 +19,8 @@
 	readonly desk: JobDesk;
 };
 
-/** Host and path of a request, which select its route. */
-export type RequestTarget = {
-	readonly host: string;
-	readonly path: string;
-};
-
 /** A job that is to be served, and where. */
-export type AdmittedJob = RouteMatch & RequestTarget & {
+export type AdmittedJob = RouteMatch & JobTarget & {
 	readonly decision: Exclude<LoadDecision, {readonly kind: 'refuse'}>;
 };
 
@@ -39,20 +33,26 @@
 /** The jobs of the clients of one entry. */
 export type JobIntake = {
 	/** Decides whether and where a job is served; the reply if it is not. */
-	admit(target: RequestTarget, match: RouteMatch): AdmittedJob | JobReply;
+	admit(target: JobTarget, match: RouteMatch): AdmittedJob | JobReply;
 	/**
 	 * Serves an admitted job; `timeLeft` is the time that the client waits, not a positive number if it stated none. Undefined if
 	 * all its clients have gone before its answer.
 	 */
 	submit(job: AdmittedJob, body: Uint8Array, timeLeft: Milliseconds, client: WaitingClient): Promise<JobReply | undefined>;
-	/** Cancels the job of this name at all entries. */
-	cancel(name: string): Promise<JobReply>;
-	/** Cancels the job of this name at this entry. Returns false if there is none. */
-	cancelHere(name: string): boolean;
+	/** Cancels the job of this name, which its target states, at all entries. */
+	cancel(name: string, target: JobTarget): Promise<JobReply>;
+	/**
+	 * Cancels the job that was sent to this host and path, which select no route any more. Undefined if there is none, or it is not known
+	 * whether there is one.
+	 */
+	cancelAtDroppedRoute(target: JobTarget): Promise<JobReply | undefined>;
+	/** Cancels the job of this name at this entry, and with a target, only one that was sent there. Returns false if there is none. */
+	cancelHere(name: string, target?: JobTarget): boolean;
 };
 
 /** A job that another entry serves for clients of this one. */
 type ForwardedOpenJob = {
+	readonly target: JobTarget;
 	readonly reply: Promise<RelayReply | undefined>;
 	/** Number of requests that wait for its reply. */
 	waiters: number;
@@ -109,10 +109,16 @@
 				}
 			}
 		},
-		async cancel(name) {
-			return isJobName(name) ? cancelReplies[await entry.cancelJob(name)] : notFoundReply;
+		async cancel(name, target) {
+			// Another route may cover the path of one that was dropped.
+			return isJobName(name) ? cancelReplies[await entry.cancelJob(name)] : await cancelAtDroppedRoute(target) ?? notFoundReply;
 		},
-		cancelHere(name) {
+		cancelAtDroppedRoute,
+		cancelHere(name, target) {
+			if (target !== undefined && !isOpenAt(name, target)) {
+				return false;
+			}
+
 			// One that is still arriving finds its name remembered.
 			const isFound = desk.cancel(name) || arrivingJobs.has(name);
 			const forwarded = forwardedJobs.get(name);
@@ -126,6 +132,18 @@
 		},
 	};
 
+	async function cancelAtDroppedRoute(target: JobTarget): Promise<JobReply | undefined> {
+		const name = target.path.slice(target.path.lastIndexOf('/') + 1);
+		const outcome = isJobName(name) ? await entry.cancelJob(name, target) : 'not-found';
+		// The queue does not exist, so the request is not answered as if it did, but the job is gone.
+		return outcome === 'cancelled' ? notFoundReply : undefined;
+	}
+
+	function isOpenAt(name: string, target: JobTarget): boolean {
+		const forwarded = forwardedJobs.get(name)?.target;
+		return desk.isOpenAt(name, target) || (forwarded?.host === target.host && forwarded.path === target.path);
+	}
+
 	/** Waits until it is known whether the client still waits, or has cancelled the job meanwhile. */
 	async function awaitClient(name: string, client: WaitingClient): Promise<Arrival> {
 		countArriving(name, 1);
@@ -159,7 +177,9 @@
 			return undefined;
 		}
 
-		const forwarded: ForwardedOpenJob = {...pending, waiters: 0, isCancelled: false};
+		const forwarded: ForwardedOpenJob = {
+			...pending, target: {host, path}, waiters: 0, isCancelled: false,
+		};
 		forwardedJobs.set(name, forwarded);
 		return forwarded;
 	}
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -95,7 +95,7 @@
 			traffic,
 			linkBudget,
 			serveForwardedJob: async (job, cancellation) => serving.desk?.submitForwarded(job, cancellation) ?? declinedResult,
-			cancelJob: name => serving.intake?.cancelHere(name) ?? false,
+			cancelJob: (name, target) => serving.intake?.cancelHere(name, target) ?? false,
 			tryGetSenderSilence: ticket => serving.desk?.tryGetSenderSilence(ticket),
 			createScheduler: host => createResourceScheduler({...host, random: Math.random, startupGraceMs}),
 			quota: unboundedQuota,
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -17,7 +17,7 @@
 import type {Diagnostic} from './diagnostics.js';
 import type {HttpApiEnv} from './http-api.js';
 import type {AfterPoll} from './input-reading.js';
-import type {CancelOutcome} from './job-cancellation.js';
+import type {CancelOutcome, JobCancellationHost, JobTarget} from './job-cancellation.js';
 import type {LinkBudget} from './link-budget.js';
 import type {LoadMonitor} from './load-monitor.js';
 import type {Log} from './log.js';
@@ -62,8 +62,8 @@
 	readonly quota?: TeamQuota;
 	/** Serves a job that another entry has forwarded; if undefined, such jobs are declined. */
 	serveForwardedJob?(job: ForwardedJob, cancellation: Cancellation): Promise<RelayResult>;
-	/** Cancels the job of this name at this entry; returns false if there is none. Undefined if jobs have no names here. */
-	cancelJob?(name: string): boolean;
+	/** Cancels the job of this name at this entry, as {@link JobCancellationHost.cancelHere}. Undefined if jobs have no names here. */
+	cancelJob?(name: string, target?: JobTarget): boolean;
 	/** Returns for how long the sender of the forwarded job with this ticket has been silent; undefined for any other job. */
 	tryGetSenderSilence?(ticket: string): Milliseconds | undefined;
 	authenticate(token: string): Result<Principal, Diagnostic>;
@@ -94,8 +94,8 @@
 	decideByLoad(): LoadDecision;
 	/** Forwards a job of the client's name `name` to another entry; undefined if it has to be served here after all. */
 	tryForwardJob(peer: string, name: string, job: ForwardedJob): PendingRequest | undefined;
-	/** Cancels the job of the client's name `name` at all entries. */
-	cancelJob(name: string): Promise<CancelOutcome>;
+	/** Cancels the job of the client's name `name` at all entries; with a target, only one that was sent there. */
+	cancelJob(name: string, target?: JobTarget): Promise<CancelOutcome>;
 	/** Whether the entry was asked to stop, so that callers should use another one. */
 	isShuttingDown(): boolean;
 	/** Returns the time until open jobs are abandoned because this process stops; infinite unless it was asked to stop. */
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -26,7 +26,7 @@
 import {createEntryDirectory} from './entry-directory.js';
 import {createEntryReports} from './entry-reports.js';
 import {createEvacuationTelemetry} from './evacuation-telemetry.js';
-import {cancelJobOperation, createJobCancellation} from './job-cancellation.js';
+import {cancelJobAtTargetOperation, cancelJobOperation, createJobCancellation} from './job-cancellation.js';
 import {createJobForwarding, jobOperation} from './job-forwarding.js';
 import {createHttpApi} from './http-api.js';
 import {createIsolationTelemetry, createJobTelemetry, createLookAheadTelemetry} from './job-telemetry.js';
@@ -193,7 +193,8 @@
 					return forwarding.serve(req, reqCancellation);
 				}
 
-				case cancelJobOperation: {
+				case cancelJobOperation:
+				case cancelJobAtTargetOperation: {
 					return cancellation.serve(req);
 				}
 
@@ -224,7 +225,7 @@
 		onLinksChanged: updateAddresses,
 	});
 	const cancellation = createJobCancellation({
-		...host, self, directory, peers, cancelHere: name => host.cancelJob?.(name) ?? false,
+		...host, self, directory, peers, cancelHere: (name, target) => host.cancelJob?.(name, target) ?? false,
 	});
 	host.pauses?.pauseDetector.onPause((pause, uncounted) => {
 		peers.recordPause(uncounted);
--- a/src/process/job-cancellation.ts
+++ b/src/process/job-cancellation.ts
@@ -3,11 +3,13 @@
  * sent it again. Each entry remembers the name, so that a request for the job that arrives later is not served.
  */
 import {Buffer} from 'node:buffer';
+import {z} from 'zod';
 import type {PeerHub} from '../connection/peer-hub.js';
 import type {PendingRequest, RelayResult} from '../connection/peer-types.js';
 import type {EntryAddress, RelayReply, RelayRequest} from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from './clock.js';
 import type {EntryDirectory} from './entry-directory.js';
+import {readJson} from './json.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
 
@@ -19,8 +21,17 @@
 	readonly self: Pick<EntryAddress, 'incarnation' | 'links'>;
 	readonly directory: Pick<EntryDirectory, 'getLive' | 'isLoaded'>;
 	readonly peers: Pick<PeerHub, 'tryStartRequest' | 'getLinkedPeers'>;
-	/** Cancels the job of this name at this entry and remembers the name. Returns false if there is none. */
-	cancelHere(name: string): boolean;
+	/**
+	 * Cancels the job of this name at this entry and remembers the name. Returns false if there is none. With a target, concerns only a
+	 * job that was sent there, and remembers the name of no other.
+	 */
+	cancelHere(name: string, target?: JobTarget): boolean;
+};
+
+/** Host and path of a job, which state its queue. */
+export type JobTarget = {
+	readonly host: string;
+	readonly path: string;
 };
 
 /** What became of a request to cancel a job. */
@@ -34,14 +45,16 @@
 
 /** Cancels jobs at all entries. */
 export type JobCancellation = {
-	/** Cancels the job of this name at this entry and at all others. */
-	cancel(name: string): Promise<CancelOutcome>;
+	/** Cancels the job of this name at this entry and at all others; with a target, only one that was sent there. */
+	cancel(name: string, target?: JobTarget): Promise<CancelOutcome>;
 	/** Serves the request of another entry to cancel a job here. */
-	serve(req: Pick<RelayRequest, 'body'>): RelayResult;
+	serve(req: Pick<RelayRequest, 'operation' | 'body'>): RelayResult;
 };
 
-/** Operation of a request between entries that cancels a job. */
+/** Operations of requests between entries that cancel a job: by its name, or by its name and target. */
 export const cancelJobOperation = 'cancel-job';
+export const cancelJobAtTargetOperation = 'cancel-job-at-target';
+const targetSchema = z.object({name: z.string(), host: z.string(), path: z.string()});
 /** Longest wait for the replies of other entries, after which their silence is detected anyway. */
 const replyTimeoutMs: Milliseconds = 800;
 
@@ -51,9 +64,9 @@
 /** Creates the cancellation of one entry's clients. */
 export function createJobCancellation(host: JobCancellationHost): JobCancellation {
 	return {
-		async cancel(name) {
-			const isHere = host.cancelHere(name);
-			const pending = askPeers(name);
+		async cancel(name, target) {
+			const isHere = host.cancelHere(name, target);
+			const pending = askPeers(name, target);
 			const unreachable = getUnreachable();
 			const outcome = isHere ? 'cancelled' : await waitForReplies(pending, unreachable);
 			host.log.info({
@@ -62,15 +75,23 @@
 			host.metrics.count('job.cancelled', 1, {outcome});
 			return outcome;
 		},
-		serve({body}) {
-			const isFound = host.cancelHere(Buffer.from(body).toString());
+		serve({operation, body}) {
+			const text = Buffer.from(body).toString();
+			const isFound = operation === cancelJobAtTargetOperation ? serveAtTarget(text) : host.cancelHere(text);
 			return {status: isFound ? foundStatus : notFoundStatus, body: new Uint8Array(), retryAfterMs: 0};
 		},
 	};
 
-	function askPeers(name: string): readonly PendingRequest[] {
+	function serveAtTarget(text: string): boolean {
+		const target = readJson(targetSchema, text).unwrapOr(undefined);
+		return target !== undefined && host.cancelHere(target.name, target);
+	}
+
+	function askPeers(name: string, target: JobTarget | undefined): readonly PendingRequest[] {
+		const operation = target === undefined ? cancelJobOperation : cancelJobAtTargetOperation;
+		const body = Buffer.from(target === undefined ? name : JSON.stringify({name, ...target}));
 		return host.peers.getLinkedPeers().flatMap(peer => host.peers.tryStartRequest(peer.incarnation, {
-			operation: cancelJobOperation, ticket: '', principal: '', body: Buffer.from(name), timeoutMs: replyTimeoutMs,
+			operation, ticket: '', principal: '', body, timeoutMs: replyTimeoutMs,
 		}) ?? []);
 	}
 
--- a/test/platform/cancelled-jobs.test.ts
+++ b/test/platform/cancelled-jobs.test.ts
@@ -51,6 +51,8 @@
 	readonly cutOff: Set<string>;
 	/** Earlier incarnations of entries, which were killed and are not declared dead yet. */
 	readonly earlier: EntryAddress[];
+	/** The configuration of all entries. */
+	snapshot: Snapshot;
 	/** Whether requests between entries wait for {@link deliver}. */
 	isHeld: boolean;
 	/** Number of requests between entries. */
@@ -68,6 +70,7 @@
 		nodes: [createNode(0), createNode(1), createNode(2)],
 		cutOff,
 		earlier: [],
+		snapshot,
 		isHeld: false,
 		sent: 0,
 		async deliver() {
@@ -112,7 +115,7 @@
 			},
 		} as unknown as Entry;
 		const desk = createJobDesk({
-			entry, log: silentLog, clock, tryGetSnapshot: () => snapshot, checkPause: () => undefined,
+			entry, log: silentLog, clock, tryGetSnapshot: () => fixture.snapshot, checkPause: () => undefined,
 		});
 		const decision: LoadDecision = isBusy && index === 0
 			? {
@@ -126,7 +129,7 @@
 			entry: {
 				decideByLoad: () => decision,
 				tryForwardJob: (peer, _name, job) => startRequest(peer, async forwarded => findNode(peer).desk.submitForwarded(job, forwarded)),
-				cancelJob: async cancelledName => cancellation.cancel(cancelledName),
+				cancelJob: async (cancelledName, cancelledTarget) => cancellation.cancel(cancelledName, cancelledTarget),
 			},
 		});
 		const getLinked = () => cutOff.has(address.incarnation)
@@ -140,7 +143,7 @@
 			directory: {getLive: () => [...fixture.nodes.map(other => other.address), ...fixture.earlier], isLoaded: () => true},
 			peers: {
 				getLinkedPeers: getLinked,
-				tryStartRequest: (peer, req) => startRequest(peer, async () => findNode(peer).cancellation.serve({body: req.body})),
+				tryStartRequest: (peer, req) => startRequest(peer, async () => findNode(peer).cancellation.serve(req)),
 			},
 			cancelHere: intake.cancelHere,
 		});
@@ -157,7 +160,7 @@
 				return 'status' in admitted ? admitted : intake.submit(admitted, body, 1500, stays);
 			},
 			async remove() {
-				return intake.cancel(name);
+				return intake.cancel(name, target);
 			},
 		};
 		return node;
@@ -213,6 +216,57 @@
 	return nodes.reduce((sum, node) => sum + node.running.size, 0);
 }
 
+// Guards against a job that runs on and that nobody can cancel (review/9).
+describe('cancelling a job whose route was dropped', () => {
+	const withoutRoutes = {...snapshot, version: 2, routes: []} as const;
+
+	for (const isBusy of [false, true]) {
+		for (const asked of [0, 1, 2] as const) {
+			it(`stops it, asked for at entry ${asked}, ${isBusy ? 'forwarded' : 'served where it arrived'}`, async t => {
+				const fixture = createFixture({isBusy});
+				void fixture.nodes[0].post();
+				await settle();
+				fixture.snapshot = withoutRoutes;
+				const reply = await fixture.nodes[asked].intake.cancelAtDroppedRoute(target);
+				t.is(reply?.status, 410);
+				await settle();
+				t.is(countRunning(fixture), 0);
+			});
+		}
+	}
+
+	it('stops it although another route covers its path', async t => {
+		const fixture = createFixture();
+		void fixture.nodes[0].post();
+		await settle();
+		fixture.snapshot = {...snapshot, version: 2, routes: [{...snapshot.routes![0]!, pathPrefix: '/'}]};
+		const reply = await fixture.nodes[1].intake.cancel(`jobs/${name}`, target);
+		t.is(reply.status, 410);
+		t.is(countRunning(fixture), 0);
+	});
+
+	it('concerns no job of another queue, and leaves no name behind', async t => {
+		const fixture = createFixture();
+		const [first, second] = fixture.nodes;
+		void first.post();
+		await settle();
+		for (const other of [{...target, host: 'other.example'}, {...target, path: `/other/${name}`}, {...target, path: '/jobs/x'}]) {
+			t.is(await second.intake.cancelAtDroppedRoute(other), undefined);
+		}
+
+		t.is(countRunning(fixture), 1);
+		t.false(second.desk.wasCancelled(name));
+	});
+
+	it('is not confirmed if an entry that may have it cannot be asked', async t => {
+		const fixture = createFixture();
+		void fixture.nodes[0].post();
+		await settle();
+		fixture.cutOff.add('e0-1');
+		t.is(await fixture.nodes[1].intake.cancelAtDroppedRoute(target), undefined);
+	});
+});
+
 // Guards against a request to cancel that is answered as done at one entry while another one goes on with the job.
 describe('cancelling a job', () => {
 	it('reaches the job at another entry', async t => {
@@ -389,7 +443,7 @@
 
 	it('does not ask anyone about a name that no job can have', async t => {
 		const fixture = createFixture();
-		const reply = await fixture.nodes[0].intake.cancel('x');
+		const reply = await fixture.nodes[0].intake.cancel('x', {...target, path: '/jobs/x'});
 		t.is(reply.status, 410);
 		t.is(fixture.sent, 0);
 	});
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -186,6 +186,26 @@
 		t.is(repeated?.status, 410);
 	});
 
+	// Guards against a job that runs on and that nobody can cancel (review/9).
+	itSerial('stop a job that its client cancels after the route of its queue was dropped', async t => {
+		const system = await startSystem(t, 2, 2);
+		const job = {
+			name: formatJobName(1), tasks: 2, ms: 8000, deadline: 10_000,
+		};
+		const reply = system.submit(0, job);
+		await sleep(400);
+		await system.publish(2, ['/kept/']);
+		await sleep(1500);
+		const cancelled = await system.cancel(1, job.name);
+		t.is(cancelled?.status, 410);
+		const finished = await reply;
+		t.is(finished?.status, 504);
+		const events = await system.getEvents();
+		t.deepEqual(events.map(({what}) => what), ['start', 'start', 'stopped', 'stopped']);
+		const unknown = await system.cancel(1, formatJobName(2));
+		t.is(unknown?.status, 404);
+	});
+
 	describe('start a task elsewhere only when its run has ended', () => {
 		// Guards against runs that are reported as ended because another writer has announced an executor.
 		itSerial('after a heartbeat of another writer, which the executor in service survives', async t => {
