Ignore the hello of a link that its agent has given up

Class of fault: a message that arrives late is taken as new. TCP keeps the order within a stream, not between two of them.

Change: an agent counts its hellos, and an entry ignores one that is not higher than the highest it has seen of that agent incarnation, also after the session. Nothing orders the incarnations of an agent, so while one is known, the hello of another one counts only within a second after the welcome that it answers; an agent that still waits opens its next link at once. Agents of before do not count, and are handled as before.

The decision stands as it was in, and neither restarts nor cancels were involved.

--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -161,7 +161,7 @@
 
 function addAgents(fixture: EntryFixture, count: number, slots: number): void {
 	for (let i = 0; i < count; i++) {
-		const session = fixture.coordinator.sessions.open({
+		const session = fixture.coordinator.sessions.tryOpen({
 			agent: `agent-${i}`,
 			incarnation: `incarnation-${i}`,
 			upstream: `ordering-${i}`,
@@ -173,8 +173,8 @@
 			lastStartSeq: 0,
 			lastResultSeq: 0,
 			room: undefined,
-			labels: [], upstreamIncarnation: '',
-		});
+			labels: [], upstreamIncarnation: '', helloNumber: 1,
+		}, 0)!;
 		session.receiveState({
 			draining: false, running: 0, slots, meanRunMs: 100, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: undefined, capacity: undefined, receivedStarts: 0, soundness: 0, clockMs: 0, runTimeRatioPerMille: 0, releases: [],
 		});
--- a/src/connection/agent-sessions.ts
+++ b/src/connection/agent-sessions.ts
@@ -63,8 +63,11 @@
 
 /** The sessions of one entry incarnation with all agents. */
 export type AgentSessions = {
-	/** Opens a session for a link that started with this hello. Replaces an earlier link of the same agent incarnation. */
-	open(hello: AgentHello): AgentSession;
+	/**
+	 * Opens a session for a link that started with this hello, `age` after the welcome that it answers. Replaces an earlier link of the same
+	 * agent incarnation. Undefined, without an effect, if the agent has given up this link.
+	 */
+	tryOpen(hello: AgentHello, age: Milliseconds): AgentSession | undefined;
 	/** Calls `action` for each session whose link is open. */
 	forEachOpen(action: (session: AgentSession) => void): void;
 	tryGet(incarnation: string): AgentSession | undefined;
@@ -110,12 +113,19 @@
 	session?: AgentSession;
 };
 
+/** Age from which the hello of another incarnation of a known agent may be one of a process that has ended. */
+const maxHelloAgeMs: Milliseconds = 1000;
+/** Number of agent incarnations whose newest hello is remembered, also after their sessions. */
+const maxKnownIncarnations = 5000;
+
 /** Creates an empty set of sessions. */
 export function createAgentSessions(host: AgentSessionsHost): AgentSessions {
 	const records = new Map<string, SessionRecord>();
+	/** The highest number of a hello of each agent incarnation. */
+	const newestHellos = new Map<string, number>();
 
 	return {
-		open,
+		tryOpen,
 		forEachOpen(action) {
 			for (const record of records.values()) {
 				if (record.isOpen && record.session !== undefined) {
@@ -138,7 +148,12 @@
 		},
 	};
 
-	function open(hello: AgentHello): AgentSession {
+	function tryOpen(hello: AgentHello, age: Milliseconds): AgentSession | undefined {
+		if (isOutdated(hello, age)) {
+			return undefined;
+		}
+
+		recordHello(hello);
 		abandonEarlierIncarnations(hello);
 		const record = records.get(hello.incarnation) ?? createRecord(hello);
 		records.set(hello.incarnation, record);
@@ -156,6 +171,23 @@
 		return session;
 	}
 
+	// A lost packet may hold a hello up for seconds, while its agent gives that stream up and opens another one.
+	function isOutdated({agent, incarnation, helloNumber}: AgentHello, age: Milliseconds): boolean {
+		if (helloNumber > 0 && helloNumber <= (newestHellos.get(incarnation) ?? 0)) {
+			return true;
+		}
+
+		return age > maxHelloAgeMs && [...records.values()].some(record => record.agent.name === agent && record.agent.incarnation !== incarnation);
+	}
+
+	function recordHello({incarnation, helloNumber}: AgentHello): void {
+		newestHellos.delete(incarnation);
+		newestHellos.set(incarnation, helloNumber);
+		for (const oldest of [...newestHellos.keys()].slice(0, Math.max(0, newestHellos.size - maxKnownIncarnations))) {
+			newestHellos.delete(oldest);
+		}
+	}
+
 	// With `endsEarlierIncarnations`, an agent sends its hello only after all runs of its earlier incarnations have ended.
 	function abandonEarlierIncarnations(hello: AgentHello): void {
 		for (const record of records.values()) {
--- a/src/connection/entry-sessions.ts
+++ b/src/connection/entry-sessions.ts
@@ -157,6 +157,7 @@
 	const fencedIncarnations = new Set<string>();
 	const isolation = createIsolationGuard();
 	let running = 0;
+	let hellos = 0;
 	let isDraining = false;
 	const backlog = createPauseBacklog(host);
 
@@ -178,7 +179,7 @@
 			record.sentSeq = 0;
 			record.receivedStarts = 0;
 			granter.addEntry(entry);
-			return toHello(host.agent, entry, record);
+			return toHello(host.agent, entry, record, ++hellos);
 		},
 		close(entry) {
 			const record = records.get(entry);
@@ -547,7 +548,7 @@
 	};
 }
 
-function toHello(agent: AgentInfo, entry: string, record: SessionRecord): AgentHello {
+function toHello(agent: AgentInfo, entry: string, record: SessionRecord, helloNumber: number): AgentHello {
 	return {
 		agent: agent.name,
 		incarnation: agent.incarnation,
@@ -562,5 +563,6 @@
 		entryIncarnation: entry,
 		lastStartSeq: record.lastStartSeq,
 		lastResultSeq: record.lastResultSeq,
+		helloNumber,
 	};
 }
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -47,6 +47,8 @@
 	tryGetSenderSilence?(ticket: string): Milliseconds | undefined;
 	/** Called when a link has opened or was lost. */
 	onLinkChanged?(agent: AgentInfo, change: LinkChange): void;
+	/** Called with the hello of a link that its agent has given up, `age` after the welcome that it answers; the link was closed. */
+	onOutdatedHello?(hello: AgentHello, age: Milliseconds): void;
 	/** Called with an unexpected error while a batch was processed; its link has been closed. `agent` names the sender, once it is known. */
 	onUnexpectedError?(error: unknown, agent: string | undefined): void;
 	/** Called before a received batch is processed. */
@@ -199,6 +201,7 @@
 
 	function accept(stream: LinkStream): void {
 		let link: Link | undefined;
+		const acceptedAt = host.clock.now();
 		// The agent reconnects and repeats what was not acknowledged, so one batch costs at most one link.
 		stream.on('data', (batch: AgentBatch) => {
 			try {
@@ -225,7 +228,14 @@
 			batchesReceived++;
 			host.onBatchReceived?.();
 			if (batch.hello !== undefined && link === undefined) {
-				link = openLink(batch.hello, stream);
+				const age = host.clock.now() - acceptedAt;
+				link = openLink(batch.hello, stream, age);
+				if (link === undefined) {
+					host.onOutdatedHello?.(batch.hello, age);
+					stream.destroy?.();
+					return;
+				}
+
 				links.set(link.session.agent.incarnation, link);
 				host.onLinkChanged?.(link.session.agent, {kind: 'opened', linked: links.size});
 				link.session.resumeStarts();
@@ -255,8 +265,9 @@
 		link.session.close(kind === 'silent');
 	}
 
-	function openLink(hello: AgentHello, stream: LinkStream): Link {
-		const link = createLink(host.sessions.open(hello), stream, createMonitor());
+	function openLink(hello: AgentHello, stream: LinkStream, age: Milliseconds): Link | undefined {
+		const session = host.sessions.tryOpen(hello, age);
+		const link = session && createLink(session, stream, createMonitor());
 		return link;
 
 		// The keepalive of gRPC takes seconds, and a stream whose data is delayed on the way reports no error.
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -156,6 +156,11 @@
 		onStartQueued(bytes) {
 			startPacing?.recordStart(bytes);
 		},
+		onOutdatedHello({agent, incarnation: agentIncarnation, helloNumber}, age) {
+			host.log.warn({
+				agent, incarnation: agentIncarnation, helloNumber, age: Math.round(age),
+			}, 'link ignored, since its agent has given it up');
+		},
 		onLinkChanged(agent, change) {
 			host.log.info({
 				agent: agent.name, incarnation: agent.incarnation, upstream: agent.upstream, ...change,
--- a/test/connection/agent-sessions.test.ts
+++ b/test/connection/agent-sessions.test.ts
@@ -1,6 +1,7 @@
-import {createAgentSessions, type AgentSession} from '../../src/connection/agent-sessions.js';
+import {createAgentSessions, type AgentSession, type SentStartOutcome} from '../../src/connection/agent-sessions.js';
 import {AgentHello, AgentState, TaskStart} from '../../src/generated/kingcuplane.js';
 import {platformTiming} from '../../src/platform/timing.js';
+import type {Milliseconds} from '../../src/process/clock.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {describe, it} from '../describe.js';
 
@@ -20,7 +21,7 @@
 		onStartEnded: () => undefined,
 		onLateResult: () => undefined,
 	});
-	return {clock, session: sessions.open(AgentHello.fromPartial({agent: 'a', incarnation: 'a-1'}))};
+	return {clock, session: sessions.tryOpen(AgentHello.fromPartial({agent: 'a', incarnation: 'a-1'}), 0)!};
 }
 
 function prepareStart(session: AgentSession): TaskStart {
@@ -51,6 +52,85 @@
 		t.true(session.hasOutstandingStarts());
 	});
 
+	// Guards against a second run of a task beside one that its agent has begun: a hello of an earlier link was held up on the way, and the starts
+	// that were sent since were taken for lost (canopy-qld, leave-beside-lost-packets).
+	describe('take no notice of a link that its agent has given up', () => {
+		type Fixture = {
+			readonly ends: SentStartOutcome[];
+			readonly changes: string[];
+			readonly clock: FakeClock;
+			open(hello: Partial<AgentHello>, age?: Milliseconds): AgentSession | undefined;
+		};
+
+		function createFixture(): Fixture {
+			const clock = createFakeClock(entryTime);
+			const ends: SentStartOutcome[] = [];
+			const changes: string[] = [];
+			const sessions = createAgentSessions({
+				clock,
+				graceMs: 1000,
+				endsEarlierIncarnations: true,
+				onAgentConnected({incarnation}) {
+					changes.push(`${incarnation} connected`);
+				},
+				onAgentDisconnected({incarnation}) {
+					changes.push(`${incarnation} disconnected`);
+				},
+				onAgentState: () => undefined,
+				onCreditsGranted: () => undefined,
+				onStartEnded(_start, outcome) {
+					ends.push(outcome);
+				},
+				onLateResult: () => undefined,
+			});
+			return {
+				clock, ends, changes, open: (hello, age = 1) => sessions.tryOpen(AgentHello.fromPartial({agent: 'a', incarnation: 'a-1', ...hello}), age),
+			};
+		}
+
+		it('whose hello arrives after a later one', t => {
+			const {open, ends, changes} = createFixture();
+			const session = open({helloNumber: 2})!;
+			prepareStart(session);
+			t.is(open({helloNumber: 1}), undefined);
+			t.is(open({helloNumber: 2}), undefined);
+			t.deepEqual(ends, []);
+			t.deepEqual(changes, ['a-1 connected']);
+			t.true(session.hasOutstandingStarts());
+		});
+
+		it('also after the session has been abandoned', t => {
+			const {open, clock, changes} = createFixture();
+			open({helloNumber: 2})!.close();
+			clock.advance(1001);
+			t.is(open({helloNumber: 1}), undefined);
+			t.deepEqual(changes, ['a-1 connected', 'a-1 disconnected']);
+		});
+
+		it('while a later incarnation of the agent is known', t => {
+			const {open, ends, clock} = createFixture();
+			const session = open({incarnation: 'a-2', helloNumber: 1})!;
+			prepareStart(session);
+			t.is(open({incarnation: 'a-1', helloNumber: 7}, 1001), undefined);
+			t.deepEqual(ends, []);
+			session.close();
+			t.is(open({incarnation: 'a-1', helloNumber: 7}, 1001), undefined);
+			clock.advance(1001);
+			t.not(open({incarnation: 'a-1', helloNumber: 7}, 1001), undefined);
+		});
+
+		it('but of each later one, also of an agent that does not count its hellos', t => {
+			const {open, ends} = createFixture();
+			prepareStart(open({helloNumber: 1})!);
+			prepareStart(open({helloNumber: 2, lastStartSeq: 1}, 5000)!);
+			t.deepEqual(ends, []);
+			prepareStart(open({helloNumber: 3, lastStartSeq: 1})!);
+			t.deepEqual(ends, [{kind: 'not-received'}]);
+			t.not(open({incarnation: 'a-2'}), undefined);
+			t.not(open({incarnation: 'a-2'}), undefined);
+		});
+	});
+
 	describe('timing on the platform', () => {
 		const {
 			silence, orphanGraceMs, closedGraceMs, silentGraceMs, startValidityMs, harmlessPauseMs,
--- a/test/connection/link-server.test.ts
+++ b/test/connection/link-server.test.ts
@@ -15,12 +15,12 @@
 	/** Whether the stream of each agent was destroyed; no entry if it was not. */
 	readonly isDestroyed: ReadonlyMap<string, boolean>;
 	/** Opens the link of an agent. */
-	connect(agent: string): void;
+	connect(agent: string, helloNumber?: number): void;
 	/** Sends the start of a task to an agent. */
 	start(agent: string, ticket: string): void;
 };
 
-type FixtureOptions = Partial<Pick<AgentSessionsHost, 'onAgentState'> & Pick<LinkServerHost, 'tryGetSenderSilence' | 'onUnexpectedError'>>;
+type FixtureOptions = Partial<Pick<AgentSessionsHost, 'onAgentState'> & Pick<LinkServerHost, 'tryGetSenderSilence' | 'onOutdatedHello' | 'onUnexpectedError'>>;
 
 /** Creates a hub without links. */
 function createFixture({onAgentState = () => undefined, ...linkOptions}: FixtureOptions): Fixture {
@@ -59,7 +59,7 @@
 		hub,
 		batches,
 		isDestroyed,
-		connect(agent) {
+		connect(agent, helloNumber = 0) {
 			let receive: (batch: AgentBatch) => void = () => undefined;
 			const stream: LinkStream = {
 				on(event: string, listener: (batch: AgentBatch) => void) {
@@ -76,7 +76,7 @@
 				},
 			};
 			hub.accept(stream);
-			receive(AgentBatch.fromPartial({hello: AgentHello.fromPartial({agent, incarnation: `${agent}-1`}), state: AgentState.fromPartial({})}));
+			receive(AgentBatch.fromPartial({hello: AgentHello.fromPartial({agent, incarnation: `${agent}-1`, helloNumber}), state: AgentState.fromPartial({})}));
 		},
 		start(agent, ticket) {
 			hub.sendStart(`${agent}-1`, sessions.tryGet(`${agent}-1`)!.prepareStart(TaskStart.fromPartial({task: {ticket, index: 0}})));
@@ -101,6 +101,22 @@
 		t.deepEqual(batches.find(({starts}) => starts.some(({seq}) => seq === 3))?.senderSilences.at(-1), second);
 	});
 
+	it('are closed if their agent has given them up, and leave the later one as it is', t => {
+		const outdated: Array<AgentHello['helloNumber']> = [];
+		const {hub, batches, isDestroyed, connect, start} = createFixture({
+			onOutdatedHello({helloNumber}) {
+				outdated.push(helloNumber);
+			},
+		});
+		connect('a', 2);
+		connect('a', 1);
+		t.true(isDestroyed.get('a'));
+		t.deepEqual(outdated, [1]);
+		t.is(hub.getLinkCount(), 1);
+		start('a', 'j');
+		t.is(batches.at(-1)?.starts.length, 1);
+	});
+
 	it('lose only the link whose batch causes an unexpected error', t => {
 		const errors: unknown[] = [];
 		const {hub, isDestroyed, connect} = createFixture({
--- a/test/failure/network.ts
+++ b/test/failure/network.ts
@@ -38,6 +38,8 @@
 	cut(client: string, server: string, notices: readonly [Milliseconds, Milliseconds], blockedMs: Milliseconds): void;
 	/** Stops the open streams of the process `client` to the process `server` from delivering anything to one end; new streams work. */
 	silence(client: string, server: string, at: StreamEnd): void;
+	/** Holds for `duration` what `client` sends on each stream to `server` that it opens within a time. */
+	holdNew(client: string, server: string, within: Milliseconds, duration: Milliseconds): void;
 	/**
 	 * Delays, for a time, each batch that `from` sends to `to` on any stream by a random time within the range. They still arrive in
 	 * order, as over TCP when packets are lost.
@@ -75,6 +77,7 @@
 	const listeners = new Map<string, Listener>();
 	const blocked = new Map<string, Milliseconds>();
 	const slowed = new Map<string, {readonly range: DelayRange; readonly until: Milliseconds}>();
+	const held = new Map<string, {readonly duration: Milliseconds; readonly until: Milliseconds}>();
 	const frozenSince = new Map<SimulatedProcess, Milliseconds>();
 	let streams: SimulatedStream[] = [];
 
@@ -106,6 +109,9 @@
 				stream.silence(at);
 			}
 		},
+		holdNew(client, server, within, duration) {
+			held.set(`${client}>${server}`, {duration, until: clock.now() + within});
+		},
 		slow(from, to, range, duration) {
 			slowed.set(`${from}>${to}`, {range, until: clock.now() + duration});
 		},
@@ -148,6 +154,11 @@
 		const isReachable = listener?.process.isAlive() && !isBlocked(getHostName(process), address);
 		const stream = createStream(sim, process, listener?.process ?? process, batches, faults);
 		streams = [...streams.filter(other => other.isOpen()), stream];
+		const hold = held.get(`${getHostName(process)}>${address}`);
+		if (hold !== undefined && clock.now() < hold.until) {
+			stream.hold(hold.duration);
+		}
+
 		if (isReachable) {
 			clock.after(random.integer(1, 3), () => {
 				listener!.process.perform(() => {
--- a/test/failure/stream.ts
+++ b/test/failure/stream.ts
@@ -14,6 +14,8 @@
 	isOpen(): boolean;
 	/** Stops delivery to this end without an error at either end. */
 	silence(at: StreamEnd): void;
+	/** Delivers what is sent to the accepting end from now on only after `duration`, in order, as over TCP when packets are lost. */
+	hold(duration: Milliseconds): void;
 	/** Drops everything in flight and closes the stream; each end notices after its own delay. */
 	cut(clientNotices: Milliseconds, serverNotices: Milliseconds): void;
 };
@@ -56,7 +58,7 @@
 /** The processes between which one direction of a stream delivers, and the end to which it does. */
 type Ends = {readonly from: SimulatedProcess; readonly to: SimulatedProcess; readonly end: StreamEnd};
 
-type Direction<T> = {send(batch: T): void; close(event: string): void};
+type Direction<T> = {send(batch: T): void; close(event: string): void; hold(duration: Milliseconds): void};
 
 const maxRepeatDelayMs: Milliseconds = 4000;
 
@@ -76,6 +78,7 @@
 		silence(at) {
 			silenced.add(at);
 		},
+		hold: toServer.hold,
 		client: {
 			on: atClient.on,
 			write: toServer.send,
@@ -133,6 +136,9 @@
 					});
 				}
 			},
+			hold(duration) {
+				lastAt = Math.max(lastAt, sim.clock.now() + duration);
+			},
 			close(event) {
 				scheduleInOrder(() => {
 					isOpen = false;
--- a/test/request/coordinator.test.ts
+++ b/test/request/coordinator.test.ts
@@ -87,9 +87,9 @@
 	coordinator.applySnapshot(snapshot);
 	const capacity = {cpu: 8000, memory: 1000, accelerators: 0};
 	const hello = {
-		agent: 'a', incarnation: 'a1', upstream: 'u', service: 's', dataCentre: 'd', rack: '', slots: 1, entryIncarnation: incarnation, lastStartSeq: 0, lastResultSeq: 0, room: capacity, labels: [], upstreamIncarnation: '',
+		agent: 'a', incarnation: 'a1', upstream: 'u', service: 's', dataCentre: 'd', rack: '', slots: 1, entryIncarnation: incarnation, lastStartSeq: 0, lastResultSeq: 0, room: capacity, labels: [], upstreamIncarnation: '', helloNumber: 0,
 	};
-	let session = coordinator.sessions.open(hello);
+	let session = coordinator.sessions.tryOpen(hello, 0)!;
 	const state: AgentState = {
 		draining: false, running: 0, slots: 1, meanRunMs: 0, failedPerMille: 0, configVersion: 1, free: 0, freeRoom: capacity, capacity, receivedStarts: 0, soundness: 0, clockMs: 0, runTimeRatioPerMille: 0, releases: [],
 	};
@@ -132,7 +132,7 @@
 		reconnect(receivedStarts = starts.length) {
 			session.close();
 			stops.length = 0;
-			session = coordinator.sessions.open({...hello, lastStartSeq: receivedStarts});
+			session = coordinator.sessions.tryOpen({...hello, lastStartSeq: receivedStarts}, 0)!;
 			session.resumeStarts();
 		},
 		report() {
--- a/test/request/link-resets.test.ts
+++ b/test/request/link-resets.test.ts
@@ -228,7 +228,7 @@
 
 	function open(agent: Agent): void {
 		if (agent.link === undefined) {
-			const session = coordinator.sessions.open(agent.sessions.open(entry));
+			const session = coordinator.sessions.tryOpen(agent.sessions.open(entry), 0)!;
 			agent.link = {session, toAgent: [], toEntry: []};
 			session.resumeStarts();
 			report(agent);
