--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -7,9 +7,10 @@
 import type {ForwardedJob} from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {Entry} from '../process/entry-types.js';
+import type {JobTarget} from '../process/job-cancellation.js';
 import {declinedResult} from '../process/job-forwarding.js';
 import type {Log} from '../process/log.js';
-import {createRecentNames} from '../request/recent-names.js';
+import type {RecentNames} from '../request/recent-names.js';
 import type {JobHandle} from '../request/tracked-job.js';
 import type {Answer} from '../request/types.js';
 import {createRouteTable, type RouteTable} from '../version/route-table.js';
@@ -24,6 +25,7 @@
 	readonly entry: Pick<Entry, 'coordinator' | 'issueTicket' | 'getRemainingDrainTime'>;
 	readonly log: Pick<Log, 'info'>;
 	readonly clock: Clock;
+	readonly cancelledNames: RecentNames;
 	tryGetSnapshot(): Snapshot | undefined;
 	/** Must be called before a job is accepted: its client may have left while this process was paused, which is not read yet then. */
 	checkPause(): void;
@@ -69,6 +71,8 @@
 	findRoute(host: string, path: string): RouteMatch | JobReply;
 	/** Whether a job of this name has no answer yet. */
 	isOpen(name: string): boolean;
+	/** Whether such a job was sent to this host and path, whose route may have been dropped since. */
+	isOpenAt(name: string, target: JobTarget): boolean;
 	/** Submits a job, or joins the one under the same name. Undefined if all its clients have gone before its answer. */
 	submit(job: ReceivedJob, cancellation: Cancellation): Promise<JobReply | undefined>;
 	/** Serves a job that another entry has forwarded. */
@@ -91,14 +95,12 @@
 /** A job without an answer yet. */
 type OpenJob = {
 	readonly job: JobHandle;
+	readonly route: Route;
 	/** Requests that wait for its answer. */
 	readonly waiters: Set<Cancellation>;
 };
 
 const caller = {name: clientTeam, team: clientTeam};
-/** A request of a client may arrive this long after the client has cancelled its job elsewhere. */
-const cancelledNameRetentionMs: Milliseconds = 60_000;
-const maxCancelledNames = 10_000;
 const jobNamePattern = /^[\da-f]{16}$/v;
 /** Some of its tasks may have run. */
 export const cancelledReply = createReply(504, {error: 'the job was cancelled'});
@@ -110,17 +112,20 @@
 
 /** Creates a desk without jobs. */
 export function createJobDesk({
-	entry, log, clock, tryGetSnapshot, checkPause,
+	entry, log, cancelledNames, tryGetSnapshot, checkPause,
 }: JobDeskHost): JobDesk {
 	const openJobs = new Map<string, OpenJob>();
 	/** Open jobs that other entries have forwarded, by ticket. Every batch to an agent looks its tasks up here. */
 	const forwardedJobs = new Map<string, OpenJob>();
-	const cancelledNames = createRecentNames({clock, retentionMs: cancelledNameRetentionMs, maxNames: maxCancelledNames});
 	let routeTable: {readonly snapshot: Snapshot; readonly table: RouteTable} | undefined;
 
 	return {
 		findRoute,
 		isOpen: name => openJobs.has(name),
+		isOpenAt(name, {host, path}) {
+			const route = openJobs.get(name)?.route;
+			return route?.host === host && `${route.pathPrefix}${name}` === path;
+		},
 		submit,
 		submitForwarded,
 		cancel(name) {
@@ -221,7 +226,7 @@
 			throw new Error(`a submission under a new ticket was not accepted: ${outcome.kind}`);
 		}
 
-		const accepted: OpenJob = {job: outcome.job, waiters: new Set()};
+		const accepted: OpenJob = {job: outcome.job, route, waiters: new Set()};
 		if (outcome.job.tryGetAnswer() === undefined) {
 			openJobs.set(name, accepted);
 		}
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -24,9 +24,10 @@
 	every, sleep, type Milliseconds,
 } from './clock.js';
 import {createEntryDirectory} from './entry-directory.js';
+import {createEntryIntroduction, introduceOperation} from './entry-introduction.js';
 import {createEntryReports} from './entry-reports.js';
 import {createEvacuationTelemetry} from './evacuation-telemetry.js';
-import {cancelJobOperation, createJobCancellation} from './job-cancellation.js';
+import {cancelJobAtTargetOperation, cancelJobOperation, createJobCancellation} from './job-cancellation.js';
 import {createJobForwarding, jobOperation} from './job-forwarding.js';
 import {createHttpApi} from './http-api.js';
 import {createIsolationTelemetry, createJobTelemetry, createLookAheadTelemetry} from './job-telemetry.js';
@@ -155,6 +156,11 @@
 		onStartQueued(bytes) {
 			startPacing?.recordStart(bytes);
 		},
+		onOutdatedHello({agent, incarnation: agentIncarnation, helloNumber}, age) {
+			host.log.warn({
+				agent, incarnation: agentIncarnation, helloNumber, age: Math.round(age),
+			}, 'link ignored, since its agent has given it up');
+		},
 		onLinkChanged(agent, change) {
 			host.log.info({
 				agent: agent.name, incarnation: agent.incarnation, upstream: agent.upstream, ...change,
@@ -170,7 +176,7 @@
 	const forwarding = createJobForwarding({
 		...host,
 		peers: {tryStartRequest: (peer, req) => peers.tryStartRequest(peer, req), getLoadReports: () => peers.getLoadReports()},
-		isServing: () => !isShuttingDown && follower.tryGet() !== undefined && links.getLinkCount() > 0,
+		isServing: () => !isShuttingDown && introduction.isDone() && follower.tryGet() !== undefined && links.getLinkCount() > 0,
 		areStartsHeld: () => startHold?.areStartsHeld() ?? false,
 	});
 	const peers = createPeerHub({
@@ -193,7 +199,12 @@
 					return forwarding.serve(req, reqCancellation);
 				}
 
-				case cancelJobOperation: {
+				case introduceOperation: {
+					return introduction.serve(req);
+				}
+
+				case cancelJobOperation:
+				case cancelJobAtTargetOperation: {
 					return cancellation.serve(req);
 				}
 
@@ -220,11 +231,15 @@
 		receiveLoss: coordinator.receiveLossReport,
 		onPeerConnected(peer) {
 			shares.resynchronize(peer.incarnation);
+			introduction.introduceTo(peer);
 		},
 		onLinksChanged: updateAddresses,
 	});
+	const introduction = createEntryIntroduction({
+		...host, self, directory, peers, cancelledNames: host.cancelledNames,
+	});
 	const cancellation = createJobCancellation({
-		...host, self, directory, peers, cancelHere: name => host.cancelJob?.(name) ?? false,
+		...host, self, directory, peers, isIntroduced: introduction.isDone, cancelHere: (name, target) => host.cancelJob?.(name, target) ?? false,
 	});
 	host.pauses?.pauseDetector.onPause((pause, uncounted) => {
 		peers.recordPause(uncounted);
@@ -287,6 +302,7 @@
 
 	const timers = [
 		every(clock, stateBroadcastIntervalMs, () => {
+			introduction.tick();
 			peers.broadcastState([]);
 		}),
 		every(clock, shareReportIntervalMs, shares.tick),
@@ -325,6 +341,7 @@
 		arrivals,
 		tryForwardJob: forwarding.tryForward,
 		cancelJob: cancellation.cancel,
+		isIntroduced: introduction.isDone,
 		isShuttingDown: () => isShuttingDown,
 		getRemainingDrainTime: () => drainEndsAt - clock.now(),
 		getOpenLinkCount: links.getLinkCount,
@@ -393,7 +410,7 @@
 	}
 
 	function updateAddresses(): void {
-		const addresses = [...directory.getLive().map(entry => entry.links), ...settings.entry.seeds.map(seed => formatAddress(seed))];
+		const addresses = [...[...directory.getLive(), ...directory.getReported()].map(entry => entry.links), ...settings.entry.seeds.map(seed => formatAddress(seed))];
 		peers.setAddresses(addresses);
 		reports.schedule();
 	}
--- a/src/process/job-cancellation.ts
+++ b/src/process/job-cancellation.ts
@@ -3,11 +3,13 @@
  * sent it again. Each entry remembers the name, so that a request for the job that arrives later is not served.
  */
 import {Buffer} from 'node:buffer';
+import {z} from 'zod';
 import type {PeerHub} from '../connection/peer-hub.js';
 import type {PendingRequest, RelayResult} from '../connection/peer-types.js';
 import type {EntryAddress, RelayReply, RelayRequest} from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from './clock.js';
 import type {EntryDirectory} from './entry-directory.js';
+import {readJson} from './json.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
 
@@ -17,10 +19,21 @@
 	readonly log: Pick<Log, 'info'>;
 	readonly metrics: Pick<Metrics, 'count'>;
 	readonly self: Pick<EntryAddress, 'incarnation' | 'links'>;
-	readonly directory: Pick<EntryDirectory, 'getLive' | 'isLoaded'>;
+	readonly directory: Pick<EntryDirectory, 'getLive' | 'getReported' | 'isLoaded'>;
 	readonly peers: Pick<PeerHub, 'tryStartRequest' | 'getLinkedPeers'>;
-	/** Cancels the job of this name at this entry and remembers the name. Returns false if there is none. */
-	cancelHere(name: string): boolean;
+	/** Whether this entry knows all others. */
+	isIntroduced(): boolean;
+	/**
+	 * Cancels the job of this name at this entry and remembers the name. Returns false if there is none. With a target, concerns only a
+	 * job that was sent there, and remembers the name of no other.
+	 */
+	cancelHere(name: string, target?: JobTarget): boolean;
+};
+
+/** Host and path of a job, which state its queue. */
+export type JobTarget = {
+	readonly host: string;
+	readonly path: string;
 };
 
 /** What became of a request to cancel a job. */
@@ -34,14 +47,24 @@
 
 /** Cancels jobs at all entries. */
 export type JobCancellation = {
-	/** Cancels the job of this name at this entry and at all others. */
-	cancel(name: string): Promise<CancelOutcome>;
+	/** Cancels the job of this name at this entry and at all others; with a target, only one that was sent there. */
+	cancel(name: string, target?: JobTarget): Promise<CancelOutcome>;
 	/** Serves the request of another entry to cancel a job here. */
-	serve(req: Pick<RelayRequest, 'body'>): RelayResult;
+	serve(req: Pick<RelayRequest, 'operation' | 'body'>): RelayResult;
+};
+
+/** An entry that was asked to cancel a job. */
+type AskedPeer = {
+	readonly peer: EntryAddress;
+	readonly reply: PendingRequest['reply'];
+	/** Undefined as long as it has not replied. */
+	received?: RelayReply;
 };
 
-/** Operation of a request between entries that cancels a job. */
+/** Operations of requests between entries that cancel a job: by its name, or by its name and target. */
 export const cancelJobOperation = 'cancel-job';
+export const cancelJobAtTargetOperation = 'cancel-job-at-target';
+const targetSchema = z.object({name: z.string(), host: z.string(), path: z.string()});
 /** Longest wait for the replies of other entries, after which their silence is detected anyway. */
 const replyTimeoutMs: Milliseconds = 800;
 
@@ -51,44 +74,62 @@
 /** Creates the cancellation of one entry's clients. */
 export function createJobCancellation(host: JobCancellationHost): JobCancellation {
 	return {
-		async cancel(name) {
-			const isHere = host.cancelHere(name);
-			const pending = askPeers(name);
+		async cancel(name, target) {
+			const isHere = host.cancelHere(name, target);
+			const asked = askPeers(name, target);
 			const unreachable = getUnreachable();
-			const outcome = isHere ? 'cancelled' : await waitForReplies(pending, unreachable);
+			const outcome = isHere ? 'cancelled' : await waitForReplies(asked, unreachable);
 			host.log.info({
-				request: name, outcome, isHere, asked: pending.length, unreachable: unreachable.map(entry => entry.name),
+				request: name,
+				outcome,
+				isHere,
+				isIntroduced: host.isIntroduced(),
+				asked: asked.map(({peer}) => peer.name),
+				replied: asked.filter(({received}) => received !== undefined).map(({peer, received}) => [peer.name, received?.status]),
+				unreachable: unreachable.map(entry => entry.name),
 			}, 'job cancelled by its client');
 			host.metrics.count('job.cancelled', 1, {outcome});
 			return outcome;
 		},
-		serve({body}) {
-			const isFound = host.cancelHere(Buffer.from(body).toString());
+		serve({operation, body}) {
+			const text = Buffer.from(body).toString();
+			const isFound = operation === cancelJobAtTargetOperation ? serveAtTarget(text) : host.cancelHere(text);
 			return {status: isFound ? foundStatus : notFoundStatus, body: new Uint8Array(), retryAfterMs: 0};
 		},
 	};
 
-	function askPeers(name: string): readonly PendingRequest[] {
-		return host.peers.getLinkedPeers().flatMap(peer => host.peers.tryStartRequest(peer.incarnation, {
-			operation: cancelJobOperation, ticket: '', principal: '', body: Buffer.from(name), timeoutMs: replyTimeoutMs,
-		}) ?? []);
+	function serveAtTarget(text: string): boolean {
+		const target = readJson(targetSchema, text).unwrapOr(undefined);
+		return target !== undefined && host.cancelHere(target.name, target);
+	}
+
+	function askPeers(name: string, target: JobTarget | undefined): readonly AskedPeer[] {
+		const operation = target === undefined ? cancelJobOperation : cancelJobAtTargetOperation;
+		const body = Buffer.from(target === undefined ? name : JSON.stringify({name, ...target}));
+		return host.peers.getLinkedPeers().flatMap(peer => {
+			const pending = host.peers.tryStartRequest(peer.incarnation, {
+				operation, ticket: '', principal: '', body, timeoutMs: replyTimeoutMs,
+			});
+			return pending === undefined ? [] : [{peer, reply: pending.reply}];
+		});
 	}
 
 	/** Waits until one entry has said that it had the job, all have replied, or the time is over. */
-	async function waitForReplies(pending: readonly PendingRequest[], unreachable: readonly EntryAddress[]): Promise<CancelOutcome> {
+	async function waitForReplies(asked: readonly AskedPeer[], unreachable: readonly EntryAddress[]): Promise<CancelOutcome> {
 		return new Promise(resolve => {
 			const replies: Array<RelayReply | undefined> = [];
 			const timer = host.clock.after(replyTimeoutMs, () => {
 				resolve('unconfirmed');
 			});
-			if (pending.length === 0) {
+			if (asked.length === 0) {
 				finish();
 			}
 
-			for (const {reply} of pending) {
-				void reply.then(received => {
+			for (const peer of asked) {
+				void peer.reply.then(received => {
+					peer.received = received;
 					replies.push(received);
-					if (received?.status === foundStatus || replies.length === pending.length) {
+					if (received?.status === foundStatus || replies.length === asked.length) {
 						finish();
 					}
 				});
@@ -107,7 +148,7 @@
 		}
 
 		const areAllSure = replies.every(reply => reply?.status === notFoundStatus);
-		return areAllSure && unreachable.length === 0 && host.directory.isLoaded() ? 'not-found' : 'unconfirmed';
+		return areAllSure && unreachable.length === 0 && host.directory.isLoaded() && host.isIntroduced() ? 'not-found' : 'unconfirmed';
 	}
 
 	/** Returns the live entries that cannot be asked. One whose address another incarnation has taken over is gone, with its jobs. */
@@ -115,6 +156,6 @@
 		const linked = host.peers.getLinkedPeers();
 		const incarnations = new Set([host.self.incarnation, ...linked.map(peer => peer.incarnation)]);
 		const addresses = new Set([host.self.links, ...linked.map(peer => peer.links)]);
-		return host.directory.getLive().filter(entry => !incarnations.has(entry.incarnation) && !addresses.has(entry.links));
+		return [...host.directory.getLive(), ...host.directory.getReported()].filter(entry => !incarnations.has(entry.incarnation) && !addresses.has(entry.links));
 	}
 }
--- a/test/platform/cancelled-jobs.test.ts
+++ b/test/platform/cancelled-jobs.test.ts
@@ -3,6 +3,7 @@
 import {ForwardedJob, type EntryAddress, type RelayReply} from '../../src/generated/kingcuplane.js';
 import {createJobDesk, type JobDesk, type JobReply} from '../../src/platform/job-desk.js';
 import {createJobIntake, type JobIntake, type WaitingClient} from '../../src/platform/job-intake.js';
+import {createCancelledNames} from '../../src/process/cancelled-names.js';
 import type {Entry} from '../../src/process/entry-types.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {createJobCancellation, type JobCancellation} from '../../src/process/job-cancellation.js';
@@ -51,6 +52,12 @@
 	readonly cutOff: Set<string>;
 	/** Earlier incarnations of entries, which were killed and are not declared dead yet. */
 	readonly earlier: EntryAddress[];
+	/** Entries that a peer has reported and that are not linked yet. */
+	readonly reported: EntryAddress[];
+	/** Whether all entries know each other. */
+	isIntroduced: boolean;
+	/** The configuration of all entries. */
+	snapshot: Snapshot;
 	/** Whether requests between entries wait for {@link deliver}. */
 	isHeld: boolean;
 	/** Number of requests between entries. */
@@ -68,6 +75,9 @@
 		nodes: [createNode(0), createNode(1), createNode(2)],
 		cutOff,
 		earlier: [],
+		reported: [],
+		isIntroduced: true,
+		snapshot,
 		isHeld: false,
 		sent: 0,
 		async deliver() {
@@ -112,7 +122,7 @@
 			},
 		} as unknown as Entry;
 		const desk = createJobDesk({
-			entry, log: silentLog, clock, tryGetSnapshot: () => snapshot, checkPause: () => undefined,
+			entry, log: silentLog, clock, cancelledNames: createCancelledNames(clock), tryGetSnapshot: () => fixture.snapshot, checkPause: () => undefined,
 		});
 		const decision: LoadDecision = isBusy && index === 0
 			? {
@@ -125,8 +135,9 @@
 			desk,
 			entry: {
 				decideByLoad: () => decision,
+				isIntroduced: () => fixture.isIntroduced,
 				tryForwardJob: (peer, _name, job) => startRequest(peer, async forwarded => findNode(peer).desk.submitForwarded(job, forwarded)),
-				cancelJob: async cancelledName => cancellation.cancel(cancelledName),
+				cancelJob: async (cancelledName, cancelledTarget) => cancellation.cancel(cancelledName, cancelledTarget),
 			},
 		});
 		const getLinked = () => cutOff.has(address.incarnation)
@@ -137,10 +148,11 @@
 			log: silentLog,
 			metrics: noMetrics,
 			self: address,
-			directory: {getLive: () => [...fixture.nodes.map(other => other.address), ...fixture.earlier], isLoaded: () => true},
+			directory: {getLive: () => [...fixture.nodes.map(other => other.address), ...fixture.earlier], getReported: () => fixture.reported, isLoaded: () => true},
+			isIntroduced: () => fixture.isIntroduced,
 			peers: {
 				getLinkedPeers: getLinked,
-				tryStartRequest: (peer, req) => startRequest(peer, async () => findNode(peer).cancellation.serve({body: req.body})),
+				tryStartRequest: (peer, req) => startRequest(peer, async () => findNode(peer).cancellation.serve(req)),
 			},
 			cancelHere: intake.cancelHere,
 		});
@@ -157,7 +169,7 @@
 				return 'status' in admitted ? admitted : intake.submit(admitted, body, 1500, stays);
 			},
 			async remove() {
-				return intake.cancel(name);
+				return intake.cancel(name, target);
 			},
 		};
 		return node;
@@ -213,6 +225,57 @@
 	return nodes.reduce((sum, node) => sum + node.running.size, 0);
 }
 
+// Guards against a job that runs on and that nobody can cancel (review/9).
+describe('cancelling a job whose route was dropped', () => {
+	const withoutRoutes = {...snapshot, version: 2, routes: []} as const;
+
+	for (const isBusy of [false, true]) {
+		for (const asked of [0, 1, 2] as const) {
+			it(`stops it, asked for at entry ${asked}, ${isBusy ? 'forwarded' : 'served where it arrived'}`, async t => {
+				const fixture = createFixture({isBusy});
+				void fixture.nodes[0].post();
+				await settle();
+				fixture.snapshot = withoutRoutes;
+				const reply = await fixture.nodes[asked].intake.cancelAtDroppedRoute(target);
+				t.is(reply?.status, 410);
+				await settle();
+				t.is(countRunning(fixture), 0);
+			});
+		}
+	}
+
+	it('stops it although another route covers its path', async t => {
+		const fixture = createFixture();
+		void fixture.nodes[0].post();
+		await settle();
+		fixture.snapshot = {...snapshot, version: 2, routes: [{...snapshot.routes![0]!, pathPrefix: '/'}]};
+		const reply = await fixture.nodes[1].intake.cancel(`jobs/${name}`, target);
+		t.is(reply.status, 410);
+		t.is(countRunning(fixture), 0);
+	});
+
+	it('concerns no job of another queue, and leaves no name behind', async t => {
+		const fixture = createFixture();
+		const [first, second] = fixture.nodes;
+		void first.post();
+		await settle();
+		for (const other of [{...target, host: 'other.example'}, {...target, path: `/other/${name}`}, {...target, path: '/jobs/x'}]) {
+			t.is(await second.intake.cancelAtDroppedRoute(other), undefined);
+		}
+
+		t.is(countRunning(fixture), 1);
+		t.false(second.desk.wasCancelled(name));
+	});
+
+	it('is not confirmed if an entry that may have it cannot be asked', async t => {
+		const fixture = createFixture();
+		void fixture.nodes[0].post();
+		await settle();
+		fixture.cutOff.add('e0-1');
+		t.is(await fixture.nodes[1].intake.cancelAtDroppedRoute(target), undefined);
+	});
+});
+
 // Guards against a request to cancel that is answered as done at one entry while another one goes on with the job.
 describe('cancelling a job', () => {
 	it('reaches the job at another entry', async t => {
@@ -301,6 +364,27 @@
 		}
 	});
 
+	// Guards against a job that goes on at an entry that has just started, while its client is told that there is none (review/7).
+	it('is not confirmed while an entry that another one has reported is not linked', async t => {
+		const fixture = createFixture();
+		fixture.reported.push({name: 'e3', incarnation: 'e3-1', links: '10.0.0.3:1'});
+		const reply = await fixture.nodes[0].remove();
+		t.is(reply.status, 503);
+		t.is(reply.retryAfter, 1000);
+	});
+
+	// Guards against an entry that starts a job which was cancelled before it started itself (review/8).
+	it('is not confirmed, and no job is taken, by an entry that has not heard of the others yet', async t => {
+		const fixture = createFixture();
+		fixture.isIntroduced = false;
+		const posted = await fixture.nodes[1].post();
+		t.is(posted?.status, 503);
+		t.is(posted?.retryAfter, 1000);
+		t.is(countRunning(fixture), 0);
+		const removed = await fixture.nodes[0].remove();
+		t.is(removed.status, 503);
+	});
+
 	it('before its request arrives, keeps it from being started at any entry', async t => {
 		const fixture = createFixture();
 		await fixture.nodes[0].remove();
@@ -381,7 +465,7 @@
 	it('is forgotten after a minute, when no request of the job can be on its way any more', async t => {
 		const fixture = createFixture();
 		await fixture.nodes[0].remove();
-		fixture.clock.advance(60_001);
+		fixture.clock.advance(600_001);
 		void fixture.nodes[0].post();
 		await settle();
 		t.is(fixture.nodes[0].accepted, 1);
@@ -389,7 +473,7 @@
 
 	it('does not ask anyone about a name that no job can have', async t => {
 		const fixture = createFixture();
-		const reply = await fixture.nodes[0].intake.cancel('x');
+		const reply = await fixture.nodes[0].intake.cancel('x', {...target, path: '/jobs/x'});
 		t.is(reply.status, 410);
 		t.is(fixture.sent, 0);
 	});
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -10,6 +10,8 @@
 const agentPort = platformPorts.control;
 /** Time within which a crashed executor has announced itself again, also beside a few busy processes. */
 const executorReturnMs: Milliseconds = 3000;
+/** Bound of the platform on the time from the acknowledgement of a cancel until the runs have ended. */
+const cancelledWithinMs: Milliseconds = 3000;
 /** Rounds within which a restarted executor has certainly begun a run before its agent polls it, which happens every half second. */
 const maxRestartRounds = 15;
 
@@ -65,6 +67,22 @@
 	return counts;
 }
 
+/** Waits until all runs of a job that have begun were stopped. Returns whether that is within the time that cancelling may take. */
+async function areStopped(system: PlatformSystem, job: string): Promise<boolean> {
+	const end = Date.now() + cancelledWithinMs;
+	while (Date.now() < end) {
+		const events = await system.getEvents();
+		const starts = countStarts(events, job);
+		if (starts > 0 && events.filter(({what, task}) => what === 'stopped' && task.startsWith(job)).length === starts) {
+			return true;
+		}
+
+		await sleep(20);
+	}
+
+	return false;
+}
+
 /** A heartbeat of the stand-ins but for their address and start. */
 const sampleHeartbeat = {
 	upstream: 'work', zone: 'z', version: 'v1', slots: 8, state: 'ready', 'cold-left-ms': 0, room: {cpu: 16_000, 'mem-mb': 65_536, gpu: 0}, labels: ['a', 'r1'], seq: 1,
@@ -186,6 +204,73 @@
 		t.is(repeated?.status, 410);
 	});
 
+	// Guards against a job that runs on although its client was told that there is none (review/7).
+	itSerial('stop a job of an entry that was just restarted when its client cancels it at another one', async t => {
+		const system = await startSystem(t, 3, 2);
+		for (let round = 1; round <= 4; round++) {
+			await system.entries[2]!.program.stop();
+			system.entries[2]!.restart();
+			await system.waitUntilReady();
+			const name = formatJobName(round);
+			const reply = system.submit(2, {
+				name, tasks: 2, ms: 5000, deadline: 6000,
+			});
+			while (countStarts(await system.getEvents(), name) < 2) {
+				await sleep(10);
+			}
+
+			let cancelled = await system.cancel(round % 2, name);
+			for (let i = 0; i < 3 && cancelled?.status === 503; i++) {
+				await sleep(500);
+				cancelled = await system.cancel(round % 2, name);
+			}
+
+			t.is(cancelled?.status, 200);
+			const finished = await reply;
+			t.is(finished?.status, 504);
+			t.true(await areStopped(system, name));
+		}
+	});
+
+	// Guards against a cancelled job that is started by an entry that was restarted since (review/8).
+	itSerial('start nothing of a cancelled job whose request comes again at an entry that was restarted since', async t => {
+		const system = await startSystem(t, 3, 2);
+		const job = {
+			name: formatJobName(1), tasks: 2, ms: 5000, deadline: 6000,
+		};
+		const reply = system.submit(0, job);
+		await sleep(400);
+		const cancelled = await system.cancel(1, job.name);
+		t.is(cancelled?.status, 200);
+		await reply;
+		await system.entries[2]!.program.kill();
+		system.entries[2]!.restart();
+		await system.waitUntilReady();
+		const repeated = await system.submit(2, job);
+		t.is(repeated?.status, 504);
+		t.is(countStarts(await system.getEvents(), job.name), 2);
+	});
+
+	// Guards against a job that runs on and that nobody can cancel (review/9).
+	itSerial('stop a job that its client cancels after the route of its queue was dropped', async t => {
+		const system = await startSystem(t, 2, 2);
+		const job = {
+			name: formatJobName(1), tasks: 2, ms: 8000, deadline: 10_000,
+		};
+		const reply = system.submit(0, job);
+		await sleep(400);
+		await system.publish(2, ['/kept/']);
+		await sleep(1500);
+		const cancelled = await system.cancel(1, job.name);
+		t.is(cancelled?.status, 410);
+		const finished = await reply;
+		t.is(finished?.status, 504);
+		t.true(await areStopped(system, job.name));
+		t.is(countStarts(await system.getEvents(), job.name), 2);
+		const unknown = await system.cancel(1, formatJobName(2));
+		t.is(unknown?.status, 404);
+	});
+
 	describe('start a task elsewhere only when its run has ended', () => {
 		// Guards against runs that are reported as ended because another writer has announced an executor.
 		itSerial('after a heartbeat of another writer, which the executor in service survives', async t => {
