Let jobs wait for an entry that has just started, instead of refusing them

The balancer keeps clients away from an entry that is not ready, but not if none is.

Change: such a job waits at the entry, within its client's time, and counts as arriving meanwhile: a request to cancel it finds it, and the names that the others send are looked at afterwards. The time that a job has waited, also for another entry that then declined it, is taken off the time that is left.

--- a/src/platform/job-intake.ts
+++ b/src/platform/job-intake.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import type {Cancellation} from '../connection/peer-types.js';
 import type {RelayReply} from '../generated/kingcuplane.js';
-import type {Milliseconds} from '../process/clock.js';
+import type {Clock, Milliseconds} from '../process/clock.js';
 import type {Entry} from '../process/entry-types.js';
 import type {CancelOutcome, JobTarget} from '../process/job-cancellation.js';
 import type {LoadDecision} from '../request/load-sharing.js';
@@ -15,7 +15,8 @@
 
 /** Dependencies of the intake. */
 export type JobIntakeHost = {
-	readonly entry: Pick<Entry, 'decideByLoad' | 'tryForwardJob' | 'cancelJob' | 'isIntroduced'>;
+	readonly clock: Clock;
+	readonly entry: Pick<Entry, 'decideByLoad' | 'tryForwardJob' | 'cancelJob' | 'isIntroduced' | 'whenIntroduced'>;
 	readonly desk: JobDesk;
 };
 
@@ -66,7 +67,8 @@
 /** The job may have run. Its client may send it again after the platform's time for that, when all its runs have ended. */
 const lostReply = createReply(504, {error: 'the entry that served this job was lost'});
 const cancelRetryMs: Milliseconds = 1000;
-const introductionRetryMs: Milliseconds = 1000;
+/** Stands for a time that has passed, since 0 would mean that none was stated. */
+const shortestTimeLeftMs: Milliseconds = 1;
 const notFoundReply = createReply(410, {error: 'no such job'});
 const cancelReplies: Readonly<Record<CancelOutcome, JobReply>> = {
 	cancelled: createReply(200, {}),
@@ -75,7 +77,7 @@
 };
 
 /** Creates an intake without jobs. */
-export function createJobIntake({entry, desk}: JobIntakeHost): JobIntake {
+export function createJobIntake({clock, entry, desk}: JobIntakeHost): JobIntake {
 	const forwardedJobs = new Map<string, ForwardedOpenJob>();
 	/** Number of requests for each job of which it is not known yet whether their clients still wait. */
 	const arrivingJobs = new Map<string, number>();
@@ -86,10 +88,6 @@
 				return cancelledReply;
 			}
 
-			if (!entry.isIntroduced()) {
-				return desk.refuse(match.name, {status: 503, retryAfter: introductionRetryMs, reason: 'this entry has just started and does not know yet which jobs were cancelled'});
-			}
-
 			const isOpen = desk.isOpen(match.name) || forwardedJobs.has(match.name);
 			const decision = isOpen ? serveHere : entry.decideByLoad();
 			return decision.kind === 'refuse'
@@ -97,15 +95,17 @@
 				: {...match, ...target, decision};
 		},
 		async submit(job, body, timeLeft, client) {
+			const startedAt = clock.now();
 			for (let isDeclined = false; ; isDeclined = true) {
 				const arrival = await awaitClient(job.name, client);
 				if (arrival !== 'waiting') {
 					return toEndReply(arrival);
 				}
 
-				const forwarded = forwardedJobs.get(job.name) ?? (isDeclined || desk.isOpen(job.name) ? undefined : tryForward(job, body, timeLeft));
+				const remaining = reduceTimeLeft(timeLeft, clock.now() - startedAt);
+				const forwarded = forwardedJobs.get(job.name) ?? (isDeclined || desk.isOpen(job.name) ? undefined : tryForward(job, body, remaining));
 				if (forwarded === undefined) {
-					return desk.submit({...job, body, timeLeft}, client);
+					return desk.submit({...job, body, timeLeft: remaining}, client);
 				}
 
 				const reply = await waitForForwarded(job.name, forwarded, client);
@@ -149,9 +149,16 @@
 		return desk.isOpenAt(name, target) || (forwarded?.host === target.host && forwarded.path === target.path);
 	}
 
-	/** Waits until it is known whether the client still waits, or has cancelled the job meanwhile. */
+	/**
+	 * Waits until it is known whether the client still waits, or has cancelled the job meanwhile. An entry that has just started learns
+	 * first which jobs were cancelled.
+	 */
 	async function awaitClient(name: string, client: WaitingClient): Promise<Arrival> {
 		countArriving(name, 1);
+		if (!entry.isIntroduced()) {
+			await entry.whenIntroduced();
+		}
+
 		const isWaiting = await client.isWaiting();
 		countArriving(name, -1);
 		if (!isWaiting) {
@@ -212,6 +219,11 @@
 	}
 }
 
+/** Returns the time that a client still waits; no positive number if it stated none. */
+function reduceTimeLeft(timeLeft: Milliseconds, passed: Milliseconds): Milliseconds {
+	return timeLeft > 0 ? Math.max(shortestTimeLeftMs, timeLeft - passed) : timeLeft;
+}
+
 /** Returns the reply to a job that is not served; undefined if nobody waits for it. */
 function toEndReply(arrival: Exclude<Arrival, 'waiting'>): JobReply | undefined {
 	return arrival === 'gone' ? undefined : cancelledReply;
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -109,7 +109,7 @@
 		entry, log, clock, cancelledNames, checkPause: pauseDetector.check, tryGetSnapshot: follower.tryGet,
 	});
 	serving.desk = desk;
-	const intake = createJobIntake({entry, desk});
+	const intake = createJobIntake({clock, entry, desk});
 	serving.intake = intake;
 	const ingressServer = await serveHttp(createIngress({
 		entry,
--- a/src/process/entry-introduction.ts
+++ b/src/process/entry-introduction.ts
@@ -10,7 +10,7 @@
 import type {EntryAddress, RelayRequest} from '../generated/kingcuplane.js';
 import type {RecentNames} from '../request/recent-names.js';
 import {cancelledNameRetentionMs} from './cancelled-names.js';
-import type {Clock, Milliseconds} from './clock.js';
+import {sleep, type Clock, type Milliseconds} from './clock.js';
 import type {EntryDirectory} from './entry-directory.js';
 import {readJson} from './json.js';
 import type {Log} from './log.js';
@@ -30,6 +30,8 @@
 export type EntryIntroduction = {
 	/** Whether every live entry has replied, or the limit for that has passed. */
 	isDone(): boolean;
+	/** Resolves when it is done. */
+	whenDone(): Promise<void>;
 	/** Asks an entry to which a stream has opened. */
 	introduceTo(peer: EntryAddress): void;
 	/** Notes which streams are open, and asks entries again that have not replied. To be called regularly. */
@@ -43,6 +45,8 @@
 /** Longest wait for the replies of entries that may be lost. */
 const introductionTimeoutMs: Milliseconds = 1000;
 const replyTimeoutMs: Milliseconds = 800;
+/** Interval at which it is checked whether it is done, while jobs wait for that. */
+const checkIntervalMs: Milliseconds = 10;
 /** Time before the end of a stream in which messages on it may have been lost. */
 const lostMessagesMs: Milliseconds = 10_000;
 
@@ -62,12 +66,14 @@
 	const asked = new Set<string>();
 	/** When the stream to each incarnation was seen last. */
 	const linkedAt = new Map<string, Milliseconds>();
-	let isDone = cancelledNames === undefined;
+	let isOver = cancelledNames === undefined;
+	let whenOver: Promise<void> | undefined;
 
 	return {
-		isDone() {
-			isDone ||= areAllIntroduced() || isOverdue();
-			return isDone;
+		isDone,
+		async whenDone() {
+			whenOver ??= waitUntilDone();
+			return whenOver;
 		},
 		introduceTo(peer) {
 			if (cancelledNames !== undefined) {
@@ -82,6 +88,17 @@
 		},
 	};
 
+	function isDone(): boolean {
+		isOver ||= areAllIntroduced() || isOverdue();
+		return isOver;
+	}
+
+	async function waitUntilDone(): Promise<void> {
+		while (!isDone()) {
+			await sleep(clock, checkIntervalMs); // eslint-disable-line no-await-in-loop -- each check follows the one before
+		}
+	}
+
 	async function ask(peer: EntryAddress, names: RecentNames): Promise<void> {
 		const maxAgeMs = Math.min(cancelledNameRetentionMs, clock.now() - (linkedAt.get(peer.incarnation) ?? -Infinity) + lostMessagesMs);
 		asked.add(peer.incarnation);
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -101,6 +101,8 @@
 	cancelJob(name: string, target?: JobTarget): Promise<CancelOutcome>;
 	/** Whether this entry and the others know of each other and of cancelled jobs, so that it may take jobs of clients. */
 	isIntroduced(): boolean;
+	/** Resolves when this entry may take jobs of clients, after about a second at most. */
+	whenIntroduced(): Promise<void>;
 	/** Whether the entry was asked to stop, so that callers should use another one. */
 	isShuttingDown(): boolean;
 	/** Returns the time until open jobs are abandoned because this process stops; infinite unless it was asked to stop. */
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -342,6 +342,7 @@
 		tryForwardJob: forwarding.tryForward,
 		cancelJob: cancellation.cancel,
 		isIntroduced: introduction.isDone,
+		whenIntroduced: introduction.whenDone,
 		isShuttingDown: () => isShuttingDown,
 		getRemainingDrainTime: () => drainEndsAt - clock.now(),
 		getOpenLinkCount: links.getLinkCount,
--- a/test/process/entry-introduction.test.ts
+++ b/test/process/entry-introduction.test.ts
@@ -10,6 +10,7 @@
 
 /** Longest time for which an entry waits for others that do not reply. */
 const limitMs = 1000;
+const stepMs = 50;
 
 type Fixture = {
 	readonly clock: FakeClock;
@@ -131,6 +132,28 @@
 		t.true(fixture.introduction.isDone());
 	});
 
+	it('resolves when it is done, for all who wait for that', async t => {
+		const fixture = createFixture();
+		fixture.live = [self, a];
+		let resolved = 0;
+		const waits = [fixture.introduction.whenDone(), fixture.introduction.whenDone()].map(async wait => {
+			await wait;
+			resolved++;
+		});
+
+		for (let passedMs = 0; passedMs < limitMs / 2; passedMs += stepMs) {
+			fixture.clock.advance(stepMs);
+			await settle();
+		}
+
+		t.is(resolved, 0);
+		await link(fixture, a, '[]');
+		fixture.clock.advance(stepMs);
+		await settle();
+		t.is(resolved, 2);
+		await Promise.all([...waits, fixture.introduction.whenDone()]);
+	});
+
 	it('asks again for a reply that was lost, or that cannot be read', async t => {
 		for (const lost of [undefined, '{', '[["x"]]', '[["x",-1]]']) {
 			const fixture = createFixture();
