Bound the memory of the requests that clients leave unfinished

What callers saw: an entry ended for want of memory while clients sent many chunked bodies and stopped just short of their end, and with it the jobs of all other clients of that entry.

Cause: readBody of the ingress kept the pieces of each body in a list until its end, which was waited for as long as the connection lived. Each body had a bound, all together had none, and a piece of one byte is an object of several hundred bytes: 16 clients were enough. At agents, hono's bodyLimit kept the same bytes twice, and 40 half-sent heartbeats passed the memory of the machine.

Now all servers of a process take the memory of their requests from one owner (request-memory.ts): an eighth of limits.mem-limit-mb. It is charged by what is really held: a request's objects, and the blocks into which its chunks are copied. When it is full, those go first that have held the most for the longest and are not being served; they get 503 with Retry-After, nothing of them has run, and their connection is closed. What is being served is not touched. The servers receive every body themselves, from the first event on, so that a new route cannot forget it: the stream of the web request is used up, and handlers read the body of the bindings.

A body that its client breaks off is no error any more: it was logged as 'request failed unexpectedly', a line with a stack for each. One line a second for each server and cause counts the refusals, and so does the counter http.refused.

--- a/src/platform/heartbeats.ts
+++ b/src/platform/heartbeats.ts
@@ -1,19 +1,21 @@
 /**
  * HTTP routes by which the executor beside an agent announces itself, with regular heartbeats, and deregisters itself.
  */
-import {Hono} from 'hono';
-import {bodyLimit} from 'hono/body-limit';
+import {Hono, type Context} from 'hono';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {maxAmount} from '../connection/resources.js';
 import type {ReceivedAnnouncement} from '../process/announced-state.js';
 import type {AnnouncementReception, ExecutorDeparture} from '../process/executor-manager.js';
+import {assertNever} from '../process/debug.js';
 import type {ExecutorInfo} from '../process/executor-types.js';
+import type {RequestBindings} from '../process/http-server.js';
 import {
 	connectableAddressSchema, headerNameSchema, labelsSchema, nameSchema, sequenceNumberSchema, wallTimeSchema,
 } from '../process/input-schemas.js';
 import {readJson} from '../process/json.js';
 import type {Log} from '../process/log.js';
+import {readRequestBody} from '../process/request-body.js';
 import type {IsOwnService} from './own-service.js';
 
 /** Dependencies of the heartbeat routes. */
@@ -43,30 +45,34 @@
 	labels: labelsSchema.default([]),
 });
 /** Largest heartbeat that the platform sends. */
-const maxBodyBytes = 4 * 1024 * 1024;
+export const maxBodyBytes = 4 * 1024 * 1024;
+/** Short, since an executor that is not acknowledged within a second calls another address. */
+const memoryRetrySeconds = '1';
 const maxLoggedIdLength = 200;
+const decoder = new TextDecoder();
 
 /** The body may be empty. */
 const deregistrationSchema = z.object({born: z.number().optional()});
 
+/** There are no bindings where a request did not come through a connection. */
+type HeartbeatEnv = {readonly Bindings: Partial<RequestBindings> | undefined};
+
 /** Creates the HTTP routes that an executor calls. */
-export function createHeartbeatApp(host: HeartbeatHost): Hono {
-	const app = new Hono();
-
-	app.use(bodyLimit({
-		maxSize: maxBodyBytes,
-		onError(c) {
-			host.log.warn({path: c.req.path, maxBodyBytes}, 'request ignored, since its body is too long');
-			return c.json({}, 413);
-		},
-	}));
+export function createHeartbeatApp(host: HeartbeatHost): Hono<HeartbeatEnv> {
+	const app = new Hono<HeartbeatEnv>();
+
 	app.onError((err, c) => {
 		host.log.warn({err, path: c.req.path}, 'request of an executor was not received whole, or failed unexpectedly');
 		return c.json({}, 500);
 	});
 	app.post('/v1/Executors.Heartbeat/:id', async c => {
 		const id = c.req.param('id');
-		const heartbeat = readHeartbeat(id, await c.req.text());
+		const text = await readText(c);
+		if (text instanceof Response) {
+			return text;
+		}
+
+		const heartbeat = readHeartbeat(id, text);
 		if (heartbeat.isErr()) {
 			host.log.warn({executor: id.slice(0, maxLoggedIdLength), reason: heartbeat.error}, 'invalid heartbeat ignored');
 			return c.json({}, 400);
@@ -77,12 +83,45 @@
 		return c.json(replyStatuses[reception] === 200 ? {} : {reason: reception}, replyStatuses[reception]);
 	});
 	app.post('/v1/Executors.Deregister/:id', async c => {
-		const {born} = readJson(deregistrationSchema, await c.req.text()).unwrapOr<z.infer<typeof deregistrationSchema>>({});
+		const text = await readText(c);
+		if (text instanceof Response) {
+			return text;
+		}
+
+		const {born} = readJson(deregistrationSchema, text).unwrapOr<z.infer<typeof deregistrationSchema>>({});
 		await host.onDeregister({id: c.req.param('id'), bornAt: born});
 		return c.json({});
 	});
 	return app;
 
+	/** Returns the body, or the response if there is none. */
+	async function readText(c: Context<HeartbeatEnv>): Promise<string | Response> {
+		const body = await readRequestBody(c.req, c.env?.body, maxBodyBytes);
+		switch (body.kind) {
+			case 'whole': {
+				return decoder.decode(body.bytes);
+			}
+
+			case 'too-long': {
+				host.log.warn({path: c.req.path, maxBodyBytes}, 'request ignored, since its body is too long');
+				return c.json({}, 413, {connection: 'close'});
+			}
+
+			case 'evicted': {
+				return c.json({}, 503, {'retry-after': memoryRetrySeconds});
+			}
+
+			// Nobody reads this response.
+			case 'disconnected': {
+				return c.body(null, 400);
+			}
+
+			default: {
+				return assertNever(body);
+			}
+		}
+	}
+
 	function readHeartbeat(id: string, text: string): Result<ReceivedAnnouncement, string> {
 		if (!headerNameSchema.safeParse(id).success) {
 			return err('the id is invalid');
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -1,32 +1,33 @@
 /**
  * HTTP interface for the platform's clients.
  */
-import {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
-import type {HttpBindings} from '@hono/node-server';
 import {Hono, type Context as HonoContext} from 'hono';
 import type {Cancellation} from '../connection/peer-types.js';
+import type {Milliseconds} from '../process/clock.js';
+import {assertNever} from '../process/debug.js';
 import type {Entry} from '../process/entry-types.js';
+import type {RequestBindings} from '../process/http-server.js';
 import type {Log} from '../process/log.js';
 import type {RequestArrivals} from '../process/request-arrivals.js';
 import type {JobDesk, JobReply, RouteMatch} from './job-desk.js';
-import type {JobIntake, WaitingClient} from './job-intake.js';
+import type {AdmittedJob, JobIntake, WaitingClient} from './job-intake.js';
 
 /** Dependencies of the interface. */
 export type IngressHost = {
 	readonly entry: Pick<Entry, 'isShuttingDown'>;
-	readonly desk: Pick<JobDesk, 'findRoute' | 'countWaiting'>;
+	readonly desk: Pick<JobDesk, 'findRoute' | 'countWaiting' | 'refuse'>;
 	readonly intake: JobIntake;
 	readonly arrivals: RequestArrivals;
 	readonly log: Pick<Log, 'warn'>;
 };
 
 /** Node's request and response are used directly: a web request with its body stream and abort signal costs more than the rest. */
-type HttpEnv = {readonly Bindings: HttpBindings};
+type HttpEnv = {readonly Bindings: RequestBindings};
 type Context = HonoContext<HttpEnv>;
 
 /** Largest request body, according to the operator's limits on this platform. */
-const maxBodyBytes = 262_144;
+export const maxBodyBytes = 262_144;
+const memoryRetryMs: Milliseconds = 1000;
 
 /** Creates the HTTP routes. */
 export function createIngress({
@@ -85,21 +86,45 @@
 			return respond(admitted);
 		}
 
-		const body = await readBody(c.env.incoming);
-		if (body === undefined) {
-			return c.json({error: `the body exceeds ${maxBodyBytes} bytes`}, 413, {connection: 'close'});
+		const body = await c.env.body.read();
+		switch (body.kind) {
+			case 'whole': {
+				return submit(c, admitted, body.bytes);
+			}
+
+			case 'too-long': {
+				return c.json({error: `the body exceeds ${maxBodyBytes} bytes`}, 413, {connection: 'close'});
+			}
+
+			case 'evicted': {
+				return respond(desk.refuse(match.name, {status: 503, retryAfter: memoryRetryMs, reason: 'the memory for requests is full'}));
+			}
+
+			case 'disconnected': {
+				return respondToNobody(c);
+			}
+
+			default: {
+				return assertNever(body);
+			}
 		}
+	}
 
+	async function submit(c: Context, job: AdmittedJob, body: Uint8Array): Promise<Response> {
 		const client: WaitingClient = {
 			...createCancellation(c),
-			isWaiting: async () => arrivals.isClientWaiting(match.name, c.env.incoming.socket),
+			isWaiting: async () => arrivals.isClientWaiting(job.name, c.env.incoming.socket),
 		};
-		const reply = await intake.submit(admitted, body, Number(c.env.incoming.headers['request-deadline']), client);
-		// The client has disconnected if there is none, so nobody reads this response.
-		return reply === undefined ? c.body(null, 504) : respond(reply);
+		const reply = await intake.submit(job, body, Number(c.env.incoming.headers['request-deadline']), client);
+		return reply === undefined ? respondToNobody(c) : respond(reply);
 	}
 }
 
+/** Ends a request whose client has disconnected, so that nobody reads the response. */
+function respondToNobody(c: Context): Response {
+	return c.body(null, 504);
+}
+
 function respond({status, body, retryAfter}: JobReply): Response {
 	const headers: Record<string, string> = {'content-type': 'application/json'};
 	if (retryAfter !== undefined) {
@@ -130,23 +155,3 @@
 		},
 	};
 }
-
-/** Reads a request body; undefined if it is too long. Rejects if the client disconnects before its end. */
-async function readBody(incoming: IncomingMessage): Promise<Uint8Array | undefined> {
-	return new Promise((resolve, reject) => {
-		const chunks: Uint8Array[] = [];
-		let length = 0;
-		incoming.on('data', (chunk: Uint8Array) => {
-			length += chunk.length;
-			if (length <= maxBodyBytes) {
-				chunks.push(chunk);
-			} else {
-				resolve(undefined);
-			}
-		});
-		incoming.on('end', () => {
-			resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
-		});
-		incoming.on('error', reject);
-	});
-}
--- a/src/platform/run-agent.ts
+++ b/src/platform/run-agent.ts
@@ -9,7 +9,6 @@
 import type {ExecutorInfo} from '../process/executor-types.js';
 import {createIncarnation} from '../process/incarnation.js';
 import {createLeasedUpstream} from '../process/leased-upstream.js';
-import {closeHttp} from '../process/http-listen.js';
 import {createEventLoopMonitor} from '../process/load-monitor.js';
 import {startLoadTelemetry} from '../process/load-telemetry.js';
 import {afterBytesRead, afterPoll} from '../process/input-reading.js';
@@ -21,8 +20,8 @@
 import {createEvacuationHolder} from '../version/evacuations.js';
 import {createExecutorClient} from './executor-client.js';
 import {createAnnouncementStore} from './announcement-store.js';
-import {createHeartbeatApp} from './heartbeats.js';
-import {serveHttp, serveMetrics} from './http-server.js';
+import {createHeartbeatApp, maxBodyBytes} from './heartbeats.js';
+import {createPlatformServers} from './http-server.js';
 import {createOwnServiceCheck} from './own-service.js';
 import type {MachineSettings} from './settings.js';
 import {createPlatformClient} from './platform-client.js';
@@ -98,10 +97,13 @@
 			announcements.save({facts: executorInfo, isLeaving});
 		},
 	});
-	const server = await serveHttp(createHeartbeatApp({
+	const servers = createPlatformServers({
+		clock, log, metrics, machine, maxBodyBytes,
+	});
+	const server = await servers.serve('heartbeats', createHeartbeatApp({
 		log, isOwnService, onHeartbeat: manager.receive, onDeregister: manager.receiveDeparture,
 	}), machine.control!);
-	const metricsServer = await serveMetrics(metrics, {host: machine.ip, port: machine.metricsPort});
+	const metricsServer = await servers.serveMetrics();
 
 	const loadMonitor = createEventLoopMonitor(clock, loadSampleIntervalMs);
 	const loadTelemetry = startLoadTelemetry({
@@ -120,7 +122,7 @@
 			log.info({report}, 'agent drained');
 			await manager.close();
 			announcements.stop();
-			await Promise.all([closeHttp(server), closeHttp(metricsServer), store.close()]);
+			await Promise.all([server.close(), metricsServer.close(), store.close()]);
 		},
 	};
 
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -9,7 +9,6 @@
 } from '../process/diagnostics.js';
 import {createCancelledNames} from '../process/cancelled-names.js';
 import {createSystemClock} from '../process/clock.js';
-import {closeHttp} from '../process/http-listen.js';
 import {declinedResult} from '../process/job-forwarding.js';
 import {afterInputRead, afterPoll} from '../process/input-reading.js';
 import {tryCreateLinkBudget} from '../process/link-budget.js';
@@ -25,8 +24,8 @@
 import {createEvacuationHolder} from '../version/evacuations.js';
 import {createLongPollFollower} from '../version/long-poll-follower.js';
 import {createDesiredStateCodec, createDesiredStateSource} from './desired-state.js';
-import {serveHttp, serveMetrics} from './http-server.js';
-import {createIngress} from './ingress.js';
+import {createPlatformServers} from './http-server.js';
+import {createIngress, maxBodyBytes} from './ingress.js';
 import {createJobDesk, type JobDesk} from './job-desk.js';
 import {createJobIntake, type JobIntake} from './job-intake.js';
 import type {MachineSettings} from './settings.js';
@@ -69,6 +68,9 @@
 		},
 	});
 	follower.start();
+	const servers = createPlatformServers({
+		clock, log, metrics, machine, maxBodyBytes,
+	});
 	const linkBudget = tryCreateLinkBudget({clock, traffic, linkMbps: machine.linkMbps});
 	log.info({linkMbps: machine.linkMbps, isWatched: linkBudget !== undefined}, 'network link');
 	// Other entries may forward jobs as soon as this one listens, and are declined until the desk exists.
@@ -111,15 +113,15 @@
 	serving.desk = desk;
 	const intake = createJobIntake({clock, entry, desk});
 	serving.intake = intake;
-	const ingressServer = await serveHttp(createIngress({
+	const ingressServer = await servers.serve('clients', createIngress({
 		entry,
 		desk,
 		log,
 		intake,
 		arrivals: entry.arrivals,
 	}), machine.clients!);
-	const readinessServer = await serveHttp(new Hono().get('/v1/readyz', c => isReady() ? c.text('ready') : c.text('not ready', 503)), machine.ready!);
-	const metricsServer = await serveMetrics(metrics, {host: machine.ip, port: machine.metricsPort});
+	const readinessServer = await servers.serveProbes('readiness', new Hono().get('/v1/readyz', c => isReady() ? c.text('ready') : c.text('not ready', 503)), machine.ready!);
+	const metricsServer = await servers.serveMetrics();
 
 	return {
 		async stop() {
@@ -128,7 +130,7 @@
 			loadMonitor.stop();
 			linkBudget?.stop();
 			traffic.stop();
-			await Promise.all([closeHttp(ingressServer), closeHttp(readinessServer), closeHttp(metricsServer)]);
+			await Promise.all([ingressServer.close(), readinessServer.close(), metricsServer.close()]);
 		},
 	};
 
@@ -169,7 +171,7 @@
 			fateMemoryBytes: 16_000_000,
 			fateWritesPerSecond: 2,
 			answerKeepMs: 10_000,
-			maxBodyBytes: 262_144,
+			maxBodyBytes,
 			maxTasks,
 			maxHeaderBytes: 16_384,
 			maxWaitMs: 10_000,
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -38,6 +38,8 @@
 	readonly maxLeaseMs: Milliseconds;
 	/** Bandwidth of the machine's network link in megabits per second; undefined if it is not limited. */
 	readonly linkMbps: number | undefined;
+	/** Memory of a process; undefined if the settings state none. */
+	readonly memoryBytes: number | undefined;
 	/** Time from the signal to stop until the process is killed. */
 	readonly graceMs: Milliseconds;
 };
@@ -56,6 +58,7 @@
 	.transform(text => text.split(',').map(Number))
 	.refine(([from, to]) => Number.isInteger(from) && Number.isInteger(to) && from! > 0 && to! > from! && to! <= maxPort, 'expected two ports, the second one larger');
 const secondMs: Milliseconds = 1000;
+const bytesPerMegabyte = 1_048_576;
 /** Upper bound on durations; timers of the runtime overflow at 24 days. */
 const maxDurationMs: Milliseconds = 86_400_000;
 
@@ -73,6 +76,7 @@
 	seeds: commaSeparatedList,
 	'platform.addr': connectableAddressSchema,
 	'limits.link-mbps': z.coerce.number().positive().optional(),
+	'limits.mem-limit-mb': z.coerce.number().positive().optional(),
 	'bounds.hold-max-ms': z.coerce.number().positive().max(maxDurationMs).default(1000),
 	'bounds.grace-s': z.coerce.number().positive().max(maxDurationMs / secondMs).default(6),
 });
@@ -101,6 +105,7 @@
 		store: fields['platform.addr'],
 		maxLeaseMs: fields['bounds.hold-max-ms'],
 		linkMbps: fields['limits.link-mbps'],
+		memoryBytes: fields['limits.mem-limit-mb'] === undefined ? undefined : fields['limits.mem-limit-mb'] * bytesPerMegabyte,
 		graceMs: fields['bounds.grace-s'] * secondMs,
 	});
 }
--- a/test/platform/http-server.test.ts
+++ b/test/platform/http-server.test.ts
@@ -1,9 +1,9 @@
 import net from 'node:net';
 import type {ExecutionContext} from 'ava';
 import {createHeartbeatApp} from '../../src/platform/heartbeats.js';
-import {serveHttp} from '../../src/platform/http-server.js';
 import {describe, it} from '../describe.js';
 import {silentLog} from '../silent-log.js';
+import {serveForTest} from '../test-server.js';
 
 /** Time after which a connection without a response is closed; some odd requests get none. */
 const oddPatienceMs = 100;
@@ -42,10 +42,7 @@
 	const app = createHeartbeatApp({
 		log: silentLog, isOwnService: () => true, onHeartbeat: () => 'in-force', onDeregister: async () => undefined,
 	});
-	const server = await serveHttp(app, {host: '127.0.0.1', port: 0});
-	t.teardown(() => server.close());
-	const address = server.address();
-	return typeof address === 'object' ? address?.port ?? 0 : 0;
+	return serveForTest(t, app);
 }
 
 describe('HTTP server of a program', () => {
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -5,7 +5,6 @@
 import {createIngress} from '../../src/platform/ingress.js';
 import {createJobDesk} from '../../src/platform/job-desk.js';
 import {createJobIntake} from '../../src/platform/job-intake.js';
-import {serveHttp} from '../../src/platform/http-server.js';
 import {createCancelledNames} from '../../src/process/cancelled-names.js';
 import {createSystemClock} from '../../src/process/clock.js';
 import type {Entry} from '../../src/process/entry-types.js';
@@ -21,6 +20,7 @@
 import {describe, it} from '../describe.js';
 import {createOddBytes, createOddNumberTexts, oddInputRuns} from '../odd-input.js';
 import {silentLog} from '../silent-log.js';
+import {serveForTest} from '../test-server.js';
 
 const pathPrefix = '/jobs/';
 const path = `${pathPrefix}0123456789abcdef`;
@@ -48,12 +48,12 @@
 	answer(value: Answer): void;
 	/** Answers all submissions. */
 	answerAll(value: Answer): void;
-	post(body: string | Uint8Array, headers?: Readonly<Record<string, string>>): Promise<{readonly status: number; readonly text: string}>;
+	post(body: string | Uint8Array, headers?: Readonly<Record<string, string>>): Promise<{readonly status: number; readonly text: string; readonly retryAfter?: string}>;
 	/** Sends a request and closes its connection without reading the response. */
 	postAndLeave(body: string): Promise<void>;
 };
 
-async function createFixture(t: ExecutionContext, decision: LoadDecision = serveHere, routeChanges: Partial<Route> = {}): Promise<Fixture> {
+async function createFixture(t: ExecutionContext, decision: LoadDecision = serveHere, routeChanges: Partial<Route> = {}, serverChanges: Parameters<typeof serveForTest>[2] = {}): Promise<Fixture> {
 	const submitted: SubmissionRequest[] = [];
 	const cancelled: string[] = [];
 	const forwarded: string[] = [];
@@ -103,7 +103,7 @@
 	const desk = createJobDesk({
 		entry, log: silentLog, clock: createFakeClock(), cancelledNames: createCancelledNames(createFakeClock()), tryGetSnapshot: () => snapshot, checkPause: () => undefined,
 	});
-	const server = await serveHttp(createIngress({
+	const port = await serveForTest(t, createIngress({
 		entry,
 		desk,
 		log: silentLog,
@@ -111,10 +111,7 @@
 		arrivals: createRequestArrivals({
 			clock: createSystemClock(), log: silentLog, metrics: noMetrics, afterPoll, getInputDelay: () => 0,
 		}),
-	}), {host: '127.0.0.1', port: 0});
-	t.teardown(() => server.close());
-	const address = server.address();
-	const port = typeof address === 'object' ? address!.port : 0;
+	}), serverChanges);
 
 	return {
 		submitted,
@@ -144,7 +141,7 @@
 				text += String(chunk);
 			}
 
-			return {status: res.statusCode ?? 0, text};
+			return {status: res.statusCode ?? 0, text, ...res.headers['retry-after'] !== undefined && {retryAfter: res.headers['retry-after']}};
 		},
 		async postAndLeave(body) {
 			const req = send(body, {});
@@ -207,6 +204,12 @@
 	});
 
 	// Guards against a job that is reported as failed although none of its tasks has run.
+	it('refuses a job whose body did not fit into the memory for requests, which has not run', async t => {
+		const {post, submitted} = await createFixture(t, serveHere, {}, {memoryBytes: 1000});
+		t.deepEqual(await post('{}'), {status: 503, text: '{"error":"the memory for requests is full"}', retryAfter: '1'});
+		t.deepEqual(submitted, []);
+	});
+
 	it('refuses a job of a queue that needs advice, which is not asked for', async t => {
 		const {post, submitted} = await createFixture(t, serveHere, {isAdvised: true});
 		const reply = await post(createBody({}));
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -13,6 +13,7 @@
 	'port-range=7720,7735',
 	'seeds=10.1.0.13:8166,10.2.0.30:8166',
 	'platform.addr=10.200.1.7:8169',
+	'limits.mem-limit-mb=350',
 	'bounds.hold-max-ms=1000',
 	'bounds.grace-s=6',
 	'bounds.new-thing=1',
@@ -34,6 +35,7 @@
 			store: '10.200.1.7:8169',
 			maxLeaseMs: 1000,
 			linkMbps: undefined,
+			memoryBytes: 367_001_600,
 			graceMs: 6000,
 			service: undefined,
 		});
--- /dev/null
+++ b/test/process/http-server.test.ts
@@ -0,0 +1,190 @@
+import {once} from 'node:events';
+import net, {type Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import type {ExecutionContext} from 'ava';
+import {createSystemClock} from '../../src/process/clock.js';
+import {
+	startHttpServer, type HttpServer, type HttpServerOptions, type RequestBindings,
+} from '../../src/process/http-server.js';
+import {createRefusalLog, type RefusalCause} from '../../src/process/refusal-log.js';
+import {noMetrics} from '../../src/process/metrics.js';
+import {createRequestMemory, requestOverheadBytes, type RequestMemory} from '../../src/process/request-memory.js';
+import {describe, it} from '../describe.js';
+import {silentLog} from '../silent-log.js';
+
+const maxBodyBytes = 100_000;
+
+type Fixture = {
+	readonly server: HttpServer;
+	readonly memory: RequestMemory;
+	readonly refusals: RefusalCause[];
+	/** Answers the requests to `/slow` that wait. */
+	release(): void;
+	/** Number of requests to `/slow` that wait. */
+	countWaiting(): number;
+	connect(): Client;
+};
+
+type Client = {
+	readonly socket: Socket;
+	/** Resolves when the connection is closed. */
+	readonly closed: Promise<unknown>;
+	/** What was received. */
+	getText(): string;
+	send(text: string): void;
+};
+
+/** Serves the size of the body at once, or at `/slow` when it is told to; `/early` is answered without its body. */
+async function createFixture(t: ExecutionContext, {limitBytes = 1_000_000, ...changes}: Partial<HttpServerOptions> & {readonly limitBytes?: number} = {}): Promise<Fixture> {
+	const clock = createSystemClock();
+	const memory = createRequestMemory({clock, limitBytes});
+	const refusals: RefusalCause[] = [];
+	const {add} = createRefusalLog({clock, log: silentLog, metrics: noMetrics});
+	const waiting: Array<() => void> = [];
+	const server = await startHttpServer({
+		clock, memory, refusals: {
+			add(name, cause) {
+				refusals.push(cause);
+				add(name, cause);
+			},
+		},
+	}, {
+		name: 'test', app: {fetch: respond}, address: {host: '127.0.0.1', port: 0}, maxBodyBytes, maxHeaderBytes: 16_384, keepAliveMs: 60_000, ...changes,
+	});
+	t.teardown(() => {
+		void server.close();
+	});
+	return {
+		server,
+		memory,
+		refusals,
+		release() {
+			for (const action of waiting.splice(0)) {
+				action();
+			}
+		},
+		countWaiting: () => waiting.length,
+		connect() {
+			const socket = net.connect(server.port, '127.0.0.1');
+			t.teardown(() => socket.destroy());
+			let text = '';
+			socket.setEncoding('latin1');
+			socket.on('error', () => undefined);
+			socket.on('data', (chunk: string) => {
+				text += chunk;
+			});
+			return {
+				socket,
+				getText: () => text,
+				send(bytes) {
+					socket.write(bytes, 'latin1');
+				},
+				closed: new Promise(resolve => {
+					socket.once('close', resolve);
+				}),
+			};
+		},
+	};
+
+	async function respond(req: Request, {body}: RequestBindings): Promise<Response> {
+		const {pathname} = new URL(req.url);
+		if (pathname === '/early') {
+			return new Response('early');
+		}
+
+		const result = await body.read();
+		if (result.kind !== 'whole') {
+			return new Response(result.kind, {status: result.kind === 'evicted' ? 503 : 413});
+		}
+
+		if (pathname === '/slow') {
+			await new Promise<void>(resolve => {
+				waiting.push(resolve);
+			});
+		}
+
+		return new Response(`${result.bytes.length} bytes`);
+	}
+}
+
+function createPost(path: string, size: number, sent = size): string {
+	return `POST ${path} HTTP/1.1\r\nHost: a\r\nContent-Length: ${size}\r\n\r\n${'x'.repeat(sent)}`;
+}
+
+async function waitUntil(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await nextTurn();
+	}
+}
+
+describe('HTTP server', () => {
+	it('serves a body in any chunks, and frees its memory', async t => {
+		const {connect, memory} = await createFixture(t);
+		const client = connect();
+		client.send('POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n');
+		client.send(`${'1\r\nx\r\n'.repeat(20_000)}0\r\n\r\n`);
+		await waitUntil(() => client.getText().includes('20000 bytes'));
+		await waitUntil(() => memory.getUsedBytes() === 0);
+		t.regex(client.getText(), /^HTTP\/1\.1 200/v);
+	});
+
+	// Guards against an entry that runs out of memory by many bodies that are not finished.
+	it('refuses unfinished requests when the memory is full, and serves others', async t => {
+		const {connect, refusals, memory} = await createFixture(t, {limitBytes: 500_000});
+		const crowd = Array.from({length: 20}, () => connect());
+		for (const client of crowd) {
+			client.send(createPost('/', maxBodyBytes, maxBodyBytes - 1));
+		}
+
+		await waitUntil(() => refusals.length >= 15);
+		t.true(memory.getUsedBytes() <= 500_000);
+		const client = connect();
+		client.send(createPost('/', 1000));
+		await waitUntil(() => client.getText().includes('1000 bytes'));
+		await Promise.any(crowd.map(async ({closed}) => closed));
+		await waitUntil(() => crowd.some(({getText}) => getText().includes('evicted')));
+		t.true(crowd.some(({getText}) => /^HTTP\/1\.1 503 .+connection: close/isv.test(getText())));
+		t.true(refusals.every(cause => cause === 'request-memory'));
+	});
+
+	it('does not touch what is being served when the memory is full', async t => {
+		const {connect, refusals, release, countWaiting} = await createFixture(t, {limitBytes: 2 * (40_960 + requestOverheadBytes)});
+		const served = [connect(), connect()];
+		for (const client of served) {
+			client.send(createPost('/slow', 40_000));
+		}
+
+		await waitUntil(() => countWaiting() === 2);
+		const refused = connect();
+		refused.send(createPost('/', 1000));
+		await waitUntil(() => refused.getText().includes('evicted'));
+		// One that follows on the connection of a request that is being served is refused after the response to that.
+		served[0]!.send(createPost('/', maxBodyBytes, maxBodyBytes - 1));
+		await waitUntil(() => refusals.length === 2);
+		release();
+		await served[0]!.closed;
+		t.regex(served[0]!.getText(), /^HTTP\/1\.1 200.+40000 bytes/sv);
+		await waitUntil(() => served[1]!.getText().includes('40000 bytes'));
+	});
+
+	it('keeps the connection of a request that ends after its response, and closes the one that does not', async t => {
+		const {connect} = await createFixture(t);
+		const [ending, endless] = [connect(), connect()];
+		ending.send(createPost('/early', 100, 50));
+		endless.send(createPost('/early', maxBodyBytes, 50));
+		await waitUntil(() => ending.getText().includes('early') && endless.getText().includes('early'));
+		ending.send(`${'x'.repeat(50)}${createPost('/', 7)}`);
+		await waitUntil(() => ending.getText().includes('7 bytes'));
+		await endless.closed;
+		t.false(ending.socket.destroyed);
+	});
+
+	it('answers bytes that are no request, and counts them', async t => {
+		const {connect, refusals} = await createFixture(t);
+		const client = connect();
+		client.send('\0\0\0\r\n\r\n');
+		await client.closed;
+		t.regex(client.getText(), /^HTTP\/1\.1 400/v);
+		t.deepEqual(refusals, ['malformed']);
+	});
+});
