test: accept that late clients are done before their server waits

Atomics.wait returns that if the clients' thread has set the value before the server's thread begins to wait, which takes only that the latter loses its processor between two statements. It is what the test wants all the same: between them the event loop does not turn, so nothing was read. The check now fails if the clients are not done at the end of the wait, and the rest is as strict as before: which jobs begin, and which responses come.

--- a/test/blocked-server.ts
+++ b/test/blocked-server.ts
@@ -31,6 +31,7 @@
 		});
 	});
 	worker.postMessage('start');
-	t.is(Atomics.wait(data.done, 0, 0, maxBlockedMs), 'ok');
+	// The clients may be done before the wait begins; this thread has read nothing by then, as its event loop has not turned since.
+	t.not(Atomics.wait(data.done, 0, 0, maxBlockedMs), 'timed-out');
 	return answered;
 }
