Bound the memory of unfinished requests on the own interface, too

What callers saw: the same end of an entry as on the users' platform, with larger figures. bodyLimit kept up to 16 MiB a request, and hono's own reading a second copy, with no bound on all of them together.

The server of the own interface is now the one of http-server.ts, and its requests take their memory from the same owner. New diagnostic KC1037 RequestMemoryFull: 503 with Retry-After, not run.

On the platform, where this interface serves operators, both servers share one memory.

--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -81,6 +81,7 @@
 		platform,
 		follower,
 		authenticate: refuseToken,
+		httpHost: servers.host,
 		host: {
 			clock: createPauseCheckedClock(clock, pauseDetector),
 			timing: platformTiming,
--- a/src/process/diagnostics.ts
+++ b/src/process/diagnostics.ts
@@ -48,6 +48,7 @@
 	Entry_is_draining: row(1034, 'EntryDraining', 'This entry is shutting down and takes no new work.', 'Send the request again; the balancer will choose another entry.'),
 	Entry_is_not_ready: row(1035, 'EntryNotReady', 'This entry has no configuration in force yet.', 'Come back after the stated time.'),
 	Fate_memory_is_full: row(1036, 'FateMemoryFull', 'The platform is unreachable and the memory for unsaved records is full.', 'Come back after the stated time; nothing was started.'),
+	Request_memory_is_full: row(1037, 'RequestMemoryFull', 'The memory for requests is full, and this one has not been received whole.', 'Come back after the stated time, and send the whole request at once.'),
 	Deadline_has_passed: row(1040, 'DeadlinePassed', 'The deadline of {0} ms passed.', 'See which tasks had started in the trail of this ticket.'),
 	Deadline_has_become_out_of_reach: row(1049, 'DeadlineOutOfReach', 'The job has waited for so long that its deadline of {0} ms cannot be met any more.', 'Come back after the stated time.'),
 	Objective_has_passed_while_waiting: row(1051, 'ObjectivePassedWaiting', 'The job has waited for room for so long that it cannot meet its objective any more, and none of it was begun.', 'Come back after the stated time.'),
--- a/src/process/http-api.ts
+++ b/src/process/http-api.ts
@@ -1,9 +1,7 @@
 /**
  * The HTTP interface of an entry for callers, operators and the balancer; docs/API.md describes it.
  */
-import {bodyLimit} from 'hono/body-limit';
 import {routePath} from 'hono/route';
-import type {HttpBindings} from '@hono/node-server';
 import {type Context, Hono} from 'hono';
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
@@ -14,8 +12,11 @@
 import {parseTicket} from '../request/ticket.js';
 import type {Ticket} from '../request/types.js';
 import type {Clock, Milliseconds} from './clock.js';
+import {assertNever} from './debug.js';
 import {createDiagnostic, Diagnostics, type Diagnostic} from './diagnostics.js';
+import type {RequestBindings} from './http-server.js';
 import type {RequestArrivals} from './request-arrivals.js';
+import {readRequestBody} from './request-body.js';
 
 /** Dependencies of the HTTP interface. */
 export type HttpApiHost = {
@@ -43,9 +44,11 @@
 const bearerPattern = /^Bearer (.+)$/v;
 const ticketsSchema = z.strictObject({count: z.int().min(1).default(1)});
 const notReadyRetryMs: Milliseconds = 1000;
+const memoryRetryMs: Milliseconds = 1000;
+const decoder = new TextDecoder();
 
 /** What handlers know of a request besides its contents; there are no bindings where it did not come through a connection. */
-export type HttpApiEnv = {Variables: {principal: Principal}; Bindings: Partial<HttpBindings> | undefined};
+export type HttpApiEnv = {Variables: {principal: Principal}; Bindings: Partial<RequestBindings> | undefined};
 type RequestContext = Context<HttpApiEnv>;
 
 /** Creates the routes of one entry. */
@@ -53,10 +56,6 @@
 	const app = new Hono<HttpApiEnv>();
 	/** The submissions that were read, by their tickets, until they are answered. */
 	const arriving = new Map<string, Promise<unknown>>();
-	const limitBody = bodyLimit({
-		maxSize: host.maxBodyBytes,
-		onError: () => send(toRefusalReply(createDiagnostic(Diagnostics.Body_is_too_large, host.maxBodyBytes))),
-	});
 
 	app.use(async (c, next) => {
 		const startedAt = host.clock.now();
@@ -76,8 +75,8 @@
 		return next();
 	});
 	app.get('/v1/status', () => Response.json(host.getStatus()));
-	app.post('/v1/tickets', limitBody, issueTickets);
-	app.post('/v1/submissions', limitBody, submit);
+	app.post('/v1/tickets', issueTickets);
+	app.post('/v1/submissions', submit);
 	app.get('/v1/submissions/:ticket', async c => routeTicketOperation(c, 'wait', getWaitMs(c)));
 	app.delete('/v1/submissions/:ticket', async c => routeTicketOperation(c, 'cancel', 0));
 	app.get('/v1/submissions/:ticket/fate', async c => routeTicketOperation(c, 'fate', 0));
@@ -156,17 +155,43 @@
 		}));
 	}
 
+	/** Returns the validated body, or a response that lists what is wrong with it. */
+	async function readBody<T>(c: RequestContext, schema: z.ZodType<T>): Promise<T | Response> {
+		const body = await readRequestBody(c.req, c.env?.body, host.maxBodyBytes);
+		switch (body.kind) {
+			case 'whole': {
+				return parseBody(body.bytes, schema);
+			}
+
+			case 'too-long': {
+				return send(toRefusalReply(createDiagnostic(Diagnostics.Body_is_too_large, host.maxBodyBytes)));
+			}
+
+			case 'evicted': {
+				return send(toRefusalReply(createDiagnostic(Diagnostics.Request_memory_is_full), memoryRetryMs));
+			}
+
+			// Nobody reads this response.
+			case 'disconnected': {
+				return c.body(null, 400);
+			}
+
+			default: {
+				return assertNever(body);
+			}
+		}
+	}
+
 	function getWaitMs(c: RequestContext): Milliseconds {
 		const waitMs = Number(c.req.query('waitMs') ?? 0);
 		return Number.isFinite(waitMs) ? Math.min(Math.max(0, waitMs), host.maxWaitMs) : 0;
 	}
 }
 
-// Returns the validated body, or a response that lists what is wrong with it.
-async function readBody<T>(c: RequestContext, schema: z.ZodType<T>): Promise<T | Response> {
+function parseBody<T>(bytes: Uint8Array, schema: z.ZodType<T>): T | Response {
 	let json: unknown;
 	try {
-		json = await c.req.json();
+		json = JSON.parse(decoder.decode(bytes));
 	} catch {
 		return send(toRefusalReply(createDiagnostic(Diagnostics.Body_is_invalid, 'it is not JSON')));
 	}
--- a/src/process/run-entry.ts
+++ b/src/process/run-entry.ts
@@ -3,7 +3,6 @@
  */
 import {randomBytes} from 'node:crypto';
 import {Server, ServerCredentials} from '@grpc/grpc-js';
-import {createAdaptorServer} from '@hono/node-server';
 import {createChannelOptions} from '../connection/channel-options.js';
 import {relaxedTiming} from '../connection/link-timing.js';
 import {LinkService, PeerService} from '../generated/kingcuplane.js';
@@ -18,11 +17,14 @@
 import {formatDiagnostic} from './diagnostics.js';
 import {createEntry} from './entry.js';
 import type {Entry, EntryHost} from './entry-types.js';
-import {closeHttp, listenHttp} from './http-listen.js';
+import {startHttpServer, type HttpServerHost} from './http-server.js';
 import {afterPoll} from './input-reading.js';
 import {createLog, type Log} from './log.js';
 import {createLogStream} from './log-stream.js';
 import {createMetrics, type Metrics} from './metrics.js';
+import {createRefusalLog} from './refusal-log.js';
+import {getRequestMemoryLimit} from './request-limits.js';
+import {createRequestMemory} from './request-memory.js';
 import type {EntrySettings} from './settings.js';
 import {createTokenDirectory} from './tokens.js';
 
@@ -48,10 +50,14 @@
 	readonly follower: ConfigFollower;
 	readonly authenticate: EntryHost['authenticate'];
 	readonly host: Partial<EntryHost>;
+	/** Shared with other servers of the process. */
+	readonly httpHost: HttpServerHost;
 };
 
 const ticketKeyBytes = 32;
 const recordSaveDelayMs: Milliseconds = 200;
+/** Time for which callers may reuse a connection. */
+const keepAliveMs: Milliseconds = 5000;
 
 /** Starts an entry. Resolves once it listens. Calls `onDeclaredDead` if another entry declares this one dead. */
 export async function runEntry(settings: EntrySettings, incarnation: string, onDeclaredDead: () => void, overrides: Partial<EntryOverrides> = {}): Promise<RunningEntry> {
@@ -122,9 +128,17 @@
 	});
 	linkServer.addService(LinkService, entry.links);
 	linkServer.addService(PeerService, entry.peers);
-	const httpServer = createAdaptorServer({fetch: entry.http.fetch, serverOptions: {maxHeaderSize: settings.entry.maxHeaderBytes}});
-	const httpPort = await listenHttp(httpServer, settings.listen.http);
-	log.info({incarnation, httpPort, linksPort}, 'entry is listening');
+	const {maxBodyBytes, maxHeaderBytes} = settings.entry;
+	const requestMemoryBytes = settings.entry.requestMemoryBytes ?? getRequestMemoryLimit(undefined, maxBodyBytes);
+	const httpServer = await startHttpServer(overrides.httpHost ?? {
+		clock, memory: createRequestMemory({clock, limitBytes: requestMemoryBytes}), refusals: createRefusalLog({clock, log, metrics}),
+	}, {
+		name: 'callers', app: entry.http, address: settings.listen.http, maxBodyBytes, maxHeaderBytes, keepAliveMs,
+	});
+	const httpPort = httpServer.port;
+	log.info({
+		incarnation, httpPort, linksPort, requestMemoryBytes,
+	}, 'entry is listening');
 
 	return {
 		entry,
@@ -135,7 +149,7 @@
 		async stop() {
 			const report = await entry.drain();
 			log.info({report}, 'entry drained');
-			await closeHttp(httpServer);
+			await httpServer.close();
 			await entry.stop();
 			follower.stop();
 			tokens.stop();
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -8,6 +8,7 @@
 } from './address.js';
 import type {Milliseconds} from './clock.js';
 import {createDiagnostic, Diagnostics, type Diagnostic} from './diagnostics.js';
+import {requestOverheadBytes} from './request-memory.js';
 import {
 	checkSchema, formatPath, parseToml, type SchemaViolation, type TomlDocument,
 } from './toml.js';
@@ -63,6 +64,8 @@
 	readonly answerKeepMs: Milliseconds;
 	/** Largest body of a request, in bytes. */
 	readonly maxBodyBytes: number;
+	/** Bound on the memory of all requests that are not answered yet, in bytes; follows from the memory of the process if undefined. */
+	readonly requestMemoryBytes?: number;
 	/** Maximum number of tasks in one job. */
 	readonly maxTasks: number;
 	/** Largest total size of the headers of a request, in bytes. */
@@ -206,12 +209,17 @@
 		fateWritesPerSecond: count(5),
 		answerKeepMs: duration(120_000),
 		maxBodyBytes: count(16_777_216),
+		requestMemoryBytes: z.int().min(1).optional(),
 		maxTasks: count(1100),
 		maxHeaderBytes: count(16_384),
 		maxWaitMs: duration(30_000),
 		agentGraceMs: duration(3000),
 		drainMs: duration(30_000),
-	}).prefault({}),
+	})
+		.refine(({requestMemoryBytes, maxBodyBytes}) => requestMemoryBytes === undefined || requestMemoryBytes >= maxBodyBytes + requestOverheadBytes, {
+			path: ['requestMemoryBytes'], error: `expected at least ${requestOverheadBytes} more than maxBodyBytes`,
+		})
+		.prefault({}),
 	log,
 	metrics,
 })
--- a/src/request/reply.ts
+++ b/src/request/reply.ts
@@ -131,6 +131,7 @@
 	EntryDraining: 503,
 	EntryNotReady: 503,
 	FateMemoryFull: 503,
+	RequestMemoryFull: 503,
 	DeadlinePassed: 504,
 	DeadlineOutOfReach: 504,
 	ObjectivePassedWaiting: 503,
--- a/test/process/http-api.test.ts
+++ b/test/process/http-api.test.ts
@@ -1,11 +1,9 @@
 import net from 'node:net';
 import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionContext} from 'ava';
-import {createAdaptorServer} from '@hono/node-server';
 import {ok} from 'neverthrow';
 import {createSystemClock} from '../../src/process/clock.js';
 import {createHttpApi, type HttpApiHost} from '../../src/process/http-api.js';
-import {listenHttp} from '../../src/process/http-listen.js';
 import {afterPoll} from '../../src/process/input-reading.js';
 import {noMetrics} from '../../src/process/metrics.js';
 import {createRequestArrivals} from '../../src/process/request-arrivals.js';
@@ -13,6 +11,7 @@
 import {createLateClients, sendWhileBlocked} from '../blocked-server.js';
 import {describe, it} from '../describe.js';
 import {silentLog} from '../silent-log.js';
+import {serveForTest} from '../test-server.js';
 
 /** Turns of the event loop in which a submission that is begun by mistake would be seen. */
 const laterTurns = 20;
@@ -29,7 +28,7 @@
 	issueTicket(): string;
 };
 
-async function createFixture(t: ExecutionContext, changes: Partial<HttpApiHost> = {}): Promise<Fixture> {
+async function createFixture(t: ExecutionContext, changes: Partial<HttpApiHost> = {}, serverChanges: Parameters<typeof serveForTest>[2] = {}): Promise<Fixture> {
 	const clock = createSystemClock();
 	const operations: string[] = [];
 	const issuer = createTicketIssuer({
@@ -65,10 +64,8 @@
 		onRequestServed: () => undefined,
 		...changes,
 	});
-	const server = createAdaptorServer({fetch: app.fetch});
-	t.teardown(() => server.close());
 	return {
-		app, port: await listenHttp(server, {host: '127.0.0.1', port: 0}), operations, begun, issueTicket: () => issuer.issue('c', 1)[0]!.text,
+		app, port: await serveForTest(t, app, serverChanges), operations, begun, issueTicket: () => issuer.issue('c', 1)[0]!.text,
 	};
 }
 
@@ -101,6 +98,18 @@
 		t.true(answered.every(text => text.startsWith('HTTP/1.1 200')));
 	});
 
+	it('refuses a submission that did not fit into the memory for requests, or is too long', async t => {
+		const refuse = async (memoryBytes: number, body: string) => {
+			const {port, begun} = await createFixture(t, {}, {memoryBytes, maxBodyBytes: 10_000});
+			const res = await fetch(`http://127.0.0.1:${port}/v1/submissions`, {method: 'POST', headers: {authorization: 'Bearer x'}, body});
+			t.deepEqual(begun, []);
+			return {status: res.status, retryAfter: res.headers.get('retry-after') ?? undefined, kind: /"kind":"(?<kind>\w+)"/v.exec(await res.text())?.groups?.kind};
+		};
+
+		t.deepEqual(await refuse(1000, '{}'), {status: 503, retryAfter: '1', kind: 'RequestMemoryFull'});
+		t.deepEqual(await refuse(1_000_000, ' '.repeat(10_001)), {status: 413, retryAfter: undefined, kind: 'BodyTooLarge'});
+	});
+
 	// Guards against a submission that runs although its caller has cancelled it right after sending it.
 	it('routes a request to cancel only after the submission that it arrives behind', async t => {
 		const releases: Array<() => void> = [];
--- a/test/process/settings.test.ts
+++ b/test/process/settings.test.ts
@@ -24,6 +24,13 @@
 
 describe('settings', () => {
 	describe('of an entry', () => {
+		it('require memory for a request of the largest size', t => {
+			const settings = readEntrySettings(`${smallestEntry}[entry]\nmaxBodyBytes = 1000\nrequestMemoryBytes = 9000\n`, 'entry.toml');
+			t.deepEqual(settings._unsafeUnwrapErr().map(diagnostic => formatDiagnostic(diagnostic)), [
+				'entry.toml:8: KC3004 The setting entry.requestMemoryBytes is invalid: expected at least 8192 more than maxBodyBytes. Correct its value; docs/REFERENCE.md lists all settings.',
+			]);
+		});
+
 		it('take the defaults', t => {
 			const settings = readEntrySettings(smallestEntry, 'entry.toml')._unsafeUnwrap();
 			compareWithBaseline(t, 'settings-entry-defaults.txt', JSON.stringify(settings, undefined, '\t').split('\n'));
