Keep descriptors for others when clients connect and send nothing

What callers saw: clients that sent nothing, or half a header, held their connections for ever. At the last descriptor an entry could reach neither agents nor the store, nor answer the balancer.

Cause: no server bounded its connections, and requestTimeout: 0 of the platform's servers also switched off Node's limit on headers, whose default is the smaller of 60 s and requestTimeout (seen on Node 20: headersTimeout is 0 then).

A server now holds at most three quarters of the sockets of its process for clients, from limits.max-fds and from the limit of the operating system; [entry] maxConnections on the own interface, 64 for the balancer's probes and for metrics. At the bound a new connection replaces the one that has waited longest for its client; connections on which a request is being served stay. Headers have 60 s, a whole request 120 s. Closing the newest instead, as maxConnections of Node does, was ruled out: the crowd would keep out ordinary callers.

--- a/src/platform/http-server.ts
+++ b/src/platform/http-server.ts
@@ -10,7 +10,7 @@
 import type {Log} from '../process/log.js';
 import type {PrometheusMetrics} from '../process/prometheus-metrics.js';
 import {createRefusalLog} from '../process/refusal-log.js';
-import {getRequestMemoryLimit} from '../process/request-limits.js';
+import {getConnectionLimit, getRequestMemoryLimit} from '../process/request-limits.js';
 import {createRequestMemory} from '../process/request-memory.js';
 import type {MachineSettings} from './settings.js';
 
@@ -19,7 +19,7 @@
 	readonly clock: Clock;
 	readonly log: Log;
 	readonly metrics: PrometheusMetrics;
-	readonly machine: Pick<MachineSettings, 'ip' | 'metricsPort' | 'memoryBytes'>;
+	readonly machine: Pick<MachineSettings, 'ip' | 'metricsPort' | 'memoryBytes' | 'descriptors'>;
 	/** Largest body that one of the servers accepts. */
 	readonly maxBodyBytes: number;
 };
@@ -39,13 +39,16 @@
 /** Idle connections stay open for longer than clients keep them, so that no request arrives on a connection that is being closed. */
 const keepAliveMs: Milliseconds = 60_000;
 const maxHeaderBytes = 16_384;
+/** Probes come from few machines. */
+const maxProbeConnections = 64;
 
 /** Creates the servers of a process, of which none listens yet. */
 export function createPlatformServers({
 	clock, log, metrics, machine, maxBodyBytes,
 }: PlatformServersHost): PlatformServers {
 	const limitBytes = getRequestMemoryLimit(machine.memoryBytes, maxBodyBytes);
-	log.info({requestMemoryBytes: limitBytes}, 'limits on clients');
+	const maxConnections = getConnectionLimit(machine.descriptors);
+	log.info({requestMemoryBytes: limitBytes, maxConnections}, 'limits on clients');
 	const host: HttpServerHost = {
 		clock, memory: createRequestMemory({clock, limitBytes}), refusals: createRefusalLog({clock, log, metrics}),
 	};
@@ -53,7 +56,7 @@
 	return {
 		host,
 		serve: async (name, app, address) => start({
-			name, app, address, maxBodyBytes,
+			name, app, address, maxBodyBytes, maxConnections,
 		}),
 		serveProbes,
 		serveMetrics: async () => serveProbes(
@@ -65,7 +68,7 @@
 
 	async function serveProbes(name: string, app: HttpServerOptions['app'], address: Address): Promise<HttpServer> {
 		return start({
-			name, app, address, maxBodyBytes: 0,
+			name, app, address, maxBodyBytes: 0, maxConnections: maxProbeConnections,
 		});
 	}
 
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -16,6 +16,7 @@
 import type {Log} from '../process/log.js';
 import {createPauseCheckedClock, createPauseDetector} from '../process/pause-detector.js';
 import {runEntry, type RunningEntry} from '../process/run-entry.js';
+import {getConnectionLimit} from '../process/request-limits.js';
 import {createPrometheusMetrics} from '../process/prometheus-metrics.js';
 import type {EntrySettings} from '../process/settings.js';
 import {createSocketTraffic, type CountedSocket} from '../process/socket-traffic.js';
@@ -173,6 +174,7 @@
 			fateWritesPerSecond: 2,
 			answerKeepMs: 10_000,
 			maxBodyBytes,
+			maxConnections: getConnectionLimit(machine.descriptors),
 			maxTasks,
 			maxHeaderBytes: 16_384,
 			maxWaitMs: 10_000,
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -40,6 +40,8 @@
 	readonly linkMbps: number | undefined;
 	/** Memory of a process; undefined if the settings state none. */
 	readonly memoryBytes: number | undefined;
+	/** Descriptors that a process may have open; undefined if the settings state none. */
+	readonly descriptors: number | undefined;
 	/** Time from the signal to stop until the process is killed. */
 	readonly graceMs: Milliseconds;
 };
@@ -77,6 +79,7 @@
 	'platform.addr': connectableAddressSchema,
 	'limits.link-mbps': z.coerce.number().positive().optional(),
 	'limits.mem-limit-mb': z.coerce.number().positive().optional(),
+	'limits.max-fds': z.coerce.number().int().positive().optional(),
 	'bounds.hold-max-ms': z.coerce.number().positive().max(maxDurationMs).default(1000),
 	'bounds.grace-s': z.coerce.number().positive().max(maxDurationMs / secondMs).default(6),
 });
@@ -106,6 +109,7 @@
 		maxLeaseMs: fields['bounds.hold-max-ms'],
 		linkMbps: fields['limits.link-mbps'],
 		memoryBytes: fields['limits.mem-limit-mb'] === undefined ? undefined : fields['limits.mem-limit-mb'] * bytesPerMegabyte,
+		descriptors: fields['limits.max-fds'],
 		graceMs: fields['bounds.grace-s'] * secondMs,
 	});
 }
--- a/src/process/http-server.ts
+++ b/src/process/http-server.ts
@@ -1,12 +1,13 @@
 /**
  * HTTP servers of long-running processes for clients that are not trusted: what a client may hold without finishing a request is
- * bounded, in memory, for all servers of the process together.
+ * bounded, for all servers of the process together in memory, and for each of them in connections.
  */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import type {Address} from './address.js';
 import type {Clock, Milliseconds, Timer} from './clock.js';
+import {createConnectionLimiter, type LimitedConnection} from './connection-limiter.js';
 import {closeHttp, listenHttp} from './http-listen.js';
 import type {RefusalLog} from './refusal-log.js';
 import {receiveBody, type ReceivedBody, type RequestBody} from './request-body.js';
@@ -30,6 +31,7 @@
 	readonly address: Address;
 	readonly maxBodyBytes: number;
 	readonly maxHeaderBytes: number;
+	readonly maxConnections: number;
 	/** Time for which a connection stays open between requests. */
 	readonly keepAliveMs: Milliseconds;
 };
@@ -41,14 +43,12 @@
 	close(): Promise<void>;
 };
 
-type Connection = {
+type Connection = LimitedConnection & {
 	readonly socket: Socket;
 	/** Requests whose responses have not been taken over by the operating system. */
 	readonly requests: Set<OpenRequest>;
 	/** Whether it ends after the responses to the requests that are being served. */
 	isClosing: boolean;
-	/** Whether a request of the client is being served. */
-	isServing(): boolean;
 };
 
 type OpenRequest = {
@@ -58,6 +58,9 @@
 	readonly reservation: MemoryReservation;
 };
 
+/** Time for the headers of a request, and for all of it; both are far above the longest deadline of a job. */
+const headersTimeoutMs: Milliseconds = 60_000;
+const requestTimeoutMs: Milliseconds = 120_000;
 /** What a client may go on sending after the response, before its connection is closed: it may not have seen the response yet. */
 const lingerMs: Milliseconds = 500;
 const lingerBytes = 65_536;
@@ -65,8 +68,9 @@
 /** Starts a server; resolves once it listens. */
 export async function startHttpServer(host: HttpServerHost, options: HttpServerOptions): Promise<HttpServer> {
 	const {clock, memory, refusals} = host;
-	const {name, app, maxBodyBytes} = options;
+	const {name, app, maxBodyBytes, maxConnections} = options;
 	const connections = new Map<Socket, Connection>();
+	const limiter = createConnectionLimiter(maxConnections);
 	const bodies = new WeakMap<IncomingMessage, RequestBody>();
 
 	const handle = getRequestListener(async (req, env) => {
@@ -77,7 +81,8 @@
 	});
 	const server = http.createServer({
 		keepAliveTimeout: options.keepAliveMs,
-		requestTimeout: 0,
+		headersTimeout: headersTimeoutMs,
+		requestTimeout: requestTimeoutMs,
 		maxHeaderSize: options.maxHeaderBytes,
 	}, (incoming, outgoing) => {
 		open(getConnection(incoming.socket), incoming, outgoing);
@@ -105,15 +110,21 @@
 			requests: new Set(),
 			isClosing: false,
 			isServing: () => [...connection.requests].some(req => isServed(req)),
+			close() {
+				refusals.add(name, 'connections');
+				socket.destroy();
+			},
 		};
 		connections.set(socket, connection);
 		socket.once('close', () => {
 			connections.delete(socket);
+			limiter.remove(connection);
 			// Responses that wait behind others report no end of their own.
 			for (const {reservation} of connection.requests) {
 				reservation.release();
 			}
 		});
+		limiter.add(connection);
 		return connection;
 	}
 
@@ -136,6 +147,7 @@
 		outgoing.once('close', () => {
 			connection.requests.delete(req);
 			reservation.release();
+			limiter.renew(connection);
 			if (connection.isClosing) {
 				closeWhenServed(connection);
 			} else if (!incoming.complete) {
--- a/src/process/refusal-log.ts
+++ b/src/process/refusal-log.ts
@@ -16,6 +16,8 @@
 export type RefusalCause =
 	/** The memory for requests was full. */
 	| 'request-memory'
+	/** The number of connections was at its bound. */
+	| 'connections'
 	/** A request was not received whole in time. */
 	| 'timeout'
 	/** The bytes received were no request. */
--- a/src/process/run-entry.ts
+++ b/src/process/run-entry.ts
@@ -23,7 +23,7 @@
 import {createLogStream} from './log-stream.js';
 import {createMetrics, type Metrics} from './metrics.js';
 import {createRefusalLog} from './refusal-log.js';
-import {getRequestMemoryLimit} from './request-limits.js';
+import {getConnectionLimit, getRequestMemoryLimit} from './request-limits.js';
 import {createRequestMemory} from './request-memory.js';
 import type {EntrySettings} from './settings.js';
 import {createTokenDirectory} from './tokens.js';
@@ -130,14 +130,15 @@
 	linkServer.addService(PeerService, entry.peers);
 	const {maxBodyBytes, maxHeaderBytes} = settings.entry;
 	const requestMemoryBytes = settings.entry.requestMemoryBytes ?? getRequestMemoryLimit(undefined, maxBodyBytes);
+	const maxConnections = settings.entry.maxConnections ?? getConnectionLimit(undefined);
 	const httpServer = await startHttpServer(overrides.httpHost ?? {
 		clock, memory: createRequestMemory({clock, limitBytes: requestMemoryBytes}), refusals: createRefusalLog({clock, log, metrics}),
 	}, {
-		name: 'callers', app: entry.http, address: settings.listen.http, maxBodyBytes, maxHeaderBytes, keepAliveMs,
+		name: 'callers', app: entry.http, address: settings.listen.http, maxBodyBytes, maxHeaderBytes, maxConnections, keepAliveMs,
 	});
 	const httpPort = httpServer.port;
 	log.info({
-		incarnation, httpPort, linksPort, requestMemoryBytes,
+		incarnation, httpPort, linksPort, requestMemoryBytes, maxConnections,
 	}, 'entry is listening');
 
 	return {
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -66,6 +66,8 @@
 	readonly maxBodyBytes: number;
 	/** Bound on the memory of all requests that are not answered yet, in bytes; follows from the memory of the process if undefined. */
 	readonly requestMemoryBytes?: number;
+	/** Maximum number of connections of callers; follows from the descriptors of the process if undefined. */
+	readonly maxConnections?: number;
 	/** Maximum number of tasks in one job. */
 	readonly maxTasks: number;
 	/** Largest total size of the headers of a request, in bytes. */
@@ -210,6 +212,7 @@
 		answerKeepMs: duration(120_000),
 		maxBodyBytes: count(16_777_216),
 		requestMemoryBytes: z.int().min(1).optional(),
+		maxConnections: z.int().min(1).optional(),
 		maxTasks: count(1100),
 		maxHeaderBytes: count(16_384),
 		maxWaitMs: duration(30_000),
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -14,6 +14,7 @@
 	'seeds=10.1.0.13:8166,10.2.0.30:8166',
 	'platform.addr=10.200.1.7:8169',
 	'limits.mem-limit-mb=350',
+	'limits.max-fds=4100',
 	'bounds.hold-max-ms=1000',
 	'bounds.grace-s=6',
 	'bounds.new-thing=1',
@@ -36,6 +37,7 @@
 			maxLeaseMs: 1000,
 			linkMbps: undefined,
 			memoryBytes: 367_001_600,
+			descriptors: 4100,
 			graceMs: 6000,
 			service: undefined,
 		});
--- a/test/process/http-server.test.ts
+++ b/test/process/http-server.test.ts
@@ -49,7 +49,7 @@
 			},
 		},
 	}, {
-		name: 'test', app: {fetch: respond}, address: {host: '127.0.0.1', port: 0}, maxBodyBytes, maxHeaderBytes: 16_384, keepAliveMs: 60_000, ...changes,
+		name: 'test', app: {fetch: respond}, address: {host: '127.0.0.1', port: 0}, maxBodyBytes, maxHeaderBytes: 16_384, maxConnections: 100, keepAliveMs: 60_000, ...changes,
 	});
 	t.teardown(() => {
 		void server.close();
@@ -179,6 +179,26 @@
 		t.false(ending.socket.destroyed);
 	});
 
+	// Guards against an entry that has no descriptors left for others.
+	it('closes a connection that sends nothing when there are too many, and none that is being served', async t => {
+		const {connect, refusals, release, countWaiting} = await createFixture(t, {maxConnections: 3});
+		const served = connect();
+		served.send(createPost('/slow', 5));
+		await waitUntil(() => countWaiting() === 1);
+		const silent = connect();
+		await once(silent.socket, 'connect');
+		const unfinished = connect();
+		unfinished.send('GET / HTTP/1.1\r\nHost: a\r\nX');
+		await once(unfinished.socket, 'connect');
+		const next = connect();
+		next.send(createPost('/', 6));
+		await waitUntil(() => next.getText().includes('6 bytes'));
+		await silent.closed;
+		t.deepEqual(refusals, ['connections']);
+		release();
+		await waitUntil(() => served.getText().includes('5 bytes'));
+	});
+
 	it('answers bytes that are no request, and counts them', async t => {
 		const {connect, refusals} = await createFixture(t);
 		const client = connect();
--- a/test/process/refusal-log.test.ts
+++ b/test/process/refusal-log.test.ts
@@ -21,8 +21,8 @@
 			refusals.add('clients', 'request-memory');
 		}
 
-		refusals.add('metrics', 'malformed');
-		t.deepEqual(getLines(), ['clients request-memory 1', 'metrics malformed 1']);
+		refusals.add('metrics', 'connections');
+		t.deepEqual(getLines(), ['clients request-memory 1', 'metrics connections 1']);
 		t.is(counted.length, 101);
 		clock.advance(1000);
 		t.deepEqual(getLines().slice(2), ['clients request-memory 99']);
--- a/test/test-server.ts
+++ b/test/test-server.ts
@@ -16,7 +16,7 @@
 	const server = await startHttpServer({
 		clock, memory: createRequestMemory({clock, limitBytes: memoryBytes}), refusals: createRefusalLog({clock, log: silentLog, metrics: noMetrics}),
 	}, {
-		name: 'test', app, address: {host: '127.0.0.1', port: 0}, maxBodyBytes: 262_144, maxHeaderBytes: 16_384, keepAliveMs: 60_000, ...options,
+		name: 'test', app, address: {host: '127.0.0.1', port: 0}, maxBodyBytes: 262_144, maxHeaderBytes: 16_384, maxConnections: 1000, keepAliveMs: 60_000, ...options,
 	});
 	t.teardown(() => {
 		void server.close();
