End a process that is told to stop although clients hold requests open

What operators saw: an entry with a few unfinished requests did not end after SIGTERM. Drained and with all answers out, it waited for bodies that never came, until it was killed; its store and its log were not closed in order.

Cause: closing a server waits for every connection that is not idle, and to Node a connection with half a request is not idle, nor is one that has sent nothing yet. Closing also ends Node's own time limits.

What is being served keeps its connection until its response is out.

--- a/src/process/http-server.ts
+++ b/src/process/http-server.ts
@@ -39,7 +39,7 @@
 /** A listening server. */
 export type HttpServer = {
 	readonly port: number;
-	/** Stops accepting connections. Closes idle connections at once and each other one after its current response. */
+	/** Stops accepting connections and requests. Resolves when those that are being served have their responses. */
 	close(): Promise<void>;
 };
 
@@ -72,6 +72,7 @@
 	const connections = new Map<Socket, Connection>();
 	const limiter = createConnectionLimiter(maxConnections);
 	const bodies = new WeakMap<IncomingMessage, RequestBody>();
+	let isStopping = false;
 
 	const handle = getRequestListener(async (req, env) => {
 		// The server below speaks HTTP/1.1, so the bindings are never those of HTTP/2.
@@ -96,7 +97,15 @@
 
 	return {
 		port,
-		close: async () => closeHttp(server),
+		async close() {
+			isStopping = true;
+			const closed = closeHttp(server);
+			for (const connection of connections.values()) {
+				closeWhenServed(connection);
+			}
+
+			await closed;
+		},
 	};
 
 	function getConnection(socket: Socket): Connection {
@@ -144,6 +153,10 @@
 		bodies.set(incoming, body);
 		connection.requests.add(req);
 		reservation.setBodyBytes(0);
+		if (isStopping) {
+			closeWhenServed(connection);
+		}
+
 		outgoing.once('close', () => {
 			connection.requests.delete(req);
 			reservation.release();
--- a/test/process/http-server.test.ts
+++ b/test/process/http-server.test.ts
@@ -199,6 +199,31 @@
 		await waitUntil(() => served.getText().includes('5 bytes'));
 	});
 
+	// Guards against a process that does not end when it is told to, as clients hold requests open.
+	it('closes when all that is being served has its response, whatever else is unfinished', async t => {
+		const {server, connect, release, countWaiting} = await createFixture(t);
+		const served = connect();
+		served.send(createPost('/slow', 5));
+		const unfinished = ['', 'GET / HTT', createPost('/', 1000, 10), `${createPost('/', 3)}${createPost('/', 1000, 10)}`].map(text => {
+			const client = connect();
+			client.send(text);
+			return client;
+		});
+		await Promise.all(unfinished.map(async ({socket}) => once(socket, 'connect')));
+		await waitUntil(() => countWaiting() === 1);
+		let isClosed = false;
+		const closed = (async () => {
+			await server.close();
+			isClosed = true;
+		})();
+		await Promise.all(unfinished.map(async client => client.closed));
+		t.false(isClosed);
+		release();
+		await closed;
+		await served.closed;
+		t.regex(served.getText(), /^HTTP\/1\.1 200.+5 bytes/sv);
+	});
+
 	it('answers bytes that are no request, and counts them', async t => {
 		const {connect, refusals} = await createFixture(t);
 		const client = connect();
