Take turns in reading from clients that send very small chunks

What callers saw: an entry stood still for seconds while some clients sent bodies in chunks of one byte, and answered nobody meanwhile.

Cause: a chunk costs about half a microsecond whatever its size, and a read of 64 KB holds 10,900 chunks of one byte. With 200 such clients each turn of the event loop took 2 to 2.7 s, over and over. Agents and other entries take such an entry for silent.

It is paused after the poll of the event loop, as the stream of the request resumes its connection until then (seen: paused in the next tick, every connection was read in each turn).

The new test fails without the pacing: 20 of 20 connections are read in one turn.

--- a/src/platform/http-server.ts
+++ b/src/platform/http-server.ts
@@ -9,6 +9,7 @@
 } from '../process/http-server.js';
 import type {Log} from '../process/log.js';
 import type {PrometheusMetrics} from '../process/prometheus-metrics.js';
+import {createReadPacer} from '../process/read-pacer.js';
 import {createRefusalLog} from '../process/refusal-log.js';
 import {getConnectionLimit, getRequestMemoryLimit} from '../process/request-limits.js';
 import {createRequestMemory} from '../process/request-memory.js';
@@ -50,7 +51,7 @@
 	const maxConnections = getConnectionLimit(machine.descriptors);
 	log.info({requestMemoryBytes: limitBytes, maxConnections}, 'limits on clients');
 	const host: HttpServerHost = {
-		clock, memory: createRequestMemory({clock, limitBytes}), refusals: createRefusalLog({clock, log, metrics}),
+		clock, memory: createRequestMemory({clock, limitBytes}), refusals: createRefusalLog({clock, log, metrics}), pacer: createReadPacer(clock),
 	};
 
 	return {
--- a/src/process/http-server.ts
+++ b/src/process/http-server.ts
@@ -9,6 +9,7 @@
 import type {Clock, Milliseconds, Timer} from './clock.js';
 import {createConnectionLimiter, type LimitedConnection} from './connection-limiter.js';
 import {closeHttp, listenHttp} from './http-listen.js';
+import type {ReadPacer} from './read-pacer.js';
 import type {RefusalLog} from './refusal-log.js';
 import {receiveBody, type ReceivedBody, type RequestBody} from './request-body.js';
 import type {MemoryReservation, RequestMemory} from './request-memory.js';
@@ -21,6 +22,7 @@
 	readonly clock: Clock;
 	readonly memory: RequestMemory;
 	readonly refusals: RefusalLog;
+	readonly pacer: ReadPacer;
 };
 
 /** One server. */
@@ -67,7 +69,9 @@
 
 /** Starts a server; resolves once it listens. */
 export async function startHttpServer(host: HttpServerHost, options: HttpServerOptions): Promise<HttpServer> {
-	const {clock, memory, refusals} = host;
+	const {
+		clock, memory, refusals, pacer,
+	} = host;
 	const {name, app, maxBodyBytes, maxConnections} = options;
 	const connections = new Map<Socket, Connection>();
 	const limiter = createConnectionLimiter(maxConnections);
@@ -145,7 +149,14 @@
 			},
 		});
 		const body = receiveBody({
-			source: incoming, maxBytes: maxBodyBytes, reservation, pool: memory.blocks,
+			source: incoming,
+			maxBytes: maxBodyBytes,
+			reservation,
+			pool: memory.blocks,
+			onSmallChunks() {
+				// The stream of the request resumes its connection until everything that was read together has been handled.
+				setImmediate(pacer.pause, connection.socket);
+			},
 		});
 		const req: OpenRequest = {
 			incoming, outgoing, body, reservation,
--- a/src/process/request-body.ts
+++ b/src/process/request-body.ts
@@ -36,6 +36,8 @@
 	readonly maxBytes: number;
 	readonly reservation: Pick<MemoryReservation, 'setBodyBytes'>;
 	readonly pool: BlockPool;
+	/** Called when many very small chunks have arrived since the start or the last call. */
+	onSmallChunks(): void;
 };
 
 /** The part of a request that carries its body. */
@@ -46,9 +48,13 @@
 	arrayBuffer(): Promise<ArrayBuffer>;
 };
 
+/** Number of chunks after which their mean size is looked at, and the size below which they are very small. */
+const chunkSample = 256;
+const smallChunkBytes = 256;
+
 /** Begins to receive a body at once: until someone does, Node keeps the chunks. */
 export function receiveBody({
-	source, maxBytes, reservation, pool,
+	source, maxBytes, reservation, pool, onSmallChunks,
 }: ReceiveOptions): ReceivedBody {
 	/** The first chunk, while it is not known whether another one follows. Most bodies have one, which need not be copied. */
 	let firstChunk: Uint8Array | undefined;
@@ -56,9 +62,11 @@
 	let length = 0;
 	let result: BodyResult | undefined;
 	let resolveRead: ((result: BodyResult) => void) | undefined;
+	let sample = {chunks: 0, bytes: 0};
 	let drain = {bytesLeft: Infinity, action: () => undefined as void};
 
 	source.on('data', (chunk: Uint8Array) => {
+		countChunk(chunk.length);
 		if (result === undefined) {
 			append(chunk);
 		} else {
@@ -90,6 +98,18 @@
 		},
 	};
 
+	function countChunk(bytes: number): void {
+		sample.chunks++;
+		sample.bytes += bytes;
+		if (sample.chunks === chunkSample) {
+			const isSmall = sample.bytes < chunkSample * smallChunkBytes;
+			sample = {chunks: 0, bytes: 0};
+			if (isSmall) {
+				onSmallChunks();
+			}
+		}
+	}
+
 	function append(chunk: Uint8Array): void {
 		if (length + chunk.length > maxBytes) {
 			end({kind: 'too-long'});
--- a/src/process/run-entry.ts
+++ b/src/process/run-entry.ts
@@ -22,6 +22,7 @@
 import {createLog, type Log} from './log.js';
 import {createLogStream} from './log-stream.js';
 import {createMetrics, type Metrics} from './metrics.js';
+import {createReadPacer} from './read-pacer.js';
 import {createRefusalLog} from './refusal-log.js';
 import {getConnectionLimit, getRequestMemoryLimit} from './request-limits.js';
 import {createRequestMemory} from './request-memory.js';
@@ -132,7 +133,7 @@
 	const requestMemoryBytes = settings.entry.requestMemoryBytes ?? getRequestMemoryLimit(undefined, maxBodyBytes);
 	const maxConnections = settings.entry.maxConnections ?? getConnectionLimit(undefined);
 	const httpServer = await startHttpServer(overrides.httpHost ?? {
-		clock, memory: createRequestMemory({clock, limitBytes: requestMemoryBytes}), refusals: createRefusalLog({clock, log, metrics}),
+		clock, memory: createRequestMemory({clock, limitBytes: requestMemoryBytes}), refusals: createRefusalLog({clock, log, metrics}), pacer: createReadPacer(clock),
 	}, {
 		name: 'callers', app: entry.http, address: settings.listen.http, maxBodyBytes, maxHeaderBytes, maxConnections, keepAliveMs,
 	});
--- a/test/process/http-server.test.ts
+++ b/test/process/http-server.test.ts
@@ -1,3 +1,4 @@
+import {subscribe, unsubscribe} from 'node:diagnostics_channel';
 import {once} from 'node:events';
 import net, {type Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
@@ -6,18 +7,25 @@
 import {
 	startHttpServer, type HttpServer, type HttpServerOptions, type RequestBindings,
 } from '../../src/process/http-server.js';
+import {createReadPacer} from '../../src/process/read-pacer.js';
 import {createRefusalLog, type RefusalCause} from '../../src/process/refusal-log.js';
 import {noMetrics} from '../../src/process/metrics.js';
 import {createRequestMemory, requestOverheadBytes, type RequestMemory} from '../../src/process/request-memory.js';
-import {describe, it} from '../describe.js';
+import {describe, itSerial} from '../describe.js';
 import {silentLog} from '../silent-log.js';
 
 const maxBodyBytes = 100_000;
+/** More than the headers of a request and chunks that are too few to be looked at. */
+const firstReadBytes = 10_000;
+/** Connections of very small chunks that are read in one turn of the event loop: the one whose turn it is, and some that are about to be paused. */
+const maxPacedReads = 6;
 
 type Fixture = {
 	readonly server: HttpServer;
 	readonly memory: RequestMemory;
 	readonly refusals: RefusalCause[];
+	/** The server's ends of its connections. */
+	readonly sockets: readonly Socket[];
 	/** Answers the requests to `/slow` that wait. */
 	release(): void;
 	/** Number of requests to `/slow` that wait. */
@@ -39,6 +47,16 @@
 	const clock = createSystemClock();
 	const memory = createRequestMemory({clock, limitBytes});
 	const refusals: RefusalCause[] = [];
+	const sockets: Socket[] = [];
+	const follow = (message: unknown) => {
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- documented by Node.js
+		sockets.push((message as {readonly socket: Socket}).socket);
+	};
+
+	subscribe('net.server.socket', follow);
+	t.teardown(() => {
+		unsubscribe('net.server.socket', follow);
+	});
 	const {add} = createRefusalLog({clock, log: silentLog, metrics: noMetrics});
 	const waiting: Array<() => void> = [];
 	const server = await startHttpServer({
@@ -47,7 +65,7 @@
 				refusals.push(cause);
 				add(name, cause);
 			},
-		},
+		}, pacer: createReadPacer(clock),
 	}, {
 		name: 'test', app: {fetch: respond}, address: {host: '127.0.0.1', port: 0}, maxBodyBytes, maxHeaderBytes: 16_384, maxConnections: 100, keepAliveMs: 60_000, ...changes,
 	});
@@ -58,6 +76,7 @@
 		server,
 		memory,
 		refusals,
+		sockets,
 		release() {
 			for (const action of waiting.splice(0)) {
 				action();
@@ -118,7 +137,7 @@
 }
 
 describe('HTTP server', () => {
-	it('serves a body in any chunks, and frees its memory', async t => {
+	itSerial('serves a body in any chunks, and frees its memory', async t => {
 		const {connect, memory} = await createFixture(t);
 		const client = connect();
 		client.send('POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n');
@@ -129,7 +148,7 @@
 	});
 
 	// Guards against an entry that runs out of memory by many bodies that are not finished.
-	it('refuses unfinished requests when the memory is full, and serves others', async t => {
+	itSerial('refuses unfinished requests when the memory is full, and serves others', async t => {
 		const {connect, refusals, memory} = await createFixture(t, {limitBytes: 500_000});
 		const crowd = Array.from({length: 20}, () => connect());
 		for (const client of crowd) {
@@ -147,7 +166,7 @@
 		t.true(refusals.every(cause => cause === 'request-memory'));
 	});
 
-	it('does not touch what is being served when the memory is full', async t => {
+	itSerial('does not touch what is being served when the memory is full', async t => {
 		const {connect, refusals, release, countWaiting} = await createFixture(t, {limitBytes: 2 * (40_960 + requestOverheadBytes)});
 		const served = [connect(), connect()];
 		for (const client of served) {
@@ -167,7 +186,7 @@
 		await waitUntil(() => served[1]!.getText().includes('40000 bytes'));
 	});
 
-	it('keeps the connection of a request that ends after its response, and closes the one that does not', async t => {
+	itSerial('keeps the connection of a request that ends after its response, and closes the one that does not', async t => {
 		const {connect} = await createFixture(t);
 		const [ending, endless] = [connect(), connect()];
 		ending.send(createPost('/early', 100, 50));
@@ -180,7 +199,7 @@
 	});
 
 	// Guards against an entry that has no descriptors left for others.
-	it('closes a connection that sends nothing when there are too many, and none that is being served', async t => {
+	itSerial('closes a connection that sends nothing when there are too many, and none that is being served', async t => {
 		const {connect, refusals, release, countWaiting} = await createFixture(t, {maxConnections: 3});
 		const served = connect();
 		served.send(createPost('/slow', 5));
@@ -200,7 +219,7 @@
 	});
 
 	// Guards against a process that does not end when it is told to, as clients hold requests open.
-	it('closes when all that is being served has its response, whatever else is unfinished', async t => {
+	itSerial('closes when all that is being served has its response, whatever else is unfinished', async t => {
 		const {server, connect, release, countWaiting} = await createFixture(t);
 		const served = connect();
 		served.send(createPost('/slow', 5));
@@ -224,7 +243,27 @@
 		t.regex(served.getText(), /^HTTP\/1\.1 200.+5 bytes/sv);
 	});
 
-	it('answers bytes that are no request, and counts them', async t => {
+	// Guards against a process that stands still while it reads bodies in chunks of one byte.
+	itSerial('reads from few connections at a time that send very small chunks, and serves others meanwhile', async t => {
+		const {connect, sockets} = await createFixture(t);
+		const size = 90_000;
+		const crowd = Array.from({length: 20}, () => connect());
+		for (const client of crowd) {
+			client.send(`POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(size)}0\r\n\r\n`);
+		}
+
+		// The first read of each connection cannot be put off, as its contents are not known.
+		await waitUntil(() => sockets.length === crowd.length && sockets.every(({bytesRead}) => bytesRead > firstReadBytes));
+		await Promise.all(Array.from({length: 2}, async () => nextTurn()));
+		let most = 0;
+		await waitUntil(() => {
+			most = Math.max(most, sockets.filter(({destroyed, readableFlowing}) => !destroyed && readableFlowing).length);
+			return crowd.some(({getText}) => getText().includes(`${size} bytes`));
+		});
+		t.true(most <= maxPacedReads, `${most} connections are read in one turn of the event loop`);
+	});
+
+	itSerial('answers bytes that are no request, and counts them', async t => {
 		const {connect, refusals} = await createFixture(t);
 		const client = connect();
 		client.send('\0\0\0\r\n\r\n');
--- a/test/process/request-body.test.ts
+++ b/test/process/request-body.test.ts
@@ -17,6 +17,8 @@
 	readonly body: ReceivedBody;
 	/** The sizes that were reserved. */
 	readonly reserved: number[];
+	/** An element for each report of very small chunks. */
+	readonly smallChunks: readonly number[];
 	send(bytes: number): void;
 	end(): void;
 };
@@ -31,11 +33,15 @@
 		},
 	};
 	const reserved: number[] = [];
+	const smallChunks: number[] = [];
 	const body: ReceivedBody = receiveBody({
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- a body is received by events only
 		source: source as unknown as BodySource,
 		maxBytes,
 		pool: createBlockPool(maxBytes),
+		onSmallChunks() {
+			smallChunks.push(reserved.length);
+		},
 		reservation: {
 			setBodyBytes(bytes) {
 				reserved.push(bytes);
@@ -47,6 +53,7 @@
 		source,
 		body,
 		reserved,
+		smallChunks,
 		send(bytes) {
 			source.emit('data', new Uint8Array(bytes).fill(7));
 		},
@@ -102,6 +109,26 @@
 		t.true(reserved.length < 10);
 	});
 
+	it('reports very small chunks while it is received and while it is drained, and no others', t => {
+		const {body, send, smallChunks} = createFixture();
+		for (let i = 0; i < 300; i++) {
+			send(1);
+		}
+
+		t.is(smallChunks.length, 1);
+		body.evict();
+		for (let i = 0; i < 300; i++) {
+			send(1);
+		}
+
+		t.is(smallChunks.length, 2);
+		for (let i = 0; i < 3000; i++) {
+			send(1000);
+		}
+
+		t.is(smallChunks.length, 2);
+	});
+
 	it('that is too long holds nothing any more', async t => {
 		const {body, reserved, send} = createFixture();
 		send(maxBytes);
