Answer every request that is being served before a connection is closed

Node ends a connection after the first response that says it, so of two requests that are being served on one connection the second lost its response.

Only the newest request of a connection says it now. The test of a server that closes sends two requests on one connection; before, the second response did not come.

--- a/src/process/http-server.ts
+++ b/src/process/http-server.ts
@@ -194,10 +194,10 @@
 	/** Closes a connection after the responses to the requests that are being served; those that are not get a moment for theirs. */
 	function closeWhenServed(connection: Connection): void {
 		connection.isClosing = true;
-		for (const {outgoing} of connection.requests) {
-			if (!outgoing.headersSent) {
-				outgoing.setHeader('connection', 'close');
-			}
+		// The connection ends after the response that says so, so it has to be the last one.
+		const last = [...connection.requests].at(-1);
+		if (last !== undefined && !last.outgoing.headersSent) {
+			last.outgoing.setHeader('connection', 'close');
 		}
 
 		if (connection.isServing()) {
--- a/test/process/http-server.test.ts
+++ b/test/process/http-server.test.ts
@@ -222,14 +222,14 @@
 	itSerial('closes when all that is being served has its response, whatever else is unfinished', async t => {
 		const {server, connect, release, countWaiting} = await createFixture(t);
 		const served = connect();
-		served.send(createPost('/slow', 5));
+		served.send(createPost('/slow', 5) + createPost('/slow', 6));
 		const unfinished = ['', 'GET / HTT', createPost('/', 1000, 10), `${createPost('/', 3)}${createPost('/', 1000, 10)}`].map(text => {
 			const client = connect();
 			client.send(text);
 			return client;
 		});
 		await Promise.all(unfinished.map(async ({socket}) => once(socket, 'connect')));
-		await waitUntil(() => countWaiting() === 1);
+		await waitUntil(() => countWaiting() === 2);
 		let isClosed = false;
 		const closed = (async () => {
 			await server.close();
@@ -240,7 +240,7 @@
 		release();
 		await closed;
 		await served.closed;
-		t.regex(served.getText(), /^HTTP\/1\.1 200.+5 bytes/sv);
+		t.regex(served.getText(), /^HTTP\/1\.1 200.+5 bytes.*HTTP\/1\.1 200.+6 bytes/sv);
 	});
 
 	// Guards against a process that stands still while it reads bodies in chunks of one byte.
