soak: let crowds of clients that finish nothing come beside other faults

Up to 200 clients send large chunks, chunks of one byte, bodies after a refusal, half headers or nothing to an entry and stay for up to four seconds, while processes are killed, stopped, paused and restarted and links are cut. Without the option a seed draws the same faults as before.

--- a/dev/soak.ts
+++ b/dev/soak.ts
@@ -13,6 +13,7 @@
 	readonly scale: string;
 	readonly parallel: number;
 	readonly logs: string;
+	readonly crowds: boolean;
 };
 
 const scales: Readonly<Record<string, {readonly entries: number; readonly agents: number; readonly jobsPerSecond: number}>> = {
@@ -29,6 +30,7 @@
 	.option('--seconds', 'Duration of the faults of each run', 60)
 	.option('--scale', 'small: 15 processes a run; large: 130', 'small')
 	.option('--parallel', 'Number of runs at a time', 1)
+	.option('--crowds', 'Crowds of clients that finish nothing come beside the other faults', false)
 	.option('--logs', 'Folder for the logs of runs that break a promise', 'dist/soak')
 	.action(async (options: Options) => {
 		const seeds = Array.from({length: options.runs}, (_, i) => options.seed + i);
@@ -45,12 +47,13 @@
 	})
 	.parse(process.argv);
 
-async function runSeed({seconds, scale, logs}: Options, seed: number, subnet: number): Promise<SoakReport> {
+async function runSeed({seconds, scale, logs, crowds}: Options, seed: number, subnet: number): Promise<SoakReport> {
 	const report = await runSoak({
 		seed,
 		seconds,
 		subnet,
 		...scales[scale] ?? scales.small!,
+		hasCrowds: crowds,
 		logFolder: `${logs}/${seed}`,
 		onProgress(line) {
 			console.log(`seed ${seed}: ${line}`);
--- a/dev/soak/soak-faults.ts
+++ b/dev/soak/soak-faults.ts
@@ -2,7 +2,10 @@
  * The faults of a soak, which are drawn from its seed and come in series and overlap.
  */
 import type {Milliseconds} from '../../src/process/clock.js';
-import type {PlatformInstance, PlatformSystem} from '../platform-system.js';
+import {createUnfinishedHeaders, createUnfinishedRequest, startCrowd} from '../crowd.js';
+import {
+	platformPorts, platformRoute, type PlatformInstance, type PlatformSystem,
+} from '../platform-system.js';
 import {drawExponential, drawInteger, type Random} from '../random.js';
 import type {Direction, FaultProxy} from './fault-proxy.js';
 
@@ -27,8 +30,20 @@
 /** Share of all directions of a cut in which only one of them delivers nothing. */
 const directionChoices: ReadonlyArray<readonly Direction[]> = [['forward'], ['backward'], ['forward', 'backward']];
 
-/** Creates an injector that has injected nothing. */
-export function createFaultInjector(system: PlatformSystem, random: Random): FaultInjector {
+/** What the crowds of unfinished requests send, by their descriptions. */
+const {host, prefix} = platformRoute;
+const crowdBody = {host, method: 'POST', bodyBytes: 262_144};
+const crowdRequests: ReadonlyArray<readonly [string, Uint8Array]> = [
+	['large chunks', createUnfinishedRequest({...crowdBody, path: `${prefix}00000000000c0de0`, chunkBytes: 65_536})],
+	['chunks of one byte', createUnfinishedRequest({...crowdBody, path: `${prefix}00000000000c0de0`, chunkBytes: 1})],
+	['bodies after a refusal', createUnfinishedRequest({...crowdBody, path: '/none/', chunkBytes: 64})],
+	['half headers', createUnfinishedHeaders(host, 15_000)],
+	['nothing', new Uint8Array()],
+];
+const maxCrowd = 200;
+
+/** Creates an injector that has injected nothing; with crowds, it draws other faults from the same seed than without. */
+export function createFaultInjector(system: PlatformSystem, random: Random, hasCrowds: boolean): FaultInjector {
 	const faults: string[] = [];
 	const ended = new Set<string>();
 	const startedAt = Date.now();
@@ -69,9 +84,26 @@
 			{text: describe('store down'), inject: async () => setStoreFor({down: true}, {down: false}, duration)},
 			{text: describe('store slow'), inject: async () => setStoreFor({slowMs: 300}, {slowMs: 0}, duration)},
 			{text: 'store loses answers', inject: async () => setStoreFaults({repliesToLose: 5})},
+			...hasCrowds ? [createCrowdFault(duration)] : [],
 		]);
 	}
 
+	function createCrowdFault(duration: Milliseconds): Fault {
+		const {name, address} = pick(system.entries);
+		const size = drawInteger(random, 1, maxCrowd);
+		const [what, bytes] = pick(crowdRequests);
+		return {
+			text: `${size} clients send ${what} to ${name} and stay ${duration} ms`,
+			async inject() {
+				const crowd = startCrowd({
+					address: {host: address, port: platformPorts.clients}, size, bytes, isReading: true,
+				});
+				await sleep(duration);
+				crowd.leave();
+			},
+		};
+	}
+
 	function createProxyFault(name: string, proxy: FaultProxy, directions: readonly Direction[], duration: Milliseconds): Fault {
 		const delay = drawInteger(random, 5, 150);
 		const share = random();
--- a/dev/soak/soak-run.ts
+++ b/dev/soak/soak-run.ts
@@ -21,6 +21,8 @@
 	readonly entries: number;
 	readonly agents: number;
 	readonly jobsPerSecond: number;
+	/** Whether crowds of clients that finish nothing are among the faults. */
+	readonly hasCrowds: boolean;
 	/** Third byte of all addresses; soaks that run at the same time need different ones. */
 	readonly subnet: number;
 	/** Folder for the logs of all processes if a promise was broken. */
@@ -59,10 +61,12 @@
 	}
 }
 
-async function soak(system: PlatformSystem, {seed, seconds, jobsPerSecond, logFolder, onProgress}: SoakOptions): Promise<SoakReport> {
+async function soak(system: PlatformSystem, {
+	seed, seconds, jobsPerSecond, hasCrowds, logFolder, onProgress,
+}: SoakOptions): Promise<SoakReport> {
 	const checker = createSoakChecker();
 	const clients = createSoakClients(system, createRandom(seed));
-	const injector = createFaultInjector(system, createRandom(seed + 1));
+	const injector = createFaultInjector(system, createRandom(seed + 1), hasCrowds);
 	const violations: SoakViolation[] = [];
 	const seenEvents = system.executors.map(() => 0);
 	const programs = new Map<string, PlatformInstance['program']>();
