Refuse lists that are too long before their elements are looked at

What callers saw: an entry stood still for a second at a time while clients sent bodies within the limit on their size that were no jobs.

Cause: zod reports every wrong element of a list, and each report costs some ten microseconds. A body of 262,144 bytes holds 131,000 steps that are numbers: 1,092 ms to refuse it (trial, on a loaded machine). The own interface takes 16 MiB, and an agent's heartbeat 4 MiB of labels.

The number of elements is checked first: 1,100 steps, as each has a task at least, 100 labels as before, and 10,000 tasks on the own interface, which also bounds its setting maxTasks. 2 ms for the same body now. Other bodies of the largest size were below 30 ms before: nested lists and objects, many keys, a long number; they are tested now, too. The test of the list failed before: it listed the elements.

--- a/src/platform/wire-job.ts
+++ b/src/platform/wire-job.ts
@@ -5,7 +5,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import type {Milliseconds} from '../process/clock.js';
-import {amountSchema, labelSchema} from '../process/input-schemas.js';
+import {amountSchema, createListSchema, labelSchema} from '../process/input-schemas.js';
 import {readJson} from '../process/json.js';
 import {decodeText, isEncodable} from '../process/text.js';
 import type {SubmissionRequest} from '../request/submission-rules.js';
@@ -13,6 +13,8 @@
 
 /** Largest number of tasks of a job. */
 export const maxTasks = 1100;
+/** Largest number of steps: each has a task at least. */
+const maxSteps = maxTasks;
 /** Largest `spec` in UTF-8, the form in which it is carried. */
 const maxSpecBytes = 4000;
 /** Bound on declared run times and deadlines; timers of the runtime overflow at 24 days. */
@@ -37,7 +39,7 @@
 /** Format of the body of a job. */
 const jobSchema = z.object({
 	spec: z.string(),
-	steps: z.array(stepSchema).min(1),
+	steps: createListSchema(stepSchema, {min: 1, max: maxSteps}),
 	// If true, the job need not be stored, since the response carries its outcome.
 	'best-effort': z.boolean().default(false),
 	times: z.int().min(0).default(0),
--- a/src/process/input-schemas.ts
+++ b/src/process/input-schemas.ts
@@ -9,6 +9,8 @@
 
 /** Longest name of an object, process or service; the store allows keys of 200 bytes. */
 const maxNameLength = 200;
+/** Largest number of tasks of a submission that any settings may allow. */
+export const maxTasksLimit = 10_000;
 /** Largest number of labels; executors have a kind and a rack. */
 const maxLabels = 100;
 /** End of the year 2099, which is later than any time of day that a working clock shows. */
@@ -25,8 +27,16 @@
 /** A label of an executor, for instance its rack. */
 export const labelSchema = z.string().max(maxNameLength);
 /** The labels of an executor. */
-export const labelsSchema = z.array(labelSchema).max(maxLabels);
+export const labelsSchema = createListSchema(labelSchema, {max: maxLabels});
 /** Wall time in whole milliseconds since 1970. */
 export const wallTimeSchema = z.int().min(0).max(maxWallTimeMs);
 /** A number that only increases: of messages, versions or revisions. */
 export const sequenceNumberSchema = z.int().min(0);
+
+/**
+ * Creates the schema of a list. One that is too long is refused before its elements are looked at: to report a wrong element takes thousands
+ * of times as long as to receive it.
+ */
+export function createListSchema<T extends z.ZodType>(element: T, {min = 0, max}: {readonly min?: number; readonly max: number}) {
+	return z.array(z.unknown()).min(min).max(max).pipe(z.array(element));
+}
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -8,6 +8,7 @@
 } from './address.js';
 import type {Milliseconds} from './clock.js';
 import {createDiagnostic, Diagnostics, type Diagnostic} from './diagnostics.js';
+import {maxTasksLimit} from './input-schemas.js';
 import {requestOverheadBytes} from './request-memory.js';
 import {
 	checkSchema, formatPath, parseToml, type SchemaViolation, type TomlDocument,
@@ -213,7 +214,7 @@
 		maxBodyBytes: count(16_777_216),
 		requestMemoryBytes: z.int().min(1).optional(),
 		maxConnections: z.int().min(1).optional(),
-		maxTasks: count(1100),
+		maxTasks: z.int().min(1).max(maxTasksLimit).default(1100),
 		maxHeaderBytes: count(16_384),
 		maxWaitMs: duration(30_000),
 		agentGraceMs: duration(3000),
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -13,6 +13,7 @@
 import {assertNever} from '../process/debug.js';
 import {createDiagnostic, Diagnostics} from '../process/diagnostics.js';
 import type {EntryDirectory, EntryStatus} from '../process/entry-directory.js';
+import {createListSchema, maxTasksLimit} from '../process/input-schemas.js';
 import {readJson} from '../process/json.js';
 import type {Coordinator} from './coordinator-types.js';
 import type {JobHandle} from './tracked-job.js';
@@ -53,7 +54,7 @@
 	deadlineMs: z.int().min(1).max(3_600_000).optional(),
 	kind: z.enum(['job', 'request']).default('job'),
 	wait: z.boolean().default(true),
-	tasks: z.array(z.strictObject({payload: z.base64()})).min(1),
+	tasks: createListSchema(z.strictObject({payload: z.base64()}), {min: 1, max: maxTasksLimit}),
 }).refine(body => body.kind === 'job' || body.tasks.length === 1, {path: ['tasks'], error: 'a request has exactly one task'});
 
 /** The validated body of a submission. */
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -2,7 +2,7 @@
 import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
 import type {ExecutionContext} from 'ava';
 import fc from 'fast-check';
-import {createIngress} from '../../src/platform/ingress.js';
+import {createIngress, maxBodyBytes} from '../../src/platform/ingress.js';
 import {createJobDesk} from '../../src/platform/job-desk.js';
 import {createJobIntake} from '../../src/platform/job-intake.js';
 import {createCancelledNames} from '../../src/process/cancelled-names.js';
@@ -204,6 +204,37 @@
 	});
 
 	// Guards against a job that is reported as failed although none of its tasks has run.
+	it('refuses bodies of the largest size that are costly to parse, and serves the next job', async t => {
+		const {post, submitted, answerAll} = await createFixture(t);
+		const fill = (start: string, part: string, end: string) => start + part.repeat(Math.floor((maxBodyBytes - start.length - end.length) / part.length)) + end;
+		const bodies = [
+			fill('', '[', ''),
+			fill('', '{"a":', ''),
+			fill('{"spec":"","steps":[{}],"x":', '[', ''),
+			fill('{', '"a":0,', '"a":0}'),
+			fill('{"spec":"","steps":', '9', '}'),
+			fill('{"spec":"","steps":[', '0,', '0]}'),
+			`${'['.repeat(maxBodyBytes / 2)}${']'.repeat(maxBodyBytes / 2)}`,
+		];
+		for (const body of bodies) {
+			t.like(await post(body), {status: 400}, body.slice(0, 40));
+		}
+
+		t.deepEqual(submitted, []);
+		const next = post(createBody({}));
+		await waitUntil(() => submitted.length === 1);
+		answerAll(complete);
+		t.like(await next, {status: 200});
+	});
+
+	// Guards against a process that stands still: to report each of 131,000 wrong steps took a second.
+	it('refuses a list of too many steps without looking at each of them', async t => {
+		const {post} = await createFixture(t);
+		const {status, text} = await post(`{"spec":"","best-effort":true,"steps":[${'0,'.repeat(100_000)}0]}`);
+		t.is(status, 400);
+		t.is(text, '{"error":"steps is invalid"}');
+	});
+
 	it('refuses a job whose body did not fit into the memory for requests, which has not run', async t => {
 		const {post, submitted} = await createFixture(t, serveHere, {}, {memoryBytes: 1000});
 		t.deepEqual(await post('{}'), {status: 503, text: '{"error":"the memory for requests is full"}', retryAfter: '1'});
