Refuse clients of very small chunks when many of them wait to be read

At most 16 connections now wait for their turn. The one that has waited longest gives way: its unfinished request gets 503 with Retry-After and has not run, and its connection is closed, with what waits in it.

--- a/src/process/http-server.ts
+++ b/src/process/http-server.ts
@@ -9,7 +9,7 @@
 import type {Clock, Milliseconds, Timer} from './clock.js';
 import {createConnectionLimiter, type LimitedConnection} from './connection-limiter.js';
 import {closeHttp, listenHttp} from './http-listen.js';
-import type {ReadPacer} from './read-pacer.js';
+import type {PacedConnection, ReadPacer} from './read-pacer.js';
 import type {RefusalLog} from './refusal-log.js';
 import {receiveBody, type ReceivedBody, type RequestBody} from './request-body.js';
 import type {MemoryReservation, RequestMemory} from './request-memory.js';
@@ -47,6 +47,7 @@
 
 type Connection = LimitedConnection & {
 	readonly socket: Socket;
+	readonly paced: PacedConnection;
 	/** Requests whose responses have not been taken over by the operating system. */
 	readonly requests: Set<OpenRequest>;
 	/** Whether it ends after the responses to the requests that are being served. */
@@ -120,6 +121,17 @@
 
 		const connection: Connection = {
 			socket,
+			paced: {
+				pause() {
+					socket.pause();
+				},
+				resume() {
+					socket.resume();
+				},
+				refuse() {
+					refuseUnfinished(connection);
+				},
+			},
 			requests: new Set(),
 			isClosing: false,
 			isServing: () => [...connection.requests].some(req => isServed(req)),
@@ -155,7 +167,7 @@
 			pool: memory.blocks,
 			onSmallChunks() {
 				// The stream of the request resumes its connection until everything that was read together has been handled.
-				setImmediate(pacer.pause, connection.socket);
+				setImmediate(pacer.pause, connection.paced);
 			},
 		});
 		const req: OpenRequest = {
@@ -191,6 +203,16 @@
 		}
 	}
 
+	/** Refuses what a connection has not finished, so that nothing more is read from it. */
+	function refuseUnfinished(connection: Connection): void {
+		refusals.add(name, 'small-chunks');
+		for (const {body} of connection.requests) {
+			body.evict();
+		}
+
+		closeWhenServed(connection);
+	}
+
 	/** Closes a connection after the responses to the requests that are being served; those that are not get a moment for theirs. */
 	function closeWhenServed(connection: Connection): void {
 		connection.isClosing = true;
--- a/src/process/read-pacer.ts
+++ b/src/process/read-pacer.ts
@@ -6,18 +6,22 @@
 
 /** A connection whose reading can be paused. */
 export type PacedConnection = {
-	pause(): unknown;
-	resume(): unknown;
+	pause(): void;
+	resume(): void;
+	/** Ends the connection, as too many others wait to be read. */
+	refuse(): void;
 };
 
 /** Paces the connections of a process. */
 export type ReadPacer = {
-	/** Pauses a connection. It is resumed for one read when it is its turn. */
+	/** Pauses a connection. It is resumed for one read when it is its turn. If too many wait, the one that has waited longest is refused. */
 	pause(connection: PacedConnection): void;
 };
 
 /** Time from one read to the next; a body of the largest size in chunks of one byte needs some 25 reads. */
 const intervalMs: Milliseconds = 25;
+/** Connections that wait at most: what their clients have sent takes time to read even after the clients have left. */
+const maxWaiting = 16;
 
 /** Creates a pacer that has paused nothing. */
 export function createReadPacer(clock: Pick<Clock, 'after'>): ReadPacer {
@@ -25,13 +29,19 @@
 
 	return {
 		pause(connection) {
-			// Also one that waits already: its stream may have resumed it on its own.
 			connection.pause();
-			if (waiting.size === 0) {
-				clock.after(intervalMs, resumeNext);
+			if (waiting.has(connection)) {
+				return;
 			}
 
 			waiting.add(connection);
+			if (waiting.size === 1) {
+				clock.after(intervalMs, resumeNext);
+			} else if (waiting.size > maxWaiting) {
+				const [refused] = waiting;
+				waiting.delete(refused!);
+				refused!.refuse();
+			}
 		},
 	};
 
--- a/src/process/refusal-log.ts
+++ b/src/process/refusal-log.ts
@@ -18,6 +18,8 @@
 	| 'request-memory'
 	/** The number of connections was at its bound. */
 	| 'connections'
+	/** Too many clients sent requests in very small chunks. */
+	| 'small-chunks'
 	/** A request was not received whole in time. */
 	| 'timeout'
 	/** The bytes received were no request. */
--- a/test/process/http-server.test.ts
+++ b/test/process/http-server.test.ts
@@ -263,6 +263,26 @@
 		t.true(most <= maxPacedReads, `${most} connections are read in one turn of the event loop`);
 	});
 
+	itSerial('refuses some of many clients that send very small chunks, and serves the others', async t => {
+		const {connect, refusals} = await createFixture(t, {limitBytes: 10_000_000});
+		const crowd = Array.from({length: 40}, () => connect());
+		for (const client of crowd) {
+			client.send(`POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(20_000)}`);
+		}
+
+		await waitUntil(() => crowd.some(({getText}) => getText().includes('evicted')));
+		const next = connect();
+		next.send(createPost('/', 9));
+		await waitUntil(() => next.getText().includes('9 bytes'));
+		const kept = crowd.filter(({getText, socket}) => getText() === '' && !socket.destroyed);
+		for (const client of kept) {
+			client.send('0\r\n\r\n');
+		}
+
+		await waitUntil(() => kept.some(({getText}) => getText().includes('20000 bytes')));
+		t.deepEqual([...new Set(refusals)], ['small-chunks']);
+	});
+
 	itSerial('answers bytes that are no request, and counts them', async t => {
 		const {connect, refusals} = await createFixture(t);
 		const client = connect();
