Take the limit on connections from the platform's settings alone

What an operator would have seen: entries on the users' platform closed idle connections as soon as a 17th client connected.

Cause: the limit was the lower of limits.max-fds and the soft limit of the operating system.

Where the platform states limits.max-fds, that counts: 4,100 gives 2,925 connections. The limit of the operating system counts where nothing is stated.

--- a/src/process/request-limits.ts
+++ b/src/process/request-limits.ts
@@ -24,9 +24,12 @@
 	return Math.floor(Math.max(share, minBodies * maxBodyBytes));
 }
 
-/** Returns the largest number of connections of clients; `descriptors` is undefined if only the operating system limits them. */
+/**
+ * Returns the largest number of connections of clients. `descriptors` is what the platform states for the process, whose sockets need not be
+ * descriptors of the operating system there; if undefined, the limit of the operating system counts.
+ */
 export function getConnectionLimit(descriptors: number | undefined): number {
-	const sockets = Math.min(descriptors ?? Infinity, readDescriptorLimit()) - reservedDescriptors;
+	const sockets = (descriptors ?? readDescriptorLimit()) - reservedDescriptors;
 	return Math.max(minConnections, Math.floor(sockets * connectionShare));
 }
 
