test: let tokens be older than the stale reads that entries are given

Cause: the test lets the store serve reads that are three seconds old. By reading and from when it fails; the reply itself was not captured.

The test now waits until its tokens are as old as the reads, before anything that it checks.

--- a/test/processes/configuration.test.ts
+++ b/test/processes/configuration.test.ts
@@ -4,11 +4,13 @@
 import fs from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
 import {startProgram} from '../../dev/processes.js';
 import {
 	startSystem, type System, type SystemEntry, type SystemOptions,
 } from '../../dev/system.js';
+import type {Milliseconds} from '../../src/process/clock.js';
 import {describe, itSerial} from '../describe.js';
 import {testObjects} from './test-caller.js';
 
@@ -68,12 +70,14 @@
 	itSerial('never returns to an older version when an entry is paused across changes and the store serves stale reads', async t => {
 		await withFixture({entries: 2, agents: 2}, async ({system, applyTeam, setFaults}) => {
 			const [first, second] = system.entries;
+			// Entries know only the tokens that a read shows, so those of this test have to be older than the stale reads.
+			await sleep(staleReadMs);
 			await applyTeam('dinner');
 			await waitForVersions(system, [first!], 2);
 			second!.program.pause();
 			await applyTeam('supper');
 			await waitForVersions(system, [first!], 3);
-			await setFaults({oldReadsMs: 3000});
+			await setFaults({oldReadsMs: staleReadMs});
 			second!.program.resume();
 			const seen = await waitForVersions(system, system.entries, 3);
 			// The store's reads lag by three seconds, so during that time both entries read older versions.
@@ -127,6 +131,9 @@
 		: ['--entry', entry.url, '--token', command === 'submit' ? system.tokens.caller : system.tokens.operator];
 }
 
+/** Age of what the store serves when its reads are stale. */
+const staleReadMs: Milliseconds = 3000;
+
 /** The active version of each entry, as the entry itself reports it, in the order of the entries. */
 type Sample = readonly number[];
 
