Log which hello makes an entry abandon which starts

Change: `link opened` tells the number and the age of the hello. `task ended` and an agent's own link lines name the incarnation. The lines moved to agent-telemetry.ts.

No behaviour changes.

--- a/src/connection/agent-sessions.ts
+++ b/src/connection/agent-sessions.ts
@@ -32,6 +32,20 @@
 	/** The agent is gone, so the outcome stays unknown. */
 	| {readonly kind: 'agent-gone'};
 
+/** A session that has ended, and the starts whose outcome stays unknown with it. */
+export type EndedSession = {
+	readonly agent: AgentInfo;
+	readonly cause: SessionEndCause;
+	readonly starts: readonly SentStart[];
+};
+
+/** Why a session has ended. */
+export type SessionEndCause =
+	/** Another incarnation of the agent has sent a hello, `age` after the welcome that it answers. */
+	| {readonly kind: 'superseded'; readonly incarnation: string; readonly helloNumber: number; readonly age: Milliseconds}
+	/** Its link was lost, and the agent has not returned within `grace`. */
+	| {readonly kind: 'link-lost'; readonly isSilent: boolean; readonly grace: Milliseconds};
+
 /** Dependencies of the sessions. */
 export type AgentSessionsHost = {
 	readonly clock: Clock;
@@ -52,6 +66,8 @@
 	onCreditsGranted(agent: AgentInfo, granted: number): void;
 	/** Called exactly once for each sent start. */
 	onStartEnded(start: SentStart, outcome: SentStartOutcome): void;
+	/** Called when a session has ended, before its starts are reported as ended. */
+	onSessionEnded?(ended: EndedSession): void;
 	/** Called on a new link with the starts of earlier links that the agent has received and that have no outcome yet. */
 	onStartsResumed?(agent: AgentInfo, starts: readonly ResumedStart[]): void;
 	/** Called when a result arrives for a start that was abandoned. */
@@ -154,7 +170,7 @@
 		}
 
 		recordHello(hello);
-		abandonEarlierIncarnations(hello);
+		abandonEarlierIncarnations(hello, age);
 		const record = records.get(hello.incarnation) ?? createRecord(hello);
 		records.set(hello.incarnation, record);
 		if (record.isOpen) {
@@ -189,15 +205,17 @@
 	}
 
 	// With `endsEarlierIncarnations`, an agent sends its hello only after all runs of its earlier incarnations have ended.
-	function abandonEarlierIncarnations(hello: AgentHello): void {
+	function abandonEarlierIncarnations({agent, incarnation, helloNumber}: AgentHello, age: Milliseconds): void {
 		for (const record of records.values()) {
-			if (host.endsEarlierIncarnations && record.agent.name === hello.agent && record.agent.incarnation !== hello.incarnation) {
+			if (host.endsEarlierIncarnations && record.agent.name === agent && record.agent.incarnation !== incarnation) {
 				if (record.isOpen) {
 					closeLink(record, false);
 				}
 
 				record.graceTimer?.cancel();
-				abandonSession(record);
+				abandonSession(record, {
+					kind: 'superseded', incarnation, helloNumber, age,
+				});
 			}
 		}
 	}
@@ -284,13 +302,15 @@
 	function closeLink(record: SessionRecord, isSilent: boolean): void {
 		record.isOpen = false;
 		host.onAgentDisconnected(record.agent);
-		record.graceTimer = host.clock.after(isSilent ? host.silentGraceMs ?? host.graceMs : host.graceMs, () => {
-			abandonSession(record);
+		const grace = isSilent ? host.silentGraceMs ?? host.graceMs : host.graceMs;
+		record.graceTimer = host.clock.after(grace, () => {
+			abandonSession(record, {kind: 'link-lost', isSilent, grace});
 		});
 	}
 
-	function abandonSession(record: SessionRecord): void {
+	function abandonSession(record: SessionRecord, cause: SessionEndCause): void {
 		records.delete(record.agent.incarnation);
+		host.onSessionEnded?.({agent: record.agent, cause, starts: [...record.sentStarts.values()]});
 		for (const start of record.sentStarts.values()) {
 			host.onStartEnded(start, {kind: 'agent-gone'});
 		}
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -56,10 +56,13 @@
 };
 
 /** A change of a link, and the number of links that are open afterwards. */
-export type LinkChange = {
-	readonly kind: 'opened' | 'closed' | 'silent';
-	readonly linked: number;
-};
+export type LinkChange =
+	/** Its hello has arrived, `age` after the welcome that it answers. */
+	| {readonly kind: 'opened'; readonly linked: number; readonly helloNumber: number; readonly lastStartSeq: number; readonly age: Milliseconds}
+	| {readonly kind: LinkEnd; readonly linked: number};
+
+/** How a link ended; silent if its silence timeout ended it. */
+type LinkEnd = 'closed' | 'silent';
 
 /** The links of one entry to all agents. */
 export type LinkHub = {
@@ -237,7 +240,10 @@
 				}
 
 				links.set(link.session.agent.incarnation, link);
-				host.onLinkChanged?.(link.session.agent, {kind: 'opened', linked: links.size});
+				const {helloNumber, lastStartSeq} = batch.hello;
+				host.onLinkChanged?.(link.session.agent, {
+					kind: 'opened', linked: links.size, helloNumber, lastStartSeq, age: Math.round(age),
+				});
 				link.session.resumeStarts();
 				deferFlush(link);
 			}
@@ -250,7 +256,7 @@
 		}
 	}
 
-	function close(link: Link | undefined, kind: LinkChange['kind'] = 'closed'): void {
+	function close(link: Link | undefined, kind: LinkEnd = 'closed'): void {
 		if (link === undefined) {
 			return;
 		}
--- a/src/process/agent.ts
+++ b/src/process/agent.ts
@@ -119,7 +119,7 @@
 			host.log.error({err, address}, 'input of an entry could not be processed');
 		},
 		onLinkChanged({kind, ...fields}) {
-			host.log.info(fields, `link ${kind}`);
+			host.log.info({incarnation: agentInfo.incarnation, ...fields}, `link ${kind}`);
 		},
 	});
 	const heartbeatTimer = every(clock, timing.heartbeatMs, () => {
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -20,6 +20,7 @@
 import {createEvacuationHolder, toEvacuationList, type EvacuationList} from '../version/evacuations.js';
 import type {Snapshot} from '../version/types.js';
 import {formatAddress, isConnectable} from './address.js';
+import {createAgentTelemetry} from './agent-telemetry.js';
 import {
 	every, sleep, type Milliseconds,
 } from './clock.js';
@@ -62,6 +63,7 @@
 	const self: EntryAddress = {name: settings.name, incarnation, links: formatAddress(settings.advertise.links)};
 	const agentVersions = new Map<string, number>();
 	const peerStates = new Map<string, PeerState>();
+	const agentTelemetry = createAgentTelemetry(host);
 	const reportIsolation = createIsolationTelemetry(host);
 	const evacuationTelemetry = createEvacuationTelemetry(host);
 	const reportLookAhead = createLookAheadTelemetry(host);
@@ -112,6 +114,7 @@
 		},
 		createScheduler: host.createScheduler,
 		endsEarlierIncarnations: host.createScheduler !== undefined,
+		onSessionEnded: agentTelemetry.recordSessionEnd,
 		...createJobTelemetry(host),
 	});
 	const directory = createEntryDirectory({
@@ -156,16 +159,8 @@
 		onStartQueued(bytes) {
 			startPacing?.recordStart(bytes);
 		},
-		onOutdatedHello({agent, incarnation: agentIncarnation, helloNumber}, age) {
-			host.log.warn({
-				agent, incarnation: agentIncarnation, helloNumber, age: Math.round(age),
-			}, 'link ignored, since its agent has given it up');
-		},
-		onLinkChanged(agent, change) {
-			host.log.info({
-				agent: agent.name, incarnation: agent.incarnation, upstream: agent.upstream, ...change,
-			}, `link ${change.kind}`);
-		},
+		onOutdatedHello: agentTelemetry.recordOutdatedHello,
+		onLinkChanged: agentTelemetry.recordLinkChange,
 	});
 	const heldTaskQueries = createHeldTaskQueries({clock, timeoutMs: heldTaskQueryTimeoutMs, broadcastQuery: links.broadcastQuery});
 	const createHoldSwitch = createHoldSwitches(coordinator.scheduler);
--- a/src/request/coordinator-types.ts
+++ b/src/request/coordinator-types.ts
@@ -1,7 +1,7 @@
 /**
  * Types of the coordinator of submissions: its host, its operations and its events.
  */
-import type {AgentSessions} from '../connection/agent-sessions.js';
+import type {AgentSessions, EndedSession} from '../connection/agent-sessions.js';
 import type {Scheduler, SchedulerHost, TeamQuota} from '../connection/types.js';
 import type {LossLog} from '../connection/loss-log.js';
 import type {LossReport, TaskStart, TaskStop} from '../generated/kingcuplane.js';
@@ -51,6 +51,8 @@
 	acknowledge(agent: string): void;
 	/** Called when a run was lost together with the agent of its upstream, so that other entries can be told. */
 	onLossSuspected?(report: LossReport): void;
+	/** Called when the session of an agent has ended, before its starts are reported as ended, for the log. */
+	onSessionEnded?(ended: EndedSession): void;
 	/** Called with each decision about a submission, for the log. */
 	onDecision?(decision: Decision): void;
 	/** Called when a submission has its final answer, `elapsed` after its request was received. */
@@ -81,7 +83,7 @@
 			readonly backfilled: boolean;
 		}
 		| {
-			readonly kind: 'ended'; readonly index: number; readonly attempt: number; readonly agent: string; readonly upstream: string;
+			readonly kind: 'ended'; readonly index: number; readonly attempt: number; readonly agent: string; readonly incarnation: string; readonly upstream: string;
 			readonly outcome: string; readonly detail: string;
 			/** What follows for the task: the kind of an `AttemptEnd`. */
 			readonly next: string;
--- a/src/request/coordinator.ts
+++ b/src/request/coordinator.ts
@@ -79,6 +79,7 @@
 			scheduler.setGrantedCredits(agent.incarnation, granted);
 		},
 		onStartEnded: endAttempt,
+		onSessionEnded: host.onSessionEnded,
 		onStartsResumed: stopAbandonedRuns,
 		onLateResult: recordLateResult,
 	});
@@ -329,7 +330,7 @@
 		openJob.tracked.job.markEnded(start.index, start.attempt, attemptEnd);
 		if (attemptEnd.kind !== 'completed') {
 			emitDecision(openJob, {
-				kind: 'ended', index: start.index, attempt: start.attempt, agent: start.agent.name, upstream: start.agent.upstream, outcome, detail: describeAttemptEnd(end), next: attemptEnd.kind, losses: lostTasks.log.count(openJob.repeatableName, start.index).possible,
+				kind: 'ended', index: start.index, attempt: start.attempt, agent: start.agent.name, incarnation: start.agent.incarnation, upstream: start.agent.upstream, outcome, detail: describeAttemptEnd(end), next: attemptEnd.kind, losses: lostTasks.log.count(openJob.repeatableName, start.index).possible,
 			});
 		}
 
--- a/test/process/job-telemetry.test.ts
+++ b/test/process/job-telemetry.test.ts
@@ -80,7 +80,7 @@
 		answer('t1');
 		decide('t2', createStart(0, 'a'));
 		decide('t2', {
-			kind: 'ended', index: 0, attempt: 1, agent: 'a', upstream: 'u', outcome: 'refused', detail: '', next: 'refused', losses: 0,
+			kind: 'ended', index: 0, attempt: 1, agent: 'a', incarnation: 'a-1', upstream: 'u', outcome: 'refused', detail: '', next: 'refused', losses: 0,
 		});
 		endTurn();
 		t.deepEqual(lines.map(({msg}) => msg), ['tasks started', 'job complete', 'tasks started', 'task ended']);
