Let a repeated SIGTERM not cut an orderly stop short

What callers saw: a second SIGTERM within the grace period ended an entry at once; clients whose tasks ran got no answer. An agent ended in the same way, and its runs were repeated elsewhere.

Cause: the programs listened to the first SIGTERM only, so the next one had the default action of the system. Ruled out: the drain itself (one signal answers all), SIGHUP (handled all the time).

Change: SIGTERM stays handled; later ones have no effect. A later SIGINT still ends the process at once.

Failed before: platform.test.ts, "complete what runs, although they are told to stop again and again", as entry and as agent (ended by SIGTERM).

--- a/src/process/bin/program.ts
+++ b/src/process/bin/program.ts
@@ -56,10 +56,13 @@
 	console.log(JSON.stringify({ready: program, ...fields}));
 }
 
-/** Resolves at the first SIGTERM or SIGINT. */
+/**
+ * Resolves at the first SIGTERM or SIGINT. Later SIGTERMs have no effect, so that they do not cut the orderly stop short that the first one has
+ * begun. A later SIGINT, of somebody who does not want to wait, ends the process at once.
+ */
 export async function waitForStopSignal(): Promise<void> {
 	return new Promise(resolve => {
-		process.once('SIGTERM', () => {
+		process.on('SIGTERM', () => {
 			resolve();
 		});
 		process.once('SIGINT', () => {
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -12,6 +12,8 @@
 const executorReturnMs: Milliseconds = 3000;
 /** Bound of the platform on the time from the acknowledgement of a cancel until the runs have ended. */
 const cancelledWithinMs: Milliseconds = 3000;
+/** Signals to stop that a process gets one after the other. */
+const stopSignals = 5;
 /** Rounds within which a restarted executor has certainly begun a run before its agent polls it, which happens every half second. */
 const maxRestartRounds = 15;
 
@@ -501,6 +503,32 @@
 		t.deepEqual(findOverlaps(await system.getEvents()), []);
 	});
 
+	// Review 13: only the first SIGTERM was handled, and the next one ended the process with its requests.
+	describe('complete what runs, although they are told to stop again and again', () => {
+		for (const role of ['entry', 'agent'] as const) {
+			itSerial(`as ${role}`, async t => {
+				const system = await startSystem(t, 1, 2);
+				const {program} = (role === 'entry' ? system.entries : system.agents)[0]!;
+				const replies = [1, 2, 3, 4].map(async i => system.submit(0, {
+					name: formatJobName(i), tasks: 4, ms: 1200, deadline: 5000,
+				}));
+				await sleep(300);
+				for (let i = 0; i < stopSignals; i++) {
+					program.signal('SIGTERM');
+					await sleep(100);
+				}
+
+				for (const reply of await Promise.all(replies)) {
+					t.is(reply?.body, '{"state":"completed"}');
+				}
+
+				t.deepEqual(await program.waitForExit(), {code: 0, signal: undefined});
+				const events = await system.getEvents();
+				t.is(events.filter(({what}) => what === 'start').length, 16);
+			});
+		}
+	});
+
 	itSerial('answer jobs that they cannot finish before they exit', async t => {
 		const system = await startSystem(t, 1, 1);
 		const reply = system.submit(0, {
