Repeat a request to cancel a job until each entry has replied

What callers saw: a job whose cancelling had been acknowledged was started 5 s later, by an entry that had stood still meanwhile and was in touch again for 3.7 s.

Cause: a request to cancel was sent once, to the entries that were linked then, and nobody remembered who had not replied. An entry that stood still asks for the names only when a stream that it has opened itself opens anew, and its own streams had stayed open.

Ruled out: the retention of the names (ten minutes); the reply of the entry that was asked (200 is true, as another one had the job).

Change: each request is kept for each entry until that has replied or is gone, and repeated. After a long pause, or when a stream to another entry was lost, an entry asks all others for the names that it may have missed; a request for names without a reply is repeated. Names that are learnt end jobs that are open.

--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -79,6 +79,8 @@
 	submitForwarded(job: ForwardedJob, cancellation: Cancellation): Promise<RelayResult>;
 	/** Cancels the job of this name, and remembers that for requests that arrive later. Returns false if there is none. */
 	cancel(name: string): boolean;
+	/** Cancels the job of this name if it is open. Returns false if it is not. */
+	cancelOpen(name: string): boolean;
 	/** Whether the job of this name was cancelled recently. */
 	wasCancelled(name: string): boolean;
 	/**
@@ -130,13 +132,9 @@
 		submitForwarded,
 		cancel(name) {
 			cancelledNames.add(name);
-			const found = openJobs.get(name);
-			if (found !== undefined) {
-				entry.coordinator.cancel(found.job.ticket.text, 'its client');
-			}
-
-			return found !== undefined;
+			return cancelOpen(name);
 		},
+		cancelOpen,
 		wasCancelled: cancelledNames.has,
 		tryGetSenderSilence(ticket) {
 			const forwarded = forwardedJobs.get(ticket);
@@ -155,6 +153,15 @@
 		refuse,
 	};
 
+	function cancelOpen(name: string): boolean {
+		const found = openJobs.get(name);
+		if (found !== undefined) {
+			entry.coordinator.cancel(found.job.ticket.text, 'its client');
+		}
+
+		return found !== undefined;
+	}
+
 	function findRoute(host: string, path: string): RouteMatch | JobReply {
 		const snapshot = tryGetSnapshot();
 		if (snapshot === undefined) {
--- a/src/platform/job-intake.ts
+++ b/src/platform/job-intake.ts
@@ -49,6 +49,8 @@
 	cancelAtDroppedRoute(target: JobTarget): Promise<JobReply | undefined>;
 	/** Cancels the job of this name at this entry, and with a target, only one that was sent there. Returns false if there is none. */
 	cancelHere(name: string, target?: JobTarget): boolean;
+	/** Cancels the job of this name if it is open here. */
+	cancelOpen(name: string): void;
 };
 
 /** A job that another entry serves for clients of this one. */
@@ -131,12 +133,23 @@
 				return isFound;
 			}
 
-			forwarded.isCancelled = true;
-			forwarded.cancel();
+			cancelForwarded(forwarded);
 			return true;
 		},
+		cancelOpen(name) {
+			desk.cancelOpen(name);
+			const forwarded = forwardedJobs.get(name);
+			if (forwarded !== undefined) {
+				cancelForwarded(forwarded);
+			}
+		},
 	};
 
+	function cancelForwarded(forwarded: ForwardedOpenJob): void {
+		forwarded.isCancelled = true;
+		forwarded.cancel();
+	}
+
 	async function cancelAtDroppedRoute(target: JobTarget): Promise<JobReply | undefined> {
 		const name = target.path.slice(target.path.lastIndexOf('/') + 1);
 		const outcome = isJobName(name) ? await entry.cancelJob(name, target) : 'not-found';
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -103,6 +103,11 @@
 			linkBudget,
 			serveForwardedJob: async (job, cancellation) => serving.desk?.submitForwarded(job, cancellation) ?? declinedResult,
 			cancelJob: (name, target) => serving.intake?.cancelHere(name, target) ?? false,
+			onCancelsLearnt(names) {
+				for (const name of names) {
+					serving.intake?.cancelOpen(name);
+				}
+			},
 			tryGetSenderSilence: ticket => serving.desk?.tryGetSenderSilence(ticket),
 			createScheduler: host => createResourceScheduler({...host, random: Math.random, startupGraceMs}),
 			quota: unboundedQuota,
--- a/src/process/entry-introduction.ts
+++ b/src/process/entry-introduction.ts
@@ -24,6 +24,8 @@
 	readonly peers: Pick<PeerHub, 'tryStartRequest' | 'getLinkedPeers'>;
 	/** Undefined if jobs have no names here; nothing has to be learnt then. */
 	readonly cancelledNames: RecentNames | undefined;
+	/** Called with names of cancelled jobs that were new here. Such a job may be open here. */
+	onCancelsLearnt?(names: readonly string[]): void;
 };
 
 /** The introduction of one entry. */
@@ -34,8 +36,13 @@
 	whenDone(): Promise<void>;
 	/** Asks an entry to which a stream has opened. */
 	introduceTo(peer: EntryAddress): void;
-	/** Notes which streams are open, and asks entries again that have not replied. To be called regularly. */
+	/**
+	 * Notes which streams are open, and asks entries again that have not replied. Asks all others if a stream was lost: its entry may have been
+	 * the only one to tell this one of a name. To be called regularly.
+	 */
 	tick(): void;
+	/** Asks all entries for the names of a pause of this process, in which it may have missed any message. */
+	recordPause(pause: Milliseconds): void;
 	/** Serves the request of another entry. */
 	serve(req: Pick<RelayRequest, 'body'>): RelayResult;
 };
@@ -64,8 +71,12 @@
 	const introduced = new Set<string>();
 	/** The incarnations whose reply is pending. */
 	const asked = new Set<string>();
-	/** When the stream to each incarnation was seen last. */
+	/** The incarnations that have not replied to the last request, and the pause before it. */
+	const unanswered = new Map<string, Milliseconds>();
+	/** When the stream to each incarnation was seen last, before a request that it has not replied to. */
 	const linkedAt = new Map<string, Milliseconds>();
+	/** The incarnations to which streams were open at the last tick. */
+	let linkedBefore: ReadonlySet<string> = new Set();
 	let isOver = cancelledNames === undefined;
 	let whenOver: Promise<void> | undefined;
 
@@ -76,11 +87,14 @@
 			return whenOver;
 		},
 		introduceTo(peer) {
-			if (cancelledNames !== undefined) {
-				void ask(peer, cancelledNames);
-			}
+			askAgain(peer);
 		},
 		tick,
+		recordPause(pause) {
+			for (const peer of peers.getLinkedPeers()) {
+				askAgain(peer, pause);
+			}
+		},
 		serve({body}) {
 			const maxAge = readJson(requestSchema, Buffer.from(body).toString()).map(({maxAgeMs}) => maxAgeMs).unwrapOr(cancelledNameRetentionMs);
 			const names = cancelledNames?.getSince(maxAge) ?? [];
@@ -95,13 +109,21 @@
 
 	async function waitUntilDone(): Promise<void> {
 		while (!isDone()) {
-			await sleep(clock, checkIntervalMs); // eslint-disable-line no-await-in-loop -- each check follows the one before
+			await sleep(clock, checkIntervalMs);
 		}
 	}
 
-	async function ask(peer: EntryAddress, names: RecentNames): Promise<void> {
-		const maxAgeMs = Math.min(cancelledNameRetentionMs, clock.now() - (linkedAt.get(peer.incarnation) ?? -Infinity) + lostMessagesMs);
+	function askAgain(peer: EntryAddress, pause: Milliseconds = 0): void {
+		if (cancelledNames !== undefined) {
+			void ask(peer, cancelledNames, pause);
+		}
+	}
+
+	/** Asks for the names since the stream was seen last, or all. The clock may not have counted a pause, or only a part of it. */
+	async function ask(peer: EntryAddress, names: RecentNames, pause: Milliseconds): Promise<void> {
+		const maxAgeMs = Math.min(cancelledNameRetentionMs, clock.now() - (linkedAt.get(peer.incarnation) ?? -Infinity) + pause + lostMessagesMs);
 		asked.add(peer.incarnation);
+		unanswered.set(peer.incarnation, pause);
 		const reply = await peers.tryStartRequest(peer.incarnation, {
 			operation: introduceOperation, ticket: '', principal: '', body: Buffer.from(JSON.stringify({maxAgeMs})), timeoutMs: replyTimeoutMs,
 		})?.reply;
@@ -109,19 +131,30 @@
 		const found = reply?.status === 200 ? readJson(replySchema, Buffer.from(reply.body).toString()) : undefined;
 		if (found?.isOk()) {
 			introduced.add(peer.incarnation);
+			unanswered.delete(peer.incarnation);
 			const learnt = names.addAged(found.value.map(([name, age]) => ({name, age})));
 			log.info({
 				peer: peer.name, incarnation: peer.incarnation, maxAgeMs, names: found.value.length, learnt: learnt.slice(0, maxLoggedNames),
 			}, 'names of cancelled jobs received');
+			if (learnt.length > 0) {
+				host.onCancelsLearnt?.(learnt);
+			}
 		}
 	}
 
 	function tick(): void {
-		for (const peer of peers.getLinkedPeers()) {
-			if (introduced.has(peer.incarnation)) {
+		const linked = peers.getLinkedPeers();
+		const incarnations = new Set(linked.map(({incarnation}) => incarnation));
+		const isAnyLost = [...linkedBefore].some(incarnation => !incarnations.has(incarnation));
+		linkedBefore = incarnations;
+		for (const peer of linked) {
+			const isUpToDate = introduced.has(peer.incarnation) && !unanswered.has(peer.incarnation);
+			if (isUpToDate) {
 				linkedAt.set(peer.incarnation, clock.now());
-			} else if (cancelledNames !== undefined && !asked.has(peer.incarnation)) {
-				void ask(peer, cancelledNames);
+			}
+
+			if (!asked.has(peer.incarnation) && (isAnyLost || !isUpToDate)) {
+				askAgain(peer, unanswered.get(peer.incarnation));
 			}
 		}
 	}
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -65,6 +65,8 @@
 	readonly quota?: TeamQuota;
 	/** Serves a job that another entry has forwarded; if undefined, such jobs are declined. */
 	serveForwardedJob?(job: ForwardedJob, cancellation: Cancellation): Promise<RelayResult>;
+	/** Called with names of cancelled jobs that this entry has learnt from another one. Such a job may be open here. */
+	onCancelsLearnt?(names: readonly string[]): void;
 	/** Cancels the job of this name at this entry, as {@link JobCancellationHost.cancelHere}. Undefined if jobs have no names here. */
 	cancelJob?(name: string, target?: JobTarget): boolean;
 	/** Returns for how long the sender of the forwarded job with this ticket has been silent; undefined for any other job. */
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -227,6 +227,7 @@
 		onPeerConnected(peer) {
 			shares.resynchronize(peer.incarnation);
 			introduction.introduceTo(peer);
+			cancellation.repeatTo(peer);
 		},
 		onLinksChanged: updateAddresses,
 	});
@@ -239,6 +240,7 @@
 	host.pauses?.pauseDetector.onPause((pause, uncounted) => {
 		peers.recordPause(uncounted);
 		if (pause > (timing.harmlessPauseMs ?? Infinity)) {
+			introduction.recordPause(pause);
 			host.log.warn({pause}, 'streams of other entries are closed after a pause');
 			peers.abandonServedRequests();
 		}
@@ -298,6 +300,7 @@
 	const timers = [
 		every(clock, stateBroadcastIntervalMs, () => {
 			introduction.tick();
+			cancellation.tick();
 			peers.broadcastState([]);
 		}),
 		every(clock, shareReportIntervalMs, shares.tick),
--- a/src/process/job-cancellation.ts
+++ b/src/process/job-cancellation.ts
@@ -5,13 +5,15 @@
 import {Buffer} from 'node:buffer';
 import {z} from 'zod';
 import type {PeerHub} from '../connection/peer-hub.js';
-import type {PendingRequest, RelayResult} from '../connection/peer-types.js';
+import type {RelayResult} from '../connection/peer-types.js';
 import type {EntryAddress, RelayReply, RelayRequest} from '../generated/kingcuplane.js';
+import {cancelledNameRetentionMs} from './cancelled-names.js';
 import type {Clock, Milliseconds} from './clock.js';
 import type {EntryDirectory} from './entry-directory.js';
 import {readJson} from './json.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
+import {createUnconfirmedCancels, type CancelRequest} from './unconfirmed-cancels.js';
 
 /** Dependencies of the cancellation. */
 export type JobCancellationHost = {
@@ -51,12 +53,16 @@
 	cancel(name: string, target?: JobTarget): Promise<CancelOutcome>;
 	/** Serves the request of another entry to cancel a job here. */
 	serve(req: Pick<RelayRequest, 'operation' | 'body'>): RelayResult;
+	/** Repeats the requests that an entry, to which a stream has opened, has not confirmed. */
+	repeatTo(peer: EntryAddress): void;
+	/** Repeats the requests that linked entries have not confirmed, and forgets those to entries that are gone. To be called regularly. */
+	tick(): void;
 };
 
 /** An entry that was asked to cancel a job. */
 type AskedPeer = {
 	readonly peer: EntryAddress;
-	readonly reply: PendingRequest['reply'];
+	readonly reply: Promise<RelayReply | undefined>;
 	/** Undefined as long as it has not replied. */
 	received?: RelayReply;
 };
@@ -70,14 +76,22 @@
 
 const foundStatus = 200;
 const notFoundStatus = 410;
+/** Maximum number of requests that one entry has not confirmed; at 10 cancels a second, those of over a minute. */
+const maxUnconfirmed = 1000;
+/** Maximum number of names in one log line. */
+const maxLoggedNames = 20;
 
 /** Creates the cancellation of one entry's clients. */
 export function createJobCancellation(host: JobCancellationHost): JobCancellation {
+	const unconfirmed = createUnconfirmedCancels({clock: host.clock, retentionMs: cancelledNameRetentionMs, maxRequests: maxUnconfirmed});
+	/** Requests that were sent and have neither a reply nor failed. */
+	const pending = new Set<CancelRequest>();
+
 	return {
 		async cancel(name, target) {
 			const isHere = host.cancelHere(name, target);
-			const asked = askPeers(name, target);
 			const unreachable = getUnreachable();
+			const asked = askAll(name, target, unreachable);
 			const outcome = isHere ? 'cancelled' : await waitForReplies(asked, unreachable);
 			host.log.info({
 				request: name,
@@ -96,24 +110,66 @@
 			const isFound = operation === cancelJobAtTargetOperation ? serveAtTarget(text) : host.cancelHere(text);
 			return {status: isFound ? foundStatus : notFoundStatus, body: new Uint8Array(), retryAfterMs: 0};
 		},
+		repeatTo,
+		tick() {
+			const linked = host.peers.getLinkedPeers();
+			for (const peer of linked) {
+				repeatTo(peer);
+			}
+
+			unconfirmed.retain(new Set([...linked, ...host.directory.getLive(), ...host.directory.getReported()].map(({incarnation}) => incarnation)));
+		},
 	};
 
+	function repeatTo(peer: EntryAddress): void {
+		const requests = unconfirmed.get(peer.incarnation).filter(req => !pending.has(req));
+		if (requests.length === 0) {
+			return;
+		}
+
+		host.log.info({
+			peer: peer.name, incarnation: peer.incarnation, requests: requests.length, names: requests.slice(0, maxLoggedNames).map(({name}) => name),
+		}, 'requests to cancel jobs are repeated');
+		for (const req of requests) {
+			void ask(peer, req);
+		}
+	}
+
 	function serveAtTarget(text: string): boolean {
 		const target = readJson(targetSchema, text).unwrapOr(undefined);
 		return target !== undefined && host.cancelHere(target.name, target);
 	}
 
-	function askPeers(name: string, target: JobTarget | undefined): readonly AskedPeer[] {
+	/** Asks all linked entries, and notes the request for those that cannot be reached. */
+	function askAll(name: string, target: JobTarget | undefined, unreachable: readonly EntryAddress[]): readonly AskedPeer[] {
 		const operation = target === undefined ? cancelJobOperation : cancelJobAtTargetOperation;
 		const body = Buffer.from(target === undefined ? name : JSON.stringify({name, ...target}));
-		return host.peers.getLinkedPeers().flatMap(peer => {
-			const pending = host.peers.tryStartRequest(peer.incarnation, {
-				operation, ticket: '', principal: '', body, timeoutMs: replyTimeoutMs,
-			});
-			return pending === undefined ? [] : [{peer, reply: pending.reply}];
+		for (const {incarnation} of unreachable) {
+			unconfirmed.add(incarnation, {name, operation, body});
+		}
+
+		return host.peers.getLinkedPeers().map(peer => {
+			const req: CancelRequest = {name, operation, body};
+			unconfirmed.add(peer.incarnation, req);
+			return {peer, reply: ask(peer, req)};
 		});
 	}
 
+	/** Asks one entry. Resolves to undefined if it has not replied. */
+	async function ask(peer: EntryAddress, req: CancelRequest): Promise<RelayReply | undefined> {
+		const {operation, body} = req;
+		pending.add(req);
+		const reply = await host.peers.tryStartRequest(peer.incarnation, {
+			operation, ticket: '', principal: '', body, timeoutMs: replyTimeoutMs,
+		})?.reply;
+		pending.delete(req);
+		if (reply?.status === foundStatus || reply?.status === notFoundStatus) {
+			unconfirmed.confirm(peer.incarnation, req);
+		}
+
+		return reply;
+	}
+
 	/** Waits until one entry has said that it had the job, all have replied, or the time is over. */
 	async function waitForReplies(asked: readonly AskedPeer[], unreachable: readonly EntryAddress[]): Promise<CancelOutcome> {
 		return new Promise(resolve => {
--- a/test/platform/cancelled-jobs.test.ts
+++ b/test/platform/cancelled-jobs.test.ts
@@ -52,6 +52,8 @@
 	readonly nodes: readonly [Node, Node, Node];
 	/** Entries that cannot be reached by the others. */
 	readonly cutOff: Set<string>;
+	/** Entries that are linked and answer no request until {@link thaw}. */
+	readonly frozen: Set<string>;
 	/** Earlier incarnations of entries, which were killed and are not declared dead yet. */
 	readonly earlier: EntryAddress[];
 	/** Entries that a peer has reported and that are not linked yet. */
@@ -64,6 +66,9 @@
 	isHeld: boolean;
 	/** Number of requests between entries. */
 	sent: number;
+	thaw(): Promise<void>;
+	/** Ends the requests to frozen entries without a reply, as when their streams are closed. */
+	breakRequests(): Promise<void>;
 	deliver(): Promise<void>;
 	/** Makes all entries known to each other. */
 	introduce(): Promise<void>;
@@ -73,12 +78,30 @@
 function createFixture({isBusy = false}: {readonly isBusy?: boolean} = {}): Fixture {
 	const clock = createFakeClock();
 	const cutOff = new Set<string>();
+	const frozen = new Set<string>();
+	const waiting: Array<{serve(): void; fail(): void}> = [];
 	const held: Array<() => void> = [];
 	const strangers: Array<() => void> = [];
 	const fixture: Fixture = {
 		clock,
 		nodes: [createNode(0), createNode(1), createNode(2)],
 		cutOff,
+		frozen,
+		async thaw() {
+			frozen.clear();
+			for (const {serve} of waiting.splice(0)) {
+				serve();
+			}
+
+			await settle();
+		},
+		async breakRequests() {
+			for (const {fail} of waiting.splice(0)) {
+				fail();
+			}
+
+			await settle();
+		},
 		earlier: [],
 		reported: [],
 		isIntroduced: true,
@@ -214,7 +237,14 @@
 				}
 			};
 
-			if (fixture.isHeld) {
+			if (frozen.has(peer)) {
+				waiting.push({
+					serve: send,
+					fail() {
+						resolve(undefined);
+					},
+				});
+			} else if (fixture.isHeld) {
 				held.push(send);
 			} else {
 				send();
@@ -512,6 +542,71 @@
 		});
 	});
 
+	// Guards against an entry that stood still or was cut off while a job was cancelled, never heard of it, and served the job later (review/12).
+	describe('reaches an entry later that has not replied', () => {
+		for (const [what, isCutOff] of [['although it was linked', false], ['since it could not be reached', true]] as const) {
+			it(`${what}, and ends the job there`, async t => {
+				const fixture = createFixture();
+				const [first, second, third] = fixture.nodes;
+				void first.post();
+				void third.post();
+				await settle();
+				if (isCutOff) {
+					fixture.cutOff.add('e2-1');
+				} else {
+					fixture.frozen.add('e2-1');
+				}
+
+				const reply = await second.remove();
+				t.is(reply.status, 200);
+				t.is(countRunning(fixture), 1);
+				await fixture.breakRequests();
+				fixture.cutOff.clear();
+				await fixture.thaw();
+				second.cancellation.repeatTo(third.address);
+				await settle();
+				t.is(countRunning(fixture), 0);
+				const late = await third.post();
+				t.is(late?.status, 504);
+			});
+		}
+
+		it('again and again until it has, and only then', async t => {
+			const fixture = createFixture();
+			const [first, , third] = fixture.nodes;
+			void first.post();
+			await settle();
+			fixture.frozen.add('e2-1');
+			await first.remove();
+			const {sent} = fixture;
+			for (let i = 1; i <= 3; i++) {
+				await fixture.breakRequests();
+				first.cancellation.tick();
+				t.is(fixture.sent, sent + i);
+				// One that is on its way is not repeated.
+				first.cancellation.tick();
+				t.is(fixture.sent, sent + i);
+			}
+
+			await fixture.thaw();
+			t.true(third.desk.wasCancelled(name));
+			first.cancellation.tick();
+			t.is(fixture.sent, sent + 3);
+		});
+
+		it('not if it is gone', async t => {
+			const fixture = createFixture();
+			const [first] = fixture.nodes;
+			fixture.earlier.push({name: 'e3', incarnation: 'e3-1', links: '10.0.0.3:1'});
+			await first.remove();
+			fixture.earlier.pop();
+			first.cancellation.tick();
+			const {sent} = fixture;
+			first.cancellation.repeatTo({name: 'e3', incarnation: 'e3-1', links: '10.0.0.3:1'});
+			t.is(fixture.sent, sent);
+		});
+	});
+
 	it('is forgotten after a minute, when no request of the job can be on its way any more', async t => {
 		const fixture = createFixture();
 		await fixture.nodes[0].remove();
--- a/test/process/entry-introduction.test.ts
+++ b/test/process/entry-introduction.test.ts
@@ -21,6 +21,8 @@
 	linked: EntryAddress[];
 	hasRead: boolean;
 	readonly requests: Array<{readonly peer: string; readonly req: PeerRequest}>;
+	/** Names that were reported as learnt, for each reply that had any. */
+	readonly learnt: Array<readonly string[]>;
 	/** Names that each peer replies with, or undefined if it does not reply. */
 	readonly replies: Map<string, string | undefined>;
 };
@@ -44,12 +46,16 @@
 		linked: [],
 		hasRead: true,
 		requests: [],
+		learnt: [],
 		replies: new Map(),
 		introduction: createEntryIntroduction({
 			clock,
 			log: silentLog,
 			self,
 			cancelledNames: hasNames ? names : undefined,
+			onCancelsLearnt(learnt) {
+				fixture.learnt.push(learnt);
+			},
 			directory: {getLive: () => fixture.live, getReported: () => fixture.reported, hasReadSinceRegistration: () => fixture.hasRead},
 			peers: {
 				getLinkedPeers: () => fixture.linked,
@@ -178,6 +184,58 @@
 		t.deepEqual(fixture.requests.map(({req}) => Buffer.from(req.body).toString()), ['{"maxAgeMs":600000}', '{"maxAgeMs":13000}']);
 	});
 
+	// Guards against names that are never learnt because the request for them was lost (review 3).
+	it('asks again for the names of such a time if there is no reply', async t => {
+		const fixture = createFixture();
+		await link(fixture, a, '[]');
+		fixture.introduction.tick();
+		fixture.clock.advance(20_000);
+		fixture.linked.pop();
+		await link(fixture, a, undefined);
+		for (let i = 0; i < 3; i++) {
+			fixture.clock.advance(1000);
+			fixture.introduction.tick();
+			await settle();
+		}
+
+		fixture.replies.set(a.incarnation, '[["0000000000000001",20000]]');
+		fixture.introduction.tick();
+		await settle();
+		t.true(fixture.names.has('0000000000000001'));
+		t.deepEqual(fixture.requests.map(({req}) => Buffer.from(req.body).toString()).slice(1), [30_000, 31_000, 32_000, 33_000, 33_000].map(maxAgeMs => `{"maxAgeMs":${maxAgeMs}}`));
+		fixture.introduction.tick();
+		t.is(fixture.requests.length, 6);
+	});
+
+	// Guards against names that only an entry knew that is lost, or that came while this one stood still (review/12).
+	it('asks all others after the loss of a stream, and after a pause that its clock has not counted', async t => {
+		const fixture = createFixture();
+		const c = toAddress('c');
+		for (const peer of [a, b, c]) {
+			await link(fixture, peer, '[]');
+		}
+
+		fixture.introduction.tick();
+		fixture.requests.length = 0;
+		fixture.linked.pop();
+		fixture.introduction.tick();
+		await settle();
+		const asked = (maxAgeMs: number) => [a, b].map(({incarnation}) => [incarnation, `{"maxAgeMs":${maxAgeMs}}`]);
+		const getRequests = () => fixture.requests.splice(0).map(({peer, req}) => [peer, Buffer.from(req.body).toString()]);
+		t.deepEqual(getRequests(), asked(10_000));
+		fixture.introduction.tick();
+		t.deepEqual(getRequests(), []);
+		fixture.introduction.recordPause(15_000);
+		t.deepEqual(getRequests(), asked(25_000));
+	});
+
+	it('tells which names it has learnt, once', async t => {
+		const fixture = createFixture();
+		await link(fixture, a, '[["0000000000000001",5],["0000000000000002",5]]');
+		await link(fixture, b, '[["0000000000000002",5]]');
+		t.deepEqual(fixture.learnt, [['0000000000000001', '0000000000000002']]);
+	});
+
 	it('replies with the names of the time that it is asked for', t => {
 		const {clock, names, introduction} = createFixture();
 		names.add('old');
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -503,6 +503,40 @@
 		t.deepEqual(findOverlaps(await system.getEvents()), []);
 	});
 
+	// Review 12: an entry that stood still while a job was cancelled never heard of that, and served the job when its client sent it again there.
+	for (const hasAskedEntryEnded of [false, true]) {
+		itSerial(`start nothing of a job that was cancelled while its next entry stood still${hasAskedEntryEnded ? ', and whose other entry has ended since' : ''}`, async t => {
+			const system = await startSystem(t, 3, 1);
+			const [, asked, frozen] = system.entries;
+			frozen!.program.pause();
+			const jobs = [1, 2].map(i => ({
+				name: formatJobName(i), tasks: 1, ms: 2500, deadline: 5000,
+			}));
+			for (const job of jobs) {
+				const first = system.submit(0, job);
+				await sleep(300);
+				const cancelled = await system.cancel(1, job.name);
+				t.is(cancelled?.status, 200);
+				const answered = await first;
+				t.is(answered?.status, 504);
+				// The stream that waits for a reply is closed meanwhile, and the next request is not sent on it.
+				await sleep(1200);
+			}
+
+			if (hasAskedEntryEnded) {
+				await asked!.program.kill();
+			}
+
+			frozen!.program.resume();
+			await sleep(1500);
+			for (const job of jobs) {
+				const second = await system.submit(2, job);
+				t.is(second?.status, 504);
+				t.is(countStarts(await system.getEvents(), job.name), 1);
+			}
+		});
+	}
+
 	// Review 13: only the first SIGTERM was handled, and the next one ended the process with its requests.
 	describe('complete what runs, although they are told to stop again and again', () => {
 		for (const role of ['entry', 'agent'] as const) {
