Remember which jobs have ended, for requests to cancel them

What callers saw: for some 20 s after an entry was removed for good, requests to cancel jobs that had ended were answered with 503.

Cause: 410 needs every live entry's word, and the row of a removed entry counts as live for two leases. The entries that had answered the jobs could be asked, but did not remember them.

Ruled out: the wait for replies (0.8 s at most); a shorter lease (it keeps an entry alive that the store turns away).

Change: an entry remembers for two minutes which jobs it has answered with their end, or cancelled, and says so to the entry that asks. Such a job is answered with 410 although some entry cannot be asked; a copy that is open is ended.

Failed before, on with the test of this commit: platform.test.ts, "acknowledge the cancelling of a job that has ended although an entry was removed" (503).

--- a/src/platform/job-desk.ts
+++ b/src/platform/job-desk.ts
@@ -5,6 +5,7 @@
 import {Buffer} from 'node:buffer';
 import type {Cancellation, RelayResult} from '../connection/peer-types.js';
 import type {ForwardedJob} from '../generated/kingcuplane.js';
+import {createEndedNames} from '../process/cancelled-names.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {Entry} from '../process/entry-types.js';
 import type {JobTarget} from '../process/job-cancellation.js';
@@ -83,6 +84,10 @@
 	cancelOpen(name: string): boolean;
 	/** Whether the job of this name was cancelled recently. */
 	wasCancelled(name: string): boolean;
+	/** Whether the job of this name has ended recently for clients of this entry. */
+	hasEnded(name: string): boolean;
+	/** Records that a job has ended for clients of this entry, which another one has served. */
+	recordEnd(name: string): void;
 	/**
 	 * Returns for how long the senders of the forwarded job with this ticket have been silent, that is the one that was heard last;
 	 * undefined for any other job.
@@ -114,8 +119,10 @@
 
 /** Creates a desk without jobs. */
 export function createJobDesk({
-	entry, log, cancelledNames, tryGetSnapshot, checkPause,
+	entry, log, clock, cancelledNames, tryGetSnapshot, checkPause,
 }: JobDeskHost): JobDesk {
+	/** Jobs that have ended and whose clients know that. */
+	const endedNames = createEndedNames(clock);
 	const openJobs = new Map<string, OpenJob>();
 	/** Open jobs that other entries have forwarded, by ticket. Every batch to an agent looks its tasks up here. */
 	const forwardedJobs = new Map<string, OpenJob>();
@@ -136,6 +143,8 @@
 		},
 		cancelOpen,
 		wasCancelled: cancelledNames.has,
+		hasEnded: endedNames.has,
+		recordEnd: endedNames.add,
 		tryGetSenderSilence(ticket) {
 			const forwarded = forwardedJobs.get(ticket);
 			return forwarded === undefined || forwarded.waiters.size === 0
@@ -156,6 +165,7 @@
 	function cancelOpen(name: string): boolean {
 		const found = openJobs.get(name);
 		if (found !== undefined) {
+			endedNames.add(name);
 			entry.coordinator.cancel(found.job.ticket.text, 'its client');
 		}
 
@@ -257,7 +267,12 @@
 		openJob.waiters.delete(cancellation);
 		if (answer !== undefined) {
 			forget(name, openJob);
-			return toReply(name, answer);
+			const reply = toReply(name, answer);
+			if (isFinal(reply)) {
+				endedNames.add(name);
+			}
+
+			return reply;
 		}
 
 		if (openJob.waiters.size === 0) {
@@ -304,6 +319,11 @@
 	}
 }
 
+/** Whether a reply tells how the job has ended; after any other one, its client may send it again. */
+export function isFinal({status}: JobReply): boolean {
+	return status === 200;
+}
+
 /** Whether clients may name a job like this. */
 export function isJobName(name: string): boolean {
 	return jobNamePattern.test(name);
--- a/src/platform/job-intake.ts
+++ b/src/platform/job-intake.ts
@@ -7,10 +7,10 @@
 import type {RelayReply} from '../generated/kingcuplane.js';
 import type {Clock, Milliseconds} from '../process/clock.js';
 import type {Entry} from '../process/entry-types.js';
-import type {CancelOutcome, JobTarget} from '../process/job-cancellation.js';
+import type {CancelOutcome, JobTarget, LocalCancelOutcome} from '../process/job-cancellation.js';
 import type {LoadDecision} from '../request/load-sharing.js';
 import {
-	cancelledReply, createReply, isJobName, type JobDesk, type JobReply, type RouteMatch,
+	cancelledReply, createReply, isFinal, isJobName, type JobDesk, type JobReply, type RouteMatch,
 } from './job-desk.js';
 
 /** Dependencies of the intake. */
@@ -47,8 +47,8 @@
 	 * whether there is one.
 	 */
 	cancelAtDroppedRoute(target: JobTarget): Promise<JobReply | undefined>;
-	/** Cancels the job of this name at this entry, and with a target, only one that was sent there. Returns false if there is none. */
-	cancelHere(name: string, target?: JobTarget): boolean;
+	/** Cancels the job of this name at this entry, and with a target, only one that was sent there. */
+	cancelHere(name: string, target?: JobTarget): LocalCancelOutcome;
 	/** Cancels the job of this name if it is open here. */
 	cancelOpen(name: string): void;
 };
@@ -75,6 +75,7 @@
 const cancelReplies: Readonly<Record<CancelOutcome, JobReply>> = {
 	cancelled: createReply(200, {}),
 	'not-found': notFoundReply,
+	ended: notFoundReply,
 	unconfirmed: {...createReply(503, {error: 'an entry that may have the job cannot be asked now'}), retryAfter: cancelRetryMs},
 };
 
@@ -123,18 +124,19 @@
 		cancelAtDroppedRoute,
 		cancelHere(name, target) {
 			if (target !== undefined && !isOpenAt(name, target)) {
-				return false;
+				return 'unknown';
 			}
 
+			const hasEnded = desk.hasEnded(name);
 			// One that is still arriving finds its name remembered.
 			const isFound = desk.cancel(name) || arrivingJobs.has(name);
 			const forwarded = forwardedJobs.get(name);
-			if (forwarded === undefined) {
-				return isFound;
+			if (forwarded !== undefined) {
+				desk.recordEnd(name);
+				cancelForwarded(forwarded);
 			}
 
-			cancelForwarded(forwarded);
-			return true;
+			return isFound || forwarded !== undefined ? 'cancelled' : (hasEnded ? 'ended' : 'unknown');
 		},
 		cancelOpen(name) {
 			desk.cancelOpen(name);
@@ -228,7 +230,16 @@
 			return forwarded.isCancelled ? cancelledReply : lostReply;
 		}
 
-		return reply.declined ? undefined : toJobReply(reply);
+		if (reply.declined) {
+			return undefined;
+		}
+
+		const jobReply = toJobReply(reply);
+		if (isFinal(jobReply)) {
+			desk.recordEnd(name);
+		}
+
+		return jobReply;
 	}
 }
 
--- a/src/platform/run-entry.ts
+++ b/src/platform/run-entry.ts
@@ -102,7 +102,7 @@
 			traffic,
 			linkBudget,
 			serveForwardedJob: async (job, cancellation) => serving.desk?.submitForwarded(job, cancellation) ?? declinedResult,
-			cancelJob: (name, target) => serving.intake?.cancelHere(name, target) ?? false,
+			cancelJob: (name, target) => serving.intake?.cancelHere(name, target) ?? 'unknown',
 			onCancelsLearnt(names) {
 				for (const name of names) {
 					serving.intake?.cancelOpen(name);
--- a/src/process/entry-types.ts
+++ b/src/process/entry-types.ts
@@ -18,7 +18,9 @@
 import type {Diagnostic} from './diagnostics.js';
 import type {HttpApiEnv} from './http-api.js';
 import type {AfterPoll} from './input-reading.js';
-import type {CancelOutcome, JobCancellationHost, JobTarget} from './job-cancellation.js';
+import type {
+	CancelOutcome, JobCancellationHost, JobTarget, LocalCancelOutcome,
+} from './job-cancellation.js';
 import type {LinkBudget} from './link-budget.js';
 import type {LoadMonitor} from './load-monitor.js';
 import type {Log} from './log.js';
@@ -68,7 +70,7 @@
 	/** Called with names of cancelled jobs that this entry has learnt from another one. Such a job may be open here. */
 	onCancelsLearnt?(names: readonly string[]): void;
 	/** Cancels the job of this name at this entry, as {@link JobCancellationHost.cancelHere}. Undefined if jobs have no names here. */
-	cancelJob?(name: string, target?: JobTarget): boolean;
+	cancelJob?(name: string, target?: JobTarget): LocalCancelOutcome;
 	/** Returns for how long the sender of the forwarded job with this ticket has been silent; undefined for any other job. */
 	tryGetSenderSilence?(ticket: string): Milliseconds | undefined;
 	authenticate(token: string): Result<Principal, Diagnostic>;
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -235,7 +235,7 @@
 		...host, self, directory, peers, cancelledNames: host.cancelledNames,
 	});
 	const cancellation = createJobCancellation({
-		...host, self, directory, peers, isIntroduced: introduction.isDone, cancelHere: (name, target) => host.cancelJob?.(name, target) ?? false,
+		...host, self, directory, peers, isIntroduced: introduction.isDone, cancelHere: (name, target) => host.cancelJob?.(name, target) ?? 'unknown',
 	});
 	host.pauses?.pauseDetector.onPause((pause, uncounted) => {
 		peers.recordPause(uncounted);
--- a/src/process/job-cancellation.ts
+++ b/src/process/job-cancellation.ts
@@ -26,12 +26,20 @@
 	/** Whether this entry knows all others. */
 	isIntroduced(): boolean;
 	/**
-	 * Cancels the job of this name at this entry and remembers the name. Returns false if there is none. With a target, concerns only a
-	 * job that was sent there, and remembers the name of no other.
+	 * Cancels the job of this name at this entry and remembers the name. With a target, concerns only a job that was sent there, and
+	 * remembers the name of no other.
 	 */
-	cancelHere(name: string, target?: JobTarget): boolean;
+	cancelHere(name: string, target?: JobTarget): LocalCancelOutcome;
 };
 
+/** What became of a request to cancel a job at one entry. */
+export type LocalCancelOutcome =
+	| 'cancelled'
+	/** It has ended here before, and its client knows how, or that it was cancelled. */
+	| 'ended'
+	/** It was never here, or so long ago that this is not remembered. */
+	| 'unknown';
+
 /** Host and path of a job, which state its queue. */
 export type JobTarget = {
 	readonly host: string;
@@ -42,6 +50,8 @@
 export type CancelOutcome =
 	/** At least one entry had the job. */
 	| 'cancelled'
+	/** It has ended at an entry before, and none that was asked had another one of its name. */
+	| 'ended'
 	/** Every entry that could have the job has said that it does not. */
 	| 'not-found'
 	/** No entry has said that it has the job, and at least one could not be asked. */
@@ -76,6 +86,13 @@
 
 const foundStatus = 200;
 const notFoundStatus = 410;
+/** The body of a reply with {@link notFoundStatus} that says that the job has ended there. */
+const endedBody = Buffer.from('ended');
+const localReplies: Readonly<Record<LocalCancelOutcome, RelayResult>> = {
+	cancelled: {status: foundStatus, body: new Uint8Array(), retryAfterMs: 0},
+	ended: {status: notFoundStatus, body: endedBody, retryAfterMs: 0},
+	unknown: {status: notFoundStatus, body: new Uint8Array(), retryAfterMs: 0},
+};
 /** Maximum number of requests that one entry has not confirmed; at 10 cancels a second, those of over a minute. */
 const maxUnconfirmed = 1000;
 /** Maximum number of names in one log line. */
@@ -89,14 +106,14 @@
 
 	return {
 		async cancel(name, target) {
-			const isHere = host.cancelHere(name, target);
+			const here = host.cancelHere(name, target);
 			const unreachable = getUnreachable();
 			const asked = askAll(name, target, unreachable);
-			const outcome = isHere ? 'cancelled' : await waitForReplies(asked, unreachable);
+			const outcome = here === 'cancelled' ? here : await waitForReplies(asked, unreachable, here);
 			host.log.info({
 				request: name,
 				outcome,
-				isHere,
+				here,
 				isIntroduced: host.isIntroduced(),
 				asked: asked.map(({peer}) => peer.name),
 				replied: asked.filter(({received}) => received !== undefined).map(({peer, received}) => [peer.name, received?.status]),
@@ -107,8 +124,7 @@
 		},
 		serve({operation, body}) {
 			const text = Buffer.from(body).toString();
-			const isFound = operation === cancelJobAtTargetOperation ? serveAtTarget(text) : host.cancelHere(text);
-			return {status: isFound ? foundStatus : notFoundStatus, body: new Uint8Array(), retryAfterMs: 0};
+			return localReplies[operation === cancelJobAtTargetOperation ? serveAtTarget(text) : host.cancelHere(text)];
 		},
 		repeatTo,
 		tick() {
@@ -135,9 +151,9 @@
 		}
 	}
 
-	function serveAtTarget(text: string): boolean {
+	function serveAtTarget(text: string): LocalCancelOutcome {
 		const target = readJson(targetSchema, text).unwrapOr(undefined);
-		return target !== undefined && host.cancelHere(target.name, target);
+		return target === undefined ? 'unknown' : host.cancelHere(target.name, target);
 	}
 
 	/** Asks all linked entries, and notes the request for those that cannot be reached. */
@@ -171,11 +187,11 @@
 	}
 
 	/** Waits until one entry has said that it had the job, all have replied, or the time is over. */
-	async function waitForReplies(asked: readonly AskedPeer[], unreachable: readonly EntryAddress[]): Promise<CancelOutcome> {
+	async function waitForReplies(asked: readonly AskedPeer[], unreachable: readonly EntryAddress[], here: 'ended' | 'unknown'): Promise<CancelOutcome> {
 		return new Promise(resolve => {
 			const replies: Array<RelayReply | undefined> = [];
 			const timer = host.clock.after(replyTimeoutMs, () => {
-				resolve('unconfirmed');
+				resolve(hasEnded(here, replies) ? 'ended' : 'unconfirmed');
 			});
 			if (asked.length === 0) {
 				finish();
@@ -193,20 +209,29 @@
 
 			function finish(): void {
 				timer.cancel();
-				resolve(toOutcome(replies, unreachable));
+				resolve(toOutcome(replies, unreachable, here));
 			}
 		});
 	}
 
-	function toOutcome(replies: ReadonlyArray<RelayReply | undefined>, unreachable: readonly EntryAddress[]): CancelOutcome {
+	function toOutcome(replies: ReadonlyArray<RelayReply | undefined>, unreachable: readonly EntryAddress[], here: 'ended' | 'unknown'): CancelOutcome {
 		if (replies.some(reply => reply?.status === foundStatus)) {
 			return 'cancelled';
 		}
 
+		// Whoever could not be asked is told later, and has no copy unless its client sent the job again after it knew how it had ended.
+		if (hasEnded(here, replies)) {
+			return 'ended';
+		}
+
 		const areAllSure = replies.every(reply => reply?.status === notFoundStatus);
 		return areAllSure && unreachable.length === 0 && host.directory.isLoaded() && host.isIntroduced() ? 'not-found' : 'unconfirmed';
 	}
 
+	function hasEnded(here: 'ended' | 'unknown', replies: ReadonlyArray<RelayReply | undefined>): boolean {
+		return here === 'ended' || replies.some(reply => reply?.status === notFoundStatus && endedBody.equals(reply.body));
+	}
+
 	/** Returns the live entries that cannot be asked. One whose address another incarnation has taken over is gone, with its jobs. */
 	function getUnreachable(): readonly EntryAddress[] {
 		const linked = host.peers.getLinkedPeers();
--- a/test/platform/cancelled-jobs.test.ts
+++ b/test/platform/cancelled-jobs.test.ts
@@ -22,6 +22,9 @@
 const cancelled: Answer = {
 	state: 'failed', ran: 'may-have-run', diagnostic: undefined, payloads: [],
 };
+const complete: Answer = {
+	state: 'complete', ran: 'ran', diagnostic: undefined, payloads: [],
+};
 const stays: WaitingClient = {onCancelled: () => undefined, isWaiting: async () => true};
 // eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- only the routes are used
 const snapshot = {
@@ -41,6 +44,8 @@
 	readonly running: Set<string>;
 	/** Number of jobs that reached its coordinator. */
 	accepted: number;
+	/** Completes the jobs that run here. */
+	complete(): void;
 	/** Sends a job to this entry. */
 	post(): Promise<JobReply | undefined>;
 	/** Sends a request to cancel the job to this entry. */
@@ -205,6 +210,14 @@
 			cancelledNames,
 			running,
 			accepted: 0,
+			complete() {
+				for (const ticket of running) {
+					running.delete(ticket);
+					for (const action of answers.get(ticket) ?? []) {
+						action(complete);
+					}
+				}
+			},
 			async post() {
 				const match = desk.findRoute(target.host, target.path);
 				const admitted = 'status' in match ? match : intake.admit(target, match);
@@ -517,6 +530,49 @@
 			t.is(reply.status, 200);
 		});
 
+		// Guards against 503 for a job that has ended, for as long as the row of an entry that was removed counts as live (review/15).
+		for (const [what, isBusy, asked] of [['here', false, 0], ['at another one', false, 1], ['here, where it was forwarded', true, 0]] as const) {
+			it(`is answered as done if the job has ended ${what}`, async t => {
+				const fixture = createFixture({isBusy});
+				const posted = fixture.nodes[0].post();
+				await settle();
+				fixture.nodes[isBusy ? 1 : 0].complete();
+				const answered = await posted;
+				t.is(answered?.status, 200);
+				fixture.cutOff.add('e2-1');
+				if (isBusy) {
+					fixture.cutOff.add('e1-1');
+				}
+
+				const reply = await fixture.nodes[asked].remove();
+				t.is(reply.status, 410);
+			});
+		}
+
+		it('ends the job if it was sent again after its end, and runs', async t => {
+			const fixture = createFixture();
+			const posted = fixture.nodes[0].post();
+			await settle();
+			fixture.nodes[0].complete();
+			await posted;
+			void fixture.nodes[1].post();
+			await settle();
+			fixture.cutOff.add('e2-1');
+			const reply = await fixture.nodes[0].remove();
+			t.is(reply.status, 200);
+			t.is(countRunning(fixture), 0);
+		});
+
+		it('is answered as done if the job was cancelled before', async t => {
+			const fixture = createFixture();
+			void fixture.nodes[0].post();
+			await settle();
+			fixture.cutOff.add('e2-1');
+			const first = await fixture.nodes[0].remove();
+			const second = await fixture.nodes[1].remove();
+			t.deepEqual([first.status, second.status], [200, 410]);
+		});
+
 		it('is not answered as done, but with when to ask again', async t => {
 			const fixture = createFixture();
 			void fixture.nodes[2].post();
--- a/test/platform/job-intake.test.ts
+++ b/test/platform/job-intake.test.ts
@@ -48,6 +48,7 @@
 		});
 	const served: ReceivedJob[] = [];
 	const cancelledNames = new Set<string>();
+	const endedNames = new Set<string>();
 	const openNames = new Set<string>();
 	const forwarded: Fixture['forwarded'] = [];
 	const forwarding = createJobForwarding({
@@ -89,6 +90,10 @@
 	const desk = {
 		isOpen: (open: string) => openNames.has(open),
 		wasCancelled: (cancelled: string) => cancelledNames.has(cancelled),
+		hasEnded: (ended: string) => endedNames.has(ended),
+		recordEnd(ended: string) {
+			endedNames.add(ended);
+		},
 		cancel(cancelled: string) {
 			cancelledNames.add(cancelled);
 			return false;
@@ -274,11 +279,11 @@
 		const {intake, forwarded, submit} = createFixture();
 		const pending = submit();
 		await nextTurn();
-		t.true(intake.cancelHere(name));
+		t.is(intake.cancelHere(name), 'cancelled');
 		t.true(forwarded[0]!.isCancelled);
 		const answer = await pending;
 		t.is(answer?.status, 504);
-		t.false(intake.cancelHere(name));
+		t.is(intake.cancelHere(name), 'ended');
 	});
 
 	// Seed 1121 of the failure runs: a resumed entry forwarded a job whose client had left meanwhile.
@@ -320,7 +325,7 @@
 				}),
 			},
 		});
-		t.true(intake.cancelHere(name));
+		t.is(intake.cancelHere(name), 'cancelled');
 		arrive(true);
 		const answer = await pending;
 		t.is(answer?.status, 504);
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -537,6 +537,24 @@
 		});
 	}
 
+	// Review 15: for as long as the row of an entry that was removed counted as live, cancels of ended jobs were answered with 503.
+	itSerial('acknowledge the cancelling of a job that has ended although an entry was removed', async t => {
+		const system = await startSystem(t, 3, 1);
+		await system.entries[2]!.program.kill();
+		const jobs = [0, 1].map(entry => ({
+			entry, name: formatJobName(entry + 1), tasks: 1, ms: 50,
+		}));
+		for (const {entry, ...job} of jobs) {
+			const reply = await system.submit(entry, job);
+			t.is(reply?.status, 200);
+		}
+
+		for (const {name} of jobs) {
+			const reply = await system.cancel(0, name);
+			t.is(reply?.status, 410);
+		}
+	});
+
 	// Review 13: only the first SIGTERM was handled, and the next one ended the process with its requests.
 	describe('complete what runs, although they are told to stop again and again', () => {
 		for (const role of ['entry', 'agent'] as const) {
