Save the names of cancelled jobs in the store

What callers saw: a job whose cancelling had been acknowledged was started 4.8 s later, by an entry that had been killed with all others and was back.

Cause: the names of cancelled jobs lay in the memory of the entries alone.

Ruled out: the entries' introduction to each other (there was nobody to ask).

Failed before, on with the test of this commit: platform.test.ts, "start nothing of a job that was cancelled before all entries were killed" (200).

--- a/src/process/entry-introduction.ts
+++ b/src/process/entry-introduction.ts
@@ -1,5 +1,5 @@
 /**
- * What an entry has to do before it takes jobs: learn from the other entries which jobs were cancelled, and make sure that they know of it, so
+ * What an entry has to do before it takes jobs: learn from the other entries and from the store which jobs were cancelled, and make sure that they know of it, so
  * that each request to cancel reaches it. It asks every live entry for the names of cancelled jobs. The request follows its own address on the
  * stream, so the reply shows both.
  */
@@ -8,7 +8,7 @@
 import type {PeerHub} from '../connection/peer-hub.js';
 import type {RelayResult} from '../connection/peer-types.js';
 import type {EntryAddress, RelayRequest} from '../generated/kingcuplane.js';
-import type {RecentNames} from '../request/recent-names.js';
+import type {AgedName, RecentNames} from '../request/recent-names.js';
 import {cancelledNameRetentionMs} from './cancelled-names.js';
 import {sleep, type Clock, type Milliseconds} from './clock.js';
 import type {EntryDirectory} from './entry-directory.js';
@@ -24,6 +24,8 @@
 	readonly peers: Pick<PeerHub, 'tryStartRequest' | 'getLinkedPeers'>;
 	/** Undefined if jobs have no names here; nothing has to be learnt then. */
 	readonly cancelledNames: RecentNames | undefined;
+	/** Reads the names that outlast the loss of all entries; undefined if that is not possible now. If undefined itself, there are none. */
+	loadCancelledNames?(): Promise<readonly AgedName[] | undefined>;
 	/** Called with names of cancelled jobs that were new here. Such a job may be open here. */
 	onCancelsLearnt?(names: readonly string[]): void;
 };
@@ -38,7 +40,7 @@
 	introduceTo(peer: EntryAddress): void;
 	/**
 	 * Notes which streams are open, and asks entries again that have not replied. Asks all others if a stream was lost: its entry may have been
-	 * the only one to tell this one of a name. To be called regularly.
+	 * the only one to tell this one of a name. Reads the names in the store again if that has failed. To be called regularly.
 	 */
 	tick(): void;
 	/** Asks all entries for the names of a pause of this process, in which it may have missed any message. */
@@ -79,6 +81,9 @@
 	let linkedBefore: ReadonlySet<string> = new Set();
 	let isOver = cancelledNames === undefined;
 	let whenOver: Promise<void> | undefined;
+	let areNamesLoaded = host.loadCancelledNames === undefined;
+	let isLoadingNames = false;
+	void loadNames();
 
 	return {
 		isDone,
@@ -132,17 +137,34 @@
 		if (found?.isOk()) {
 			introduced.add(peer.incarnation);
 			unanswered.delete(peer.incarnation);
-			const learnt = names.addAged(found.value.map(([name, age]) => ({name, age})));
-			log.info({
-				peer: peer.name, incarnation: peer.incarnation, maxAgeMs, names: found.value.length, learnt: learnt.slice(0, maxLoggedNames),
-			}, 'names of cancelled jobs received');
-			if (learnt.length > 0) {
-				host.onCancelsLearnt?.(learnt);
-			}
+			learn(names, found.value.map(([name, age]) => ({name, age})), {peer: peer.name, incarnation: peer.incarnation, maxAgeMs});
+		}
+	}
+
+	async function loadNames(): Promise<void> {
+		if (cancelledNames === undefined || areNamesLoaded || isLoadingNames) {
+			return;
+		}
+
+		isLoadingNames = true;
+		const loaded = await host.loadCancelledNames?.();
+		isLoadingNames = false;
+		if (loaded !== undefined) {
+			areNamesLoaded = true;
+			learn(cancelledNames, loaded, {peer: 'store'});
+		}
+	}
+
+	function learn(names: RecentNames, received: readonly AgedName[], source: Readonly<Record<string, unknown>>): void {
+		const learnt = names.addAged(received);
+		log.info({...source, names: received.length, learnt: learnt.slice(0, maxLoggedNames)}, 'names of cancelled jobs received');
+		if (learnt.length > 0) {
+			host.onCancelsLearnt?.(learnt);
 		}
 	}
 
 	function tick(): void {
+		void loadNames();
 		const linked = peers.getLinkedPeers();
 		const incarnations = new Set(linked.map(({incarnation}) => incarnation));
 		const isAnyLost = [...linkedBefore].some(incarnation => !incarnations.has(incarnation));
@@ -160,7 +182,7 @@
 	}
 
 	function areAllIntroduced(): boolean {
-		return directory.hasReadSinceRegistration() && getStrangers().length === 0;
+		return areNamesLoaded && directory.hasReadSinceRegistration() && getStrangers().length === 0;
 	}
 
 	function isOverdue(): boolean {
@@ -168,7 +190,7 @@
 			return false;
 		}
 
-		log.info({strangers: getStrangers().map(({name}) => name), hasReadDirectory: directory.hasReadSinceRegistration()}, 'jobs are taken although not every entry has replied');
+		log.info({strangers: getStrangers().map(({name}) => name), hasReadDirectory: directory.hasReadSinceRegistration(), areNamesLoaded}, 'jobs are taken although not every entry has replied');
 		return true;
 	}
 
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -21,6 +21,7 @@
 import type {Snapshot} from '../version/types.js';
 import {formatAddress, isConnectable} from './address.js';
 import {createAgentTelemetry} from './agent-telemetry.js';
+import {createCancelRecords} from './cancel-records.js';
 import {
 	every, sleep, type Milliseconds,
 } from './clock.js';
@@ -231,11 +232,14 @@
 		},
 		onLinksChanged: updateAddresses,
 	});
+	const cancelRecords = host.cancelledNames && createCancelRecords({
+		clock, table: host.platform.table, log: host.log, incarnation,
+	});
 	const introduction = createEntryIntroduction({
-		...host, self, directory, peers, cancelledNames: host.cancelledNames,
+		...host, self, directory, peers, cancelledNames: host.cancelledNames, loadCancelledNames: cancelRecords?.load,
 	});
 	const cancellation = createJobCancellation({
-		...host, self, directory, peers, isIntroduced: introduction.isDone, cancelHere: (name, target) => host.cancelJob?.(name, target) ?? 'unknown',
+		...host, self, directory, peers, isIntroduced: introduction.isDone, saveName: cancelRecords?.save ?? (async () => undefined), cancelHere: (name, target) => host.cancelJob?.(name, target) ?? 'unknown',
 	});
 	host.pauses?.pauseDetector.onPause((pause, uncounted) => {
 		peers.recordPause(uncounted);
@@ -528,6 +532,7 @@
 		}
 
 		reports.stop();
+		cancelRecords?.stop();
 		peers.stop();
 		await directory.deregister();
 	}
--- a/src/process/job-cancellation.ts
+++ b/src/process/job-cancellation.ts
@@ -25,6 +25,8 @@
 	readonly peers: Pick<PeerHub, 'tryStartRequest' | 'getLinkedPeers'>;
 	/** Whether this entry knows all others. */
 	isIntroduced(): boolean;
+	/** Saves the name of a cancelled job, so that it is known even if all entries are lost. Resolves once that is done, or after a limit. */
+	saveName(name: string): Promise<void>;
 	/**
 	 * Cancels the job of this name at this entry and remembers the name. With a target, concerns only a job that was sent there, and
 	 * remembers the name of no other.
@@ -109,7 +111,14 @@
 			const here = host.cancelHere(name, target);
 			const unreachable = getUnreachable();
 			const asked = askAll(name, target, unreachable);
+			const saved = target === undefined ? host.saveName(name) : undefined;
 			const outcome = here === 'cancelled' ? here : await waitForReplies(asked, unreachable, here);
+			if (outcome === 'cancelled') {
+				await (saved ?? host.saveName(name));
+			} else if (outcome !== 'unconfirmed') {
+				await saved;
+			}
+
 			host.log.info({
 				request: name,
 				outcome,
--- a/test/platform/cancelled-jobs.test.ts
+++ b/test/platform/cancelled-jobs.test.ts
@@ -71,6 +71,9 @@
 	isHeld: boolean;
 	/** Number of requests between entries. */
 	sent: number;
+	/** Names that were saved, and when that is done. */
+	readonly saved: string[];
+	whenSaved: Promise<void>;
 	thaw(): Promise<void>;
 	/** Ends the requests to frozen entries without a reply, as when their streams are closed. */
 	breakRequests(): Promise<void>;
@@ -121,6 +124,8 @@
 		snapshot,
 		isHeld: false,
 		sent: 0,
+		saved: [],
+		whenSaved: Promise.resolve(),
 		async deliver() {
 			fixture.isHeld = false;
 			for (const action of held.splice(0)) {
@@ -201,6 +206,10 @@
 				tryStartRequest: (peer, req) => startRequest(peer, async () => findNode(peer).cancellation.serve(req)),
 			},
 			cancelHere: intake.cancelHere,
+			async saveName(saved) {
+				fixture.saved.push(saved);
+				await fixture.whenSaved;
+			},
 		});
 		const node: Node = {
 			address,
@@ -501,6 +510,33 @@
 		t.is(countRunning(fixture), 0);
 	});
 
+	// Guards against names that are lost with all entries after the request was acknowledged (review/14).
+	it('is acknowledged only when its name is saved, whoever has the job', async t => {
+		for (const isPosted of [true, false]) {
+			const fixture = createFixture();
+			if (isPosted) {
+				void fixture.nodes[0].post();
+			}
+
+			let resolveSaved: () => void = () => undefined;
+			fixture.whenSaved = new Promise(resolve => {
+				resolveSaved = resolve;
+			});
+			await settle();
+			let reply: JobReply | undefined;
+			const removed = fixture.nodes[1].remove().then(answered => {
+				reply = answered;
+			});
+			await settle();
+			t.deepEqual(fixture.saved, [name]);
+			t.is(reply, undefined);
+			t.is(countRunning(fixture), 0);
+			resolveSaved();
+			await removed;
+			t.is(reply?.status, isPosted ? 200 : 410);
+		}
+	});
+
 	it('twice is answered with 200 and then with 410', async t => {
 		const fixture = createFixture();
 		void fixture.nodes[0].post();
--- a/test/process/entry-introduction.test.ts
+++ b/test/process/entry-introduction.test.ts
@@ -4,7 +4,7 @@
 import {createCancelledNames} from '../../src/process/cancelled-names.js';
 import {createEntryIntroduction, type EntryIntroduction} from '../../src/process/entry-introduction.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
-import type {RecentNames} from '../../src/request/recent-names.js';
+import type {AgedName, RecentNames} from '../../src/request/recent-names.js';
 import {describe, it} from '../describe.js';
 import {silentLog} from '../silent-log.js';
 
@@ -21,6 +21,8 @@
 	linked: EntryAddress[];
 	hasRead: boolean;
 	readonly requests: Array<{readonly peer: string; readonly req: PeerRequest}>;
+	/** Reads of the names in the store, each of which waits for its answer. */
+	readonly loads: Array<(answer: readonly AgedName[] | undefined) => void>;
 	/** Names that were reported as learnt, for each reply that had any. */
 	readonly learnt: Array<readonly string[]>;
 	/** Names that each peer replies with, or undefined if it does not reply. */
@@ -35,9 +37,10 @@
 const a = toAddress('a');
 const b = toAddress('b');
 
-function createFixture(hasNames = true): Fixture {
+function createFixture(hasNames = true, hasStore = false): Fixture {
 	const clock = createFakeClock(1000);
 	const names = createCancelledNames(clock);
+	const loads: Fixture['loads'] = [];
 	const fixture: Fixture = {
 		clock,
 		names,
@@ -46,6 +49,7 @@
 		linked: [],
 		hasRead: true,
 		requests: [],
+		loads,
 		learnt: [],
 		replies: new Map(),
 		introduction: createEntryIntroduction({
@@ -53,6 +57,11 @@
 			log: silentLog,
 			self,
 			cancelledNames: hasNames ? names : undefined,
+			...hasStore && {
+				loadCancelledNames: async () => new Promise(resolve => {
+					loads.push(resolve);
+				}),
+			},
 			onCancelsLearnt(learnt) {
 				fixture.learnt.push(learnt);
 			},
@@ -111,6 +120,26 @@
 		t.true(fixture.introduction.isDone());
 	});
 
+	// Guards against an entry that takes a job again that was cancelled before all entries were lost (review/14).
+	it('waits for the names in the store, and asks for them again if it does not answer', async t => {
+		const fixture = createFixture(true, true);
+		fixture.live = [self];
+		t.false(fixture.introduction.isDone());
+		fixture.loads[0]!(undefined);
+		await settle();
+		t.false(fixture.introduction.isDone());
+		fixture.introduction.tick();
+		fixture.introduction.tick();
+		t.is(fixture.loads.length, 2);
+		fixture.loads[1]!([{name: '0000000000000001', age: 5000}]);
+		await settle();
+		t.true(fixture.introduction.isDone());
+		t.true(fixture.names.has('0000000000000001'));
+		t.deepEqual(fixture.learnt, [['0000000000000001']]);
+		fixture.introduction.tick();
+		t.is(fixture.loads.length, 2);
+	});
+
 	it('waits for an entry that only another one has reported', async t => {
 		const fixture = createFixture();
 		fixture.live = [self];
--- a/test/processes/platform.test.ts
+++ b/test/processes/platform.test.ts
@@ -555,6 +555,31 @@
 		}
 	});
 
+	// Review 14: the names of cancelled jobs were lost with the memory of all entries.
+	itSerial('start nothing of a job that was cancelled before all entries were killed', async t => {
+		const system = await startSystem(t, 2, 1);
+		const job = {
+			name: formatJobName(1), tasks: 1, ms: 2500, deadline: 5000,
+		};
+		const first = system.submit(0, job);
+		await sleep(300);
+		const cancelled = await system.cancel(1, job.name);
+		t.is(cancelled?.status, 200);
+		await Promise.all(system.entries.map(async ({program}) => program.kill()));
+		await first;
+		for (const entry of system.entries) {
+			entry.restart();
+		}
+
+		await system.waitUntilReady();
+		for (const entry of [0, 1]) {
+			const reply = await system.submit(entry, job);
+			t.is(reply?.status, 504);
+		}
+
+		t.is(countStarts(await system.getEvents(), job.name), 1);
+	});
+
 	// Review 13: only the first SIGTERM was handled, and the next one ended the process with its requests.
 	describe('complete what runs, although they are told to stop again and again', () => {
 		for (const role of ['entry', 'agent'] as const) {
