Acknowledge a cancel that was carried out after it was answered as uncertain

What callers saw: a request to cancel was answered 503 while the entry with the job was not linked yet, as before. Since requests are repeated, the job was then cancelled before the client asked again, and the second reply was 410.

Change: an entry remembers which jobs others have cancelled on its word, and answers a further request with 200.

Failed before: cancelled-jobs.test.ts, "and is answered as done when its client asks again, which was told to" (410).

--- a/src/process/job-cancellation.ts
+++ b/src/process/job-cancellation.ts
@@ -7,7 +7,7 @@
 import type {PeerHub} from '../connection/peer-hub.js';
 import type {RelayResult} from '../connection/peer-types.js';
 import type {EntryAddress, RelayReply, RelayRequest} from '../generated/kingcuplane.js';
-import {cancelledNameRetentionMs} from './cancelled-names.js';
+import {cancelledNameRetentionMs, createCancelledNames} from './cancelled-names.js';
 import type {Clock, Milliseconds} from './clock.js';
 import type {EntryDirectory} from './entry-directory.js';
 import {readJson} from './json.js';
@@ -103,6 +103,8 @@
 /** Creates the cancellation of one entry's clients. */
 export function createJobCancellation(host: JobCancellationHost): JobCancellation {
 	const unconfirmed = createUnconfirmedCancels({clock: host.clock, retentionMs: cancelledNameRetentionMs, maxRequests: maxUnconfirmed});
+	/** Jobs that another entry has cancelled, perhaps after their clients were told that this was uncertain. */
+	const cancelledElsewhere = createCancelledNames(host.clock);
 	/** Requests that were sent and have neither a reply nor failed. */
 	const pending = new Set<CancelRequest>();
 
@@ -112,7 +114,7 @@
 			const unreachable = getUnreachable();
 			const asked = askAll(name, target, unreachable);
 			const saved = target === undefined ? host.saveName(name) : undefined;
-			const outcome = here === 'cancelled' ? here : await waitForReplies(asked, unreachable, here);
+			const outcome = here === 'cancelled' || cancelledElsewhere.has(name) ? 'cancelled' : await waitForReplies(asked, unreachable, here);
 			if (outcome === 'cancelled') {
 				await (saved ?? host.saveName(name));
 			} else if (outcome !== 'unconfirmed') {
@@ -192,6 +194,10 @@
 			unconfirmed.confirm(peer.incarnation, req);
 		}
 
+		if (reply?.status === foundStatus) {
+			cancelledElsewhere.add(req.name);
+		}
+
 		return reply;
 	}
 
--- a/test/platform/cancelled-jobs.test.ts
+++ b/test/platform/cancelled-jobs.test.ts
@@ -663,6 +663,22 @@
 			});
 		}
 
+		it('and is answered as done when its client asks again, which was told to', async t => {
+			const fixture = createFixture();
+			const [, second, third] = fixture.nodes;
+			void third.post();
+			await settle();
+			fixture.cutOff.add('e2-1');
+			const uncertain = await second.remove();
+			t.is(uncertain.status, 503);
+			fixture.cutOff.clear();
+			second.cancellation.repeatTo(third.address);
+			await settle();
+			t.is(countRunning(fixture), 0);
+			const reply = await second.remove();
+			t.is(reply.status, 200);
+		});
+
 		it('again and again until it has, and only then', async t => {
 			const fixture = createFixture();
 			const [first, , third] = fixture.nodes;
