--- a/test/process/leased-upstream.test.ts
+++ b/test/process/leased-upstream.test.ts
@@ -115,6 +115,22 @@
 	await runFor(15);
 }
 
+/** Lets the next poll of a fixture be answered late by an incarnation of the executor that is over, with empty lists. */
+function answerNextPollLate({executor, clock}: Fixture, executorStartedAt: number): void {
+	const poll = executor.poll.bind(executor);
+	executor.poll = async () => {
+		executor.poll = poll;
+		await sleep(clock, 20);
+		return {
+			outcome: {
+				kind: 'status', status: {
+					executorStartedAt, running: [], ended: [], isComplete: true,
+				},
+			}, executorTime: clock.now() + 5000,
+		};
+	};
+}
+
 /** Creates a fixture whose executor has restarted unnoticed, after a while without runs. */
 async function createRestartedFixture(t: ExecutionContext, runDuration: Milliseconds): Promise<Fixture> {
 	const fixture = await createFixture(t, runDuration);
@@ -750,20 +766,7 @@
 
 		it('is not taken for its former incarnation, a response of which is read late', async t => {
 			const fixture = await createRestartedFixture(t, 2000);
-			const {executor, clock} = fixture;
-			const poll = executor.poll.bind(executor);
-			executor.poll = async () => {
-				executor.poll = poll;
-				await sleep(clock, 20);
-				return {
-					outcome: {
-						kind: 'status', status: {
-							executorStartedAt: 1, running: [], ended: [], isComplete: true,
-						},
-					}, executorTime: clock.now() + 5000,
-				};
-			};
-
+			answerNextPollLate(fixture, 1);
 			fixture.start('a');
 			await fixture.runFor(200);
 			t.is(fixture.incarnationChanges, 1);
@@ -774,20 +777,7 @@
 		// Guards against runs that are reported as ended with an incarnation that was over before them, whose response is read late (beside review/11).
 		it('is not taken for one between its former and its last one, a response of which is read late', async t => {
 			const fixture = await createRestartedFixture(t, 2000);
-			const {executor, clock} = fixture;
-			const poll = executor.poll.bind(executor);
-			executor.poll = async () => {
-				executor.poll = poll;
-				await sleep(clock, 20);
-				return {
-					outcome: {
-						kind: 'status', status: {
-							executorStartedAt: 1.5, running: [], ended: [], isComplete: true,
-						},
-					}, executorTime: clock.now() + 5000,
-				};
-			};
-
+			answerNextPollLate(fixture, 1.5);
 			fixture.start('a');
 			await fixture.runFor(200);
 			t.is(fixture.incarnationChanges, 1);
