Limit the names of cancelled jobs that an entry saves

Change: an entry saves at most 10,000 names in the time for which they are remembered, as many as it keeps in memory, and logs those beyond. Cancelling a forwarded job because its name was learnt also records its end, as on request.

Failed before: cancel-records.test.ts, "are limited in number until they are forgotten".

--- a/src/platform/job-intake.ts
+++ b/src/platform/job-intake.ts
@@ -132,8 +132,7 @@
 			const isFound = desk.cancel(name) || arrivingJobs.has(name);
 			const forwarded = forwardedJobs.get(name);
 			if (forwarded !== undefined) {
-				desk.recordEnd(name);
-				cancelForwarded(forwarded);
+				cancelForwarded(name, forwarded);
 			}
 
 			return isFound || forwarded !== undefined ? 'cancelled' : (hasEnded ? 'ended' : 'unknown');
@@ -142,12 +141,13 @@
 			desk.cancelOpen(name);
 			const forwarded = forwardedJobs.get(name);
 			if (forwarded !== undefined) {
-				cancelForwarded(forwarded);
+				cancelForwarded(name, forwarded);
 			}
 		},
 	};
 
-	function cancelForwarded(forwarded: ForwardedOpenJob): void {
+	function cancelForwarded(name: string, forwarded: ForwardedOpenJob): void {
+		desk.recordEnd(name);
 		forwarded.isCancelled = true;
 		forwarded.cancel();
 	}
--- a/src/process/cancel-records.ts
+++ b/src/process/cancel-records.ts
@@ -58,8 +58,8 @@
 const retryMs: Milliseconds = 300;
 /** Longest time for which the acknowledgement of a request to cancel waits for the store. */
 const maxSaveMs: Milliseconds = 300;
-/** Names beyond this number that wait for the store are not saved. */
-const maxPending = 10_000;
+/** Names beyond this number are not saved until others are forgotten; entries do not remember more, either. */
+const maxNames = 10_000;
 const cleanupIntervalMs: Milliseconds = 60_000;
 /** Greatest difference between the clocks of two machines that is allowed for when rows are removed. */
 const maxClockDifferenceMs: Milliseconds = 60_000;
@@ -83,8 +83,8 @@
 
 	return {
 		async save(name) {
-			if (pending.length >= maxPending) {
-				log.warn({request: name}, 'too many names of cancelled jobs wait for the store; this one is not saved');
+			if (pending.length + countWritten() >= maxNames) {
+				log.warn({request: name}, 'too many jobs were cancelled lately; this name is not saved');
 				return;
 			}
 
@@ -117,6 +117,15 @@
 		},
 	};
 
+	function countWritten(): number {
+		let count = 0;
+		for (const {names} of written.values()) {
+			count += names.length;
+		}
+
+		return count;
+	}
+
 	function createRow(): Row {
 		return {key: `${rowPrefix}${incarnation}.${rowCount}`, revision: 0, names: []};
 	}
--- a/test/process/cancel-records.test.ts
+++ b/test/process/cancel-records.test.ts
@@ -128,6 +128,24 @@
 		t.deepEqual([...await getRows()].map(([key]) => key), ['cancels/e-1.1']);
 	});
 
+	// Guards against a store that fills up with the names that a client makes up.
+	it('are limited in number until they are forgotten', async t => {
+		const {clock, create, save, load, runFor, getRows} = createFixture();
+		const records = create('e-1');
+		const saves = Array.from({length: 12_000}, async (_, i) => records.save(`n${i}`));
+		await runFor(4000);
+		await Promise.all(saves);
+		const names = await load();
+		t.is(names?.length, 10_000);
+		t.is(await save(records, 'more'), 0);
+		const rows = await getRows();
+		t.is(rows.size, 20);
+		clock.advance(11 * minuteMs);
+		await runFor(minuteMs);
+		await save(records, 'later');
+		t.deepEqual(await load(), ['later']);
+	});
+
 	it('are read although another writer has left rows that cannot be read', async t => {
 		const {platform, create, save, load} = createFixture();
 		await save(create('e-1'), 'a');
