--- a/dev/soak/soak-faults.ts
+++ b/dev/soak/soak-faults.ts
@@ -27,6 +27,9 @@
 
 const meanGapMs: Milliseconds = 700;
 const maxFaultMs: Milliseconds = 4000;
+/** Signals to stop beyond the first one, fewer than this, and the time between two of them. */
+const maxStopSignals = 4;
+const stopSignalGapMs: Milliseconds = 300;
 /** Share of all directions of a cut in which only one of them delivers nothing. */
 const directionChoices: ReadonlyArray<readonly Direction[]> = [['forward'], ['backward'], ['forward', 'backward']];
 
@@ -75,7 +78,7 @@
 		const describe = (text: string) => `${text} ${duration} ms`;
 		return pick<Fault>([
 			{text: describe(`kill ${instance.name}`), inject: async () => restart(instance, duration, async () => instance.program.kill())},
-			{text: describe(`stop ${instance.name}`), inject: async () => restart(instance, duration, async () => instance.program.stop())},
+			{text: describe(`stop ${instance.name}`), inject: async () => restart(instance, duration, async () => stop(instance, duration % maxStopSignals))},
 			{text: describe(`pause ${instance.name}`), inject: async () => pause(instance, duration)},
 			{text: `signal ${instance.name} that its settings changed`, inject: async () => signal(instance)},
 			createProxyFault(`links of entry ${links + 1}`, system.proxies.links[links]!, directions, duration),
@@ -131,6 +134,17 @@
 		]);
 	}
 
+	/** Tells a process to stop, and again and again while it does. */
+	async function stop({program}: PlatformInstance, repetitions: number): Promise<void> {
+		const stopped = program.stop();
+		for (let i = 0; i < repetitions; i++) {
+			await Promise.race([stopped, sleep(stopSignalGapMs)]);
+			program.signal('SIGTERM');
+		}
+
+		await stopped;
+	}
+
 	async function restart(instance: PlatformInstance, downTime: Milliseconds, end: () => Promise<unknown>): Promise<void> {
 		// Faults overlap: another one may have ended the process already.
 		if (ended.has(instance.name)) {
