Write log lines in batches that a pipe takes whole

Lines are now written as soon as 4,096 bytes are buffered, which a pipe takes whole or not at all.

The new test fails without the change (one batch of 40,000 bytes).

--- a/src/process/log-stream.ts
+++ b/src/process/log-stream.ts
@@ -5,12 +5,14 @@
 import {Buffer} from 'node:buffer';
 import fs from 'node:fs';
 import {Writable} from 'node:stream';
-import type {Clock, Milliseconds} from './clock.js';
+import type {Clock, Milliseconds, Timer} from './clock.js';
 
 /** File descriptor of standard output. */
 const standardOutput = 1;
 /** Time for which lines are buffered to be written in one batch. */
 const flushDelayMs: Milliseconds = 250;
+/** Buffered characters that are written at once. A pipe takes this many bytes whole, so that a slow reader sees no torn lines. */
+const batchCharacters = 4096;
 /** Bound on the buffered lines, in characters: the output of a busy process in some seconds. */
 const maxBufferedCharacters = 1_000_000;
 /** Bound on the lines written per second; a busy entry writes about a tenth of this. */
@@ -53,7 +55,9 @@
 	let linesInSecond = 0;
 	let second = 0;
 	let isWriting = false;
-	let isFlushScheduled = false;
+	/** Whether all buffered lines are to be written now, not only whole batches. */
+	let isFlushDue = false;
+	let flushTimer: Timer | undefined;
 
 	const stream = new Writable({
 		decodeStrings: false,
@@ -65,7 +69,7 @@
 	return Object.assign(stream, {
 		flushNow() {
 			try {
-				output.writeNow(Buffer.concat([unwritten ?? Buffer.alloc(0), takeBatch()]));
+				output.writeNow(Buffer.concat([unwritten ?? Buffer.alloc(0), take(buffered.length)]));
 			} catch {
 				// The output is closed, so the loss of the last lines cannot be reported anywhere.
 			}
@@ -87,19 +91,27 @@
 			return;
 		}
 
+		if (buffered.length + line.length > batchCharacters && unwritten === undefined) {
+			writeBatch();
+		}
+
 		buffered += line;
 		scheduleFlush();
 	}
 
 	function scheduleFlush(): void {
-		if (!isFlushScheduled && !isWriting) {
-			isFlushScheduled = true;
-			clock.after(flushDelayMs, flush);
-		}
+		flushTimer ??= clock.after(flushDelayMs, () => {
+			flushTimer = undefined;
+			isFlushDue = true;
+			writeBatch();
+		});
 	}
 
-	function flush(): void {
-		isFlushScheduled = false;
+	function writeBatch(): void {
+		if (isWriting || (unwritten === undefined && buffered === '' && dropped === 0)) {
+			return;
+		}
+
 		const batch = unwritten ?? takeBatch();
 		isWriting = true;
 		output.write(batch, (err, written) => {
@@ -108,16 +120,34 @@
 			const isAccepting = err === undefined || err.code === 'EAGAIN';
 			unwritten = isAccepting && written < batch.length ? batch.subarray(written) : undefined;
 			// If the output is closed, the process continues without a log.
-			if (isAccepting && (unwritten !== undefined || buffered !== '')) {
+			if (!isAccepting) {
+				return;
+			}
+
+			isFlushDue &&= buffered !== '';
+			if (unwritten !== undefined) {
 				scheduleFlush();
+			} else if (isFlushDue || buffered.length > batchCharacters) {
+				writeBatch();
 			}
 		});
 	}
 
+	/** Takes as many whole lines as fit into a batch, or a longer one alone. */
 	function takeBatch(): Uint8Array {
-		const text = dropped === 0 ? buffered : `${buffered}${JSON.stringify({msg: 'log lines dropped', dropped})}\n`;
-		buffered = '';
+		const end = buffered.length <= batchCharacters ? buffered.length : buffered.lastIndexOf('\n', batchCharacters - 1) + 1;
+		return take(end === 0 ? buffered.indexOf('\n') + 1 : end);
+	}
+
+	function take(length: number): Uint8Array {
+		const taken = buffered.slice(0, length);
+		buffered = buffered.slice(length);
+		if (dropped === 0 || buffered !== '') {
+			return Buffer.from(taken);
+		}
+
+		const report = `${JSON.stringify({msg: 'log lines dropped', dropped})}\n`;
 		dropped = 0;
-		return Buffer.from(text);
+		return Buffer.from(`${taken}${report}`);
 	}
 }
--- a/test/process/log-stream.test.ts
+++ b/test/process/log-stream.test.ts
@@ -41,6 +41,27 @@
 		t.is(read(), '1\n2\n');
 	});
 
+	// Issue 68: the reader of a busy process took 8 KB of each batch and lost the rest, the lines on its load among them.
+	it('writes no more than a pipe takes whole at a time while lines come quickly', t => {
+		const clock = createFakeClock();
+		const batches: string[] = [];
+		const stream = createLogStream(clock, {
+			write(bytes, done) {
+				batches.push(Buffer.from(bytes).toString());
+				done(undefined, bytes.length);
+			},
+			writeNow: () => undefined,
+		});
+		const lines = Array.from({length: 100}, (_, i) => `${String(i).padEnd(399, '.')}\n`);
+		for (const line of lines) {
+			stream.write(line);
+		}
+
+		clock.advance(flushDelayMs);
+		t.is(batches.join(''), lines.join(''));
+		t.deepEqual(batches.filter(batch => batch.length > 4096), []);
+	});
+
 	it('drops and counts lines beyond the limit per second', async t => {
 		const {clock, stream, read} = createFixture(t);
 		for (let i = 0; i < 5000; i++) {
