Count at each entry what becomes of the jobs of its clients

One line a second and entry now says how many jobs were refused, forwarded and with which outcome, served for own clients and for others, and how those ended, beside the entry's own load and the number of entries and agents that it can reach.

--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -258,6 +258,7 @@
 		if (batch.hello?.address !== undefined) {
 			link.peer = batch.hello.address;
 			host.onLinksChanged();
+			host.onStreamChanged?.({kind: 'opened', peer: link.peer});
 			host.onPeerConnected(link.peer);
 		}
 
@@ -279,12 +280,12 @@
 		if (link.stream === stream) {
 			const silentConnection = link.connection;
 			link.connection = connect(link.address);
-			disconnect(link);
+			disconnect(link, 'silent');
 			silentConnection.close();
 		}
 	}
 
-	function disconnect(link: OutgoingLink): void {
+	function disconnect(link: OutgoingLink, kind: 'closed' | 'silent' = 'closed'): void {
 		const {stream, peer, output} = link;
 		link.stream = undefined;
 		link.output = undefined;
@@ -304,6 +305,7 @@
 		if (peer !== undefined) {
 			loads.delete(peer.incarnation);
 			host.onLinksChanged();
+			host.onStreamChanged?.({kind, peer});
 		}
 	}
 
--- a/src/connection/peer-types.ts
+++ b/src/connection/peer-types.ts
@@ -40,10 +40,18 @@
 	onPeerConnected(peer: EntryAddress): void;
 	/** Called when a stream to another entry has opened or closed. */
 	onLinksChanged(): void;
+	/** Called with the same changes, for the log. */
+	onStreamChanged?(change: PeerStreamChange): void;
 	/** Creates a connection to "IP:port"; gRPC is used if undefined. */
 	connect?(address: string): PeerConnection;
 };
 
+/** A change of the stream that this entry has opened to another one; silent if its silence timeout ended it. */
+export type PeerStreamChange = {
+	readonly kind: 'opened' | 'closed' | 'silent';
+	readonly peer: EntryAddress;
+};
+
 /** A request to another entry; the hub assigns its number. */
 export type PeerRequest = Omit<RelayRequest, 'id'>;
 
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -225,6 +225,11 @@
 		},
 		getLosses: () => coordinator.lossLog.getReportsSince(0).reports,
 		receiveLoss: coordinator.receiveLossReport,
+		onStreamChanged({peer, kind}) {
+			host.log.info({
+				peer: peer.name, incarnation: peer.incarnation, kind, linked: peers.getLinkedPeers().length,
+			}, `stream to another entry ${kind}`);
+		},
 		onPeerConnected(peer) {
 			shares.resynchronize(peer.incarnation);
 			introduction.introduceTo(peer);
@@ -314,7 +319,15 @@
 	];
 	if (host.loadMonitor !== undefined) {
 		timers.push(startLoadTelemetry({
-			clock, log: host.log, metrics: host.metrics, monitor: host.loadMonitor, linkBudget: host.linkBudget, getCounts: () => ({...coordinator.getCounts(), ...links.getBatchCounts(), ...getTrafficCounts()}),
+			clock,
+			log: host.log,
+			metrics: host.metrics,
+			monitor: host.loadMonitor,
+			linkBudget: host.linkBudget,
+			getCounts: () => ({
+				...coordinator.getCounts(), ...forwarding.getCounts(), ...links.getBatchCounts(), ...getTrafficCounts(),
+			}),
+			describeState: () => ({...forwarding.describeState(), agents: links.getLinkCount()}),
 		}));
 	}
 
--- a/src/process/job-forwarding.ts
+++ b/src/process/job-forwarding.ts
@@ -37,6 +37,31 @@
 	tryAnswerUnsent(req: RelayRequest): RelayResult | undefined;
 	/** Returns the load that is reported to peers; undefined if it is not measured. */
 	tryGetLoad(): PeerLoad | undefined;
+	/** Returns what became of jobs of clients and of other entries since the start of this process, for the log. */
+	getCounts(): ForwardingCounts;
+	/** Returns what decides about new jobs now, for the log. */
+	describeState(): ForwardingState;
+};
+
+/** Numbers of jobs since the start of a process. */
+export type ForwardingCounts = {
+	readonly refusedBusy: number;
+	readonly forwarded: number;
+	readonly forwardsAnswered: number;
+	readonly forwardsDeclined: number;
+	readonly forwardsCancelled: number;
+	readonly forwardsLost: number;
+	readonly servedForOthers: number;
+	readonly declinedForOthers: number;
+};
+
+/** What decides about new jobs. */
+export type ForwardingState = {
+	/** Share of the jobs that are refused if no other entry takes them. */
+	readonly refusedShare: number;
+	/** Number of linked entries, and of those that accept jobs. */
+	readonly peers: number;
+	readonly acceptingPeers: number;
 };
 
 /** Operation of a request between entries that carries a job. */
@@ -54,6 +79,9 @@
 	const {log, metrics, clock, loadMonitor, peers} = host;
 	const refusals = createRefusalControl();
 	loadMonitor?.onSample(refusals.update);
+	const counts = {
+		refusedBusy: 0, forwarded: 0, forwardsAnswered: 0, forwardsDeclined: 0, forwardsCancelled: 0, forwardsLost: 0, servedForOthers: 0, declinedForOthers: 0,
+	};
 
 	return {
 		decide() {
@@ -62,12 +90,15 @@
 			}
 
 			const process = loadMonitor.getLoad();
-			return decideByLoad({process, link: getLinkLoad(), refusedShare: refusals.getShare(process)}, peers.getLoadReports(), host.random);
+			const decision = decideByLoad({process, link: getLinkLoad(), refusedShare: refusals.getShare(process)}, peers.getLoadReports(), host.random);
+			counts.refusedBusy += decision.kind === 'refuse' ? 1 : 0;
+			return decision;
 		},
 		tryForward,
 		async serve(req, cancellation) {
 			const job = acceptsJobs() && !host.areStartsHeld() ? tryDecode(req) : undefined;
 			const result = job === undefined ? declinedResult : await host.serveForwardedJob!(job, cancellation);
+			counts[result.declined ? 'declinedForOthers' : 'servedForOthers']++;
 			metrics.count('job.received', 1, {outcome: result.declined ? 'declined' : 'served'});
 			return result;
 		},
@@ -77,6 +108,15 @@
 			acceptsJobs: acceptsJobs(),
 			linkUtilizationPerMille: Math.round(getLinkLoad().utilization * 1000),
 		},
+		getCounts: () => ({...counts}),
+		describeState() {
+			const reports = peers.getLoadReports();
+			return {
+				refusedShare: loadMonitor === undefined ? 0 : refusals.getShare(loadMonitor.getLoad()),
+				peers: reports.length,
+				acceptingPeers: reports.filter(report => report.acceptsJobs).length,
+			};
+		},
 	};
 
 	// A job that cannot be read here may be served by its sender.
@@ -107,6 +147,7 @@
 			return undefined;
 		}
 
+		counts.forwarded++;
 		const forwardedAt = clock.now();
 		let isCancelled = false;
 		log.info({
@@ -122,6 +163,7 @@
 				log.info({
 					request: name, peer, outcome, status: reply?.status, elapsed: Math.round(clock.now() - forwardedAt),
 				}, 'forwarded job ended');
+				counts[forwardCounts[outcome]]++;
 				metrics.count('job.forwarded', 1, {outcome});
 				return reply;
 			}),
@@ -129,7 +171,14 @@
 	}
 }
 
-function describeOutcome(reply: RelayReply | undefined): 'lost' | 'declined' | 'answered' {
+type ForwardOutcome = 'lost' | 'declined' | 'answered' | 'cancelled';
+
+/** Name of the count of each outcome. */
+const forwardCounts = {
+	lost: 'forwardsLost', declined: 'forwardsDeclined', answered: 'forwardsAnswered', cancelled: 'forwardsCancelled',
+} as const satisfies Readonly<Record<ForwardOutcome, keyof ForwardingCounts>>;
+
+function describeOutcome(reply: RelayReply | undefined): Exclude<ForwardOutcome, 'cancelled'> {
 	if (reply === undefined) {
 		return 'lost';
 	}
--- a/src/process/load-telemetry.ts
+++ b/src/process/load-telemetry.ts
@@ -18,12 +18,16 @@
 	readonly linkBudget?: Pick<LinkBudget, 'getLoad'>;
 	/** Returns counts since the start of the process, for instance of messages. The log has their increases. */
 	getCounts(): Readonly<Record<string, number>>;
+	/** Returns further values that are logged as they are; none if undefined. */
+	describeState?(): Readonly<Record<string, number>>;
 };
 
-const reportIntervalMs: Milliseconds = 2000;
+const reportIntervalMs: Milliseconds = 1000;
 
 /** Starts to report until the returned timer is cancelled. */
-export function startLoadTelemetry({clock, log, metrics, monitor, linkBudget, getCounts}: LoadTelemetryHost): Timer {
+export function startLoadTelemetry({
+	clock, log, metrics, monitor, linkBudget, getCounts, describeState,
+}: LoadTelemetryHost): Timer {
 	let lastCounts = getCounts();
 
 	return every(clock, reportIntervalMs, () => {
@@ -35,7 +39,7 @@
 		metrics.gauge('process.utilization', utilization);
 		metrics.gauge('process.max.delay', maxDelay);
 		log.info({
-			utilization: round(utilization), maxDelay: Math.round(maxDelay), ...describeLink(linkBudget), ...Object.fromEntries(increases),
+			utilization: round(utilization), maxDelay: Math.round(maxDelay), ...describeLink(linkBudget), ...describeState?.(), ...Object.fromEntries(increases),
 		}, 'load');
 	});
 }
--- a/src/request/coordinator-types.ts
+++ b/src/request/coordinator-types.ts
@@ -103,6 +103,17 @@
 	/** The request cannot be served under this ticket; nothing was started or changed. */
 	| {readonly kind: 'invalid'; readonly diagnostic: Diagnostic};
 
+/** Numbers since the start of a process. */
+export type JobCounts = {
+	readonly jobsSubmitted: number;
+	readonly jobsCompleted: number;
+	/** Jobs that were refused or given up and that certainly have not run. */
+	readonly jobsNotRun: number;
+	/** All others that have ended: failed, cancelled, or past their deadline. */
+	readonly jobsUnfinished: number;
+	readonly tasksStarted: number;
+};
+
 /** The coordinator of all tickets that one entry incarnation issued. */
 export type Coordinator = {
 	readonly sessions: AgentSessions;
@@ -121,8 +132,8 @@
 	applySnapshot(snapshot: Snapshot): void;
 	/** Returns the number of accepted jobs without an answer. */
 	getOpenJobs(): number;
-	/** Returns the numbers of submissions and of task starts since the start of the process. */
-	getCounts(): {readonly jobsSubmitted: number; readonly tasksStarted: number};
+	/** Returns how many submissions and task starts there were since the start of the process. */
+	getCounts(): JobCounts;
 	/** Returns which tasks are kept apart from those of other jobs at present. */
 	getIsolation(): Isolation;
 };
--- a/src/request/coordinator.ts
+++ b/src/request/coordinator.ts
@@ -40,8 +40,10 @@
 	const openJobs = new Map<string, OpenJob>();
 	/** Times of the answers on the monotonic clock, by ticket, oldest first. */
 	const answeredAt = new Map<string, Milliseconds>();
-	let jobsSubmitted = 0;
 	let tasksStarted = 0;
+	const jobCounts = {
+		jobsSubmitted: 0, jobsCompleted: 0, jobsNotRun: 0, jobsUnfinished: 0,
+	};
 	const lostTasks = createLostTasks({clock: host.clock, getUpstreamCount: () => sessions.getOpenCount()});
 	const retryRules = createRetryRules({clock: host.clock, lostTasks});
 
@@ -109,7 +111,7 @@
 			applyRules(scheduler, snapshot);
 		},
 		getOpenJobs: () => openJobs.size,
-		getCounts: () => ({jobsSubmitted, tasksStarted}),
+		getCounts: () => ({...jobCounts, tasksStarted}),
 		getIsolation: lostTasks.getIsolation,
 	};
 
@@ -145,7 +147,7 @@
 	// The ticket is spent at this point and a refusal is final. Otherwise a later copy of the request could
 	// start work that was reported to the caller as not run.
 	function acceptRequest(caller: Caller, req: SubmissionRequest): JobHandle {
-		jobsSubmitted++;
+		jobCounts.jobsSubmitted++;
 		const trackedJob = createTrackedJob(caller, req, host.clock.now());
 		trackedJobs.set(req.ticket.text, trackedJob);
 		const snapshot = host.tryGetSnapshot();
@@ -389,6 +391,7 @@
 	}
 
 	function publish(trackedJob: TrackedJob, answer: Answer): void {
+		countAnswer(answer);
 		host.recorder.recordAnswer(trackedJob.ticket.text, answer);
 		trackedJob.answer = answer;
 		host.onAnswered(trackedJob, answer, host.clock.now() - trackedJob.receivedAt);
@@ -400,6 +403,16 @@
 		trackedJob.listeners.clear();
 	}
 
+	function countAnswer({state, ran}: Answer): void {
+		if (state === 'complete') {
+			jobCounts.jobsCompleted++;
+		} else if (ran === 'not-run') {
+			jobCounts.jobsNotRun++;
+		} else {
+			jobCounts.jobsUnfinished++;
+		}
+	}
+
 	function deleteExpiredAnswers(): void {
 		const oldest = host.clock.now() - host.answerKeepMs;
 		for (const [ticket, at] of answeredAt) {
--- a/test/process/job-forwarding.test.ts
+++ b/test/process/job-forwarding.test.ts
@@ -1,6 +1,6 @@
 import type {PeerHub} from '../../src/connection/peer-hub.js';
 import {declinedResult, createJobForwarding, type JobForwarding} from '../../src/process/job-forwarding.js';
-import {ForwardedJob} from '../../src/generated/kingcuplane.js';
+import {ForwardedJob, type RelayReply} from '../../src/generated/kingcuplane.js';
 import {createFakeClock} from '../../src/process/fake-clock.js';
 import type {Log} from '../../src/process/log.js';
 import {noMetrics} from '../../src/process/metrics.js';
@@ -85,6 +85,23 @@
 	}
 });
 
+// Issue 68: the logs of an entry did not tell how many of its jobs were forwarded, declined, lost or refused in a second.
+describe('the counts of forwarding', () => {
+	it('have each job of this entry and of others once', async t => {
+		const replies: Array<RelayReply | undefined> = [{...served, id: 1, declined: false}, {...declinedResult, id: 2, declined: true}, undefined];
+		const {forwarding} = createFixture({tryStartRequest: () => ({reply: Promise.resolve(replies.shift()), cancel: () => undefined})});
+		for (let i = 0; i < 3; i++) {
+			await forwarding.tryForward('e2', 'j', job)!.reply;
+		}
+
+		await forwarding.serve(req, neverCancelled);
+		await forwarding.serve({...req, body: new Uint8Array([0xFF])}, neverCancelled);
+		t.deepEqual(forwarding.getCounts(), {
+			refusedBusy: 0, forwarded: 3, forwardsAnswered: 1, forwardsDeclined: 1, forwardsCancelled: 0, forwardsLost: 1, servedForOthers: 1, declinedForOthers: 1,
+		});
+	});
+});
+
 describe('a job that another entry has forwarded', () => {
 	it('is served', async t => {
 		t.deepEqual(await createFixture().forwarding.serve(req, neverCancelled), served);
