Limit the time of an attempt to open a stream to another entry

Cause: an attempt to connect to another entry had no time limit. Its first packets were lost in the cut, and the operating system sends them again after 1, 3, 7 and 15 s. The streams opened at 19.1 to 20.9 s, 15 s after they had been found silent, though packets passed from 13.0 s on. Until then a busy entry could forward nothing.

Ruled out: the reconnect backoff of gRPC (0.5 s at most) and its keepalive, which ends streams and not attempts.

Test: 'open again within 3 s after a cut in which connection attempts got no answer' fails without the change (not linked 3 s after the cut, and never later, as the simulated network does not repeat lost packets).

--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -6,6 +6,7 @@
 	EntryAddress, LossReport, PeerBatch, PeerLoad, PeerServer, PeerState, RelayReply, RelayRequest, ShareNews,
 } from '../generated/kingcuplane.js';
 import type {Milliseconds, Timer} from '../process/clock.js';
+import {createConnectAttempts, type ConnectAttempts} from './connect-attempts.js';
 import {connectToPeer} from './peer-channel.js';
 import {createPeerServer} from './peer-server.js';
 import {createPeerStream, type PeerStream} from './peer-stream.js';
@@ -57,6 +58,8 @@
 	peer?: EntryAddress;
 	reconnectTimer?: Timer;
 	isStopped: boolean;
+	/** Undefined if the time of an attempt is not limited. */
+	readonly attempts: ConnectAttempts | undefined;
 	readonly pendingRequests: Map<number, (reply: RelayReply | undefined) => void>;
 };
 
@@ -199,7 +202,11 @@
 
 	function startLink(address: string): OutgoingLink {
 		const link: OutgoingLink = {
-			address, connection: connect(address), pendingRequests: new Map(), isStopped: false,
+			address,
+			connection: connect(address),
+			attempts: host.timing.silence && createConnectAttempts({clock: host.clock, firstTimeoutMs: host.timing.silence.activeMs}),
+			pendingRequests: new Map(),
+			isStopped: false,
 		};
 		open(link);
 		return link;
@@ -242,6 +249,9 @@
 			});
 		}
 
+		link.attempts?.begin(() => {
+			replaceSilentConnection(link, stream);
+		});
 		link.output.send({...createHello(), losses: [...host.getLosses()]});
 	}
 
@@ -257,6 +267,7 @@
 	function receive(link: OutgoingLink, batch: PeerBatch): void {
 		if (batch.hello?.address !== undefined) {
 			link.peer = batch.hello.address;
+			link.attempts?.succeed();
 			host.onLinksChanged();
 			host.onStreamChanged?.({kind: 'opened', peer: link.peer});
 			host.onPeerConnected(link.peer);
@@ -290,6 +301,7 @@
 		link.stream = undefined;
 		link.output = undefined;
 		link.peer = undefined;
+		link.attempts?.end();
 		output?.stop();
 		stream?.cancel();
 		for (const finish of link.pendingRequests.values()) {
--- a/test/connection/peer-hub.test.ts
+++ b/test/connection/peer-hub.test.ts
@@ -232,6 +232,20 @@
 		t.deepEqual(b.served, []);
 	});
 
+	// Issue 68: after a cut of 10 s, entries could forward nothing for 6 to 8 s more, as their connections still waited for lost packets.
+	it('open again within 3 s after a cut in which connection attempts got no answer', async t => {
+		const {network, a, advance, send} = await createFixture();
+		const sent = send('x');
+		network.silence('a', 'b', 'client');
+		network.silence('a', 'b', 'server');
+		network.loseNew('a', 'b', 10_000);
+		await advance(10_000);
+		t.deepEqual(sent.outcome, {reply: undefined});
+		t.false(a.hub.isLinked('b-1'));
+		await advance(3000);
+		t.true(a.hub.isLinked('b-1'));
+	});
+
 	it('answer requests of a lost stream as without a reply, and open it again', async t => {
 		const {network, a, advance, send} = await createFixture();
 		const sent = send('x');
--- a/test/failure/network.ts
+++ b/test/failure/network.ts
@@ -49,6 +49,8 @@
 	 * order, as over TCP when packets are lost.
 	 */
 	slow(from: string, to: string, range: DelayRange, duration: Milliseconds): void;
+	/** Lets streams that `client` opens to `server` within a time get no answer, not even an error, as if their first packets were lost. */
+	loseNew(client: string, server: string, within: Milliseconds): void;
 	/** Drops everything between two processes, in both directions, for a time. */
 	block(a: string, b: string, duration: Milliseconds): void;
 	isBlocked(a: string, b: string): boolean;
@@ -82,6 +84,7 @@
 	const blocked = new Map<string, Milliseconds>();
 	const slowed = new Map<string, {readonly range: DelayRange; readonly until: Milliseconds}>();
 	const held = new Map<string, {readonly duration: Milliseconds; readonly until: Milliseconds}>();
+	const lostUntil = new Map<string, Milliseconds>();
 	const heldNext = new Map<string, {readonly duration: Milliseconds; onOpened(): void}>();
 	const frozenSince = new Map<SimulatedProcess, Milliseconds>();
 	let streams: SimulatedStream[] = [];
@@ -128,6 +131,9 @@
 		slow(from, to, range, duration) {
 			slowed.set(`${from}>${to}`, {range, until: clock.now() + duration});
 		},
+		loseNew(client, server, within) {
+			lostUntil.set(`${client}>${server}`, clock.now() + within);
+		},
 		block,
 		isBlocked,
 		kill(process, noticeMs) {
@@ -192,7 +198,10 @@
 			next.onOpened();
 		}
 
-		if (isReachable) {
+		if (clock.now() < (lostUntil.get(`${getHostName(process)}>${address}`) ?? 0)) {
+			stream.silence('client');
+			stream.silence('server');
+		} else if (isReachable) {
 			clock.after(random.integer(1, 3), () => {
 				listener!.process.perform(() => {
 					accept(listener!, stream.server);
