Give a busy entry more time to answer a connection attempt of an agent

From 1.8 s after the cut until the traffic ended, 3.2 s later, none of the 7 and 23 agents that were still missing was linked to the two busy entries of the data centre; all were within 0.3 s when the load was gone.

Cause: an agent gave up each attempt after 0.7 s, however often that had failed before. A busy entry answers later than that, and what it does for an attempt that was given up keeps it busy.

Change: the limit doubles with each attempt that was given up, to 2.8 s, and is 0.7 s again once the link was open. Attempts that fail at once, as against a process that restarts, are not affected.

Test: 'opens although the entry is so busy that it answers after 2 s' and 'costs an entry that does not answer an attempt in two seconds' fail without the change (never open; 31 attempts in 30 s).

--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -11,6 +11,7 @@
 import type {EntrySessions} from './entry-sessions.js';
 import type {LossLog} from './loss-log.js';
 import {createChannelOptions} from './channel-options.js';
+import {createConnectAttempts} from './connect-attempts.js';
 import {getHeartbeatInterval, type BatchCounts, type LinkTiming} from './link-timing.js';
 import {createSilenceMonitor, type SilenceMonitor} from './silence-monitor.js';
 
@@ -105,6 +106,7 @@
 	let reconnectTimer: Timer | undefined;
 	let isStopped = false;
 	let silence: SilenceMonitor | undefined;
+	const attempts = host.timing.silence && createConnectAttempts({clock: host.clock, firstTimeoutMs: host.timing.silence.activeMs});
 	let isFlushDeferred = false;
 	let hasNewState = false;
 	let sentGranted = 0;
@@ -165,7 +167,9 @@
 
 		const current = client.open();
 		stream = current;
-		monitorSilence(current);
+		attempts?.begin(() => {
+			reset('silent');
+		});
 		current.on('data', (batch: EntryBatch) => {
 			batchesReceived++;
 			host.onBatchReceived?.();
@@ -184,9 +188,10 @@
 		});
 	}
 
-	function monitorSilence(current: Stream): void {
+	function monitorSilence(): void {
 		const timeouts = host.timing.silence;
-		silence = timeouts && createSilenceMonitor({
+		const current = stream;
+		silence ??= timeouts && createSilenceMonitor({
 			clock: host.clock,
 			timeoutMs: timeouts.activeMs,
 			idleTimeoutMs: timeouts.idleMs,
@@ -196,8 +201,6 @@
 				}
 			},
 		});
-		// A connection attempt that takes longer is given up, because another one may succeed sooner.
-		silence?.setActive(true);
 	}
 
 	function hasRunningTasks(): boolean {
@@ -217,7 +220,9 @@
 		}
 
 		stream = undefined;
+		attempts?.end();
 		silence?.stop();
+		silence = undefined;
 		closed.cancel();
 		if (entry !== undefined) {
 			reportChange(reason);
@@ -269,6 +274,8 @@
 
 	function handleWelcome(incarnation: string): void {
 		host.replaceEarlierLink(incarnation, link);
+		attempts?.succeed();
+		monitorSilence();
 		entry = incarnation;
 		reportChange('opened');
 		reconnectDelay = initialReconnectDelayMs;
--- /dev/null
+++ b/test/connection/link-client.test.ts
@@ -0,0 +1,105 @@
+import {createAgentLink, type AgentLink} from '../../src/connection/link-client.js';
+import {createEntrySessions} from '../../src/connection/entry-sessions.js';
+import {createResourceLimiter} from '../../src/connection/resource-limiter.js';
+import {AgentState, EntryBatch} from '../../src/generated/kingcuplane.js';
+import {platformTiming} from '../../src/platform/timing.js';
+import type {Milliseconds} from '../../src/process/clock.js';
+import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
+import {describe, it} from '../describe.js';
+
+type Fixture = {
+	readonly clock: FakeClock;
+	readonly link: AgentLink;
+	/** Times at which a stream was opened. */
+	readonly openedAt: Milliseconds[];
+};
+
+const capacity = {cpu: 1000, memory: 1, accelerators: 0};
+
+/** Creates a link to an entry that welcomes a stream `getWelcomeDelay` after it was opened, if that is still open. */
+function createFixture(getWelcomeDelay: (now: Milliseconds) => Milliseconds): Fixture {
+	const clock = createFakeClock();
+	const openedAt: Milliseconds[] = [];
+	const sessions = createEntrySessions({
+		clock,
+		agent: {
+			incarnation: 'a-1', name: 'a', upstream: 'u', service: 's', dataCentre: 'd', rack: 'r', slots: 1, capacity,
+		},
+		retentionMs: 1000,
+		maxRetainedBytes: 1000,
+		run: () => undefined,
+		stop: () => undefined,
+		onOutputPending: () => undefined,
+	}, createResourceLimiter({clock, notifyEntry: () => undefined}, capacity));
+	const link = createAgentLink({
+		clock,
+		sessions,
+		timing: platformTiming,
+		getState: () => AgentState.fromPartial({}),
+		receiveConfig: () => undefined,
+		receiveEntries: () => undefined,
+		replaceEarlierLink: () => undefined,
+		random: () => 0.5,
+		defer(action) {
+			action();
+		},
+		connect: () => ({
+			open() {
+				let isCancelled = false;
+				openedAt.push(clock.now());
+				return {
+					on(event: string, listener: (batch: EntryBatch) => void) {
+						if (event === 'data') {
+							clock.after(getWelcomeDelay(clock.now()), () => {
+								if (!isCancelled) {
+									listener(EntryBatch.fromPartial({welcome: {incarnation: 'e-1'}}));
+								}
+							});
+						}
+					},
+					write: () => undefined,
+					cancel() {
+						isCancelled = true;
+					},
+				};
+			},
+			close: () => undefined,
+		}),
+	}, 'e');
+	return {clock, link, openedAt};
+}
+
+describe('the link of an agent to an entry', () => {
+	// Issue 68: agents gave up each attempt after 0.7 s, so a busy entry worked for attempts that had ended and got no link.
+	it('opens although the entry is so busy that it answers after 2 s', t => {
+		const {clock, link} = createFixture(() => 2000);
+		clock.advance(8000);
+		t.true(link.isOpen());
+	});
+
+	it('costs an entry that does not answer an attempt in two seconds', t => {
+		const {clock, openedAt} = createFixture(() => Infinity);
+		clock.advance(30_000);
+		t.true(openedAt.length <= 15, `${openedAt.length} attempts`);
+	});
+
+	it('opens within 3 s after a time in which nothing was answered', t => {
+		const {clock, link} = createFixture(now => now < 10_000 ? Infinity : 5);
+		clock.advance(13_000);
+		t.true(link.isOpen());
+	});
+
+	it('tries again quickly once it was open', t => {
+		let welcomeDelay: Milliseconds = Infinity;
+		const {clock, link, openedAt} = createFixture(() => welcomeDelay);
+		clock.advance(10_000);
+		welcomeDelay = 5;
+		clock.advance(3000);
+		t.true(link.isOpen());
+		welcomeDelay = Infinity;
+		link.reset();
+		const before = openedAt.length;
+		clock.advance(1000);
+		t.true(openedAt.length - before >= 2);
+	});
+});
