Find out by one lost start that a data centre is cut off, not by one at each agent

Cause: a link on which nothing is pending is heard every two seconds and counts as lost after five.

Change: when a link becomes silent, the entry asks the other agents of that data centre for a report, unless it has heard them within a heartbeat, and starts nothing there before they answer: some milliseconds if they live. Those that do not answer within 0.7 s are lost, too.

Weighed: heartbeats on links at rest every 0.2 s, which cost more than all jobs on a small machine; no starts on reports older than some 0.3 s, which would take idle agents, the best ones, out of use.

Tests: 'are doubted when one in the same data centre has become silent', 'gets no start before its next report', 'answers with the state of the agent when the entry wants a report'; all three fail without the change. Agents of an earlier build ignore the new field of the message and report within two seconds; an agent must be updated before the entries to answer at once.

--- a/dev/bench/capacity.ts
+++ b/dev/bench/capacity.ts
@@ -329,7 +329,7 @@
 
 function createEntryBatch(starts: TaskStart[], acked: number): EntryBatch {
 	return {
-		welcome: undefined, starts, resultsAcked: acked, queued: 1, returned: 0, config: undefined, queries: [], fenced: [], draining: false, entries: [], head: undefined, stops: [], evacuations: undefined, senderSilences: [], sentAtMs: 0,
+		welcome: undefined, starts, resultsAcked: acked, queued: 1, returned: 0, config: undefined, queries: [], fenced: [], draining: false, entries: [], head: undefined, stops: [], evacuations: undefined, senderSilences: [], sentAtMs: 0, reportWanted: false,
 	};
 }
 
--- a/src/connection/link-client.ts
+++ b/src/connection/link-client.ts
@@ -267,6 +267,10 @@
 			host.receiveEntries(batch.entries);
 		}
 
+		if (batch.reportWanted) {
+			link.reportState();
+		}
+
 		if (batch.welcome === undefined) {
 			host.sessions.receive(entry, batch);
 		}
--- a/src/connection/link-server.ts
+++ b/src/connection/link-server.ts
@@ -21,7 +21,7 @@
 	readonly incarnation: string;
 	readonly sessions: AgentSessions;
 	/** Source of the demand that each batch reports to its agent; read when the batch is assembled. */
-	readonly scheduler: Pick<Scheduler, 'getDemand' | 'tryGetHead' | 'getReturnedCredits'>;
+	readonly scheduler: Pick<Scheduler, 'getDemand' | 'tryGetHead' | 'getReturnedCredits' | 'awaitReport'>;
 	readonly timing: LinkTiming;
 	readonly clock: Clock;
 	/** Returns the part of the active configuration that concerns this agent. */
@@ -113,6 +113,9 @@
 	isFlushDeferred: boolean;
 	isReportPending: boolean;
 	isAckScheduled: boolean;
+	/** Whether the agent is to report its state at once. */
+	isAnswerWanted: boolean;
+	heardAt: Milliseconds;
 	readonly silence: SilenceMonitor | undefined;
 	sentAt: Milliseconds;
 	isBroadcastPending: boolean;
@@ -236,6 +239,7 @@
 			}
 
 			if (link !== undefined) {
+				link.heardAt = host.clock.now();
 				link.silence?.recordMessage();
 				receive(link, batch);
 				link.silence?.setActive(link.session.hasOutstandingStarts());
@@ -256,6 +260,25 @@
 
 		link.silence?.stop();
 		link.session.close(kind === 'silent');
+		if (kind === 'silent') {
+			queryNeighbours(link.session.agent);
+		}
+	}
+
+	/**
+	 * A data centre that is cut off is found out by one start that is lost on the way. Without this, it would take one at each of its
+	 * agents, most of which report seldom.
+	 */
+	function queryNeighbours({dataCentre}: AgentInfo): void {
+		const latest = host.clock.now() - timing.heartbeatMs;
+		for (const [incarnation, link] of links) {
+			if (link.session.agent.dataCentre === dataCentre && link.heardAt < latest) {
+				host.scheduler.awaitReport?.(incarnation);
+				link.isAnswerWanted = true;
+				link.silence?.setActive(true);
+				deferFlush(link);
+			}
+		}
 	}
 
 	function tryOpenLink(hello: AgentHello, welcome: SentWelcome, stream: LinkStream): Link | undefined {
@@ -267,7 +290,7 @@
 			return undefined;
 		}
 
-		const link = createLink(session.value, stream, createMonitor());
+		const link = createLink(session.value, stream, createMonitor(), host.clock.now());
 		const {agent} = link.session;
 		links.set(agent.incarnation, link);
 		const {helloNumber, lastStartSeq} = hello;
@@ -341,7 +364,7 @@
 		const isNewConfig = config !== undefined && config.version > link.sentConfigVersion;
 		const evacuations = host.tryGetEvacuations?.();
 		const areNewEvacuations = evacuations !== undefined && evacuations.revision > link.sentEvacuationRevision;
-		if (link.starts.length === 0 && link.stops.length === 0 && link.queries.length === 0 && !link.isBroadcastPending && !isNewConfig && !areNewEvacuations && !link.isReportPending) {
+		if (link.starts.length === 0 && link.stops.length === 0 && link.queries.length === 0 && !link.isBroadcastPending && !isNewConfig && !areNewEvacuations && !link.isReportPending && !link.isAnswerWanted) {
 			return;
 		}
 
@@ -363,12 +386,14 @@
 			senderSilences: listSenderSilences(link),
 			sentAtMs: link.session.tryGetAgentTime() ?? 0,
 			evacuations: areNewEvacuations ? {...evacuations, dataCentres: [...evacuations.dataCentres]} : undefined,
+			reportWanted: link.isAnswerWanted,
 		}));
 		link.starts = [];
 		link.stops = [];
 		link.queries = [];
 		link.isBroadcastPending = false;
 		link.isReportPending = false;
+		link.isAnswerWanted = false;
 		link.sentAckedSeq = ackedSeq;
 		link.sentConfigVersion = isNewConfig ? config.version : link.sentConfigVersion;
 		link.sentEvacuationRevision = areNewEvacuations ? evacuations.revision : link.sentEvacuationRevision;
@@ -391,7 +416,7 @@
 	}
 }
 
-function createLink(session: AgentSession, stream: LinkStream, silence: SilenceMonitor | undefined): Link {
+function createLink(session: AgentSession, stream: LinkStream, silence: SilenceMonitor | undefined, now: Milliseconds): Link {
 	return {
 		session,
 		stream,
@@ -403,6 +428,8 @@
 		isFlushDeferred: false,
 		isReportPending: false,
 		isAckScheduled: false,
+		isAnswerWanted: false,
+		heardAt: now,
 		isBroadcastPending: true,
 		sentAckedSeq: 0,
 		sentConfigVersion: 0,
@@ -427,6 +454,7 @@
 		evacuations: undefined,
 		senderSilences: [],
 		sentAtMs: 0,
+		reportWanted: false,
 		...fields,
 	};
 }
--- a/src/connection/types.ts
+++ b/src/connection/types.ts
@@ -202,6 +202,8 @@
 	/** Removes an agent whose link was lost; its credits become void. */
 	removeAgent(incarnation: string): void;
 	setAgentStatus(incarnation: string, status: AgentStatus): void;
+	/** Lets nothing be started at an agent until its next report, since it may be cut off. Without effect on one that grants credits. */
+	awaitReport?(incarnation: string): void;
 	/** Sets the data centres in which nothing is started, whatever their agents report. */
 	setEvacuatedDataCentres(dataCentres: readonly string[]): void;
 	/** Sets the total number of credits granted by the agent since the link opened; a lower one than before is ignored. */
--- a/src/request/resource-pool.ts
+++ b/src/request/resource-pool.ts
@@ -18,7 +18,7 @@
 	health: Soundness;
 	/** Total resources in the agent's last report. */
 	capacity: Resources;
-	/** Free resources in the agent's last report; undefined until it reports them, on each link and after a refusal. Nothing is started meanwhile. */
+	/** Free resources in the agent's last report; undefined until it reports them, on each link, after a refusal, and while it may be cut off. Nothing is started meanwhile. */
 	reportedFreeResources: Resources | undefined;
 	/** What running tasks were expected to release by the agent's last report, in order of time on the monotonic clock. */
 	releases: ReadonlyArray<{readonly at: Milliseconds; readonly resources: Resources}>;
@@ -93,8 +93,8 @@
 	return free;
 }
 
-/** Records that an agent refused a start. Nothing more is sent to it until its next report. */
-export function recordRefusal(agent: AgentView): void {
+/** Lets nothing more be sent to an agent until its next report, because it refused a start or may be cut off. */
+export function clearReport(agent: AgentView): void {
 	agent.reportedFreeResources = undefined;
 }
 
--- a/src/request/resource-scheduler.ts
+++ b/src/request/resource-scheduler.ts
@@ -16,7 +16,7 @@
 import {createLookAhead, type LookAhead} from './look-ahead.js';
 import {checkResourceAdmission, noRequirements} from './resource-admission.js';
 import {
-	createAgentView, estimateFreeResources, hasFreeResources, isEligible, isStartAllowed, leavesReserve, prefer, countSuspects, recordRefusal, recordSentStart, applyStatus, setEvacuated, type AgentView,
+	createAgentView, estimateFreeResources, hasFreeResources, isEligible, isStartAllowed, leavesReserve, clearReport, prefer, countSuspects, recordSentStart, applyStatus, setEvacuated, type AgentView,
 } from './resource-pool.js';
 import {
 	getSlack, hasStarted, isFeasible, isObjectiveInfeasible, sortByPriority, type PendingJob,
@@ -136,6 +136,12 @@
 				dispatch(state);
 			}
 		},
+		awaitReport(incarnation) {
+			const agent = serviceOfAgent.get(incarnation)?.agents.get(incarnation);
+			if (agent !== undefined) {
+				clearReport(agent);
+			}
+		},
 		setEvacuatedDataCentres,
 		setGrantedCredits: () => undefined,
 		checkAdmission: job => checkResourceAdmission(getService(job.service), job, clock.now(), startupGraceEndsAt),
@@ -157,7 +163,7 @@
 			const agent = state.agents.get(incarnation);
 			if (agent !== undefined) {
 				if (outcome === 'refused') {
-					recordRefusal(agent);
+					clearReport(agent);
 				}
 
 				state.outliers.recordOutcome(incarnation, outcome);
--- a/test/connection/link-client.test.ts
+++ b/test/connection/link-client.test.ts
@@ -1,7 +1,7 @@
 import {createAgentLink, type AgentLink} from '../../src/connection/link-client.js';
 import {createEntrySessions} from '../../src/connection/entry-sessions.js';
 import {createResourceLimiter} from '../../src/connection/resource-limiter.js';
-import {AgentState, EntryBatch} from '../../src/generated/kingcuplane.js';
+import {AgentState, EntryBatch, type AgentBatch} from '../../src/generated/kingcuplane.js';
 import {platformTiming} from '../../src/platform/timing.js';
 import type {Milliseconds} from '../../src/process/clock.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
@@ -12,6 +12,10 @@
 	readonly link: AgentLink;
 	/** Times at which a stream was opened. */
 	readonly openedAt: Milliseconds[];
+	/** What the agent has sent. */
+	readonly written: readonly AgentBatch[];
+	/** Delivers a batch of the entry on the newest stream. */
+	receive(batch: EntryBatch): void;
 };
 
 const capacity = {cpu: 1000, memory: 1, accelerators: 0};
@@ -20,6 +24,8 @@
 function createFixture(getWelcomeDelay: (now: Milliseconds) => Milliseconds): Fixture {
 	const clock = createFakeClock();
 	const openedAt: Milliseconds[] = [];
+	const written: AgentBatch[] = [];
+	let receive: (batch: EntryBatch) => void = () => undefined;
 	const sessions = createEntrySessions({
 		clock,
 		agent: {
@@ -50,6 +56,7 @@
 				return {
 					on(event: string, listener: (batch: EntryBatch) => void) {
 						if (event === 'data') {
+							receive = listener;
 							clock.after(getWelcomeDelay(clock.now()), () => {
 								if (!isCancelled) {
 									listener(EntryBatch.fromPartial({welcome: {incarnation: 'e-1'}}));
@@ -57,7 +64,9 @@
 							});
 						}
 					},
-					write: () => undefined,
+					write(batch: AgentBatch) {
+						written.push(batch);
+					},
 					cancel() {
 						isCancelled = true;
 					},
@@ -66,10 +75,28 @@
 			close: () => undefined,
 		}),
 	}, 'e');
-	return {clock, link, openedAt};
+	return {
+		clock,
+		link,
+		openedAt,
+		written,
+		receive(batch) {
+			receive(batch);
+		},
+	};
 }
 
 describe('the link of an agent to an entry', () => {
+	it('answers with the state of the agent when the entry wants a report', t => {
+		const {clock, link, written, receive} = createFixture(() => 5);
+		clock.advance(10);
+		t.true(link.isOpen());
+		const before = written.length;
+		receive(EntryBatch.fromPartial({reportWanted: true}));
+		t.is(written.length, before + 1);
+		t.not(written.at(-1)?.state, undefined);
+	});
+
 	// Issue 68: agents gave up each attempt after 0.7 s, so a busy entry worked for attempts that had ended and got no link.
 	it('opens although the entry is so busy that it answers after 2 s', t => {
 		const {clock, link} = createFixture(() => 2000);
--- a/test/connection/link-server.test.ts
+++ b/test/connection/link-server.test.ts
@@ -6,27 +6,32 @@
 import {
 	AgentBatch, AgentHello, AgentState, TaskStart, type EntryBatch,
 } from '../../src/generated/kingcuplane.js';
-import {createFakeClock} from '../../src/process/fake-clock.js';
+import {platformTiming} from '../../src/platform/timing.js';
+import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {describe, it} from '../describe.js';
 
 type Fixture = {
+	readonly clock: FakeClock;
 	readonly hub: LinkHub;
 	readonly batches: readonly EntryBatch[];
 	/** How the stream of each agent was closed; no entry if it was not. An agent hears of one that was ended. */
 	readonly closed: ReadonlyMap<string, 'ended' | 'destroyed'>;
 	/** Opens the link of an agent. */
-	connect(agent: string, helloNumber?: number): void;
+	connect(agent: string, helloNumber?: number, dataCentre?: string): void;
+	/** Sends a state report of an agent. */
+	report(agent: string): void;
 	/** Sends the start of a task to an agent. */
 	start(agent: string, ticket: string): void;
 };
 
-type FixtureOptions = Partial<Pick<AgentSessionsHost, 'onAgentState'> & Pick<LinkServerHost, 'tryGetSenderSilence' | 'onOutdatedHello' | 'onUnexpectedError'>>;
+type FixtureOptions = Partial<Pick<AgentSessionsHost, 'onAgentState'> & Pick<LinkServerHost, 'scheduler' | 'timing' | 'tryGetSenderSilence' | 'onOutdatedHello' | 'onUnexpectedError'>>;
 
 /** Creates a hub without links. */
 function createFixture({onAgentState = () => undefined, ...linkOptions}: FixtureOptions): Fixture {
 	const clock = createFakeClock();
 	const batches: EntryBatch[] = [];
 	const closed = new Map<string, 'ended' | 'destroyed'>();
+	const receivers = new Map<string, (batch: AgentBatch) => void>();
 	const sessions = createAgentSessions({
 		clock,
 		graceMs: 1000,
@@ -56,10 +61,11 @@
 		...linkOptions,
 	});
 	return {
+		clock,
 		hub,
 		batches,
 		closed,
-		connect(agent, helloNumber = 0) {
+		connect(agent, helloNumber = 0, dataCentre = 'd') {
 			let receive: (batch: AgentBatch) => void = () => undefined;
 			const stream: LinkStream = {
 				on(event: string, listener: (batch: AgentBatch) => void) {
@@ -78,7 +84,16 @@
 				},
 			};
 			hub.accept(stream);
-			receive(AgentBatch.fromPartial({hello: AgentHello.fromPartial({agent, incarnation: `${agent}-1`, helloNumber}), state: AgentState.fromPartial({})}));
+			receivers.set(agent, receive);
+			receive(AgentBatch.fromPartial({
+				hello: AgentHello.fromPartial({
+					agent, incarnation: `${agent}-1`, helloNumber, dataCentre,
+				}),
+				state: AgentState.fromPartial({}),
+			}));
+		},
+		report(agent) {
+			receivers.get(agent)!(AgentBatch.fromPartial({state: AgentState.fromPartial({})}));
 		},
 		start(agent, ticket) {
 			hub.sendStart(`${agent}-1`, sessions.tryGet(`${agent}-1`)!.prepareStart(TaskStart.fromPartial({task: {ticket, index: 0}})));
@@ -103,6 +118,31 @@
 		t.deepEqual(batches.find(({starts}) => starts.some(({seq}) => seq === 3))?.senderSilences.at(-1), second);
 	});
 
+	// Issue 68: after a cut, each agent of a data centre was found silent only by a start that was lost on its way there.
+	it('are doubted when one in the same data centre has become silent, until their agents are heard again', t => {
+		const awaited: string[] = [];
+		const {clock, batches, closed, connect, report, start} = createFixture({
+			timing: platformTiming,
+			scheduler: {
+				getDemand: () => 0, tryGetHead: () => undefined, getReturnedCredits: () => 0, awaitReport: incarnation => awaited.push(incarnation),
+			},
+		});
+		for (const [agent, dataCentre] of [['lost', 'd'], ['also-lost', 'd'], ['slow', 'd'], ['heard', 'd'], ['elsewhere', 'e']] as const) {
+			connect(agent, 0, dataCentre);
+		}
+
+		start('lost', 'j');
+		clock.advance(600);
+		report('heard');
+		clock.advance(110);
+		t.deepEqual([...closed], [['lost', 'destroyed']]);
+		t.deepEqual(awaited, ['also-lost-1', 'slow-1']);
+		t.is(batches.filter(({reportWanted}) => reportWanted).length, 2);
+		report('slow');
+		clock.advance(750);
+		t.deepEqual([...closed.keys()], ['lost', 'also-lost']);
+	});
+
 	it('are closed if their agent has given them up, and leave the later one as it is', t => {
 		const outdated: Array<AgentHello['helloNumber']> = [];
 		const {hub, batches, closed, connect, start} = createFixture({
--- a/test/process/agent.test.ts
+++ b/test/process/agent.test.ts
@@ -124,7 +124,7 @@
 		},
 		async receive(batch) {
 			listeners.get('data')!({
-				welcome: undefined, config: undefined, head: undefined, evacuations: undefined, senderSilences: [], sentAtMs: 0, starts: [], stops: [], queries: [], fenced: [], entries: [], resultsAcked: 0, queued: 0, returned: 0, draining: false, ...batch,
+				welcome: undefined, config: undefined, head: undefined, evacuations: undefined, senderSilences: [], sentAtMs: 0, reportWanted: false, starts: [], stops: [], queries: [], fenced: [], entries: [], resultsAcked: 0, queued: 0, returned: 0, draining: false, ...batch,
 			});
 			await waitForTurn();
 		},
--- a/test/request/resource-scheduler.test.ts
+++ b/test/request/resource-scheduler.test.ts
@@ -98,6 +98,19 @@
 }
 
 describe('resource scheduler', () => {
+	describe('an agent that may be cut off', () => {
+		it('gets no start before its next report, and its share of the work then', t => {
+			const {scheduler, starts, connectAgent, reportFreeCores, clock} = createFixture();
+			connectAgent('a', 4);
+			connectAgent('b', 1);
+			scheduler.awaitReport!('a');
+			scheduler.enqueue(createJob('j', 2, 100, clock.now()));
+			t.deepEqual(starts.map(({agent}) => agent), ['b']);
+			reportFreeCores('a', 4, 0);
+			t.deepEqual(starts.map(({agent}) => agent), ['b', 'a']);
+		});
+	});
+
 	describe('evacuated data centres', () => {
 		it('get no new task at once, also no task that is started again', t => {
 			const {scheduler, starts, connectAgent, clock} = createFixture();
