Refuse jobs for the delay of each moment, not for its moving average

Cause: the refused share grows with each sample of the load in which the event loop is late, and the samples had the moving average of the delay. A single turn of 250 ms counted as late in some ten samples, so the share reached its maximum of 0.98 and took two and a half seconds to return.

Change: a sample has the delay since the last one. What is refused at once for the delay at the moment of a decision is unchanged.

Test: 'refuses few jobs half a second after a busy process had a single long turn' fails without the change (0.96 refused).

--- a/src/process/load-monitor.ts
+++ b/src/process/load-monitor.ts
@@ -26,7 +26,10 @@
 	getLoad(): ProcessLoad;
 	/** Returns the longest delay since the last call. */
 	takeMaxDelay(): Milliseconds;
-	/** Calls `action` at regular intervals, which are longer while the event loop is late. */
+	/**
+	 * Calls `action` at regular intervals, which are longer while the event loop is late. The delay is that of the last interval alone, since a
+	 * moving average would report a single long turn again and again.
+	 */
 	onSample(action: (load: ProcessLoad) => void): void;
 	stop(): void;
 };
@@ -85,7 +88,7 @@
 		sampledAt = now;
 		activeTime = newActiveTime;
 		for (const listener of listeners) {
-			listener({utilization, delay});
+			listener({utilization, delay: lateness});
 		}
 	}
 }
--- a/src/request/load-sharing.ts
+++ b/src/request/load-sharing.ts
@@ -61,7 +61,7 @@
 
 /** Controls which share of the jobs an entry refuses, so that its event loop is not late. */
 export type RefusalControl = {
-	/** To be called with each sample of the load. */
+	/** To be called with each sample of the load, whose delay is that since the last sample. */
 	update(load: ProcessLoad): void;
 	/** Returns the share of the jobs to refuse at the present load, from 0 to 1, if no other entry can take them. */
 	getShare(load: ProcessLoad): number;
--- a/test/request/load-sharing.test.ts
+++ b/test/request/load-sharing.test.ts
@@ -118,6 +118,21 @@
 		t.is(control.getShare(load), 0);
 	});
 
+	// Issue 68: one delay of a quarter of a second let a busy entry refuse nearly all jobs for a second, and ever fewer for two more.
+	it('refuses few jobs half a second after a busy process had a single long turn', t => {
+		const clock = createFakeClock();
+		let standstill: Milliseconds = 0;
+		const now = () => clock.now() + standstill;
+		const monitor = createLoadMonitor({clock: {...clock, now}, readActiveTime: () => now() * 0.97});
+		const control = createRefusalControl();
+		monitor.onSample(control.update);
+		clock.advance(2000);
+		standstill = 250;
+		clock.advance(500);
+		t.true(monitor.getLoad().utilization > 0.9);
+		t.true(control.getShare(monitor.getLoad()) < 0.1, `${control.getShare(monitor.getLoad())}`);
+	});
+
 	it('refuses a growing share while the event loop stays late, and less and less once it is not', t => {
 		const control = createRefusalControl();
 		const late = {utilization: 1, delay: 60};
