Refuse jobs only for a delay that lasts, and sooner then

Cause: since a sample of the load has the delay of its own interval, each short delay on a busy process raised the refused share, whatever the intervals beside it had been.

Change: a sample has the delay of its interval, but at most the average. A single long turn and short delays among prompt intervals both count for little; for a delay that lasts, the share grows faster than before (0.09 a sample for each 25 ms of delay, up to 0.27), as the average follows late.

The test of a single long turn holds (below 0.1 after half a second).

--- a/src/process/load-monitor.ts
+++ b/src/process/load-monitor.ts
@@ -27,8 +27,8 @@
 	/** Returns the longest delay since the last call. */
 	takeMaxDelay(): Milliseconds;
 	/**
-	 * Calls `action` at regular intervals, which are longer while the event loop is late. The delay is that of the last interval alone, since a
-	 * moving average would report a single long turn again and again.
+	 * Calls `action` at regular intervals, which are longer while the event loop is late. The delay is that of the last interval, but at most
+	 * the average: the average alone would report a single long turn again and again, and the last interval alone any short one.
 	 */
 	onSample(action: (load: ProcessLoad) => void): void;
 	stop(): void;
@@ -88,7 +88,7 @@
 		sampledAt = now;
 		activeTime = newActiveTime;
 		for (const listener of listeners) {
-			listener({utilization, delay: lateness});
+			listener({utilization, delay: Math.min(lateness, delay)});
 		}
 	}
 }
--- a/src/request/load-sharing.ts
+++ b/src/request/load-sharing.ts
@@ -56,10 +56,10 @@
 /** Largest share of the jobs that is refused. The others show when the overload is over. */
 const maxRefusedShare = 0.98;
 /** Changes of the refused share at each sample of the load. */
-const refusedShareIncrease = 0.05;
+const refusedShareIncrease = 0.09;
 const refusedShareDecrease = 0.02;
 /** Multiple of {@link lateDelayMs} up to which a longer delay increases the refused share faster. */
-const maxLateFactor = 4;
+const maxLateFactor = 3;
 const overloadRetryMs: Milliseconds = 1000;
 
 /** Controls which share of the jobs an entry refuses, so that its event loop is not late. */
