Forward jobs by the processor time that other entries have to spare

Cause: of the entries with time to spare, one was chosen by its utilization alone. An entry on 0.324 cores that is used to 0.3 got as many jobs as one on 1.35 cores, a quarter of which would have filled it.

Change: entries report how much processor time they get while their event loop is busy, and are chosen by what they have to spare in processor time. It needs no setting: the processor time of the process over the active time of its event loop, over some seconds. An entry of an earlier build counts as 1.

Tests: 'forwards to peers by the processor time that they have to spare, which is less on a small machine' and 'knows which share of a processor the process gets while it is busy' fail without the change.

--- a/src/connection/peer-hub.ts
+++ b/src/connection/peer-hub.ts
@@ -146,9 +146,15 @@
 		return [...links.values()].flatMap(link => link.peer ?? []);
 	}
 
-	function receiveLoad({incarnation}: EntryAddress, {utilizationPerMille, acceptsJobs, linkUtilizationPerMille}: PeerLoad): void {
+	function receiveLoad({incarnation}: EntryAddress, {
+		utilizationPerMille, acceptsJobs, linkUtilizationPerMille, processorPerMille,
+	}: PeerLoad): void {
 		loads.set(incarnation, {
-			incarnation, utilization: utilizationPerMille / 1000, acceptsJobs, linkUtilization: linkUtilizationPerMille / 1000,
+			incarnation,
+			utilization: utilizationPerMille / 1000,
+			acceptsJobs,
+			linkUtilization: linkUtilizationPerMille / 1000,
+			processorShare: processorPerMille === 0 ? 1 : processorPerMille / 1000,
 		});
 	}
 
--- a/src/connection/peer-types.ts
+++ b/src/connection/peer-types.ts
@@ -82,6 +82,8 @@
 	readonly acceptsJobs: boolean;
 	/** Share of its network link that is in use, from 0 to 1; 0 if it is not known. */
 	readonly linkUtilization: number;
+	/** Processor time that it gets for each unit of time in which its event loop is busy; 1 if it is not known. */
+	readonly processorShare: number;
 };
 
 /** Opens streams to one entry. */
--- a/src/process/job-forwarding.ts
+++ b/src/process/job-forwarding.ts
@@ -110,6 +110,7 @@
 			utilizationPerMille: Math.round(loadMonitor.getLoad().utilization * 1000),
 			acceptsJobs: acceptsJobs(),
 			linkUtilizationPerMille: Math.round(getLinkLoad().utilization * 1000),
+			processorPerMille: Math.round((loadMonitor.tryGetProcessorShare?.() ?? 0) * 1000),
 		},
 		getCounts: () => ({...counts}),
 		describeState() {
--- a/src/request/load-sharing.ts
+++ b/src/request/load-sharing.ts
@@ -148,14 +148,18 @@
 /** Chooses a peer at random, by its processor time to spare, so that entries that choose at the same time choose different ones. */
 function choosePeer(peers: readonly PeerLoadReport[], random: () => number): PeerLoadReport | undefined {
 	const usable = peers.filter(peer => hasTimeToSpare(peer));
-	const total = usable.reduce((sum, {utilization}) => sum + (spareLimit - utilization), 0);
+	const total = usable.reduce((sum, peer) => sum + getSpareTime(peer), 0);
 	let position = random() * total;
-	return usable.find(({utilization}) => {
-		position -= spareLimit - utilization;
+	return usable.find(peer => {
+		position -= getSpareTime(peer);
 		return position < 0;
 	});
 }
 
+function getSpareTime({utilization, processorShare}: PeerLoadReport): number {
+	return (spareLimit - utilization) * processorShare;
+}
+
 function hasTimeToSpare({acceptsJobs, utilization, linkUtilization}: PeerLoadReport): boolean {
 	return acceptsJobs && utilization < spareLimit && linkUtilization < linkSpareLimit;
 }
--- a/test/connection/peer-hub.test.ts
+++ b/test/connection/peer-hub.test.ts
@@ -90,7 +90,9 @@
 		getState: () => ({
 			configVersion: 1, draining: false, entries: [], evacuations: undefined,
 		}),
-		tryGetLoad: () => ({utilizationPerMille: 250, acceptsJobs: true, linkUtilizationPerMille: 300}),
+		tryGetLoad: () => ({
+			utilizationPerMille: 250, acceptsJobs: true, linkUtilizationPerMille: 300, processorPerMille: 400,
+		}),
 		receiveState: () => undefined,
 		receiveShares: () => undefined,
 		getLosses: () => [],
@@ -132,7 +134,7 @@
 		await advance(50);
 		t.is(sent.outcome?.reply?.status, 201);
 		t.deepEqual(a.hub.getLoadReports(), [{
-			incarnation: 'b-1', utilization: 0.25, acceptsJobs: true, linkUtilization: 0.3,
+			incarnation: 'b-1', utilization: 0.25, acceptsJobs: true, linkUtilization: 0.3, processorShare: 0.4,
 		}]);
 	});
 
--- a/test/platform/cancelled-jobs.test.ts
+++ b/test/platform/cancelled-jobs.test.ts
@@ -174,7 +174,7 @@
 		const decision: LoadDecision = isBusy && index === 0
 			? {
 				kind: 'forward', peer: {
-					incarnation: 'e1-1', utilization: 0, acceptsJobs: true, linkUtilization: 0,
+					incarnation: 'e1-1', utilization: 0, acceptsJobs: true, linkUtilization: 0, processorShare: 1,
 				},
 			}
 			: {kind: 'serve'};
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -30,7 +30,7 @@
 const serveHere: LoadDecision = {kind: 'serve'};
 const forwardToPeer: LoadDecision = {
 	kind: 'forward', peer: {
-		incarnation: 'p-1', utilization: 0.1, acceptsJobs: true, linkUtilization: 0,
+		incarnation: 'p-1', utilization: 0.1, acceptsJobs: true, linkUtilization: 0, processorShare: 1,
 	},
 };
 const complete: Answer = {state: 'complete', ran: 'ran', payloads: []};
--- a/test/platform/job-intake.test.ts
+++ b/test/platform/job-intake.test.ts
@@ -16,7 +16,7 @@
 	name: 'r', host: 'h', pathPrefix: '/jobs/', submission: 's', deadline: 1500, stretch: 1.6, margin: 60, priority: 0, attempts: 2,
 };
 const peer = {
-	incarnation: 'p-1', utilization: 0.1, acceptsJobs: true, linkUtilization: 0,
+	incarnation: 'p-1', utilization: 0.1, acceptsJobs: true, linkUtilization: 0, processorShare: 1,
 };
 const forwardToPeer: LoadDecision = {kind: 'forward', peer};
 const servedHere: JobReply = {status: 200, body: '{"state":"completed"}'};
--- a/test/process/load-monitor.test.ts
+++ b/test/process/load-monitor.test.ts
@@ -26,6 +26,19 @@
 }
 
 describe('load monitor', () => {
+	it('knows which share of a processor the process gets while it is busy', t => {
+		const clock = createFakeClock();
+		let processorTime: Milliseconds = 0;
+		const monitor = createLoadMonitor({clock, readActiveTime: () => clock.now() / 2, readProcessorTime: () => processorTime});
+		t.is(monitor.tryGetProcessorShare!(), undefined);
+		for (let i = 0; i < 100; i++) {
+			processorTime += 50 * 0.5 * 0.3;
+			clock.advance(50);
+		}
+
+		t.true(Math.abs(monitor.tryGetProcessorShare!()! - 0.3) < 0.01);
+	});
+
 	it('follows the share of time in which the event loop is busy within half a second', t => {
 		const {monitor, run} = createFixture();
 		run(500, 0.3);
--- a/test/process/odd-messages.test.ts
+++ b/test/process/odd-messages.test.ts
@@ -43,7 +43,9 @@
 		}], grants: [{team: 't', share: 5, seq: 6}],
 	},
 	losses: [{upstreamIncarnation: 'u-0', revision: 4, tasks: []}],
-	load: {utilizationPerMille: 300, acceptsJobs: true, linkUtilizationPerMille: 10},
+	load: {
+		utilizationPerMille: 300, acceptsJobs: true, linkUtilizationPerMille: 10, processorPerMille: 300,
+	},
 	cancelled: [1],
 });
 
--- a/test/request/load-sharing.test.ts
+++ b/test/request/load-sharing.test.ts
@@ -23,9 +23,9 @@
 	};
 }
 
-function createPeer(incarnation: string, utilization: number, acceptsJobs = true, linkUtilization = 0): PeerLoadReport {
+function createPeer(incarnation: string, utilization: number, acceptsJobs = true, linkUtilization = 0, processorShare = 1): PeerLoadReport {
 	return {
-		incarnation, utilization, acceptsJobs, linkUtilization,
+		incarnation, utilization, acceptsJobs, linkUtilization, processorShare,
 	};
 }
 
@@ -70,6 +70,13 @@
 		t.is(shares.get('stopping'), undefined);
 	});
 
+	// Issue 68: entries on small machines got as many jobs of others as those on large ones, and were late for their own clients.
+	it('forwards to peers by the processor time that they have to spare, which is less on a small machine', t => {
+		const shares = sampleDecisions(overrun, [createPeer('large', 0.25, true, 0, 1.6), createPeer('small', 0.25, true, 0, 0.4)]);
+		t.true(Math.abs(shares.get('large')! - 0.8) < 0.05);
+		t.true(Math.abs(shares.get('small')! - 0.2) < 0.05);
+	});
+
 	it('refuses jobs only if no peer can take them, and says when to come back', t => {
 		t.deepEqual([...sampleDecisions(overrun, [createPeer('p', 0.1)], 0.9).keys()], ['p']);
 		const shares = sampleDecisions(overrun, [createPeer('p', 0.9)], 0.5);
