--- a/test/connection/entry-links.test.ts
+++ b/test/connection/entry-links.test.ts
@@ -1,15 +1,12 @@
 import fc from 'fast-check';
 import {Result} from 'neverthrow';
 import {createEntryLinks, type EntryLinks} from '../../src/connection/entry-links.js';
-import {createEntrySessions} from '../../src/connection/entry-sessions.js';
 import {relaxedTiming} from '../../src/connection/link-timing.js';
-import {createResourceLimiter} from '../../src/connection/resource-limiter.js';
 import {AgentState, EntryBatch} from '../../src/generated/kingcuplane.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {describe, it} from '../describe.js';
 import {createOddMessages, oddInputRuns} from '../odd-input.js';
-
-const capacity = {cpu: 1000, memory: 1, accelerators: 0};
+import {createIdleSessions, idleCapacity} from './idle-sessions.js';
 
 type Fixture = {
 	readonly clock: FakeClock;
@@ -31,17 +28,7 @@
 	const isOpen = new Map<string, boolean>();
 	const failed: string[] = [];
 	const receivers = new Map<string, (batch: EntryBatch) => void>();
-	const sessions = createEntrySessions({
-		clock,
-		agent: {
-			incarnation: 'a-1', name: 'a', upstream: 'u', service: 's', dataCentre: 'd', rack: 'r', slots: 1, capacity,
-		},
-		retentionMs: 1000,
-		maxRetainedBytes: 1000,
-		run: () => undefined,
-		stop: () => undefined,
-		onOutputPending: () => undefined,
-	}, createResourceLimiter({clock, notifyEntry: () => undefined}, capacity));
+	const sessions = createIdleSessions(clock);
 	const links = createEntryLinks({
 		clock,
 		sessions,
@@ -163,7 +150,7 @@
 	it('are kept to other entries, and opened again, whatever an entry sends', async t => {
 		const valid = EntryBatch.encode(EntryBatch.fromPartial({
 			starts: [{
-				task: {ticket: 't', index: 0}, seq: 1, attempt: 1, taskCount: 1, service: 's', payload: new Uint8Array([1]), need: capacity, expectedRunMs: 5, validUntilMs: 9,
+				task: {ticket: 't', index: 0}, seq: 1, attempt: 1, taskCount: 1, service: 's', payload: new Uint8Array([1]), need: idleCapacity, expectedRunMs: 5, validUntilMs: 9,
 			}],
 			resultsAcked: 1,
 			queued: 1,
@@ -173,7 +160,7 @@
 			fenced: ['e0'],
 			entries: [{name: 'e2', incarnation: 'e2-1', links: 'e2'}],
 			head: {
-				waited: 1, size: 1, need: capacity, keepMs: 1,
+				waited: 1, size: 1, need: idleCapacity, keepMs: 1,
 			},
 			stops: [{task: {ticket: 't', index: 0}, startSeq: 1}],
 			evacuations: {revision: 1, dataCentres: ['d']},
--- a/test/connection/link-client.test.ts
+++ b/test/connection/link-client.test.ts
@@ -1,11 +1,10 @@
 import {createAgentLink, type AgentLink} from '../../src/connection/link-client.js';
-import {createEntrySessions} from '../../src/connection/entry-sessions.js';
-import {createResourceLimiter} from '../../src/connection/resource-limiter.js';
 import {AgentState, EntryBatch, type AgentBatch} from '../../src/generated/kingcuplane.js';
 import {platformTiming} from '../../src/platform/timing.js';
 import type {Milliseconds} from '../../src/process/clock.js';
 import {createFakeClock, type FakeClock} from '../../src/process/fake-clock.js';
 import {describe, it} from '../describe.js';
+import {createIdleSessions} from './idle-sessions.js';
 
 type Fixture = {
 	readonly clock: FakeClock;
@@ -18,25 +17,13 @@
 	receive(batch: EntryBatch): void;
 };
 
-const capacity = {cpu: 1000, memory: 1, accelerators: 0};
-
 /** Creates a link to an entry that welcomes a stream `getWelcomeDelay` after it was opened, if that is still open. */
 function createFixture(getWelcomeDelay: (now: Milliseconds) => Milliseconds): Fixture {
 	const clock = createFakeClock();
 	const openedAt: Milliseconds[] = [];
 	const written: AgentBatch[] = [];
 	let receive: (batch: EntryBatch) => void = () => undefined;
-	const sessions = createEntrySessions({
-		clock,
-		agent: {
-			incarnation: 'a-1', name: 'a', upstream: 'u', service: 's', dataCentre: 'd', rack: 'r', slots: 1, capacity,
-		},
-		retentionMs: 1000,
-		maxRetainedBytes: 1000,
-		run: () => undefined,
-		stop: () => undefined,
-		onOutputPending: () => undefined,
-	}, createResourceLimiter({clock, notifyEntry: () => undefined}, capacity));
+	const sessions = createIdleSessions(clock);
 	const link = createAgentLink({
 		clock,
 		sessions,
