--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -227,7 +227,7 @@
 		receiveLoss: coordinator.receiveLossReport,
 		onStreamChanged({peer, kind}) {
 			host.log.info({
-				peer: peer.name, incarnation: peer.incarnation, kind, linked: peers.getLinkedPeers().length,
+				peer: peer.name, incarnation: peer.incarnation, kind, linkedEntries: peers.getLinkedPeers().length,
 			}, `stream to another entry ${kind}`);
 		},
 		onPeerConnected(peer) {
